--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,314 @@
+//! The command line.
+
+use crate::config::{Config, load_json};
+use crate::error::Fault;
+use crate::events::EVENTS;
+use crate::inventory::Inventory;
+use crate::operator::Publication;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use error_stack::{Report, ResultExt};
+use serde_json::Value;
+use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Exit code for settings, inventories or arguments that are not valid.
+const EXIT_INVALID: u8 = 2;
+/// Exit code for a VM that does not answer or an address that is taken.
+const EXIT_UNREACHABLE: u8 = 3;
+/// Exit code for what the system refused, such as a conflicting change.
+const EXIT_REFUSED: u8 = 4;
+
+/// Describes the command line.
+pub fn command() -> Command {
+    let via = Arg::new("via")
+        .long("via")
+        .value_name("ADDRESS")
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+        .help("The operator address of any VM");
+    let json = Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Print JSON");
+    Command::new("rattanjunction")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Serves many models on fewer accelerators")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help(
+            "Exit codes: 0 done, 2 invalid settings, inventory or arguments, 3 unreachable or \
+             address taken, 4 refused",
+        )
+        .subcommand(
+            Command::new("serve").about("Run one VM of the system").arg(
+                Arg::new("config")
+                    .long("config")
+                    .value_name("FILE")
+                    .required(true)
+                    .value_parser(value_parser!(PathBuf))
+                    .help("The VM's settings"),
+            ),
+        )
+        .subcommand(
+            Command::new("publish")
+                .about("Put an inventory in force everywhere")
+                .arg(file("The inventory, in JSON"))
+                .arg(via.clone())
+                .arg(
+                    Arg::new("base")
+                        .long("base")
+                        .value_name("REVISION")
+                        .value_parser(value_parser!(u64))
+                        .help("Refuse unless this revision is in force"),
+                ),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Show VMs, runners, models and the revision in force")
+                .arg(via)
+                .arg(json),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Check an inventory or settings and print all that is wrong")
+                .arg(file("An inventory or settings, in JSON")),
+        )
+        .subcommand(Command::new("events").about("Print the catalogue of log events"))
+        .subcommand(
+            Command::new("completions")
+                .about("Print a completion script")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(clap_complete::Shell)),
+                ),
+        )
+}
+
+fn file(help: &'static str) -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+/// Runs the command line of this process.
+pub fn run() -> ExitCode {
+    let matches = command().get_matches();
+    let outcome = match matches.subcommand() {
+        Some(("serve", matches)) => serve(matches),
+        Some(("publish", matches)) => publish(matches),
+        Some(("status", matches)) => status(matches),
+        Some(("check", matches)) => check(matches),
+        Some(("events", _)) => {
+            print_events();
+            Ok(())
+        }
+        Some(("completions", matches)) => {
+            print_completions(matches);
+            Ok(())
+        }
+        _ => Err(Report::new(Fault::Settings)),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("error: {}", describe(&report));
+            ExitCode::from(match report.current_context() {
+                Fault::Settings => EXIT_INVALID,
+                Fault::Bind | Fault::Exchange | Fault::Logging => EXIT_UNREACHABLE,
+                Fault::Refused => EXIT_REFUSED,
+            })
+        }
+    }
+}
+
+/// The report's context with what was attached to it, a line each.
+fn describe(report: &Report<Fault>) -> String {
+    use error_stack::{AttachmentKind, FrameKind};
+    let mut lines = vec![report.current_context().to_string()];
+    for frame in report.frames() {
+        if let FrameKind::Attachment(AttachmentKind::Printable(attachment)) = frame.kind() {
+            lines.push(attachment.to_string());
+        }
+    }
+    lines.join("\n  ")
+}
+
+fn runtime() -> Result<compio::runtime::Runtime, Report<Fault>> {
+    compio::runtime::Runtime::new().change_context(Fault::Bind)
+}
+
+fn serve(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let path: &PathBuf = matches.get_one("config").expect("required");
+    let config = Config::load(path)?;
+    let format = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(log::LevelFilter::Off)
+        .set_thread_level(log::LevelFilter::Off)
+        .build();
+    TermLogger::init(
+        config.log_level,
+        format,
+        TerminalMode::Stderr,
+        ColorChoice::Never,
+    )
+    .change_context(Fault::Logging)?;
+    runtime()?.block_on(crate::server::serve(config))
+}
+
+fn publish(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let path: &PathBuf = matches.get_one("file").expect("required");
+    let inventory: Inventory = load_json(path)?;
+    let publication = Publication {
+        base: matches.get_one("base").copied(),
+        inventory,
+    };
+    let answer = runtime()?.block_on(exchange(matches, "publish", Some(&publication)))?;
+    println!("revision {} is in force", answer["revision"]);
+    Ok(())
+}
+
+fn status(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let answer = runtime()?.block_on(exchange(matches, "status", None))?;
+    if matches.get_flag("json") {
+        println!("{answer:#}");
+    } else {
+        print_status(&answer);
+    }
+    Ok(())
+}
+
+fn check(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let path: &PathBuf = matches.get_one("file").expect("required");
+    let value: Value = load_json(path)?;
+    if value.get("caller_address").is_some() {
+        Config::load(path)?;
+    } else {
+        let inventory: Inventory = load_json(path)?;
+        let problems = inventory.problems();
+        if !problems.is_empty() {
+            return Err(Report::new(Fault::Settings).attach(problems.join("\n  ")));
+        }
+    }
+    println!("{} is valid", path.display());
+    Ok(())
+}
+
+/// Calls a VM's operator address; an error answer becomes a report.
+async fn exchange(
+    matches: &ArgMatches,
+    route: &str,
+    publication: Option<&Publication>,
+) -> Result<Value, Report<Fault>> {
+    let via: &SocketAddr = matches.get_one("via").expect("required");
+    let url = format!("http://{via}/{route}");
+    let unreachable = || format!("no answer from {via}");
+    let client = cyper::Client::new().change_context(Fault::Exchange)?;
+    let request = match publication {
+        None => client.get(&url).change_context(Fault::Exchange)?,
+        Some(publication) => client
+            .post(&url)
+            .change_context(Fault::Exchange)?
+            .json(publication)
+            .change_context(Fault::Exchange)?,
+    };
+    let response = request
+        .send()
+        .await
+        .change_context(Fault::Exchange)
+        .attach_with(unreachable)?;
+    let status = response.status();
+    let answer: Value = response
+        .json()
+        .await
+        .change_context(Fault::Exchange)
+        .attach_with(unreachable)?;
+    if status.is_success() {
+        return Ok(answer);
+    }
+    let message = answer["error"]["message"].as_str().unwrap_or("no message");
+    let code = answer["error"]["code"].as_str().unwrap_or("unknown");
+    Err(Report::new(Fault::Refused).attach(format!("{code}: {message}")))
+}
+
+fn print_status(status: &Value) {
+    println!(
+        "revision {} as seen by {}",
+        status["revision"],
+        text(&status["vm"])
+    );
+    println!(
+        "\n{:<16} {:<14} {:<6} {:>9}",
+        "VM", "ZONE", "ALIVE", "REVISION"
+    );
+    for vm in items(&status["vms"]) {
+        println!(
+            "{:<16} {:<14} {:<6} {:>9}",
+            text(&vm["name"]),
+            text(&vm["availability_zone"]),
+            text(&vm["alive"]),
+            text(&vm["revision"])
+        );
+    }
+    println!(
+        "\n{:<16} {:<14} {:<6} {:>8} {:>8} {:>7} {:>7}",
+        "RUNNER", "ZONE", "UP", "TAKEN", "ROOM", "RUNNING", "WAITING"
+    );
+    for runner in items(&status["runners"]) {
+        println!(
+            "{:<16} {:<14} {:<6} {:>8} {:>8} {:>7} {:>7}",
+            text(&runner["name"]),
+            text(&runner["availability_zone"]),
+            text(&runner["up"]),
+            text(&runner["taken_mib"]),
+            text(&runner["room_mib"]),
+            text(&runner["running"]),
+            text(&runner["waiting"])
+        );
+    }
+    println!("\n{:<24} {:<10} RESIDENT ON", "MODEL", "VERSION");
+    for model in items(&status["models"]) {
+        let on: Vec<String> = items(&model["resident_on"]).map(text).collect();
+        println!(
+            "{:<24} {:<10} {}",
+            text(&model["name"]),
+            text(&model["version"]),
+            on.join(" ")
+        );
+    }
+}
+
+fn items(value: &Value) -> impl Iterator<Item = &Value> {
+    value.as_array().into_iter().flatten()
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+fn print_events() {
+    for row in EVENTS {
+        println!(
+            "E{} {:<18} {:<5} {}",
+            row.number, row.name, row.level, row.text
+        );
+    }
+}
+
+fn print_completions(matches: &ArgMatches) {
+    let shell: &clap_complete::Shell = matches.get_one("shell").expect("required");
+    clap_complete::generate(
+        *shell,
+        &mut command(),
+        "rattanjunction",
+        &mut std::io::stdout(),
+    );
+}
--- /dev/null
+++ b/src/control/command.rs
@@ -0,0 +1,101 @@
+//! Commands of the control stream.
+
+use super::Artifact;
+use crate::inventory::{Inventory, Name};
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// The claim that an order is given under.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Under {
+    /// The group of runners.
+    pub(crate) group: Name,
+    /// The fence of the claim.
+    pub(crate) claim: u64,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum Outcome {
+    /// The engine reports it done.
+    Done,
+    /// The engine refused it, or it can no longer arrive.
+    Failed,
+}
+
+/// What a writer asks for.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum Command {
+    /// Puts an inventory in force, if `base` is the revision in force.
+    Publish { base: u64, inventory: Rc<Inventory> },
+    /// Takes over a group, if `after` is the fence of the present claim.
+    Claim { group: Name, vm: Name, after: u64 },
+    /// Sets memory aside and allows the order to load.
+    Load {
+        under: Under,
+        runner: Name,
+        artifact: Artifact,
+        mib: u64,
+        room_mib: u64,
+    },
+    /// Allows the order to unload; the memory stays taken until settled.
+    Unload {
+        under: Under,
+        runner: Name,
+        artifact: Artifact,
+    },
+    /// Ends an order. `clean` says that no copy of it can still arrive.
+    Settle {
+        under: Under,
+        runner: Name,
+        intent: u64,
+        outcome: Outcome,
+        clean: bool,
+    },
+    /// Enters what a runner holds though no order of ours loaded it.
+    Adopt {
+        under: Under,
+        runner: Name,
+        artifact: Artifact,
+        mib: u64,
+        boot: u64,
+    },
+    /// Gives a fencing number that does nothing but outdate older ones.
+    Fence { under: Under, runner: Name },
+    /// Notes that the runner started anew, with empty memory.
+    Reset {
+        under: Under,
+        runner: Name,
+        boot: u64,
+    },
+    /// Notes that a runner crashed with this request aboard.
+    Suspect {
+        fingerprint: u64,
+        runner: Name,
+        boot: u64,
+    },
+}
+
+impl Command {
+    /// The claim and the runner of an order.
+    pub(crate) fn under(&self) -> Option<(&Under, &Name)> {
+        match self {
+            Self::Load { under, runner, .. }
+            | Self::Unload { under, runner, .. }
+            | Self::Settle { under, runner, .. }
+            | Self::Adopt { under, runner, .. }
+            | Self::Fence { under, runner }
+            | Self::Reset { under, runner, .. } => Some((under, runner)),
+            Self::Publish { .. } | Self::Claim { .. } | Self::Suspect { .. } => None,
+        }
+    }
+}
+
+/// What became of a command.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Verdict {
+    /// It is in force from its place in the log on.
+    Accepted,
+    /// Something before it in the log forbids it.
+    Refused,
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,177 @@
+//! The runners as this VM sees them: lagged reports, and its own requests in flight.
+
+use crate::engine::{EngineClient, Report, ReportedState};
+use crate::events::{Event, emit};
+use crate::inventory::{BackendServer, Name};
+use crate::kernel::Service;
+use crate::wire::RunnerLoad;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The time between two reports of one runner.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// A report older than this says nothing.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a runner that broke a connection is passed over.
+const BROKEN_PAUSE: Duration = Duration::from_millis(500);
+
+/// One runner.
+#[derive(Debug)]
+pub(crate) struct Runner {
+    /// Its name in the inventory.
+    pub(crate) name: Name,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    report: RefCell<Option<(Instant, Report)>>,
+    in_flight: Cell<u32>,
+    broken_at: Cell<Option<Instant>>,
+}
+
+/// Counts a request as in flight on a runner until dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight(Rc<Runner>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+impl Runner {
+    fn new(server: &BackendServer) -> Self {
+        Self {
+            name: server.name.clone(),
+            address: server.address,
+            report: RefCell::new(None),
+            in_flight: Cell::new(0),
+            broken_at: Cell::new(None),
+        }
+    }
+
+    /// Looks at the last report, if it is fresh.
+    pub(crate) fn report<R>(&self, look: impl FnOnce(&Report) -> R) -> Option<R> {
+        let report = self.report.borrow();
+        let (at, report) = report.as_ref()?;
+        (at.elapsed() < REPORT_TIMEOUT).then(|| look(report))
+    }
+
+    /// Whether the runner answers and broke no connection of late.
+    pub(crate) fn is_up(&self) -> bool {
+        let broken = self
+            .broken_at
+            .get()
+            .is_some_and(|at| at.elapsed() < BROKEN_PAUSE);
+        !broken && self.report(|_| ()).is_some()
+    }
+
+    /// Whether the runner reported that requests for this artifact run.
+    pub(crate) fn is_ready(&self, artifact: &str) -> bool {
+        self.report(|report| {
+            report
+                .artifacts
+                .iter()
+                .any(|held| held.name == artifact && held.state == ReportedState::Ready)
+        })
+        .unwrap_or(false)
+    }
+
+    /// Requests of this VM on the runner.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Counts one more request.
+    pub(crate) fn enter(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(self.clone())
+    }
+
+    /// Notes a broken connection: the runner is passed over for a moment.
+    pub(crate) fn note_broken(&self) {
+        self.broken_at.set(Some(Instant::now()));
+    }
+}
+
+/// All runners of the inventory in force.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    runners: RefCell<BTreeMap<Name, Rc<Runner>>>,
+}
+
+impl Service for Fleet {
+    const NAME: &'static str = "fleet";
+}
+
+impl Fleet {
+    /// Finds a runner.
+    pub(crate) fn runner(&self, name: &str) -> Option<Rc<Runner>> {
+        self.runners.borrow().get(name).cloned()
+    }
+
+    /// All runners, by name.
+    pub(crate) fn runners(&self) -> Vec<Rc<Runner>> {
+        self.runners.borrow().values().cloned().collect()
+    }
+
+    /// Takes over an inventory's runners and starts a task for each new one.
+    pub(crate) fn take<'a>(self: &Rc<Self>, servers: impl Iterator<Item = &'a BackendServer>) {
+        let mut runners = self.runners.borrow_mut();
+        let servers: HashMap<Name, &BackendServer> = servers
+            .map(|server| (server.name.clone(), server))
+            .collect();
+        runners.retain(|name, runner| {
+            servers
+                .get(name)
+                .is_some_and(|server| server.address == runner.address)
+        });
+        for (name, server) in servers {
+            runners.entry(name).or_insert_with(|| {
+                let runner = Rc::new(Runner::new(server));
+                compio::runtime::spawn(self.clone().watch(runner.clone())).detach();
+                runner
+            });
+        }
+    }
+
+    /// This VM's requests in flight, for the heartbeats.
+    pub(crate) fn loads(&self) -> Vec<RunnerLoad> {
+        self.runners
+            .borrow()
+            .values()
+            .filter(|runner| runner.in_flight() > 0)
+            .map(|runner| RunnerLoad {
+                runner: runner.name.to_string(),
+                in_flight: runner.in_flight(),
+            })
+            .collect()
+    }
+
+    /// Asks one runner for reports until the inventory does not list it any more.
+    async fn watch(self: Rc<Self>, runner: Rc<Runner>) {
+        let client = EngineClient::new();
+        let mut up = false;
+        while self.is_listed(&runner) {
+            if let Some(report) = client.report(runner.address).await {
+                *runner.report.borrow_mut() = Some((Instant::now(), report));
+            }
+            if runner.is_up() != up {
+                up = !up;
+                emit(
+                    Event::RunnerHealth,
+                    format_args!("runner={} up={up}", runner.name),
+                );
+            }
+            compio::time::sleep(REPORT_INTERVAL).await;
+        }
+    }
+
+    fn is_listed(&self, runner: &Rc<Runner>) -> bool {
+        self.runners
+            .borrow()
+            .get(&runner.name)
+            .is_some_and(|listed| Rc::ptr_eq(listed, runner))
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,169 @@
+//! HTTP serving over `hyper` and `compio`, and the body type of all answers.
+
+use crate::shutdown::Shutdown;
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode, header};
+use serde::Serialize;
+use std::convert::Infallible;
+use std::io;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// How long a client may take to send its request head.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The largest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// An answer's or a request's body.
+#[derive(Debug)]
+pub enum Body {
+    /// A body held whole, taken when sent.
+    Full(Option<Bytes>),
+    /// Chunks as they come; an error item cuts the connection.
+    Stream(mpsc::Receiver<io::Result<Bytes>>),
+}
+
+impl Body {
+    /// A body without bytes.
+    pub fn empty() -> Self {
+        Self::Full(None)
+    }
+
+    /// A body held whole.
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        Self::Full(Some(bytes.into()))
+    }
+
+    /// A body of chunks sent through the returned sender.
+    ///
+    /// Dropping the sender ends the body cleanly; sending an error cuts it.
+    pub fn channel(capacity: usize) -> (mpsc::Sender<io::Result<Bytes>>, Self) {
+        let (sender, receiver) = mpsc::channel(capacity);
+        (sender, Self::Stream(receiver))
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(receiver) => receiver
+                .poll_next_unpin(cx)
+                .map(|item| item.map(|chunk| chunk.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer with a JSON body.
+pub fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).expect("answers serialize");
+    let mut response = Response::new(Body::full(bytes));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// Why a body was not read.
+#[derive(Debug)]
+pub enum ReadError {
+    /// The body is larger than the limit.
+    TooLarge,
+    /// The connection broke.
+    Cut,
+}
+
+/// Reads a body whole.
+///
+/// # Errors
+///
+/// Fails when the body is longer than `limit_bytes` or the connection breaks.
+pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, ReadError> {
+    match Limited::new(body, limit_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLarge),
+        Err(_) => Err(ReadError::Cut),
+    }
+}
+
+/// Accepts connections until `shutdown` and serves each in a task of its own.
+///
+/// Connections finish the request they are at; `shutdown` counts them.
+pub async fn serve<H, F>(listener: TcpListener, shutdown: Rc<Shutdown>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    let mut stop = pin!(shutdown.wait());
+    loop {
+        let accept = pin!(listener.accept());
+        match select(accept, stop.as_mut()).await {
+            Either::Left((Ok((stream, _)), _)) => {
+                spawn_connection(stream, shutdown.clone(), handler.clone());
+            }
+            Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_PAUSE).await,
+            Either::Right(_) => return,
+        }
+    }
+}
+
+fn spawn_connection<H, F>(stream: TcpStream, shutdown: Rc<Shutdown>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    compio::runtime::spawn(async move {
+        let _guard = shutdown.enter();
+        // A slow loss of this option only costs latency.
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(CompioTimer)
+            .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(HyperStream::new_plain(stream), service);
+        let mut connection = pin!(connection);
+        let stop = pin!(shutdown.wait());
+        if let Either::Right(((), _)) = select(connection.as_mut(), stop).await {
+            connection.as_mut().graceful_shutdown();
+            // The client sees a broken connection by itself.
+            let _ = connection.await;
+        }
+    })
+    .detach();
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,48 @@
+//! A serving system for many models on fewer accelerators.
+//!
+//! The processes of this crate stand between callers and backend servers. What
+//! they must agree on they take from the order of records in the platform's
+//! log; docs/DESIGN.md tells why.
+
+pub mod cli;
+mod client;
+mod completion;
+mod config;
+mod control;
+mod engine;
+mod entry;
+mod error;
+mod events;
+mod fleet;
+mod http;
+mod idempotency;
+mod inventory;
+mod keeper;
+mod kernel;
+mod membership;
+mod metrics;
+mod operator;
+mod peer;
+mod placement;
+mod plain;
+mod planner;
+mod platform;
+mod router;
+mod server;
+mod shutdown;
+mod signal;
+mod sse;
+mod stream;
+mod wire;
+
+pub use client::{Connection, Pool, SendError};
+pub use config::Config;
+pub use error::{ANSWERS, Answer, Failure, Fault, Kind, Ran};
+pub use events::{EVENTS, Event, EventRow};
+pub use http::{Body, ReadError, json_response, read_body, serve as serve_http};
+pub use inventory::{
+    Adapter, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name, PlainService,
+    Priority, Rules,
+};
+pub use server::serve;
+pub use shutdown::{OpenGuard, Shutdown};
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,11 @@
+//! The `rattanjunction` binary.
+
+use mimalloc::MiMalloc;
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    rattanjunction::cli::run()
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,280 @@
+//! Deciding what to load and unload, from the books and the inventory alone.
+
+use crate::control::{Artifact, Control, CopyState, RunnerBook};
+use crate::inventory::{BackendServer, Model, Name};
+use std::collections::HashSet;
+use std::fmt::Write;
+
+/// Loads that the weight store serves at full speed.
+pub(crate) const MAX_OPEN_LOADS: usize = 6;
+/// Copies of a model that are made wherever they fit, in different availability zones.
+const SPARE_REPLICAS: u32 = 2;
+
+/// A decision to change what a runner holds.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Move {
+    /// Load an artifact.
+    Load {
+        runner: Name,
+        artifact: Artifact,
+        mib: u64,
+        room_mib: u64,
+        reason: &'static str,
+        others: String,
+    },
+    /// Unload an artifact.
+    Unload {
+        runner: Name,
+        artifact: Artifact,
+        reason: &'static str,
+    },
+}
+
+/// What a plan is made from.
+#[derive(Debug)]
+pub(crate) struct Planning<'a> {
+    control: &'a Control,
+    runners: Vec<&'a BackendServer>,
+}
+
+impl<'a> Planning<'a> {
+    /// A planning over the runners of `group` that answer and stay.
+    pub(crate) fn new(control: &'a Control, group: &str, is_up: impl Fn(&str) -> bool) -> Self {
+        let runners = control
+            .inventory
+            .runners()
+            .filter(|runner| runner.group == group && !runner.leaving && is_up(&runner.name))
+            .collect();
+        Self { control, runners }
+    }
+
+    /// The moves to make now, the most urgent first.
+    pub(crate) fn moves(&self) -> Vec<Move> {
+        let mut moves = self.unloads();
+        let budget = MAX_OPEN_LOADS.saturating_sub(self.control.open_loads());
+        let mut loads = self.missing_adapters();
+        loads.extend(self.missing_copies());
+        if loads.is_empty() && self.control.open_loads() == 0 {
+            loads.extend(self.spare_copies());
+        }
+        loads.truncate(budget);
+        moves.extend(loads);
+        moves
+    }
+
+    fn book(&self, runner: &BackendServer) -> RunnerBook {
+        self.control.book(&runner.name)
+    }
+
+    fn artifact(model: &Model) -> Artifact {
+        Artifact {
+            model: model.name.clone(),
+            adapter: None,
+            version: model.version.clone(),
+        }
+    }
+
+    fn adapters(model: &Model) -> impl Iterator<Item = (Artifact, u64)> {
+        model.adapters.iter().map(|adapter| {
+            let artifact = Artifact {
+                model: model.name.clone(),
+                adapter: Some(adapter.name.clone()),
+                version: adapter.version.clone(),
+            };
+            (artifact, adapter.weights_mib)
+        })
+    }
+
+    /// Memory that is free and not needed for adapters of models already there.
+    fn free_mib(&self, runner: &BackendServer) -> u64 {
+        let book = self.book(runner);
+        let owed_mib: u64 = self
+            .control
+            .inventory
+            .models
+            .iter()
+            .filter(|model| book.is_coming(&Self::artifact(model)))
+            .flat_map(Self::adapters)
+            .filter(|(adapter, _)| !book.copies.contains_key(adapter))
+            .map(|(_, mib)| mib)
+            .sum();
+        runner
+            .weights_room_mib()
+            .saturating_sub(book.taken_mib() + owed_mib)
+    }
+
+    fn holders(&self, model: &Model) -> Vec<&'a BackendServer> {
+        let artifact = Self::artifact(model);
+        self.runners
+            .iter()
+            .filter(|runner| self.book(runner).is_coming(&artifact))
+            .copied()
+            .collect()
+    }
+
+    fn missing_adapters(&self) -> Vec<Move> {
+        let mut loads = Vec::new();
+        for runner in &self.runners {
+            let book = self.book(runner);
+            for model in &self.control.inventory.models {
+                if !book.is_resident(&Self::artifact(model)) {
+                    continue;
+                }
+                for (artifact, mib) in Self::adapters(model) {
+                    let absent = book
+                        .copies
+                        .get(&artifact)
+                        .is_none_or(|copy| copy.state == CopyState::Reserved);
+                    if absent {
+                        loads.push(Move::Load {
+                            runner: runner.name.clone(),
+                            artifact,
+                            mib,
+                            room_mib: runner.weights_room_mib(),
+                            reason: "adapter_missing",
+                            others: String::new(),
+                        });
+                    }
+                }
+            }
+        }
+        loads
+    }
+
+    /// First copies before further ones.
+    fn missing_copies(&self) -> Vec<Move> {
+        let mut models: Vec<(usize, &Model)> = self
+            .control
+            .inventory
+            .models
+            .iter()
+            .map(|model| (self.holders(model).len(), model))
+            .filter(|(copies, model)| (*copies as u32) < model.min_replicas)
+            .collect();
+        models.sort_by_key(|(copies, model)| (*copies, std::cmp::Reverse(model.resident_mib())));
+        self.place(models.into_iter().map(|(_, model)| model), "copy_missing")
+    }
+
+    fn spare_copies(&self) -> Vec<Move> {
+        let models = self.control.inventory.models.iter().filter(|model| {
+            let copies = self.holders(model).len() as u32;
+            copies > 0 && copies < SPARE_REPLICAS.max(model.min_replicas)
+        });
+        self.place(models, "spare_copy")
+    }
+
+    /// Places one more copy of each model, at most one new copy on a runner.
+    fn place<'m>(
+        &self,
+        models: impl Iterator<Item = &'m Model>,
+        reason: &'static str,
+    ) -> Vec<Move> {
+        let mut taken = HashSet::new();
+        let mut loads = Vec::new();
+        for model in models {
+            if let Some((runner, others)) = self.best_runner(model, &taken) {
+                taken.insert(runner.name.clone());
+                loads.push(Move::Load {
+                    runner: runner.name.clone(),
+                    artifact: Self::artifact(model),
+                    mib: model.weights_mib,
+                    room_mib: runner.weights_room_mib(),
+                    reason,
+                    others,
+                });
+            }
+        }
+        loads
+    }
+
+    /// The runner with the most free memory, in a zone without a copy if there is one.
+    fn best_runner(
+        &self,
+        model: &Model,
+        taken: &HashSet<Name>,
+    ) -> Option<(&'a BackendServer, String)> {
+        let zones: HashSet<&Name> = self
+            .holders(model)
+            .iter()
+            .map(|runner| &runner.availability_zone)
+            .collect();
+        let artifact = Self::artifact(model);
+        let mut fitting: Vec<(bool, u64, &BackendServer)> = self
+            .runners
+            .iter()
+            .filter(|runner| !taken.contains(&runner.name))
+            .filter(|runner| {
+                self.book(runner)
+                    .copies
+                    .get(&artifact)
+                    .is_none_or(|copy| copy.state == CopyState::Reserved)
+            })
+            .map(|runner| {
+                let new_zone = self.control.inventory.rules.spread_zones
+                    && !zones.contains(&runner.availability_zone);
+                (new_zone, self.free_mib(runner), *runner)
+            })
+            .filter(|(_, free_mib, _)| *free_mib >= model.resident_mib())
+            .collect();
+        fitting.sort_by_key(|(new_zone, free_mib, _)| std::cmp::Reverse((*new_zone, *free_mib)));
+        let mut others = String::new();
+        for (_, free_mib, runner) in fitting.iter().skip(1) {
+            let _ = write!(others, "{}:{free_mib},", runner.name);
+        }
+        fitting.first().map(|(_, _, runner)| (*runner, others))
+    }
+
+    fn unloads(&self) -> Vec<Move> {
+        let mut unloads = Vec::new();
+        for runner in &self.runners {
+            for (artifact, copy) in &self.book(runner).copies {
+                if copy.state != CopyState::Resident {
+                    continue;
+                }
+                if let Some(reason) = self.reason_to_unload(artifact) {
+                    unloads.push(Move::Unload {
+                        runner: runner.name.clone(),
+                        artifact: artifact.clone(),
+                        reason,
+                    });
+                }
+            }
+        }
+        unloads
+    }
+
+    fn reason_to_unload(&self, artifact: &Artifact) -> Option<&'static str> {
+        let Some(model) = self.control.inventory.model(&artifact.model) else {
+            return Some("model_not_listed");
+        };
+        let current = match &artifact.adapter {
+            None => Self::artifact(model),
+            Some(name) => match Self::adapters(model)
+                .map(|(adapter, _)| adapter)
+                .find(|adapter| adapter.adapter.as_ref() == Some(name))
+            {
+                Some(adapter) => adapter,
+                None => return Some("adapter_not_listed"),
+            },
+        };
+        if current == *artifact {
+            return None;
+        }
+        let copies = self.control.resident_on(&current).count();
+        let complete = self.complete_copies(model);
+        (copies >= model.min_replicas as usize && complete >= model.min_replicas as usize)
+            .then_some("version_replaced")
+    }
+
+    /// Runners that hold the model in force with all its adapters.
+    fn complete_copies(&self, model: &Model) -> usize {
+        self.runners
+            .iter()
+            .filter(|runner| {
+                let book = self.book(runner);
+                book.is_resident(&Self::artifact(model))
+                    && Self::adapters(model).all(|(adapter, _)| book.is_resident(&adapter))
+            })
+            .count()
+    }
+}
--- /dev/null
+++ b/src/plain.rs
@@ -0,0 +1,442 @@
+//! Calls to plain services, and non-idempotent ones at most once.
+//!
+//! A non-idempotent call needs an idempotency key. The key is claimed in the
+//! log before anything is sent, and only the first claim may send, once, on a
+//! connection of its own. After that the outcome is what the service answered,
+//! or unknown; it is never sent again.
+
+use crate::client::{Connection, SendError};
+use crate::engine::request;
+use crate::error::{Failure, Kind, Ran};
+use crate::events::{Event, emit};
+use crate::http::{Body, read_body};
+use crate::idempotency::{KeyCommand, KeyHash, KeyVerdict, Reply};
+use crate::inventory::{BackendServer, Name, PlainService};
+use crate::kernel::Service;
+use crate::membership::Membership;
+use crate::server::{ControlStream, KeyStream};
+use bytes::Bytes;
+use futures_channel::oneshot;
+use hyper::{Method, Response, StatusCode, header};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+
+/// How long a connection to a service may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the log may take to tell who claimed a key.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long to wait for the outcome of a call that is under way.
+const OUTCOME_WAIT: Duration = Duration::from_millis(3_000);
+/// The largest answer of a service, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// The largest body kept for repeats, in bytes.
+const MAX_KEPT_BYTES: usize = 4 * 1024;
+/// Attempts at an idempotent call.
+const IDEMPOTENT_ATTEMPTS: usize = 3;
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    /// Names the request through every process.
+    pub(crate) id: Name,
+    /// Who calls.
+    pub(crate) caller: Name,
+    /// The method.
+    pub(crate) method: Method,
+    /// The path with its query.
+    pub(crate) path: Name,
+    /// The body.
+    pub(crate) body: Bytes,
+}
+
+/// An idempotency key with the time of its making.
+#[derive(Clone, Debug)]
+pub(crate) struct IdempotencyKey {
+    /// The key as the caller sent it.
+    pub(crate) text: Name,
+    /// When it was made, in milliseconds since the epoch.
+    pub(crate) made_at_ms: u64,
+}
+
+impl IdempotencyKey {
+    /// Reads a key; its time is in a version 7 UUID, or in `time_ms`.
+    pub(crate) fn parse(text: &str, time_ms: Option<&str>) -> Result<Self, Failure> {
+        if text.is_empty() || text.len() > 128 || !text.bytes().all(|byte| byte.is_ascii_graphic())
+        {
+            return Err(Failure::new(
+                Kind::Malformed,
+                "Idempotency-Key must be 1 to 128 visible ASCII characters",
+            ));
+        }
+        let made_at_ms = match time_ms {
+            Some(time_ms) => time_ms.parse().ok(),
+            None => uuid::Uuid::parse_str(text)
+                .ok()
+                .and_then(|uuid| uuid.get_timestamp())
+                .map(|time| {
+                    let (seconds, nanos) = time.to_unix();
+                    seconds * 1_000 + u64::from(nanos) / 1_000_000
+                }),
+        };
+        let made_at_ms = made_at_ms.ok_or_else(|| {
+            Failure::new(
+                Kind::Malformed,
+                "Idempotency-Key must be a version 7 UUID, or come with Idempotency-Time in \
+                 milliseconds since 1970",
+            )
+        })?;
+        Ok(Self {
+            text: text.into(),
+            made_at_ms,
+        })
+    }
+}
+
+/// Gives calls to plain services.
+pub(crate) struct PlainCalls {
+    control: Rc<ControlStream>,
+    keys: Rc<KeyStream>,
+    membership: Rc<Membership>,
+    turn: Cell<usize>,
+}
+
+impl Service for PlainCalls {
+    const NAME: &'static str = "plain_calls";
+}
+
+/// How one attempt ended.
+enum Attempt {
+    Answered(StatusCode, Name, Bytes),
+    NotSent,
+    Unknown,
+}
+
+impl PlainCalls {
+    /// Calls over the services it reads.
+    pub(crate) fn new(
+        control: Rc<ControlStream>,
+        keys: Rc<KeyStream>,
+        membership: Rc<Membership>,
+    ) -> Self {
+        Self {
+            control,
+            keys,
+            membership,
+            turn: Cell::new(0),
+        }
+    }
+
+    /// Gives a call that may be repeated, again on another server if need be.
+    pub(crate) async fn call_idempotent(
+        &self,
+        service: &PlainService,
+        call: Call,
+    ) -> Result<Response<Body>, Failure> {
+        let mut ran = false;
+        for server in self.servers(service).into_iter().take(IDEMPOTENT_ATTEMPTS) {
+            match self.attempt(service, &server, &call).await {
+                Attempt::Answered(status, content_type, body) => {
+                    return Ok(answer(status, &content_type, body));
+                }
+                Attempt::NotSent => {}
+                Attempt::Unknown => ran = true,
+            }
+        }
+        let failure = Failure::new(Kind::Unavailable, "no server of the service answers");
+        Err(if ran { failure.ran(Ran::Yes) } else { failure })
+    }
+
+    /// Gives a non-idempotent call at most once.
+    ///
+    /// The call goes on when the caller hangs up, so that its outcome is kept.
+    pub(crate) async fn call_once(
+        self: Rc<Self>,
+        service: PlainService,
+        call: Call,
+        key: IdempotencyKey,
+    ) -> Result<Response<Body>, Failure> {
+        let (sender, receiver) = oneshot::channel();
+        compio::runtime::spawn(async move {
+            let outcome = self.claim_and_send(&service, &call, &key).await;
+            // The caller may be gone; the outcome is in the log.
+            let _ = sender.send(outcome);
+        })
+        .detach();
+        receiver
+            .await
+            .unwrap_or_else(|_gone| Err(Failure::new(Kind::OutcomeUnknown, "the call was lost")))
+    }
+
+    async fn claim_and_send(
+        self: &Rc<Self>,
+        service: &PlainService,
+        call: &Call,
+        key: &IdempotencyKey,
+    ) -> Result<Response<Body>, Failure> {
+        let hash = key_hash(service, call, key);
+        let digest = call_digest(call);
+        if let Some(known) = self.keys.with(|keys| keys.look(hash, digest)) {
+            return self.answer_known(hash, digest, known).await;
+        }
+        match self.claim(hash, digest, key.made_at_ms).await? {
+            (KeyVerdict::First, claim) => self.send_once(service, call, hash, claim).await,
+            (known, _) => self.answer_known(hash, digest, known).await,
+        }
+    }
+
+    /// Claims a key; a claim that is not known in time is given back if it comes to be.
+    async fn claim(
+        self: &Rc<Self>,
+        key: KeyHash,
+        digest: u64,
+        made_at_ms: u64,
+    ) -> Result<(KeyVerdict, u64), Failure> {
+        let command = KeyCommand::Claim {
+            key,
+            digest,
+            made_at_ms,
+        };
+        let (sender, receiver) = oneshot::channel();
+        let calls = self.clone();
+        compio::runtime::spawn(async move {
+            let Ok(recorded) = calls.keys.propose(command).await else {
+                return;
+            };
+            let claim = recorded.position.fence;
+            let first = recorded.verdict == KeyVerdict::First;
+            if sender.send((recorded.verdict, claim)).is_err() && first {
+                calls.release(key, claim).await;
+            }
+        })
+        .detach();
+        let unavailable = || {
+            Failure::new(
+                Kind::LogUnavailable,
+                "the platform's log does not take the key now; the call was not made",
+            )
+        };
+        match compio::time::timeout(CLAIM_TIMEOUT, receiver).await {
+            Ok(Ok(known)) => Ok(known),
+            Ok(Err(_)) | Err(_) => Err(unavailable()),
+        }
+    }
+
+    async fn release(&self, key: KeyHash, claim: u64) {
+        // Without the record the key stays claimed: its outcome is then unknown to others.
+        let _ = self.keys.propose(KeyCommand::Release { key, claim }).await;
+    }
+
+    async fn send_once(
+        self: &Rc<Self>,
+        service: &PlainService,
+        call: &Call,
+        key: KeyHash,
+        claim: u64,
+    ) -> Result<Response<Body>, Failure> {
+        for server in self.servers(service) {
+            match self.attempt(service, &server, call).await {
+                Attempt::Answered(status, content_type, body) => {
+                    self.keep_reply(key, claim, status, &content_type, &body);
+                    return Ok(answer(status, &content_type, body));
+                }
+                Attempt::NotSent => {}
+                Attempt::Unknown => {
+                    return Err(Failure::new(
+                        Kind::OutcomeUnknown,
+                        "the call was sent, and no answer came; it will not be sent again",
+                    ));
+                }
+            }
+        }
+        let calls = self.clone();
+        compio::runtime::spawn(async move { calls.release(key, claim).await }).detach();
+        Err(Failure::new(
+            Kind::Unavailable,
+            "no server of the service takes the call",
+        ))
+    }
+
+    fn keep_reply(
+        self: &Rc<Self>,
+        key: KeyHash,
+        claim: u64,
+        status: StatusCode,
+        content_type: &Name,
+        body: &Bytes,
+    ) {
+        let text = std::str::from_utf8(body).ok();
+        let reply = Rc::new(Reply {
+            status: status.as_u16(),
+            content_type: content_type.clone(),
+            body: text
+                .filter(|text| text.len() <= MAX_KEPT_BYTES)
+                .map(Name::from),
+        });
+        let calls = self.clone();
+        compio::runtime::spawn(async move {
+            // Without the record repeats are told that the outcome is unknown.
+            let _ = calls
+                .keys
+                .propose(KeyCommand::Reply { key, claim, reply })
+                .await;
+        })
+        .detach();
+    }
+
+    /// Answers a repeat of a key.
+    async fn answer_known(
+        &self,
+        key: KeyHash,
+        digest: u64,
+        known: KeyVerdict,
+    ) -> Result<Response<Body>, Failure> {
+        match known {
+            KeyVerdict::Replied(reply) => Ok(answer_reply(&reply)),
+            KeyVerdict::Mismatch => Err(Failure::new(
+                Kind::KeyReused,
+                "the idempotency key was used with another request",
+            )),
+            KeyVerdict::Expired => Err(Failure::new(
+                Kind::KeyExpired,
+                "the idempotency key is too old, or from the future",
+            )),
+            KeyVerdict::Open | KeyVerdict::First | KeyVerdict::Noted => {
+                self.await_outcome(key, digest).await
+            }
+        }
+    }
+
+    async fn await_outcome(&self, key: KeyHash, digest: u64) -> Result<Response<Body>, Failure> {
+        let start = Instant::now();
+        while start.elapsed() < OUTCOME_WAIT {
+            let changed = self.keys.changed();
+            match self.keys.with(|keys| keys.look(key, digest)) {
+                Some(KeyVerdict::Replied(reply)) => return Ok(answer_reply(&reply)),
+                Some(_) => {}
+                None => {
+                    let message = "the first call with this key gave it back; send it again";
+                    return Err(Failure::new(Kind::OutcomeUnknown, message).retry_after_s(1));
+                }
+            }
+            let left = OUTCOME_WAIT.saturating_sub(start.elapsed());
+            if compio::time::timeout(left, changed).await.is_err() {
+                break;
+            }
+        }
+        Err(Failure::new(
+            Kind::OutcomeUnknown,
+            "a call with this key was made, and its outcome is not known",
+        )
+        .retry_after_s(5))
+    }
+
+    /// The servers of a service that stay, each call beginning with the next.
+    fn servers(&self, service: &PlainService) -> Vec<BackendServer> {
+        let turn = self.turn.get();
+        self.turn.set(turn.wrapping_add(1));
+        let mut servers: Vec<BackendServer> = self.control.with(|control| {
+            service
+                .backend_servers
+                .iter()
+                .filter_map(|name| control.inventory.backend_server(name))
+                .filter(|server| !server.leaving)
+                .filter(|server| !self.membership.is_server_leaving(&server.name))
+                .cloned()
+                .collect()
+        });
+        if !servers.is_empty() {
+            let start = turn % servers.len();
+            servers.rotate_left(start);
+        }
+        servers
+    }
+
+    /// Sends a call once, on a connection of its own.
+    async fn attempt(
+        &self,
+        service: &PlainService,
+        server: &BackendServer,
+        call: &Call,
+    ) -> Attempt {
+        emit(
+            Event::CallRouted,
+            format_args!(
+                "request={} service={} backend_server={}",
+                call.id, service.name, server.name
+            ),
+        );
+        let Ok(connection) = Connection::open(server.address, CONNECT_TIMEOUT).await else {
+            return Attempt::NotSent;
+        };
+        let timeout = Duration::from_millis(service.timeout_ms);
+        let exchange = exchange(connection, server.address, call);
+        match compio::time::timeout(timeout, exchange).await {
+            Ok(attempt) => attempt,
+            Err(_elapsed) => Attempt::Unknown,
+        }
+    }
+}
+
+async fn exchange(mut connection: Connection, address: SocketAddr, call: &Call) -> Attempt {
+    let mut request = request(
+        call.method.clone(),
+        address,
+        &call.path,
+        Body::full(call.body.clone()),
+    );
+    let id = header::HeaderValue::from_str(&call.id).expect("request ids are checked or made here");
+    request.headers_mut().insert("x-request-id", id);
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        Err(SendError::NotSent) => return Attempt::NotSent,
+        Err(SendError::MaybeSent) => return Attempt::Unknown,
+    };
+    let status = response.status();
+    let content_type = response
+        .headers()
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .map_or_else(|| arcstr::literal!("application/octet-stream"), Name::from);
+    match read_body(response.into_body(), MAX_ANSWER_BYTES).await {
+        Ok(body) => Attempt::Answered(status, content_type, body),
+        Err(_) => Attempt::Unknown,
+    }
+}
+
+fn answer(status: StatusCode, content_type: &str, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(Body::full(body));
+    *response.status_mut() = status;
+    if let Ok(value) = header::HeaderValue::from_str(content_type) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+fn answer_reply(reply: &Reply) -> Response<Body> {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::OK);
+    let body = reply.body.clone().unwrap_or_default();
+    let mut response = answer(
+        status,
+        &reply.content_type,
+        Bytes::from(body.as_bytes().to_vec()),
+    );
+    response.headers_mut().insert(
+        "idempotent-replayed",
+        header::HeaderValue::from_static("true"),
+    );
+    response
+}
+
+fn key_hash(service: &PlainService, call: &Call, key: &IdempotencyKey) -> KeyHash {
+    let text = format!("{}\n{}\n{}", service.name, call.caller, key.text);
+    let hash = xxh3_128(text.as_bytes());
+    KeyHash((hash >> 64) as u64, hash as u64)
+}
+
+fn call_digest(call: &Call) -> u64 {
+    let head = format!("{} {}\n", call.method, call.path);
+    xxh3_64(&[head.as_bytes(), &call.body[..]].concat())
+}
--- /dev/null
+++ b/src/platform/log.rs
@@ -0,0 +1,158 @@
+//! The platform's append-only log, over small HTTP/JSON calls.
+//!
+//! `POST /streams/{stream}/records` appends the body as one record and answers
+//! `{"offset": n}`. `GET /streams/{stream}/records?from=N&wait_ms=W` answers a
+//! page, held open until a record at `N` exists or `W` has passed.
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long an append may take before its outcome counts as unknown.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How much longer than the asked wait a read may take.
+const READ_SLACK: Duration = Duration::from_millis(1_000);
+
+/// Why a call to the log failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LogError {
+    /// The log answered that it did not do it.
+    Refused,
+    /// No answer came; an append may have taken effect.
+    Unanswered,
+}
+
+/// One record of a stream.
+#[derive(Debug, Deserialize)]
+pub(crate) struct LogRecord {
+    /// The place in the stream.
+    pub(crate) offset: u64,
+    /// The log's clock at the append, in milliseconds since the epoch.
+    pub(crate) at_ms: u64,
+    /// The record as it was appended.
+    pub(crate) data: Box<RawValue>,
+}
+
+/// Records of a stream in order, with the bounds of what the log holds.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Page {
+    /// The first offset that is still kept.
+    pub(crate) first: u64,
+    /// The offset that the next appended record will get.
+    pub(crate) end: u64,
+    /// The records from the asked offset on, as many as fit a page.
+    pub(crate) records: Vec<LogRecord>,
+}
+
+/// An append-only log of named streams.
+pub(crate) trait LogService: 'static {
+    /// Appends one record and returns its offset.
+    fn append(&self, stream: &str, record: Vec<u8>) -> impl Future<Output = Result<u64, LogError>>;
+
+    /// Reads records from an offset on, waiting up to `wait` for the first.
+    fn read(
+        &self,
+        stream: &str,
+        from: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Page, LogError>>;
+}
+
+/// The log over HTTP.
+#[derive(Debug)]
+pub(crate) struct HttpLog {
+    address: SocketAddr,
+    client: RefCell<cyper::Client>,
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    offset: u64,
+}
+
+impl HttpLog {
+    /// A client of the log at `address`.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: RefCell::new(new_client()),
+        }
+    }
+
+    fn url(&self, stream: &str) -> String {
+        format!("http://{}/streams/{stream}/records", self.address)
+    }
+
+    fn client(&self) -> cyper::Client {
+        self.client.borrow().clone()
+    }
+
+    /// Leaves connections behind that may have gone silent.
+    fn renew(&self) {
+        *self.client.borrow_mut() = new_client();
+    }
+}
+
+fn new_client() -> cyper::Client {
+    cyper::Client::new().expect("a client without TLS needs nothing from outside")
+}
+
+impl LogService for HttpLog {
+    async fn append(&self, stream: &str, record: Vec<u8>) -> Result<u64, LogError> {
+        let call = async {
+            let response = self
+                .client()
+                .post(self.url(stream))
+                .map_err(|_bad_url| LogError::Refused)?
+                .body(record)
+                .send()
+                .await
+                .map_err(|_broken| LogError::Unanswered)?;
+            if !response.status().is_success() {
+                return Err(LogError::Refused);
+            }
+            let appended: Appended = response
+                .json()
+                .await
+                .map_err(|_broken| LogError::Unanswered)?;
+            Ok(appended.offset)
+        };
+        match compio::time::timeout(APPEND_TIMEOUT, call).await {
+            Ok(outcome) => outcome,
+            Err(_elapsed) => {
+                self.renew();
+                Err(LogError::Unanswered)
+            }
+        }
+    }
+
+    async fn read(&self, stream: &str, from: u64, wait: Duration) -> Result<Page, LogError> {
+        let wait_ms = wait.as_millis();
+        let url = format!("{}?from={from}&wait_ms={wait_ms}", self.url(stream));
+        let call = async {
+            let response = self
+                .client()
+                .get(url)
+                .map_err(|_bad_url| LogError::Refused)?
+                .send()
+                .await
+                .map_err(|_broken| LogError::Unanswered)?;
+            if !response.status().is_success() {
+                return Err(LogError::Refused);
+            }
+            response
+                .json()
+                .await
+                .map_err(|_broken| LogError::Unanswered)
+        };
+        match compio::time::timeout(wait + READ_SLACK, call).await {
+            Ok(outcome) => outcome,
+            Err(_elapsed) => {
+                self.renew();
+                Err(LogError::Unanswered)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,7 @@
+//! The platform's services, each behind one small trait.
+
+mod log;
+mod vm_list;
+
+pub(crate) use log::{HttpLog, LogError, LogRecord, LogService};
+pub(crate) use vm_list::{HttpVmList, ListedVm, VmList};
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,186 @@
+//! Choosing a runner for a request.
+
+use crate::control::{Artifact, Control};
+use crate::fleet::{Fleet, Runner};
+use crate::inventory::Name;
+use crate::kernel::Service;
+use crate::membership::Membership;
+use crate::server::ControlStream;
+use std::fmt::Write;
+use std::rc::Rc;
+
+/// The artifacts that a request needs on one runner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Target {
+    /// The model.
+    pub(crate) base: Artifact,
+    /// The adapter over it, if the caller named one.
+    pub(crate) adapter: Option<Artifact>,
+}
+
+impl Target {
+    /// The target in force for a caller's model name.
+    pub(crate) fn resolve(control: &Control, name: &str) -> Option<Self> {
+        let artifact = Artifact::resolve(&control.inventory, name)?;
+        if artifact.adapter.is_none() {
+            return Some(Self {
+                base: artifact,
+                adapter: None,
+            });
+        }
+        let base = Artifact::resolve(&control.inventory, &artifact.model)?;
+        Some(Self {
+            base,
+            adapter: Some(artifact),
+        })
+    }
+
+    fn is_ready_on(&self, runner: &Runner) -> bool {
+        runner.is_ready(&self.base.to_string())
+            && self
+                .adapter
+                .as_ref()
+                .is_none_or(|adapter| runner.is_ready(&adapter.to_string()))
+    }
+
+    /// The same target in other versions that some runner may still hold.
+    fn older(&self, control: &Control) -> Vec<Self> {
+        let mut found = Vec::new();
+        for book in control.books.values() {
+            let bases = book
+                .copies
+                .keys()
+                .filter(|held| held.serves_same(&self.base));
+            for base in bases {
+                let target = match &self.adapter {
+                    None => Some(Self {
+                        base: base.clone(),
+                        adapter: None,
+                    }),
+                    Some(adapter) => book
+                        .copies
+                        .keys()
+                        .find(|held| held.serves_same(adapter))
+                        .map(|held| Self {
+                            base: base.clone(),
+                            adapter: Some(held.clone()),
+                        }),
+                };
+                found.extend(target.filter(|target| target != self));
+            }
+        }
+        found.dedup();
+        found
+    }
+}
+
+/// A runner chosen for a request.
+#[derive(Debug)]
+pub(crate) struct Choice {
+    /// The runner.
+    pub(crate) runner: Rc<Runner>,
+    /// What the request runs on there.
+    pub(crate) target: Target,
+    /// The load by which it was chosen: requests in flight per slot.
+    pub(crate) score: f64,
+    /// The other candidates with their scores, for the log.
+    pub(crate) others: String,
+}
+
+/// Chooses runners by the requests in flight that this VM and its peers know of.
+pub(crate) struct Router {
+    control: Rc<ControlStream>,
+    fleet: Rc<Fleet>,
+    membership: Rc<Membership>,
+}
+
+impl Service for Router {
+    const NAME: &'static str = "router";
+}
+
+impl Router {
+    /// A router over the services it reads.
+    pub(crate) fn new(
+        control: Rc<ControlStream>,
+        fleet: Rc<Fleet>,
+        membership: Rc<Membership>,
+    ) -> Self {
+        Self {
+            control,
+            fleet,
+            membership,
+        }
+    }
+
+    /// Chooses the least loaded runner that can serve `wanted`.
+    ///
+    /// With `pinned`, only that very version will do. Runners in `avoid` are
+    /// taken only when there is no other.
+    pub(crate) fn choose(&self, wanted: &Target, pinned: bool, avoid: &[Name]) -> Option<Choice> {
+        self.choose_for(wanted, avoid).or_else(|| {
+            if pinned {
+                return None;
+            }
+            let older = self.control.with(|control| wanted.older(control));
+            older
+                .iter()
+                .find_map(|target| self.choose_for(target, avoid))
+        })
+    }
+
+    /// Whether a copy of the model is ordered, or the planner is about to order one.
+    pub(crate) fn is_coming(&self, wanted: &Target) -> bool {
+        let ordered = self.control.with(|control| {
+            control
+                .books
+                .values()
+                .any(|book| book.is_coming(&wanted.base))
+        });
+        ordered || self.control.is_writable()
+    }
+
+    fn choose_for(&self, target: &Target, avoid: &[Name]) -> Option<Choice> {
+        let mut scored = self.scored(target);
+        if scored
+            .iter()
+            .any(|(_, runner)| !avoid.contains(&runner.name))
+        {
+            scored.retain(|(_, runner)| !avoid.contains(&runner.name));
+        }
+        scored.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let mut others = String::new();
+        for (score, runner) in scored.iter().skip(1) {
+            let _ = write!(others, "{}:{score:.2},", runner.name);
+        }
+        let (score, runner) = scored.into_iter().next()?;
+        Some(Choice {
+            runner,
+            target: target.clone(),
+            score,
+            others,
+        })
+    }
+
+    fn scored(&self, target: &Target) -> Vec<(f64, Rc<Runner>)> {
+        let peer_loads = self.membership.peer_loads();
+        self.control.with(|control| {
+            self.fleet
+                .runners()
+                .into_iter()
+                .filter(|runner| runner.is_up() && target.is_ready_on(runner))
+                .filter(|runner| !self.membership.is_server_leaving(&runner.name))
+                .filter_map(|runner| {
+                    let server = control.inventory.backend_server(&runner.name)?;
+                    if server.leaving {
+                        return None;
+                    }
+                    let peers = peer_loads.get(&runner.name).copied().unwrap_or(0);
+                    let load = f64::from(runner.in_flight() + peers);
+                    // A little noise keeps VMs from choosing alike on equal loads.
+                    let noise = rand::random::<f64>() * 0.01;
+                    Some((load / f64::from(server.slots.max(1)) + noise, runner))
+                })
+                .collect()
+        })
+    }
+}
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,212 @@
+//! One VM's process: its services put together, from start to shutdown.
+
+use crate::config::Config;
+use crate::control::Control;
+use crate::entry::Entry;
+use crate::error::Fault;
+use crate::events::{Event, emit};
+use crate::fleet::Fleet;
+use crate::http;
+use crate::idempotency::Keys;
+use crate::inventory::Name;
+use crate::keeper::Keeper;
+use crate::kernel::{Kernel, Service};
+use crate::membership::Membership;
+use crate::metrics::Metrics;
+use crate::operator::Operator;
+use crate::peer::{Links, Speaker};
+use crate::plain::PlainCalls;
+use crate::planner::Planner;
+use crate::platform::{HttpLog, HttpVmList};
+use crate::router::Router;
+use crate::shutdown::Shutdown;
+use crate::stream::Stream;
+use crate::wire::Heartbeat;
+use compio::net::TcpListener;
+use error_stack::{Report, ResultExt};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The control stream of one VM.
+pub(crate) type ControlStream = Stream<Control, HttpLog>;
+/// The stream of idempotency keys of one VM.
+pub(crate) type KeyStream = Stream<Keys, HttpLog>;
+
+impl Service for ControlStream {
+    const NAME: &'static str = "control";
+}
+
+impl Service for KeyStream {
+    const NAME: &'static str = "keys";
+}
+
+impl Service for Shutdown {
+    const NAME: &'static str = "shutdown";
+}
+
+/// The signals that begin a graceful shutdown: SIGTERM and SIGINT.
+const STOP_SIGNALS: [i32; 2] = [15, 2];
+
+/// Says in heartbeats how this VM is.
+struct Voice {
+    config: Config,
+    boot: u64,
+    control: Rc<ControlStream>,
+    fleet: Rc<Fleet>,
+    shutdown: Rc<Shutdown>,
+}
+
+impl Speaker for Voice {
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            vm: self.config.vm.to_string(),
+            boot: self.boot,
+            availability_zone: self.config.availability_zone.to_string(),
+            leaving: self.shutdown.is_leaving(),
+            revision: self.control.with(|control| control.revision),
+            control_offset: self.control.next_offset(),
+            loads: self.fleet.loads(),
+        }
+    }
+}
+
+/// Serves until a signal asks to stop, then drains.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn serve(config: Config) -> Result<(), Report<Fault>> {
+    let callers = bind(config.caller_address).await?;
+    let operators = bind(config.operator_address).await?;
+    let peers = bind(config.peer_address).await?;
+    let boot: u64 = rand::random();
+    let kernel = assemble(&config, boot);
+    start_peers(&kernel, &config, boot, peers);
+    start_fleet(&kernel);
+    let keeper = Keeper::new(&kernel, config.log_retention_ms);
+    compio::runtime::spawn(keeper.run()).detach();
+    compio::runtime::spawn(kernel.find::<Planner>().run()).detach();
+
+    let shutdown: Rc<Shutdown> = kernel.find();
+    let operator_shutdown = Rc::new(Shutdown::default());
+    let operator: Rc<Operator> = kernel.find();
+    let entry: Rc<Entry> = kernel.find();
+    compio::runtime::spawn(http::serve(
+        operators,
+        operator_shutdown.clone(),
+        move |request| operator.clone().handle(request),
+    ))
+    .detach();
+    compio::runtime::spawn(http::serve(callers, shutdown.clone(), move |request| {
+        entry.clone().handle(request)
+    }))
+    .detach();
+    emit(
+        Event::Started,
+        format_args!(
+            "vm={} callers={} operators={} peers={}",
+            config.vm, config.caller_address, config.operator_address, config.peer_address
+        ),
+    );
+    stop_signal().await;
+    drain(&config, &shutdown).await;
+    Ok(())
+}
+
+/// Creates every service, those that others need first.
+fn assemble(config: &Config, boot: u64) -> Kernel {
+    let kernel = Kernel::default();
+    let writer: Name = format!("{}/{boot:016x}", config.vm).into();
+    let log = Rc::new(HttpLog::new(config.log_address));
+    kernel.register(Rc::new(Shutdown::default()));
+    kernel.register(Rc::new(Metrics::new()));
+    let control: Rc<ControlStream> =
+        kernel.register(Stream::open("control", log.clone(), writer.clone()));
+    let keys: Rc<KeyStream> = kernel.register(Stream::open("keys", log, writer.clone()));
+    let membership = kernel.register(Rc::new(Membership::new(config.vm.clone())));
+    let fleet = kernel.register(Rc::new(Fleet::default()));
+    kernel.register(Rc::new(Router::new(
+        control.clone(),
+        fleet,
+        membership.clone(),
+    )));
+    kernel.register(Rc::new(PlainCalls::new(control, keys, membership)));
+    kernel.register(Rc::new(Planner::new(&kernel, config.vm.clone(), writer)));
+    kernel.register(Rc::new(Entry::new(&kernel, config.max_body_bytes)));
+    let zone = config.availability_zone.clone();
+    kernel.register(Rc::new(Operator::new(&kernel, config.vm.clone(), zone)));
+    kernel
+}
+
+fn start_peers(kernel: &Kernel, config: &Config, boot: u64, listener: TcpListener) {
+    let membership: Rc<Membership> = kernel.find();
+    let shutdown: Rc<Shutdown> = kernel.find();
+    let voice = Rc::new(Voice {
+        config: config.clone(),
+        boot,
+        control: kernel.find(),
+        fleet: kernel.find(),
+        shutdown: shutdown.clone(),
+    });
+    let links = Links::new(voice, membership.clone(), kernel.find());
+    compio::runtime::spawn(links.clone().accept(listener, shutdown)).detach();
+    let list = HttpVmList::new(config.vm_list_address);
+    let found = move |peer| compio::runtime::spawn(links.clone().call(peer)).detach();
+    compio::runtime::spawn(membership.follow(list, found)).detach();
+}
+
+/// Keeps the fleet in step with the inventory in force.
+fn start_fleet(kernel: &Kernel) {
+    let control: Rc<ControlStream> = kernel.find();
+    let fleet: Rc<Fleet> = kernel.find();
+    compio::runtime::spawn(async move {
+        let mut revision = 0;
+        loop {
+            let changed = control.changed();
+            let (now, inventory) =
+                control.with(|control| (control.revision, control.inventory.clone()));
+            if now != revision {
+                revision = now;
+                fleet.take(inventory.runners());
+                emit(
+                    Event::RevisionInForce,
+                    format_args!("revision={revision} models={}", inventory.models.len()),
+                );
+            }
+            changed.await;
+        }
+    })
+    .detach();
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Report<Fault>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(Fault::Bind)
+        .attach_with(|| format!("{address}"))
+}
+
+async fn stop_signal() {
+    let [terminate, interrupt] = STOP_SIGNALS.map(|signal| {
+        Box::pin(async move {
+            // Without a handler the signal ends the process by itself.
+            let _ = compio::signal::unix::signal(signal).await;
+        })
+    });
+    futures_util::future::select(terminate, interrupt).await;
+}
+
+/// Fails health answers first, then closes listeners, then waits for open work.
+async fn drain(config: &Config, shutdown: &Rc<Shutdown>) {
+    shutdown.leave();
+    emit(Event::Leaving, format_args!("open={}", shutdown.open()));
+    compio::time::sleep(Duration::from_millis(config.drain_grace_ms)).await;
+    shutdown.close();
+    let limit = Duration::from_millis(config.drain_limit_ms);
+    let drained = shutdown.drained(limit).await;
+    emit(
+        Event::Stopped,
+        format_args!("drained={drained} open={}", shutdown.open()),
+    );
+}
--- /dev/null
+++ b/workbench/src/cluster.rs
@@ -0,0 +1,551 @@
+//! A whole site of real processes on loopback: stand-ins and VMs.
+
+use crate::engine::EngineShape;
+use crate::journal;
+use crate::platform::PlatformState;
+use crate::shape::Shape;
+use crate::web;
+use rattanjunction::Inventory;
+use serde_json::{Value, json};
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// The time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+/// The ports of a site, below those that the system gives out by itself.
+const PLATFORM_PORT: u16 = 20_000;
+const RUNNER_PORT: u16 = 20_100;
+const SERVER_PORT: u16 = 20_400;
+const VM_PORT: u16 = 20_500;
+/// Ports from here on are free for proxies.
+pub const PROXY_PORT: u16 = 21_000;
+
+/// A process started by the workbench, killed at the end.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    fn start(mut command: Command, output: &Path) -> Self {
+        let file = File::options()
+            .append(true)
+            .create(true)
+            .open(output)
+            .expect("the site's folder takes files");
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().expect("a file can be shared"))
+            .stderr(file)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{command:?}: {error}"));
+        Self { child }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: nix::sys::signal::Signal) {
+        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
+        // A process that has ended takes no signal.
+        let _ = nix::sys::signal::kill(pid, signal);
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        // A process that has ended cannot be killed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.signal(nix::sys::signal::Signal::SIGCONT);
+        self.kill();
+    }
+}
+
+/// How to start a site.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The inventory's size.
+    pub shape: Shape,
+    /// Our VMs.
+    pub vms: usize,
+    /// The platform at the start.
+    pub platform: PlatformState,
+    /// The time of one step of an engine.
+    pub step_ms: f64,
+    /// Time added to a step for each request in the batch.
+    pub step_per_request_ms: f64,
+    /// Requests in an engine's batch at most.
+    pub max_batch: usize,
+    /// Settings added to those of each VM.
+    pub settings: Value,
+    /// Addresses that VMs use in place of the real ones, such as proxies.
+    pub detours: Vec<(SocketAddr, SocketAddr)>,
+}
+
+impl Plan {
+    /// A plan with a fast weight store, as most tests want.
+    pub fn new(shape: Shape, vms: usize) -> Self {
+        let platform = PlatformState {
+            loads_per_s: 50.0,
+            ..PlatformState::default()
+        };
+        Self {
+            shape,
+            vms,
+            platform,
+            step_ms: 5.0,
+            step_per_request_ms: 0.2,
+            max_batch: 32,
+            settings: json!({"drain_grace_ms": 300}),
+            detours: Vec::new(),
+        }
+    }
+}
+
+/// A site of running processes.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The plan it was started by.
+    pub plan: Plan,
+    /// The inventory that was published first.
+    pub inventory: Inventory,
+    /// The engines, by index.
+    pub runners: Vec<Process>,
+    /// The plain service's servers, by index.
+    pub servers: Vec<Process>,
+    /// Our VMs, by index.
+    pub vms: Vec<Process>,
+    folder: PathBuf,
+    ip: IpAddr,
+    /// The platform.
+    pub platform: Process,
+}
+
+impl Cluster {
+    /// An address of loopback that no other site uses.
+    pub fn pick_ip() -> IpAddr {
+        let [a, b, c] = rand::random::<[u8; 3]>();
+        IpAddr::V4(Ipv4Addr::new(127, a.max(1), b, c.clamp(1, 254)))
+    }
+
+    /// Starts every process and publishes the inventory.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process cannot be started.
+    pub async fn start(plan: Plan) -> Self {
+        Self::start_at(plan, Self::pick_ip()).await
+    }
+
+    /// Starts a site at an address picked before, for proxies that must know it.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process cannot be started.
+    pub async fn start_at(plan: Plan, ip: IpAddr) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("rattanjunction-{}-{ip}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
+        let platform = start_platform(&plan, ip, &folder);
+        let mut cluster = Self {
+            inventory: Inventory::default(),
+            runners: Vec::new(),
+            servers: Vec::new(),
+            vms: Vec::new(),
+            folder,
+            ip,
+            platform,
+            plan,
+        };
+        cluster.wait_up(cluster.platform_address(), "/state").await;
+        for index in 0..cluster.plan.shape.runners {
+            let process = cluster.spawn_runner(index);
+            cluster.runners.push(process);
+        }
+        for index in 0..cluster.plan.shape.servers {
+            let process = cluster.spawn_server(index);
+            cluster.servers.push(process);
+        }
+        cluster.set_list(&[]).await;
+        for index in 0..cluster.plan.vms {
+            let process = cluster.spawn_vm(index);
+            cluster.vms.push(process);
+        }
+        for index in 0..cluster.plan.vms {
+            cluster
+                .wait_up(cluster.operator_address(index), "/status")
+                .await;
+        }
+        cluster.inventory = cluster.make_inventory();
+        cluster
+    }
+
+    fn make_inventory(&self) -> Inventory {
+        let runners: Vec<SocketAddr> = (0..self.plan.shape.runners)
+            .map(|index| self.seen(self.runner_address(index)))
+            .collect();
+        let servers: Vec<SocketAddr> = (0..self.plan.shape.servers)
+            .map(|index| self.seen(self.server_address(index)))
+            .collect();
+        self.plan.shape.inventory(&runners, &servers)
+    }
+
+    /// The address that VMs use for `real`.
+    fn seen(&self, real: SocketAddr) -> SocketAddr {
+        let detour = self.plan.detours.iter().find(|(from, _)| *from == real);
+        detour.map_or(real, |(_, to)| *to)
+    }
+
+    /// Publishes the first inventory and waits until every model answers.
+    pub async fn publish_and_settle(&self, limit: Duration) {
+        let revision = self.publish(0, &self.inventory, None).await;
+        assert!(
+            revision.is_ok(),
+            "the first inventory is accepted: {revision:?}"
+        );
+        self.wait_settled(limit).await;
+    }
+
+    /// Publishes through a VM; the revision, or the status and the error.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the VM's answer, or with status 0 when there is none.
+    pub async fn publish(
+        &self,
+        vm: usize,
+        inventory: &Inventory,
+        base: Option<u64>,
+    ) -> Result<u64, (u16, Value)> {
+        let body = json!({"base": base, "inventory": inventory});
+        match web::post(self.operator_address(vm), "/publish", &body).await {
+            Some((status, answer)) if status.is_success() => {
+                Ok(answer["revision"].as_u64().unwrap_or(0))
+            }
+            Some((status, answer)) => Err((status.as_u16(), answer)),
+            None => Err((0, Value::Null)),
+        }
+    }
+
+    /// Waits until each model is resident somewhere with all its adapters.
+    pub async fn wait_settled(&self, limit: Duration) {
+        self.wait_for("every model is resident", limit, async || {
+            let Some(status) = self.status(0).await else {
+                return false;
+            };
+            let needed = self.inventory.models.iter().all(|model| {
+                let adapters = model.adapters.iter().all(|adapter| {
+                    let name = format!("{}/{}@{}", model.name, adapter.name, adapter.version);
+                    is_resident(&status, &name)
+                });
+                adapters && is_resident(&status, &format!("{}@{}", model.name, model.version))
+            });
+            needed && self.plan.vms == live_vms(&status)
+        })
+        .await;
+    }
+
+    /// Waits until each model is resident on two runners.
+    pub async fn wait_spread(&self, limit: Duration) {
+        self.wait_for("every model has two copies", limit, async || {
+            let Some(status) = self.status(0).await else {
+                return false;
+            };
+            let models = status["models"].as_array();
+            models.into_iter().flatten().all(|model| {
+                model["resident_on"]
+                    .as_array()
+                    .is_some_and(|on| on.len() >= 2)
+            }) && status["runners"]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .all(|runner| {
+                    let copies = runner["copies"].as_array();
+                    copies
+                        .into_iter()
+                        .flatten()
+                        .all(|copy| copy["state"] == "resident")
+                })
+        })
+        .await;
+    }
+
+    /// Waits for a condition, at most `limit`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the condition does not come true in time.
+    pub async fn wait_for(&self, what: &str, limit: Duration, condition: impl AsyncFn() -> bool) {
+        let start = Instant::now();
+        while !condition().await {
+            assert!(
+                start.elapsed() < limit,
+                "{what}: not within {limit:?}; logs are in {}",
+                self.folder.display()
+            );
+            compio::time::sleep(POLL).await;
+        }
+    }
+
+    async fn wait_up(&self, address: SocketAddr, path: &str) {
+        self.wait_for(
+            &format!("{address} answers"),
+            Duration::from_secs(20),
+            async || web::get(address, path).await.is_some(),
+        )
+        .await;
+    }
+
+    /// A VM's status.
+    pub async fn status(&self, vm: usize) -> Option<Value> {
+        web::get(self.operator_address(vm), "/status").await
+    }
+
+    /// Changes fields of the platform's state.
+    pub async fn set_platform(&self, change: Value) {
+        web::post(self.platform_address(), "/state", &change)
+            .await
+            .expect("the platform answers");
+    }
+
+    /// The platform's journal.
+    pub async fn platform_journal(&self) -> Vec<Value> {
+        let journal = web::get(self.platform_address(), "/journal").await;
+        journal
+            .and_then(|journal| journal.as_array().cloned())
+            .unwrap_or_default()
+    }
+
+    /// A runner's journal, over all its runs.
+    pub fn runner_journal(&self, index: usize) -> Vec<Value> {
+        journal::read(&self.journal_path("runner", index))
+    }
+
+    /// A server's journal, over all its runs.
+    pub fn server_journal(&self, index: usize) -> Vec<Value> {
+        journal::read(&self.journal_path("server", index))
+    }
+
+    /// A VM's log.
+    pub fn vm_log(&self, index: usize) -> String {
+        std::fs::read_to_string(self.folder.join(format!("vm-{index}.log"))).unwrap_or_default()
+    }
+
+    fn journal_path(&self, kind: &str, index: usize) -> PathBuf {
+        self.folder.join(format!("{kind}-{index}.journal"))
+    }
+
+    /// Lists VMs and backend servers, with some of them as leaving.
+    pub async fn set_list(&self, leaving: &[String]) {
+        let mut list = Vec::new();
+        for index in 0..self.plan.vms {
+            let name = format!("vm-{index}");
+            list.push(json!({"name": name, "availability_zone": self.plan.shape.zone(index),
+                "peer_address": self.seen(self.peer_address(index)), "leaving": leaving.contains(&name)}));
+        }
+        for index in 0..self.plan.shape.runners {
+            let name = format!("runner-{index}");
+            list.push(
+                json!({"name": name, "availability_zone": self.plan.shape.zone(index),
+                "leaving": leaving.contains(&name)}),
+            );
+        }
+        for index in 0..self.plan.shape.servers {
+            let name = format!("server-{index}");
+            list.push(
+                json!({"name": name, "availability_zone": self.plan.shape.zone(index),
+                "leaving": leaving.contains(&name)}),
+            );
+        }
+        web::post(self.platform_address(), "/vms", &json!(list))
+            .await
+            .expect("the platform answers");
+    }
+
+    /// Starts a runner's process, again after it was killed.
+    pub fn restart_runner(&mut self, index: usize) {
+        self.runners[index].kill();
+        self.runners[index] = self.spawn_runner(index);
+    }
+
+    /// Starts a VM's process, again after it was killed.
+    pub fn restart_vm(&mut self, index: usize) {
+        self.vms[index].kill();
+        self.vms[index] = self.spawn_vm(index);
+    }
+
+    fn spawn_runner(&self, index: usize) -> Process {
+        let plan = &self.plan;
+        let shape = EngineShape {
+            memory_mib: plan.shape.memory_mib - plan.shape.kv_mib,
+            checks_fencing: plan.shape.checks_fencing,
+            max_batch: plan.max_batch,
+            step_ms: plan.step_ms,
+            step_per_request_ms: plan.step_per_request_ms,
+            prefill_ms: 5.0,
+            store: self.platform_address(),
+        };
+        let mut command = Command::new(workbench_binary());
+        command
+            .arg("engine")
+            .args(["--address", &self.runner_address(index).to_string()])
+            .args(["--memory-mib", &shape.memory_mib.to_string()])
+            .args(["--max-batch", &shape.max_batch.to_string()])
+            .args(["--step-ms", &shape.step_ms.to_string()])
+            .args([
+                "--step-per-request-ms",
+                &shape.step_per_request_ms.to_string(),
+            ])
+            .args(["--prefill-ms", &shape.prefill_ms.to_string()])
+            .args(["--store", &shape.store.to_string()])
+            .arg("--journal")
+            .arg(self.journal_path("runner", index));
+        if shape.checks_fencing {
+            command.arg("--checks-fencing");
+        }
+        Process::start(command, &self.folder.join(format!("runner-{index}.log")))
+    }
+
+    fn spawn_server(&self, index: usize) -> Process {
+        let mut command = Command::new(workbench_binary());
+        command
+            .arg("service")
+            .args(["--address", &self.server_address(index).to_string()])
+            .args(["--name", &format!("server-{index}")])
+            .arg("--journal")
+            .arg(self.journal_path("server", index));
+        Process::start(command, &self.folder.join(format!("server-{index}.log")))
+    }
+
+    fn spawn_vm(&self, index: usize) -> Process {
+        let mut settings = json!({
+            "vm": format!("vm-{index}"),
+            "availability_zone": self.plan.shape.zone(index),
+            "caller_address": self.caller_address(index),
+            "operator_address": self.operator_address(index),
+            "peer_address": self.peer_address(index),
+            "log_address": self.seen(self.platform_address()),
+            "vm_list_address": self.platform_address(),
+            "log_retention_ms": self.plan.platform.retention_ms,
+        });
+        for (field, value) in self.plan.settings.as_object().into_iter().flatten() {
+            settings[field] = value.clone();
+        }
+        let path = self.folder.join(format!("vm-{index}.json"));
+        std::fs::write(&path, settings.to_string()).expect("the folder takes files");
+        let mut command = Command::new(product_binary());
+        command.arg("serve").arg("--config").arg(path);
+        Process::start(command, &self.folder.join(format!("vm-{index}.log")))
+    }
+
+    fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    /// The platform's address.
+    pub fn platform_address(&self) -> SocketAddr {
+        self.address(PLATFORM_PORT)
+    }
+
+    /// A runner's own address.
+    pub fn runner_address(&self, index: usize) -> SocketAddr {
+        self.address(RUNNER_PORT + index as u16)
+    }
+
+    /// A server's own address.
+    pub fn server_address(&self, index: usize) -> SocketAddr {
+        self.address(SERVER_PORT + index as u16)
+    }
+
+    /// Where a VM serves callers.
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        self.address(VM_PORT + 3 * index as u16)
+    }
+
+    /// Where a VM serves operators.
+    pub fn operator_address(&self, index: usize) -> SocketAddr {
+        self.address(VM_PORT + 3 * index as u16 + 1)
+    }
+
+    /// Where a VM takes heartbeats.
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        self.address(VM_PORT + 3 * index as u16 + 2)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            // What is left behind is only logs.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn start_platform(plan: &Plan, ip: IpAddr, folder: &Path) -> Process {
+    let mut command = Command::new(workbench_binary());
+    let state = serde_json::to_string(&plan.platform).expect("the state serializes");
+    command
+        .arg("platform")
+        .args(["--address", &SocketAddr::new(ip, PLATFORM_PORT).to_string()])
+        .args(["--state", &state]);
+    Process::start(command, &folder.join("platform.log"))
+}
+
+fn live_vms(status: &Value) -> usize {
+    let vms = status["vms"].as_array();
+    vms.into_iter()
+        .flatten()
+        .filter(|vm| vm["alive"] == true)
+        .count()
+}
+
+/// Whether any runner's book in a status holds the artifact as resident.
+pub fn is_resident(status: &Value, artifact: &str) -> bool {
+    let runners = status["runners"].as_array();
+    runners.into_iter().flatten().any(|runner| {
+        let copies = runner["copies"].as_array();
+        copies
+            .into_iter()
+            .flatten()
+            .any(|copy| copy["artifact"] == artifact && copy["state"] == "resident")
+    })
+}
+
+/// The folder of this build's programs.
+fn build_folder() -> PathBuf {
+    let own = std::env::current_exe().expect("this program has a path");
+    let folder = own.parent().expect("a program lies in a folder");
+    // Tests lie one folder below the programs.
+    if folder.ends_with("deps") {
+        folder.parent().expect("deps lies in a folder").to_owned()
+    } else {
+        folder.to_owned()
+    }
+}
+
+fn workbench_binary() -> PathBuf {
+    build_folder().join("workbench")
+}
+
+/// The product's program of this build.
+pub fn product_binary() -> PathBuf {
+    build_folder().join("rattanjunction")
+}
--- /dev/null
+++ b/workbench/src/engine.rs
@@ -0,0 +1,425 @@
+//! A stand-in of a model engine: continuous batching over accelerator memory.
+//!
+//! It does whatever it is ordered, also beyond its memory; its journal then
+//! says so. A request whose messages hold `CRASH` ends the process.
+
+use crate::answer::{Answer, artifact_key};
+use crate::journal::Journal;
+use crate::service::header;
+use crate::web;
+use bytes::Bytes;
+use futures_channel::mpsc;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use rattanjunction::Body;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Events held for a reader that is slow before it counts as gone.
+const READER_CAPACITY: usize = 4_096;
+/// The time between two comments to a request that waits.
+const COMMENT_INTERVAL: Duration = Duration::from_millis(500);
+/// How far the load report lies behind.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+/// Prefixes kept in the cache.
+const CACHED_PREFIXES: usize = 64;
+/// Characters of the messages that make a prefix.
+const PREFIX_CHARS: usize = 256;
+/// The exit code after a marked request.
+pub const CRASH_EXIT_CODE: i32 = 101;
+
+/// What an engine is like.
+#[derive(Clone, Debug)]
+pub struct EngineShape {
+    /// Accelerator memory.
+    pub memory_mib: u64,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+    /// Requests in a batch at most.
+    pub max_batch: usize,
+    /// Time of one step.
+    pub step_ms: f64,
+    /// Time added to a step for each request in the batch.
+    pub step_per_request_ms: f64,
+    /// Time of the prompt, for 1,000 characters not in the prefix cache.
+    pub prefill_ms: f64,
+    /// The weight store.
+    pub store: SocketAddr,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HeldState {
+    Loading,
+    Ready,
+    Unloading,
+}
+
+#[derive(Debug)]
+struct Held {
+    mib: u64,
+    state: HeldState,
+}
+
+#[derive(Debug, Deserialize)]
+struct Ordered {
+    order: String,
+    #[serde(default)]
+    artifact: String,
+    #[serde(default)]
+    mib: u64,
+    fence: u64,
+}
+
+struct Sequence {
+    id: String,
+    model: String,
+    needs: Vec<String>,
+    answer: Answer,
+    next: u32,
+    rank: u64,
+    prefill_ms: f64,
+    commented: Instant,
+    reader: mpsc::Sender<io::Result<Bytes>>,
+}
+
+/// The engine's stand-in.
+pub struct Engine {
+    shape: EngineShape,
+    boot: u64,
+    held: RefCell<BTreeMap<String, Held>>,
+    fence: Cell<u64>,
+    waiting: RefCell<VecDeque<Sequence>>,
+    running: RefCell<Vec<Sequence>>,
+    loads: RefCell<VecDeque<(Instant, usize, usize)>>,
+    prefixes: RefCell<VecDeque<u64>>,
+    journal: Journal,
+}
+
+impl std::fmt::Debug for Engine {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Engine")
+            .field("boot", &self.boot)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Engine {
+    /// An engine with empty memory.
+    pub fn new(shape: EngineShape, journal: Option<&Path>) -> Self {
+        let engine = Self {
+            shape,
+            boot: u64::from(rand::random::<u32>()) + 1,
+            held: RefCell::default(),
+            fence: Cell::new(0),
+            waiting: RefCell::default(),
+            running: RefCell::default(),
+            loads: RefCell::default(),
+            prefixes: RefCell::default(),
+            journal: Journal::open(journal),
+        };
+        engine.journal.note("start", json!({"boot": engine.boot}));
+        engine
+    }
+
+    /// Serves until the process ends.
+    pub async fn serve(self: Rc<Self>, address: SocketAddr) {
+        compio::runtime::spawn(self.clone().batch()).detach();
+        web::serve(address, move |request| self.clone().handle(request)).await;
+    }
+
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/v1/chat/completions") => self.complete(request).await,
+            (&Method::POST, "/orders") => self.order(request).await,
+            (&Method::GET, "/report") => web::ok(&self.report()),
+            (&Method::GET, "/journal") => web::ok(&self.journal.lines()),
+            _ => web::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn report(&self) -> Value {
+        let loads = self.loads.borrow();
+        let (running, waiting) = loads
+            .iter()
+            .rev()
+            .find(|(at, ..)| at.elapsed() >= REPORT_LAG)
+            .map_or((0, 0), |(_, running, waiting)| (*running, *waiting));
+        let artifacts: Vec<Value> = self
+            .held
+            .borrow()
+            .iter()
+            .map(|(name, held)| {
+                let state = match held.state {
+                    HeldState::Loading => "loading",
+                    HeldState::Ready => "ready",
+                    HeldState::Unloading => "unloading",
+                };
+                json!({"name": name, "mib": held.mib, "state": state})
+            })
+            .collect();
+        json!({"boot": self.boot, "running": running, "waiting": waiting, "artifacts": artifacts})
+    }
+
+    fn note_memory(&self) {
+        let used_mib: u64 = self.held.borrow().values().map(|held| held.mib).sum();
+        let fields = json!({"used_mib": used_mib, "memory_mib": self.shape.memory_mib});
+        self.journal.note("memory", fields);
+    }
+
+    async fn order(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let Some(ordered) = web::json_of::<Ordered>(request).await else {
+            return web::status(StatusCode::BAD_REQUEST);
+        };
+        let stale = self.shape.checks_fencing && ordered.fence < self.fence.get();
+        let fields = json!({"order": ordered.order, "artifact": ordered.artifact,
+            "mib": ordered.mib, "fence": ordered.fence, "refused": stale});
+        self.journal.note("order", fields);
+        if stale {
+            return web::status(StatusCode::CONFLICT);
+        }
+        let repeated = self.shape.checks_fencing && ordered.fence == self.fence.get();
+        self.fence.set(self.fence.get().max(ordered.fence));
+        if repeated {
+            return web::status(StatusCode::ACCEPTED);
+        }
+        match ordered.order.as_str() {
+            "load" => self.load(ordered),
+            "unload" => self.unload(ordered),
+            _ => {}
+        }
+        web::status(StatusCode::ACCEPTED)
+    }
+
+    fn load(self: Rc<Self>, ordered: Ordered) {
+        if self.held.borrow().contains_key(&ordered.artifact) {
+            return;
+        }
+        let held = Held {
+            mib: ordered.mib,
+            state: HeldState::Loading,
+        };
+        self.held
+            .borrow_mut()
+            .insert(ordered.artifact.clone(), held);
+        self.note_memory();
+        compio::runtime::spawn(async move {
+            let body = json!({"mib": ordered.mib});
+            while web::post(self.shape.store, "/weights", &body)
+                .await
+                .is_none()
+            {
+                compio::time::sleep(Duration::from_millis(100)).await;
+            }
+            if let Some(held) = self.held.borrow_mut().get_mut(&ordered.artifact) {
+                held.state = HeldState::Ready;
+            }
+            self.journal
+                .note("loaded", json!({"artifact": ordered.artifact}));
+        })
+        .detach();
+    }
+
+    fn unload(self: Rc<Self>, ordered: Ordered) {
+        match self.held.borrow_mut().get_mut(&ordered.artifact) {
+            Some(held) if held.state == HeldState::Ready => held.state = HeldState::Unloading,
+            _ => return,
+        }
+        compio::runtime::spawn(async move {
+            while self.is_used(&ordered.artifact) {
+                compio::time::sleep(Duration::from_millis(5)).await;
+            }
+            self.held.borrow_mut().remove(&ordered.artifact);
+            self.journal
+                .note("unloaded", json!({"artifact": ordered.artifact}));
+            self.note_memory();
+        })
+        .detach();
+    }
+
+    fn is_used(&self, artifact: &str) -> bool {
+        let uses = |sequence: &Sequence| sequence.needs.iter().any(|need| need == artifact);
+        self.running.borrow().iter().any(uses) || self.waiting.borrow().iter().any(uses)
+    }
+
+    async fn complete(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let id = header(&request, "x-request-id");
+        let Some(body) = web::json_of::<Value>(request).await else {
+            return web::status(StatusCode::BAD_REQUEST);
+        };
+        let Some(name) = body["model"].as_str() else {
+            return web::status(StatusCode::BAD_REQUEST);
+        };
+        let version = body["version"].as_str().unwrap_or_default();
+        let (needs, key) = match body["adapter_version"].as_str() {
+            None => (
+                vec![format!("{name}@{version}")],
+                artifact_key(name, version, None),
+            ),
+            Some(adapter_version) => {
+                let (base, adapter) = name.rsplit_once('/').unwrap_or((name, ""));
+                (
+                    vec![
+                        format!("{base}@{version}"),
+                        format!("{name}@{adapter_version}"),
+                    ],
+                    artifact_key(base, version, Some((adapter, adapter_version))),
+                )
+            }
+        };
+        if !self.are_ready(&needs) {
+            return web::status(StatusCode::NOT_FOUND);
+        }
+        let from = body["resume_from_token"].as_u64().unwrap_or(0) as u32;
+        self.journal
+            .note("run", json!({"request": id, "model": name, "from": from}));
+        let messages = body["messages"].to_string();
+        if messages.contains("CRASH") {
+            self.journal.note("crash", json!({"request": id}));
+            std::process::exit(CRASH_EXIT_CODE);
+        }
+        let max_tokens = body["max_tokens"].as_u64().map(|tokens| tokens as u32);
+        let (reader, stream) = mpsc::channel(READER_CAPACITY);
+        self.waiting.borrow_mut().push_back(Sequence {
+            id,
+            model: name.to_owned(),
+            needs,
+            answer: Answer::new(&key, &body["messages"], max_tokens),
+            next: from,
+            rank: body["priority"].as_u64().unwrap_or(1),
+            prefill_ms: self.prefill_ms(&messages),
+            commented: Instant::now(),
+            reader,
+        });
+        let mut response = Response::new(Body::Stream(stream));
+        let kind = hyper::header::HeaderValue::from_static("text/event-stream");
+        response
+            .headers_mut()
+            .insert(hyper::header::CONTENT_TYPE, kind);
+        response
+    }
+
+    fn are_ready(&self, needs: &[String]) -> bool {
+        let held = self.held.borrow();
+        needs.iter().all(|need| {
+            held.get(need)
+                .is_some_and(|held| held.state == HeldState::Ready)
+        })
+    }
+
+    /// The time of the prompt; a cached prefix is free.
+    fn prefill_ms(&self, messages: &str) -> f64 {
+        let end = messages.floor_char_boundary(PREFIX_CHARS.min(messages.len()));
+        let prefix = xxh3_64(&messages.as_bytes()[..end]);
+        let mut prefixes = self.prefixes.borrow_mut();
+        let cached = prefixes.iter().position(|cached| *cached == prefix);
+        if let Some(place) = cached {
+            prefixes.remove(place);
+        }
+        prefixes.push_back(prefix);
+        if prefixes.len() > CACHED_PREFIXES {
+            prefixes.pop_front();
+        }
+        let fresh = if cached.is_some() {
+            messages.len() - end
+        } else {
+            messages.len()
+        };
+        fresh as f64 / 1_000.0 * self.shape.prefill_ms
+    }
+
+    /// Continuous batching: each step gives one token to each running request.
+    async fn batch(self: Rc<Self>) {
+        loop {
+            let prefill_ms = self.admit();
+            self.comment_waiting();
+            let batch = self.running.borrow().len();
+            self.note_load(batch);
+            let step_ms = if batch == 0 {
+                1.0
+            } else {
+                self.shape.step_ms + self.shape.step_per_request_ms * batch as f64 + prefill_ms
+            };
+            compio::time::sleep(Duration::from_secs_f64(step_ms / 1_000.0)).await;
+            self.running.borrow_mut().retain_mut(Sequence::step);
+        }
+    }
+
+    /// Moves waiting requests into the batch, the most urgent first.
+    fn admit(&self) -> f64 {
+        let mut waiting = self.waiting.borrow_mut();
+        let mut running = self.running.borrow_mut();
+        waiting.retain(|sequence| !sequence.reader.is_closed());
+        let mut prefill_ms = 0.0;
+        while running.len() < self.shape.max_batch {
+            let Some(place) = (0..waiting.len()).min_by_key(|place| waiting[*place].rank) else {
+                break;
+            };
+            let sequence = waiting.remove(place).expect("the place was just found");
+            prefill_ms += sequence.prefill_ms;
+            running.push(sequence);
+        }
+        prefill_ms
+    }
+
+    fn comment_waiting(&self) {
+        for sequence in self.waiting.borrow_mut().iter_mut() {
+            if sequence.commented.elapsed() >= COMMENT_INTERVAL {
+                sequence.commented = Instant::now();
+                let _ = sequence
+                    .reader
+                    .try_send(Ok(Bytes::from_static(b": waiting\n\n")));
+            }
+        }
+    }
+
+    fn note_load(&self, running: usize) {
+        let mut loads = self.loads.borrow_mut();
+        loads.push_back((Instant::now(), running, self.waiting.borrow().len()));
+        while loads
+            .front()
+            .is_some_and(|(at, ..)| at.elapsed() > REPORT_LAG * 2)
+        {
+            loads.pop_front();
+        }
+    }
+}
+
+impl Sequence {
+    /// Sends the next token; false once the request has ended or its reader is gone.
+    fn step(&mut self) -> bool {
+        if self.next < self.answer.tokens() {
+            let delta = json!({"content": self.answer.token(self.next)});
+            self.next += 1;
+            return self.send(&self.chunk(&delta, None));
+        }
+        let finish = self.chunk(&json!({}), Some(self.answer.finish_reason()));
+        if self.send(&finish) {
+            self.send("data: [DONE]\n\n");
+        }
+        false
+    }
+
+    fn chunk(&self, delta: &Value, finish_reason: Option<&str>) -> String {
+        let chunk = json!({
+            "id": format!("chatcmpl-{}", self.id),
+            "object": "chat.completion.chunk",
+            "model": self.model,
+            "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}],
+        });
+        format!("data: {chunk}\n\n")
+    }
+
+    fn send(&mut self, event: &str) -> bool {
+        self.reader
+            .try_send(Ok(Bytes::from(event.to_owned())))
+            .is_ok()
+    }
+}
--- /dev/null
+++ b/workbench/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for everything around rattanjunction, with load and experiments.
+//!
+//! Each stand-in keeps a journal of what it was asked and did, so that the
+//! system's promises can be checked from the outside.
+
+pub mod answer;
+pub mod asker;
+pub mod cluster;
+pub mod demo;
+pub mod engine;
+pub mod journal;
+pub mod platform;
+pub mod proxy;
+pub mod service;
+pub mod shape;
+pub mod web;
--- /dev/null
+++ b/workbench/src/main.rs
@@ -0,0 +1,142 @@
+//! The `workbench` program: stand-ins, load and experiments.
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use workbench::demo;
+use workbench::engine::{Engine, EngineShape};
+use workbench::platform::{Platform, PlatformState};
+use workbench::service::PlainStandIn;
+
+fn command() -> Command {
+    Command::new("workbench")
+        .about("Stand-ins, load and experiments for rattanjunction")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(Command::new("demo").about("Run a whole site and print a table"))
+        .subcommand(
+            Command::new("platform")
+                .about("Stand in for the log, the VM list and the weight store")
+                .arg(address())
+                .arg(Arg::new("state").long("state").default_value("{}")),
+        )
+        .subcommand(
+            Command::new("engine")
+                .about("Stand in for a model engine")
+                .arg(address())
+                .arg(number("memory-mib", "64000"))
+                .arg(number("max-batch", "32"))
+                .arg(decimal("step-ms", "5"))
+                .arg(decimal("step-per-request-ms", "0.2"))
+                .arg(decimal("prefill-ms", "5"))
+                .arg(
+                    Arg::new("store")
+                        .long("store")
+                        .required(true)
+                        .value_parser(value_parser!(SocketAddr)),
+                )
+                .arg(
+                    Arg::new("checks-fencing")
+                        .long("checks-fencing")
+                        .action(ArgAction::SetTrue),
+                )
+                .arg(journal()),
+        )
+        .subcommand(
+            Command::new("service")
+                .about("Stand in for a plain service")
+                .arg(address())
+                .arg(Arg::new("name").long("name").default_value("service"))
+                .arg(number("delay-ms", "5"))
+                .arg(journal()),
+        )
+}
+
+fn address() -> Arg {
+    Arg::new("address")
+        .long("address")
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+}
+
+fn number(name: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+}
+
+fn decimal(name: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(f64))
+}
+
+fn journal() -> Arg {
+    Arg::new("journal")
+        .long("journal")
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn get<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> T {
+    matches
+        .get_one::<T>(name)
+        .cloned()
+        .expect("the argument is required or has a default")
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let runtime = compio::runtime::Runtime::new().expect("a runtime needs nothing special");
+    runtime.block_on(run(&matches))
+}
+
+async fn run(matches: &ArgMatches) -> ExitCode {
+    match matches.subcommand() {
+        Some(("demo", _)) => {
+            if !demo::run().await {
+                return ExitCode::FAILURE;
+            }
+        }
+        Some(("platform", matches)) => run_platform(matches).await,
+        Some(("engine", matches)) => run_engine(matches).await,
+        Some(("service", matches)) => run_service(matches).await,
+        _ => return ExitCode::FAILURE,
+    }
+    ExitCode::SUCCESS
+}
+
+async fn run_platform(matches: &ArgMatches) {
+    let state: String = get(matches, "state");
+    let state: PlatformState = serde_json::from_str(&state).expect("the state is valid");
+    Rc::new(Platform::new(state))
+        .serve(get(matches, "address"))
+        .await;
+}
+
+async fn run_engine(matches: &ArgMatches) {
+    let shape = EngineShape {
+        memory_mib: get(matches, "memory-mib"),
+        checks_fencing: matches.get_flag("checks-fencing"),
+        max_batch: get::<u64>(matches, "max-batch") as usize,
+        step_ms: get(matches, "step-ms"),
+        step_per_request_ms: get(matches, "step-per-request-ms"),
+        prefill_ms: get(matches, "prefill-ms"),
+        store: get(matches, "store"),
+    };
+    let journal: Option<&PathBuf> = matches.get_one("journal");
+    let engine = Rc::new(Engine::new(shape, journal.map(PathBuf::as_path)));
+    engine.serve(get(matches, "address")).await;
+}
+
+async fn run_service(matches: &ArgMatches) {
+    let name: String = get(matches, "name");
+    let delay = Duration::from_millis(get(matches, "delay-ms"));
+    let journal: Option<&PathBuf> = matches.get_one("journal");
+    let service = PlainStandIn::new(&name, delay, journal.map(PathBuf::as_path));
+    Rc::new(service).serve(get(matches, "address")).await;
+}
--- /dev/null
+++ b/workbench/src/proxy.rs
@@ -0,0 +1,210 @@
+//! A TCP proxy that injects faults between any two processes.
+
+use compio::buf::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bytes copied at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+/// How often a held chunk looks whether it may go on.
+const HOLD_POLL: Duration = Duration::from_millis(10);
+
+/// How long the far end stays open after the near one has closed.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// What is wrong with a path.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Delay of each chunk, both ways.
+    pub delay_ms: u64,
+    /// Bytes a second, both ways; 0 for no limit.
+    pub throttle_bytes_per_s: u64,
+    /// Answers are swallowed, and the connection is closed at the first.
+    pub drop_answers: bool,
+    /// Requests are held back, and go on once this is off, even if the sender is gone.
+    pub hold_requests: bool,
+    /// New connections are closed at once.
+    pub refuse: bool,
+}
+
+/// One proxied path.
+#[derive(Debug)]
+pub struct Proxy {
+    to: SocketAddr,
+    faults: RefCell<Faults>,
+    cuts: Cell<u64>,
+    silences: Cell<u64>,
+    accepted: Cell<u64>,
+}
+
+/// Which way a connection's bytes go.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    Requests,
+    Answers,
+}
+
+impl Proxy {
+    /// Starts a path from `listen` to `to`, in tasks of this runtime.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address is taken.
+    pub async fn start(listen: SocketAddr, to: SocketAddr) -> Rc<Self> {
+        let listener = TcpListener::bind(listen)
+            .await
+            .unwrap_or_else(|error| panic!("{listen} cannot be bound: {error}"));
+        let proxy = Rc::new(Self {
+            to,
+            faults: RefCell::default(),
+            cuts: Cell::new(0),
+            silences: Cell::new(0),
+            accepted: Cell::new(0),
+        });
+        compio::runtime::spawn(proxy.clone().accept(listener)).detach();
+        proxy
+    }
+
+    /// Sets what is wrong from now on.
+    pub fn set(&self, faults: Faults) {
+        *self.faults.borrow_mut() = faults;
+    }
+
+    /// Closes all present connections.
+    pub fn cut(&self) {
+        self.cuts.set(self.cuts.get() + 1);
+    }
+
+    /// Makes all present connections silent for good; new ones work.
+    pub fn silence(&self) {
+        self.silences.set(self.silences.get() + 1);
+    }
+
+    /// The number of connections accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.get()
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((near, _)) = listener.accept().await else {
+                continue;
+            };
+            self.accepted.set(self.accepted.get() + 1);
+            if !self.faults.borrow().refuse {
+                compio::runtime::spawn(self.clone().join(near)).detach();
+            }
+        }
+    }
+
+    async fn join(self: Rc<Self>, near: TcpStream) {
+        let Ok(far) = TcpStream::connect(self.to).await else {
+            return;
+        };
+        let _ = near.set_nodelay(true);
+        let _ = far.set_nodelay(true);
+        let line = Rc::new(Line {
+            cuts: self.cuts.get(),
+            silences: self.silences.get(),
+            closed: Cell::new(false),
+            proxy: self,
+        });
+        let requests = line.clone().copy(near.clone(), far.clone(), Way::Requests);
+        compio::runtime::spawn(requests).detach();
+        compio::runtime::spawn(line.copy(far, near, Way::Answers)).detach();
+    }
+}
+
+/// One connection through the proxy.
+struct Line {
+    proxy: Rc<Proxy>,
+    cuts: u64,
+    silences: u64,
+    closed: Cell<bool>,
+}
+
+impl Line {
+    fn is_cut(&self) -> bool {
+        self.closed.get() || self.proxy.cuts.get() != self.cuts
+    }
+
+    fn is_silent(&self) -> bool {
+        self.proxy.silences.get() != self.silences
+    }
+
+    /// Copies one way until either end closes or the line is cut.
+    async fn copy(self: Rc<Self>, mut from: TcpStream, mut to: TcpStream, way: Way) {
+        let mut buffer = Vec::with_capacity(CHUNK_BYTES);
+        loop {
+            let read = from.read(buffer);
+            let BufResult(count, bytes) = match self.unless_cut(read).await {
+                Some(result) => result,
+                None => break,
+            };
+            let count = count.unwrap_or(0);
+            if count == 0 && way == Way::Requests && !self.is_cut() {
+                // What was held goes on though its sender is gone.
+                compio::time::sleep(LINGER).await;
+            }
+            if count == 0 || !self.let_through(way, count).await {
+                break;
+            }
+            let BufResult(written, mut bytes) = to.write_all(bytes).await;
+            if written.is_err() {
+                break;
+            }
+            bytes.clear();
+            buffer = bytes;
+        }
+        self.closed.set(true);
+        let _ = from.close().await;
+        let _ = to.close().await;
+    }
+
+    fn holds(&self) -> bool {
+        self.proxy.faults.borrow().hold_requests
+    }
+
+    async fn unless_cut<F: Future>(&self, future: F) -> Option<F::Output> {
+        let mut future = std::pin::pin!(future);
+        loop {
+            if self.is_cut() {
+                return None;
+            }
+            if let Ok(output) = compio::time::timeout(HOLD_POLL, future.as_mut()).await {
+                return Some(output);
+            }
+        }
+    }
+
+    /// Applies the faults to a chunk; false to end the connection.
+    async fn let_through(&self, way: Way, bytes: usize) -> bool {
+        while self.is_silent() {
+            if self.is_cut() {
+                return false;
+            }
+            compio::time::sleep(HOLD_POLL).await;
+        }
+        while way == Way::Requests && self.holds() {
+            compio::time::sleep(HOLD_POLL).await;
+        }
+        let faults = self.proxy.faults.borrow().clone();
+        if way == Way::Answers && faults.drop_answers {
+            return false;
+        }
+        if faults.delay_ms > 0 {
+            compio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.throttle_bytes_per_s > 0 {
+            let seconds = bytes as f64 / faults.throttle_bytes_per_s as f64;
+            compio::time::sleep(Duration::from_secs_f64(seconds)).await;
+        }
+        true
+    }
+}
