Count control traffic by leg: peers, log, reports

Change: one counter family, rattanjunction_control_bytes_total{leg}. Not counted: HTTP heads; the VM list's bodies.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::client::{Connection, Pool};
 use crate::http::{Body, read_body};
 use hyper::{Method, Request, StatusCode, header};
+use prometheus_client::metrics::counter::Counter;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -81,13 +82,15 @@
 #[derive(Debug)]
 pub(crate) struct EngineClient {
     pool: Rc<Pool>,
+    bytes: Counter,
 }
 
 impl EngineClient {
-    /// A client over a pool of its own.
-    pub(crate) fn new() -> Self {
+    /// A client over a pool of its own that counts the bytes of reports.
+    pub(crate) fn new(bytes: Counter) -> Self {
         Self {
             pool: Rc::default(),
+            bytes,
         }
     }
 
@@ -107,6 +110,7 @@
                 .await
                 .ok()?;
             self.pool.put(connection);
+            self.bytes.inc_by(body.len() as u64);
             serde_json::from_slice(&body).ok()
         };
         match compio::time::timeout(CALL_TIMEOUT, call).await {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::inventory::{BackendServer, Name};
 use crate::kernel::Service;
 use crate::wire::RunnerLoad;
+use prometheus_client::metrics::counter::Counter;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -96,8 +97,9 @@
 }
 
 /// All runners of the inventory in force.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Fleet {
+    report_bytes: Counter,
     runners: RefCell<BTreeMap<Name, Rc<Runner>>>,
 }
 
@@ -106,6 +108,14 @@
 }
 
 impl Fleet {
+    /// A fleet without runners that counts the bytes of reports.
+    pub(crate) fn new(report_bytes: Counter) -> Self {
+        Self {
+            report_bytes,
+            runners: RefCell::default(),
+        }
+    }
+
     /// Finds a runner.
     pub(crate) fn runner(&self, name: &str) -> Option<Rc<Runner>> {
         self.runners.borrow().get(name).cloned()
@@ -151,7 +161,7 @@
 
     /// Asks one runner for reports until the inventory does not list it any more.
     async fn watch(self: Rc<Self>, runner: Rc<Runner>) {
-        let client = EngineClient::new();
+        let client = EngineClient::new(self.report_bytes.clone());
         let mut up = false;
         while self.is_listed(&runner) {
             if let Some(report) = client.report(runner.address).await {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,13 @@
     pub(crate) stream: &'static str,
 }
 
+/// A leg of the control traffic.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct LegLabels {
+    /// `peers`, `log`, `reports` or `vm_list`.
+    pub(crate) leg: &'static str,
+}
+
 /// The metrics of one VM.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -54,8 +61,8 @@
     pub(crate) peers: Gauge,
     /// Idempotency keys held.
     pub(crate) keys: Gauge,
-    /// Bytes sent to and received from peers.
-    pub(crate) peer_bytes: Counter,
+    /// Bytes of control traffic: bodies and frames, sent and received.
+    pub(crate) control_bytes: Family<LegLabels, Counter>,
 }
 
 impl Service for Metrics {
@@ -77,7 +84,7 @@
             revision: Gauge::default(),
             peers: Gauge::default(),
             keys: Gauge::default(),
-            peer_bytes: Counter::default(),
+            control_bytes: Family::default(),
             registry: Registry::default(),
         };
         registry.register("requests", "Requests ended", metrics.requests.clone());
@@ -111,9 +118,9 @@
         registry.register("peers", "Peers heard of late", metrics.peers.clone());
         registry.register("keys", "Idempotency keys held", metrics.keys.clone());
         registry.register(
-            "peer_bytes",
-            "Bytes exchanged with peers",
-            metrics.peer_bytes.clone(),
+            "control_bytes",
+            "Bytes of control traffic",
+            metrics.control_bytes.clone(),
         );
         Self {
             registry,
@@ -121,6 +128,11 @@
         }
     }
 
+    /// The counter of one leg of the control traffic.
+    pub(crate) fn leg(&self, leg: &'static str) -> Counter {
+        self.control_bytes.get_or_create(&LegLabels { leg }).clone()
+    }
+
     /// All metrics as text.
     pub(crate) fn to_text(&self) -> String {
         let mut text = String::new();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -10,6 +10,7 @@
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::{Either, select};
 use futures_util::{SinkExt, StreamExt};
+use prometheus_client::metrics::counter::Counter;
 use prost::Message;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
@@ -37,20 +38,16 @@
 pub(crate) struct Links<S: Speaker> {
     speaker: Rc<S>,
     membership: Rc<Membership>,
-    metrics: Rc<Metrics>,
+    bytes: Counter,
 }
 
 impl<S: Speaker> Links<S> {
     /// Links that say what `speaker` says.
-    pub(crate) fn new(
-        speaker: Rc<S>,
-        membership: Rc<Membership>,
-        metrics: Rc<Metrics>,
-    ) -> Rc<Self> {
+    pub(crate) fn new(speaker: Rc<S>, membership: Rc<Membership>, metrics: &Metrics) -> Rc<Self> {
         Rc::new(Self {
             speaker,
             membership,
-            metrics,
+            bytes: metrics.leg("peers"),
         })
     }
 
@@ -83,13 +80,13 @@
 
     async fn say(&self, link: &mut Link) -> Option<()> {
         let frame = self.speaker.heartbeat().encode_to_vec();
-        self.metrics.peer_bytes.inc_by(frame.len() as u64);
+        self.bytes.inc_by(frame.len() as u64);
         link.send(Bytes::from(frame)).await.ok()
     }
 
     async fn hear(&self, link: &mut Link) -> Option<()> {
         let frame = link.next().await?.ok()?;
-        self.metrics.peer_bytes.inc_by(frame.len() as u64);
+        self.bytes.inc_by(frame.len() as u64);
         let heartbeat = Heartbeat::decode(frame).ok()?;
         self.membership.note(heartbeat);
         Some(())
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -53,15 +53,16 @@
 impl Planner {
     /// A planner over the services it reads; `writer` names this run in the log.
     pub(crate) fn new(kernel: &crate::kernel::Kernel, vm: Name, writer: Name) -> Self {
+        let metrics: Rc<Metrics> = kernel.find();
         Self {
             control: kernel.find(),
             fleet: kernel.find(),
             membership: kernel.find(),
-            metrics: kernel.find(),
+            engines: EngineClient::new(metrics.leg("reports")),
+            metrics,
             shutdown: kernel.find(),
             vm,
             writer,
-            engines: EngineClient::new(),
             attempts: RefCell::default(),
         }
     }
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -4,6 +4,7 @@
 //! `{"offset": n}`. `GET /streams/{stream}/records?from=N&wait_ms=W` answers a
 //! page, held open until a record at `N` exists or `W` has passed.
 
+use prometheus_client::metrics::counter::Counter;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
@@ -65,6 +66,7 @@
 pub(crate) struct HttpLog {
     address: SocketAddr,
     client: RefCell<cyper::Client>,
+    bytes: Counter,
 }
 
 #[derive(Deserialize)]
@@ -73,11 +75,12 @@
 }
 
 impl HttpLog {
-    /// A client of the log at `address`.
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    /// A client of the log at `address` that counts the bytes of records.
+    pub(crate) fn new(address: SocketAddr, bytes: Counter) -> Self {
         Self {
             address,
             client: RefCell::new(new_client()),
+            bytes,
         }
     }
 
@@ -101,6 +104,7 @@
 
 impl LogService for HttpLog {
     async fn append(&self, stream: &str, record: Vec<u8>) -> Result<u64, LogError> {
+        self.bytes.inc_by(record.len() as u64);
         let call = async {
             let response = self
                 .client()
@@ -142,10 +146,12 @@
             if !response.status().is_success() {
                 return Err(LogError::Refused);
             }
-            response
-                .json()
+            let body = response
+                .bytes()
                 .await
-                .map_err(|_broken| LogError::Unanswered)
+                .map_err(|_broken| LogError::Unanswered)?;
+            self.bytes.inc_by(body.len() as u64);
+            serde_json::from_slice(&body).map_err(|_garbled| LogError::Unanswered)
         };
         match compio::time::timeout(wait + READ_SLACK, call).await {
             Ok(outcome) => outcome,
--- a/src/server.rs
+++ b/src/server.rs
@@ -118,14 +118,14 @@
 fn assemble(config: &Config, boot: u64) -> Kernel {
     let kernel = Kernel::default();
     let writer: Name = format!("{}/{boot:016x}", config.vm).into();
-    let log = Rc::new(HttpLog::new(config.log_address));
     kernel.register(Rc::new(Shutdown::default()));
-    kernel.register(Rc::new(Metrics::new()));
+    let metrics = kernel.register(Rc::new(Metrics::new()));
+    let log = Rc::new(HttpLog::new(config.log_address, metrics.leg("log")));
     let control: Rc<ControlStream> =
         kernel.register(Stream::open("control", log.clone(), writer.clone()));
     let keys: Rc<KeyStream> = kernel.register(Stream::open("keys", log, writer.clone()));
     let membership = kernel.register(Rc::new(Membership::new(config.vm.clone())));
-    let fleet = kernel.register(Rc::new(Fleet::default()));
+    let fleet = kernel.register(Rc::new(Fleet::new(metrics.leg("reports"))));
     kernel.register(Rc::new(Router::new(
         control.clone(),
         fleet,
@@ -149,7 +149,7 @@
         fleet: kernel.find(),
         shutdown: shutdown.clone(),
     });
-    let links = Links::new(voice, membership.clone(), kernel.find());
+    let links = Links::new(voice, membership.clone(), &kernel.find::<Metrics>());
     compio::runtime::spawn(links.clone().accept(listener, shutdown)).detach();
     let list = HttpVmList::new(config.vm_list_address);
     let found = move |peer| compio::runtime::spawn(links.clone().call(peer)).detach();
