Listen with a backlog of 1,024; measure what one VM adds

Change: listeners are made with a backlog of 1,024; workbench overhead compares asking through one VM with asking the engines directly. Ruled out: callers' time limit of 2 s (the direct way lost requests as well).

--- a/src/http.rs
+++ b/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::shutdown::Shutdown;
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::net::{TcpListener, TcpSocket, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -24,6 +25,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// The largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
 /// The pause after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -118,6 +121,22 @@
     }
 }
 
+/// Listens at an address, with room for bursts of new connections.
+///
+/// # Errors
+///
+/// Fails when the address is taken or not one of this machine's.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4().await?
+    } else {
+        TcpSocket::new_v6().await?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address).await?;
+    socket.listen(BACKLOG).await
+}
+
 /// Accepts connections until `shutdown` and serves each in a task of its own.
 ///
 /// Connections finish the request they are at; `shutdown` counts them.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,7 +39,7 @@
 pub use config::Config;
 pub use error::{ANSWERS, Answer, Failure, Fault, Kind, Ran};
 pub use events::{EVENTS, Event, EventRow};
-pub use http::{Body, ReadError, json_response, read_body, serve as serve_http};
+pub use http::{Body, ReadError, json_response, listen, read_body, serve as serve_http};
 pub use inventory::{
     Adapter, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name, PlainService,
     Priority, Rules,
--- a/src/server.rs
+++ b/src/server.rs
@@ -181,7 +181,7 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<Fault>> {
-    TcpListener::bind(address)
+    http::listen(address)
         .await
         .change_context(Fault::Bind)
         .attach_with(|| format!("{address}"))
--- a/workbench/src/demo.rs
+++ b/workbench/src/demo.rs
@@ -45,7 +45,9 @@
     fn note(&mut self, right: bool, time: Duration) {
         self.count += 1;
         self.wrong += usize::from(!right);
-        self.times_ms.saturating_record(time.as_millis() as u64);
+        self.times_ms
+            .record(time.as_millis() as u64)
+            .expect("the histogram grows");
     }
 
     fn print(&self) {
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use workbench::demo;
 use workbench::engine::{Engine, EngineShape};
+use workbench::overhead;
 use workbench::platform::{Platform, PlatformState};
 use workbench::service::PlainStandIn;
 
@@ -17,6 +18,18 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(Command::new("demo").about("Run a whole site and print a table"))
+        .subcommand(
+            Command::new("overhead")
+                .about("Measure what one VM adds against asking engines directly")
+                .arg(
+                    Arg::new("streams")
+                        .long("streams")
+                        .default_value("100,1000")
+                        .value_delimiter(',')
+                        .value_parser(value_parser!(u64).range(4..=4_000)),
+                )
+                .arg(decimal("step-ms", "20")),
+        )
         .subcommand(
             Command::new("platform")
                 .about("Stand in for the log, the VM list and the weight store")
@@ -102,6 +115,14 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("overhead", matches)) => {
+            let streams: Vec<usize> = matches
+                .get_many::<u64>("streams")
+                .expect("the argument has a default")
+                .map(|count| *count as usize)
+                .collect();
+            overhead::run(&streams, get(matches, "step-ms")).await;
+        }
         Some(("platform", matches)) => run_platform(matches).await,
         Some(("engine", matches)) => run_engine(matches).await,
         Some(("service", matches)) => run_service(matches).await,
--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -57,7 +57,7 @@
     ///
     /// Panics when the address is taken.
     pub async fn start(listen: SocketAddr, to: SocketAddr) -> Rc<Self> {
-        let listener = TcpListener::bind(listen)
+        let listener = rattanjunction::listen(listen)
             .await
             .unwrap_or_else(|error| panic!("{listen} cannot be bound: {error}"));
         let proxy = Rc::new(Self {
--- /dev/null
+++ b/workbench/src/usage.rs
@@ -0,0 +1,74 @@
+//! What a process uses, read from the system's process table.
+
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Clock ticks a second in the process table.
+const TICKS_PER_S: u64 = 100;
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time.
+    pub cpu: Duration,
+    /// Resident memory.
+    pub rss_kib: u64,
+}
+
+/// Reads the use of a process; zero for one that has ended.
+pub fn of_process(pid: u32) -> Usage {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The name in parentheses may hold spaces.
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace()
+        .collect();
+    let ticks = |index: usize| -> u64 {
+        fields
+            .get(index)
+            .and_then(|field| field.parse().ok())
+            .unwrap_or(0)
+    };
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let rss_kib = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok())
+        .unwrap_or(0);
+    Usage {
+        cpu: Duration::from_millis((ticks(11) + ticks(12)) * 1_000 / TICKS_PER_S),
+        rss_kib,
+    }
+}
+
+/// Reads a VM's metrics and sums the samples whose line begins with `prefix`.
+pub async fn metric(operator: SocketAddr, prefix: &str) -> f64 {
+    let text = metrics_text(operator).await.unwrap_or_default();
+    text.lines()
+        .filter(|line| line.starts_with(prefix))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+async fn metrics_text(operator: SocketAddr) -> Option<String> {
+    let client = cyper::Client::new().ok()?;
+    let response = client
+        .get(format!("http://{operator}/metrics"))
+        .ok()?
+        .send()
+        .await
+        .ok()?;
+    response.text().await.ok()
+}
+
+/// Sums a field over journal lines of a kind.
+pub fn sum(lines: &[Value], kind: &str, field: &str) -> u64 {
+    lines
+        .iter()
+        .filter(|line| line["kind"] == kind)
+        .filter_map(|line| line[field].as_u64())
+        .sum()
+}
--- a/workbench/src/web.rs
+++ b/workbench/src/web.rs
@@ -1,11 +1,10 @@
 //! Small helpers for HTTP/JSON, on both sides.
 
 use bytes::Bytes;
-use compio::net::TcpListener;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use rattanjunction::{Body, Shutdown, json_response, serve_http};
+use rattanjunction::{Body, Shutdown, json_response, listen, serve_http};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -26,7 +25,7 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    let listener = TcpListener::bind(address)
+    let listener = listen(address)
         .await
         .unwrap_or_else(|error| panic!("{address} cannot be bound: {error}"));
     serve_http(listener, Rc::new(Shutdown::default()), handler).await;
