--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -1,6 +1,5 @@
 //! A whole site of real processes on loopback: stand-ins and VMs.
 
-use crate::engine::EngineShape;
 use crate::journal;
 use crate::platform::PlatformState;
 use crate::shape::Shape;
@@ -94,6 +93,8 @@
     pub max_batch: usize,
     /// Settings added to those of each VM.
     pub settings: Value,
+    /// Whether all runners share one process, without journals' files.
+    pub thin_runners: bool,
     /// Addresses that VMs use in place of the real ones, such as proxies.
     pub detours: Vec<(SocketAddr, SocketAddr)>,
 }
@@ -113,6 +114,7 @@
             step_per_request_ms: 0.2,
             max_batch: 32,
             settings: json!({"drain_grace_ms": 300}),
+            thin_runners: false,
             detours: Vec::new(),
         }
     }
@@ -174,9 +176,14 @@
             plan,
         };
         cluster.wait_up(cluster.platform_address(), "/state").await;
-        for index in 0..cluster.plan.shape.runners {
-            let process = cluster.spawn_runner(index);
+        if cluster.plan.thin_runners {
+            let process = cluster.spawn_thin_runners();
             cluster.runners.push(process);
+        } else {
+            for index in 0..cluster.plan.shape.runners {
+                let process = cluster.spawn_runner(index);
+                cluster.runners.push(process);
+            }
         }
         for index in 0..cluster.plan.shape.servers {
             let process = cluster.spawn_server(index);
@@ -392,35 +399,39 @@
     }
 
     fn spawn_runner(&self, index: usize) -> Process {
+        let mut command = self.engine_command("engine", index);
+        command
+            .arg("--journal")
+            .arg(self.journal_path("runner", index));
+        Process::start(command, &self.folder.join(format!("runner-{index}.log")))
+    }
+
+    fn spawn_thin_runners(&self) -> Process {
+        let mut command = self.engine_command("engines", 0);
+        command.args(["--count", &self.plan.shape.runners.to_string()]);
+        Process::start(command, &self.folder.join("runners.log"))
+    }
+
+    fn engine_command(&self, subcommand: &str, index: usize) -> Command {
         let plan = &self.plan;
-        let shape = EngineShape {
-            memory_mib: plan.shape.memory_mib - plan.shape.kv_mib,
-            checks_fencing: plan.shape.checks_fencing,
-            max_batch: plan.max_batch,
-            step_ms: plan.step_ms,
-            step_per_request_ms: plan.step_per_request_ms,
-            prefill_ms: 5.0,
-            store: self.platform_address(),
-        };
+        let memory_mib = plan.shape.memory_mib - plan.shape.kv_mib;
         let mut command = Command::new(workbench_binary());
         command
-            .arg("engine")
+            .arg(subcommand)
             .args(["--address", &self.runner_address(index).to_string()])
-            .args(["--memory-mib", &shape.memory_mib.to_string()])
-            .args(["--max-batch", &shape.max_batch.to_string()])
-            .args(["--step-ms", &shape.step_ms.to_string()])
+            .args(["--memory-mib", &memory_mib.to_string()])
+            .args(["--max-batch", &plan.max_batch.to_string()])
+            .args(["--step-ms", &plan.step_ms.to_string()])
             .args([
                 "--step-per-request-ms",
-                &shape.step_per_request_ms.to_string(),
+                &plan.step_per_request_ms.to_string(),
             ])
-            .args(["--prefill-ms", &shape.prefill_ms.to_string()])
-            .args(["--store", &shape.store.to_string()])
-            .arg("--journal")
-            .arg(self.journal_path("runner", index));
-        if shape.checks_fencing {
+            .args(["--prefill-ms", "5"])
+            .args(["--store", &self.platform_address().to_string()]);
+        if plan.shape.checks_fencing {
             command.arg("--checks-fencing");
         }
-        Process::start(command, &self.folder.join(format!("runner-{index}.log")))
+        command
     }
 
     fn spawn_server(&self, index: usize) -> Process {
--- a/workbench/src/engine.rs
+++ b/workbench/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::service::header;
 use crate::web;
 use bytes::Bytes;
-use futures_channel::mpsc;
+use futures_channel::{mpsc, oneshot};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use rattanjunction::Body;
@@ -27,6 +27,8 @@
 const READER_CAPACITY: usize = 4_096;
 /// The time between two comments to a request that waits.
 const COMMENT_INTERVAL: Duration = Duration::from_millis(500);
+/// How often an idle engine notes its load.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// How far the load report lies behind.
 const REPORT_LAG: Duration = Duration::from_millis(300);
 /// Prefixes kept in the cache.
@@ -100,6 +102,7 @@
     running: RefCell<Vec<Sequence>>,
     loads: RefCell<VecDeque<(Instant, usize, usize)>>,
     prefixes: RefCell<VecDeque<u64>>,
+    arrived: RefCell<Option<oneshot::Sender<()>>>,
     journal: Journal,
 }
 
@@ -123,6 +126,7 @@
             running: RefCell::default(),
             loads: RefCell::default(),
             prefixes: RefCell::default(),
+            arrived: RefCell::default(),
             journal: Journal::open(journal),
         };
         engine.journal.note("start", json!({"boot": engine.boot}));
@@ -298,6 +302,10 @@
             commented: Instant::now(),
             reader,
         });
+        if let Some(arrived) = self.arrived.take() {
+            // The batch has looked by itself if it does not wait any more.
+            let _ = arrived.send(());
+        }
         let mut response = Response::new(Body::Stream(stream));
         let kind = hyper::header::HeaderValue::from_static("text/event-stream");
         response
@@ -342,16 +350,25 @@
             self.comment_waiting();
             let batch = self.running.borrow().len();
             self.note_load(batch);
-            let step_ms = if batch == 0 {
-                1.0
-            } else {
-                self.shape.step_ms + self.shape.step_per_request_ms * batch as f64 + prefill_ms
-            };
+            if batch == 0 {
+                self.wait_for_arrival().await;
+                continue;
+            }
+            let step_ms =
+                self.shape.step_ms + self.shape.step_per_request_ms * batch as f64 + prefill_ms;
             compio::time::sleep(Duration::from_secs_f64(step_ms / 1_000.0)).await;
             self.running.borrow_mut().retain_mut(Sequence::step);
         }
     }
 
+    /// Waits for a request, or until the load is to be noted again.
+    async fn wait_for_arrival(&self) {
+        let (sender, receiver) = oneshot::channel();
+        *self.arrived.borrow_mut() = Some(sender);
+        // Both ends of the wait mean the same: look again.
+        let _ = compio::time::timeout(IDLE_INTERVAL, receiver).await;
+    }
+
     /// Moves waiting requests into the batch, the most urgent first.
     fn admit(&self) -> f64 {
         let mut waiting = self.waiting.borrow_mut();
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use workbench::capacity::{self, Size};
 use workbench::demo;
 use workbench::engine::{Engine, EngineShape};
 use workbench::overhead;
@@ -37,27 +38,23 @@
                 .arg(Arg::new("state").long("state").default_value("{}")),
         )
         .subcommand(
-            Command::new("engine")
+            Command::new("capacity")
+                .about("Measure what control costs each VM at a size, without requests")
+                .arg(number("vms", "3"))
+                .arg(number("runners", "12"))
+                .arg(number("models", "13"))
+                .arg(number("seconds", "10")),
+        )
+        .subcommand(
+            engine_arguments(Command::new("engine"))
                 .about("Stand in for a model engine")
-                .arg(address())
-                .arg(number("memory-mib", "64000"))
-                .arg(number("max-batch", "32"))
-                .arg(decimal("step-ms", "5"))
-                .arg(decimal("step-per-request-ms", "0.2"))
-                .arg(decimal("prefill-ms", "5"))
-                .arg(
-                    Arg::new("store")
-                        .long("store")
-                        .required(true)
-                        .value_parser(value_parser!(SocketAddr)),
-                )
-                .arg(
-                    Arg::new("checks-fencing")
-                        .long("checks-fencing")
-                        .action(ArgAction::SetTrue),
-                )
                 .arg(journal()),
         )
+        .subcommand(
+            engine_arguments(Command::new("engines"))
+                .about("Stand in for several model engines, at this port and those after it")
+                .arg(number("count", "10")),
+        )
         .subcommand(
             Command::new("service")
                 .about("Stand in for a plain service")
@@ -68,6 +65,27 @@
         )
 }
 
+fn engine_arguments(command: Command) -> Command {
+    command
+        .arg(address())
+        .arg(number("memory-mib", "64000"))
+        .arg(number("max-batch", "32"))
+        .arg(decimal("step-ms", "5"))
+        .arg(decimal("step-per-request-ms", "0.2"))
+        .arg(decimal("prefill-ms", "5"))
+        .arg(
+            Arg::new("store")
+                .long("store")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            Arg::new("checks-fencing")
+                .long("checks-fencing")
+                .action(ArgAction::SetTrue),
+        )
+}
+
 fn address() -> Arg {
     Arg::new("address")
         .long("address")
@@ -124,7 +142,16 @@
             overhead::run(&streams, get(matches, "step-ms")).await;
         }
         Some(("platform", matches)) => run_platform(matches).await,
+        Some(("capacity", matches)) => {
+            let size = Size {
+                vms: get::<u64>(matches, "vms") as usize,
+                runners: get::<u64>(matches, "runners") as usize,
+                models: get::<u64>(matches, "models") as usize,
+            };
+            capacity::run(&size, Duration::from_secs(get(matches, "seconds"))).await;
+        }
         Some(("engine", matches)) => run_engine(matches).await,
+        Some(("engines", matches)) => run_engines(matches).await,
         Some(("service", matches)) => run_service(matches).await,
         _ => return ExitCode::FAILURE,
     }
@@ -139,8 +166,8 @@
         .await;
 }
 
-async fn run_engine(matches: &ArgMatches) {
-    let shape = EngineShape {
+fn engine_shape(matches: &ArgMatches) -> EngineShape {
+    EngineShape {
         memory_mib: get(matches, "memory-mib"),
         checks_fencing: matches.get_flag("checks-fencing"),
         max_batch: get::<u64>(matches, "max-batch") as usize,
@@ -148,10 +175,23 @@
         step_per_request_ms: get(matches, "step-per-request-ms"),
         prefill_ms: get(matches, "prefill-ms"),
         store: get(matches, "store"),
-    };
+    }
+}
+
+async fn run_engine(matches: &ArgMatches) {
     let journal: Option<&PathBuf> = matches.get_one("journal");
-    let engine = Rc::new(Engine::new(shape, journal.map(PathBuf::as_path)));
-    engine.serve(get(matches, "address")).await;
+    let engine = Engine::new(engine_shape(matches), journal.map(PathBuf::as_path));
+    Rc::new(engine).serve(get(matches, "address")).await;
+}
+
+async fn run_engines(matches: &ArgMatches) {
+    let mut address: SocketAddr = get(matches, "address");
+    let mut engines = Vec::new();
+    for _ in 0..get::<u64>(matches, "count") {
+        engines.push(Rc::new(Engine::new(engine_shape(matches), None)).serve(address));
+        address.set_port(address.port() + 1);
+    }
+    futures_util::future::join_all(engines).await;
 }
 
 async fn run_service(matches: &ArgMatches) {
