workbench soak: two faults at once from a seed, every promise checked

Change: sixteen faults (kills, pauses, platform outages, proxied paths cut, silent, slow, answers dropped), two at once for 2 s, under completions, receipts sent again and publications; afterwards the journals are checked. Not shown yet: that each check of the soak can fail.

--- a/workbench/src/asker.rs
+++ b/workbench/src/asker.rs
@@ -30,6 +30,8 @@
     pub deadline_ms: Option<u64>,
     /// Fields that only engines take, for asking one directly.
     pub version: Option<String>,
+    /// The request's id in journals, if the caller names one.
+    pub id: Option<String>,
 }
 
 impl Question {
@@ -43,6 +45,7 @@
             api_key: None,
             deadline_ms: None,
             version: None,
+            id: None,
         }
     }
 
@@ -207,6 +210,9 @@
     if let Some(key) = &question.api_key {
         builder = builder.header(header::AUTHORIZATION, format!("Bearer {key}"));
     }
+    if let Some(id) = &question.id {
+        builder = builder.header("x-request-id", id);
+    }
     if let Some(deadline_ms) = question.deadline_ms {
         builder = builder.header("x-deadline-ms", deadline_ms);
     }
@@ -315,6 +321,17 @@
 
 /// Calls a plain service through a VM, on a connection of its own.
 pub async fn call(address: SocketAddr, path: &str, key: Option<&str>, body: &Value) -> CallEnd {
+    call_as(address, path, key, body, None).await
+}
+
+/// Calls a plain service under a request id of the caller's.
+pub async fn call_as(
+    address: SocketAddr,
+    path: &str,
+    key: Option<&str>,
+    body: &Value,
+    id: Option<&str>,
+) -> CallEnd {
     let Ok(mut connection) = Connection::open(address, CONNECT_TIMEOUT).await else {
         return CallEnd::Broken;
     };
@@ -326,6 +343,9 @@
     if let Some(key) = key {
         builder = builder.header("idempotency-key", key);
     }
+    if let Some(id) = id {
+        builder = builder.header("x-request-id", id);
+    }
     let request = builder
         .body(Body::full(body.to_string()))
         .expect("the request is well formed");
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -361,29 +361,28 @@
 
     /// Lists VMs and backend servers, with some of them as leaving.
     pub async fn set_list(&self, leaving: &[String]) {
+        web::post(self.platform_address(), "/vms", &self.list(leaving))
+            .await
+            .expect("the platform answers");
+    }
+
+    /// The VM list with some VMs and backend servers as leaving.
+    pub fn list(&self, leaving: &[String]) -> Value {
+        let shape = &self.plan.shape;
+        let entry = |kind: &str, index: usize| {
+            let name = format!("{kind}-{index}");
+            let leaving = leaving.contains(&name);
+            json!({"name": name, "availability_zone": shape.zone(index), "leaving": leaving})
+        };
         let mut list = Vec::new();
         for index in 0..self.plan.vms {
-            let name = format!("vm-{index}");
-            list.push(json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "peer_address": self.seen(self.peer_address(index)), "leaving": leaving.contains(&name)}));
-        }
-        for index in 0..self.plan.shape.runners {
-            let name = format!("runner-{index}");
-            list.push(
-                json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "leaving": leaving.contains(&name)}),
-            );
-        }
-        for index in 0..self.plan.shape.servers {
-            let name = format!("server-{index}");
-            list.push(
-                json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "leaving": leaving.contains(&name)}),
-            );
+            let mut vm = entry("vm", index);
+            vm["peer_address"] = json!(self.seen(self.peer_address(index)));
+            list.push(vm);
         }
-        web::post(self.platform_address(), "/vms", &json!(list))
-            .await
-            .expect("the platform answers");
+        list.extend((0..shape.runners).map(|index| entry("runner", index)));
+        list.extend((0..shape.servers).map(|index| entry("server", index)));
+        json!(list)
     }
 
     /// Starts a runner's process, again after it was killed.
@@ -472,17 +471,17 @@
 
     /// The platform's address.
     pub fn platform_address(&self) -> SocketAddr {
-        self.address(PLATFORM_PORT)
+        platform_at(self.ip)
     }
 
     /// A runner's own address.
     pub fn runner_address(&self, index: usize) -> SocketAddr {
-        self.address(RUNNER_PORT + index as u16)
+        runner_at(self.ip, index)
     }
 
     /// A server's own address.
     pub fn server_address(&self, index: usize) -> SocketAddr {
-        self.address(SERVER_PORT + index as u16)
+        server_at(self.ip, index)
     }
 
     /// Where a VM serves callers.
@@ -510,6 +509,21 @@
     }
 }
 
+/// The platform's address at a site that is not started yet.
+pub fn platform_at(ip: IpAddr) -> SocketAddr {
+    SocketAddr::new(ip, PLATFORM_PORT)
+}
+
+/// A runner's address at a site that is not started yet.
+pub fn runner_at(ip: IpAddr, index: usize) -> SocketAddr {
+    SocketAddr::new(ip, RUNNER_PORT + index as u16)
+}
+
+/// A server's address at a site that is not started yet.
+pub fn server_at(ip: IpAddr, index: usize) -> SocketAddr {
+    SocketAddr::new(ip, SERVER_PORT + index as u16)
+}
+
 fn start_platform(plan: &Plan, ip: IpAddr, folder: &Path) -> Process {
     let mut command = Command::new(workbench_binary());
     let state = serde_json::to_string(&plan.platform).expect("the state serializes");
--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod proxy;
 pub mod service;
 pub mod shape;
+pub mod soak;
 pub mod usage;
 pub mod web;
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -12,6 +12,7 @@
 use workbench::overhead;
 use workbench::platform::{Platform, PlatformState};
 use workbench::service::PlainStandIn;
+use workbench::soak;
 
 fn command() -> Command {
     Command::new("workbench")
@@ -37,6 +38,14 @@
                 .arg(address())
                 .arg(Arg::new("state").long("state").default_value("{}")),
         )
+        .subcommand(
+            Command::new("soak")
+                .about(
+                    "Draw two faults at once from a seed, again and again, and check every promise",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("seconds", "30")),
+        )
         .subcommand(
             Command::new("capacity")
                 .about("Measure what control costs each VM at a size, without requests")
@@ -142,6 +151,16 @@
             overhead::run(&streams, get(matches, "step-ms")).await;
         }
         Some(("platform", matches)) => run_platform(matches).await,
+        Some(("soak", matches)) => {
+            let seconds = Duration::from_secs(get(matches, "seconds"));
+            let findings = soak::run(get(matches, "seed"), seconds).await;
+            findings
+                .iter()
+                .for_each(|finding| println!("broken: {finding}"));
+            if !findings.is_empty() {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("capacity", matches)) => {
             let size = Size {
                 vms: get::<u64>(matches, "vms") as usize,
