--- a/src/control/artifact.rs
+++ b/src/control/artifact.rs
@@ -43,19 +43,27 @@
     }
 
     /// Parses `model@version` or `model/adapter@version` as engines report it.
-    pub(crate) fn parse(text: &str, inventory: &Inventory) -> Option<Self> {
-        let (name, version) = text.rsplit_once('@')?;
+    ///
+    /// Any text is some artifact, so that nothing an engine holds goes uncounted.
+    pub(crate) fn parse(text: &str, inventory: &Inventory) -> Self {
+        let Some((name, version)) = text.rsplit_once('@') else {
+            return Self {
+                model: text.into(),
+                adapter: None,
+                version: Name::new(),
+            };
+        };
         let (model, adapter) = match name.rsplit_once('/') {
             Some((base, adapter)) if inventory.model(name).is_none() => {
                 (base.into(), Some(adapter.into()))
             }
             _ => (name.into(), None),
         };
-        Some(Self {
+        Self {
             model,
             adapter,
             version: version.into(),
-        })
+        }
     }
 }
 
@@ -63,23 +71,26 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.adapter {
             Some(adapter) => write!(f, "{}/{adapter}@{}", self.model, self.version),
+            None if self.version.is_empty() => f.write_str(&self.model),
             None => write!(f, "{}@{}", self.model, self.version),
         }
     }
 }
 
-/// The JSON form: model, adapter or nothing, version, joined by spaces that names cannot hold.
+/// The JSON form: model, adapter or nothing, version, joined by spaces.
 impl Serialize for Artifact {
     fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let adapter = self.adapter.as_deref().unwrap_or_default();
-        serializer.collect_str(&format_args!("{} {adapter} {}", self.model, self.version))
+        let model = escape(&self.model);
+        let adapter = escape(self.adapter.as_deref().unwrap_or_default());
+        let version = escape(&self.version);
+        serializer.collect_str(&format_args!("{model} {adapter} {version}"))
     }
 }
 
 impl<'de> Deserialize<'de> for Artifact {
     fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let text = String::deserialize(deserializer)?;
-        let mut parts = text.split(' ');
+        let mut parts = text.split(' ').map(unescape);
         let (Some(model), Some(adapter), Some(version), None) =
             (parts.next(), parts.next(), parts.next(), parts.next())
         else {
@@ -92,3 +103,12 @@
         })
     }
 }
+
+/// Engines may report any text, also with spaces.
+fn escape(part: &str) -> String {
+    part.replace('%', "%25").replace(' ', "%20")
+}
+
+fn unescape(part: &str) -> String {
+    part.replace("%20", " ").replace("%25", "%")
+}
--- a/src/control/books.rs
+++ b/src/control/books.rs
@@ -1,6 +1,6 @@
 //! The book of one runner's accelerator memory.
 
-use super::{Artifact, Outcome, Verdict};
+use super::{Artifact, Held, Outcome, Verdict};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -13,7 +13,7 @@
     Resident,
     /// Ordered to unload.
     Unloading,
-    /// Unloaded, but an old order to load it may still arrive.
+    /// Not loaded, but an old order to load it may still arrive.
     Reserved,
 }
 
@@ -26,15 +26,38 @@
     pub(crate) state: CopyState,
     /// The fence of its last order.
     pub(crate) intent: u64,
+    /// The fence of the claim that its last order was given under.
+    pub(crate) claim: u64,
     /// Whether an old order to load it may still arrive.
     pub(crate) unclean: bool,
 }
 
+/// The fence of an order and that of its claim.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Given {
+    pub(super) fence: u64,
+    pub(super) claim: u64,
+}
+
+impl Given {
+    fn copy(self, mib: u64, state: CopyState, unclean: bool) -> Copy {
+        Copy {
+            mib,
+            state,
+            intent: self.fence,
+            claim: self.claim,
+            unclean,
+        }
+    }
+}
+
 /// What one runner's memory holds or may come to hold.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct RunnerBook {
     /// The run of the engine that the book is about.
     pub(crate) boot: u64,
+    /// Whether the runner was recorded as not answering.
+    pub(crate) down: bool,
     /// Every artifact with memory set aside.
     pub(crate) copies: BTreeMap<Artifact, Copy>,
 }
@@ -59,53 +82,73 @@
             .is_some_and(|copy| matches!(copy.state, CopyState::Loading | CopyState::Resident))
     }
 
+    /// Whether memory is set aside only for orders that may still arrive.
+    pub(crate) fn has_reserved(&self) -> bool {
+        self.copies
+            .values()
+            .any(|copy| copy.state == CopyState::Reserved)
+    }
+
+    /// Orders to load that are not settled.
+    pub(crate) fn open_loads(&self) -> usize {
+        self.copies
+            .values()
+            .filter(|copy| copy.state == CopyState::Loading)
+            .count()
+    }
+
+    /// Memory set aside for late orders to load this very artifact.
+    pub(crate) fn reserved_mib(&self, artifact: &Artifact) -> u64 {
+        self.copies
+            .get(artifact)
+            .filter(|copy| copy.state == CopyState::Reserved)
+            .map_or(0, |copy| copy.mib)
+    }
+
     pub(super) fn load(
         &mut self,
-        fence: u64,
+        given: Given,
         artifact: &Artifact,
         mib: u64,
         room_mib: u64,
     ) -> Verdict {
-        let (reserved_mib, unclean) = match self.copies.get(artifact) {
-            None => (0, false),
-            Some(copy) if copy.state == CopyState::Reserved => (copy.mib, copy.unclean),
+        let unclean = match self.copies.get(artifact) {
+            None => false,
+            Some(copy) if copy.state == CopyState::Reserved => copy.unclean,
             Some(_) => return Verdict::Refused,
         };
-        if self.taken_mib() - reserved_mib + mib > room_mib {
+        let reserved_mib = self.reserved_mib(artifact);
+        // The late order may name another size than this one.
+        let mib = mib.max(reserved_mib);
+        if self.down || self.taken_mib() - reserved_mib + mib > room_mib {
             return Verdict::Refused;
         }
-        self.copies.insert(
-            artifact.clone(),
-            Copy {
-                mib,
-                state: CopyState::Loading,
-                intent: fence,
-                unclean,
-            },
-        );
+        let copy = given.copy(mib, CopyState::Loading, unclean);
+        self.copies.insert(artifact.clone(), copy);
         Verdict::Accepted
     }
 
-    pub(super) fn unload(&mut self, fence: u64, artifact: &Artifact) -> Verdict {
+    pub(super) fn unload(&mut self, given: Given, artifact: &Artifact) -> Verdict {
         match self.copies.get_mut(artifact) {
             Some(copy) if copy.state == CopyState::Resident => {
-                copy.state = CopyState::Unloading;
-                copy.intent = fence;
+                *copy = given.copy(copy.mib, CopyState::Unloading, copy.unclean);
                 Verdict::Accepted
             }
             _ => Verdict::Refused,
         }
     }
 
-    pub(super) fn settle(&mut self, intent: u64, outcome: Outcome, clean: bool) -> Verdict {
-        let Some((artifact, copy)) = self
-            .copies
-            .iter_mut()
-            .find(|(_, copy)| copy.intent == intent)
-        else {
+    pub(super) fn settle(
+        &mut self,
+        artifact: &Artifact,
+        intent: u64,
+        outcome: Outcome,
+        clean: bool,
+    ) -> Verdict {
+        let copy = self.copies.get_mut(artifact);
+        let Some(copy) = copy.filter(|copy| copy.intent == intent) else {
             return Verdict::Refused;
         };
-        let artifact = artifact.clone();
         match (copy.state, outcome) {
             (CopyState::Loading, Outcome::Done) => {
                 copy.state = CopyState::Resident;
@@ -114,57 +157,104 @@
             (CopyState::Unloading, Outcome::Failed) => copy.state = CopyState::Resident,
             (CopyState::Loading, Outcome::Failed) => {
                 copy.unclean |= !clean;
-                self.free(&artifact);
+                self.free(artifact);
             }
-            (CopyState::Unloading, Outcome::Done) => self.free(&artifact),
+            (CopyState::Unloading, Outcome::Done) => self.free(artifact),
             (CopyState::Resident | CopyState::Reserved, _) => return Verdict::Refused,
         }
         Verdict::Accepted
     }
 
-    pub(super) fn adopt(
-        &mut self,
-        fence: u64,
-        artifact: &Artifact,
-        mib: u64,
-        boot: u64,
-    ) -> Verdict {
-        if self.boot == 0 {
-            self.boot = boot;
+    /// Enters what the engine holds though the book has no copy of it.
+    pub(super) fn adopt(&mut self, given: Given, held: &Held, boot: u64) -> Verdict {
+        if self.boot != boot {
+            return Verdict::Refused;
         }
-        let unclean = match self.copies.get(artifact) {
-            None => false,
-            Some(copy) if copy.state == CopyState::Reserved => copy.unclean,
+        let (mib, unclean) = match self.copies.get(&held.artifact) {
+            None => (held.mib, false),
+            Some(copy) if copy.state == CopyState::Reserved => {
+                (copy.mib.max(held.mib), copy.unclean)
+            }
             Some(_) => return Verdict::Refused,
         };
-        self.copies.insert(
-            artifact.clone(),
-            Copy {
-                mib,
-                state: CopyState::Resident,
-                intent: fence,
-                unclean,
-            },
-        );
+        let copy = given.copy(mib, held.state, unclean);
+        self.copies.insert(held.artifact.clone(), copy);
+        Verdict::Accepted
+    }
+
+    /// The engine does not hold a copy any more that it held before.
+    pub(super) fn lose(&mut self, artifact: &Artifact, boot: u64) -> Verdict {
+        if self.boot != boot || !self.is_resident(artifact) {
+            return Verdict::Refused;
+        }
+        self.free(artifact);
+        Verdict::Accepted
+    }
+
+    /// The runner does not answer: its orders are given up, but may still arrive.
+    pub(super) fn mark_down(&mut self) -> Verdict {
+        if self.down || self.boot == 0 {
+            return Verdict::Refused;
+        }
+        self.down = true;
+        self.give_up_loads();
         Verdict::Accepted
     }
 
-    /// The engine started anew: what was loaded is gone, orders stay open.
-    pub(super) fn reset(&mut self, boot: u64) -> Verdict {
-        if self.boot == boot {
+    /// Begins anew with what the engine holds after a start or a silence.
+    ///
+    /// `fenced` says that no order from before can arrive any more.
+    pub(super) fn reset(
+        &mut self,
+        given: Given,
+        boot: u64,
+        fenced: bool,
+        held: &[Held],
+    ) -> Verdict {
+        let restarted = self.boot != boot;
+        if !restarted && !self.down && !fenced {
             return Verdict::Refused;
         }
         self.boot = boot;
-        let gone: Vec<Artifact> = self
+        self.down = false;
+        if fenced {
+            self.copies.clear();
+        } else if restarted {
+            self.free_loaded();
+        }
+        for held in held {
+            // A copy with an open order is followed by that order.
+            let _ = self.adopt(given, held, boot);
+        }
+        Verdict::Accepted
+    }
+
+    /// Keeps only what late orders may still take, for a runner that is not listed any more.
+    pub(super) fn retire(&mut self) {
+        self.give_up_loads();
+        self.free_loaded();
+        self.boot = 0;
+        self.down = false;
+    }
+
+    fn give_up_loads(&mut self) {
+        let loading = |copy: &&mut Copy| copy.state == CopyState::Loading;
+        for copy in self.copies.values_mut().filter(loading) {
+            copy.state = CopyState::Reserved;
+            copy.unclean = true;
+        }
+    }
+
+    fn free_loaded(&mut self) {
+        let loaded: Vec<Artifact> = self
             .copies
             .iter()
             .filter(|(_, copy)| copy.state != CopyState::Loading)
             .map(|(artifact, _)| artifact.clone())
             .collect();
-        for artifact in gone {
+        for artifact in loaded {
             self.free(&artifact);
         }
-        Verdict::Accepted
     }
 
     /// Frees the memory of a copy, unless an old order may still arrive.
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,6 +1,6 @@
 //! Commands of the control stream.
 
-use super::Artifact;
+use super::{Artifact, CopyState};
 use crate::inventory::{Inventory, Name};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -23,6 +23,17 @@
     Failed,
 }
 
+/// What an engine reports to hold.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Held {
+    /// The artifact.
+    pub(crate) artifact: Artifact,
+    /// Memory it takes.
+    pub(crate) mib: u64,
+    /// Where it stands.
+    pub(crate) state: CopyState,
+}
+
 /// What a writer asks for.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Command {
@@ -35,8 +46,6 @@
         under: Under,
         runner: Name,
         artifact: Artifact,
-        mib: u64,
-        room_mib: u64,
     },
     /// Allows the order to unload; the memory stays taken until settled.
     Unload {
@@ -48,25 +57,37 @@
     Settle {
         under: Under,
         runner: Name,
+        artifact: Artifact,
         intent: u64,
         outcome: Outcome,
         clean: bool,
     },
     /// Enters what a runner holds though no order of ours loaded it.
     Adopt {
+        under: Under,
+        runner: Name,
+        held: Held,
+        boot: u64,
+    },
+    /// Notes that a runner does not hold a copy any more that no order of ours unloaded.
+    Lose {
         under: Under,
         runner: Name,
         artifact: Artifact,
-        mib: u64,
         boot: u64,
     },
+    /// Notes that a runner does not answer; its open loads are given up.
+    MarkDown { under: Under, runner: Name },
     /// Gives a fencing number that does nothing but outdate older ones.
     Fence { under: Under, runner: Name },
-    /// Notes that the runner started anew, with empty memory.
+    /// Begins a runner's book anew with what it holds, after a start or a silence.
+    /// `fenced` says that the engine refuses all orders from before.
     Reset {
         under: Under,
         runner: Name,
         boot: u64,
+        fenced: bool,
+        held: Vec<Held>,
     },
     /// Notes that a runner crashed with this request aboard.
     Suspect {
@@ -84,6 +105,8 @@
             | Self::Unload { under, runner, .. }
             | Self::Settle { under, runner, .. }
             | Self::Adopt { under, runner, .. }
+            | Self::Lose { under, runner, .. }
+            | Self::MarkDown { under, runner }
             | Self::Fence { under, runner }
             | Self::Reset { under, runner, .. } => Some((under, runner)),
             Self::Publish { .. } | Self::Claim { .. } | Self::Suspect { .. } => None,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,15 +8,21 @@
 mod command;
 
 pub(crate) use artifact::Artifact;
-pub(crate) use books::{CopyState, RunnerBook};
-pub(crate) use command::{Command, Outcome, Under, Verdict};
+pub(crate) use books::{Copy, CopyState, RunnerBook};
+pub(crate) use command::{Command, Held, Outcome, Under, Verdict};
 
 use crate::inventory::{Inventory, Name};
 use crate::stream::{Fold, Position};
+use books::Given;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Loads that the weight store serves at full speed; no more are ever open.
+pub(crate) const MAX_OPEN_LOADS: usize = 6;
+
 /// Who plans a group of runners.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Claim {
@@ -39,6 +45,8 @@
     pub(crate) claims: BTreeMap<Name, Claim>,
     /// What each runner's memory holds or may come to hold.
     pub(crate) books: BTreeMap<Name, RunnerBook>,
+    /// What late orders may still take at addresses that are not listed any more.
+    pub(crate) retired: BTreeMap<SocketAddr, RunnerBook>,
     /// Runs of runners that crashed, by the fingerprint of a request aboard.
     pub(crate) suspects: BTreeMap<u64, BTreeSet<(Name, u64)>>,
 }
@@ -62,11 +70,7 @@
 
     /// Loads that were ordered and are not settled.
     pub(crate) fn open_loads(&self) -> usize {
-        self.books
-            .values()
-            .flat_map(|book| book.copies.values())
-            .filter(|copy| copy.state == CopyState::Loading)
-            .count()
+        self.books.values().map(RunnerBook::open_loads).sum()
     }
 
     /// How many runs of runners crashed with this request aboard.
@@ -79,10 +83,30 @@
             return Verdict::Refused;
         }
         self.revision = fence;
+        self.rebook(&inventory);
         self.inventory = inventory;
         Verdict::Accepted
     }
 
+    /// Gives each runner the book of its address, under whatever name it had before.
+    fn rebook(&mut self, next: &Inventory) {
+        let mut by_address = mem::take(&mut self.retired);
+        let mut books = mem::take(&mut self.books);
+        for server in self.inventory.runners() {
+            if let Some(book) = books.remove(&server.name) {
+                by_address.insert(server.address, book);
+            }
+        }
+        for server in next.runners() {
+            if let Some(book) = by_address.remove(&server.address) {
+                self.books.insert(server.name.clone(), book);
+            }
+        }
+        by_address.values_mut().for_each(RunnerBook::retire);
+        by_address.retain(|_, book| !book.copies.is_empty());
+        self.retired = by_address;
+    }
+
     fn claim(&mut self, fence: u64, writer: &Name, group: Name, vm: Name, after: u64) -> Verdict {
         let current = self.claims.get(&group).map_or(0, |claim| claim.fence);
         if current != after {
@@ -100,7 +124,7 @@
     }
 
     /// Whether unloading the copy would leave its model without a ready one.
-    fn is_last_copy(&self, runner: &Name, artifact: &Artifact) -> bool {
+    pub(crate) fn is_last_copy(&self, runner: &str, artifact: &Artifact) -> bool {
         let Some(model) = self.inventory.model(&artifact.model) else {
             return false;
         };
@@ -110,64 +134,89 @@
             return false;
         }
         !self.books.iter().any(|(name, book)| {
-            book.copies.iter().any(|(other, copy)| {
-                copy.state == CopyState::Resident
-                    && other.serves_same(artifact)
-                    && !(name == runner && other == artifact)
-            })
+            self.serves(name, book)
+                && book.copies.iter().any(|(other, copy)| {
+                    copy.state == CopyState::Resident
+                        && other.serves_same(artifact)
+                        && !(name == runner && other == artifact)
+                })
         })
     }
 
-    fn order(&mut self, fence: u64, runner: &Name, command: &Command) -> Verdict {
+    /// Whether requests may go to the runner, as far as the log knows.
+    fn serves(&self, runner: &str, book: &RunnerBook) -> bool {
+        let server = self.inventory.backend_server(runner);
+        !book.down && server.is_some_and(|server| !server.leaving)
+    }
+
+    /// Memory of an artifact that is listed in this version.
+    fn weights_mib(&self, artifact: &Artifact) -> Option<u64> {
+        let model = self.inventory.model(&artifact.model)?;
+        let (version, mib) = match &artifact.adapter {
+            None => (&model.version, model.weights_mib),
+            Some(name) => {
+                let adapter = model.adapter(name)?;
+                (&adapter.version, adapter.weights_mib)
+            }
+        };
+        (*version == artifact.version).then_some(mib)
+    }
+
+    /// Allows a load by the inventory in force at this place, not by the writer's view of it.
+    fn load(&mut self, given: Given, runner: &Name, artifact: &Artifact) -> Verdict {
+        let server = self.inventory.backend_server(runner);
+        let Some(server) = server.filter(|server| !server.leaving) else {
+            return Verdict::Refused;
+        };
+        let Some(mib) = self.weights_mib(artifact) else {
+            return Verdict::Refused;
+        };
+        if self.open_loads() >= MAX_OPEN_LOADS {
+            return Verdict::Refused;
+        }
+        let room_mib = server.weights_room_mib();
+        let book = self.books.entry(runner.clone()).or_default();
+        book.load(given, artifact, mib, room_mib)
+    }
+
+    fn order(&mut self, given: Given, runner: &Name, command: &Command) -> Verdict {
         match command {
-            Command::Load {
-                artifact,
-                mib,
-                room_mib,
-                ..
-            } => self
-                .books
-                .entry(runner.clone())
-                .or_default()
-                .load(fence, artifact, *mib, *room_mib),
-            Command::Unload { artifact, .. } => {
-                if self.is_last_copy(runner, artifact) {
-                    return Verdict::Refused;
-                }
-                self.books
-                    .entry(runner.clone())
-                    .or_default()
-                    .unload(fence, artifact)
+            Command::Load { artifact, .. } => return self.load(given, runner, artifact),
+            Command::Unload { artifact, .. } if self.is_last_copy(runner, artifact) => {
+                return Verdict::Refused;
             }
+            _ => {}
+        }
+        let book = self.books.entry(runner.clone()).or_default();
+        match command {
+            Command::Unload { artifact, .. } => book.unload(given, artifact),
             Command::Settle {
+                artifact,
                 intent,
                 outcome,
                 clean,
                 ..
-            } => self
-                .books
-                .entry(runner.clone())
-                .or_default()
-                .settle(*intent, *outcome, *clean),
-            Command::Adopt {
-                artifact,
-                mib,
-                boot,
-                ..
-            } => self
-                .books
-                .entry(runner.clone())
-                .or_default()
-                .adopt(fence, artifact, *mib, *boot),
-            Command::Reset { boot, .. } => {
-                self.books.entry(runner.clone()).or_default().reset(*boot)
-            }
+            } => book.settle(artifact, *intent, *outcome, *clean),
+            Command::Adopt { held, boot, .. } => book.adopt(given, held, *boot),
+            Command::Lose { artifact, boot, .. } => book.lose(artifact, *boot),
+            Command::MarkDown { .. } => book.mark_down(),
+            Command::Reset {
+                boot, fenced, held, ..
+            } => book.reset(given, *boot, *fenced, held),
             Command::Fence { .. } => Verdict::Accepted,
-            Command::Publish { .. } | Command::Claim { .. } | Command::Suspect { .. } => {
-                Verdict::Refused
-            }
+            Command::Load { .. }
+            | Command::Publish { .. }
+            | Command::Claim { .. }
+            | Command::Suspect { .. } => Verdict::Refused,
         }
     }
+
+    /// Whether the runner is one of the group that the order's claim is about.
+    fn is_in_group(&self, runner: &str, group: &str) -> bool {
+        self.inventory
+            .runners()
+            .any(|server| server.name == runner && server.group == group)
+    }
 }
 
 impl Fold for Control {
@@ -195,11 +244,17 @@
                 let Some((under, runner)) = order.under() else {
                     return Verdict::Refused;
                 };
-                if !self.holds(writer, &under.group, under.claim) {
+                if !self.holds(writer, &under.group, under.claim)
+                    || !self.is_in_group(runner, &under.group)
+                {
                     return Verdict::Refused;
                 }
+                let given = Given {
+                    fence: position.fence,
+                    claim: under.claim,
+                };
                 let runner = runner.clone();
-                self.order(position.fence, &runner, &order)
+                self.order(given, &runner, &order)
             }
         }
     }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -27,6 +27,13 @@
     pub(crate) artifacts: Vec<ReportedArtifact>,
 }
 
+impl Report {
+    /// Finds an artifact by the name that engines use.
+    pub(crate) fn find(&self, name: &str) -> Option<&ReportedArtifact> {
+        self.artifacts.iter().find(|held| held.name == name)
+    }
+}
+
 /// An artifact in an engine's memory.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct ReportedArtifact {
--- a/src/events.rs
+++ b/src/events.rs
@@ -36,6 +36,10 @@
     OrderSettled,
     /// An engine started anew.
     RunnerReset,
+    /// A runner's orders were given up, since it does not answer.
+    RunnerDown,
+    /// A runner does not hold a copy any more that nothing of ours unloaded.
+    CopyLost,
     /// A runner is not answering, or answers again.
     RunnerHealth,
     /// A peer is not heard, or is heard again.
@@ -188,6 +192,20 @@
         Level::Warn,
         "an engine started anew: runner, boot",
     ),
+    row(
+        Event::RunnerDown,
+        405,
+        "runner_down",
+        Level::Warn,
+        "a runner does not answer, its open loads are given up: runner",
+    ),
+    row(
+        Event::CopyLost,
+        406,
+        "copy_lost",
+        Level::Warn,
+        "a runner lost a copy that was not to be unloaded: artifact, runner",
+    ),
     row(
         Event::RunnerHealth,
         500,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,12 +1,12 @@
 //! Deciding what to load and unload, from the books and the inventory alone.
 
-use crate::control::{Artifact, Control, CopyState, RunnerBook};
+mod room;
+
+use crate::control::{Artifact, Control, CopyState, MAX_OPEN_LOADS, RunnerBook};
 use crate::inventory::{BackendServer, Model, Name};
 use std::collections::HashSet;
 use std::fmt::Write;
 
-/// Loads that the weight store serves at full speed.
-pub(crate) const MAX_OPEN_LOADS: usize = 6;
 /// Copies of a model that are made wherever they fit, in different availability zones.
 const SPARE_REPLICAS: u32 = 2;
 
@@ -53,8 +53,11 @@
         let mut moves = self.unloads();
         let budget = MAX_OPEN_LOADS.saturating_sub(self.control.open_loads());
         let mut loads = self.missing_adapters();
-        loads.extend(self.missing_copies());
-        if loads.is_empty() && self.control.open_loads() == 0 {
+        let lacking = self.lacking();
+        loads.extend(self.place(lacking.iter().copied(), "copy_missing"));
+        if !lacking.is_empty() {
+            moves.extend(self.make_room(&lacking));
+        } else if loads.is_empty() && self.control.open_loads() == 0 {
             loads.extend(self.spare_copies());
         }
         loads.truncate(budget);
@@ -141,8 +144,8 @@
         loads
     }
 
-    /// First copies before further ones.
-    fn missing_copies(&self) -> Vec<Move> {
+    /// Models with too few copies, those without any first.
+    fn lacking(&self) -> Vec<&'a Model> {
         let mut models: Vec<(usize, &Model)> = self
             .control
             .inventory
@@ -152,7 +155,7 @@
             .filter(|(copies, model)| (*copies as u32) < model.min_replicas)
             .collect();
         models.sort_by_key(|(copies, model)| (*copies, std::cmp::Reverse(model.resident_mib())));
-        self.place(models.into_iter().map(|(_, model)| model), "copy_missing")
+        models.into_iter().map(|(_, model)| model).collect()
     }
 
     fn spare_copies(&self) -> Vec<Move> {
@@ -212,7 +215,8 @@
             .map(|runner| {
                 let new_zone = self.control.inventory.rules.spread_zones
                     && !zones.contains(&runner.availability_zone);
-                (new_zone, self.free_mib(runner), *runner)
+                let reserved_mib = self.book(runner).reserved_mib(&artifact);
+                (new_zone, self.free_mib(runner) + reserved_mib, *runner)
             })
             .filter(|(_, free_mib, _)| *free_mib >= model.resident_mib())
             .collect();
@@ -227,11 +231,14 @@
     fn unloads(&self) -> Vec<Move> {
         let mut unloads = Vec::new();
         for runner in &self.runners {
-            for (artifact, copy) in &self.book(runner).copies {
-                if copy.state != CopyState::Resident {
+            let book = self.book(runner);
+            for (artifact, copy) in &book.copies {
+                if copy.state != CopyState::Resident
+                    || self.control.is_last_copy(&runner.name, artifact)
+                {
                     continue;
                 }
-                if let Some(reason) = self.reason_to_unload(artifact) {
+                if let Some(reason) = self.reason_to_unload(&book, artifact) {
                     unloads.push(Move::Unload {
                         runner: runner.name.clone(),
                         artifact: artifact.clone(),
@@ -243,7 +250,7 @@
         unloads
     }
 
-    fn reason_to_unload(&self, artifact: &Artifact) -> Option<&'static str> {
+    fn reason_to_unload(&self, book: &RunnerBook, artifact: &Artifact) -> Option<&'static str> {
         let Some(model) = self.control.inventory.model(&artifact.model) else {
             return Some("model_not_listed");
         };
@@ -258,7 +265,7 @@
             },
         };
         if current == *artifact {
-            return None;
+            return is_orphan(book, artifact).then_some("adapter_without_model");
         }
         let copies = self.control.resident_on(&current).count();
         let complete = self.complete_copies(model);
@@ -278,3 +285,12 @@
             .count()
     }
 }
+
+/// Whether an adapter lies on a runner that does not hold its model in any version.
+fn is_orphan(book: &RunnerBook, artifact: &Artifact) -> bool {
+    artifact.adapter.is_some()
+        && !book
+            .copies
+            .keys()
+            .any(|held| held.model == artifact.model && held.adapter.is_none())
+}
--- /dev/null
+++ b/src/placement/room.rs
@@ -0,0 +1,108 @@
+//! Making room for a copy that fits nowhere, at the cost of copies that can be spared.
+
+use super::{Move, Planning};
+use crate::control::{Artifact, CopyState, RunnerBook};
+use crate::inventory::{BackendServer, Model};
+
+impl<'a> Planning<'a> {
+    /// Unloads that let the first model without room fit on one runner.
+    ///
+    /// One model at a time: what was freed is looked at again before more goes.
+    pub(super) fn make_room(&self, lacking: &[&Model]) -> Vec<Move> {
+        if self.is_freeing() {
+            return Vec::new();
+        }
+        let Some(model) = lacking
+            .iter()
+            .find(|model| self.best_runner(model, &Default::default()).is_none())
+        else {
+            return Vec::new();
+        };
+        self.runners
+            .iter()
+            .filter(|runner| !self.book(runner).is_coming(&Self::artifact(model)))
+            .filter_map(|runner| self.spared_for(model, runner))
+            .min_by_key(|(freed_mib, _)| *freed_mib)
+            .map_or_else(Vec::new, |(_, unloads)| unloads)
+    }
+
+    fn is_freeing(&self) -> bool {
+        self.runners.iter().any(|runner| {
+            let book = self.book(runner);
+            book.copies
+                .values()
+                .any(|copy| copy.state == CopyState::Unloading)
+        })
+    }
+
+    /// The copies to give up on a runner for one of `model`, and their memory.
+    fn spared_for(&self, model: &Model, runner: &BackendServer) -> Option<(u64, Vec<Move>)> {
+        let book = self.book(runner);
+        let free_mib = self.free_mib(runner) + book.reserved_mib(&Self::artifact(model));
+        let missing_mib = model.resident_mib().saturating_sub(free_mib);
+        let mut freed_mib = 0;
+        let mut unloads = Vec::new();
+        for base in book.copies.keys() {
+            if freed_mib >= missing_mib {
+                break;
+            }
+            if !self.can_spare(runner, &book, base) {
+                continue;
+            }
+            for (artifact, copy) in &book.copies {
+                if artifact == base || is_adapter_of(artifact, base, &book) {
+                    freed_mib += copy.mib;
+                    unloads.push(Move::Unload {
+                        runner: runner.name.clone(),
+                        artifact: artifact.clone(),
+                        reason: "room_needed",
+                    });
+                }
+            }
+        }
+        (freed_mib >= missing_mib && !unloads.is_empty()).then_some((freed_mib, unloads))
+    }
+
+    /// Whether enough other copies of the model are ready without this one.
+    fn can_spare(&self, runner: &BackendServer, book: &RunnerBook, base: &Artifact) -> bool {
+        let Some(model) = self.control.inventory.model(&base.model) else {
+            return false;
+        };
+        if base.adapter.is_some() || !book.is_resident(base) {
+            return false;
+        }
+        let is_current = model.version == base.version;
+        let needed = if is_current {
+            model.min_replicas.max(1)
+        } else {
+            1
+        };
+        let others = self.runners.iter().filter(|other| {
+            let held = self.book(other);
+            other.name != runner.name && self.serves_whole(&held, model, base)
+        });
+        others.count() >= needed as usize
+    }
+
+    /// Whether a runner holds the base, or the one in force, with all its adapters.
+    fn serves_whole(&self, book: &RunnerBook, model: &Model, base: &Artifact) -> bool {
+        let has_base = book.is_resident(base) || book.is_resident(&Self::artifact(model));
+        has_base
+            && Self::adapters(model).all(|(adapter, _)| {
+                book.copies.iter().any(|(held, copy)| {
+                    held.serves_same(&adapter) && copy.state == CopyState::Resident
+                })
+            })
+    }
+}
+
+/// Whether an adapter goes with its model, since no other version of the model stays.
+fn is_adapter_of(artifact: &Artifact, base: &Artifact, book: &RunnerBook) -> bool {
+    artifact.adapter.is_some()
+        && artifact.model == base.model
+        && book.is_resident(artifact)
+        && !book
+            .copies
+            .keys()
+            .any(|other| other.serves_same(base) && other != base)
+}
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -4,11 +4,13 @@
 //! present claim. Time decides when a takeover is tried, the log whether it
 //! holds; so two planners never act on memory that is set aside only once.
 
-use crate::control::{Artifact, Claim, Command, CopyState, Outcome, Under, Verdict};
-use crate::engine::{EngineClient, Order, OrderAnswer, Report, ReportedState};
+use crate::control::{
+    Artifact, Claim, Command, Copy, CopyState, Held, Outcome, RunnerBook, Under, Verdict,
+};
+use crate::engine::{EngineClient, Order, OrderAnswer, Report, ReportedArtifact, ReportedState};
 use crate::events::{Event, emit};
 use crate::fleet::Fleet;
-use crate::inventory::{BackendServer, Name};
+use crate::inventory::{BackendServer, Inventory, Name};
 use crate::kernel::Service;
 use crate::membership::Membership;
 use crate::metrics::{Metrics, OrderLabels};
@@ -26,6 +28,23 @@
 /// How long to wait before an order is given again.
 const RESEND_AFTER: Duration = Duration::from_millis(1_000);
 
+/// How long a runner may be silent before its orders are given up.
+const DOWN_AFTER: Duration = Duration::from_millis(2_000);
+
+/// An order that is not settled.
+struct OpenOrder<'a> {
+    under: &'a Under,
+    server: &'a BackendServer,
+    artifact: &'a Artifact,
+    copy: &'a Copy,
+}
+
+impl OpenOrder<'_> {
+    fn key(&self) -> (u64, Artifact) {
+        (self.copy.intent, self.artifact.clone())
+    }
+}
+
 /// What this process has sent for one intent.
 #[derive(Debug, Default)]
 struct Attempts {
@@ -43,7 +62,9 @@
     vm: Name,
     writer: Name,
     engines: EngineClient,
-    attempts: RefCell<HashMap<u64, Attempts>>,
+    attempts: RefCell<HashMap<(u64, Artifact), Attempts>>,
+    silent_since: RefCell<HashMap<Name, Instant>>,
+    fenced_at: RefCell<HashMap<Name, Instant>>,
 }
 
 impl Service for Planner {
@@ -64,6 +85,8 @@
             vm,
             writer,
             attempts: RefCell::default(),
+            silent_since: RefCell::default(),
+            fenced_at: RefCell::default(),
         }
     }
 
@@ -146,8 +169,8 @@
         join_all(runners.iter().map(|runner| self.drive(&under, runner))).await;
         let moves = self.control.with(|control| {
             Planning::new(control, group, |name| {
-                let known = control.books.get(name).is_some_and(|book| book.boot != 0);
-                known
+                let known = |book: &RunnerBook| book.boot != 0 && !book.down;
+                control.books.get(name).is_some_and(known)
                     && self.fleet.runner(name).is_some_and(|runner| runner.is_up())
                     && !self.membership.is_server_leaving(name)
             })
@@ -167,18 +190,15 @@
             Move::Load {
                 runner,
                 artifact,
-                mib,
-                room_mib,
                 reason,
                 others,
+                ..
             } => {
                 let line = format!("artifact={artifact} runner={runner}");
                 let command = Command::Load {
                     under,
                     runner,
                     artifact,
-                    mib,
-                    room_mib,
                 };
                 if let Some(fence) = self.propose(command).await {
                     self.metrics
@@ -219,207 +239,247 @@
     /// Brings one runner's open orders forward and its book up to date.
     async fn drive(&self, under: &Under, server: &BackendServer) {
         let Some(report) = self.engines.report(server.address).await else {
-            return;
+            return self.note_silent(under, server).await;
         };
+        self.silent_since.borrow_mut().remove(&server.name);
         let book = self.control.with(|control| control.book(&server.name));
-        if book.boot != report.boot {
-            self.reset(under, server, book.boot, report.boot).await;
-            return;
+        let is_behind = book.boot != report.boot || book.down;
+        if is_behind || (server.checks_fencing && book.has_reserved()) {
+            return self.reset(under, server, &book, report).await;
         }
+        self.note_lost(under, server, &book, &report).await;
         self.adopt(under, server, &report).await;
         let mut copies: Vec<_> = book.copies.iter().collect();
         // A fencing engine refuses an order that comes after a later one.
         copies.sort_by_key(|(_, copy)| copy.intent);
         for (artifact, copy) in copies {
+            let open = OpenOrder {
+                under,
+                server,
+                artifact,
+                copy,
+            };
             match copy.state {
-                CopyState::Loading => {
-                    self.drive_load(under, server, &report, artifact, copy.mib, copy.intent)
-                        .await;
-                }
-                CopyState::Unloading => {
-                    self.drive_unload(under, server, &report, artifact, copy.intent)
-                        .await;
-                }
+                CopyState::Loading => self.drive_load(&open, &report).await,
+                CopyState::Unloading => self.drive_unload(&open, &report).await,
                 CopyState::Resident | CopyState::Reserved => {}
             }
         }
     }
 
-    /// Follows an engine that started anew; old orders are outdated first.
-    async fn reset(&self, under: &Under, server: &BackendServer, known: u64, boot: u64) {
-        if server.checks_fencing && known != 0 {
-            let command = Command::Fence {
-                under: under.clone(),
-                runner: server.name.clone(),
-            };
-            let Some(fence) = self.propose(command).await else {
-                return;
-            };
-            let order = Order {
-                order: "fence",
-                artifact: "",
-                mib: 0,
-                fence,
-            };
-            if self.engines.order(server.address, &order).await != OrderAnswer::Accepted {
-                return;
-            }
+    /// Gives up a runner that has been silent for too long, so that its loads hold no slot.
+    async fn note_silent(&self, under: &Under, server: &BackendServer) {
+        let since = *self
+            .silent_since
+            .borrow_mut()
+            .entry(server.name.clone())
+            .or_insert_with(Instant::now);
+        let book = self.control.with(|control| control.book(&server.name));
+        if since.elapsed() < DOWN_AFTER || book.down || book.boot == 0 {
+            return;
+        }
+        let command = Command::MarkDown {
+            under: under.clone(),
+            runner: server.name.clone(),
+        };
+        if self.propose(command).await.is_some() {
+            emit(Event::RunnerDown, format_args!("runner={}", server.name));
         }
+    }
+
+    /// Begins a book anew with what the engine holds; old orders are outdated first.
+    async fn reset(
+        &self,
+        under: &Under,
+        server: &BackendServer,
+        book: &RunnerBook,
+        report: Report,
+    ) {
+        let boot = report.boot;
+        let report = if server.checks_fencing {
+            self.fence(under, server).await
+        } else {
+            Some(report)
+        };
+        // An engine that started in between may not know the fence.
+        let Some(report) = report.filter(|report| report.boot == boot) else {
+            return;
+        };
         let command = Command::Reset {
             under: under.clone(),
             runner: server.name.clone(),
             boot,
+            fenced: server.checks_fencing,
+            held: self.held(&report),
         };
         if self.propose(command).await.is_some() {
             emit(
                 Event::RunnerReset,
-                format_args!("runner={} boot={boot} before={known}", server.name),
+                format_args!("runner={} boot={boot} before={}", server.name, book.boot),
             );
         }
     }
 
-    /// Enters into the book what the engine holds though nothing of ours is open for it.
-    async fn adopt(&self, under: &Under, server: &BackendServer, report: &Report) {
-        for held in &report.artifacts {
-            let unknown = self.control.with(|control| {
-                let artifact = Artifact::parse(&held.name, &control.inventory)?;
-                let known = control
-                    .book(&server.name)
-                    .copies
-                    .get(&artifact)
-                    .is_some_and(|copy| copy.state != CopyState::Reserved);
-                (!known).then_some(artifact)
-            });
-            if let Some(artifact) = unknown {
-                let command = Command::Adopt {
-                    under: under.clone(),
-                    runner: server.name.clone(),
-                    artifact,
-                    mib: held.mib,
-                    boot: report.boot,
-                };
-                // A refusal means that the book has moved on meanwhile.
-                let _ = self.propose(command).await;
-            }
+    /// Outdates every order to a fencing engine so far; its report from after that.
+    async fn fence(&self, under: &Under, server: &BackendServer) -> Option<Report> {
+        let last = self.fenced_at.borrow().get(&server.name).copied();
+        if last.is_some_and(|at| at.elapsed() < RESEND_AFTER) {
+            return None;
+        }
+        let now = Instant::now();
+        self.fenced_at.borrow_mut().insert(server.name.clone(), now);
+        let command = Command::Fence {
+            under: under.clone(),
+            runner: server.name.clone(),
+        };
+        let order = Order {
+            order: "fence",
+            artifact: "",
+            mib: 0,
+            fence: self.propose(command).await?,
+        };
+        if self.engines.order(server.address, &order).await != OrderAnswer::Accepted {
+            return None;
         }
+        let report = self.engines.report(server.address).await;
+        self.fenced_at.borrow_mut().remove(&server.name);
+        report
     }
 
-    async fn drive_load(
+    fn held(&self, report: &Report) -> Vec<Held> {
+        self.control.with(|control| {
+            let held = report.artifacts.iter();
+            held.map(|held| self.as_held(held, &control.inventory))
+                .collect()
+        })
+    }
+
+    fn as_held(&self, reported: &ReportedArtifact, inventory: &Inventory) -> Held {
+        let state = match reported.state {
+            ReportedState::Loading => CopyState::Loading,
+            ReportedState::Ready => CopyState::Resident,
+            ReportedState::Unloading => CopyState::Unloading,
+        };
+        Held {
+            artifact: Artifact::parse(&reported.name, inventory),
+            mib: reported.mib,
+            state,
+        }
+    }
+
+    /// Notes what the engine does not hold any more, such as after a late order to unload.
+    async fn note_lost(
         &self,
         under: &Under,
         server: &BackendServer,
+        book: &RunnerBook,
         report: &Report,
-        artifact: &Artifact,
-        mib: u64,
-        intent: u64,
     ) {
-        let name = artifact.to_string();
-        match report.artifacts.iter().find(|held| held.name == name) {
-            Some(held) if held.state == ReportedState::Ready => {
-                self.settle(under, server, artifact, intent, Outcome::Done)
-                    .await;
+        for (artifact, copy) in &book.copies {
+            if copy.state != CopyState::Resident || report.find(&artifact.to_string()).is_some() {
+                continue;
             }
-            Some(_) => {}
-            None => {
-                let order = Order {
-                    order: "load",
-                    artifact: &name,
-                    mib,
-                    fence: intent,
-                };
-                self.send(under, server, artifact, &order).await;
+            let command = Command::Lose {
+                under: under.clone(),
+                runner: server.name.clone(),
+                artifact: artifact.clone(),
+                boot: report.boot,
+            };
+            if self.propose(command).await.is_some() {
+                emit(
+                    Event::CopyLost,
+                    format_args!("artifact={artifact} runner={}", server.name),
+                );
             }
         }
     }
 
-    async fn drive_unload(
-        &self,
-        under: &Under,
-        server: &BackendServer,
-        report: &Report,
-        artifact: &Artifact,
-        intent: u64,
-    ) {
-        let name = artifact.to_string();
-        match report.artifacts.iter().find(|held| held.name == name) {
-            None => {
-                self.settle(under, server, artifact, intent, Outcome::Done)
-                    .await
+    /// Enters into the book what the engine holds though nothing of ours is open for it.
+    async fn adopt(&self, under: &Under, server: &BackendServer, report: &Report) {
+        let book = self.control.with(|control| control.book(&server.name));
+        for (held, reported) in self.held(report).into_iter().zip(&report.artifacts) {
+            let known = book.copies.iter().any(|(artifact, copy)| {
+                copy.state != CopyState::Reserved && artifact.to_string() == reported.name
+            });
+            if known {
+                continue;
             }
-            Some(held) if held.state == ReportedState::Unloading => {}
-            Some(_) => {
-                let order = Order {
-                    order: "unload",
-                    artifact: &name,
-                    mib: 0,
-                    fence: intent,
-                };
-                self.send(under, server, artifact, &order).await;
+            let command = Command::Adopt {
+                under: under.clone(),
+                runner: server.name.clone(),
+                held,
+                boot: report.boot,
+            };
+            // A refusal means that the book has moved on meanwhile.
+            let _ = self.propose(command).await;
+        }
+    }
+
+    async fn drive_load(&self, open: &OpenOrder<'_>, report: &Report) {
+        match report.find(&open.artifact.to_string()) {
+            Some(held) if held.state == ReportedState::Ready => {
+                self.settle(open, Outcome::Done, false).await;
             }
+            Some(_) => {}
+            None => self.send(open, "load").await,
+        }
+    }
+
+    async fn drive_unload(&self, open: &OpenOrder<'_>, report: &Report) {
+        match report.find(&open.artifact.to_string()) {
+            None => self.settle(open, Outcome::Done, false).await,
+            Some(held) if held.state == ReportedState::Unloading => {}
+            Some(_) => self.send(open, "unload").await,
         }
     }
 
     /// Gives an order, unless it was given a moment ago.
-    async fn send(
-        &self,
-        under: &Under,
-        server: &BackendServer,
-        artifact: &Artifact,
-        order: &Order<'_>,
-    ) {
+    async fn send(&self, open: &OpenOrder<'_>, kind: &str) {
+        let key = open.key();
         let recent = self
             .attempts
             .borrow()
-            .get(&order.fence)
+            .get(&key)
             .and_then(|attempts| attempts.sent_at)
             .is_some_and(|at| at.elapsed() < RESEND_AFTER);
-        if recent || !self.still_holds(under) {
+        if recent || !self.still_holds(open.under) {
             return;
         }
         self.attempts
             .borrow_mut()
-            .entry(order.fence)
+            .entry(key.clone())
             .or_default()
             .sent_at = Some(Instant::now());
-        match self.engines.order(server.address, order).await {
+        let name = open.artifact.to_string();
+        let order = Order {
+            order: kind,
+            artifact: &name,
+            mib: open.copy.mib,
+            fence: open.copy.intent,
+        };
+        match self.engines.order(open.server.address, &order).await {
             OrderAnswer::Accepted | OrderAnswer::NotSent => {}
             OrderAnswer::Unanswered => {
-                self.attempts
-                    .borrow_mut()
-                    .entry(order.fence)
-                    .or_default()
-                    .unanswered = true;
-            }
-            OrderAnswer::Fenced => self.check_fenced(under, server, artifact, order).await,
-            OrderAnswer::Refused => {
-                self.settle(under, server, artifact, order.fence, Outcome::Failed)
-                    .await;
+                let mut attempts = self.attempts.borrow_mut();
+                attempts.entry(key).or_default().unanswered = true;
             }
+            OrderAnswer::Fenced => self.check_fenced(open, &name).await,
+            OrderAnswer::Refused => self.settle(open, Outcome::Failed, false).await,
         }
     }
 
     /// Ends an outdated order, unless an earlier sending of it had arrived.
-    async fn check_fenced(
-        &self,
-        under: &Under,
-        server: &BackendServer,
-        artifact: &Artifact,
-        order: &Order<'_>,
-    ) {
-        let Some(report) = self.engines.report(server.address).await else {
+    async fn check_fenced(&self, open: &OpenOrder<'_>, name: &str) {
+        let Some(report) = self.engines.report(open.server.address).await else {
             return;
         };
-        let held = report
-            .artifacts
-            .iter()
-            .find(|held| held.name == order.artifact);
-        let failed = match order.order {
-            "load" => held.is_none(),
+        let held = report.find(name);
+        let failed = match open.copy.state {
+            CopyState::Loading => held.is_none(),
             _ => held.is_some_and(|held| held.state == ReportedState::Ready),
         };
         if failed {
-            self.settle(under, server, artifact, order.fence, Outcome::Failed)
-                .await;
+            self.settle(open, Outcome::Failed, true).await;
         }
     }
 
@@ -432,43 +492,38 @@
         })
     }
 
-    /// Whether no copy of the order can arrive any more.
-    fn is_clean(&self, under: &Under, server: &BackendServer, intent: u64) -> bool {
-        if server.checks_fencing {
-            return true;
+    /// Whether no sending of the order can arrive, or have an effect, any more.
+    fn is_clean(&self, open: &OpenOrder<'_>, outcome: Outcome, fenced: bool) -> bool {
+        if open.server.checks_fencing {
+            return fenced || outcome == Outcome::Done;
         }
         let all_answered = self
             .attempts
             .borrow()
-            .get(&intent)
+            .get(&open.key())
             .is_none_or(|attempts| !attempts.unanswered);
-        // An intent older than the claim was sent by somebody else as well.
-        intent > under.claim && all_answered
+        // An order given under another claim was sent by somebody else as well.
+        open.copy.claim == open.under.claim && all_answered
     }
 
-    async fn settle(
-        &self,
-        under: &Under,
-        server: &BackendServer,
-        artifact: &Artifact,
-        intent: u64,
-        outcome: Outcome,
-    ) {
-        let clean = self.is_clean(under, server, intent);
+    async fn settle(&self, open: &OpenOrder<'_>, outcome: Outcome, fenced: bool) {
+        let clean = self.is_clean(open, outcome, fenced);
+        let intent = open.copy.intent;
         let command = Command::Settle {
-            under: under.clone(),
-            runner: server.name.clone(),
+            under: open.under.clone(),
+            runner: open.server.name.clone(),
+            artifact: open.artifact.clone(),
             intent,
             outcome,
             clean,
         };
         if self.propose(command).await.is_some() {
-            self.attempts.borrow_mut().remove(&intent);
+            self.attempts.borrow_mut().remove(&open.key());
             emit(
                 Event::OrderSettled,
                 format_args!(
-                    "intent={intent} runner={} artifact={artifact} outcome={outcome:?} clean={clean}",
-                    server.name
+                    "intent={intent} runner={} artifact={} outcome={outcome:?} clean={clean}",
+                    open.server.name, open.artifact
                 ),
             );
         }
--- a/workbench/src/engine.rs
+++ b/workbench/src/engine.rs
@@ -78,6 +78,9 @@
     #[serde(default)]
     mib: u64,
     fence: u64,
+    /// Whether a test gave the order, past the VMs.
+    #[serde(default)]
+    by_test: bool,
 }
 
 struct Sequence {
@@ -183,8 +186,11 @@
             return web::status(StatusCode::BAD_REQUEST);
         };
         let stale = self.shape.checks_fencing && ordered.fence < self.fence.get();
-        let fields = json!({"order": ordered.order, "artifact": ordered.artifact,
+        let mut fields = json!({"order": ordered.order, "artifact": ordered.artifact,
             "mib": ordered.mib, "fence": ordered.fence, "refused": stale});
+        if ordered.by_test {
+            fields["by_test"] = json!(true);
+        }
         self.journal.note("order", fields);
         if stale {
             return web::status(StatusCode::CONFLICT);
--- a/workbench/src/platform.rs
+++ b/workbench/src/platform.rs
@@ -99,6 +99,22 @@
     }
 }
 
+/// Counts a call until it ends, also when its caller goes away.
+struct Counted<'a>(&'a Cell<u32>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<u32>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The platform's stand-in.
 pub struct Platform {
     state: RefCell<PlatformState>,
@@ -106,6 +122,7 @@
     appends: RefCell<VecDeque<Instant>>,
     vms: RefCell<Vec<(Instant, Value)>>,
     loads: Cell<u32>,
+    open_loads: Cell<u32>,
     next_load: Cell<Instant>,
     journal: Journal,
 }
@@ -125,6 +142,7 @@
             appends: RefCell::default(),
             vms: RefCell::default(),
             loads: Cell::new(0),
+            open_loads: Cell::new(0),
             next_load: Cell::new(Instant::now()),
             journal: Journal::open(None),
         }
@@ -302,6 +320,9 @@
             return web::status(StatusCode::BAD_REQUEST);
         };
         let mib = body["mib"].as_f64().unwrap_or(0.0);
+        let _open = Counted::new(&self.open_loads);
+        self.journal
+            .note("load_open", json!({"open": self.open_loads.get()}));
         while self.state.borrow().store_down {
             compio::time::sleep(Duration::from_millis(50)).await;
         }
@@ -311,11 +332,10 @@
         self.next_load
             .set(begin + Duration::from_secs_f64(1.0 / state.loads_per_s));
         compio::time::sleep(begin - now).await;
-        self.loads.set(self.loads.get() + 1);
+        let _running = Counted::new(&self.loads);
         let over = f64::from(self.loads.get().max(state.loads_at_once));
         let speed = state.load_mib_per_s * f64::from(state.loads_at_once) / over;
         compio::time::sleep(Duration::from_secs_f64(mib / speed)).await;
-        self.loads.set(self.loads.get() - 1);
         self.journal.note("load", json!({"mib": mib}));
         web::ok(&json!({}))
     }
--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -17,6 +17,9 @@
 /// How long the far end stays open after the near one has closed.
 const LINGER: Duration = Duration::from_millis(200);
 
+/// How long a late request's answer is waited for.
+const LATE_ANSWER: Duration = Duration::from_secs(1);
+
 /// What is wrong with a path.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -29,6 +32,8 @@
     pub drop_answers: bool,
     /// Requests are held back, and go on once this is off, even if the sender is gone.
     pub hold_requests: bool,
+    /// Requests that hold this text are kept back until [`Proxy::release`]; empty for none.
+    pub capture: String,
     /// New connections are closed at once.
     pub refuse: bool,
 }
@@ -41,6 +46,9 @@
     cuts: Cell<u64>,
     silences: Cell<u64>,
     accepted: Cell<u64>,
+    captured: Cell<u64>,
+    delivered: Cell<u64>,
+    releases: Cell<u64>,
 }
 
 /// Which way a connection's bytes go.
@@ -66,6 +74,9 @@
             cuts: Cell::new(0),
             silences: Cell::new(0),
             accepted: Cell::new(0),
+            captured: Cell::new(0),
+            delivered: Cell::new(0),
+            releases: Cell::new(0),
         });
         compio::runtime::spawn(proxy.clone().accept(listener)).detach();
         proxy
@@ -91,6 +102,30 @@
         self.accepted.get()
     }
 
+    /// The number of requests captured so far.
+    pub fn captured(&self) -> u64 {
+        self.captured.get()
+    }
+
+    /// Lets the captured requests go on, even if their senders are gone.
+    pub fn release(&self) {
+        self.releases.set(self.releases.get() + 1);
+    }
+
+    /// The number of captured requests that arrived after all.
+    pub fn delivered(&self) -> u64 {
+        self.delivered.get()
+    }
+
+    /// Whether a request is to be kept back; counts it.
+    fn captures(&self, bytes: &[u8]) -> bool {
+        let faults = self.faults.borrow();
+        let text = faults.capture.as_bytes();
+        let named = !text.is_empty() && bytes.windows(text.len()).any(|window| window == text);
+        self.captured.set(self.captured.get() + u64::from(named));
+        named
+    }
+
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             let Ok((near, _)) = listener.accept().await else {
@@ -152,7 +187,14 @@
                 // What was held goes on though its sender is gone.
                 compio::time::sleep(LINGER).await;
             }
-            if count == 0 || !self.let_through(way, count).await {
+            if count == 0 {
+                break;
+            }
+            if way == Way::Requests && self.proxy.captures(&bytes) {
+                self.deliver_late(bytes).await;
+                break;
+            }
+            if !self.let_through(way, count).await {
                 break;
             }
             let BufResult(written, mut bytes) = to.write_all(bytes).await;
@@ -171,6 +213,24 @@
         self.proxy.faults.borrow().hold_requests
     }
 
+    /// Keeps a request back until the release, then delivers it on a new connection.
+    async fn deliver_late(&self, bytes: Vec<u8>) {
+        let releases = self.proxy.releases.get();
+        while self.proxy.releases.get() == releases {
+            compio::time::sleep(HOLD_POLL).await;
+        }
+        let Ok(mut far) = TcpStream::connect(self.proxy.to).await else {
+            return;
+        };
+        let BufResult(written, _) = far.write_all(bytes).await;
+        if written.is_ok() {
+            // The answer finds nobody; it only shows that the request was read.
+            let answer = far.read(Vec::with_capacity(CHUNK_BYTES));
+            let _ = compio::time::timeout(LATE_ANSWER, answer).await;
+            self.proxy.delivered.set(self.proxy.delivered.get() + 1);
+        }
+    }
+
     async fn unless_cut<F: Future>(&self, future: F) -> Option<F::Output> {
         let mut future = std::pin::pin!(future);
         loop {
