--- a/src/completion.rs
+++ b/src/completion.rs
@@ -194,6 +194,9 @@
             if self.tokens == 0 && Instant::now() >= self.ask.deadline {
                 return Err(self.late());
             }
+            if !self.router.refreshed().await {
+                return Err(self.exhausted());
+            }
             let pinned = self.tokens > 0;
             let Some(choice) = self.router.choose(&self.ask.target, pinned, &self.avoid) else {
                 self.wait_for_runner().await?;
@@ -296,6 +299,9 @@
             request.headers_mut().insert("x-request-id", id.clone());
             request
         };
+        if !self.router.may_send(choice) {
+            return Err(AttemptError::NotRun("outdated"));
+        }
         if let Some(mut pooled) = self.pool.take(address) {
             let sent = compio::time::timeout(SILENCE, pooled.send(build())).await;
             match sent {
@@ -315,6 +321,9 @@
                     choice.runner.note_broken();
                     AttemptError::NotRun("no_connection")
                 })?;
+        if !self.router.may_send(choice) {
+            return Err(AttemptError::NotRun("outdated"));
+        }
         match compio::time::timeout(SILENCE, connection.send(build())).await {
             Ok(Ok(response)) => Ok((connection, response)),
             Ok(Err(SendError::NotSent)) => Err(AttemptError::NotRun("not_sent")),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,6 +7,7 @@
 use crate::http::{Body, ReadError, json_response, read_body};
 use crate::inventory::{Caller, Inventory, Name, PlainService, Priority};
 use crate::kernel::{Kernel, Service};
+use crate::membership::Membership;
 use crate::metrics::{Metrics, RequestLabels};
 use crate::plain::{Call, IdempotencyKey, PlainCalls};
 use crate::router::{Router, Target};
@@ -51,6 +52,7 @@
     calls: Rc<PlainCalls>,
     metrics: Rc<Metrics>,
     shutdown: Rc<Shutdown>,
+    membership: Rc<Membership>,
     pool: Rc<Pool>,
     open: RefCell<HashMap<Name, u32>>,
     max_body_bytes: usize,
@@ -85,16 +87,19 @@
             calls: kernel.find(),
             metrics: kernel.find(),
             shutdown: kernel.find(),
+            membership: kernel.find(),
             pool: Rc::default(),
             open: RefCell::default(),
             max_body_bytes,
         }
     }
 
-    /// Whether this VM can take requests: the log's streams were read to their ends.
+    /// Whether this VM can take requests: it knows the configuration.
+    ///
+    /// While the log is down, calls that need a key are refused, and all others are served.
     pub(crate) fn is_ready(&self) -> bool {
-        self.control.is_ready()
-            && self.keys.is_ready()
+        self.control.is_known()
+            && (self.keys.is_ready() || self.keys.is_cut_off())
             && self.control.with(|control| control.revision > 0)
     }
 
@@ -155,6 +160,7 @@
         let body = json!({
             "ready": self.is_ready(),
             "leaving": self.shutdown.is_leaving(),
+            "warnings": self.membership.warnings(&self.control),
         });
         json_response(status, &body)
     }
--- a/src/events.rs
+++ b/src/events.rs
@@ -46,6 +46,8 @@
     SnapshotMissing,
     /// A snapshot was written.
     SnapshotWritten,
+    /// A peer's state was taken over, since the log did not help.
+    StateTaken,
     /// A runner crashed with requests aboard.
     RunnerCrashed,
 }
@@ -223,6 +225,13 @@
         Level::Info,
         "a snapshot was appended: stream, offset",
     ),
+    row(
+        Event::StateTaken,
+        603,
+        "state_taken",
+        Level::Warn,
+        "the state was taken from a peer, since the log did not help: stream, offset",
+    ),
     row(
         Event::RunnerCrashed,
         700,
--- a/src/idempotency.rs
+++ b/src/idempotency.rs
@@ -145,6 +145,8 @@
 impl Fold for Keys {
     type Command = KeyCommand;
     type Verdict = KeyVerdict;
+    // A key's record is kept for longer than the key may be used.
+    const OUTLIVES_RETENTION: bool = false;
 
     fn apply(&mut self, position: Position, writer: &Name, command: KeyCommand) -> KeyVerdict {
         self.sweep(position.at_ms);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -11,12 +11,16 @@
 use crate::membership::Membership;
 use crate::metrics::{Metrics, StreamLabels};
 use crate::server::{ControlStream, KeyStream};
+use crate::stream::{ProposeError, Recorded};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::rc::Rc;
+use std::time::Duration;
 
+/// How long an operator waits for the log before the outcome is called unknown.
+const PUBLISH_LIMIT: Duration = Duration::from_millis(3_000);
 /// The largest inventory, in bytes.
 const MAX_INVENTORY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -128,16 +132,7 @@
             base,
             inventory: Rc::new(publication.inventory),
         };
-        let recorded = self
-            .control
-            .propose(command)
-            .await
-            .map_err(|_not_recorded| {
-                Failure::new(
-                    Kind::LogUnavailable,
-                    "the log does not take the publication now",
-                )
-            })?;
+        let recorded = self.record(command).await?;
         let accepted = recorded.verdict == Verdict::Accepted;
         let revision = self.control.with(|control| control.revision);
         emit(
@@ -148,11 +143,24 @@
             let body = json!({"revision": recorded.position.fence});
             return Ok(json_response(StatusCode::OK, &body));
         }
-        let message = format!(
-            "the change was made from revision {base}, but revision {revision} is in force; look \
-             at it and publish again"
-        );
-        Err(Failure::new(Kind::Conflict, message))
+        Ok(conflict(base, revision))
+    }
+
+    /// Records a publication, and says what is known of it when that takes too long.
+    async fn record(&self, command: Command) -> Result<Recorded<Verdict>, Failure> {
+        let proposed = self.control.propose(command);
+        match compio::time::timeout(PUBLISH_LIMIT, proposed).await {
+            Ok(Ok(recorded)) => Ok(recorded),
+            Ok(Err(ProposeError::NotRecorded)) => Err(Failure::new(
+                Kind::LogUnavailable,
+                "the log does not take the publication now; it is not recorded and will not be",
+            )),
+            Ok(Err(ProposeError::VerdictLost)) | Err(_) => Err(Failure::new(
+                Kind::OutcomeUnknown,
+                "the log has not confirmed the publication; it may be in force or come into force \
+                 later: look at status before publishing again",
+            )),
+        }
     }
 
     fn status(&self) -> Value {
@@ -160,6 +168,7 @@
             "vm": self.vm,
             "availability_zone": self.zone,
             "revision": self.control.with(|control| control.revision),
+            "warnings": self.membership.warnings(&self.control),
             "log_silence_ms": self.control.silence().map(|silence| silence.as_millis() as u64),
             "vm_list_age_ms": self.membership.list_age().map(|age| age.as_millis() as u64),
             "vms": self.vms(),
@@ -241,3 +250,16 @@
         })
     }
 }
+
+/// The answer to an operator whose change lost to another.
+fn conflict(base: u64, revision: u64) -> Response<Body> {
+    let message = format!(
+        "the change was made from revision {base}, but revision {revision} is in force; look at \
+         it and publish again"
+    );
+    let failure = Failure::new(Kind::Conflict, message);
+    let mut body = failure.to_json();
+    body["error"]["base"] = json!(base);
+    body["error"]["revision"] = json!(revision);
+    json_response(StatusCode::CONFLICT, &body)
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,7 +4,9 @@
 use crate::membership::Membership;
 use crate::metrics::Metrics;
 use crate::shutdown::Shutdown;
-use crate::wire::Heartbeat;
+use crate::stream::FoldedState;
+use crate::wire::frame::Body;
+use crate::wire::{ControlState, Frame, Heartbeat, StateRequest};
 use bytes::Bytes;
 use compio::io::compat::AsyncStream;
 use compio::net::{TcpListener, TcpStream};
@@ -14,7 +16,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
@@ -22,8 +24,14 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// A link without an answer for this long is replaced by a new connection.
 const LINK_TIMEOUT: Duration = Duration::from_millis(750);
-/// The largest frame, in bytes.
-const MAX_FRAME_BYTES: usize = 1024 * 1024;
+/// How long a peer may take to hand over its folded state.
+const STATE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// The time between two looks whether a peer's state is needed.
+const STATE_LOOK: Duration = Duration::from_millis(100);
+/// The time between two states taken from peers.
+const STATE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The largest frame, in bytes: a folded state with an inventory of the largest size.
+const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
 type Link = Framed<Compat<Pin<Box<AsyncStream<TcpStream>>>>, LengthDelimitedCodec>;
 
@@ -31,6 +39,14 @@
 pub(crate) trait Speaker: 'static {
     /// Builds the heartbeat to send now.
     fn heartbeat(&self) -> Heartbeat;
+    /// Takes note of a peer's heartbeat.
+    fn heard(&self, heartbeat: &Heartbeat);
+    /// The folded control state, if it is known and goes beyond `after_offset`.
+    fn state(&self, after_offset: u64) -> Option<FoldedState>;
+    /// The offset beyond which a peer's state is of use now.
+    fn wants_state(&self) -> Option<u64>;
+    /// Takes over a peer's state.
+    fn take_state(&self, state: &FoldedState);
 }
 
 /// The links of this VM to its peers.
@@ -70,10 +86,11 @@
     }
 
     /// Sends one heartbeat and takes the one that answers it.
-    async fn exchange(&self, link: &mut Link) -> bool {
+    async fn exchange(self: &Rc<Self>, link: &mut Link) -> bool {
+        let asked_at = Instant::now();
         let turn = async {
             self.say(link).await?;
-            self.hear(link).await
+            self.hear(link, asked_at).await
         };
         matches!(
             compio::time::timeout(LINK_TIMEOUT, turn).await,
@@ -82,17 +99,67 @@
     }
 
     async fn say(&self, link: &mut Link) -> Option<()> {
-        let frame = self.speaker.heartbeat().encode_to_vec();
+        let heartbeat = Body::Heartbeat(self.speaker.heartbeat());
+        self.send(link, heartbeat).await
+    }
+
+    async fn hear(self: &Rc<Self>, link: &mut Link, asked_at: Instant) -> Option<()> {
+        let Body::Heartbeat(heartbeat) = self.receive(link).await? else {
+            return None;
+        };
+        self.note(heartbeat, Some(asked_at));
+        Some(())
+    }
+
+    fn note(self: &Rc<Self>, heartbeat: Heartbeat, asked_at: Option<Instant>) {
+        self.speaker.heard(&heartbeat);
+        if let Some(peer) = self.membership.note(heartbeat, asked_at) {
+            compio::runtime::spawn(self.clone().call(peer)).detach();
+        }
+    }
+
+    async fn send(&self, link: &mut Link, body: Body) -> Option<()> {
+        let frame = Frame { body: Some(body) }.encode_to_vec();
         self.metrics.peer_bytes.inc_by(frame.len() as u64);
         link.send(Bytes::from(frame)).await.ok()
     }
 
-    async fn hear(&self, link: &mut Link) -> Option<()> {
+    async fn receive(&self, link: &mut Link) -> Option<Body> {
         let frame = link.next().await?.ok()?;
         self.metrics.peer_bytes.inc_by(frame.len() as u64);
-        let heartbeat = Heartbeat::decode(frame).ok()?;
-        self.membership.note(heartbeat);
-        Some(())
+        Frame::decode(frame).ok()?.body
+    }
+
+    /// Takes the folded control state from a peer whenever the log does not help.
+    pub(crate) async fn catch_up(self: Rc<Self>) {
+        loop {
+            compio::time::sleep(STATE_LOOK).await;
+            let Some(offset) = self.speaker.wants_state() else {
+                continue;
+            };
+            let Some(address) = self.membership.furthest_peer(offset) else {
+                continue;
+            };
+            let fetched = compio::time::timeout(STATE_TIMEOUT, self.fetch_state(address, offset));
+            if let Ok(Some(state)) = fetched.await {
+                self.speaker.take_state(&state);
+            }
+            compio::time::sleep(STATE_INTERVAL).await;
+        }
+    }
+
+    /// Asks one peer for its state, on a connection of its own: it may be large.
+    async fn fetch_state(&self, address: SocketAddr, after_offset: u64) -> Option<FoldedState> {
+        let mut link = open(address).await?;
+        let request = Body::StateRequest(StateRequest { after_offset });
+        self.send(&mut link, request).await?;
+        match self.receive(&mut link).await? {
+            Body::ControlState(state) => Some(FoldedState {
+                read_to: state.read_to,
+                record: state.record,
+            }),
+            Body::Heartbeat(_) | Body::StateRequest(_) => None,
+        }
     }
 
     /// Accepts links from peers until shutdown closes.
@@ -112,12 +179,29 @@
 
     async fn answer(self: Rc<Self>, stream: TcpStream) {
         let mut link = frame(stream);
-        while self.hear(&mut link).await.is_some() {
-            if self.say(&mut link).await.is_none() {
+        while let Some(body) = self.receive(&mut link).await {
+            let answered = match body {
+                Body::Heartbeat(heartbeat) => {
+                    self.note(heartbeat, None);
+                    self.say(&mut link).await
+                }
+                Body::StateRequest(request) => self.hand_over(&mut link, &request).await,
+                Body::ControlState(_) => None,
+            };
+            if answered.is_none() {
                 return;
             }
         }
     }
+
+    async fn hand_over(&self, link: &mut Link, request: &StateRequest) -> Option<()> {
+        let state = self.speaker.state(request.after_offset)?;
+        let state = ControlState {
+            read_to: state.read_to,
+            record: state.record,
+        };
+        self.send(link, Body::ControlState(state)).await
+    }
 }
 
 async fn open(address: SocketAddr) -> Option<Link> {
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -136,7 +136,12 @@
         call: Call,
     ) -> Result<Response<Body>, Failure> {
         let mut ran = false;
-        for server in self.servers(service).into_iter().take(IDEMPOTENT_ATTEMPTS) {
+        for server in self
+            .servers(service)
+            .await
+            .into_iter()
+            .take(IDEMPOTENT_ATTEMPTS)
+        {
             match self.attempt(service, &server, &call).await {
                 Attempt::Answered(status, content_type, body) => {
                     return Ok(answer(status, &content_type, body));
@@ -236,7 +241,7 @@
         key: KeyHash,
         claim: u64,
     ) -> Result<Response<Body>, Failure> {
-        for server in self.servers(service) {
+        for server in self.servers(service).await {
             match self.attempt(service, &server, call).await {
                 Attempt::Answered(status, content_type, body) => {
                     self.keep_reply(key, claim, status, &content_type, &body);
@@ -334,7 +339,10 @@
     }
 
     /// The servers of a service that stay, each call beginning with the next.
-    fn servers(&self, service: &PlainService) -> Vec<BackendServer> {
+    async fn servers(&self, service: &PlainService) -> Vec<BackendServer> {
+        if !self.membership.refreshed(&self.control).await {
+            return Vec::new();
+        }
         let turn = self.turn.get();
         self.turn.set(turn.wrapping_add(1));
         let mut servers: Vec<BackendServer> = self.control.with(|control| {
@@ -368,9 +376,16 @@
                 call.id, service.name, server.name
             ),
         );
+        let chosen_at = Instant::now();
         let Ok(connection) = Connection::open(server.address, CONNECT_TIMEOUT).await else {
             return Attempt::NotSent;
         };
+        if !self
+            .membership
+            .may_send(&self.control, &server.name, chosen_at)
+        {
+            return Attempt::NotSent;
+        }
         let timeout = Duration::from_millis(service.timeout_ms);
         let exchange = exchange(connection, server.address, call);
         match compio::time::timeout(timeout, exchange).await {
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -4,6 +4,7 @@
 //! `{"offset": n}`. `GET /streams/{stream}/records?from=N&wait_ms=W` answers a
 //! page, held open until a record at `N` exists or `W` has passed.
 
+use hyper::StatusCode;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
@@ -58,6 +59,9 @@
         from: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<Page, LogError>>;
+
+    /// Leaves connections behind that may have gone silent.
+    fn renew(&self);
 }
 
 /// The log over HTTP.
@@ -88,18 +92,30 @@
     fn client(&self) -> cyper::Client {
         self.client.borrow().clone()
     }
-
-    /// Leaves connections behind that may have gone silent.
-    fn renew(&self) {
-        *self.client.borrow_mut() = new_client();
-    }
 }
 
 fn new_client() -> cyper::Client {
     cyper::Client::new().expect("a client without TLS needs nothing from outside")
 }
 
+/// Why a call that got no answer failed: without a connection nothing was sent.
+fn unanswered(error: &cyper::Error) -> LogError {
+    match error {
+        cyper::Error::HyperClient(error) if error.is_connect() => LogError::Refused,
+        _ => LogError::Unanswered,
+    }
+}
+
+/// Whether an error status says that the log did nothing; others may come from in between.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 impl LogService for HttpLog {
+    fn renew(&self) {
+        *self.client.borrow_mut() = new_client();
+    }
+
     async fn append(&self, stream: &str, record: Vec<u8>) -> Result<u64, LogError> {
         let call = async {
             let response = self
@@ -109,10 +125,13 @@
                 .body(record)
                 .send()
                 .await
-                .map_err(|_broken| LogError::Unanswered)?;
-            if !response.status().is_success() {
+                .map_err(|error| unanswered(&error))?;
+            if is_refusal(response.status()) {
                 return Err(LogError::Refused);
             }
+            if !response.status().is_success() {
+                return Err(LogError::Unanswered);
+            }
             let appended: Appended = response
                 .json()
                 .await
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,5 +3,5 @@
 mod log;
 mod vm_list;
 
-pub(crate) use log::{HttpLog, LogError, LogRecord, LogService};
+pub(crate) use log::{HttpLog, LogError, LogRecord, LogService, Page};
 pub(crate) use vm_list::{HttpVmList, ListedVm, VmList};
--- a/src/router.rs
+++ b/src/router.rs
@@ -8,6 +8,7 @@
 use crate::server::ControlStream;
 use std::fmt::Write;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// The artifacts that a request needs on one runner.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -85,6 +86,8 @@
     pub(crate) score: f64,
     /// The other candidates with their scores, for the log.
     pub(crate) others: String,
+    /// When it was chosen.
+    pub(crate) made_at: Instant,
 }
 
 /// Chooses runners by the requests in flight that this VM and its peers know of.
@@ -112,6 +115,18 @@
         }
     }
 
+    /// Waits until the choice can be made from a view newer than this VM's last pause.
+    pub(crate) async fn refreshed(&self) -> bool {
+        self.membership.refreshed(&self.control).await
+    }
+
+    /// Whether a request may still be sent where it was to go when the choice was made.
+    pub(crate) fn may_send(&self, choice: &Choice) -> bool {
+        let runner = &choice.runner.name;
+        self.membership
+            .may_send(&self.control, runner, choice.made_at)
+    }
+
     /// Chooses the least loaded runner that can serve `wanted`.
     ///
     /// With `pinned`, only that very version will do. Runners in `avoid` are
@@ -158,6 +173,7 @@
             target: target.clone(),
             score,
             others,
+            made_at: Instant::now(),
         })
     }
 
--- a/src/server.rs
+++ b/src/server.rs
@@ -20,7 +20,7 @@
 use crate::platform::{HttpLog, HttpVmList};
 use crate::router::Router;
 use crate::shutdown::Shutdown;
-use crate::stream::Stream;
+use crate::stream::{FoldedState, Stream};
 use crate::wire::Heartbeat;
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
@@ -54,6 +54,7 @@
     boot: u64,
     control: Rc<ControlStream>,
     fleet: Rc<Fleet>,
+    membership: Rc<Membership>,
     shutdown: Rc<Shutdown>,
 }
 
@@ -67,6 +68,32 @@
             revision: self.control.with(|control| control.revision),
             control_offset: self.control.next_offset(),
             loads: self.fleet.loads(),
+            leaving_servers: self.membership.listed_leaving(),
+            list_age_ms: self.membership.list_age().map(|age| age.as_millis() as u64),
+            peer_address: self.config.peer_address.to_string(),
+        }
+    }
+
+    fn heard(&self, heartbeat: &Heartbeat) {
+        self.control.note_peer_offset(heartbeat.control_offset);
+    }
+
+    fn state(&self, after_offset: u64) -> Option<FoldedState> {
+        let known = self.control.is_known() && self.control.next_offset() > after_offset;
+        known.then(|| self.control.state())
+    }
+
+    fn wants_state(&self) -> Option<u64> {
+        let cut_off = self.control.is_cut_off();
+        cut_off.then(|| self.control.next_offset())
+    }
+
+    fn take_state(&self, state: &FoldedState) {
+        if self.control.take_state(state) {
+            emit(
+                Event::StateTaken,
+                format_args!("stream=control offset={}", state.read_to),
+            );
         }
     }
 }
@@ -147,10 +174,13 @@
         boot,
         control: kernel.find(),
         fleet: kernel.find(),
+        membership: membership.clone(),
         shutdown: shutdown.clone(),
     });
     let links = Links::new(voice, membership.clone(), kernel.find());
     compio::runtime::spawn(links.clone().accept(listener, shutdown)).detach();
+    compio::runtime::spawn(links.clone().catch_up()).detach();
+    compio::runtime::spawn(membership.clone().watch_pauses(kernel.find())).detach();
     let list = HttpVmList::new(config.vm_list_address);
     let found = move |peer| compio::runtime::spawn(links.clone().call(peer)).detach();
     compio::runtime::spawn(membership.follow(list, found)).detach();
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -10,17 +10,22 @@
 //! A snapshot is a record that holds the fold's state up to an offset. Since
 //! the fold depends on nothing but the log, every snapshot is true, whoever
 //! wrote it; one is usable as long as the log still holds the offset it ends at.
+//!
+//! A reader that the log does not help, since it is down or has dropped records
+//! that no snapshot covers, takes a snapshot from a peer. It never skips records.
 
 use crate::inventory::Name;
-use crate::platform::{LogError, LogService};
+use crate::platform::{LogError, LogRecord, LogService, Page};
 use crate::signal::Signal;
 use futures_channel::oneshot;
+use futures_util::future::{Either, select};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Commands in one envelope at most; also the factor from offsets to fences.
 const MAX_BATCH: usize = 1_024;
@@ -32,6 +37,8 @@
 const READ_BACK_WAIT: Duration = Duration::from_millis(300);
 /// How long an envelope may stay open before new commands are refused at once.
 const STUCK_AFTER: Duration = Duration::from_millis(1_200);
+/// How long a reader may stay behind a peer before it takes a new connection.
+const BEHIND_LIMIT: Duration = Duration::from_millis(400);
 /// How long the sequence number of a silent writer is kept, in log time.
 const WRITER_KEPT_MS: u64 = 3_600_000;
 
@@ -50,6 +57,8 @@
     type Command: DeserializeOwned + Serialize + 'static;
     /// What became of it.
     type Verdict: Clone + 'static;
+    /// Whether records that the log has dropped count on without a snapshot.
+    const OUTLIVES_RETENTION: bool = true;
 
     /// Applies one command; depends on nothing but state and arguments.
     fn apply(&mut self, position: Position, writer: &Name, command: Self::Command)
@@ -70,6 +79,8 @@
 pub(crate) enum ProposeError {
     /// It is not in the log and never will be.
     NotRecorded,
+    /// It was recorded, but the log dropped it before its verdict was known here.
+    VerdictLost,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -101,6 +112,15 @@
     waiters: Vec<Waiter<V>>,
 }
 
+/// A folded state as VMs hand it to each other.
+#[derive(Clone, Debug)]
+pub(crate) struct FoldedState {
+    /// The offset up to which records are folded.
+    pub(crate) read_to: u64,
+    /// The snapshot record, as the log would hold it.
+    pub(crate) record: Vec<u8>,
+}
+
 /// One stream, read and written by this VM.
 pub(crate) struct Stream<F: Fold, L: LogService> {
     name: Name,
@@ -114,10 +134,17 @@
     open_since: Cell<Option<Instant>>,
     sequence: Cell<u64>,
     next_offset: Cell<u64>,
+    end: Cell<u64>,
     ready: Cell<bool>,
     changed: Signal,
     read_at: Cell<Option<Instant>>,
-    snapshot_at: Cell<Option<Instant>>,
+    checked_at: Cell<Option<Instant>>,
+    confirmed_at: Cell<Option<Instant>>,
+    behind_since: Cell<Option<Instant>>,
+    nudged: Signal,
+    given: Cell<bool>,
+    cut_off: Cell<bool>,
+    snapshot_at_ms: Cell<u64>,
     appends: Cell<u64>,
 }
 
@@ -138,10 +165,17 @@
             open_since: Cell::new(None),
             sequence: Cell::new(0),
             next_offset: Cell::new(0),
+            end: Cell::new(0),
             ready: Cell::new(false),
             changed: Signal::default(),
             read_at: Cell::new(None),
-            snapshot_at: Cell::new(None),
+            checked_at: Cell::new(None),
+            confirmed_at: Cell::new(None),
+            behind_since: Cell::new(None),
+            nudged: Signal::default(),
+            given: Cell::new(false),
+            cut_off: Cell::new(false),
+            snapshot_at_ms: Cell::new(0),
             appends: Cell::new(0),
         });
         compio::runtime::spawn(stream.clone().read()).detach();
@@ -159,6 +193,44 @@
         self.ready.get()
     }
 
+    /// Whether the state may be used: folded to the log's end once, or given by a peer.
+    pub(crate) fn is_known(&self) -> bool {
+        self.ready.get() || self.given.get()
+    }
+
+    /// Whether the log does not help this reader on now.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.cut_off.get()
+    }
+
+    /// When the last read that has ended was begun, whether it failed or not.
+    pub(crate) fn checked_at(&self) -> Option<Instant> {
+        self.checked_at.get()
+    }
+
+    /// When the last read was begun that showed the stream folded to its end.
+    pub(crate) fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at.get()
+    }
+
+    /// Reads anew at once, over a new connection.
+    pub(crate) fn nudge(&self) {
+        self.nudged.notify();
+    }
+
+    /// Notes how far a peer has read: a reader that stays behind may read a silent connection.
+    pub(crate) fn note_peer_offset(&self, offset: u64) {
+        if offset <= self.next_offset.get() {
+            return self.behind_since.set(None);
+        }
+        let since = self.behind_since.get().unwrap_or_else(Instant::now);
+        self.behind_since.set(Some(since));
+        if since.elapsed() >= BEHIND_LIMIT {
+            self.behind_since.set(None);
+            self.nudge();
+        }
+    }
+
     /// Waits for the next change of the state.
     pub(crate) fn changed(&self) -> impl Future<Output = ()> + use<F, L> {
         self.changed.wait()
@@ -179,9 +251,14 @@
         self.next_offset.get()
     }
 
-    /// How long ago this VM last saw a snapshot in the stream.
+    /// How old the last snapshot in the stream is, by this VM's clock; `None` without one.
     pub(crate) fn snapshot_age(&self) -> Option<Duration> {
-        self.snapshot_at.get().map(|at| at.elapsed())
+        let at_ms = self.snapshot_at_ms.get();
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let age = now
+            .unwrap_or_default()
+            .saturating_sub(Duration::from_millis(at_ms));
+        (at_ms > 0).then_some(age)
     }
 
     /// Whether the log takes commands, as far as is known.
@@ -219,17 +296,38 @@
     ///
     /// Fails when the log does not answer; writing another one does no harm.
     pub(crate) async fn write_snapshot(&self) -> Result<(), LogError> {
-        let record = {
-            let envelope = Envelope::<F::Command, &F>::Snapshot {
-                read_to: self.next_offset.get(),
-                writers: self.writers.borrow().clone(),
-                state: &*self.fold.borrow(),
-            };
-            serde_json::to_vec(&envelope).expect("state serializes")
-        };
+        let record = self.state().record;
         self.log.append(&self.name, record).await.map(|_offset| ())
     }
 
+    /// The present state, for the log or for a peer.
+    pub(crate) fn state(&self) -> FoldedState {
+        let read_to = self.next_offset.get();
+        let envelope = Envelope::<F::Command, &F>::Snapshot {
+            read_to,
+            writers: self.writers.borrow().clone(),
+            state: &*self.fold.borrow(),
+        };
+        FoldedState {
+            read_to,
+            record: serde_json::to_vec(&envelope).expect("state serializes"),
+        }
+    }
+
+    /// Takes over a peer's state, if it lies ahead; false if it is of no use.
+    pub(crate) fn take_state(&self, state: &FoldedState) -> bool {
+        if state.read_to <= self.next_offset.get() {
+            return false;
+        }
+        let taken = std::str::from_utf8(&state.record)
+            .is_ok_and(|record| self.restore(self.next_offset.get(), record));
+        if taken {
+            self.given.set(true);
+            self.changed.notify();
+        }
+        taken
+    }
+
     async fn write(self: Rc<Self>) {
         loop {
             if self.queue.borrow().is_empty() {
@@ -299,33 +397,63 @@
     }
 
     async fn read(self: Rc<Self>) {
+        let mut at_once = true;
         loop {
-            let from = self.next_offset.get();
-            let wait = if self.ready.get() {
-                READ_WAIT
-            } else {
-                Duration::ZERO
-            };
-            let Ok(page) = self.log.read(&self.name, from, wait).await else {
-                compio::time::sleep(RETRY_PAUSE).await;
+            let begun = Instant::now();
+            let wait = if at_once { Duration::ZERO } else { READ_WAIT };
+            let Some(page) = self.read_page(wait).await else {
+                self.log.renew();
+                at_once = true;
                 continue;
             };
-            self.read_at.set(Some(Instant::now()));
-            if page.first > from && !self.bridge_gap(page.first).await {
-                compio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            }
-            if page.first <= from {
-                self.fold_records(page.records);
-                if self.next_offset.get() >= page.end {
-                    self.ready.set(true);
+            let helped = match page {
+                Ok(page) => self.take_page(page).await,
+                Err(_) => false,
+            };
+            at_once = !self.ready.get();
+            self.cut_off.set(!helped);
+            self.checked_at.set(Some(begun));
+            if helped {
+                self.read_at.set(Some(Instant::now()));
+                if self.ready.get() && self.next_offset.get() >= self.end.get() {
+                    self.confirmed_at.set(Some(begun));
                 }
+            } else {
+                compio::time::sleep(RETRY_PAUSE).await;
             }
             self.changed.notify();
         }
     }
 
-    fn fold_records(&self, records: Vec<crate::platform::LogRecord>) {
+    /// Reads the next page; `None` when nudged before it came.
+    async fn read_page(&self, wait: Duration) -> Option<Result<Page, LogError>> {
+        let read = pin!(self.log.read(&self.name, self.next_offset.get(), wait));
+        match select(read, pin!(self.nudged.wait())).await {
+            Either::Left((page, _)) => Some(page),
+            Either::Right(((), _)) => None,
+        }
+    }
+
+    /// Folds a page; false if it leaves the reader behind records that are dropped.
+    async fn take_page(&self, page: Page) -> bool {
+        if page.first > self.next_offset.get() {
+            if F::OUTLIVES_RETENTION {
+                // What this VM knows may be outdated by any of the dropped records.
+                self.ready.set(false);
+                self.given.set(false);
+                return self.bridge_gap(page.first).await;
+            }
+            self.next_offset.set(page.first);
+        }
+        self.fold_records(page.records);
+        self.end.set(page.end);
+        if self.next_offset.get() >= page.end {
+            self.ready.set(true);
+        }
+        true
+    }
+
+    fn fold_records(&self, records: Vec<LogRecord>) {
         for record in records {
             if record.offset < self.next_offset.get() {
                 continue;
@@ -346,7 +474,7 @@
                     self.apply_all(offset, at_ms, &writer, sequence, commands);
                 }
             }
-            Ok(Envelope::Snapshot { .. }) => self.snapshot_at.set(Some(Instant::now())),
+            Ok(Envelope::Snapshot { .. }) => self.snapshot_at_ms.set(at_ms),
             Err(error) => crate::events::emit(
                 crate::events::Event::RecordUnreadable,
                 format_args!("stream={} offset={offset} error={error}", self.name),
@@ -407,9 +535,9 @@
         }
     }
 
-    /// Skips records that the log no longer keeps, by way of a snapshot.
+    /// Replaces records that the log no longer keeps by a snapshot.
     ///
-    /// Returns false when the log could not be read to its end.
+    /// Returns false when the log holds none that is usable, or could not be read to its end.
     async fn bridge_gap(&self, first: u64) -> bool {
         let mut from = first;
         let mut records = Vec::new();
@@ -423,6 +551,7 @@
             for record in page.records {
                 from = record.offset + 1;
                 if self.restore(first, record.data.get()) {
+                    self.snapshot_at_ms.set(record.at_ms);
                     self.fold_records(records);
                     return true;
                 }
@@ -436,8 +565,7 @@
             crate::events::Event::SnapshotMissing,
             format_args!("stream={} first={first}", self.name),
         );
-        self.next_offset.set(first);
-        true
+        false
     }
 
     /// Restores a snapshot that ends at or behind `first`.
@@ -456,6 +584,21 @@
         *self.fold.borrow_mut() = state;
         *self.writers.borrow_mut() = writers;
         self.next_offset.set(read_to);
+        self.end_covered_envelope();
         true
     }
+
+    /// Ends the open envelope if it is among the records that a snapshot replaced.
+    fn end_covered_envelope(&self) {
+        let last = self.writers.borrow().get(&self.writer).copied();
+        let Some(last) = last else { return };
+        let covered = |open: &mut OpenEnvelope<F::Verdict>| open.sequence <= last.sequence;
+        let Some(open) = self.open.borrow_mut().take_if(covered) else {
+            return;
+        };
+        for waiter in open.waiters {
+            // A waiter that is gone needs no answer.
+            let _ = waiter.send(Err(ProposeError::VerdictLost));
+        }
+    }
 }
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -94,6 +94,8 @@
     pub max_batch: usize,
     /// Settings added to those of each VM.
     pub settings: Value,
+    /// Settings of single VMs, by index.
+    pub vm_settings: Vec<(usize, Value)>,
     /// Addresses that VMs use in place of the real ones, such as proxies.
     pub detours: Vec<(SocketAddr, SocketAddr)>,
 }
@@ -113,6 +115,7 @@
             step_per_request_ms: 0.2,
             max_batch: 32,
             settings: json!({"drain_grace_ms": 300}),
+            vm_settings: Vec::new(),
             detours: Vec::new(),
         }
     }
@@ -445,8 +448,11 @@
             "vm_list_address": self.platform_address(),
             "log_retention_ms": self.plan.platform.retention_ms,
         });
-        for (field, value) in self.plan.settings.as_object().into_iter().flatten() {
-            settings[field] = value.clone();
+        let own = self.plan.vm_settings.iter().filter(|(vm, _)| *vm == index);
+        for more in std::iter::once(&self.plan.settings).chain(own.map(|(_, settings)| settings)) {
+            for (field, value) in more.as_object().into_iter().flatten() {
+                settings[field] = value.clone();
+            }
         }
         let path = self.folder.join(format!("vm-{index}.json"));
         std::fs::write(&path, settings.to_string()).expect("the folder takes files");
