--- a/src/peer.rs
+++ b/src/peer.rs
@@ -12,6 +12,7 @@
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::{Either, select};
 use futures_util::{SinkExt, StreamExt};
+use prometheus_client::metrics::counter::Counter;
 use prost::Message;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
@@ -53,20 +54,16 @@
 pub(crate) struct Links<S: Speaker> {
     speaker: Rc<S>,
     membership: Rc<Membership>,
-    metrics: Rc<Metrics>,
+    bytes: Counter,
 }
 
 impl<S: Speaker> Links<S> {
     /// Links that say what `speaker` says.
-    pub(crate) fn new(
-        speaker: Rc<S>,
-        membership: Rc<Membership>,
-        metrics: Rc<Metrics>,
-    ) -> Rc<Self> {
+    pub(crate) fn new(speaker: Rc<S>, membership: Rc<Membership>, metrics: &Metrics) -> Rc<Self> {
         Rc::new(Self {
             speaker,
             membership,
-            metrics,
+            bytes: metrics.leg("peers"),
         })
     }
 
@@ -120,13 +117,13 @@
 
     async fn send(&self, link: &mut Link, body: Body) -> Option<()> {
         let frame = Frame { body: Some(body) }.encode_to_vec();
-        self.metrics.peer_bytes.inc_by(frame.len() as u64);
+        self.bytes.inc_by(frame.len() as u64);
         link.send(Bytes::from(frame)).await.ok()
     }
 
     async fn receive(&self, link: &mut Link) -> Option<Body> {
         let frame = link.next().await?.ok()?;
-        self.metrics.peer_bytes.inc_by(frame.len() as u64);
+        self.bytes.inc_by(frame.len() as u64);
         Frame::decode(frame).ok()?.body
     }
 
