--- a/workbench/src/soak.rs
+++ b/workbench/src/soak.rs
@@ -131,8 +131,14 @@
             site.seen.find("a caller's task panicked".to_owned());
         }
     }
-    check(&site).await;
-    let seen = &site.seen;
+    let site = Rc::into_inner(site).expect("every task has ended");
+    let Site {
+        cluster,
+        callers,
+        seen,
+        ..
+    } = site;
+    check(&cluster.into_inner(), &callers, &seen).await;
     println!(
         "complete {}, refused {}, failed otherwise {}, broken {}",
         seen.complete.get(),
@@ -378,19 +384,17 @@
 }
 
 /// Checks every promise once all is healed.
-async fn check(site: &Site) {
-    let cluster = site.cluster.borrow();
+async fn check(cluster: &Cluster, callers: &[SocketAddr], seen: &Seen) {
     cluster.wait_settled(SETTLE_LIMIT).await;
-    check_revisions(site, &cluster).await;
-    check_reachable(site).await;
-    if !check_memory(&cluster) {
-        site.seen
-            .find("a runner's journal shows more memory used than there is".to_owned());
+    check_revisions(cluster, seen).await;
+    check_reachable(callers, seen).await;
+    if !check_memory(cluster) {
+        seen.find("a runner's journal shows more memory used than there is".to_owned());
     }
-    check_runs(site, &cluster);
+    check_runs(cluster, seen);
 }
 
-async fn check_revisions(site: &Site, cluster: &Cluster) {
+async fn check_revisions(cluster: &Cluster, seen: &Seen) {
     cluster
         .wait_for("all VMs report one revision", SETTLE_LIMIT, async || {
             let mut revisions = HashSet::new();
@@ -402,21 +406,21 @@
         })
         .await;
     let status = cluster.status(0).await.unwrap_or_default();
-    let last = site.seen.revisions.borrow().values().max().copied();
+    let last = seen.revisions.borrow().values().max().copied();
     if status["revision"].as_u64() < last {
-        site.seen.find(format!("revision {last:?} was reverted"));
+        seen.find(format!("revision {last:?} was reverted"));
     }
 }
 
 /// Every model answers through every VM.
-async fn check_reachable(site: &Site) {
+async fn check_reachable(callers: &[SocketAddr], seen: &Seen) {
     let asker = Asker::default();
-    for (vm, address) in site.callers.iter().enumerate() {
+    for (vm, address) in callers.iter().enumerate() {
         for model in 0..3 {
             let question = Question::new(&Shape::model_name(model), "a probe", 8);
             let outcome = asker.ask(*address, &question).await;
             if outcome.text() != Some(question.expected("1", None).text().as_str()) {
-                site.seen.find(format!(
+                seen.find(format!(
                     "model-{model} through vm-{vm} after healing: {:?}",
                     outcome.end
                 ));
@@ -426,8 +430,8 @@
 }
 
 /// No key ran twice, and nothing that was refused as not run has run.
-fn check_runs(site: &Site, cluster: &Cluster) {
-    let not_run = site.seen.not_run.borrow();
+fn check_runs(cluster: &Cluster, seen: &Seen) {
+    let not_run = seen.not_run.borrow();
     let mut licences = HashSet::new();
     for line in cluster.server_journal(0) {
         if line["kind"] != "run" {
@@ -435,23 +439,22 @@
         }
         let licence = line["body"]["licence"].to_string();
         if !licences.insert(licence.clone()) {
-            site.seen.find(format!("receipt {licence} ran twice"));
+            seen.find(format!("receipt {licence} ran twice"));
         }
-        note_refused_run(site, &not_run, &line);
+        note_refused_run(seen, &not_run, &line);
     }
     for index in 0..cluster.plan.shape.runners {
         for line in cluster.runner_journal(index) {
             if line["kind"] == "run" {
-                note_refused_run(site, &not_run, &line);
+                note_refused_run(seen, &not_run, &line);
             }
         }
     }
 }
 
-fn note_refused_run(site: &Site, not_run: &HashSet<String>, line: &Value) {
+fn note_refused_run(seen: &Seen, not_run: &HashSet<String>, line: &Value) {
     let id = line["request"].as_str().unwrap_or_default();
     if not_run.contains(id) {
-        site.seen
-            .find(format!("{id} was refused as not run, and ran"));
+        seen.find(format!("{id} was refused as not run, and ran"));
     }
 }
