--- a/workbench/src/soak.rs
+++ b/workbench/src/soak.rs
@@ -29,7 +29,7 @@
 const ASKERS: usize = 6;
 const CALLERS: usize = 3;
 /// Tokens of an answer.
-const TOKENS: u32 = 30;
+const TOKENS: u32 = 80;
 /// Our VMs.
 const VMS: usize = 3;
 
