Derive the key window from the log's retention; prove calls at most once

Cause: the age at which an idempotency key is refused was a constant of ten minutes, whatever the log's retention. With a retention of 10 s, a key resent after its record had lapsed and every VM had restarted ran twice. Smaller faults beside it: a claim known in the same moment as its timeout was neither used nor given back; a repeat that waited on a claim given back was told "outcome unknown" though it could claim the key itself; a repeat of a call whose answer was larger than 4 KiB got status 200 and an empty body; the same key with another Idempotency-Time was taken as the same call; a reply that the log refused once was never recorded; the proxy of the tests never closed a connection whose answers it dropped (two tasks each waited for the other's handle), so drop_answers was in truth a silent connection.

Change: each claim carries its writer's window (half the retention for age, an eighth for skew, at most 10 min and 1 min), so that the fold stays a function of the log. Two valid claims of one key are less than the retention apart. The other faults are mended where they stood; replies and releases are recorded again for up to a minute, and hold up a shutdown meanwhile.

Ruled out: the window as a record of its own (must be written again before it lapses, and a fresh reader must find it); the window in the inventory (the keys stream would depend on the control stream's order).

--- a/src/idempotency.rs
+++ b/src/idempotency.rs
@@ -6,10 +6,43 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-/// How long after its making a key may be used, by the log's clock.
-pub(crate) const KEY_WINDOW_MS: u64 = 600_000;
-/// How far in the future a key's time may lie.
-pub(crate) const KEY_SKEW_MS: u64 = 60_000;
+/// How long after its making a key may be used at most, by the log's clock.
+const MAX_AGE_MS: u64 = 600_000;
+/// How far in the future a key's time may lie at most.
+const MAX_SKEW_MS: u64 = 60_000;
+/// The part of the log's retention that a key's age may take up.
+const RETENTION_PER_AGE: u64 = 2;
+/// The part of the log's retention that a key's skew may take up.
+const RETENTION_PER_SKEW: u64 = 8;
+
+/// How far a key's time may lie from the log's, for its claim to be valid.
+///
+/// Each claim carries the window of its writer, so that the fold depends on the
+/// log alone. Two valid claims of one key are never further apart than age and
+/// skew together, which is less than the log's retention: a reader that has a
+/// later claim has the earlier one as well.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct KeyWindow {
+    age_ms: u64,
+    skew_ms: u64,
+}
+
+impl KeyWindow {
+    /// The window that is safe with a log that keeps records for `retention_ms`.
+    pub(crate) fn for_retention(retention_ms: u64) -> Self {
+        Self {
+            age_ms: retention_ms / RETENTION_PER_AGE,
+            skew_ms: retention_ms / RETENTION_PER_SKEW,
+        }
+    }
+
+    /// Whether a key made at `made_at_ms` may be claimed at `now_ms`.
+    fn admits(self, made_at_ms: u64, now_ms: u64) -> bool {
+        let oldest_ms = now_ms.saturating_sub(self.age_ms.min(MAX_AGE_MS));
+        let newest_ms = now_ms.saturating_add(self.skew_ms.min(MAX_SKEW_MS));
+        (oldest_ms..=newest_ms).contains(&made_at_ms)
+    }
+}
 
 /// The hash of a key within its service and caller.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -34,6 +67,7 @@
         key: KeyHash,
         digest: u64,
         made_at_ms: u64,
+        window: KeyWindow,
     },
     /// Keeps the answer of the call made under `claim`.
     Reply {
@@ -98,12 +132,7 @@
         writer: &Name,
         key: KeyHash,
         digest: u64,
-        made_at_ms: u64,
     ) -> KeyVerdict {
-        let now_ms = position.at_ms;
-        if now_ms > made_at_ms + KEY_WINDOW_MS || made_at_ms > now_ms + KEY_SKEW_MS {
-            return KeyVerdict::Expired;
-        }
         if let Some(state) = self.states.get(&key) {
             return state.verdict(digest);
         }
@@ -113,7 +142,7 @@
                 digest,
                 claim: position.fence,
                 writer: writer.clone(),
-                at_ms: now_ms,
+                at_ms: position.at_ms,
                 reply: None,
             },
         );
@@ -122,7 +151,7 @@
 
     /// Drops keys too old to be claimed again, now and then.
     fn sweep(&mut self, now_ms: u64) {
-        let kept_ms = KEY_WINDOW_MS + KEY_SKEW_MS;
+        let kept_ms = MAX_AGE_MS + MAX_SKEW_MS;
         if now_ms < self.swept_at_ms + kept_ms / 16 {
             return;
         }
@@ -153,7 +182,14 @@
                 key,
                 digest,
                 made_at_ms,
-            } => self.claim(position, writer, key, digest, made_at_ms),
+                window,
+            } => {
+                if window.admits(made_at_ms, position.at_ms) {
+                    self.claim(position, writer, key, digest)
+                } else {
+                    KeyVerdict::Expired
+                }
+            }
             KeyCommand::Reply { key, claim, reply } => {
                 if let Some(state) = self.states.get_mut(&key)
                     && state.claim == claim
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -10,11 +10,12 @@
 use crate::error::{Failure, Kind, Ran};
 use crate::events::{Event, emit};
 use crate::http::{Body, read_body};
-use crate::idempotency::{KeyCommand, KeyHash, KeyVerdict, Reply};
+use crate::idempotency::{KeyCommand, KeyHash, KeyVerdict, KeyWindow, Reply};
 use crate::inventory::{BackendServer, Name, PlainService};
 use crate::kernel::Service;
 use crate::membership::Membership;
 use crate::server::{ControlStream, KeyStream};
+use crate::shutdown::Shutdown;
 use bytes::Bytes;
 use futures_channel::oneshot;
 use hyper::{Method, Response, StatusCode, header};
@@ -36,6 +37,12 @@
 const MAX_KEPT_BYTES: usize = 4 * 1024;
 /// Attempts at an idempotent call.
 const IDEMPOTENT_ATTEMPTS: usize = 3;
+/// Claims that one call may make, when the key is given back before it.
+const MAX_CLAIMS: usize = 3;
+/// Attempts to record what became of a claim.
+const RECORD_ATTEMPTS: u32 = 60;
+/// The pause between them.
+const RECORD_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// A call to a plain service.
 #[derive(Clone, Debug)]
@@ -100,6 +107,8 @@
     control: Rc<ControlStream>,
     keys: Rc<KeyStream>,
     membership: Rc<Membership>,
+    shutdown: Rc<Shutdown>,
+    window: KeyWindow,
     turn: Cell<usize>,
 }
 
@@ -120,11 +129,15 @@
         control: Rc<ControlStream>,
         keys: Rc<KeyStream>,
         membership: Rc<Membership>,
+        shutdown: Rc<Shutdown>,
+        window: KeyWindow,
     ) -> Self {
         Self {
             control,
             keys,
             membership,
+            shutdown,
+            window,
             turn: Cell::new(0),
         }
     }
@@ -159,7 +172,9 @@
         key: IdempotencyKey,
     ) -> Result<Response<Body>, Failure> {
         let (sender, receiver) = oneshot::channel();
+        let guard = self.shutdown.enter();
         compio::runtime::spawn(async move {
+            let _guard = guard;
             let outcome = self.claim_and_send(&service, &call, &key).await;
             // The caller may be gone; the outcome is in the log.
             let _ = sender.send(outcome);
@@ -177,14 +192,23 @@
         key: &IdempotencyKey,
     ) -> Result<Response<Body>, Failure> {
         let hash = key_hash(service, call, key);
-        let digest = call_digest(call);
-        if let Some(known) = self.keys.with(|keys| keys.look(hash, digest)) {
-            return self.answer_known(hash, digest, known).await;
-        }
-        match self.claim(hash, digest, key.made_at_ms).await? {
-            (KeyVerdict::First, claim) => self.send_once(service, call, hash, claim).await,
-            (known, _) => self.answer_known(hash, digest, known).await,
+        let digest = call_digest(call, key);
+        for _ in 0..MAX_CLAIMS {
+            let known = match self.keys.with(|keys| keys.look(hash, digest)) {
+                Some(known) => known,
+                None => match self.claim(hash, digest, key.made_at_ms).await? {
+                    (KeyVerdict::First, claim) => {
+                        return self.send_once(service, call, hash, claim).await;
+                    }
+                    (known, _) => known,
+                },
+            };
+            if let Some(outcome) = self.outcome_of(hash, digest, known).await {
+                return outcome;
+            }
         }
+        let message = "other calls with this key were refused; this one was not made";
+        Err(Failure::new(Kind::Overloaded, message))
     }
 
     /// Claims a key; a claim that is not known in time is given back if it comes to be.
@@ -198,8 +222,9 @@
             key,
             digest,
             made_at_ms,
+            window: self.window,
         };
-        let (sender, receiver) = oneshot::channel();
+        let (sender, mut receiver) = oneshot::channel();
         let calls = self.clone();
         compio::runtime::spawn(async move {
             let Ok(recorded) = calls.keys.propose(command).await else {
@@ -218,15 +243,33 @@
                 "the platform's log does not take the key now; the call was not made",
             )
         };
-        match compio::time::timeout(CLAIM_TIMEOUT, receiver).await {
-            Ok(Ok(known)) => Ok(known),
-            Ok(Err(_)) | Err(_) => Err(unavailable()),
+        match compio::time::timeout(CLAIM_TIMEOUT, &mut receiver).await {
+            Ok(known) => known.map_err(|_not_recorded| unavailable()),
+            Err(_elapsed) => {
+                // From here on the claim is given back, unless it was known just now.
+                receiver.close();
+                let known = receiver.try_recv().ok().flatten();
+                known.ok_or_else(unavailable)
+            }
         }
     }
 
+    /// Gives a key back whose call was not sent and never will be.
     async fn release(&self, key: KeyHash, claim: u64) {
-        // Without the record the key stays claimed: its outcome is then unknown to others.
-        let _ = self.keys.propose(KeyCommand::Release { key, claim }).await;
+        self.record(KeyCommand::Release { key, claim }).await;
+    }
+
+    /// Records what became of a claim, also when the log is down for a while.
+    ///
+    /// Without the record, repeats are told that the outcome is unknown.
+    async fn record(&self, command: KeyCommand) {
+        let _guard = self.shutdown.enter();
+        for _ in 0..RECORD_ATTEMPTS {
+            if self.keys.propose(command.clone()).await.is_ok() {
+                return;
+            }
+            compio::time::sleep(RECORD_PAUSE).await;
+        }
     }
 
     async fn send_once(
@@ -276,61 +319,53 @@
                 .map(Name::from),
         });
         let calls = self.clone();
-        compio::runtime::spawn(async move {
-            // Without the record repeats are told that the outcome is unknown.
-            let _ = calls
-                .keys
-                .propose(KeyCommand::Reply { key, claim, reply })
-                .await;
-        })
-        .detach();
+        let command = KeyCommand::Reply { key, claim, reply };
+        compio::runtime::spawn(async move { calls.record(command).await }).detach();
     }
 
-    /// Answers a repeat of a key.
-    async fn answer_known(
+    /// The answer to a repeat of a key; none if the key was given back.
+    async fn outcome_of(
         &self,
         key: KeyHash,
         digest: u64,
         known: KeyVerdict,
-    ) -> Result<Response<Body>, Failure> {
+    ) -> Option<Result<Response<Body>, Failure>> {
         match known {
-            KeyVerdict::Replied(reply) => Ok(answer_reply(&reply)),
-            KeyVerdict::Mismatch => Err(Failure::new(
+            KeyVerdict::Replied(reply) => Some(answer_reply(&reply)),
+            KeyVerdict::Mismatch => Some(Err(Failure::new(
                 Kind::KeyReused,
-                "the idempotency key was used with another request",
-            )),
-            KeyVerdict::Expired => Err(Failure::new(
+                "the idempotency key was used with another request or another time",
+            ))),
+            KeyVerdict::Expired => Some(Err(Failure::new(
                 Kind::KeyExpired,
                 "the idempotency key is too old, or from the future",
-            )),
+            ))),
             KeyVerdict::Open | KeyVerdict::First | KeyVerdict::Noted => {
                 self.await_outcome(key, digest).await
             }
         }
     }
 
-    async fn await_outcome(&self, key: KeyHash, digest: u64) -> Result<Response<Body>, Failure> {
+    async fn await_outcome(
+        &self,
+        key: KeyHash,
+        digest: u64,
+    ) -> Option<Result<Response<Body>, Failure>> {
         let start = Instant::now();
         while start.elapsed() < OUTCOME_WAIT {
             let changed = self.keys.changed();
-            match self.keys.with(|keys| keys.look(key, digest)) {
-                Some(KeyVerdict::Replied(reply)) => return Ok(answer_reply(&reply)),
-                Some(_) => {}
-                None => {
-                    let message = "the first call with this key gave it back; send it again";
-                    return Err(Failure::new(Kind::OutcomeUnknown, message).retry_after_s(1));
-                }
+            if let KeyVerdict::Replied(reply) = self.keys.with(|keys| keys.look(key, digest))? {
+                return Some(answer_reply(&reply));
             }
             let left = OUTCOME_WAIT.saturating_sub(start.elapsed());
             if compio::time::timeout(left, changed).await.is_err() {
                 break;
             }
         }
-        Err(Failure::new(
-            Kind::OutcomeUnknown,
-            "a call with this key was made, and its outcome is not known",
-        )
-        .retry_after_s(5))
+        let message = "a call with this key was made, and its outcome is not known";
+        Some(Err(
+            Failure::new(Kind::OutcomeUnknown, message).retry_after_s(5)
+        ))
     }
 
     /// The servers of a service that stay, each call beginning with the next.
@@ -415,19 +450,22 @@
     response
 }
 
-fn answer_reply(reply: &Reply) -> Response<Body> {
+fn answer_reply(reply: &Reply) -> Result<Response<Body>, Failure> {
+    let Some(body) = &reply.body else {
+        let message = format!(
+            "the call with this key ran, with status {}; its answer was too large to be kept",
+            reply.status
+        );
+        return Err(Failure::new(Kind::OutcomeUnknown, message).ran(Ran::Yes));
+    };
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::OK);
-    let body = reply.body.clone().unwrap_or_default();
-    let mut response = answer(
-        status,
-        &reply.content_type,
-        Bytes::from(body.as_bytes().to_vec()),
-    );
+    let body = Bytes::from(body.as_bytes().to_vec());
+    let mut response = answer(status, &reply.content_type, body);
     response.headers_mut().insert(
         "idempotent-replayed",
         header::HeaderValue::from_static("true"),
     );
-    response
+    Ok(response)
 }
 
 fn key_hash(service: &PlainService, call: &Call, key: &IdempotencyKey) -> KeyHash {
@@ -436,7 +474,8 @@
     KeyHash((hash >> 64) as u64, hash as u64)
 }
 
-fn call_digest(call: &Call) -> u64 {
-    let head = format!("{} {}\n", call.method, call.path);
+/// Two calls of one key are the same only if their keys' times are, too.
+fn call_digest(call: &Call, key: &IdempotencyKey) -> u64 {
+    let head = format!("{} {} {}\n", call.method, call.path, key.made_at_ms);
     xxh3_64(&[head.as_bytes(), &call.body[..]].concat())
 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -7,7 +7,7 @@
 use crate::events::{Event, emit};
 use crate::fleet::Fleet;
 use crate::http;
-use crate::idempotency::Keys;
+use crate::idempotency::{KeyWindow, Keys};
 use crate::inventory::Name;
 use crate::keeper::Keeper;
 use crate::kernel::{Kernel, Service};
@@ -131,7 +131,13 @@
         fleet,
         membership.clone(),
     )));
-    kernel.register(Rc::new(PlainCalls::new(control, keys, membership)));
+    kernel.register(Rc::new(PlainCalls::new(
+        control,
+        keys,
+        membership,
+        kernel.find(),
+        KeyWindow::for_retention(config.log_retention_ms),
+    )));
     kernel.register(Rc::new(Planner::new(&kernel, config.vm.clone(), writer)));
     kernel.register(Rc::new(Entry::new(&kernel, config.max_body_bytes)));
     let zone = config.availability_zone.clone();
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -15,10 +15,11 @@
 
 /// The time between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
-/// The ports of a site, below those that the system gives out by itself.
-const PLATFORM_PORT: u16 = 20_000;
+/// The platform's port; all ports of a site lie below those that the system gives out.
+pub const PLATFORM_PORT: u16 = 20_000;
 const RUNNER_PORT: u16 = 20_100;
-const SERVER_PORT: u16 = 20_400;
+/// The first port of the plain service's servers.
+pub const SERVER_PORT: u16 = 20_400;
 const VM_PORT: u16 = 20_500;
 /// Ports from here on are free for proxies.
 pub const PROXY_PORT: u16 = 21_000;
@@ -94,6 +95,8 @@
     pub max_batch: usize,
     /// Settings added to those of each VM.
     pub settings: Value,
+    /// Settings added to those of single VMs, by index.
+    pub vm_settings: Vec<Value>,
     /// Addresses that VMs use in place of the real ones, such as proxies.
     pub detours: Vec<(SocketAddr, SocketAddr)>,
 }
@@ -113,6 +116,7 @@
             step_per_request_ms: 0.2,
             max_batch: 32,
             settings: json!({"drain_grace_ms": 300}),
+            vm_settings: Vec::new(),
             detours: Vec::new(),
         }
     }
@@ -385,6 +389,12 @@
         self.runners[index] = self.spawn_runner(index);
     }
 
+    /// Starts a plain service's server, again after it was killed.
+    pub fn restart_server(&mut self, index: usize) {
+        self.servers[index].kill();
+        self.servers[index] = self.spawn_server(index);
+    }
+
     /// Starts a VM's process, again after it was killed.
     pub fn restart_vm(&mut self, index: usize) {
         self.vms[index].kill();
@@ -445,8 +455,11 @@
             "vm_list_address": self.platform_address(),
             "log_retention_ms": self.plan.platform.retention_ms,
         });
-        for (field, value) in self.plan.settings.as_object().into_iter().flatten() {
-            settings[field] = value.clone();
+        let own = self.plan.vm_settings.get(index);
+        for added in std::iter::once(&self.plan.settings).chain(own) {
+            for (field, value) in added.as_object().into_iter().flatten() {
+                settings[field] = value.clone();
+            }
         }
         let path = self.folder.join(format!("vm-{index}.json"));
         std::fs::write(&path, settings.to_string()).expect("the folder takes files");
--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod engine;
 pub mod journal;
+pub mod keyed;
 pub mod platform;
 pub mod proxy;
 pub mod service;
--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -162,9 +162,8 @@
             bytes.clear();
             buffer = bytes;
         }
+        // Both ends close when the other way's task has let go of them, too.
         self.closed.set(true);
-        let _ = from.close().await;
-        let _ = to.close().await;
     }
 
     fn holds(&self) -> bool {
