--- a/src/engine.rs
+++ b/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::client::{Connection, Pool};
 use crate::http::{Body, read_body};
 use hyper::{Method, Request, StatusCode, header};
+use prometheus_client::metrics::counter::Counter;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +27,13 @@
     pub(crate) artifacts: Vec<ReportedArtifact>,
 }
 
+impl Report {
+    /// Finds an artifact by the name that engines use.
+    pub(crate) fn find(&self, name: &str) -> Option<&ReportedArtifact> {
+        self.artifacts.iter().find(|held| held.name == name)
+    }
+}
+
 /// An artifact in an engine's memory.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct ReportedArtifact {
@@ -81,13 +89,15 @@
 #[derive(Debug)]
 pub(crate) struct EngineClient {
     pool: Rc<Pool>,
+    bytes: Counter,
 }
 
 impl EngineClient {
-    /// A client over a pool of its own.
-    pub(crate) fn new() -> Self {
+    /// A client over a pool of its own that counts the bytes of reports.
+    pub(crate) fn new(bytes: Counter) -> Self {
         Self {
             pool: Rc::default(),
+            bytes,
         }
     }
 
@@ -107,6 +117,7 @@
                 .await
                 .ok()?;
             self.pool.put(connection);
+            self.bytes.inc_by(body.len() as u64);
             serde_json::from_slice(&body).ok()
         };
         match compio::time::timeout(CALL_TIMEOUT, call).await {
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -4,6 +4,8 @@
 //! `{"offset": n}`. `GET /streams/{stream}/records?from=N&wait_ms=W` answers a
 //! page, held open until a record at `N` exists or `W` has passed.
 
+use hyper::StatusCode;
+use prometheus_client::metrics::counter::Counter;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
@@ -58,6 +60,9 @@
         from: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<Page, LogError>>;
+
+    /// Leaves connections behind that may have gone silent.
+    fn renew(&self);
 }
 
 /// The log over HTTP.
@@ -65,6 +70,7 @@
 pub(crate) struct HttpLog {
     address: SocketAddr,
     client: RefCell<cyper::Client>,
+    bytes: Counter,
 }
 
 #[derive(Deserialize)]
@@ -73,11 +79,12 @@
 }
 
 impl HttpLog {
-    /// A client of the log at `address`.
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    /// A client of the log at `address` that counts the bytes of records.
+    pub(crate) fn new(address: SocketAddr, bytes: Counter) -> Self {
         Self {
             address,
             client: RefCell::new(new_client()),
+            bytes,
         }
     }
 
@@ -88,19 +95,32 @@
     fn client(&self) -> cyper::Client {
         self.client.borrow().clone()
     }
-
-    /// Leaves connections behind that may have gone silent.
-    fn renew(&self) {
-        *self.client.borrow_mut() = new_client();
-    }
 }
 
 fn new_client() -> cyper::Client {
     cyper::Client::new().expect("a client without TLS needs nothing from outside")
 }
 
+/// Why a call that got no answer failed: without a connection nothing was sent.
+fn unanswered(error: &cyper::Error) -> LogError {
+    match error {
+        cyper::Error::HyperClient(error) if error.is_connect() => LogError::Refused,
+        _ => LogError::Unanswered,
+    }
+}
+
+/// Whether an error status says that the log did nothing; others may come from in between.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 impl LogService for HttpLog {
+    fn renew(&self) {
+        *self.client.borrow_mut() = new_client();
+    }
+
     async fn append(&self, stream: &str, record: Vec<u8>) -> Result<u64, LogError> {
+        self.bytes.inc_by(record.len() as u64);
         let call = async {
             let response = self
                 .client()
@@ -109,10 +129,13 @@
                 .body(record)
                 .send()
                 .await
-                .map_err(|_broken| LogError::Unanswered)?;
-            if !response.status().is_success() {
+                .map_err(|error| unanswered(&error))?;
+            if is_refusal(response.status()) {
                 return Err(LogError::Refused);
             }
+            if !response.status().is_success() {
+                return Err(LogError::Unanswered);
+            }
             let appended: Appended = response
                 .json()
                 .await
@@ -142,10 +165,12 @@
             if !response.status().is_success() {
                 return Err(LogError::Refused);
             }
-            response
-                .json()
+            let body = response
+                .bytes()
                 .await
-                .map_err(|_broken| LogError::Unanswered)
+                .map_err(|_broken| LogError::Unanswered)?;
+            self.bytes.inc_by(body.len() as u64);
+            serde_json::from_slice(&body).map_err(|_garbled| LogError::Unanswered)
         };
         match compio::time::timeout(wait + READ_SLACK, call).await {
             Ok(outcome) => outcome,
--- a/src/server.rs
+++ b/src/server.rs
@@ -20,7 +20,7 @@
 use crate::platform::{HttpLog, HttpVmList};
 use crate::router::Router;
 use crate::shutdown::Shutdown;
-use crate::stream::Stream;
+use crate::stream::{FoldedState, Stream};
 use crate::wire::Heartbeat;
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
@@ -54,6 +54,7 @@
     boot: u64,
     control: Rc<ControlStream>,
     fleet: Rc<Fleet>,
+    membership: Rc<Membership>,
     shutdown: Rc<Shutdown>,
 }
 
@@ -67,6 +68,32 @@
             revision: self.control.with(|control| control.revision),
             control_offset: self.control.next_offset(),
             loads: self.fleet.loads(),
+            leaving_servers: self.membership.listed_leaving(),
+            list_age_ms: self.membership.list_age().map(|age| age.as_millis() as u64),
+            peer_address: self.config.peer_address.to_string(),
+        }
+    }
+
+    fn heard(&self, heartbeat: &Heartbeat) {
+        self.control.note_peer_offset(heartbeat.control_offset);
+    }
+
+    fn state(&self, after_offset: u64) -> Option<FoldedState> {
+        let known = self.control.is_known() && self.control.next_offset() > after_offset;
+        known.then(|| self.control.state())
+    }
+
+    fn wants_state(&self) -> Option<u64> {
+        let cut_off = self.control.is_cut_off();
+        cut_off.then(|| self.control.next_offset())
+    }
+
+    fn take_state(&self, state: &FoldedState) {
+        if self.control.take_state(state) {
+            emit(
+                Event::StateTaken,
+                format_args!("stream=control offset={}", state.read_to),
+            );
         }
     }
 }
@@ -118,14 +145,14 @@
 fn assemble(config: &Config, boot: u64) -> Kernel {
     let kernel = Kernel::default();
     let writer: Name = format!("{}/{boot:016x}", config.vm).into();
-    let log = Rc::new(HttpLog::new(config.log_address));
     kernel.register(Rc::new(Shutdown::default()));
-    kernel.register(Rc::new(Metrics::new()));
+    let metrics = kernel.register(Rc::new(Metrics::new()));
+    let log = Rc::new(HttpLog::new(config.log_address, metrics.leg("log")));
     let control: Rc<ControlStream> =
         kernel.register(Stream::open("control", log.clone(), writer.clone()));
     let keys: Rc<KeyStream> = kernel.register(Stream::open("keys", log, writer.clone()));
     let membership = kernel.register(Rc::new(Membership::new(config.vm.clone())));
-    let fleet = kernel.register(Rc::new(Fleet::default()));
+    let fleet = kernel.register(Rc::new(Fleet::new(metrics.leg("reports"))));
     kernel.register(Rc::new(Router::new(
         control.clone(),
         fleet,
@@ -153,10 +180,13 @@
         boot,
         control: kernel.find(),
         fleet: kernel.find(),
+        membership: membership.clone(),
         shutdown: shutdown.clone(),
     });
-    let links = Links::new(voice, membership.clone(), kernel.find());
+    let links = Links::new(voice, membership.clone(), &kernel.find::<Metrics>());
     compio::runtime::spawn(links.clone().accept(listener, shutdown)).detach();
+    compio::runtime::spawn(links.clone().catch_up()).detach();
+    compio::runtime::spawn(membership.clone().watch_pauses(kernel.find())).detach();
     let list = HttpVmList::new(config.vm_list_address);
     let found = move |peer| compio::runtime::spawn(links.clone().call(peer)).detach();
     compio::runtime::spawn(membership.follow(list, found)).detach();
@@ -187,7 +217,7 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<Fault>> {
-    TcpListener::bind(address)
+    http::listen(address)
         .await
         .change_context(Fault::Bind)
         .attach_with(|| format!("{address}"))
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -1,6 +1,5 @@
 //! A whole site of real processes on loopback: stand-ins and VMs.
 
-use crate::engine::EngineShape;
 use crate::journal;
 use crate::platform::PlatformState;
 use crate::shape::Shape;
@@ -95,8 +94,15 @@
     pub max_batch: usize,
     /// Settings added to those of each VM.
     pub settings: Value,
+<<<<<<< HEAD
     /// Settings added to those of single VMs, by index.
     pub vm_settings: Vec<Value>,
+=======
+    /// Whether all runners share one process, without journals' files.
+    pub thin_runners: bool,
+    /// Settings of single VMs, by index.
+    pub vm_settings: Vec<(usize, Value)>,
+>>>>>>> main
     /// Addresses that VMs use in place of the real ones, such as proxies.
     pub detours: Vec<(SocketAddr, SocketAddr)>,
 }
@@ -116,6 +122,10 @@
             step_per_request_ms: 0.2,
             max_batch: 32,
             settings: json!({"drain_grace_ms": 300}),
+<<<<<<< HEAD
+=======
+            thin_runners: false,
+>>>>>>> main
             vm_settings: Vec::new(),
             detours: Vec::new(),
         }
@@ -178,9 +188,14 @@
             plan,
         };
         cluster.wait_up(cluster.platform_address(), "/state").await;
-        for index in 0..cluster.plan.shape.runners {
-            let process = cluster.spawn_runner(index);
+        if cluster.plan.thin_runners {
+            let process = cluster.spawn_thin_runners();
             cluster.runners.push(process);
+        } else {
+            for index in 0..cluster.plan.shape.runners {
+                let process = cluster.spawn_runner(index);
+                cluster.runners.push(process);
+            }
         }
         for index in 0..cluster.plan.shape.servers {
             let process = cluster.spawn_server(index);
@@ -358,29 +373,28 @@
 
     /// Lists VMs and backend servers, with some of them as leaving.
     pub async fn set_list(&self, leaving: &[String]) {
+        web::post(self.platform_address(), "/vms", &self.list(leaving))
+            .await
+            .expect("the platform answers");
+    }
+
+    /// The VM list with some VMs and backend servers as leaving.
+    pub fn list(&self, leaving: &[String]) -> Value {
+        let shape = &self.plan.shape;
+        let entry = |kind: &str, index: usize| {
+            let name = format!("{kind}-{index}");
+            let leaving = leaving.contains(&name);
+            json!({"name": name, "availability_zone": shape.zone(index), "leaving": leaving})
+        };
         let mut list = Vec::new();
         for index in 0..self.plan.vms {
-            let name = format!("vm-{index}");
-            list.push(json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "peer_address": self.seen(self.peer_address(index)), "leaving": leaving.contains(&name)}));
-        }
-        for index in 0..self.plan.shape.runners {
-            let name = format!("runner-{index}");
-            list.push(
-                json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "leaving": leaving.contains(&name)}),
-            );
+            let mut vm = entry("vm", index);
+            vm["peer_address"] = json!(self.seen(self.peer_address(index)));
+            list.push(vm);
         }
-        for index in 0..self.plan.shape.servers {
-            let name = format!("server-{index}");
-            list.push(
-                json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "leaving": leaving.contains(&name)}),
-            );
-        }
-        web::post(self.platform_address(), "/vms", &json!(list))
-            .await
-            .expect("the platform answers");
+        list.extend((0..shape.runners).map(|index| entry("runner", index)));
+        list.extend((0..shape.servers).map(|index| entry("server", index)));
+        json!(list)
     }
 
     /// Starts a runner's process, again after it was killed.
@@ -402,35 +416,39 @@
     }
 
     fn spawn_runner(&self, index: usize) -> Process {
+        let mut command = self.engine_command("engine", index);
+        command
+            .arg("--journal")
+            .arg(self.journal_path("runner", index));
+        Process::start(command, &self.folder.join(format!("runner-{index}.log")))
+    }
+
+    fn spawn_thin_runners(&self) -> Process {
+        let mut command = self.engine_command("engines", 0);
+        command.args(["--count", &self.plan.shape.runners.to_string()]);
+        Process::start(command, &self.folder.join("runners.log"))
+    }
+
+    fn engine_command(&self, subcommand: &str, index: usize) -> Command {
         let plan = &self.plan;
-        let shape = EngineShape {
-            memory_mib: plan.shape.memory_mib - plan.shape.kv_mib,
-            checks_fencing: plan.shape.checks_fencing,
-            max_batch: plan.max_batch,
-            step_ms: plan.step_ms,
-            step_per_request_ms: plan.step_per_request_ms,
-            prefill_ms: 5.0,
-            store: self.platform_address(),
-        };
+        let memory_mib = plan.shape.memory_mib - plan.shape.kv_mib;
         let mut command = Command::new(workbench_binary());
         command
-            .arg("engine")
+            .arg(subcommand)
             .args(["--address", &self.runner_address(index).to_string()])
-            .args(["--memory-mib", &shape.memory_mib.to_string()])
-            .args(["--max-batch", &shape.max_batch.to_string()])
-            .args(["--step-ms", &shape.step_ms.to_string()])
+            .args(["--memory-mib", &memory_mib.to_string()])
+            .args(["--max-batch", &plan.max_batch.to_string()])
+            .args(["--step-ms", &plan.step_ms.to_string()])
             .args([
                 "--step-per-request-ms",
-                &shape.step_per_request_ms.to_string(),
+                &plan.step_per_request_ms.to_string(),
             ])
-            .args(["--prefill-ms", &shape.prefill_ms.to_string()])
-            .args(["--store", &shape.store.to_string()])
-            .arg("--journal")
-            .arg(self.journal_path("runner", index));
-        if shape.checks_fencing {
+            .args(["--prefill-ms", "5"])
+            .args(["--store", &self.platform_address().to_string()]);
+        if plan.shape.checks_fencing {
             command.arg("--checks-fencing");
         }
-        Process::start(command, &self.folder.join(format!("runner-{index}.log")))
+        command
     }
 
     fn spawn_server(&self, index: usize) -> Process {
@@ -455,9 +473,15 @@
             "vm_list_address": self.platform_address(),
             "log_retention_ms": self.plan.platform.retention_ms,
         });
+<<<<<<< HEAD
         let own = self.plan.vm_settings.get(index);
         for added in std::iter::once(&self.plan.settings).chain(own) {
             for (field, value) in added.as_object().into_iter().flatten() {
+=======
+        let own = self.plan.vm_settings.iter().filter(|(vm, _)| *vm == index);
+        for more in std::iter::once(&self.plan.settings).chain(own.map(|(_, settings)| settings)) {
+            for (field, value) in more.as_object().into_iter().flatten() {
+>>>>>>> main
                 settings[field] = value.clone();
             }
         }
@@ -474,17 +498,17 @@
 
     /// The platform's address.
     pub fn platform_address(&self) -> SocketAddr {
-        self.address(PLATFORM_PORT)
+        platform_at(self.ip)
     }
 
     /// A runner's own address.
     pub fn runner_address(&self, index: usize) -> SocketAddr {
-        self.address(RUNNER_PORT + index as u16)
+        runner_at(self.ip, index)
     }
 
     /// A server's own address.
     pub fn server_address(&self, index: usize) -> SocketAddr {
-        self.address(SERVER_PORT + index as u16)
+        server_at(self.ip, index)
     }
 
     /// Where a VM serves callers.
@@ -512,6 +536,21 @@
     }
 }
 
+/// The platform's address at a site that is not started yet.
+pub fn platform_at(ip: IpAddr) -> SocketAddr {
+    SocketAddr::new(ip, PLATFORM_PORT)
+}
+
+/// A runner's address at a site that is not started yet.
+pub fn runner_at(ip: IpAddr, index: usize) -> SocketAddr {
+    SocketAddr::new(ip, RUNNER_PORT + index as u16)
+}
+
+/// A server's address at a site that is not started yet.
+pub fn server_at(ip: IpAddr, index: usize) -> SocketAddr {
+    SocketAddr::new(ip, SERVER_PORT + index as u16)
+}
+
 fn start_platform(plan: &Plan, ip: IpAddr, folder: &Path) -> Process {
     let mut command = Command::new(workbench_binary());
     let state = serde_json::to_string(&plan.platform).expect("the state serializes");
--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -5,13 +5,17 @@
 
 pub mod answer;
 pub mod asker;
+pub mod capacity;
 pub mod cluster;
 pub mod demo;
 pub mod engine;
 pub mod journal;
 pub mod keyed;
+pub mod overhead;
 pub mod platform;
 pub mod proxy;
 pub mod service;
 pub mod shape;
+pub mod soak;
+pub mod usage;
 pub mod web;
