--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -94,15 +94,10 @@
     pub max_batch: usize,
     /// Settings added to those of each VM.
     pub settings: Value,
-<<<<<<< HEAD
-    /// Settings added to those of single VMs, by index.
-    pub vm_settings: Vec<Value>,
-=======
     /// Whether all runners share one process, without journals' files.
     pub thin_runners: bool,
     /// Settings of single VMs, by index.
     pub vm_settings: Vec<(usize, Value)>,
->>>>>>> main
     /// Addresses that VMs use in place of the real ones, such as proxies.
     pub detours: Vec<(SocketAddr, SocketAddr)>,
 }
@@ -122,10 +117,7 @@
             step_per_request_ms: 0.2,
             max_batch: 32,
             settings: json!({"drain_grace_ms": 300}),
-<<<<<<< HEAD
-=======
             thin_runners: false,
->>>>>>> main
             vm_settings: Vec::new(),
             detours: Vec::new(),
         }
@@ -473,15 +465,9 @@
             "vm_list_address": self.platform_address(),
             "log_retention_ms": self.plan.platform.retention_ms,
         });
-<<<<<<< HEAD
-        let own = self.plan.vm_settings.get(index);
-        for added in std::iter::once(&self.plan.settings).chain(own) {
-            for (field, value) in added.as_object().into_iter().flatten() {
-=======
         let own = self.plan.vm_settings.iter().filter(|(vm, _)| *vm == index);
         for more in std::iter::once(&self.plan.settings).chain(own.map(|(_, settings)| settings)) {
             for (field, value) in more.as_object().into_iter().flatten() {
->>>>>>> main
                 settings[field] = value.clone();
             }
         }
--- a/workbench/tests/idempotency.rs
+++ b/workbench/tests/idempotency.rs
@@ -66,7 +66,8 @@
         for vm in 0..3 {
             let address = at(PROXY_PORT + 1 + vm);
             logs.push(Proxy::start(address, at(PLATFORM_PORT)).await);
-            plan.vm_settings.push(json!({"log_address": address}));
+            let settings = json!({"log_address": address});
+            plan.vm_settings.push((usize::from(vm), settings));
         }
         let cluster = Cluster::start_at(plan, ip).await;
         let site = Self {
