--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod asker;
+pub mod calls;
 pub mod capacity;
 pub mod cluster;
 pub mod demo;
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use workbench::calls::{self, CallLoad};
 use workbench::capacity::{self, Size};
 use workbench::demo;
 use workbench::engine::{Engine, EngineShape};
@@ -46,6 +47,13 @@
                 .arg(number("seed", "1"))
                 .arg(number("seconds", "30")),
         )
+        .subcommand(
+            Command::new("calls")
+                .about("Measure what non-idempotent calls cost")
+                .arg(number("vms", "3"))
+                .arg(number("rate", "100"))
+                .arg(number("seconds", "10")),
+        )
         .subcommand(
             Command::new("capacity")
                 .about("Measure what control costs each VM at a size, without requests")
@@ -161,6 +169,16 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("calls", matches)) => {
+            let load = CallLoad {
+                vms: get::<u64>(matches, "vms") as usize,
+                rate: get(matches, "rate"),
+                length: Duration::from_secs(get(matches, "seconds")),
+            };
+            if !calls::run(load).await {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("capacity", matches)) => {
             let size = Size {
                 vms: get::<u64>(matches, "vms") as usize,
