--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -5,11 +5,13 @@
 
 pub mod answer;
 pub mod asker;
+pub mod calls;
 pub mod capacity;
 pub mod cluster;
 pub mod demo;
 pub mod engine;
 pub mod journal;
+pub mod keyed;
 pub mod overhead;
 pub mod platform;
 pub mod proxy;
