Whole answers and silent connections: complete, refused at once, or an explicit error

Cause: a stream whose sender was dropped, such as for a caller that stalled, ended cleanly; an engine that closed between the finish event and the last one was asked again and again; an idle connection that went silent cost 4 s; a refusal waited for the deadline when no runner was left; a caller that went silent within its body was kept for good; a refusing runner looked like the least loaded one.

Change: Body::answer ends cleanly only once declared whole; what comes after the finish event cannot break an answer; retries come from a budget of a tenth of the load (src/retry.rs); timeouts end with the deadline; engine comments are passed on, so hang-ups are seen early; a connection whose writes stall for 20 s is cut (src/stall.rs); a copy is expected only from a runner that answers; keep-alive connections of a leaving VM are closed with their next answer, and the listener's backlog is served before it closes. Workbench: the engine notes cancelled and finished requests and has faults; the proxy now really closes its connections (each way waited for the other).

Ruled out: flushing by a second poll of the body in place of the 50 ms pause before the cut: the write is an operation in flight, not done by one poll. Not proved: the 20 s write stall and the caller's 30 s (constants, no test).

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -4,9 +4,10 @@
 use crate::engine::request;
 use crate::error::{Failure, Kind, Ran};
 use crate::events::{Event, emit};
-use crate::fleet::InFlight;
+use crate::fleet::{InFlight, Runner};
 use crate::http::Body;
 use crate::inventory::{Name, Priority};
+use crate::retry::RetryBudget;
 use crate::router::{Choice, Router, Target};
 use crate::sse::{Broken, SseEvent, SseReader};
 use bytes::Bytes;
@@ -19,12 +20,20 @@
 pub(crate) const COMPLETIONS_PATH: &str = "/v1/chat/completions";
 /// How long an engine may be silent; it sends comments while it has no token.
 const SILENCE: Duration = Duration::from_millis(2_000);
+/// How long the answer's head may take on a connection that was idle before.
+///
+/// Shorter, since such a connection may have gone silent; a new one tells.
+const IDLE_SILENCE: Duration = Duration::from_millis(700);
 /// How long a connection to an engine may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Attempts at one request at most.
-const MAX_ATTEMPTS: u32 = 5;
+/// Attempts in a row that bring no token, at most.
+const MAX_FRUITLESS: u32 = 5;
 /// The pause before looking again when no runner can take the request.
 const NO_RUNNER_PAUSE: Duration = Duration::from_millis(50);
+/// How long a broken stream may look for a runner when its deadline is near or past.
+const RESUME_WAIT: Duration = Duration::from_millis(2_000);
+/// The last event of a complete stream.
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
 /// What a caller asked for.
 #[derive(Debug)]
@@ -48,6 +57,10 @@
     Token(Bytes, String),
     /// The finish reason, with its event.
     Finish(Bytes, String),
+    /// An event without a token, to be passed on.
+    Other(Bytes),
+    /// The engine lives and has no token yet.
+    Waiting,
     /// The answer is complete.
     Done(Bytes),
 }
@@ -55,46 +68,67 @@
 struct Attempt {
     reader: SseReader,
     connection: Connection,
-    runner: Name,
+    runner: Rc<Runner>,
     _in_flight: InFlight,
 }
 
+/// What all completions of a VM share.
+pub(crate) struct Shared {
+    /// Chooses runners.
+    pub(crate) router: Rc<Router>,
+    /// Idle connections to engines.
+    pub(crate) pool: Rc<Pool>,
+    /// Bounds the attempts after the first.
+    pub(crate) budget: RetryBudget,
+}
+
 /// One completion under way.
 pub(crate) struct Completion {
-    router: Rc<Router>,
-    pool: Rc<Pool>,
+    shared: Rc<Shared>,
     ask: Ask,
     attempt: Option<Attempt>,
     attempts: u32,
+    fruitless: u32,
     tokens: u32,
+    finished: bool,
+    preamble: Bytes,
     avoid: Vec<Name>,
     ran: bool,
     resumes: u32,
+    give_up_at: Instant,
 }
 
 /// Why an attempt brought no stream.
 enum AttemptError {
+    /// The engine does not hold the artifacts any more.
+    NotLoaded,
     /// The engine did not run it; another may.
     NotRun(&'static str),
     /// It may have run.
     MaybeRun(&'static str),
+    /// The idle connection it was sent on was closed or silent.
+    StaleConnection,
     /// No engine will take it.
     Final(Failure),
 }
 
 impl Completion {
     /// A completion that has not been sent anywhere yet.
-    pub(crate) fn new(router: Rc<Router>, pool: Rc<Pool>, ask: Ask) -> Self {
+    pub(crate) fn new(shared: Rc<Shared>, ask: Ask) -> Self {
+        shared.budget.note_request();
         Self {
-            router,
-            pool,
-            ask,
+            shared,
             attempt: None,
             attempts: 0,
+            fruitless: 0,
             tokens: 0,
+            finished: false,
+            preamble: Bytes::new(),
             avoid: Vec::new(),
             ran: false,
             resumes: 0,
+            give_up_at: ask.deadline,
+            ask,
         }
     }
 
@@ -120,36 +154,84 @@
             }
             let silence = self.silence()?;
             let attempt = self.attempt.as_mut().expect("an attempt was just opened");
-            match attempt.reader.next(silence).await {
-                Ok(SseEvent::Comment) => {}
-                Ok(SseEvent::Token(event, text)) => {
-                    self.tokens += 1;
-                    return Ok(Step::Token(event, text));
-                }
-                Ok(SseEvent::Finish(event, reason)) => return Ok(Step::Finish(event, reason)),
-                Ok(SseEvent::Done(event)) => {
-                    self.give_back().await;
-                    return Ok(Step::Done(event));
-                }
-                Err(broken) => self.note_broken(broken)?,
+            let event = attempt.reader.next(silence).await;
+            if let Some(step) = self.take_event(event)? {
+                return Ok(step);
             }
         }
     }
 
+    /// What an event means for the caller; `None` for nothing.
+    fn take_event(&mut self, event: Result<SseEvent, Broken>) -> Result<Option<Step>, Failure> {
+        match event {
+            Ok(SseEvent::Comment) => Ok((self.tokens > 0).then_some(Step::Waiting)),
+            Ok(SseEvent::Other(event)) if self.tokens == 0 && !self.finished => {
+                self.preamble = event;
+                Ok(None)
+            }
+            Ok(SseEvent::Other(event)) => {
+                // Another attempt repeats the events before its first token.
+                let is_new = self.fruitless == 0 || self.finished;
+                Ok(is_new.then_some(Step::Other(event)))
+            }
+            Ok(SseEvent::Token(event, text)) if !self.finished => {
+                self.tokens += 1;
+                self.fruitless = 0;
+                Ok(Some(Step::Token(self.with_preamble(event), text)))
+            }
+            Ok(SseEvent::Finish(event, reason)) if !self.finished => {
+                self.finished = true;
+                Ok(Some(Step::Finish(event, reason)))
+            }
+            Ok(SseEvent::Done(event)) if self.finished => {
+                self.give_back();
+                Ok(Some(Step::Done(event)))
+            }
+            // Every token and the finish reason have come: nothing is missing.
+            Ok(_) | Err(_) if self.finished => {
+                self.attempt = None;
+                Ok(Some(Step::Done(Bytes::from_static(DONE_EVENT))))
+            }
+            Ok(_) => self.note_broken(Broken::Garbled).map(|()| None),
+            Err(broken) => self.note_broken(broken).map(|()| None),
+        }
+    }
+
+    /// Puts before the first token what came before it; nothing is sent earlier,
+    /// so that a request without a token can still be answered by an error status.
+    fn with_preamble(&mut self, event: Bytes) -> Bytes {
+        let preamble = std::mem::take(&mut self.preamble);
+        if preamble.is_empty() {
+            return event;
+        }
+        [preamble, event].concat().into()
+    }
+
     /// How long to wait for the next event: no longer than the deadline before the first token.
     fn silence(&self) -> Result<Duration, Failure> {
         if self.tokens > 0 {
             return Ok(SILENCE);
         }
-        let left = self.ask.deadline.saturating_duration_since(Instant::now());
+        let left = self.time_left();
         if left.is_zero() {
             return Err(self.late());
         }
         Ok(left.min(SILENCE))
     }
 
+    fn time_left(&self) -> Duration {
+        self.ask.deadline.saturating_duration_since(Instant::now())
+    }
+
     fn late(&self) -> Failure {
-        let failure = Failure::new(Kind::Deadline, "no runner began the answer in time");
+        self.with_ran(Failure::new(
+            Kind::Deadline,
+            "no runner began the answer in time",
+        ))
+    }
+
+    /// States that the request ran, if it may have.
+    fn with_ran(&self, failure: Failure) -> Failure {
         if self.ran {
             failure.ran(Ran::Yes)
         } else {
@@ -159,57 +241,78 @@
 
     fn note_broken(&mut self, broken: Broken) -> Result<(), Failure> {
         let attempt = self.attempt.take().expect("only an open attempt breaks");
-        if self.tokens == 0 && Instant::now() >= self.ask.deadline {
+        if self.tokens == 0 && self.time_left().is_zero() {
             return Err(self.late());
         }
         if broken == Broken::Silent {
-            self.pool.clear(attempt.connection.address());
+            self.shared.pool.clear(attempt.connection.address());
         }
-        emit(
-            Event::Resumed,
-            format_args!(
-                "request={} runner={} token={} cause={broken:?}",
-                self.ask.id, attempt.runner, self.tokens
-            ),
-        );
         self.resumes += 1;
-        self.avoid.push(attempt.runner);
+        self.give_up_at = self.give_up_at.max(Instant::now() + RESUME_WAIT);
+        let cause = match broken {
+            Broken::Cut => "cut",
+            Broken::Garbled => "garbled",
+            Broken::Silent => "silent",
+        };
+        self.pass_over(&attempt.runner.name, cause);
         Ok(())
     }
 
-    async fn give_back(&mut self) {
-        if let Some(attempt) = self.attempt.take()
-            && attempt.reader.finish(SILENCE).await
-        {
-            self.pool.put(attempt.connection);
-        }
+    /// Gives the connection back once its answer has been read to its end.
+    fn give_back(&mut self) {
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        let pool = self.shared.pool.clone();
+        compio::runtime::spawn(async move {
+            if attempt.reader.finish(SILENCE).await {
+                pool.put(attempt.connection);
+            }
+        })
+        .detach();
     }
 
     /// Finds a runner that takes the request, or what is left of it.
     async fn open(&mut self) -> Result<Attempt, Failure> {
         loop {
-            if self.attempts >= MAX_ATTEMPTS {
-                return Err(self.exhausted());
-            }
-            if self.tokens == 0 && Instant::now() >= self.ask.deadline {
+            if self.tokens == 0 && self.time_left().is_zero() {
                 return Err(self.late());
             }
+            if self.fruitless >= MAX_FRUITLESS {
+                return Err(self.exhausted("every attempt failed"));
+            }
             let pinned = self.tokens > 0;
-            let Some(choice) = self.router.choose(&self.ask.target, pinned, &self.avoid) else {
+            let router = &self.shared.router;
+            let Some(choice) = router.choose(&self.ask.target, pinned, &self.avoid) else {
                 self.wait_for_runner().await?;
                 continue;
             };
+            if self.attempts > 0 && !self.shared.budget.take(self.tokens > 0) {
+                return Err(self.exhausted("too many requests are being retried now"));
+            }
             self.attempts += 1;
+            self.fruitless += 1;
             let runner = choice.runner.clone();
             match self.try_on(choice).await {
                 Ok(attempt) => return Ok(attempt),
-                Err(AttemptError::Final(failure)) => return Err(failure),
-                Err(AttemptError::NotRun(cause)) => self.pass_over(&runner.name, cause),
+                Err(AttemptError::Final(failure)) => return Err(self.with_ran(failure)),
+                Err(AttemptError::NotLoaded) => self.pass_over(&runner.name, "not_loaded"),
+                Err(AttemptError::NotRun(cause)) => {
+                    runner.note_broken();
+                    self.pass_over(&runner.name, cause);
+                }
                 Err(AttemptError::MaybeRun(cause)) => {
                     self.ran = true;
                     runner.note_broken();
                     self.pass_over(&runner.name, cause);
                 }
+                Err(AttemptError::StaleConnection) => {
+                    // A new connection to the same runner is no retry.
+                    self.ran = true;
+                    self.shared.pool.clear(runner.address);
+                    self.attempts -= 1;
+                    self.fruitless -= 1;
+                }
             }
         }
     }
@@ -227,24 +330,23 @@
 
     /// Waits a moment for a copy that is being loaded; without one in sight, gives up at once.
     async fn wait_for_runner(&mut self) -> Result<(), Failure> {
-        if Instant::now() >= self.ask.deadline || !self.router.is_coming(&self.ask.target) {
-            return Err(self.exhausted());
+        let pinned = self.tokens > 0;
+        if Instant::now() >= self.give_up_at
+            || !self.shared.router.is_coming(&self.ask.target, pinned)
+        {
+            return Err(self.exhausted("no runner can take the request now"));
         }
         self.avoid.clear();
         compio::time::sleep(NO_RUNNER_PAUSE).await;
         Ok(())
     }
 
-    fn exhausted(&self) -> Failure {
+    fn exhausted(&self, cause: &str) -> Failure {
         if self.tokens > 0 {
-            return Failure::new(Kind::Interrupted, "the stream broke and could not go on");
-        }
-        let failure = Failure::new(Kind::Unavailable, "no runner can take the request now");
-        if self.ran {
-            failure.ran(Ran::Yes)
-        } else {
-            failure
+            let message = format!("the stream broke and could not go on: {cause}");
+            return Failure::new(Kind::Interrupted, message);
         }
+        self.with_ran(Failure::new(Kind::Unavailable, cause))
     }
 
     async fn try_on(&mut self, choice: Choice) -> Result<Attempt, AttemptError> {
@@ -264,8 +366,11 @@
                 let failure = Failure::new(Kind::Malformed, "the engine cannot read the request");
                 return Err(AttemptError::Final(failure));
             }
-            StatusCode::NOT_FOUND => return Err(AttemptError::NotRun("not_loaded")),
-            _ => return Err(AttemptError::NotRun("refused_by_engine")),
+            StatusCode::NOT_FOUND => return Err(AttemptError::NotLoaded),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                return Err(AttemptError::NotRun("refused_by_engine"));
+            }
+            _ => return Err(AttemptError::MaybeRun("failed_in_engine")),
         }
         self.ran = true;
         // What follows must come from the version that began.
@@ -273,7 +378,7 @@
         Ok(Attempt {
             reader: SseReader::new(response.into_body()),
             connection,
-            runner: choice.runner.name.clone(),
+            runner: choice.runner,
             _in_flight: in_flight,
         })
     }
@@ -296,26 +401,20 @@
             request.headers_mut().insert("x-request-id", id.clone());
             request
         };
-        if let Some(mut pooled) = self.pool.take(address) {
-            let sent = compio::time::timeout(SILENCE, pooled.send(build())).await;
+        if let Some(mut idle) = self.shared.pool.take(address) {
+            let sent = compio::time::timeout(self.limit(IDLE_SILENCE), idle.send(build())).await;
             match sent {
-                Ok(Ok(response)) => return Ok((pooled, response)),
+                Ok(Ok(response)) => return Ok((idle, response)),
                 Ok(Err(SendError::NotSent)) => {}
-                // The idle connection was closed or went silent: a new one tells.
                 Ok(Err(SendError::MaybeSent)) | Err(_) => {
-                    self.ran = true;
-                    self.pool.clear(address);
+                    return Err(AttemptError::StaleConnection);
                 }
             }
         }
+        let connected = Connection::open(address, self.limit(CONNECT_TIMEOUT)).await;
         let mut connection =
-            Connection::open(address, CONNECT_TIMEOUT)
-                .await
-                .map_err(|_refused| {
-                    choice.runner.note_broken();
-                    AttemptError::NotRun("no_connection")
-                })?;
-        match compio::time::timeout(SILENCE, connection.send(build())).await {
+            connected.map_err(|_not_sent| AttemptError::NotRun("no_connection"))?;
+        match compio::time::timeout(self.limit(SILENCE), connection.send(build())).await {
             Ok(Ok(response)) => Ok((connection, response)),
             Ok(Err(SendError::NotSent)) => Err(AttemptError::NotRun("not_sent")),
             Ok(Err(SendError::MaybeSent)) => Err(AttemptError::MaybeRun("cut")),
@@ -323,6 +422,15 @@
         }
     }
 
+    /// A timeout that does not reach beyond the deadline of the first token.
+    fn limit(&self, timeout: Duration) -> Duration {
+        if self.tokens > 0 {
+            timeout
+        } else {
+            timeout.min(self.time_left())
+        }
+    }
+
     /// The request as an engine takes it, from the next token on.
     fn body_for(&self, target: &Target) -> Bytes {
         let mut body = self.ask.body.clone();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,26 +1,23 @@
 //! The callers' side: routes, limits and answers.
 
-use crate::client::Pool;
-use crate::completion::{Ask, COMPLETIONS_PATH, Completion, Step};
+use crate::completion::{Ask, COMPLETIONS_PATH, Completion, Shared, Step};
 use crate::error::{Failure, Kind};
 use crate::events::{Event, emit};
-use crate::http::{Body, ReadError, json_response, read_body};
+use crate::http::{AnswerSender, Body, ReadError, json_response, read_body};
 use crate::inventory::{Caller, Inventory, Name, PlainService, Priority};
 use crate::kernel::{Kernel, Service};
 use crate::metrics::{Metrics, RequestLabels};
 use crate::plain::{Call, IdempotencyKey, PlainCalls};
-use crate::router::{Router, Target};
+use crate::retry::RetryBudget;
+use crate::router::Target;
 use crate::server::{ControlStream, KeyStream};
 use crate::shutdown::{OpenGuard, Shutdown};
 use bytes::Bytes;
-use futures_channel::mpsc;
-use futures_util::SinkExt;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use serde_json::{Map, Value, json};
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -30,7 +27,11 @@
 const CALLER_STALL: Duration = Duration::from_secs(30);
 
 /// The pause between a stream's error event and the cut that follows it.
-const ERROR_FLUSH: Duration = Duration::from_millis(20);
+const ERROR_FLUSH: Duration = Duration::from_millis(50);
+/// How long a caller may take to send a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// What a caller gets while its engine has no token: it shows that the path lives.
+const WAITING_COMMENT: &[u8] = b": waiting\n\n";
 /// Runners that one request may crash before it is refused.
 const MAX_CRASHES: usize = 2;
 
@@ -47,11 +48,10 @@
 pub(crate) struct Entry {
     control: Rc<ControlStream>,
     keys: Rc<KeyStream>,
-    router: Rc<Router>,
+    completions: Rc<Shared>,
     calls: Rc<PlainCalls>,
     metrics: Rc<Metrics>,
     shutdown: Rc<Shutdown>,
-    pool: Rc<Pool>,
     open: RefCell<HashMap<Name, u32>>,
     max_body_bytes: usize,
 }
@@ -81,11 +81,14 @@
         Self {
             control: kernel.find(),
             keys: kernel.find(),
-            router: kernel.find(),
+            completions: Rc::new(Shared {
+                router: kernel.find(),
+                pool: Rc::default(),
+                budget: RetryBudget::default(),
+            }),
             calls: kernel.find(),
             metrics: kernel.find(),
             shutdown: kernel.find(),
-            pool: Rc::default(),
             open: RefCell::default(),
             max_body_bytes,
         }
@@ -177,14 +180,17 @@
 
     async fn read(&self, body: Incoming) -> Result<Bytes, Failure> {
         let limit_bytes = self.max_body_bytes;
-        match read_body(body, limit_bytes).await {
-            Ok(bytes) => Ok(bytes),
-            Err(ReadError::TooLarge) => Err(Failure::new(
-                Kind::TooLarge,
-                format!("the body is larger than {limit_bytes} bytes"),
-            )),
-            Err(ReadError::Cut) => Err(Failure::new(Kind::Malformed, "the body broke off")),
-        }
+        let read = compio::time::timeout(BODY_TIMEOUT, read_body(body, limit_bytes));
+        let (kind, message) = match read.await {
+            Ok(Ok(bytes)) => return Ok(bytes),
+            Ok(Err(ReadError::TooLarge)) => {
+                let message = format!("the body is larger than {limit_bytes} bytes");
+                (Kind::TooLarge, message)
+            }
+            Ok(Err(ReadError::Cut)) => (Kind::Malformed, "the body broke off".to_owned()),
+            Err(_elapsed) => (Kind::BodyTimeout, "the body did not arrive".to_owned()),
+        };
+        Err(Failure::new(kind, message))
     }
 
     async fn call(
@@ -247,7 +253,7 @@
             priority: sender.priority,
             deadline: started + Duration::from_millis(deadline_ms),
         };
-        let mut completion = Completion::new(self.router.clone(), self.pool.clone(), ask);
+        let mut completion = Completion::new(self.completions.clone(), ask);
         let first = match completion.next().await {
             Ok(step) => step,
             Err(failure) => {
@@ -313,7 +319,7 @@
 impl Run {
     /// Passes events on as they come.
     fn stream(self, first: Step) -> Response<Body> {
-        let (sender, body) = Body::channel(STREAM_CAPACITY);
+        let (sender, body) = Body::answer(STREAM_CAPACITY);
         compio::runtime::spawn(self.relay(first, sender)).detach();
         let mut response = Response::new(body);
         response.headers_mut().insert(
@@ -323,19 +329,20 @@
         response
     }
 
-    async fn relay(mut self, first: Step, mut sender: mpsc::Sender<io::Result<Bytes>>) {
-        let mut step: Result<Step, Failure> = Ok(first);
+    /// Relays steps until the last; a sender that is dropped before cuts the connection.
+    async fn relay(mut self, first: Step, mut sender: AnswerSender) {
+        let mut step = Ok(first);
         loop {
             let (bytes, last) = match &step {
-                Ok(Step::Token(event, _) | Step::Finish(event, _)) => (event.clone(), false),
+                Ok(Step::Token(event, _) | Step::Finish(event, _) | Step::Other(event)) => {
+                    (event.clone(), false)
+                }
+                Ok(Step::Waiting) => (Bytes::from_static(WAITING_COMMENT), false),
                 Ok(Step::Done(event)) => (event.clone(), true),
-                Err(failure) => (
-                    Bytes::from(format!("data: {}\n\n", failure.to_json())),
-                    true,
-                ),
+                Err(failure) => (error_event(failure), true),
             };
-            let sent = compio::time::timeout(CALLER_STALL, sender.send(Ok(bytes))).await;
-            if !matches!(sent, Ok(Ok(()))) {
+            let sent = compio::time::timeout(CALLER_STALL, sender.send(bytes)).await;
+            if sent != Ok(true) {
                 return self.end("caller_gone", None);
             }
             if last {
@@ -344,12 +351,13 @@
             step = self.completion.next().await;
         }
         match step {
-            Ok(_) => self.end("complete", None),
+            Ok(_) => {
+                sender.end_whole();
+                self.end("complete", None);
+            }
             Err(failure) => {
-                // A stream that is not whole never ends cleanly; the error goes first.
+                // The error goes out before the cut.
                 compio::time::sleep(ERROR_FLUSH).await;
-                let cut = io::Error::from(io::ErrorKind::ConnectionAborted);
-                let _ = sender.send(Err(cut)).await;
                 self.end(failure.kind.answer().code, Some(&failure));
             }
         }
@@ -364,6 +372,7 @@
             match step {
                 Step::Token(_, token) => text.push_str(&token),
                 Step::Finish(_, reason) => finish = reason,
+                Step::Other(_) | Step::Waiting => {}
                 Step::Done(_) => break,
             }
             step = match self.completion.next().await {
@@ -407,6 +416,10 @@
     }
 }
 
+fn error_event(failure: &Failure) -> Bytes {
+    format!("data: {}\n\n", failure.to_json()).into()
+}
+
 /// The caller's own request id if it is a plain token, else a new one.
 fn request_id(headers: &HeaderMap) -> Name {
     headers
--- a/src/error.rs
+++ b/src/error.rs
@@ -30,6 +30,8 @@
 /// Why a request was not answered in full.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Kind {
+    /// The request's body did not arrive in time.
+    BodyTimeout,
     /// A conflicting change of the configuration was accepted first.
     Conflict,
     /// The deadline cannot be met, or has passed.
@@ -108,6 +110,14 @@
 
 /// Every error kind with its answer.
 pub const ANSWERS: &[Answer] = &[
+    row(
+        Kind::BodyTimeout,
+        408,
+        "body_timeout",
+        INVALID,
+        Ran::No,
+        None,
+    ),
     row(Kind::Conflict, 409, "conflict", INVALID, Ran::No, None),
     row(Kind::Deadline, 503, "deadline", SERVER, Ran::No, Some(1)),
     row(
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -68,6 +68,11 @@
         !broken && self.report(|_| ()).is_some()
     }
 
+    /// Whether the runner's reports arrive, though it may have broken a connection.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.report(|_| ()).is_some()
+    }
+
     /// Whether the runner reported that requests for this artifact run.
     pub(crate) fn is_ready(&self, artifact: &str) -> bool {
         self.report(|report| {
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,18 +1,20 @@
 //! HTTP serving over `hyper` and `compio`, and the body type of all answers.
 
 use crate::shutdown::Shutdown;
+use crate::stall::{StallWatch, Watched};
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpSocket, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_channel::mpsc;
-use futures_util::StreamExt;
 use futures_util::future::{Either, select};
+use futures_util::{SinkExt, StreamExt};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
 use serde::Serialize;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -29,6 +31,12 @@
 const BACKLOG: i32 = 1_024;
 /// The pause after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// How long a closing listener still accepts what had connected before.
+const BACKLOG_DRAIN: Duration = Duration::from_millis(50);
+/// How long a client may take nothing of what is written to it.
+const WRITE_STALL: Duration = Duration::from_secs(20);
+/// How often a connection is looked at for a stalled write.
+const STALL_LOOK: Duration = Duration::from_secs(5);
 
 /// An answer's or a request's body.
 #[derive(Debug)]
@@ -37,6 +45,47 @@
     Full(Option<Bytes>),
     /// Chunks as they come; an error item cuts the connection.
     Stream(mpsc::Receiver<io::Result<Bytes>>),
+    /// Chunks of an answer that ends cleanly only once it was declared whole.
+    Answer(AnswerBody),
+}
+
+/// The receiving half of an answer under way.
+#[derive(Debug)]
+pub struct AnswerBody {
+    chunks: mpsc::Receiver<Bytes>,
+    whole: Rc<Cell<bool>>,
+}
+
+/// The sending half of an answer under way.
+///
+/// Dropping it before [`AnswerSender::end_whole`] cuts the connection, whatever
+/// the reason: an answer that is not whole never looks as if it were.
+#[derive(Debug)]
+pub struct AnswerSender {
+    chunks: mpsc::Sender<Bytes>,
+    whole: Rc<Cell<bool>>,
+}
+
+impl AnswerSender {
+    /// Sends a chunk; false once the client is gone.
+    pub async fn send(&mut self, chunk: Bytes) -> bool {
+        self.chunks.send(chunk).await.is_ok()
+    }
+
+    /// Declares that every chunk was sent.
+    pub fn end_whole(self) {
+        self.whole.set(true);
+    }
+}
+
+impl AnswerBody {
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        self.chunks.poll_next_unpin(cx).map(|chunk| match chunk {
+            Some(chunk) => Some(Ok(Frame::data(chunk))),
+            None if self.whole.get() => None,
+            None => Some(Err(io::ErrorKind::ConnectionAborted.into())),
+        })
+    }
 }
 
 impl Body {
@@ -57,6 +106,21 @@
         let (sender, receiver) = mpsc::channel(capacity);
         (sender, Self::Stream(receiver))
     }
+
+    /// An answer of chunks that ends cleanly only once it is declared whole.
+    pub fn answer(capacity: usize) -> (AnswerSender, Self) {
+        let (sender, receiver) = mpsc::channel(capacity);
+        let whole = Rc::new(Cell::new(false));
+        let sender = AnswerSender {
+            chunks: sender,
+            whole: whole.clone(),
+        };
+        let body = AnswerBody {
+            chunks: receiver,
+            whole,
+        };
+        (sender, Self::Answer(body))
+    }
 }
 
 impl hyper::body::Body for Body {
@@ -72,6 +136,7 @@
             Self::Stream(receiver) => receiver
                 .poll_next_unpin(cx)
                 .map(|item| item.map(|chunk| chunk.map(Frame::data))),
+            Self::Answer(answer) => answer.poll_chunk(cx),
         }
     }
 
@@ -82,7 +147,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Stream(_) | Self::Answer(_) => SizeHint::default(),
         }
     }
 }
@@ -153,9 +218,13 @@
                 spawn_connection(stream, shutdown.clone(), handler.clone());
             }
             Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_PAUSE).await,
-            Either::Right(_) => return,
+            Either::Right(_) => break,
         }
     }
+    // Who had connected before the listener closes is still answered.
+    while let Ok(Ok((stream, _))) = compio::time::timeout(BACKLOG_DRAIN, listener.accept()).await {
+        spawn_connection(stream, shutdown.clone(), handler.clone());
+    }
 }
 
 fn spawn_connection<H, F>(stream: TcpStream, shutdown: Rc<Shutdown>, handler: H)
@@ -167,22 +236,44 @@
         let _guard = shutdown.enter();
         // A slow loss of this option only costs latency.
         let _ = stream.set_nodelay(true);
+        let leaving = shutdown.clone();
         let service = service_fn(move |request| {
             let answer = handler(request);
-            async move { Ok::<_, Infallible>(answer.await) }
+            let leaving = leaving.clone();
+            async move { Ok::<_, Infallible>(close_if_leaving(&leaving, answer.await)) }
         });
+        let (stream, watch) = Watched::new(HyperStream::new_plain(stream));
         let connection = http1::Builder::new()
             .timer(CompioTimer)
             .header_read_timeout(HEADER_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(HyperStream::new_plain(stream), service);
-        let mut connection = pin!(connection);
-        let stop = pin!(shutdown.wait());
-        if let Either::Right(((), _)) = select(connection.as_mut(), stop).await {
-            connection.as_mut().graceful_shutdown();
-            // The client sees a broken connection by itself.
-            let _ = connection.await;
-        }
+            .serve_connection(stream, service);
+        let serving = async {
+            let mut connection = pin!(connection);
+            let stop = pin!(shutdown.wait());
+            if let Either::Right(((), _)) = select(connection.as_mut(), stop).await {
+                connection.as_mut().graceful_shutdown();
+                // The client sees a broken connection by itself.
+                let _ = connection.await;
+            }
+        };
+        // A client that takes nothing for too long is cut.
+        select(pin!(serving), pin!(stalled(watch))).await;
     })
     .detach();
 }
+
+/// Asks clients of a VM that leaves to use another connection next time.
+fn close_if_leaving(shutdown: &Shutdown, mut response: Response<Body>) -> Response<Body> {
+    if shutdown.is_leaving() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn stalled(watch: StallWatch) {
+    while watch.stalled_for() < WRITE_STALL {
+        compio::time::sleep(STALL_LOOK).await;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,11 +27,13 @@
 mod plain;
 mod planner;
 mod platform;
+mod retry;
 mod router;
 mod server;
 mod shutdown;
 mod signal;
 mod sse;
+mod stall;
 mod stream;
 mod wire;
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -128,15 +128,28 @@
         })
     }
 
-    /// Whether a copy of the model is ordered, or the planner is about to order one.
-    pub(crate) fn is_coming(&self, wanted: &Target) -> bool {
-        let ordered = self.control.with(|control| {
-            control
+    /// Whether a runner can be expected to serve `wanted` before long.
+    ///
+    /// A copy in some runner's book counts while the runner answers. Otherwise
+    /// a planner has to load one: for the version in force, over a log that
+    /// takes orders, onto a runner that answers.
+    pub(crate) fn is_coming(&self, wanted: &Target, pinned: bool) -> bool {
+        let answers = |name: &str| self.fleet.runner(name).is_some_and(|it| it.is_answering());
+        self.control.with(|control| {
+            let in_book = control
                 .books
-                .values()
-                .any(|book| book.is_coming(&wanted.base))
-        });
-        ordered || self.control.is_writable()
+                .iter()
+                .any(|(name, book)| book.is_coming(&wanted.base) && answers(name));
+            let in_force = control
+                .inventory
+                .model(&wanted.base.model)
+                .is_some_and(|model| !pinned || model.version == wanted.base.version);
+            let loadable = || {
+                let mut runners = control.inventory.runners();
+                runners.any(|server| !server.leaving && answers(&server.name))
+            };
+            in_book || in_force && self.control.is_writable() && loadable()
+        })
     }
 
     fn choose_for(&self, target: &Target, avoid: &[Name]) -> Option<Choice> {
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -36,6 +36,8 @@
     Finish(Bytes, String),
     /// The stream is complete.
     Done(Bytes),
+    /// An event without a token, such as one with the role or the usage.
+    Other(Bytes),
     /// A comment: the other end lives.
     Comment,
 }
@@ -99,10 +101,15 @@
         }
     }
 
-    /// Reads on to the end of the body, so that its connection can be used again.
+    /// Reads on to the end of the body; true if its connection can be used again.
     pub(crate) async fn finish(mut self, silence: Duration) -> bool {
-        let end = async { while let Some(Ok(_)) = self.body.frame().await {} };
-        compio::time::timeout(silence, end).await.is_ok()
+        if !self.buffer.is_empty() {
+            return false;
+        }
+        matches!(
+            compio::time::timeout(silence, self.body.frame()).await,
+            Ok(None)
+        )
     }
 
     fn take_event(&mut self) -> Option<Bytes> {
@@ -124,11 +131,16 @@
         return Ok(SseEvent::Done(event));
     }
     let chunk: Chunk<'_> = serde_json::from_slice(data).map_err(|_unknown| Broken::Garbled)?;
-    let choice = chunk.choices.into_iter().next().ok_or(Broken::Garbled)?;
+    let Some(choice) = chunk.choices.into_iter().next() else {
+        return Ok(SseEvent::Other(event));
+    };
     if let Some(reason) = choice.finish_reason {
         let reason = reason.into_owned();
         return Ok(SseEvent::Finish(event, reason));
     }
     let content = choice.delta.content.unwrap_or_default().into_owned();
+    if content.is_empty() {
+        return Ok(SseEvent::Other(event));
+    }
     Ok(SseEvent::Token(event, content))
 }
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -5,7 +5,8 @@
 use std::collections::HashSet;
 
 /// Every kind; a new one fails to compile in `row_of` until it is added here.
-const KINDS: [Kind; 18] = [
+const KINDS: [Kind; 19] = [
+    Kind::BodyTimeout,
     Kind::Conflict,
     Kind::Deadline,
     Kind::Interrupted,
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -14,11 +14,13 @@
 
 /// The time between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
-/// The ports of a site, below those that the system gives out by itself.
-const PLATFORM_PORT: u16 = 20_000;
-const RUNNER_PORT: u16 = 20_100;
+/// The platform's port; all ports are below those that the system gives out by itself.
+pub const PLATFORM_PORT: u16 = 20_000;
+/// The port of the first runner; the others follow.
+pub const RUNNER_PORT: u16 = 20_100;
 const SERVER_PORT: u16 = 20_400;
-const VM_PORT: u16 = 20_500;
+/// The first port of the first VM: callers, operators, peers; the other VMs follow.
+pub const VM_PORT: u16 = 20_500;
 /// Ports from here on are free for proxies.
 pub const PROXY_PORT: u16 = 21_000;
 
@@ -453,7 +455,7 @@
             "operator_address": self.operator_address(index),
             "peer_address": self.peer_address(index),
             "log_address": self.seen(self.platform_address()),
-            "vm_list_address": self.platform_address(),
+            "vm_list_address": self.seen(self.platform_address()),
             "log_retention_ms": self.plan.platform.retention_ms,
         });
         for (field, value) in self.plan.settings.as_object().into_iter().flatten() {
--- a/workbench/src/engine.rs
+++ b/workbench/src/engine.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use rattanjunction::Body;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -57,6 +57,18 @@
     pub store: SocketAddr,
 }
 
+/// What is wrong with an engine, set by `POST /faults`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Every completion is refused with status 503, and not run.
+    pub refuse: bool,
+    /// Streams end cleanly after the finish event, without the last one.
+    pub end_after_finish: bool,
+    /// Streams end cleanly before the finish event.
+    pub end_before_finish: bool,
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum HeldState {
     Loading,
@@ -102,6 +114,7 @@
     running: RefCell<Vec<Sequence>>,
     loads: RefCell<VecDeque<(Instant, usize, usize)>>,
     prefixes: RefCell<VecDeque<u64>>,
+    faults: RefCell<EngineFaults>,
     arrived: RefCell<Option<oneshot::Sender<()>>>,
     journal: Journal,
 }
@@ -126,6 +139,7 @@
             running: RefCell::default(),
             loads: RefCell::default(),
             prefixes: RefCell::default(),
+            faults: RefCell::default(),
             arrived: RefCell::default(),
             journal: Journal::open(journal),
         };
@@ -143,12 +157,23 @@
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/chat/completions") => self.complete(request).await,
             (&Method::POST, "/orders") => self.order(request).await,
+            (&Method::POST, "/faults") => self.set_faults(request).await,
             (&Method::GET, "/report") => web::ok(&self.report()),
             (&Method::GET, "/journal") => web::ok(&self.journal.lines()),
             _ => web::status(StatusCode::NOT_FOUND),
         }
     }
 
+    async fn set_faults(&self, request: Request<Incoming>) -> Response<Body> {
+        match web::json_of::<EngineFaults>(request).await {
+            Some(faults) => {
+                *self.faults.borrow_mut() = faults;
+                web::ok(&json!({}))
+            }
+            None => web::status(StatusCode::BAD_REQUEST),
+        }
+    }
+
     fn report(&self) -> Value {
         let loads = self.loads.borrow();
         let (running, waiting) = loads
@@ -281,6 +306,10 @@
         if !self.are_ready(&needs) {
             return web::status(StatusCode::NOT_FOUND);
         }
+        if self.faults.borrow().refuse {
+            self.journal.note("refused", json!({"request": id}));
+            return web::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let from = body["resume_from_token"].as_u64().unwrap_or(0) as u32;
         self.journal
             .note("run", json!({"request": id, "model": name, "from": from}));
@@ -357,7 +386,16 @@
             let step_ms =
                 self.shape.step_ms + self.shape.step_per_request_ms * batch as f64 + prefill_ms;
             compio::time::sleep(Duration::from_secs_f64(step_ms / 1_000.0)).await;
-            self.running.borrow_mut().retain_mut(Sequence::step);
+            let faults = self.faults.borrow().clone();
+            self.running
+                .borrow_mut()
+                .retain_mut(|sequence| match sequence.step(&faults) {
+                    Progress::Running => true,
+                    ended => {
+                        self.note_end(sequence, ended == Progress::Cancelled);
+                        false
+                    }
+                });
         }
     }
 
@@ -373,7 +411,13 @@
     fn admit(&self) -> f64 {
         let mut waiting = self.waiting.borrow_mut();
         let mut running = self.running.borrow_mut();
-        waiting.retain(|sequence| !sequence.reader.is_closed());
+        waiting.retain(|sequence| {
+            let cancelled = sequence.reader.is_closed();
+            if cancelled {
+                self.note_end(sequence, true);
+            }
+            !cancelled
+        });
         let mut prefill_ms = 0.0;
         while running.len() < self.shape.max_batch {
             let Some(place) = (0..waiting.len()).min_by_key(|place| waiting[*place].rank) else {
@@ -386,6 +430,12 @@
         prefill_ms
     }
 
+    fn note_end(&self, sequence: &Sequence, cancelled: bool) {
+        let kind = if cancelled { "cancelled" } else { "finished" };
+        let fields = json!({"request": sequence.id, "next": sequence.next});
+        self.journal.note(kind, fields);
+    }
+
     fn comment_waiting(&self) {
         for sequence in self.waiting.borrow_mut().iter_mut() {
             if sequence.commented.elapsed() >= COMMENT_INTERVAL {
@@ -409,19 +459,36 @@
     }
 }
 
+/// How far a sequence has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    Running,
+    Finished,
+    Cancelled,
+}
+
 impl Sequence {
-    /// Sends the next token; false once the request has ended or its reader is gone.
-    fn step(&mut self) -> bool {
+    /// Sends the next token, or the events after the last.
+    fn step(&mut self, faults: &EngineFaults) -> Progress {
         if self.next < self.answer.tokens() {
             let delta = json!({"content": self.answer.token(self.next)});
+            if !self.send(&self.chunk(&delta, None)) {
+                return Progress::Cancelled;
+            }
             self.next += 1;
-            return self.send(&self.chunk(&delta, None));
+            return Progress::Running;
+        }
+        if faults.end_before_finish {
+            return Progress::Finished;
         }
         let finish = self.chunk(&json!({}), Some(self.answer.finish_reason()));
-        if self.send(&finish) {
+        if !self.send(&finish) {
+            return Progress::Cancelled;
+        }
+        if !faults.end_after_finish {
             self.send("data: [DONE]\n\n");
         }
-        false
+        Progress::Finished
     }
 
     fn chunk(&self, delta: &Value, finish_reason: Option<&str>) -> String {
--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -163,8 +163,8 @@
             buffer = bytes;
         }
         self.closed.set(true);
-        let _ = from.close().await;
-        let _ = to.close().await;
+        // Each way holds both ends, and closing one would wait for the other way's hold.
+        drop((from, to));
     }
 
     fn holds(&self) -> bool {
