Shutdown: two VMs leaving at once, the grace, and the claim handed over

Cause: no test beyond one stream; a connection that was accepted just as the listener closed was closed before its request was read.

Change: for 100 ms after the close, the backlog is accepted and idle connections still take a request that is under way; the count of open work begins before a connection's task first runs.

Ruled out: serving everything that comes while the listener closes: with callers that never stop it would not end. A request that reaches an idle connection later than the grace plus 100 ms can still find it closed, as with any HTTP server; balancers stop within the grace.

--- a/src/http.rs
+++ b/src/http.rs
@@ -31,8 +31,8 @@
 const BACKLOG: i32 = 1_024;
 /// The pause after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// How long a closing listener still accepts what had connected before.
-const BACKLOG_DRAIN: Duration = Duration::from_millis(50);
+/// How long a closing listener, or an idle connection, still takes what was under way to it.
+const CLOSE_LINGER: Duration = Duration::from_millis(100);
 /// How long a client may take nothing of what is written to it.
 const WRITE_STALL: Duration = Duration::from_secs(20);
 /// How often a connection is looked at for a stalled write.
@@ -222,9 +222,15 @@
         }
     }
     // Who had connected before the listener closes is still answered.
-    while let Ok(Ok((stream, _))) = compio::time::timeout(BACKLOG_DRAIN, listener.accept()).await {
-        spawn_connection(stream, shutdown.clone(), handler.clone());
-    }
+    let linger = async {
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                spawn_connection(stream, shutdown.clone(), handler.clone());
+            }
+        }
+    };
+    // The end of the linger is the expected way out.
+    let _ = compio::time::timeout(CLOSE_LINGER, linger).await;
 }
 
 fn spawn_connection<H, F>(stream: TcpStream, shutdown: Rc<Shutdown>, handler: H)
@@ -232,8 +238,10 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
+    // Counted before its task first runs, so that a drain cannot overlook it.
+    let guard = shutdown.enter();
     compio::runtime::spawn(async move {
-        let _guard = shutdown.enter();
+        let _guard = guard;
         // A slow loss of this option only costs latency.
         let _ = stream.set_nodelay(true);
         let leaving = shutdown.clone();
@@ -250,7 +258,12 @@
             .serve_connection(stream, service);
         let serving = async {
             let mut connection = pin!(connection);
-            let stop = pin!(shutdown.wait());
+            let stop = async {
+                shutdown.wait().await;
+                // Answers ask to close by now; only idle connections are left.
+                compio::time::sleep(CLOSE_LINGER).await;
+            };
+            let stop = pin!(stop);
             if let Either::Right(((), _)) = select(connection.as_mut(), stop).await {
                 connection.as_mut().graceful_shutdown();
                 // The client sees a broken connection by itself.
--- a/workbench/src/asker.rs
+++ b/workbench/src/asker.rs
@@ -182,6 +182,10 @@
             Err(SendError::NotSent) => return End::NoConnection,
             Err(SendError::MaybeSent) => return End::Cut(String::new()),
         };
+        let closes = response
+            .headers()
+            .get(header::CONNECTION)
+            .is_some_and(|value| value == "close");
         let end = if response.status() != StatusCode::OK {
             read_error(response).await
         } else if question.stream {
@@ -189,9 +193,9 @@
         } else {
             read_whole(response).await
         };
-        if matches!(end, End::Complete(_))
-            || matches!(&end, End::Error(error) if error.status != 200)
-        {
+        let is_read = matches!(end, End::Complete(_))
+            || matches!(&end, End::Error(error) if error.status != 200);
+        if is_read && !closes {
             self.pool.put(connection);
         }
         end
