--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -204,8 +204,9 @@
             bytes.clear();
             buffer = bytes;
         }
-        // Both ends close when the other way's task has let go of them, too.
         self.closed.set(true);
+        // Each way holds both ends, and closing one would wait for the other way's hold.
+        drop((from, to));
     }
 
     fn holds(&self) -> bool {
