Leaving and retention: tests seen to fail, silent log connections found sooner

Cause: the tests of pauses passed with the wait after a pause switched off, since reports of runners are outdated as well after it; calls to plain services have no such luck.

Change: the pause tests call a repeatable plain service too; the retention test kills every VM at once; a fresh VM starts with log and list both down; a writer whose record is in the log and not read back within 0.4 s has the log read anew.

--- a/src/stream.rs
+++ b/src/stream.rs
@@ -364,7 +364,7 @@
         loop {
             self.appends.set(self.appends.get() + 1);
             match self.log.append(&self.name, record.clone()).await {
-                Ok(_) => return self.wait_read_back().await,
+                Ok(_) => return self.insist_on_read_back().await,
                 Err(LogError::Refused) if !may_be_written => return self.give_up_open(),
                 Err(LogError::Refused) => {}
                 Err(LogError::Unanswered) => may_be_written = true,
@@ -377,6 +377,17 @@
         }
     }
 
+    /// Waits for an envelope that is in the log; a reader that does not see it reads anew.
+    async fn insist_on_read_back(&self) {
+        loop {
+            let wait = self.wait_read_back();
+            if compio::time::timeout(BEHIND_LIMIT, wait).await.is_ok() {
+                return;
+            }
+            self.nudge();
+        }
+    }
+
     async fn wait_read_back(&self) {
         loop {
             let changed = self.changed.wait();
--- a/workbench/tests/configuration.rs
+++ b/workbench/tests/configuration.rs
@@ -5,9 +5,11 @@
 use rattanjunction::Inventory;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use workbench::asker::{Asker, End, Question};
-use workbench::cluster::{Cluster, Plan};
+use workbench::cluster::{Cluster, PROXY_PORT, Plan};
+use workbench::proxy::Proxy;
 use workbench::shape::Shape;
 use workbench::web;
 
@@ -257,6 +259,26 @@
     });
 }
 
+#[googletest::test]
+fn silent_connections_to_the_log_do_not_hold_a_publication_up() {
+    block_on(async {
+        let ip = Cluster::pick_ip();
+        let mut plan = Plan::new(Shape::small(), 3);
+        let (log, address) = (SocketAddr::new(ip, 20_000), SocketAddr::new(ip, PROXY_PORT));
+        plan.detours = vec![(log, address)];
+        let proxy = Proxy::start(address, log).await;
+        let cluster = Cluster::start_at(plan, ip).await;
+        cluster.publish_and_settle(LIMIT).await;
+        for round in 0..2 {
+            proxy.silence();
+            let made = changed(&cluster, 17_000 + round);
+            let accepted = cluster.publish(0, &made, None).await;
+            let accepted = accepted.expect("new connections work");
+            wait_in_force(&cluster, accepted, IN_FORCE).await;
+        }
+    });
+}
+
 /// All that the control stream holds.
 async fn log_of(cluster: &Cluster) -> String {
     let path = "/streams/control/records?from=0&wait_ms=0";
@@ -316,6 +338,14 @@
         cluster.vms[1].signal(Signal::SIGCONT);
         cluster.restart_vm(2);
         wait_in_force(&cluster, accepted, LIMIT).await;
+        // Without any VM that knows it, what counts is in the log.
+        for vm in 0..3 {
+            cluster.vms[vm].kill();
+        }
+        for vm in 0..3 {
+            cluster.restart_vm(vm);
+        }
+        wait_in_force(&cluster, accepted, LIMIT).await;
         for vm in 1..3 {
             let base = revision(&cluster, 0).await;
             let made = changed(&cluster, 15_000 + vm as u64);
@@ -337,11 +367,14 @@
         cluster.restart_vm(2);
         wait_serving(&cluster, 2, Duration::from_secs(10)).await;
         expect_that!(revision(&cluster, 2).await, eq(base));
-        // The log forgets everything, and another VM starts from nothing.
+        // The log forgets everything, and another VM starts from nothing, with no list either.
+        cluster.set_platform(json!({"list_down": true})).await;
         compio::time::sleep(Duration::from_millis(RETENTION_MS)).await;
         cluster.restart_vm(1);
         wait_serving(&cluster, 1, Duration::from_secs(10)).await;
-        cluster.set_platform(json!({"log_down": false})).await;
+        cluster
+            .set_platform(json!({"log_down": false, "list_down": false}))
+            .await;
         cluster.restart_vm(0);
         let watch = Watch::new();
         watch
--- a/workbench/tests/leaving.rs
+++ b/workbench/tests/leaving.rs
@@ -163,8 +163,7 @@
 #[googletest::test]
 fn a_vm_that_wakes_with_an_old_view_refreshes_it_before_it_sends() {
     block_on(async {
-        let cluster = Cluster::start(plan()).await;
-        settle(&cluster).await;
+        let cluster = start_repeatable().await;
         check_wake(&cluster, mark_in_list, json!({})).await;
     });
 }
@@ -172,13 +171,20 @@
 #[googletest::test]
 fn a_vm_that_wakes_while_the_platform_is_down_asks_its_peers() {
     block_on(async {
-        let cluster = Cluster::start(plan()).await;
-        settle(&cluster).await;
+        let cluster = start_repeatable().await;
         let down = json!({"list_down": true, "log_down": true});
         check_wake(&cluster, mark_in_inventory, down).await;
     });
 }
 
+/// A site whose plain service takes calls without a key: they need no log.
+async fn start_repeatable() -> Cluster {
+    let mut cluster = Cluster::start(plan()).await;
+    cluster.inventory.services[0].idempotent = true;
+    settle(&cluster).await;
+    cluster
+}
+
 /// Marks the servers while a VM is paused with requests at its door, and wakes it late.
 async fn check_wake(cluster: &Cluster, mark: impl AsyncFn(&Cluster), then: Value) {
     for _ in 0..5 {
@@ -201,6 +207,9 @@
     };
     let asking = futures_util::future::join_all((0..10).map(async |_| {
         let address = cluster.caller_address(1);
+        let body = json!({"licence": 2});
+        let receipt = call(address, "/receipts", None, &body).await;
+        expect_that!(receipt, matches_pattern!(CallEnd::Answered(eq(&200), _)));
         for model in 0..3 {
             let question = Question::new(&Shape::model_name(model), "early", 2);
             let outcome = Asker::default().ask(address, &question).await;
