--- a/src/cli.rs
+++ b/src/cli.rs
@@ -62,6 +62,12 @@
                         .value_name("REVISION")
                         .value_parser(value_parser!(u64))
                         .help("Refuse unless this revision is in force"),
+                )
+                .arg(
+                    Arg::new("start_anew")
+                        .long("start-anew")
+                        .action(ArgAction::SetTrue)
+                        .help("Begin anew where the configuration was lost with the log's records"),
                 ),
         )
         .subcommand(
@@ -165,6 +171,7 @@
     let inventory: Inventory = load_json(path)?;
     let publication = Publication {
         base: matches.get_one("base").copied(),
+        start_anew: matches.get_flag("start_anew"),
         inventory,
     };
     let answer = runtime()?.block_on(exchange(matches, "publish", Some(&publication)))?;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -30,6 +30,9 @@
 pub(crate) struct Publication {
     /// The revision that the change was made from; the present one if absent.
     pub(crate) base: Option<u64>,
+    /// Whether to begin anew where the configuration in force was lost.
+    #[serde(default)]
+    pub(crate) start_anew: bool,
     /// The whole inventory.
     pub(crate) inventory: Inventory,
 }
@@ -126,6 +129,9 @@
         if !problems.is_empty() {
             return Err(Failure::new(Kind::InvalidInventory, problems.join("; ")));
         }
+        if publication.start_anew {
+            self.start_anew().await?;
+        }
         let present = self.control.with(|control| control.revision);
         let base = publication.base.unwrap_or(present);
         let command = Command::Publish {
@@ -146,6 +152,30 @@
         Ok(conflict(base, revision))
     }
 
+    /// Begins with an empty state, if nobody knows the one that was in force.
+    async fn start_anew(&self) -> Result<(), Failure> {
+        if self.control.is_known() || self.membership.furthest_peer(0).is_some() {
+            let message = "the configuration in force is known; publish without starting anew";
+            return Err(Failure::new(Kind::Conflict, message));
+        }
+        let unavailable = |_| {
+            let message = "the log does not take the publication now";
+            Failure::new(Kind::LogUnavailable, message)
+        };
+        self.control.start_anew().await.map_err(unavailable)?;
+        let known = async {
+            loop {
+                let changed = self.control.changed();
+                if self.control.is_ready() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        let waited = compio::time::timeout(PUBLISH_LIMIT, known).await;
+        waited.map_err(|_elapsed| Failure::new(Kind::LogUnavailable, "the log is not readable"))
+    }
+
     /// Records a publication, and says what is known of it when that takes too long.
     async fn record(&self, command: Command) -> Result<Recorded<Verdict>, Failure> {
         let proposed = self.control.propose(command);
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -95,6 +95,8 @@
         writers: HashMap<Name, LastSeen>,
         state: S,
     },
+    /// Everything before was lost: every reader goes on from the empty state.
+    Restart {},
 }
 
 #[derive(Clone, Copy, Deserialize, Serialize)]
@@ -300,6 +302,19 @@
         self.log.append(&self.name, record).await.map(|_offset| ())
     }
 
+    /// Appends a record from which on every reader begins with an empty state.
+    ///
+    /// Only for a stream whose records have lapsed and whose state no VM knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log does not answer.
+    pub(crate) async fn start_anew(&self) -> Result<(), LogError> {
+        let envelope = Envelope::<F::Command, F>::Restart {};
+        let record = serde_json::to_vec(&envelope).expect("a constant serializes");
+        self.log.append(&self.name, record).await.map(|_offset| ())
+    }
+
     /// The present state, for the log or for a peer.
     pub(crate) fn state(&self) -> FoldedState {
         let read_to = self.next_offset.get();
@@ -486,6 +501,7 @@
                 }
             }
             Ok(Envelope::Snapshot { .. }) => self.snapshot_at_ms.set(at_ms),
+            Ok(Envelope::Restart {}) => self.restart(offset),
             Err(error) => crate::events::emit(
                 crate::events::Event::RecordUnreadable,
                 format_args!("stream={} offset={offset} error={error}", self.name),
@@ -561,7 +577,7 @@
             }
             for record in page.records {
                 from = record.offset + 1;
-                if self.restore(first, record.data.get()) {
+                if self.restore(first, record.data.get()) || self.restart_at(&record) {
                     self.snapshot_at_ms.set(record.at_ms);
                     self.fold_records(records);
                     return true;
@@ -579,6 +595,22 @@
         false
     }
 
+    /// Begins with the empty state if the record says so.
+    fn restart_at(&self, record: &LogRecord) -> bool {
+        let envelope = serde_json::from_str::<Envelope<F::Command, F>>(record.data.get());
+        let restarts = matches!(envelope, Ok(Envelope::Restart {}));
+        if restarts {
+            self.restart(record.offset);
+        }
+        restarts
+    }
+
+    fn restart(&self, offset: u64) {
+        self.fold.take();
+        self.writers.take();
+        self.next_offset.set(offset + 1);
+    }
+
     /// Restores a snapshot that ends at or behind `first`.
     fn restore(&self, first: u64, data: &str) -> bool {
         let Ok(Envelope::Snapshot {
--- a/workbench/tests/configuration.rs
+++ b/workbench/tests/configuration.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use workbench::asker::{Asker, End, Question};
 use workbench::cluster::{Cluster, PROXY_PORT, Plan};
-use workbench::proxy::Proxy;
+use workbench::proxy::{Faults, Proxy};
 use workbench::shape::Shape;
 use workbench::web;
 
@@ -279,6 +279,68 @@
     });
 }
 
+#[googletest::test]
+fn a_publication_called_unknown_may_land_when_its_vm_is_gone() {
+    block_on(async {
+        let ip = Cluster::pick_ip();
+        let mut plan = Plan::new(Shape::small(), 3);
+        let log = SocketAddr::new(ip, 20_000);
+        let address = SocketAddr::new(ip, PROXY_PORT);
+        plan.vm_settings = vec![(0, json!({"log_address": address}))];
+        let proxy = Proxy::start(address, log).await;
+        let mut cluster = Cluster::start_at(plan, ip).await;
+        cluster.publish_and_settle(LIMIT).await;
+        proxy.set(Faults {
+            hold_requests: true,
+            ..Faults::default()
+        });
+        let made = changed(&cluster, 18_000);
+        let answer = cluster.publish(0, &made, None).await;
+        let (status, answer) = answer.expect_err("the append is held");
+        expect_that!(status, eq(504), "{answer}");
+        cluster.vms[0].kill();
+        proxy.set(Faults::default());
+        cluster
+            .wait_for("the publication lands", LIMIT, async || {
+                deadline_in_force(&cluster, 1).await == 18_000
+                    && deadline_in_force(&cluster, 2).await == 18_000
+            })
+            .await;
+    });
+}
+
+#[googletest::test]
+fn a_configuration_that_nobody_knows_any_more_is_missed_and_started_anew() {
+    block_on(async {
+        let mut cluster = start(RETENTION_MS).await;
+        for vm in 0..3 {
+            cluster.vms[vm].kill();
+        }
+        let (_, end) = log_bounds(&cluster).await;
+        wait_lapsed(&cluster, end - 1).await;
+        for vm in 0..3 {
+            cluster.restart_vm(vm);
+        }
+        cluster
+            .wait_for("the loss is told", LIMIT, async || {
+                let health = web::get(cluster.operator_address(0), "/health").await;
+                health.is_some_and(|health| health["warnings"].to_string().contains("not known"))
+            })
+            .await;
+        let refused = cluster.publish(0, &cluster.inventory, Some(0)).await;
+        let refused = refused.expect_err("nothing is known").0;
+        expect_that!(refused, eq(503));
+        let body = json!({"start_anew": true, "inventory": &cluster.inventory});
+        let answer = web::post(cluster.operator_address(0), "/publish", &body).await;
+        let (_, answer) = answer.expect("an answer");
+        let revision = answer["revision"].as_u64().expect("it is accepted");
+        wait_in_force(&cluster, revision, IN_FORCE).await;
+        wait_serving(&cluster, 2, LIMIT).await;
+        let again = web::post(cluster.operator_address(1), "/publish", &body).await;
+        expect_that!(again.expect("an answer").0.as_u16(), eq(409));
+    });
+}
+
 /// All that the control stream holds.
 async fn log_of(cluster: &Cluster) -> String {
     let path = "/streams/control/records?from=0&wait_ms=0";
