--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod asker;
+pub mod capacity;
 pub mod cluster;
 pub mod demo;
 pub mod engine;
@@ -14,5 +15,6 @@
 pub mod proxy;
 pub mod service;
 pub mod shape;
+pub mod soak;
 pub mod usage;
 pub mod web;
