Operators' side: dry run, explain, watch, import, check of everything at once

`check` stopped at the first error of shape and named no line for broken rules; a publication's effect could not be seen before; why a request or a copy went where it did had to be searched for in logs.

Ruled out: moving the planner to a trait for the rehearsal; the fold's commands do.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,10 +1,12 @@
 //! The command line.
 
-use crate::config::{Config, load_json};
+use crate::check;
+use crate::config::Config;
 use crate::error::Fault;
 use crate::events::EVENTS;
 use crate::inventory::Inventory;
 use crate::operator::Publication;
+use crate::register;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
 use serde_json::Value;
@@ -12,6 +14,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Exit code for settings, inventories or arguments that are not valid.
 const EXIT_INVALID: u8 = 2;
@@ -20,6 +23,11 @@
 /// Exit code for what the system refused, such as a conflicting change.
 const EXIT_REFUSED: u8 = 4;
 
+/// The time between two looks of `status --watch`.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+/// What clears a terminal before the next look.
+const CLEAR_SCREEN: &str = "\x1b[2J\x1b[H";
+
 /// Describes the command line.
 pub fn command() -> Command {
     let via = Arg::new("via")
@@ -68,13 +76,49 @@
                         .long("start-anew")
                         .action(ArgAction::SetTrue)
                         .help("Begin anew where the configuration was lost with the log's records"),
+                )
+                .arg(
+                    Arg::new("dry_run")
+                        .long("dry-run")
+                        .action(ArgAction::SetTrue)
+                        .help("Show what would move and whether everything fits; change nothing"),
                 ),
         )
         .subcommand(
             Command::new("status")
                 .about("Show VMs, runners, models and the revision in force")
-                .arg(via)
-                .arg(json),
+                .arg(via.clone())
+                .arg(json)
+                .arg(
+                    Arg::new("watch")
+                        .long("watch")
+                        .action(ArgAction::SetTrue)
+                        .help("Look again every second"),
+                ),
+        )
+        .subcommand(
+            Command::new("explain")
+                .about("Tell why a request, model or runner was routed or placed as it was")
+                .arg(
+                    Arg::new("about")
+                        .value_name("REQUEST-ID|MODEL|RUNNER")
+                        .required(true)
+                        .help("What to explain, from the recent decisions of the asked VM"),
+                )
+                .arg(via),
+        )
+        .subcommand(
+            Command::new("import")
+                .about("Print an inventory with servers and models from an asset register in CSV")
+                .arg(csv("servers", "Backend servers, a row each"))
+                .arg(csv("models", "Models and adapters, a row each"))
+                .arg(
+                    Arg::new("into")
+                        .long("into")
+                        .value_name("FILE")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("The inventory, in JSON, that gives all the rest"),
+                ),
         )
         .subcommand(
             Command::new("check")
@@ -93,6 +137,14 @@
         )
 }
 
+fn csv(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("CSV")
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
 fn file(help: &'static str) -> Arg {
     Arg::new("file")
         .value_name("FILE")
@@ -109,6 +161,8 @@
         Some(("publish", matches)) => publish(matches),
         Some(("status", matches)) => status(matches),
         Some(("check", matches)) => check(matches),
+        Some(("explain", matches)) => explain(matches),
+        Some(("import", matches)) => import(matches),
         Some(("events", _)) => {
             print_events();
             Ok(())
@@ -168,38 +222,115 @@
 
 fn publish(matches: &ArgMatches) -> Result<(), Report<Fault>> {
     let path: &PathBuf = matches.get_one("file").expect("required");
-    let inventory: Inventory = load_json(path)?;
     let publication = Publication {
         base: matches.get_one("base").copied(),
         start_anew: matches.get_flag("start_anew"),
-        inventory,
+        dry_run: matches.get_flag("dry_run"),
+        inventory: check::load(path, Inventory::problems)?,
     };
     let answer = runtime()?.block_on(exchange(matches, "publish", Some(&publication)))?;
+    if publication.dry_run {
+        return print_forecast(&answer);
+    }
     println!("revision {} is in force", answer["revision"]);
     Ok(())
 }
 
+/// Prints what a publication would bring; one that does not fit is refused.
+fn print_forecast(forecast: &Value) -> Result<(), Report<Fault>> {
+    println!("{:<8} {:<32} {:<16} REASON", "ORDER", "ARTIFACT", "RUNNER");
+    for step in items(&forecast["moves"]) {
+        println!(
+            "{:<8} {:<32} {:<16} {}",
+            text(&step["order"]),
+            text(&step["artifact"]),
+            text(&step["runner"]),
+            text(&step["reason"])
+        );
+    }
+    println!("{} moves", items(&forecast["moves"]).count());
+    let revision = text(&forecast["revision"]);
+    if forecast["base_in_force"] == false {
+        let message = format!("conflict: revision {revision} is in force");
+        return Err(Report::new(Fault::Refused).attach(message));
+    }
+    let missing: Vec<String> = items(&forecast["missing"]).map(text).collect();
+    if missing.is_empty() {
+        println!("everything fits");
+        return Ok(());
+    }
+    let message = format!("no place for {}", missing.join(", "));
+    Err(Report::new(Fault::Refused).attach(message))
+}
+
 fn status(matches: &ArgMatches) -> Result<(), Report<Fault>> {
-    let answer = runtime()?.block_on(exchange(matches, "status", None))?;
-    if matches.get_flag("json") {
-        println!("{answer:#}");
-    } else {
-        print_status(&answer);
+    let runtime = runtime()?;
+    loop {
+        let answer = runtime.block_on(exchange(matches, "status", None))?;
+        if matches.get_flag("watch") {
+            print!("{CLEAR_SCREEN}");
+        }
+        if matches.get_flag("json") {
+            println!("{answer:#}");
+        } else {
+            print_status(&answer);
+        }
+        if !matches.get_flag("watch") {
+            return Ok(());
+        }
+        runtime.block_on(compio::time::sleep(WATCH_INTERVAL));
+    }
+}
+
+fn explain(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let about: &String = matches.get_one("about").expect("required");
+    let route = format!("explain?about={about}");
+    let answer = runtime()?.block_on(exchange(matches, &route, None))?;
+    for decision in items(&answer["decisions"]) {
+        println!(
+            "{} {:<14} {}",
+            text(&decision["at_ms"]),
+            text(&decision["event"]),
+            text(&decision["fields"])
+        );
+    }
+    if items(&answer["decisions"]).next().is_none() {
+        let message = format!("the asked VM made no recent decision about {about}");
+        return Err(Report::new(Fault::Refused).attach(message));
+    }
+    Ok(())
+}
+
+fn import(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let path = |name: &str| matches.get_one::<PathBuf>(name);
+    let mut inventory = match path("into") {
+        // What is imported may be what the rest lacks; so the rules come last.
+        Some(path) => check::load(path, |_: &Inventory| Vec::new())?,
+        None => Inventory::default(),
+    };
+    if let Some(path) = path("servers") {
+        register::import_servers(&mut inventory, path)?;
+    }
+    if let Some(path) = path("models") {
+        register::import_models(&mut inventory, path)?;
     }
+    let problems = inventory.problems();
+    if !problems.is_empty() {
+        let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        return Err(Report::new(Fault::Settings).attach(lines.join("\n  ")));
+    }
+    let inventory = serde_json::to_string_pretty(&inventory).change_context(Fault::Settings)?;
+    println!("{inventory}");
     Ok(())
 }
 
 fn check(matches: &ArgMatches) -> Result<(), Report<Fault>> {
     let path: &PathBuf = matches.get_one("file").expect("required");
-    let value: Value = load_json(path)?;
+    let value: Value = check::load(path, |_| Vec::new())?;
     if value.get("caller_address").is_some() {
         Config::load(path)?;
     } else {
-        let inventory: Inventory = load_json(path)?;
-        let problems = inventory.problems();
-        if !problems.is_empty() {
-            return Err(Report::new(Fault::Settings).attach(problems.join("\n  ")));
-        }
+        check::load(path, Inventory::problems)?;
     }
     println!("{} is valid", path.display());
     Ok(())
@@ -248,6 +379,9 @@
         status["revision"],
         text(&status["vm"])
     );
+    for warning in items(&status["warnings"]) {
+        println!("warning: {}", text(warning));
+    }
     println!(
         "\n{:<16} {:<14} {:<6} {:>9}",
         "VM", "ZONE", "ALIVE", "REVISION"
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,8 +1,9 @@
 //! The settings of one VM, read from a JSON file.
 
+use crate::check;
 use crate::error::Fault;
-use crate::inventory::Name;
-use error_stack::{Report, ResultExt};
+use crate::inventory::{Name, Problem};
+use error_stack::Report;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -69,30 +70,22 @@
     ///
     /// Names the field, the line and what is allowed, for everything that is wrong.
     pub fn load(path: &Path) -> Result<Self, Report<Fault>> {
-        let config: Self = load_json(path)?;
-        let problems = config.problems();
-        if problems.is_empty() {
-            return Ok(config);
-        }
-        Err(Report::new(Fault::Settings).attach(format!(
-            "{}:\n  {}",
-            path.display(),
-            problems.join("\n  ")
-        )))
+        check::load(path, Self::problems)
     }
 
-    /// Everything that is out of range, in plain sentences.
-    pub fn problems(&self) -> Vec<String> {
+    /// Everything that is out of range.
+    pub fn problems(&self) -> Vec<Problem> {
         let mut problems = Vec::new();
         if self.vm.is_empty() {
-            problems.push("vm must not be empty".to_owned());
+            problems.push(Problem::new("vm", "must not be empty"));
         }
         if self.availability_zone.is_empty() {
-            problems.push("availability_zone must not be empty".to_owned());
+            problems.push(Problem::new("availability_zone", "must not be empty"));
         }
         let mut range = |field: &str, value: u64, low: u64, high: u64| {
             if !(low..=high).contains(&value) {
-                problems.push(format!("{field} is {value}, allowed are {low} to {high}"));
+                let message = format!("is {value}, allowed are {low} to {high}");
+                problems.push(Problem::new(field, message));
             }
         };
         range(
@@ -107,24 +100,3 @@
         problems
     }
 }
-
-/// Reads a JSON file, with the place of the first error in the report.
-///
-/// # Errors
-///
-/// Fails when the file cannot be read or does not have the shape of `T`.
-pub(crate) fn load_json<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, Report<Fault>> {
-    let text = std::fs::read_to_string(path)
-        .change_context(Fault::Settings)
-        .attach_with(|| format!("{} cannot be read", path.display()))?;
-    let mut deserializer = serde_json::Deserializer::from_str(&text);
-    serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-        let field = error.path().to_string();
-        // The message of serde_json ends with the line and the column.
-        Report::new(Fault::Settings).attach(format!(
-            "{}: field {field}: {}",
-            path.display(),
-            error.into_inner()
-        ))
-    })
-}
--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -3,12 +3,14 @@
 mod backend_server;
 mod caller;
 mod model;
+mod problem;
 mod rules;
 mod service;
 
 pub use backend_server::{BackendServer, Duty};
 pub use caller::{Caller, Priority};
 pub use model::{Adapter, Model};
+pub use problem::Problem;
 pub use rules::{MovePolicy, Rules};
 pub use service::PlainService;
 
@@ -41,13 +43,13 @@
 }
 
 impl Inventory {
-    /// Checks every rule and returns all that is wrong, in plain sentences.
+    /// Checks every rule and returns all that is wrong.
     ///
     /// ```
     /// use rattanjunction::Inventory;
     /// assert!(Inventory::default().problems().is_empty());
     /// ```
-    pub fn problems(&self) -> Vec<String> {
+    pub fn problems(&self) -> Vec<Problem> {
         let mut problems = Vec::new();
         self.check_names(&mut problems);
         self.check_services(&mut problems);
@@ -88,79 +90,51 @@
             .filter(|server| server.duty == Duty::Runner)
     }
 
-    fn check_names(&self, problems: &mut Vec<String>) {
-        unique(
-            "models",
-            self.models.iter().map(|model| &model.name),
-            problems,
-        );
-        unique(
-            "backend_servers",
-            self.backend_servers.iter().map(|server| &server.name),
-            problems,
-        );
-        unique(
-            "services",
-            self.services.iter().map(|service| &service.name),
-            problems,
-        );
-        unique(
-            "callers",
-            self.callers.iter().map(|caller| &caller.name),
-            problems,
-        );
-        unique(
-            "api keys",
-            self.callers.iter().map(|caller| &caller.api_key),
-            problems,
-        );
-        for model in &self.models {
-            let list = format!("adapters of model {}", model.name);
-            unique(
-                &list,
-                model.adapters.iter().map(|adapter| &adapter.name),
-                problems,
-            );
+    fn check_names(&self, problems: &mut Vec<Problem>) {
+        let models = self.models.iter().map(|model| &model.name);
+        unique("models", "name", models, problems);
+        let servers = self.backend_servers.iter().map(|server| &server.name);
+        unique("backend_servers", "name", servers, problems);
+        let services = self.services.iter().map(|service| &service.name);
+        unique("services", "name", services, problems);
+        let callers = self.callers.iter().map(|caller| &caller.name);
+        unique("callers", "name", callers, problems);
+        let keys = self.callers.iter().map(|caller| &caller.api_key);
+        unique("callers", "api_key", keys, problems);
+        for (index, model) in self.models.iter().enumerate() {
+            let list = format!("models[{index}].adapters");
+            let adapters = model.adapters.iter().map(|adapter| &adapter.name);
+            unique(&list, "name", adapters, problems);
             if model.weights_mib == 0 {
-                problems.push(format!(
-                    "model {}: weights_mib must be at least 1",
-                    model.name
-                ));
+                let field = format!("models[{index}].weights_mib");
+                problems.push(Problem::new(field, "must be at least 1"));
             }
         }
     }
 
-    fn check_services(&self, problems: &mut Vec<String>) {
-        for service in &self.services {
+    fn check_services(&self, problems: &mut Vec<Problem>) {
+        for (index, service) in self.services.iter().enumerate() {
+            let field = |field: &str| format!("services[{index}].{field}");
             if !service.path.starts_with('/') || service.path == "/" {
-                problems.push(format!(
-                    "service {}: path must start with / and name a route",
-                    service.name
-                ));
+                let message = "must start with / and name a route";
+                problems.push(Problem::new(field("path"), message));
             }
             if service.backend_servers.is_empty() {
-                problems.push(format!(
-                    "service {}: backend_servers is empty",
-                    service.name
-                ));
+                problems.push(Problem::new(field("backend_servers"), "must not be empty"));
             }
-            for name in &service.backend_servers {
-                match self.backend_server(name) {
-                    Some(server) if server.duty == Duty::Service => {}
-                    Some(_) => problems.push(format!(
-                        "service {}: backend server {name} has duty runner, not service",
-                        service.name
-                    )),
-                    None => problems.push(format!(
-                        "service {}: backend server {name} is not listed",
-                        service.name
-                    )),
-                }
+            for (place, name) in service.backend_servers.iter().enumerate() {
+                let message = match self.backend_server(name) {
+                    Some(server) if server.duty == Duty::Service => continue,
+                    Some(_) => format!("{name} has duty runner, not service"),
+                    None => format!("{name} is not among backend_servers"),
+                };
+                let field = field(&format!("backend_servers[{place}]"));
+                problems.push(Problem::new(field, message));
             }
         }
     }
 
-    fn check_memory(&self, problems: &mut Vec<String>) {
+    fn check_memory(&self, problems: &mut Vec<Problem>) {
         if self.models.is_empty() {
             return;
         }
@@ -175,13 +149,14 @@
             .map(|model| model.resident_mib() * u64::from(model.min_replicas))
             .sum();
         if need_mib > room_mib {
-            problems.push(format!(
-                "models do not fit: {} models need {need_mib} MiB (weights and adapters, times \
+            let message = format!(
+                "do not fit: {} models need {need_mib} MiB (weights and adapters, times \
                  min_replicas), runners that stay have {room_mib} MiB (memory_mib - kv_mib); \
                  {} MiB are missing",
                 self.models.len(),
                 need_mib - room_mib
-            ));
+            );
+            problems.push(Problem::new("models", message));
         }
         let largest_mib = self
             .runners()
@@ -189,39 +164,48 @@
             .map(BackendServer::weights_room_mib)
             .max()
             .unwrap_or(0);
-        for model in &self.models {
+        for (index, model) in self.models.iter().enumerate() {
             if model.resident_mib() > largest_mib {
-                problems.push(format!(
-                    "model {} does not fit: it needs {} MiB with its adapters, the largest runner \
-                     has {largest_mib} MiB",
+                let message = format!(
+                    "{} does not fit: it needs {} MiB with its adapters, the largest runner that \
+                     stays has {largest_mib} MiB",
                     model.name,
                     model.resident_mib()
-                ));
+                );
+                problems.push(Problem::new(format!("models[{index}]"), message));
             }
         }
     }
 
-    fn check_rules(&self, problems: &mut Vec<String>) {
-        for server in &self.backend_servers {
+    fn check_rules(&self, problems: &mut Vec<Problem>) {
+        for (index, server) in self.backend_servers.iter().enumerate() {
             if server.duty == Duty::Runner && server.kv_mib >= server.memory_mib {
-                problems.push(format!(
-                    "backend server {}: kv_mib ({}) must be below memory_mib ({})",
-                    server.name, server.kv_mib, server.memory_mib
-                ));
+                let message = format!(
+                    "{} must be below memory_mib, which is {}",
+                    server.kv_mib, server.memory_mib
+                );
+                let field = format!("backend_servers[{index}].kv_mib");
+                problems.push(Problem::new(field, message));
             }
         }
         self.rules.check(problems);
     }
 }
 
-fn unique<'a>(list: &str, names: impl Iterator<Item = &'a Name>, problems: &mut Vec<String>) {
+fn unique<'a>(
+    list: &str,
+    field: &str,
+    names: impl Iterator<Item = &'a Name>,
+    problems: &mut Vec<Problem>,
+) {
     let mut seen = HashSet::new();
-    for name in names {
+    for (index, name) in names.enumerate() {
+        let field = || format!("{list}[{index}].{field}");
         if name.is_empty() {
-            problems.push(format!("{list}: a name is empty"));
+            problems.push(Problem::new(field(), "must not be empty"));
         }
         if !seen.insert(name) {
-            problems.push(format!("{list}: {name} is listed twice"));
+            problems.push(Problem::new(field(), format!("{name} is listed twice")));
         }
     }
 }
--- a/src/inventory/rules.rs
+++ b/src/inventory/rules.rs
@@ -1,6 +1,6 @@
 //! Rules on priority and placement.
 
-use super::Priority;
+use super::{Priority, Problem};
 use serde::{Deserialize, Serialize};
 
 /// Rules on top of the asset register.
@@ -26,7 +26,7 @@
 }
 
 impl Rules {
-    pub(crate) fn check(&self, problems: &mut Vec<String>) {
+    pub(crate) fn check(&self, problems: &mut Vec<Problem>) {
         self.moves.check(problems);
     }
 }
@@ -57,20 +57,21 @@
 }
 
 impl MovePolicy {
-    fn check(&self, problems: &mut Vec<String>) {
+    fn check(&self, problems: &mut Vec<Problem>) {
         if !(self.cost_requests >= 0.0 && self.cost_requests.is_finite()) {
-            problems.push("rules.moves.cost_requests must be a number of at least 0".into());
+            let field = "rules.moves.cost_requests";
+            problems.push(Problem::new(field, "must be a number of at least 0"));
         }
         if !(self.busy_factor >= 1.0 && self.busy_factor.is_finite()) {
-            problems.push("rules.moves.busy_factor must be a number of at least 1".into());
+            let field = "rules.moves.busy_factor";
+            problems.push(Problem::new(field, "must be a number of at least 1"));
         }
         if self.payback_ms == 0 {
-            problems.push("rules.moves.payback_ms must be at least 1".into());
+            problems.push(Problem::new("rules.moves.payback_ms", "must be at least 1"));
         }
         if let Some(hour) = self.busy_hours.iter().find(|hour| **hour > 23) {
-            problems.push(format!(
-                "rules.moves.busy_hours: {hour} is not an hour from 0 to 23"
-            ));
+            let message = format!("{hour} is not an hour from 0 to 23");
+            problems.push(Problem::new("rules.moves.busy_hours", message));
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! they must agree on they take from the order of records in the platform's
 //! log; docs/DESIGN.md tells why.
 
+mod check;
 pub mod cli;
 mod client;
 mod completion;
@@ -28,6 +29,10 @@
 mod plain;
 mod planner;
 mod platform;
+mod recent;
+mod reference;
+mod register;
+mod rehearsal;
 mod router;
 mod server;
 mod shutdown;
@@ -43,7 +48,8 @@
 pub use http::{Body, ReadError, json_response, listen, read_body, serve as serve_http};
 pub use inventory::{
     Adapter, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name, PlainService,
-    Priority, Rules,
+    Priority, Problem, Rules,
 };
+pub use reference::{FIELDS, FieldRow};
 pub use server::serve;
 pub use shutdown::{OpenGuard, Shutdown};
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -10,6 +10,8 @@
 use crate::kernel::{Kernel, Service};
 use crate::membership::Membership;
 use crate::metrics::{Metrics, StreamLabels};
+use crate::recent;
+use crate::rehearsal::Rehearsal;
 use crate::server::{ControlStream, KeyStream};
 use crate::stream::{ProposeError, Recorded};
 use hyper::body::Incoming;
@@ -33,6 +35,9 @@
     /// Whether to begin anew where the configuration in force was lost.
     #[serde(default)]
     pub(crate) start_anew: bool,
+    /// Whether only to tell what would come of it.
+    #[serde(default)]
+    pub(crate) dry_run: bool,
     /// The whole inventory.
     pub(crate) inventory: Inventory,
 }
@@ -75,6 +80,7 @@
             (&Method::GET, "/metrics") => Ok(self.metrics()),
             (&Method::GET, "/status") => Ok(json_response(StatusCode::OK, &self.status())),
             (&Method::GET, "/inventory") => Ok(self.inventory()),
+            (&Method::GET, "/explain") => Ok(explain(request.uri().query().unwrap_or_default())),
             (&Method::POST, "/publish") => self.publish(request.into_body()).await,
             (_, path) => Err(Failure::new(Kind::NotFound, format!("no route for {path}"))),
         };
@@ -127,8 +133,12 @@
             })?;
         let problems = publication.inventory.problems();
         if !problems.is_empty() {
+            let problems: Vec<String> = problems.iter().map(ToString::to_string).collect();
             return Err(Failure::new(Kind::InvalidInventory, problems.join("; ")));
         }
+        if publication.dry_run {
+            return Ok(self.forecast(publication));
+        }
         if publication.start_anew {
             self.start_anew().await?;
         }
@@ -152,6 +162,27 @@
         Ok(conflict(base, revision))
     }
 
+    /// Tells what would move, and whether everything would find its place.
+    fn forecast(&self, publication: Publication) -> Response<Body> {
+        let (revision, rehearsal) = self.control.with(|control| {
+            let rehearsal = Rehearsal::new(control, publication.inventory);
+            (control.revision, rehearsal)
+        });
+        let forecast = rehearsal.run(|name| {
+            // A runner that is new with this publication is taken for ready.
+            let known = self.fleet.runner(name);
+            known.is_none_or(|runner| runner.is_up()) && !self.membership.is_server_leaving(name)
+        });
+        let body = json!({
+            "revision": revision,
+            "base_in_force": publication.base.is_none_or(|base| base == revision),
+            "fits": forecast.missing.is_empty(),
+            "moves": forecast.moves,
+            "missing": forecast.missing,
+        });
+        json_response(StatusCode::OK, &body)
+    }
+
     /// Begins with an empty state, if nobody knows the one that was in force.
     async fn start_anew(&self) -> Result<(), Failure> {
         if self.control.is_known() || self.membership.furthest_peer(0).is_some() {
@@ -281,6 +312,26 @@
     }
 }
 
+/// The recent decisions of this VM about what the query names.
+fn explain(query: &str) -> Response<Body> {
+    let what = query.strip_prefix("about=").unwrap_or_default();
+    let decisions: Vec<Value> = recent::about(what)
+        .iter()
+        .map(|decision| {
+            json!({
+                "at_ms": decision.at_ms,
+                "event": decision.row.name,
+                "text": decision.row.text,
+                "fields": decision.fields,
+            })
+        })
+        .collect();
+    json_response(
+        StatusCode::OK,
+        &json!({"about": what, "decisions": decisions}),
+    )
+}
+
 /// The answer to an operator whose change lost to another.
 fn conflict(base: u64, revision: u64) -> Response<Body> {
     let message = format!(
--- /dev/null
+++ b/workbench/tests/operators.rs
@@ -0,0 +1,189 @@
+//! The operators' commands against a running site, and the page of metrics.
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::process::{Command, Output};
+use std::time::Duration;
+use workbench::asker::{Asker, Question, call};
+use workbench::cluster::{Cluster, Plan, product_binary};
+use workbench::shape::Shape;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    compio::runtime::Runtime::new()
+        .expect("a runtime needs nothing special")
+        .block_on(future)
+}
+
+/// Runs a command of the product against a VM.
+fn run(cluster: &Cluster, vm: usize, arguments: &[&str]) -> Output {
+    Command::new(product_binary())
+        .args(arguments)
+        .args(["--via", &cluster.operator_address(vm).to_string()])
+        .output()
+        .expect("the program starts")
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&[&output.stdout[..], &output.stderr].concat()).into_owned()
+}
+
+async fn start() -> Cluster {
+    let cluster = Cluster::start(Plan::new(Shape::small(), 3)).await;
+    cluster.publish_and_settle(LIMIT).await;
+    cluster
+}
+
+/// Writes an inventory into a file of its own.
+fn write(inventory: &rattanjunction::Inventory, name: &str) -> String {
+    let path = std::env::temp_dir().join(format!("rattanjunction-{}-{name}", std::process::id()));
+    let text = serde_json::to_string(inventory).expect("it serializes");
+    std::fs::write(&path, text).expect("a file");
+    path.display().to_string()
+}
+
+#[googletest::test]
+fn a_dry_run_tells_moves_and_fit_and_changes_nothing() {
+    block_on(async {
+        let cluster = start().await;
+        let mut inventory = cluster.inventory.clone();
+        inventory.models[0].version = "2".into();
+        let path = write(&inventory, "version.json");
+        let before = log_end(&cluster).await;
+        let output = run(&cluster, 1, &["publish", &path, "--dry-run"]);
+        expect_that!(output.status.code(), some(eq(0)), "{}", said(&output));
+        expect_that!(said(&output), contains_substring("everything fits"));
+        let lines = said(&output);
+        let moved = |order: &str, artifact: &str| {
+            let mut lines = lines.lines();
+            lines.any(|line| line.starts_with(order) && line.contains(artifact))
+        };
+        expect_true!(moved("load", "model-0@2"));
+        expect_true!(moved("unload", "model-0@1"));
+        // A model that no runner has room for beside the others.
+        for (index, model) in inventory.models.iter_mut().enumerate() {
+            model.weights_mib = [60_000, 61_000, 62_000][index];
+            model.version = "3".into();
+            model.adapters.clear();
+        }
+        let extra = rattanjunction::Model {
+            name: "model-x".into(),
+            weights_mib: 4_500,
+            ..inventory.models[0].clone()
+        };
+        inventory.models.push(extra);
+        let path = write(&inventory, "full.json");
+        let output = run(&cluster, 1, &["publish", &path, "--dry-run"]);
+        expect_that!(output.status.code(), some(eq(4)), "{}", said(&output));
+        expect_that!(said(&output), contains_substring("no place for"));
+        expect_that!(said(&output), contains_substring("model-x@3"));
+        expect_that!(published(&cluster, before).await, eq(0));
+    });
+}
+
+async fn log_end(cluster: &Cluster) -> u64 {
+    let path = "/streams/control/records?from=0&wait_ms=0";
+    let page = workbench::web::get(cluster.platform_address(), path).await;
+    page.and_then(|page| page["end"].as_u64()).unwrap_or(0)
+}
+
+/// Publications in the log from an offset on.
+async fn published(cluster: &Cluster, from: u64) -> usize {
+    let path = format!("/streams/control/records?from={from}&wait_ms=0");
+    let page = workbench::web::get(cluster.platform_address(), &path).await;
+    let text = page.expect("the log answers").to_string();
+    text.matches("\"Publish\"").count()
+}
+
+#[googletest::test]
+fn a_lost_race_has_its_exit_code_and_names_the_winner() {
+    block_on(async {
+        let cluster = start().await;
+        let base = cluster.status(0).await.expect("a status")["revision"].to_string();
+        let path = write(&cluster.inventory, "race.json");
+        let first = run(&cluster, 0, &["publish", &path, "--base", &base]);
+        expect_that!(first.status.code(), some(eq(0)), "{}", said(&first));
+        let second = run(&cluster, 1, &["publish", &path, "--base", &base]);
+        expect_that!(second.status.code(), some(eq(4)));
+        let now = cluster.status(0).await.expect("a status")["revision"].to_string();
+        expect_that!(
+            said(&second),
+            contains_substring(format!("revision {now} is in force"))
+        );
+    });
+}
+
+#[googletest::test]
+fn explain_and_status_tell_what_was_decided() {
+    block_on(async {
+        let cluster = start().await;
+        let outcome = Asker::default()
+            .ask(
+                cluster.caller_address(2),
+                &Question::new("model-1", "why", 3),
+            )
+            .await;
+        expect_that!(outcome.text(), some(anything()));
+        let routed = run(&cluster, 2, &["explain", "model-1"]);
+        expect_that!(routed.status.code(), some(eq(0)), "{}", said(&routed));
+        expect_that!(said(&routed), contains_substring("routed"));
+        let line = said(&routed);
+        let id = line
+            .split("request=")
+            .nth(1)
+            .and_then(|rest| rest.split(' ').next());
+        let by_id = run(&cluster, 2, &["explain", id.expect("a request id")]);
+        expect_that!(said(&by_id), contains_substring("model=model-1@1"));
+        let placed: String = (0..3)
+            .map(|vm| said(&run(&cluster, vm, &["explain", "model-1"])))
+            .collect();
+        expect_that!(placed, contains_substring("load_placed"));
+        let nothing = run(&cluster, 2, &["explain", "nothing"]);
+        expect_that!(nothing.status.code(), some(eq(4)));
+        let status = run(&cluster, 1, &["status", "--json"]);
+        let status: Value = serde_json::from_slice(&status.stdout).expect("JSON");
+        expect_that!(status["warnings"], eq(&json!([])));
+        let table = run(&cluster, 1, &["status"]);
+        expect_that!(said(&table), contains_substring("RESIDENT ON"));
+    });
+}
+
+#[googletest::test]
+fn the_page_of_metrics_shows_what_vms_report() {
+    block_on(async {
+        let cluster = start().await;
+        let question = Question::new("model-0", "count", 3);
+        let mut reported = BTreeSet::new();
+        for vm in 0..3 {
+            Asker::default()
+                .ask(cluster.caller_address(vm), &question)
+                .await;
+            let key = uuid::Uuid::now_v7().to_string();
+            let body = json!({"licence": 1});
+            call(cluster.caller_address(vm), "/receipts", Some(&key), &body).await;
+            reported.extend(metrics(&cluster, vm).await);
+        }
+        let page = include_str!("../../docs/METRICS.md");
+        let rows = page.lines().filter_map(|line| {
+            let mut cells = line.split('|').map(|cell| cell.trim().trim_matches('`'));
+            let (name, kind) = (cells.nth(1)?, cells.next()?);
+            name.starts_with("rattanjunction_")
+                .then(|| format!("{name} {kind}"))
+        });
+        let shown: BTreeSet<String> = rows.collect();
+        expect_that!(reported, eq(&shown));
+    });
+}
+
+/// The names and types of a VM's metrics.
+async fn metrics(cluster: &Cluster, vm: usize) -> Vec<String> {
+    let url = format!("http://{}/metrics", cluster.operator_address(vm));
+    let client = cyper::Client::new().expect("a client");
+    let request = client.get(url).expect("a valid address");
+    let response = request.send().await.expect("the VM answers");
+    let text = response.text().await.expect("text");
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    types.map(str::to_owned).collect()
+}
