--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -14,10 +14,11 @@
 
 /// The time between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
-/// The ports of a site, below those that the system gives out by itself.
-const PLATFORM_PORT: u16 = 20_000;
+/// The platform's port; all ports of a site lie below those that the system gives out.
+pub const PLATFORM_PORT: u16 = 20_000;
 const RUNNER_PORT: u16 = 20_100;
-const SERVER_PORT: u16 = 20_400;
+/// The first port of the plain service's servers.
+pub const SERVER_PORT: u16 = 20_400;
 const VM_PORT: u16 = 20_500;
 /// Ports from here on are free for proxies.
 pub const PROXY_PORT: u16 = 21_000;
@@ -394,6 +395,12 @@
         self.runners[index] = self.spawn_runner(index);
     }
 
+    /// Starts a plain service's server, again after it was killed.
+    pub fn restart_server(&mut self, index: usize) {
+        self.servers[index].kill();
+        self.servers[index] = self.spawn_server(index);
+    }
+
     /// Starts a VM's process, again after it was killed.
     pub fn restart_vm(&mut self, index: usize) {
         self.vms[index].kill();
