--- a/src/completion.rs
+++ b/src/completion.rs
@@ -264,7 +264,11 @@
                 let failure = Failure::new(Kind::Malformed, "the engine cannot read the request");
                 return Err(AttemptError::Final(failure));
             }
-            StatusCode::NOT_FOUND => return Err(AttemptError::NotRun("not_loaded")),
+            StatusCode::NOT_FOUND => {
+                // The report that led here is older than an unload.
+                choice.runner.note_not_loaded(&choice.target.artifacts());
+                return Err(AttemptError::NotRun("not_loaded"));
+            }
             _ => return Err(AttemptError::NotRun("refused_by_engine")),
         }
         self.ran = true;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -57,14 +57,14 @@
         self.books.get(runner).cloned().unwrap_or_default()
     }
 
-    /// The runners on which an artifact is resident.
+    /// The runners that answer and on which an artifact is resident.
     pub(crate) fn resident_on<'a>(
         &'a self,
         artifact: &'a Artifact,
     ) -> impl Iterator<Item = &'a Name> {
         self.books
             .iter()
-            .filter(|(_, book)| book.is_resident(artifact))
+            .filter(|(_, book)| !book.down && book.is_resident(artifact))
             .map(|(runner, _)| runner)
     }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -79,6 +79,15 @@
         .unwrap_or(false)
     }
 
+    /// Notes that the runner does not hold all of these artifacts, whatever its last report says.
+    pub(crate) fn note_not_loaded(&self, artifacts: &[String]) {
+        if let Some((_, report)) = self.report.borrow_mut().as_mut() {
+            report
+                .artifacts
+                .retain(|held| !artifacts.contains(&held.name));
+        }
+    }
+
     /// Requests of this VM on the runner.
     pub(crate) fn in_flight(&self) -> u32 {
         self.in_flight.get()
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -226,12 +226,13 @@
                         .books
                         .iter()
                         .filter(|(_, book)| {
-                            book.copies.iter().any(|(artifact, copy)| {
-                                artifact.model == model.name
-                                    && artifact.adapter.is_none()
-                                    && artifact.version == model.version
-                                    && copy.state == CopyState::Resident
-                            })
+                            !book.down
+                                && book.copies.iter().any(|(artifact, copy)| {
+                                    artifact.model == model.name
+                                        && artifact.adapter.is_none()
+                                        && artifact.version == model.version
+                                        && copy.state == CopyState::Resident
+                                })
                         })
                         .map(|(name, _)| name)
                         .collect();
--- a/src/router.rs
+++ b/src/router.rs
@@ -36,11 +36,13 @@
     }
 
     fn is_ready_on(&self, runner: &Runner) -> bool {
-        runner.is_ready(&self.base.to_string())
-            && self
-                .adapter
-                .as_ref()
-                .is_none_or(|adapter| runner.is_ready(&adapter.to_string()))
+        self.artifacts().iter().all(|name| runner.is_ready(name))
+    }
+
+    /// The artifacts by the names that engines use.
+    pub(crate) fn artifacts(&self) -> Vec<String> {
+        let artifacts = std::iter::once(&self.base).chain(&self.adapter);
+        artifacts.map(ToString::to_string).collect()
     }
 
     /// The same target in other versions that some runner may still hold.
