A publication's record holds the change alone

Change: where the asked VM holds the base, the record names what is set and removed in each list (Command::Amend); the fold makes the inventory of it. A change that this cannot tell, such as another order of a list, or a base the VM does not hold, is recorded whole as before. Ruled out: JSON merge patch, which replaces lists whole.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,7 +1,7 @@
 //! Commands of the control stream.
 
 use super::{Artifact, CopyState};
-use crate::inventory::{Inventory, Name};
+use crate::inventory::{Inventory, InventoryChange, Name};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
@@ -39,6 +39,11 @@
 pub(crate) enum Command {
     /// Puts an inventory in force, if `base` is the revision in force.
     Publish { base: u64, inventory: Rc<Inventory> },
+    /// Puts the inventory in force with a change, if `base` is its revision.
+    Amend {
+        base: u64,
+        change: Rc<InventoryChange>,
+    },
     /// Takes over a group, if `after` is the fence of the present claim.
     Claim { group: Name, vm: Name, after: u64 },
     /// Sets memory aside and allows the order to load.
@@ -109,7 +114,10 @@
             | Self::MarkDown { under, runner }
             | Self::Fence { under, runner }
             | Self::Reset { under, runner, .. } => Some((under, runner)),
-            Self::Publish { .. } | Self::Claim { .. } | Self::Suspect { .. } => None,
+            Self::Publish { .. }
+            | Self::Amend { .. }
+            | Self::Claim { .. }
+            | Self::Suspect { .. } => None,
         }
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -206,6 +206,7 @@
             Command::Fence { .. } => Verdict::Accepted,
             Command::Load { .. }
             | Command::Publish { .. }
+            | Command::Amend { .. }
             | Command::Claim { .. }
             | Command::Suspect { .. } => Verdict::Refused,
         }
@@ -226,6 +227,10 @@
     fn apply(&mut self, position: Position, writer: &Name, command: Command) -> Verdict {
         match command {
             Command::Publish { base, inventory } => self.publish(position.fence, base, inventory),
+            Command::Amend { base, change } => {
+                let inventory = Rc::new(change.apply(&self.inventory));
+                self.publish(position.fence, base, inventory)
+            }
             Command::Claim { group, vm, after } => {
                 self.claim(position.fence, writer, group, vm, after)
             }
--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend_server;
 mod caller;
+mod change;
 mod model;
 mod problem;
 mod rules;
@@ -9,6 +10,7 @@
 
 pub use backend_server::{BackendServer, Duty};
 pub use caller::{Caller, Priority};
+pub(crate) use change::InventoryChange;
 pub use model::{Adapter, Model};
 pub use problem::Problem;
 pub use rules::{MovePolicy, Rules};
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -6,7 +6,7 @@
 use crate::events::{Event, emit};
 use crate::fleet::Fleet;
 use crate::http::{Body, json_response, read_body};
-use crate::inventory::{Inventory, Name};
+use crate::inventory::{Inventory, InventoryChange, Name};
 use crate::kernel::{Kernel, Service};
 use crate::membership::Membership;
 use crate::metrics::{Metrics, StreamLabels};
@@ -144,10 +144,7 @@
         }
         let present = self.control.with(|control| control.revision);
         let base = publication.base.unwrap_or(present);
-        let command = Command::Publish {
-            base,
-            inventory: Rc::new(publication.inventory),
-        };
+        let command = self.command(base, publication.inventory);
         let recorded = self.record(command).await?;
         let accepted = recorded.verdict == Verdict::Accepted;
         let revision = self.control.with(|control| control.revision);
@@ -207,6 +204,24 @@
         waited.map_err(|_elapsed| Failure::new(Kind::LogUnavailable, "the log is not readable"))
     }
 
+    /// The command of a publication: the change alone where the base is known here.
+    fn command(&self, base: u64, inventory: Inventory) -> Command {
+        let change = self.control.with(|control| {
+            let known = control.revision == base && base > 0;
+            known.then(|| InventoryChange::between(&control.inventory, &inventory))?
+        });
+        match change {
+            Some(change) => Command::Amend {
+                base,
+                change: Rc::new(change),
+            },
+            None => Command::Publish {
+                base,
+                inventory: Rc::new(inventory),
+            },
+        }
+    }
+
     /// Records a publication, and says what is known of it when that takes too long.
     async fn record(&self, command: Command) -> Result<Recorded<Verdict>, Failure> {
         let proposed = self.control.propose(command);
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -199,9 +199,7 @@
             cluster.vms.push(process);
         }
         for index in 0..cluster.plan.vms {
-            cluster
-                .wait_up(cluster.operator_address(index), "/status")
-                .await;
+            cluster.wait_reading(index).await;
         }
         cluster.inventory = cluster.make_inventory();
         cluster
@@ -324,6 +322,19 @@
         .await;
     }
 
+    /// Waits until a VM has read the log once: before that it takes no publication.
+    async fn wait_reading(&self, vm: usize) {
+        self.wait_for(
+            &format!("vm-{vm} reads the log"),
+            Duration::from_secs(20),
+            async || {
+                let status = self.status(vm).await;
+                status.is_some_and(|status| status["log_silence_ms"].is_u64())
+            },
+        )
+        .await;
+    }
+
     /// A VM's status.
     pub async fn status(&self, vm: usize) -> Option<Value> {
         web::get(self.operator_address(vm), "/status").await
--- a/workbench/tests/operators.rs
+++ b/workbench/tests/operators.rs
@@ -94,7 +94,69 @@
     let path = format!("/streams/control/records?from={from}&wait_ms=0");
     let page = workbench::web::get(cluster.platform_address(), &path).await;
     let text = page.expect("the log answers").to_string();
-    text.matches("\"Publish\"").count()
+    text.matches("\"Publish\"").count() + text.matches("\"Amend\"").count()
+}
+
+#[googletest::test]
+fn a_change_costs_its_own_size_and_is_the_same_everywhere() {
+    block_on(async {
+        let cluster = start().await;
+        let first = cluster.inventory.clone();
+        let mut changed = first.clone();
+        changed.callers[0].deadline_ms += 1;
+        let mut listed = changed.clone();
+        listed.callers.remove(1);
+        listed.models.push(rattanjunction::Model {
+            name: "model-new".into(),
+            weights_mib: 100,
+            ..listed.models[0].clone()
+        });
+        listed.models[0].min_replicas = 2;
+        let mut turned = listed.clone();
+        turned.models.reverse();
+        let mut sizes = Vec::new();
+        for (round, inventory) in [changed, listed, turned].iter().enumerate() {
+            let before = log_end(&cluster).await;
+            let revision = cluster.publish(round, inventory, None).await;
+            let revision = revision.expect("it is accepted");
+            sizes.push(record_bytes(&cluster, before).await);
+            cluster
+                .wait_for("it is in force everywhere", LIMIT, async || {
+                    let mut all = true;
+                    for vm in 0..3 {
+                        all &= in_force(&cluster, vm).await == json!([revision, inventory]);
+                    }
+                    all
+                })
+                .await;
+        }
+        let whole = json!(first).to_string().len();
+        println!("the inventory has {whole} bytes, records of its changes {sizes:?}");
+        expect_that!(sizes[0] * 4, lt(whole));
+        expect_that!(sizes[1] * 2, lt(whole));
+        // Another order of the list is told whole.
+        expect_that!(sizes[2], gt(whole));
+    });
+}
+
+/// The revision and the inventory in force on a VM.
+async fn in_force(cluster: &Cluster, vm: usize) -> Value {
+    let answer = workbench::web::get(cluster.operator_address(vm), "/inventory").await;
+    let answer = answer.unwrap_or_default();
+    json!([answer["revision"], answer["inventory"]])
+}
+
+/// The size of the first publication's record from an offset on.
+async fn record_bytes(cluster: &Cluster, from: u64) -> usize {
+    let path = format!("/streams/control/records?from={from}&wait_ms=0");
+    let page = workbench::web::get(cluster.platform_address(), &path).await;
+    let page = page.expect("the log answers");
+    let records = page["records"].as_array().into_iter().flatten();
+    let mut sizes = records
+        .map(|record| record["data"].to_string())
+        .filter(|data| data.contains("\"Publish\"") || data.contains("\"Amend\""))
+        .map(|data| data.len());
+    sizes.next().expect("the publication is in the log")
 }
 
 #[googletest::test]
