--- a/workbench/tests/configuration.rs
+++ b/workbench/tests/configuration.rs
@@ -341,6 +341,47 @@
     });
 }
 
+#[googletest::test]
+fn a_vm_whose_record_is_covered_by_a_peers_state_writes_again() {
+    block_on(async {
+        let ip = Cluster::pick_ip();
+        let mut plan = Plan::new(Shape::small(), 3);
+        let address = SocketAddr::new(ip, PROXY_PORT);
+        plan.vm_settings = vec![(0, json!({"log_address": address}))];
+        let proxy = Proxy::start(address, SocketAddr::new(ip, 20_000)).await;
+        let cluster = Cluster::start_at(plan, ip).await;
+        cluster.publish_and_settle(LIMIT).await;
+        // The record lands, and its VM hears of it from its peers alone.
+        proxy.set(Faults {
+            drop_answers: true,
+            ..Faults::default()
+        });
+        let made = changed(&cluster, 19_000);
+        let answer = cluster.publish(0, &made, None).await;
+        let (status, answer) = answer.expect_err("the log's answers are lost");
+        expect_that!(status, eq(504), "{answer}");
+        cluster
+            .wait_for("the publication is in force", LIMIT, async || {
+                let mut all = true;
+                for vm in 0..3 {
+                    all &= deadline_in_force(&cluster, vm).await == 19_000;
+                }
+                all
+            })
+            .await;
+        proxy.set(Faults::default());
+        let made = changed(&cluster, 19_001);
+        let next = Cell::new(0);
+        cluster
+            .wait_for("its VM publishes again", LIMIT, async || {
+                next.set(cluster.publish(0, &made, None).await.unwrap_or(0));
+                next.get() > 0
+            })
+            .await;
+        wait_in_force(&cluster, next.get(), IN_FORCE).await;
+    });
+}
+
 /// All that the control stream holds.
 async fn log_of(cluster: &Cluster) -> String {
     let path = "/streams/control/records?from=0&wait_ms=0";
