--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,11 +33,13 @@
 mod reference;
 mod register;
 mod rehearsal;
+mod retry;
 mod router;
 mod server;
 mod shutdown;
 mod signal;
 mod sse;
+mod stall;
 mod stream;
 mod wire;
 
