Give up spare copies on a runner made smaller; one address, one runner

Making `memory_mib` smaller left spare copies where they were; two runners at one address would have had two books for one engine; a version with `@` or without text does not survive the engines' names.

Placement unloads spare copies from a runner that holds more than its room. The inventory refuses the other two.

A runner made smaller holds one model of three after it. An old load that arrives after the reset of a restarted engine, before any new order, is refused by the fence.

--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -50,6 +50,8 @@
     pub fn problems(&self) -> Vec<String> {
         let mut problems = Vec::new();
         self.check_names(&mut problems);
+        self.check_versions(&mut problems);
+        self.check_addresses(&mut problems);
         self.check_services(&mut problems);
         self.check_memory(&mut problems);
         self.check_rules(&mut problems);
@@ -130,6 +132,36 @@
         }
     }
 
+    /// Engines name artifacts `model@version`, so a version can hold no `@`.
+    fn check_versions(&self, problems: &mut Vec<String>) {
+        for model in &self.models {
+            let own = (&model.name, &model.version);
+            let adapters = model.adapters.iter();
+            let adapters = adapters.map(|adapter| (&adapter.name, &adapter.version));
+            for (name, version) in std::iter::once(own).chain(adapters) {
+                if version.is_empty() || version.contains('@') {
+                    problems.push(format!(
+                        "{name} of model {}: version \"{version}\" must not be empty or hold @",
+                        model.name
+                    ));
+                }
+            }
+        }
+    }
+
+    /// Two names for one engine would count its memory twice.
+    fn check_addresses(&self, problems: &mut Vec<String>) {
+        let mut seen = HashSet::new();
+        for runner in self.runners() {
+            if !seen.insert(runner.address) {
+                problems.push(format!(
+                    "backend server {}: another runner has the address {} too",
+                    runner.name, runner.address
+                ));
+            }
+        }
+    }
+
     fn check_services(&self, problems: &mut Vec<String>) {
         for service in &self.services {
             if !service.path.starts_with('/') || service.path == "/" {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -51,6 +51,7 @@
     /// The moves to make now, the most urgent first.
     pub(crate) fn moves(&self) -> Vec<Move> {
         let mut moves = self.unloads();
+        moves.extend(self.shed());
         let budget = MAX_OPEN_LOADS.saturating_sub(self.control.open_loads());
         let mut loads = self.missing_adapters();
         let lacking = self.lacking();
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -35,15 +35,42 @@
         })
     }
 
+    /// Unloads on a runner whose memory was made smaller than what it holds.
+    pub(super) fn shed(&self) -> Vec<Move> {
+        if self.is_freeing() {
+            return Vec::new();
+        }
+        let mut overfull = self.runners.iter().map(|runner| {
+            let taken_mib = self.book(runner).taken_mib();
+            let over_mib = taken_mib.saturating_sub(runner.weights_room_mib());
+            self.spares(runner, over_mib, "memory_made_smaller").1
+        });
+        overfull
+            .find(|unloads| !unloads.is_empty())
+            .unwrap_or_default()
+    }
+
     /// The copies to give up on a runner for one of `model`, and their memory.
     fn spared_for(&self, model: &Model, runner: &BackendServer) -> Option<(u64, Vec<Move>)> {
-        let book = self.book(runner);
-        let free_mib = self.free_mib(runner) + book.reserved_mib(&Self::artifact(model));
+        let reserved_mib = self.book(runner).reserved_mib(&Self::artifact(model));
+        let free_mib = self.free_mib(runner) + reserved_mib;
         let missing_mib = model.resident_mib().saturating_sub(free_mib);
+        let (freed_mib, unloads) = self.spares(runner, missing_mib, "room_needed");
+        (freed_mib >= missing_mib && !unloads.is_empty()).then_some((freed_mib, unloads))
+    }
+
+    /// Copies on a runner that can be spared, until they make `needed_mib`.
+    fn spares(
+        &self,
+        runner: &BackendServer,
+        needed_mib: u64,
+        reason: &'static str,
+    ) -> (u64, Vec<Move>) {
+        let book = self.book(runner);
         let mut freed_mib = 0;
         let mut unloads = Vec::new();
         for base in book.copies.keys() {
-            if freed_mib >= missing_mib {
+            if freed_mib >= needed_mib {
                 break;
             }
             if !self.can_spare(runner, &book, base) {
@@ -55,12 +82,12 @@
                     unloads.push(Move::Unload {
                         runner: runner.name.clone(),
                         artifact: artifact.clone(),
-                        reason: "room_needed",
+                        reason,
                     });
                 }
             }
         }
-        (freed_mib >= missing_mib && !unloads.is_empty()).then_some((freed_mib, unloads))
+        (freed_mib, unloads)
     }
 
     /// Whether enough other copies of the model are ready without this one.
--- a/workbench/tests/memory.rs
+++ b/workbench/tests/memory.rs
@@ -435,6 +435,28 @@
     });
 }
 
+/// An old load arrives after the book of a restarted engine began anew, before any new order.
+#[googletest::test]
+fn an_old_load_after_the_reset_is_refused_by_the_fence() {
+    block_on(async {
+        let mut site = Site::start_with(true, 1).await;
+        let three = site.inventory(&[0, 1, 2], "1");
+        site.settle(&three).await;
+        site.capture("\"order\":\"load\"");
+        site.cluster.restart_runner(0);
+        let captured = async || site.captured() >= 1;
+        site.cluster
+            .wait_for("a new load is sent", LIMIT, captured)
+            .await;
+        let late = json!({"order": "load", "artifact": "model-9@1", "mib": 2 * MODEL_MIB + 1,
+            "fence": 1, "by_test": true});
+        site.order(0, &late).await;
+        site.capture("");
+        site.wait_quiet(&three).await;
+        site.check().await;
+    });
+}
+
 /// An engine holds something whose name is none of ours.
 #[googletest::test]
 fn memory_of_a_foreign_artifact_is_counted() {
@@ -529,3 +551,29 @@
         site.check().await;
     });
 }
+
+/// A runner's memory is made smaller: spare copies leave it, and none comes back.
+#[googletest::test]
+fn a_runner_made_smaller_gives_up_spare_copies() {
+    block_on(async {
+        let site = Site::start_with(false, 2).await;
+        let three = site.inventory(&[0, 1, 2], "1");
+        site.settle(&three).await;
+        site.cluster.wait_spread(LIMIT).await;
+        let mut smaller = three.clone();
+        smaller.backend_servers[0].memory_mib -= 2 * MODEL_MIB;
+        site.publish(&smaller).await;
+        site.cluster
+            .wait_for("the engine holds one model", LIMIT, async || {
+                let journal = site.cluster.runner_journal(0);
+                let used = journal
+                    .iter()
+                    .rev()
+                    .find_map(|line| line["used_mib"].as_u64());
+                used == Some(MODEL_MIB)
+            })
+            .await;
+        site.wait_quiet(&smaller).await;
+        site.check().await;
+    });
+}
