--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -54,6 +54,8 @@
     pub fn problems(&self) -> Vec<Problem> {
         let mut problems = Vec::new();
         self.check_names(&mut problems);
+        self.check_versions(&mut problems);
+        self.check_addresses(&mut problems);
         self.check_services(&mut problems);
         self.check_memory(&mut problems);
         self.check_rules(&mut problems);
@@ -114,6 +116,33 @@
         }
     }
 
+    /// Engines name artifacts `model@version`, so a version can hold no `@`.
+    fn check_versions(&self, problems: &mut Vec<Problem>) {
+        let mut check = |field: String, version: &Name| {
+            if version.is_empty() || version.contains('@') {
+                problems.push(Problem::new(field, "must not be empty or hold @"));
+            }
+        };
+        for (index, model) in self.models.iter().enumerate() {
+            check(format!("models[{index}].version"), &model.version);
+            for (place, adapter) in model.adapters.iter().enumerate() {
+                let field = format!("models[{index}].adapters[{place}].version");
+                check(field, &adapter.version);
+            }
+        }
+    }
+
+    /// Two names for one engine would count its memory twice.
+    fn check_addresses(&self, problems: &mut Vec<Problem>) {
+        let mut seen = HashSet::new();
+        for (index, server) in self.backend_servers.iter().enumerate() {
+            if server.duty == Duty::Runner && !seen.insert(server.address) {
+                let field = format!("backend_servers[{index}].address");
+                problems.push(Problem::new(field, "is that of another runner too"));
+            }
+        }
+    }
+
     fn check_services(&self, problems: &mut Vec<Problem>) {
         for (index, service) in self.services.iter().enumerate() {
             let field = |field: &str| format!("services[{index}].{field}");
