Pace appends of keys to a shared budget; retry what the log has no room for

Cause: each VM appended as often as it could, and one 429 of the log failed every call whose claim was in the append.

Change: all VMs share a budget of appends for keys (key_appends_per_s, 240 by default), each spacing its own by live VMs / budget. A writer whose record fell out of the log while its VM was paused no longer waits for it for ever.

Ruled out: only backing off without a budget (the log then refuses steadily, and the control stream's appends with it); pacing the control stream, whose planner writes one command after another.

--- a/src/config.rs
+++ b/src/config.rs
@@ -28,6 +28,9 @@
     /// How long the log keeps records.
     #[serde(default = "default_log_retention_ms")]
     pub log_retention_ms: u64,
+    /// Appends a second that all VMs together make for idempotency keys, at most.
+    #[serde(default = "default_key_appends_per_s")]
+    pub key_appends_per_s: u32,
     /// How long health answers fail before listeners close.
     #[serde(default = "default_drain_grace_ms")]
     pub drain_grace_ms: u64,
@@ -46,6 +49,10 @@
     3_600_000
 }
 
+fn default_key_appends_per_s() -> u32 {
+    240
+}
+
 fn default_drain_grace_ms() -> u64 {
     2_000
 }
@@ -101,6 +108,8 @@
             10_000,
             1_000_000_000_000,
         );
+        let key_appends_per_s = u64::from(self.key_appends_per_s);
+        range("key_appends_per_s", key_appends_per_s, 1, 1_000_000);
         range("drain_grace_ms", self.drain_grace_ms, 0, 600_000);
         range("drain_limit_ms", self.drain_limit_ms, 0, 3_600_000);
         range("max_body_bytes", self.max_body_bytes as u64, 1_024, 1 << 30);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 mod membership;
 mod metrics;
 mod operator;
+mod pace;
 mod pause;
 mod peer;
 mod placement;
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -231,8 +231,9 @@
         };
         let (sender, mut receiver) = oneshot::channel();
         let calls = self.clone();
+        let deadline = Instant::now() + CLAIM_TIMEOUT;
         compio::runtime::spawn(async move {
-            let Ok(recorded) = calls.keys.propose(command).await else {
+            let Ok(recorded) = calls.keys.propose_by(command, deadline).await else {
                 return;
             };
             let claim = recorded.position.fence;
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -20,6 +20,8 @@
 /// Why a call to the log failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LogError {
+    /// The log answered that it takes no more now, and did not do it.
+    Busy,
     /// The log answered that it did not do it.
     Refused,
     /// No answer came; an append may have taken effect.
@@ -130,6 +132,9 @@
                 .send()
                 .await
                 .map_err(|error| unanswered(&error))?;
+            if response.status() == StatusCode::TOO_MANY_REQUESTS {
+                return Err(LogError::Busy);
+            }
             if is_refusal(response.status()) {
                 return Err(LogError::Refused);
             }
--- a/src/server.rs
+++ b/src/server.rs
@@ -48,6 +48,9 @@
 /// The signals that begin a graceful shutdown: SIGTERM and SIGINT.
 const STOP_SIGNALS: [i32; 2] = [15, 2];
 
+/// How often the share of the log's appends is worked out anew.
+const PACE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Says in heartbeats how this VM is.
 struct Voice {
     config: Config,
@@ -111,6 +114,7 @@
     let kernel = assemble(&config, boot);
     start_peers(&kernel, &config, boot, peers);
     start_fleet(&kernel);
+    start_pace(&kernel, config.key_appends_per_s);
     let keeper = Keeper::new(&kernel, config.log_retention_ms);
     compio::runtime::spawn(keeper.run()).detach();
     compio::runtime::spawn(kernel.find::<Planner>().run()).detach();
@@ -192,6 +196,20 @@
     compio::runtime::spawn(membership.follow(list, found)).detach();
 }
 
+/// Keeps this VM's share of the appends in step with the number of VMs.
+fn start_pace(kernel: &Kernel, appends_per_s: u32) {
+    let keys: Rc<KeyStream> = kernel.find();
+    let membership: Rc<Membership> = kernel.find();
+    compio::runtime::spawn(async move {
+        loop {
+            keys.pace()
+                .share(appends_per_s, 1 + membership.live_peers());
+            compio::time::sleep(PACE_INTERVAL).await;
+        }
+    })
+    .detach();
+}
+
 /// Keeps the fleet in step with the inventory in force.
 fn start_fleet(kernel: &Kernel) {
     let control: Rc<ControlStream> = kernel.find();
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -15,6 +15,7 @@
 //! that no snapshot covers, takes a snapshot from a peer. It never skips records.
 
 use crate::inventory::Name;
+use crate::pace::Pace;
 use crate::platform::{LogError, LogRecord, LogService, Page};
 use crate::signal::Signal;
 use futures_channel::oneshot;
@@ -105,11 +106,38 @@
 
 type Waiter<V> = oneshot::Sender<Result<Recorded<V>, ProposeError>>;
 
-type Queued<F> = (<F as Fold>::Command, Waiter<<F as Fold>::Verdict>);
+/// A command that is to be written.
+struct Queued<F: Fold> {
+    command: F::Command,
+    waiter: Waiter<F::Verdict>,
+    /// From here on it is not appended for the first time.
+    deadline: Option<Instant>,
+}
+
+impl<F: Fold> Queued<F> {
+    fn is_expired(&self) -> bool {
+        self.deadline
+            .is_some_and(|deadline| deadline <= Instant::now())
+    }
+
+    fn end(self, outcome: Result<Recorded<F::Verdict>, ProposeError>) {
+        // A waiter that is gone needs no answer.
+        let _ = self.waiter.send(outcome);
+    }
+}
 
-struct OpenEnvelope<V> {
+/// The commands whose record may be in the log, but was not read back.
+struct OpenEnvelope<F: Fold> {
     sequence: u64,
-    waiters: Vec<Waiter<V>>,
+    entries: Vec<Queued<F>>,
+}
+
+impl<F: Fold> OpenEnvelope<F> {
+    fn fail(self, error: ProposeError) {
+        for entry in self.entries {
+            entry.end(Err(error));
+        }
+    }
 }
 
 /// A folded state as VMs hand it to each other.
@@ -130,7 +158,8 @@
     writers: RefCell<HashMap<Name, LastSeen>>,
     queue: RefCell<VecDeque<Queued<F>>>,
     queued: Signal,
-    open: RefCell<Option<OpenEnvelope<F::Verdict>>>,
+    pace: Pace,
+    open: RefCell<Option<OpenEnvelope<F>>>,
     open_since: Cell<Option<Instant>>,
     sequence: Cell<u64>,
     next_offset: Cell<u64>,
@@ -161,6 +190,7 @@
             writers: RefCell::default(),
             queue: RefCell::default(),
             queued: Signal::default(),
+            pace: Pace::default(),
             open: RefCell::new(None),
             open_since: Cell::new(None),
             sequence: Cell::new(0),
@@ -246,6 +276,11 @@
         self.appends.get()
     }
 
+    /// The pace of this VM's appends.
+    pub(crate) fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
     /// The next offset to be read.
     pub(crate) fn next_offset(&self) -> u64 {
         self.next_offset.get()
@@ -280,12 +315,33 @@
     pub(crate) async fn propose(
         &self,
         command: F::Command,
+    ) -> Result<Recorded<F::Verdict>, ProposeError> {
+        self.enqueue(command, None).await
+    }
+
+    /// Like [`Stream::propose`], but does not begin to write after `deadline`.
+    pub(crate) async fn propose_by(
+        &self,
+        command: F::Command,
+        deadline: Instant,
+    ) -> Result<Recorded<F::Verdict>, ProposeError> {
+        self.enqueue(command, Some(deadline)).await
+    }
+
+    async fn enqueue(
+        &self,
+        command: F::Command,
+        deadline: Option<Instant>,
     ) -> Result<Recorded<F::Verdict>, ProposeError> {
         if !self.is_writable() {
             return Err(ProposeError::NotRecorded);
         }
-        let (sender, receiver) = oneshot::channel();
-        self.queue.borrow_mut().push_back((command, sender));
+        let (waiter, receiver) = oneshot::channel();
+        self.queue.borrow_mut().push_back(Queued {
+            command,
+            waiter,
+            deadline,
+        });
         self.queued.notify();
         receiver.await.unwrap_or(Err(ProposeError::NotRecorded))
     }
@@ -331,50 +387,102 @@
     async fn write(self: Rc<Self>) {
         loop {
             if self.queue.borrow().is_empty() {
+                self.open_since.set(None);
                 let queued = self.queued.wait();
                 if self.queue.borrow().is_empty() {
                     queued.await;
                 }
                 continue;
             }
-            let record = self.open_envelope();
-            self.append_until_read_back(record).await;
-            self.open_since.set(None);
+            self.pace.turn().await;
+            if let Some(record) = self.open_envelope() {
+                self.append_until_read_back(record).await;
+            }
         }
     }
 
-    fn open_envelope(&self) -> Vec<u8> {
-        let mut queue = self.queue.borrow_mut();
-        let count = queue.len().min(MAX_BATCH);
-        let (commands, waiters) = queue.drain(..count).unzip();
+    /// Makes a record of what is queued; none if all of it came too late.
+    fn open_envelope(&self) -> Option<Vec<u8>> {
+        let entries = self.take_batch();
+        if entries.is_empty() {
+            return None;
+        }
         let sequence = self.sequence.get() + 1;
-        self.sequence.set(sequence);
-        self.open_since.set(Some(Instant::now()));
-        *self.open.borrow_mut() = Some(OpenEnvelope { sequence, waiters });
-        let envelope = Envelope::<F::Command, F>::Commands {
+        let envelope = Envelope::<&F::Command, &F>::Commands {
             writer: self.writer.clone(),
             sequence,
-            commands,
+            commands: entries.iter().map(|entry| &entry.command).collect(),
         };
-        serde_json::to_vec(&envelope).expect("commands serialize")
+        let record = serde_json::to_vec(&envelope).expect("commands serialize");
+        self.sequence.set(sequence);
+        let since = self.open_since.get().unwrap_or_else(Instant::now);
+        self.open_since.set(Some(since));
+        *self.open.borrow_mut() = Some(OpenEnvelope { sequence, entries });
+        Some(record)
+    }
+
+    fn take_batch(&self) -> Vec<Queued<F>> {
+        let mut entries = Vec::new();
+        let mut queue = self.queue.borrow_mut();
+        while entries.len() < MAX_BATCH
+            && let Some(entry) = queue.pop_front()
+        {
+            if entry.is_expired() {
+                entry.end(Err(ProposeError::NotRecorded));
+            } else {
+                entries.push(entry);
+            }
+        }
+        entries
     }
 
     async fn append_until_read_back(&self, record: Vec<u8>) {
         let mut may_be_written = false;
         loop {
-            self.appends.set(self.appends.get() + 1);
-            match self.log.append(&self.name, record.clone()).await {
-                Ok(_) => return self.wait_read_back().await,
-                Err(LogError::Refused) if !may_be_written => return self.give_up_open(),
-                Err(LogError::Refused) => {}
-                Err(LogError::Unanswered) => may_be_written = true,
+            match self.append(record.clone()).await {
+                None => {
+                    self.pace.note_taken();
+                    break;
+                }
+                Some(Ok(offset)) => {
+                    self.pace.note_taken();
+                    self.wait_read_past(offset).await;
+                    break;
+                }
+                Some(Err(LogError::Refused)) if !may_be_written => {
+                    self.give_up_open();
+                    break;
+                }
+                Some(Err(LogError::Busy)) if !may_be_written => {
+                    self.pace.note_refused();
+                    return self.requeue_open();
+                }
+                Some(Err(LogError::Busy | LogError::Refused)) => {}
+                Some(Err(LogError::Unanswered)) => may_be_written = true,
             }
             // The envelope may be in the log: look before sending it again.
             let wait = self.wait_read_back();
             if compio::time::timeout(READ_BACK_WAIT, wait).await.is_ok() {
-                return;
+                break;
             }
         }
+        self.open_since.set(None);
+    }
+
+    /// Appends a record; `None` if it was read back before the log answered.
+    async fn append(&self, record: Vec<u8>) -> Option<Result<u64, LogError>> {
+        self.appends.set(self.appends.get() + 1);
+        let (log, name) = (self.log.clone(), self.name.clone());
+        let (sender, answer) = oneshot::channel();
+        // A task of its own, so that its connection is kept though nobody waits.
+        compio::runtime::spawn(async move {
+            let _ = sender.send(log.append(&name, record).await);
+        })
+        .detach();
+        match select(answer, pin!(self.wait_read_back())).await {
+            Either::Left((answer, _)) => Some(answer.unwrap_or(Err(LogError::Unanswered))),
+            Either::Right(((), _)) => None,
+        }
     }
 
     async fn wait_read_back(&self) {
@@ -387,12 +495,37 @@
         }
     }
 
+    /// Waits until a record is read back, or was skipped as the log no longer keeps it.
+    async fn wait_read_past(&self, offset: u64) {
+        loop {
+            let changed = self.changed.wait();
+            if self.open.borrow().is_none() {
+                return;
+            }
+            if self.next_offset.get() > offset {
+                let open = self.open.take();
+                return open
+                    .into_iter()
+                    .for_each(|open| open.fail(ProposeError::VerdictLost));
+            }
+            changed.await;
+        }
+    }
+
     /// Ends the open envelope, which is known not to be in the log.
     fn give_up_open(&self) {
+        if let Some(open) = self.open.take() {
+            open.fail(ProposeError::NotRecorded);
+        }
+    }
+
+    /// Puts back what the log had no room for, to go with what came since.
+    fn requeue_open(&self) {
         let Some(open) = self.open.take() else { return };
-        for waiter in open.waiters {
-            // A waiter that is gone needs no answer.
-            let _ = waiter.send(Err(ProposeError::NotRecorded));
+        self.sequence.set(open.sequence - 1);
+        let mut queue = self.queue.borrow_mut();
+        for entry in open.entries.into_iter().rev() {
+            queue.push_front(entry);
         }
     }
 
@@ -506,7 +639,7 @@
         sequence: u64,
         commands: Vec<F::Command>,
     ) {
-        let mut waiters = self.take_waiters(writer, sequence).into_iter();
+        let mut entries = self.take_entries(writer, sequence).into_iter();
         for (index, command) in commands.into_iter().enumerate() {
             let position = Position {
                 // Fence 0 is kept for "none".
@@ -514,20 +647,19 @@
                 at_ms,
             };
             let verdict = self.fold.borrow_mut().apply(position, writer, command);
-            if let Some(waiter) = waiters.next() {
-                // A waiter that is gone acts on nothing.
-                let _ = waiter.send(Ok(Recorded { position, verdict }));
+            if let Some(entry) = entries.next() {
+                entry.end(Ok(Recorded { position, verdict }));
             }
         }
     }
 
-    fn take_waiters(&self, writer: &Name, sequence: u64) -> Vec<Waiter<F::Verdict>> {
+    fn take_entries(&self, writer: &Name, sequence: u64) -> Vec<Queued<F>> {
         if *writer != self.writer {
             return Vec::new();
         }
         let mut open = self.open.borrow_mut();
         match open.take() {
-            Some(envelope) if envelope.sequence == sequence => envelope.waiters,
+            Some(envelope) if envelope.sequence == sequence => envelope.entries,
             other => {
                 *open = other;
                 Vec::new()
@@ -592,13 +724,10 @@
     fn end_covered_envelope(&self) {
         let last = self.writers.borrow().get(&self.writer).copied();
         let Some(last) = last else { return };
-        let covered = |open: &mut OpenEnvelope<F::Verdict>| open.sequence <= last.sequence;
-        let Some(open) = self.open.borrow_mut().take_if(covered) else {
-            return;
-        };
-        for waiter in open.waiters {
-            // A waiter that is gone needs no answer.
-            let _ = waiter.send(Err(ProposeError::VerdictLost));
+        let covered = |open: &mut OpenEnvelope<F>| open.sequence <= last.sequence;
+        let open = self.open.borrow_mut().take_if(covered);
+        if let Some(open) = open {
+            open.fail(ProposeError::VerdictLost);
         }
     }
 }
--- a/workbench/tests/idempotency.rs
+++ b/workbench/tests/idempotency.rs
@@ -17,6 +17,9 @@
 /// Longer than a claim may take and a held request lingers.
 const SETTLE: Duration = Duration::from_millis(400);
 
+/// The time between two rounds of calls.
+const ROUND: Duration = Duration::from_millis(100);
+
 fn block_on<F: Future>(future: F) -> F::Output {
     compio::runtime::Runtime::new()
         .expect("a runtime needs nothing special")
@@ -464,6 +467,14 @@
                 site.run_once_healed((vm + 1) % 3, call).await;
             }
         }
+        // Connections to the log go silent, new ones work.
+        site.logs[0].silence();
+        let call = KeyedCall::new();
+        let answer = site.answer(0, &call).await;
+        if answer.status != 200 {
+            expect_that!(answer, refused("log_unavailable"));
+        }
+        site.run_once_healed(0, &call).await;
         site.check().await;
     });
 }
@@ -481,6 +492,28 @@
     }
 }
 
+#[googletest::test]
+fn more_calls_than_the_log_has_room_for_wait_their_turn() {
+    block_on(async {
+        let site = Site::start().await;
+        let change = json!({"max_appends_per_s": 12});
+        site.cluster.set_platform(change).await;
+        // Half a second of calls, so that many appends are refused as one too many.
+        let rounds = 5;
+        let calls: Vec<KeyedCall> = (0..rounds * 9).map(|_| KeyedCall::new()).collect();
+        let sends = calls.iter().enumerate().map(async |(index, call)| {
+            compio::time::sleep(ROUND * (index / 9) as u32).await;
+            site.answer(index % 3, call).await
+        });
+        let answers = join_all(sends).await;
+        expect_that!(answers, each(complete()));
+        let journal = site.cluster.platform_journal().await;
+        let refused = journal.iter().any(|line| line["kind"] == "append_refused");
+        expect_that!(refused, eq(true));
+        site.check().await;
+    });
+}
+
 #[googletest::test]
 fn a_claim_that_arrives_after_its_refusal_is_given_back() {
     block_on(async {
