--- a/src/stream.rs
+++ b/src/stream.rs
@@ -96,6 +96,8 @@
         writers: HashMap<Name, LastSeen>,
         state: S,
     },
+    /// Everything before was lost: every reader goes on from the empty state.
+    Restart {},
 }
 
 #[derive(Clone, Copy, Deserialize, Serialize)]
@@ -336,16 +338,32 @@
         if !self.is_writable() {
             return Err(ProposeError::NotRecorded);
         }
-        let (waiter, receiver) = oneshot::channel();
+        let (waiter, mut receiver) = oneshot::channel();
         self.queue.borrow_mut().push_back(Queued {
             command,
             waiter,
             deadline,
         });
         self.queued.notify();
+        if let Some(deadline) = deadline {
+            match compio::time::timeout_at(deadline, &mut receiver).await {
+                Ok(known) => return known.unwrap_or(Err(ProposeError::NotRecorded)),
+                Err(_elapsed) => self.drop_expired(),
+            }
+        }
         receiver.await.unwrap_or(Err(ProposeError::NotRecorded))
     }
 
+    /// Drops queued commands that came too late to be written.
+    fn drop_expired(&self) {
+        let queued = self.queue.take();
+        let (expired, rest): (VecDeque<_>, _) = queued.into_iter().partition(Queued::is_expired);
+        *self.queue.borrow_mut() = rest;
+        for entry in expired {
+            entry.end(Err(ProposeError::NotRecorded));
+        }
+    }
+
     /// Appends a snapshot of the present state.
     ///
     /// # Errors
@@ -356,6 +374,19 @@
         self.log.append(&self.name, record).await.map(|_offset| ())
     }
 
+    /// Appends a record from which on every reader begins with an empty state.
+    ///
+    /// Only for a stream whose records have lapsed and whose state no VM knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log does not answer.
+    pub(crate) async fn start_anew(&self) -> Result<(), LogError> {
+        let envelope = Envelope::<F::Command, F>::Restart {};
+        let record = serde_json::to_vec(&envelope).expect("a constant serializes");
+        self.log.append(&self.name, record).await.map(|_offset| ())
+    }
+
     /// The present state, for the log or for a peer.
     pub(crate) fn state(&self) -> FoldedState {
         let read_to = self.next_offset.get();
@@ -495,20 +526,20 @@
         }
     }
 
-    /// Waits until a record is read back, or was skipped as the log no longer keeps it.
+    /// Waits for a record that is in the log; a reader that does not see it reads anew.
+    ///
+    /// A reader that is past it without having seen it skipped it with others that
+    /// the log no longer keeps.
     async fn wait_read_past(&self, offset: u64) {
-        loop {
-            let changed = self.changed.wait();
-            if self.open.borrow().is_none() {
+        while self.next_offset.get() <= offset {
+            let wait = self.wait_read_back();
+            if compio::time::timeout(BEHIND_LIMIT, wait).await.is_ok() {
                 return;
             }
-            if self.next_offset.get() > offset {
-                let open = self.open.take();
-                return open
-                    .into_iter()
-                    .for_each(|open| open.fail(ProposeError::VerdictLost));
-            }
-            changed.await;
+            self.nudge();
+        }
+        if let Some(open) = self.open.take() {
+            open.fail(ProposeError::VerdictLost);
         }
     }
 
@@ -608,6 +639,7 @@
                 }
             }
             Ok(Envelope::Snapshot { .. }) => self.snapshot_at_ms.set(at_ms),
+            Ok(Envelope::Restart {}) => self.restart(offset),
             Err(error) => crate::events::emit(
                 crate::events::Event::RecordUnreadable,
                 format_args!("stream={} offset={offset} error={error}", self.name),
@@ -682,7 +714,7 @@
             }
             for record in page.records {
                 from = record.offset + 1;
-                if self.restore(first, record.data.get()) {
+                if self.restore(first, record.data.get()) || self.restart_at(&record) {
                     self.snapshot_at_ms.set(record.at_ms);
                     self.fold_records(records);
                     return true;
@@ -700,6 +732,22 @@
         false
     }
 
+    /// Begins with the empty state if the record says so.
+    fn restart_at(&self, record: &LogRecord) -> bool {
+        let envelope = serde_json::from_str::<Envelope<F::Command, F>>(record.data.get());
+        let restarts = matches!(envelope, Ok(Envelope::Restart {}));
+        if restarts {
+            self.restart(record.offset);
+        }
+        restarts
+    }
+
+    fn restart(&self, offset: u64) {
+        self.fold.take();
+        self.writers.take();
+        self.next_offset.set(offset + 1);
+    }
+
     /// Restores a snapshot that ends at or behind `first`.
     fn restore(&self, first: u64, data: &str) -> bool {
         let Ok(Envelope::Snapshot {
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -16,10 +16,12 @@
 const POLL: Duration = Duration::from_millis(20);
 /// The platform's port; all ports of a site lie below those that the system gives out.
 pub const PLATFORM_PORT: u16 = 20_000;
-const RUNNER_PORT: u16 = 20_100;
+/// The port of the first runner; the others follow.
+pub const RUNNER_PORT: u16 = 20_100;
 /// The first port of the plain service's servers.
 pub const SERVER_PORT: u16 = 20_400;
-const VM_PORT: u16 = 20_500;
+/// The first port of the first VM: callers, operators, peers; the other VMs follow.
+pub const VM_PORT: u16 = 20_500;
 /// Ports from here on are free for proxies.
 pub const PROXY_PORT: u16 = 21_000;
 
@@ -462,7 +464,7 @@
             "operator_address": self.operator_address(index),
             "peer_address": self.peer_address(index),
             "log_address": self.seen(self.platform_address()),
-            "vm_list_address": self.platform_address(),
+            "vm_list_address": self.seen(self.platform_address()),
             "log_retention_ms": self.plan.platform.retention_ms,
         });
         let own = self.plan.vm_settings.iter().filter(|(vm, _)| *vm == index);
