Keep where a reply stands in place of the reply

Cause: a VM held every answer of up to 4 KiB for as long as its key can be used.

Change: the folded state of a key is 32 bytes beside its 16-byte hash; the answer is found by its fence: the latest 2 MiB of answers are at hand, an older one is read from the log again, one record at a time (limit=1). During an outage an older answer is not to be had: the repeat is told that the call ran.

Ruled out: a shorter window (callers resend after minutes), keeping answers by the VM that made the call only (it may be gone).

--- a/src/idempotency.rs
+++ b/src/idempotency.rs
@@ -3,7 +3,8 @@
 use crate::inventory::Name;
 use crate::stream::{Fold, Position};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+use std::num::NonZeroU64;
 use std::rc::Rc;
 
 /// How long after its making a key may be used at most, by the log's clock.
@@ -15,6 +16,11 @@
 /// The part of the log's retention that a key's skew may take up.
 const RETENTION_PER_SKEW: u64 = 8;
 
+/// Bytes of late answers kept at hand; older ones are read from the log again.
+const RECENT_BYTES: usize = 2 * 1024 * 1024;
+/// What one kept answer takes beside its text.
+const RECENT_OVERHEAD_BYTES: usize = 128;
+
 /// How far a key's time may lie from the log's, for its claim to be valid.
 ///
 /// Each claim carries the window of its writer, so that the fold depends on the
@@ -59,6 +65,12 @@
     pub(crate) body: Option<Name>,
 }
 
+impl Reply {
+    fn bytes(&self) -> usize {
+        RECENT_OVERHEAD_BYTES + self.body.as_ref().map_or(0, |body| body.len())
+    }
+}
+
 /// What a writer asks for.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum KeyCommand {
@@ -86,8 +98,8 @@
     First,
     /// Another claim holds the key, and its call has no answer yet.
     Open,
-    /// The call ran, with this answer.
-    Replied(Rc<Reply>),
+    /// The call ran; its answer is recorded at this fence.
+    Replied(NonZeroU64),
     /// The key was used with another body.
     Mismatch,
     /// The key's time is outside of the window.
@@ -100,9 +112,30 @@
 struct KeyState {
     digest: u64,
     claim: u64,
-    writer: Name,
     at_ms: u64,
-    reply: Option<Rc<Reply>>,
+    reply: Option<NonZeroU64>,
+}
+
+/// The latest answers, up to a number of bytes.
+#[derive(Debug, Default)]
+struct RecentReplies {
+    replies: HashMap<NonZeroU64, Rc<Reply>>,
+    order: VecDeque<NonZeroU64>,
+    bytes: usize,
+}
+
+impl RecentReplies {
+    fn put(&mut self, fence: NonZeroU64, reply: Rc<Reply>) {
+        self.bytes += reply.bytes();
+        self.order.push_back(fence);
+        self.replies.insert(fence, reply);
+        while self.bytes > RECENT_BYTES
+            && let Some(oldest) = self.order.pop_front()
+        {
+            let dropped = self.replies.remove(&oldest);
+            self.bytes -= dropped.map_or(0, |reply| reply.bytes());
+        }
+    }
 }
 
 /// The folded state: every key that may still be used.
@@ -111,6 +144,8 @@
     #[serde(skip)]
     states: HashMap<KeyHash, KeyState>,
     #[serde(skip)]
+    recent: RecentReplies,
+    #[serde(skip)]
     swept_at_ms: u64,
 }
 
@@ -126,13 +161,12 @@
         self.states.len()
     }
 
-    fn claim(
-        &mut self,
-        position: Position,
-        writer: &Name,
-        key: KeyHash,
-        digest: u64,
-    ) -> KeyVerdict {
+    /// The answer recorded at a fence, if it is still at hand.
+    pub(crate) fn recent_reply(&self, fence: NonZeroU64) -> Option<Rc<Reply>> {
+        self.recent.replies.get(&fence).cloned()
+    }
+
+    fn claim(&mut self, position: Position, key: KeyHash, digest: u64) -> KeyVerdict {
         if let Some(state) = self.states.get(&key) {
             return state.verdict(digest);
         }
@@ -141,7 +175,6 @@
             KeyState {
                 digest,
                 claim: position.fence,
-                writer: writer.clone(),
                 at_ms: position.at_ms,
                 reply: None,
             },
@@ -163,9 +196,9 @@
 
 impl KeyState {
     fn verdict(&self, digest: u64) -> KeyVerdict {
-        match &self.reply {
+        match self.reply {
             _ if self.digest != digest => KeyVerdict::Mismatch,
-            Some(reply) => KeyVerdict::Replied(reply.clone()),
+            Some(fence) => KeyVerdict::Replied(fence),
             None => KeyVerdict::Open,
         }
     }
@@ -177,7 +210,7 @@
     // A key's record is kept for longer than the key may be used.
     const OUTLIVES_RETENTION: bool = false;
 
-    fn apply(&mut self, position: Position, writer: &Name, command: KeyCommand) -> KeyVerdict {
+    fn apply(&mut self, position: Position, _writer: &Name, command: KeyCommand) -> KeyVerdict {
         self.sweep(position.at_ms);
         match command {
             KeyCommand::Claim {
@@ -187,7 +220,7 @@
                 window,
             } => {
                 if window.admits(made_at_ms, position.at_ms) {
-                    self.claim(position, writer, key, digest)
+                    self.claim(position, key, digest)
                 } else {
                     KeyVerdict::Expired
                 }
@@ -195,17 +228,16 @@
             KeyCommand::Reply { key, claim, reply } => {
                 if let Some(state) = self.states.get_mut(&key)
                     && state.claim == claim
+                    && let Some(fence) = NonZeroU64::new(position.fence)
                 {
-                    state.reply = Some(reply);
+                    state.reply = Some(fence);
+                    self.recent.put(fence, reply);
                 }
                 KeyVerdict::Noted
             }
             KeyCommand::Release { key, claim } => {
-                let held = self
-                    .states
-                    .get(&key)
-                    .is_some_and(|state| state.claim == claim && state.writer == *writer);
-                if held {
+                let state = self.states.get(&key);
+                if state.is_some_and(|state| state.claim == claim) {
                     self.states.remove(&key);
                 }
                 KeyVerdict::Noted
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -21,6 +21,7 @@
 use hyper::{Method, Response, StatusCode, header};
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
@@ -337,7 +338,7 @@
         known: KeyVerdict,
     ) -> Option<Result<Response<Body>, Failure>> {
         match known {
-            KeyVerdict::Replied(reply) => Some(answer_reply(&reply)),
+            KeyVerdict::Replied(fence) => Some(self.kept_reply(fence).await),
             KeyVerdict::Mismatch => Some(Err(Failure::new(
                 Kind::KeyReused,
                 "the idempotency key was used with another request or another time",
@@ -352,6 +353,19 @@
         }
     }
 
+    /// The answer recorded at a fence, from the log if it is no longer at hand.
+    async fn kept_reply(&self, fence: NonZeroU64) -> Result<Response<Body>, Failure> {
+        if let Some(reply) = self.keys.with(|keys| keys.recent_reply(fence)) {
+            return answer_reply(&reply);
+        }
+        if let Ok(Some(KeyCommand::Reply { reply, .. })) = self.keys.command_at(fence.get()).await {
+            return answer_reply(&reply);
+        }
+        let message = "the call with this key ran; its answer cannot be read from the log now";
+        let failure = Failure::new(Kind::OutcomeUnknown, message);
+        Err(failure.ran(Ran::Yes).retry_after_s(5))
+    }
+
     async fn await_outcome(
         &self,
         key: KeyHash,
@@ -360,8 +374,8 @@
         let start = Instant::now();
         while start.elapsed() < OUTCOME_WAIT {
             let changed = self.keys.changed();
-            if let KeyVerdict::Replied(reply) = self.keys.with(|keys| keys.look(key, digest))? {
-                return Some(answer_reply(&reply));
+            if let KeyVerdict::Replied(fence) = self.keys.with(|keys| keys.look(key, digest))? {
+                return Some(self.kept_reply(fence).await);
             }
             let left = OUTCOME_WAIT.saturating_sub(start.elapsed());
             if compio::time::timeout(left, changed).await.is_err() {
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -2,7 +2,8 @@
 //!
 //! `POST /streams/{stream}/records` appends the body as one record and answers
 //! `{"offset": n}`. `GET /streams/{stream}/records?from=N&wait_ms=W` answers a
-//! page, held open until a record at `N` exists or `W` has passed.
+//! page, held open until a record at `N` exists or `W` has passed. With `limit=L`
+//! a page has at most `L` records.
 
 use hyper::StatusCode;
 use prometheus_client::metrics::counter::Counter;
@@ -63,6 +64,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Page, LogError>>;
 
+    /// Reads the record at an offset, if the log still keeps it.
+    fn read_one(
+        &self,
+        stream: &str,
+        offset: u64,
+    ) -> impl Future<Output = Result<Option<LogRecord>, LogError>>;
+
     /// Leaves connections behind that may have gone silent.
     fn renew(&self);
 }
@@ -159,6 +167,19 @@
     async fn read(&self, stream: &str, from: u64, wait: Duration) -> Result<Page, LogError> {
         let wait_ms = wait.as_millis();
         let url = format!("{}?from={from}&wait_ms={wait_ms}", self.url(stream));
+        self.read_page(url, wait + READ_SLACK).await
+    }
+
+    async fn read_one(&self, stream: &str, offset: u64) -> Result<Option<LogRecord>, LogError> {
+        let url = format!("{}?from={offset}&wait_ms=0&limit=1", self.url(stream));
+        let page = self.read_page(url, READ_SLACK).await?;
+        let mut records = page.records.into_iter();
+        Ok(records.next().filter(|record| record.offset == offset))
+    }
+}
+
+impl HttpLog {
+    async fn read_page(&self, url: String, timeout: Duration) -> Result<Page, LogError> {
         let call = async {
             let response = self
                 .client()
@@ -177,7 +198,7 @@
             self.bytes.inc_by(body.len() as u64);
             serde_json::from_slice(&body).map_err(|_garbled| LogError::Unanswered)
         };
-        match compio::time::timeout(wait + READ_SLACK, call).await {
+        match compio::time::timeout(timeout, call).await {
             Ok(outcome) => outcome,
             Err(_elapsed) => {
                 self.renew();
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -364,6 +364,25 @@
         }
     }
 
+    /// Reads one command from the log again, by the fence that it got.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log does not answer.
+    pub(crate) async fn command_at(&self, fence: u64) -> Result<Option<F::Command>, LogError> {
+        let place = fence.saturating_sub(1);
+        let (offset, index) = (place / MAX_BATCH as u64, place % MAX_BATCH as u64);
+        let Some(record) = self.log.read_one(&self.name, offset).await? else {
+            return Ok(None);
+        };
+        match serde_json::from_str(record.data.get()) {
+            Ok(Envelope::<F::Command, F>::Commands { commands, .. }) => {
+                Ok(commands.into_iter().nth(index as usize))
+            }
+            Ok(_) | Err(_) => Ok(None),
+        }
+    }
+
     /// Appends a snapshot of the present state.
     ///
     /// # Errors
--- a/workbench/src/calls.rs
+++ b/workbench/src/calls.rs
@@ -107,8 +107,7 @@
         let address = cluster.caller_address(number as usize % load.vms);
         let tally = tally.clone();
         tasks.push(compio::runtime::spawn(async move {
-            let mut call = KeyedCall::new();
-            call.body["text"] = json!("x".repeat(TEXT_BYTES));
+            let call = KeyedCall::with_text(TEXT_BYTES);
             let answer = keyed::exchange(address, &call, &format!("call-{number}")).await;
             tally.borrow_mut().note(answer.as_ref());
         }));
--- a/workbench/src/keyed.rs
+++ b/workbench/src/keyed.rs
@@ -37,6 +37,13 @@
             key,
         }
     }
+
+    /// A call with a new key and some text.
+    pub fn with_text(bytes: usize) -> Self {
+        let mut call = Self::new();
+        call.body["text"] = json!("x".repeat(bytes));
+        call
+    }
 }
 
 impl Default for KeyedCall {
--- a/workbench/src/platform.rs
+++ b/workbench/src/platform.rs
@@ -247,13 +247,14 @@
 
     async fn read(&self, stream: &str, request: &Request<Incoming>) -> Response<Body> {
         let from: u64 = web::query(request, "from").unwrap_or(0);
+        let limit = web::query(request, "limit").unwrap_or(PAGE_RECORDS);
         let wait = Duration::from_millis(web::query(request, "wait_ms").unwrap_or(0));
         let start = Instant::now();
         loop {
             if let Some(fault) = self.log_fault().await {
                 return fault;
             }
-            let page = self.page(stream, from);
+            let page = self.page(stream, from, limit);
             let has_news = page["first"].as_u64() > Some(from)
                 || page["records"]
                     .as_array()
@@ -265,7 +266,7 @@
         }
     }
 
-    fn page(&self, stream: &str, from: u64) -> Value {
+    fn page(&self, stream: &str, from: u64, limit: usize) -> Value {
         let before_ms = now_ms().saturating_sub(self.state.borrow().retention_ms);
         let mut streams = self.streams.borrow_mut();
         let stored = streams.entry(stream.to_owned()).or_default();
@@ -276,7 +277,7 @@
             .iter()
             .enumerate()
             .skip(skip)
-            .take(PAGE_RECORDS)
+            .take(limit.min(PAGE_RECORDS))
             .map(|(index, record)| {
                 json!({
                     "offset": stored.first + index as u64,
--- a/workbench/tests/idempotency.rs
+++ b/workbench/tests/idempotency.rs
@@ -492,6 +492,35 @@
     }
 }
 
+#[googletest::test]
+fn an_answer_that_is_no_longer_at_hand_is_read_from_the_log() {
+    block_on(async {
+        let site = Site::start().await;
+        let first = KeyedCall::new();
+        let answer = site.answer(0, &first).await;
+        expect_that!(answer, complete());
+        // More than a VM keeps at hand.
+        let others: Vec<KeyedCall> = (0..700).map(|_| KeyedCall::with_text(3_500)).collect();
+        for batch in others.chunks(100) {
+            let sends = batch.iter().enumerate();
+            let answers = join_all(sends.map(|(index, call)| site.answer(index % 3, call))).await;
+            expect_that!(answers, each(complete()));
+        }
+        for vm in 0..3 {
+            let repeat = site.answer(vm, &first).await;
+            expect_that!(repeat.replayed, eq(true));
+            expect_that!(repeat.body, eq(&answer.body));
+        }
+        site.cluster.set_platform(json!({"log_down": true})).await;
+        let repeat = site.answer(1, &first).await;
+        expect_that!(
+            (repeat.code(), repeat.ran()),
+            eq(("outcome_unknown", "yes"))
+        );
+        site.check().await;
+    });
+}
+
 #[googletest::test]
 fn more_calls_than_the_log_has_room_for_wait_their_turn() {
     block_on(async {
