--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 mod membership;
 mod metrics;
 mod operator;
+mod pace;
 mod pause;
 mod peer;
 mod placement;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -19,10 +19,12 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long an operator waits for the log before the outcome is called unknown.
 const PUBLISH_LIMIT: Duration = Duration::from_millis(3_000);
+/// How long a publication may wait behind other records before it is refused unwritten.
+const QUEUE_LIMIT: Duration = Duration::from_millis(2_500);
 /// The largest inventory, in bytes.
 const MAX_INVENTORY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -224,7 +226,8 @@
 
     /// Records a publication, and says what is known of it when that takes too long.
     async fn record(&self, command: Command) -> Result<Recorded<Verdict>, Failure> {
-        let proposed = self.control.propose(command);
+        let deadline = Instant::now() + QUEUE_LIMIT;
+        let proposed = self.control.propose_by(command, deadline);
         match compio::time::timeout(PUBLISH_LIMIT, proposed).await {
             Ok(Ok(recorded)) => Ok(recorded),
             Ok(Err(ProposeError::NotRecorded)) => Err(Failure::new(
