--- a/workbench/tests/operators.rs
+++ b/workbench/tests/operators.rs
@@ -3,7 +3,8 @@
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
-use std::process::{Command, Output};
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 use workbench::asker::{Asker, Question, call};
 use workbench::cluster::{Cluster, Plan, product_binary};
@@ -11,6 +12,9 @@
 
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// Looks of a watched status, a second apart, until a change must be shown.
+const MAX_LOOKS: usize = 20;
+
 fn block_on<F: Future>(future: F) -> F::Output {
     compio::runtime::Runtime::new()
         .expect("a runtime needs nothing special")
@@ -212,6 +216,35 @@
     });
 }
 
+#[googletest::test]
+fn a_watched_status_shows_a_new_revision_by_itself() {
+    block_on(async {
+        let cluster = start().await;
+        let via = cluster.operator_address(1).to_string();
+        let mut watch = Command::new(product_binary())
+            .args(["status", "--watch", "--via", &via])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let output = BufReader::new(watch.stdout.take().expect("it is piped"));
+        let mut heads = output.lines().map_while(Result::ok).filter_map(|line| {
+            let (_, head) = line.split_once("revision ")?;
+            head.contains("as seen by").then(|| head.to_owned())
+        });
+        let first = heads.next();
+        let mut changed = cluster.inventory.clone();
+        changed.callers[0].deadline_ms += 1;
+        let revision = cluster.publish(0, &changed, None).await.expect("accepted");
+        let shown = heads
+            .take(MAX_LOOKS)
+            .find(|head| head.starts_with(&revision.to_string()));
+        watch.kill().expect("it still watches");
+        watch.wait().expect("it ends");
+        expect_that!(first, some(not(starts_with(revision.to_string()))));
+        expect_that!(shown, some(contains_substring("vm-1")));
+    });
+}
+
 #[googletest::test]
 fn the_page_of_metrics_shows_what_vms_report() {
     block_on(async {
