--- a/src/reference.rs
+++ b/src/reference.rs
@@ -94,6 +94,13 @@
         "10000 to 1000000000000 ms",
         "how long the log keeps records",
     ),
+    row(
+        "settings",
+        "key_appends_per_s",
+        "240",
+        "1 to 1000000",
+        "appends a second that all VMs together make for idempotency keys, at most",
+    ),
     row(
         "settings",
         "drain_grace_ms",
