workbench experiment: agencies' load under selectable policies

Cause: the decisions had no measurement, and MovePolicy was read by nothing.

Change: `workbench experiment vltava|kaof` starts 9 VMs, 9 runners and 3 servers, offers an open-loop load from a printed seed (a tenfold shift of popularity at 40 % of the run, a burst of urgent requests at 70 to 85 %), and reports attainment, moves, refusals, first token, gaps and control cost as a table, JSON and SVG. The inventory's rules name a routing and a placement, so that one binary runs the baselines: round_robin, least_reported, static, on_demand. VMs measure demand per model in slots and tell it in some of their heartbeats. Placement `demand` is a first try.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -41,6 +41,13 @@
     pub(crate) deadline: Instant,
 }
 
+impl Ask {
+    /// The tokens that the request asks for at most, if it says so.
+    pub(crate) fn max_tokens(&self) -> Option<u64> {
+        self.body.get("max_tokens").and_then(Value::as_u64)
+    }
+}
+
 /// What comes next in an answer.
 #[derive(Debug)]
 pub(crate) enum Step {
--- a/src/control/books.rs
+++ b/src/control/books.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// Where a copy stands between the order to load it and its memory being free.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub(crate) enum CopyState {
     /// Ordered to load.
     Loading,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -247,6 +247,7 @@
             priority: sender.priority,
             deadline: started + Duration::from_millis(deadline_ms),
         };
+        self.router.note_arrival(&ask);
         let mut completion = Completion::new(self.router.clone(), self.pool.clone(), ask);
         let first = match completion.next().await {
             Ok(step) => step,
@@ -255,6 +256,7 @@
                 return Err(failure);
             }
         };
+        let first_token_at = Instant::now();
         self.metrics
             .first_token
             .observe(started.elapsed().as_secs_f64());
@@ -263,6 +265,7 @@
             id: id.clone(),
             priority: sender.priority,
             started,
+            first_token_at,
             completion,
             _guard: guard,
         };
@@ -306,6 +309,7 @@
     id: Name,
     priority: Priority,
     started: Instant,
+    first_token_at: Instant,
     completion: Completion,
     _guard: CallerGuard,
 }
@@ -395,6 +399,11 @@
         metrics.resumes.inc_by(resumes.into());
         metrics.retries.inc_by(attempts.saturating_sub(1).into());
         self.entry.count(self.priority, failure);
+        if outcome == "complete" {
+            let streaming = self.first_token_at.elapsed();
+            let tokens = self.completion.tokens();
+            self.entry.router.note_answer(tokens, streaming);
+        }
         emit(
             Event::Answered,
             format_args!(
--- a/src/inventory/rules.rs
+++ b/src/inventory/rules.rs
@@ -13,6 +13,37 @@
     pub spread_zones: bool,
     /// When a move is worth its cost.
     pub moves: MovePolicy,
+    /// How a runner is chosen.
+    pub routing: RoutingRule,
+    /// How copies follow the demand.
+    pub placement: PlacementRule,
+}
+
+/// How a runner is chosen among those that hold what a request needs.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RoutingRule {
+    /// The fewest requests in flight per slot, own and as peers tell in heartbeats.
+    #[default]
+    LeastInFlight,
+    /// The fewest requests running and waiting per slot, as the runner's report says.
+    LeastReported,
+    /// Each in turn.
+    RoundRobin,
+}
+
+/// How copies follow the demand.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementRule {
+    /// First copies, then spare ones; demand changes nothing.
+    #[default]
+    Static,
+    /// One more copy where what it gains over the pay-back time beats the moves' cost.
+    Demand,
+    /// A copy as soon as requests exceed the slots of those there are, in the place of the
+    /// least recently used.
+    OnDemand,
 }
 
 impl Default for Rules {
@@ -21,6 +52,8 @@
             anonymous_priority: Some(Priority::Normal),
             spread_zones: true,
             moves: MovePolicy::default(),
+            routing: RoutingRule::default(),
+            placement: PlacementRule::default(),
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod completion;
 mod config;
 mod control;
+mod demand;
 mod engine;
 mod entry;
 mod error;
@@ -27,6 +28,7 @@
 mod plain;
 mod planner;
 mod platform;
+mod replicas;
 mod router;
 mod server;
 mod shutdown;
@@ -41,8 +43,8 @@
 pub use events::{EVENTS, Event, EventRow};
 pub use http::{Body, ReadError, json_response, read_body, serve as serve_http};
 pub use inventory::{
-    Adapter, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name, PlainService,
-    Priority, Rules,
+    Adapter, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name, PlacementRule,
+    PlainService, Priority, RoutingRule, Rules,
 };
 pub use server::serve;
 pub use shutdown::{OpenGuard, Shutdown};
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -4,7 +4,7 @@
 use crate::inventory::Name;
 use crate::kernel::Service;
 use crate::platform::{ListedVm, VmList};
-use crate::wire::Heartbeat;
+use crate::wire::{Heartbeat, ModelDemand};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -109,7 +109,7 @@
     }
 
     /// Notes a heartbeat of a peer.
-    pub(crate) fn note(&self, heartbeat: Heartbeat) {
+    pub(crate) fn note(&self, mut heartbeat: Heartbeat) {
         let mut peers = self.peers.borrow_mut();
         if let Some(peer) = peers.get_mut(heartbeat.vm.as_str()) {
             if !peer.is_alive() && !heartbeat.leaving {
@@ -118,6 +118,12 @@
                     format_args!("vm={} up=true", heartbeat.vm),
                 );
             }
+            if let Some((_, before)) = &mut peer.heard
+                && heartbeat.demands.is_empty()
+                && heartbeat.revision == before.revision
+            {
+                heartbeat.demands = std::mem::take(&mut before.demands);
+            }
             peer.heard = Some((Instant::now(), heartbeat));
         }
     }
@@ -169,6 +175,18 @@
         self.listed_at.get().map(|at| at.elapsed())
     }
 
+    /// What the live peers at this revision last said of their demand.
+    pub(crate) fn peer_demands(&self, revision: u64) -> Vec<ModelDemand> {
+        let peers = self.peers.borrow();
+        peers
+            .values()
+            .filter(|peer| peer.is_alive())
+            .filter_map(|peer| peer.heard.as_ref())
+            .filter(|(_, heartbeat)| heartbeat.revision == revision)
+            .flat_map(|(_, heartbeat)| heartbeat.demands.iter().copied())
+            .collect()
+    }
+
     /// Requests in flight by runner, summed over the peers that live.
     pub(crate) fn peer_loads(&self) -> HashMap<Name, u32> {
         let mut loads = HashMap::new();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -19,7 +19,7 @@
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
 /// The time between two heartbeats to one peer.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// A link without an answer for this long is replaced by a new connection.
 const LINK_TIMEOUT: Duration = Duration::from_millis(750);
 /// The largest frame, in bytes.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,9 +1,11 @@
 //! Deciding what to load and unload, from the books and the inventory alone.
 
 use crate::control::{Artifact, Control, CopyState, RunnerBook};
+use crate::demand::Slots;
 use crate::inventory::{BackendServer, Model, Name};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::fmt::Write;
+use std::time::Duration;
 
 /// Loads that the weight store serves at full speed.
 pub(crate) const MAX_OPEN_LOADS: usize = 6;
@@ -33,8 +35,14 @@
 /// What a plan is made from.
 #[derive(Debug)]
 pub(crate) struct Planning<'a> {
-    control: &'a Control,
-    runners: Vec<&'a BackendServer>,
+    pub(crate) control: &'a Control,
+    pub(crate) runners: Vec<&'a BackendServer>,
+    /// The demand for each model.
+    pub(crate) demand: HashMap<Name, Slots>,
+    /// How long a request is expected to take.
+    pub(crate) service_time: Duration,
+    /// The hour of the day, UTC.
+    pub(crate) hour: u8,
 }
 
 impl<'a> Planning<'a> {
@@ -45,7 +53,26 @@
             .runners()
             .filter(|runner| runner.group == group && !runner.leaving && is_up(&runner.name))
             .collect();
-        Self { control, runners }
+        Self {
+            control,
+            runners,
+            demand: HashMap::new(),
+            service_time: Duration::ZERO,
+            hour: 0,
+        }
+    }
+
+    /// The same planning with what is asked for, and when.
+    pub(crate) fn with_demand(
+        mut self,
+        demand: HashMap<Name, Slots>,
+        service_time: Duration,
+        hour: u8,
+    ) -> Self {
+        self.demand = demand;
+        self.service_time = service_time;
+        self.hour = hour;
+        self
     }
 
     /// The moves to make now, the most urgent first.
@@ -54,7 +81,15 @@
         let budget = MAX_OPEN_LOADS.saturating_sub(self.control.open_loads());
         let mut loads = self.missing_adapters();
         loads.extend(self.missing_copies());
-        if loads.is_empty() && self.control.open_loads() == 0 {
+        if loads.is_empty() {
+            for followed in self.follow_demand() {
+                match followed {
+                    Move::Load { .. } => loads.push(followed),
+                    Move::Unload { .. } => moves.push(followed),
+                }
+            }
+        }
+        if loads.is_empty() && self.control.open_loads() == 0 && !self.wants_room() {
             loads.extend(self.spare_copies());
         }
         loads.truncate(budget);
@@ -62,11 +97,11 @@
         moves
     }
 
-    fn book(&self, runner: &BackendServer) -> RunnerBook {
+    pub(crate) fn book(&self, runner: &BackendServer) -> RunnerBook {
         self.control.book(&runner.name)
     }
 
-    fn artifact(model: &Model) -> Artifact {
+    pub(crate) fn artifact(model: &Model) -> Artifact {
         Artifact {
             model: model.name.clone(),
             adapter: None,
@@ -86,7 +121,7 @@
     }
 
     /// Memory that is free and not needed for adapters of models already there.
-    fn free_mib(&self, runner: &BackendServer) -> u64 {
+    pub(crate) fn free_mib(&self, runner: &BackendServer) -> u64 {
         let book = self.book(runner);
         let owed_mib: u64 = self
             .control
@@ -103,7 +138,7 @@
             .saturating_sub(book.taken_mib() + owed_mib)
     }
 
-    fn holders(&self, model: &Model) -> Vec<&'a BackendServer> {
+    pub(crate) fn holders(&self, model: &Model) -> Vec<&'a BackendServer> {
         let artifact = Self::artifact(model);
         self.runners
             .iter()
@@ -231,7 +266,10 @@
                 if copy.state != CopyState::Resident {
                     continue;
                 }
-                if let Some(reason) = self.reason_to_unload(artifact) {
+                let orphan = self
+                    .is_orphan(runner, artifact)
+                    .then_some("model_not_on_runner");
+                if let Some(reason) = orphan.or_else(|| self.reason_to_unload(artifact)) {
                     unloads.push(Move::Unload {
                         runner: runner.name.clone(),
                         artifact: artifact.clone(),
@@ -267,7 +305,7 @@
     }
 
     /// Runners that hold the model in force with all its adapters.
-    fn complete_copies(&self, model: &Model) -> usize {
+    pub(crate) fn complete_copies(&self, model: &Model) -> usize {
         self.runners
             .iter()
             .filter(|runner| {
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -5,6 +5,7 @@
 //! holds; so two planners never act on memory that is set aside only once.
 
 use crate::control::{Artifact, Claim, Command, CopyState, Outcome, Under, Verdict};
+use crate::demand::Demand;
 use crate::engine::{EngineClient, Order, OrderAnswer, Report, ReportedState};
 use crate::events::{Event, emit};
 use crate::fleet::Fleet;
@@ -19,13 +20,19 @@
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The time between two looks at the books.
 const TICK: Duration = Duration::from_millis(200);
 /// How long to wait before an order is given again.
 const RESEND_AFTER: Duration = Duration::from_millis(1_000);
 
+/// The hour of the day, UTC.
+fn hour_utc() -> u8 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |since| (since.as_secs() / 3_600 % 24) as u8)
+}
+
 /// What this process has sent for one intent.
 #[derive(Debug, Default)]
 struct Attempts {
@@ -36,6 +43,7 @@
 /// The planner service of one VM.
 pub(crate) struct Planner {
     control: Rc<ControlStream>,
+    demand: Rc<Demand>,
     fleet: Rc<Fleet>,
     membership: Rc<Membership>,
     metrics: Rc<Metrics>,
@@ -55,6 +63,7 @@
     pub(crate) fn new(kernel: &crate::kernel::Kernel, vm: Name, writer: Name) -> Self {
         Self {
             control: kernel.find(),
+            demand: kernel.find(),
             fleet: kernel.find(),
             membership: kernel.find(),
             metrics: kernel.find(),
@@ -144,12 +153,14 @@
         });
         join_all(runners.iter().map(|runner| self.drive(&under, runner))).await;
         let moves = self.control.with(|control| {
+            let demand = self.demand.total(&control.inventory, control.revision);
             Planning::new(control, group, |name| {
                 let known = control.books.get(name).is_some_and(|book| book.boot != 0);
                 known
                     && self.fleet.runner(name).is_some_and(|runner| runner.is_up())
                     && !self.membership.is_server_leaving(name)
             })
+            .with_demand(demand, self.demand.service_time(None), hour_utc())
             .moves()
         });
         join_all(
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,13 +1,17 @@
 //! Choosing a runner for a request.
 
+use crate::completion::Ask;
 use crate::control::{Artifact, Control};
+use crate::demand::Demand;
 use crate::fleet::{Fleet, Runner};
-use crate::inventory::Name;
+use crate::inventory::{Name, RoutingRule};
 use crate::kernel::Service;
 use crate::membership::Membership;
 use crate::server::ControlStream;
+use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The artifacts that a request needs on one runner.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -92,6 +96,8 @@
     control: Rc<ControlStream>,
     fleet: Rc<Fleet>,
     membership: Rc<Membership>,
+    demand: Rc<Demand>,
+    turn: Cell<usize>,
 }
 
 impl Service for Router {
@@ -104,14 +110,28 @@
         control: Rc<ControlStream>,
         fleet: Rc<Fleet>,
         membership: Rc<Membership>,
+        demand: Rc<Demand>,
     ) -> Self {
         Self {
             control,
             fleet,
             membership,
+            demand,
+            turn: Cell::new(0),
         }
     }
 
+    /// Counts a request that came, whatever becomes of it.
+    pub(crate) fn note_arrival(&self, ask: &Ask) {
+        self.demand
+            .note_arrival(&ask.target.base.model, ask.priority, ask.max_tokens());
+    }
+
+    /// Learns from an answer that was complete.
+    pub(crate) fn note_answer(&self, tokens: u32, streaming: Duration) {
+        self.demand.note_answer(tokens, streaming);
+    }
+
     /// Chooses the least loaded runner that can serve `wanted`.
     ///
     /// With `pinned`, only that very version will do. Runners in `avoid` are
@@ -139,6 +159,10 @@
         ordered || self.control.is_writable()
     }
 
+    fn routing(&self) -> RoutingRule {
+        self.control.with(|control| control.inventory.rules.routing)
+    }
+
     fn choose_for(&self, target: &Target, avoid: &[Name]) -> Option<Choice> {
         let mut scored = self.scored(target);
         if scored
@@ -147,7 +171,13 @@
         {
             scored.retain(|(_, runner)| !avoid.contains(&runner.name));
         }
-        scored.sort_by(|left, right| left.0.total_cmp(&right.0));
+        if self.routing() == RoutingRule::RoundRobin {
+            self.turn.set(self.turn.get() + 1);
+            let first = self.turn.get() % scored.len().max(1);
+            scored.rotate_left(first);
+        } else {
+            scored.sort_by(|left, right| left.0.total_cmp(&right.0));
+        }
         let mut others = String::new();
         for (score, runner) in scored.iter().skip(1) {
             let _ = write!(others, "{}:{score:.2},", runner.name);
@@ -175,10 +205,17 @@
                         return None;
                     }
                     let peers = peer_loads.get(&runner.name).copied().unwrap_or(0);
-                    let load = f64::from(runner.in_flight() + peers);
+                    let requests = match control.inventory.rules.routing {
+                        RoutingRule::LeastInFlight => runner.in_flight() + peers,
+                        RoutingRule::LeastReported => runner
+                            .report(|report| report.running + report.waiting)
+                            .unwrap_or(0),
+                        RoutingRule::RoundRobin => 0,
+                    };
                     // A little noise keeps VMs from choosing alike on equal loads.
                     let noise = rand::random::<f64>() * 0.01;
-                    Some((load / f64::from(server.slots.max(1)) + noise, runner))
+                    let load = f64::from(requests) / f64::from(server.slots.max(1));
+                    Some((load + noise, runner))
                 })
                 .collect()
         })
--- a/src/server.rs
+++ b/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Config;
 use crate::control::Control;
+use crate::demand::Demand;
 use crate::entry::Entry;
 use crate::error::Fault;
 use crate::events::{Event, emit};
@@ -14,19 +15,20 @@
 use crate::membership::Membership;
 use crate::metrics::Metrics;
 use crate::operator::Operator;
-use crate::peer::{Links, Speaker};
+use crate::peer::{HEARTBEAT_INTERVAL, Links, Speaker};
 use crate::plain::PlainCalls;
 use crate::planner::Planner;
 use crate::platform::{HttpLog, HttpVmList};
 use crate::router::Router;
 use crate::shutdown::Shutdown;
 use crate::stream::Stream;
-use crate::wire::Heartbeat;
+use crate::wire::{Heartbeat, ModelDemand};
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The control stream of one VM.
 pub(crate) type ControlStream = Stream<Control, HttpLog>;
@@ -45,6 +47,9 @@
     const NAME: &'static str = "shutdown";
 }
 
+/// The time from one telling of the demand to the next.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The signals that begin a graceful shutdown: SIGTERM and SIGINT.
 const STOP_SIGNALS: [i32; 2] = [15, 2];
 
@@ -54,7 +59,24 @@
     boot: u64,
     control: Rc<ControlStream>,
     fleet: Rc<Fleet>,
+    demand: Rc<Demand>,
     shutdown: Rc<Shutdown>,
+    demand_said_at: Cell<Instant>,
+}
+
+impl Voice {
+    /// The demand, in all heartbeats of a short time and then not for a while.
+    fn demands(&self) -> Vec<ModelDemand> {
+        let age = self.demand_said_at.get().elapsed();
+        if age < DEMAND_INTERVAL {
+            return Vec::new();
+        }
+        if age > DEMAND_INTERVAL + HEARTBEAT_INTERVAL {
+            self.demand_said_at.set(Instant::now());
+        }
+        self.control
+            .with(|control| self.demand.to_wire(&control.inventory))
+    }
 }
 
 impl Speaker for Voice {
@@ -67,6 +89,7 @@
             revision: self.control.with(|control| control.revision),
             control_offset: self.control.next_offset(),
             loads: self.fleet.loads(),
+            demands: self.demands(),
         }
     }
 }
@@ -126,10 +149,12 @@
     let keys: Rc<KeyStream> = kernel.register(Stream::open("keys", log, writer.clone()));
     let membership = kernel.register(Rc::new(Membership::new(config.vm.clone())));
     let fleet = kernel.register(Rc::new(Fleet::default()));
+    let demand = kernel.register(Rc::new(Demand::new(membership.clone())));
     kernel.register(Rc::new(Router::new(
         control.clone(),
         fleet,
         membership.clone(),
+        demand,
     )));
     kernel.register(Rc::new(PlainCalls::new(control, keys, membership)));
     kernel.register(Rc::new(Planner::new(&kernel, config.vm.clone(), writer)));
@@ -147,7 +172,9 @@
         boot,
         control: kernel.find(),
         fleet: kernel.find(),
+        demand: kernel.find(),
         shutdown: shutdown.clone(),
+        demand_said_at: Cell::new(Instant::now()),
     });
     let links = Links::new(voice, membership.clone(), kernel.find());
     compio::runtime::spawn(links.clone().accept(listener, shutdown)).detach();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -23,6 +23,9 @@
     /// The sender's own requests in flight, by runner; runners without any are left out.
     #[prost(message, repeated, tag = "7")]
     pub loads: ::prost::alloc::vec::Vec<RunnerLoad>,
+    /// The demand at the sender, by model; left out of most heartbeats, which say nothing of it.
+    #[prost(message, repeated, tag = "20")]
+    pub demands: ::prost::alloc::vec::Vec<ModelDemand>,
 }
 /// Requests that one VM has in flight on one runner.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -34,3 +37,16 @@
     #[prost(uint32, tag = "2")]
     pub in_flight: u32,
 }
+/// What the requests for one model ask for at one VM.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ModelDemand {
+    /// The model's place in the inventory of the sender's revision.
+    #[prost(uint32, tag = "1")]
+    pub model: u32,
+    /// Hundredths of a slot that urgent requests ask for.
+    #[prost(uint32, tag = "2")]
+    pub urgent_centislots: u32,
+    /// Hundredths of a slot that all requests ask for.
+    #[prost(uint32, tag = "3")]
+    pub all_centislots: u32,
+}
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 use workbench::demo;
 use workbench::engine::{Engine, EngineShape};
+use workbench::experiment::{self, Scenario};
 use workbench::platform::{Platform, PlatformState};
+use workbench::report::{self, PolicyReport};
 use workbench::service::PlainStandIn;
 
 fn command() -> Command {
@@ -17,6 +19,37 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(Command::new("demo").about("Run a whole site and print a table"))
+        .subcommand(
+            Command::new("experiment")
+                .about("Measure policies under an agency's load")
+                .arg(
+                    Arg::new("scenario")
+                        .required(true)
+                        .value_parser(["vltava", "kaof"]),
+                )
+                .arg(
+                    Arg::new("policy")
+                        .long("policy")
+                        .action(ArgAction::Append)
+                        .default_value("all")
+                        .help("A policy's name, or all; may be given more than once"),
+                )
+                .arg(number("seconds", "40"))
+                .arg(
+                    Arg::new("seed")
+                        .long("seed")
+                        .value_parser(value_parser!(u64))
+                        .help("The seed of the load; drawn and printed if left out"),
+                )
+                .arg(decimal("load", "1").help("The factor of all rates"))
+                .arg(
+                    Arg::new("out")
+                        .long("out")
+                        .default_value(".")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("The folder for the JSON report and the plot"),
+                ),
+        )
         .subcommand(
             Command::new("platform")
                 .about("Stand in for the log, the VM list and the weight store")
@@ -102,6 +135,7 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("experiment", matches)) => return run_experiment(matches).await,
         Some(("platform", matches)) => run_platform(matches).await,
         Some(("engine", matches)) => run_engine(matches).await,
         Some(("service", matches)) => run_service(matches).await,
@@ -110,6 +144,41 @@
     ExitCode::SUCCESS
 }
 
+async fn run_experiment(matches: &ArgMatches) -> ExitCode {
+    let name: String = get(matches, "scenario");
+    let scenario = Scenario::find(&name).expect("the parser knows the scenarios");
+    let policies: Vec<String> = matches
+        .get_many::<String>("policy")
+        .expect("the argument has a default")
+        .cloned()
+        .collect();
+    let length = Duration::from_secs(get(matches, "seconds"));
+    let seed = matches
+        .get_one("seed")
+        .copied()
+        .unwrap_or_else(rand::random);
+    let load: f64 = get(matches, "load");
+    println!("{name}: seed {seed}, {length:?}, load {load}");
+    let reports = experiment::run_all(&scenario, &policies, length, seed, load).await;
+    println!("{}", report::table_head());
+    for report in &reports {
+        println!("{}", report.row());
+    }
+    let mut whole = experiment::header(&scenario, length, seed, load);
+    whole["policies"] = reports.iter().map(PolicyReport::to_json).collect();
+    let out: PathBuf = get(matches, "out");
+    let title = format!("{name}, load {load}, seed {seed}");
+    let json = std::fs::write(out.join(format!("{name}.json")), format!("{whole:#}\n"));
+    let plot = report::plot(&reports, &title, &out.join(format!("{name}.svg")));
+    match (json, plot) {
+        (Ok(()), Ok(())) => ExitCode::SUCCESS,
+        (json, plot) => {
+            eprintln!("the report is not written: {json:?} {plot:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn run_platform(matches: &ArgMatches) {
     let state: String = get(matches, "state");
     let state: PlatformState = serde_json::from_str(&state).expect("the state is valid");
