--- a/workbench/src/experiment.rs
+++ b/workbench/src/experiment.rs
@@ -200,43 +200,17 @@
 
     async fn start(&self) -> Cluster {
         let mut plan = Plan::new(self.scenario.shape.clone(), VMS);
+        plan.platform.loads_per_s = LOADS_PER_S;
         plan.step_ms = STEP_MS;
         plan.step_per_request_ms = STEP_PER_REQUEST_MS;
         plan.max_batch = SLOTS as usize;
+        plan.holds = self.scenario.shape.spread_holds();
         let mut cluster = Cluster::start(plan).await;
         self.set_rules(&mut cluster.inventory);
-        let filling = Inventory {
-            rules: rattanjunction::Rules {
-                placement: PlacementRule::Static,
-                ..cluster.inventory.rules.clone()
-            },
-            ..cluster.inventory.clone()
-        };
-        let published = cluster.publish(0, &filling, None).await;
-        published.expect("the first inventory is accepted");
-        cluster.wait_settled(SETTLE_LIMIT).await;
-        self.wait_still(&cluster).await;
-        let published = cluster.publish(0, &cluster.inventory, None).await;
-        published.expect("the rules are accepted");
-        let state = json!({"loads_per_s": LOADS_PER_S});
-        cluster.set_platform(state).await;
+        cluster.publish_and_settle(SETTLE_LIMIT).await;
         cluster
     }
 
-    /// Waits until spare copies are made as well: no order for a while.
-    async fn wait_still(&self, cluster: &Cluster) {
-        let orders = || -> usize {
-            (0..self.runners())
-                .map(|index| cluster.runner_journal(index).len())
-                .sum()
-        };
-        let mut before = 0;
-        while orders() != before {
-            before = orders();
-            sleep(Duration::from_secs(2)).await;
-        }
-    }
-
     fn set_rules(&self, inventory: &mut Inventory) {
         for server in &mut inventory.backend_servers {
             server.slots = SLOTS;
--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -5,15 +5,18 @@
 
 pub mod answer;
 pub mod asker;
+pub mod capacity;
 pub mod cluster;
 pub mod demo;
 pub mod engine;
 pub mod experiment;
 pub mod journal;
+pub mod overhead;
 pub mod platform;
 pub mod proxy;
 pub mod report;
 pub mod service;
 pub mod shape;
 pub mod traffic;
+pub mod usage;
 pub mod web;
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -6,9 +6,11 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use workbench::capacity::{self, Size};
 use workbench::demo;
 use workbench::engine::{Engine, EngineShape};
 use workbench::experiment::{self, Scenario};
+use workbench::overhead;
 use workbench::platform::{Platform, PlatformState};
 use workbench::report::{self, PolicyReport};
 use workbench::service::PlainStandIn;
@@ -50,6 +52,18 @@
                         .help("The folder for the JSON report and the plot"),
                 ),
         )
+        .subcommand(
+            Command::new("overhead")
+                .about("Measure what one VM adds against asking engines directly")
+                .arg(
+                    Arg::new("streams")
+                        .long("streams")
+                        .default_value("100,1000")
+                        .value_delimiter(',')
+                        .value_parser(value_parser!(u64).range(4..=4_000)),
+                )
+                .arg(decimal("step-ms", "20")),
+        )
         .subcommand(
             Command::new("platform")
                 .about("Stand in for the log, the VM list and the weight store")
@@ -57,27 +71,30 @@
                 .arg(Arg::new("state").long("state").default_value("{}")),
         )
         .subcommand(
-            Command::new("engine")
+            Command::new("capacity")
+                .about("Measure what control costs each VM at a size, without requests")
+                .arg(number("vms", "3"))
+                .arg(number("runners", "12"))
+                .arg(number("models", "13"))
+                .arg(number("seconds", "10")),
+        )
+        .subcommand(
+            engine_arguments(Command::new("engine"))
                 .about("Stand in for a model engine")
-                .arg(address())
-                .arg(number("memory-mib", "64000"))
-                .arg(number("max-batch", "32"))
-                .arg(decimal("step-ms", "5"))
-                .arg(decimal("step-per-request-ms", "0.2"))
-                .arg(decimal("prefill-ms", "5"))
                 .arg(
-                    Arg::new("store")
-                        .long("store")
-                        .required(true)
-                        .value_parser(value_parser!(SocketAddr)),
-                )
-                .arg(
-                    Arg::new("checks-fencing")
-                        .long("checks-fencing")
-                        .action(ArgAction::SetTrue),
+                    Arg::new("hold")
+                        .long("hold")
+                        .action(ArgAction::Append)
+                        .value_name("ARTIFACT:MIB")
+                        .help("Hold an artifact from the start; may be given more than once"),
                 )
                 .arg(journal()),
         )
+        .subcommand(
+            engine_arguments(Command::new("engines"))
+                .about("Stand in for several model engines, at this port and those after it")
+                .arg(number("count", "10")),
+        )
         .subcommand(
             Command::new("service")
                 .about("Stand in for a plain service")
@@ -88,6 +105,27 @@
         )
 }
 
+fn engine_arguments(command: Command) -> Command {
+    command
+        .arg(address())
+        .arg(number("memory-mib", "64000"))
+        .arg(number("max-batch", "32"))
+        .arg(decimal("step-ms", "5"))
+        .arg(decimal("step-per-request-ms", "0.2"))
+        .arg(decimal("prefill-ms", "5"))
+        .arg(
+            Arg::new("store")
+                .long("store")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            Arg::new("checks-fencing")
+                .long("checks-fencing")
+                .action(ArgAction::SetTrue),
+        )
+}
+
 fn address() -> Arg {
     Arg::new("address")
         .long("address")
@@ -136,8 +174,25 @@
             }
         }
         Some(("experiment", matches)) => return run_experiment(matches).await,
+        Some(("overhead", matches)) => {
+            let streams: Vec<usize> = matches
+                .get_many::<u64>("streams")
+                .expect("the argument has a default")
+                .map(|count| *count as usize)
+                .collect();
+            overhead::run(&streams, get(matches, "step-ms")).await;
+        }
         Some(("platform", matches)) => run_platform(matches).await,
+        Some(("capacity", matches)) => {
+            let size = Size {
+                vms: get::<u64>(matches, "vms") as usize,
+                runners: get::<u64>(matches, "runners") as usize,
+                models: get::<u64>(matches, "models") as usize,
+            };
+            capacity::run(&size, Duration::from_secs(get(matches, "seconds"))).await;
+        }
         Some(("engine", matches)) => run_engine(matches).await,
+        Some(("engines", matches)) => run_engines(matches).await,
         Some(("service", matches)) => run_service(matches).await,
         _ => return ExitCode::FAILURE,
     }
@@ -187,8 +242,8 @@
         .await;
 }
 
-async fn run_engine(matches: &ArgMatches) {
-    let shape = EngineShape {
+fn engine_shape(matches: &ArgMatches) -> EngineShape {
+    EngineShape {
         memory_mib: get(matches, "memory-mib"),
         checks_fencing: matches.get_flag("checks-fencing"),
         max_batch: get::<u64>(matches, "max-batch") as usize,
@@ -196,10 +251,27 @@
         step_per_request_ms: get(matches, "step-per-request-ms"),
         prefill_ms: get(matches, "prefill-ms"),
         store: get(matches, "store"),
-    };
+    }
+}
+
+async fn run_engine(matches: &ArgMatches) {
     let journal: Option<&PathBuf> = matches.get_one("journal");
-    let engine = Rc::new(Engine::new(shape, journal.map(PathBuf::as_path)));
-    engine.serve(get(matches, "address")).await;
+    let engine = Engine::new(engine_shape(matches), journal.map(PathBuf::as_path));
+    for held in matches.get_many::<String>("hold").into_iter().flatten() {
+        let (artifact, mib) = held.rsplit_once(':').expect("a held artifact has a size");
+        engine.hold(artifact, mib.parse().expect("a size is a whole number"));
+    }
+    Rc::new(engine).serve(get(matches, "address")).await;
+}
+
+async fn run_engines(matches: &ArgMatches) {
+    let mut address: SocketAddr = get(matches, "address");
+    let mut engines = Vec::new();
+    for _ in 0..get::<u64>(matches, "count") {
+        engines.push(Rc::new(Engine::new(engine_shape(matches), None)).serve(address));
+        address.set_port(address.port() + 1);
+    }
+    futures_util::future::join_all(engines).await;
 }
 
 async fn run_service(matches: &ArgMatches) {
--- a/workbench/src/report.rs
+++ b/workbench/src/report.rs
@@ -3,6 +3,7 @@
 use crate::cluster::Cluster;
 use crate::experiment::Experiment;
 use crate::traffic::Class;
+use crate::usage;
 use hdrhistogram::Histogram;
 use plotters::prelude::*;
 use serde_json::{Value, json};
@@ -12,8 +13,6 @@
 
 /// A refusal within this time counts as given at once.
 const AT_ONCE: Duration = Duration::from_millis(100);
-/// Clock ticks a second in `/proc`.
-const TICKS_PER_S: f64 = 100.0;
 /// The time of one point in the plot.
 const POINT: Duration = Duration::from_secs(2);
 
@@ -111,6 +110,7 @@
     cpu_s: f64,
     rss_mib: f64,
     peer_bytes: f64,
+    report_bytes: f64,
     resumes: f64,
     retries: f64,
     elapsed_s: f64,
@@ -126,12 +126,18 @@
             ..Self::default()
         };
         for (index, vm) in cluster.vms.iter().enumerate() {
-            costs.cpu_s += cpu_s(vm.id());
-            costs.rss_mib += rss_mib(vm.id());
-            let metrics = metrics(cluster, index).await;
-            costs.peer_bytes += value(&metrics, "rattanjunction_peer_bytes_total");
-            costs.resumes += value(&metrics, "rattanjunction_resumes_total");
-            costs.retries += value(&metrics, "rattanjunction_retries_total");
+            let used = usage::of_process(vm.id());
+            costs.cpu_s += used.cpu.as_secs_f64();
+            costs.rss_mib += used.rss_kib as f64 / 1_024.0;
+            let operator = cluster.operator_address(index);
+            let bytes = async |leg: &str| {
+                let prefix = format!("rattanjunction_control_bytes_total{{leg=\"{leg}\"}}");
+                usage::metric(operator, &prefix).await
+            };
+            costs.peer_bytes += bytes("peers").await;
+            costs.report_bytes += bytes("reports").await;
+            costs.resumes += usage::metric(operator, "rattanjunction_resumes_total").await;
+            costs.retries += usage::metric(operator, "rattanjunction_retries_total").await;
         }
         costs
     }
@@ -143,6 +149,7 @@
             cpu_s: self.cpu_s - before.cpu_s,
             rss_mib: self.rss_mib,
             peer_bytes: self.peer_bytes - before.peer_bytes,
+            report_bytes: self.report_bytes - before.report_bytes,
             resumes: self.resumes - before.resumes,
             retries: self.retries - before.retries,
             elapsed_s: self.elapsed_s - before.elapsed_s,
@@ -155,51 +162,13 @@
             "cpu_share_per_vm": self.cpu_s / self.elapsed_s / self.vms,
             "rss_mib_per_vm": self.rss_mib / self.vms,
             "peer_bytes_per_s_per_vm": self.peer_bytes / self.elapsed_s / self.vms,
+            "report_bytes_per_s_per_vm": self.report_bytes / self.elapsed_s / self.vms,
             "resumes": self.resumes,
             "retries": self.retries,
         })
     }
 }
 
-fn cpu_s(pid: u32) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    // The name may hold spaces; user and system time are the 12th and 13th field after it.
-    let fields = stat.rsplit(')').next().unwrap_or_default();
-    let ticks: f64 = fields
-        .split_whitespace()
-        .skip(11)
-        .take(2)
-        .filter_map(|field| field.parse::<f64>().ok())
-        .sum();
-    ticks / TICKS_PER_S
-}
-
-fn rss_mib(pid: u32) -> f64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().nth(1));
-    kib.and_then(|kib| kib.parse::<f64>().ok()).unwrap_or(0.0) / 1_024.0
-}
-
-async fn metrics(cluster: &Cluster, vm: usize) -> String {
-    let read = async {
-        let url = format!("http://{}/metrics", cluster.operator_address(vm));
-        let client = cyper::Client::new().ok()?;
-        let response = client.get(url).ok()?.send().await.ok()?;
-        response.text().await.ok()
-    };
-    read.await.unwrap_or_default()
-}
-
-/// The sum of a metric over its labels.
-fn value(metrics: &str, name: &str) -> f64 {
-    metrics
-        .lines()
-        .filter(|line| line.starts_with(name))
-        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
-        .sum()
-}
-
 /// What one class of requests saw.
 #[derive(Clone, Debug)]
 struct ClassReport {
@@ -397,13 +366,14 @@
         }
         let costs = self.costs;
         row + &format!(
-            " | {:>3}+{:<3} {:>4} | {:>4.1}% {:>4.0} {:>5.1}",
+            " | {:>3}+{:<3} {:>4} | {:>4.1}% {:>4.0} {:>5.1}+{:<5.1}",
             self.moves.models,
             self.moves.adapters,
             self.moves.busy,
             costs.cpu_s / costs.elapsed_s / costs.vms * 100.0,
             costs.rss_mib / costs.vms,
             costs.peer_bytes / costs.elapsed_s / costs.vms / 1_000.0,
+            costs.report_bytes / costs.elapsed_s / costs.vms / 1_000.0,
         )
     }
 }
@@ -412,7 +382,7 @@
 pub fn table_head() -> String {
     let class = "    met first  p95 refused    gap";
     format!(
-        "{:<15} {:>6} {:>5} | urgent{class} | batch{class} | moves busy | cpu  MiB  KB/s",
+        "{:<15} {:>6} {:>5} | urgent{class} | batch{class} | moves busy | cpu  MiB  KB/s of peers+reports",
         "policy", "tok/s", "req/s"
     )
 }
--- a/workbench/src/shape.rs
+++ b/workbench/src/shape.rs
@@ -76,6 +76,33 @@
         self.zones[index % self.zones.len()]
     }
 
+    /// What runners hold once each model has a copy, and then a second one while there is room.
+    ///
+    /// Each runner's list holds `artifact:mib`, as engines take it.
+    pub fn spread_holds(&self) -> Vec<Vec<String>> {
+        let models: Vec<Model> = (0..self.models).map(|index| self.model(index)).collect();
+        let mut holds = vec![Vec::new(); self.runners];
+        let mut free_mib = vec![self.memory_mib - self.kv_mib; self.runners];
+        for (place, model) in models.iter().chain(&models).enumerate() {
+            let runner = place % self.runners;
+            if free_mib[runner] < model.resident_mib() {
+                continue;
+            }
+            free_mib[runner] -= model.resident_mib();
+            holds[runner].push(format!(
+                "{}@{}:{}",
+                model.name, model.version, model.weights_mib
+            ));
+            for adapter in &model.adapters {
+                holds[runner].push(format!(
+                    "{}/{}@{}:{}",
+                    model.name, adapter.name, adapter.version, adapter.weights_mib
+                ));
+            }
+        }
+        holds
+    }
+
     /// The name of a model.
     pub fn model_name(index: usize) -> String {
         format!("model-{index}")
