--- a/src/completion.rs
+++ b/src/completion.rs
@@ -1,5 +1,6 @@
 //! A chat completion from its request to its last event, over as many runners as it takes.
 
+use crate::batch_queue::Ticket;
 use crate::client::{Connection, Pool, SendError};
 use crate::engine::request;
 use crate::error::{Failure, Kind, Ran};
@@ -75,6 +76,7 @@
     attempts: u32,
     tokens: u32,
     avoid: Vec<Name>,
+    ticket: Option<Ticket>,
     ran: bool,
     resumes: u32,
 }
@@ -100,6 +102,7 @@
             attempts: 0,
             tokens: 0,
             avoid: Vec::new(),
+            ticket: None,
             ran: false,
             resumes: 0,
         }
@@ -202,10 +205,15 @@
                 return Err(self.late());
             }
             let pinned = self.tokens > 0;
-            let Some(choice) = self.router.choose(&self.ask.target, pinned, &self.avoid) else {
+            let in_line = self.ticket.as_ref().is_none_or(Ticket::is_first);
+            let choice = in_line
+                .then(|| self.router.choose(&self.ask, pinned, &self.avoid))
+                .flatten();
+            let Some(choice) = choice else {
                 self.wait_for_runner().await?;
                 continue;
             };
+            self.ticket = None;
             self.attempts += 1;
             let runner = choice.runner.clone();
             match self.try_on(choice).await {
@@ -234,9 +242,14 @@
 
     /// Waits a moment for a copy that is being loaded; without one in sight, gives up at once.
     async fn wait_for_runner(&mut self) -> Result<(), Failure> {
-        if Instant::now() >= self.ask.deadline || !self.router.is_coming(&self.ask.target) {
+        let target = &self.ask.target;
+        let worth_waiting = self.router.is_coming(target) || self.router.is_served(target);
+        if Instant::now() >= self.ask.deadline || !worth_waiting {
             return Err(self.exhausted());
         }
+        if self.ticket.is_none() && self.ask.priority == Priority::Batch {
+            self.ticket = Some(self.router.queue(&self.ask));
+        }
         self.avoid.clear();
         compio::time::sleep(NO_RUNNER_PAUSE).await;
         Ok(())
@@ -262,7 +275,7 @@
                 self.ask.id, choice.target.base, choice.runner.name, choice.score, choice.others
             ),
         );
-        let in_flight = choice.runner.enter();
+        let in_flight = choice.runner.enter(self.ask.priority);
         let body = self.body_for(&choice.target);
         let (connection, response) = self.send(&choice, body).await?;
         match response.status() {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::{EngineClient, Report, ReportedState};
 use crate::events::{Event, emit};
-use crate::inventory::{BackendServer, Name};
+use crate::inventory::{BackendServer, Name, Priority};
 use crate::kernel::Service;
 use crate::wire::RunnerLoad;
 use prometheus_client::metrics::counter::Counter;
@@ -27,17 +27,62 @@
     /// Where it listens.
     pub(crate) address: SocketAddr,
     report: RefCell<Option<(Instant, Report)>>,
-    in_flight: Cell<u32>,
+    in_flight: Cell<Load>,
     broken_at: Cell<Option<Instant>>,
 }
 
 /// Counts a request as in flight on a runner until dropped.
 #[derive(Debug)]
-pub(crate) struct InFlight(Rc<Runner>);
+pub(crate) struct InFlight {
+    runner: Rc<Runner>,
+    load: Load,
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        let in_flight = self.runner.in_flight.get();
+        self.runner.in_flight.set(in_flight - self.load);
+    }
+}
+
+/// Requests in flight.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Load {
+    /// All of them.
+    pub(crate) all: u32,
+    /// The batch ones among them.
+    pub(crate) batch: u32,
+}
+
+impl std::ops::Add for Load {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            all: self.all + other.all,
+            batch: self.batch + other.batch,
+        }
+    }
+}
+
+impl std::ops::Sub for Load {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            all: self.all - other.all,
+            batch: self.batch - other.batch,
+        }
+    }
+}
+
+impl Load {
+    /// The load of one request.
+    fn of(priority: Priority) -> Self {
+        Self {
+            all: 1,
+            batch: u32::from(priority == Priority::Batch),
+        }
     }
 }
 
@@ -47,7 +92,7 @@
             name: server.name.clone(),
             address: server.address,
             report: RefCell::new(None),
-            in_flight: Cell::new(0),
+            in_flight: Cell::default(),
             broken_at: Cell::new(None),
         }
     }
@@ -80,14 +125,18 @@
     }
 
     /// Requests of this VM on the runner.
-    pub(crate) fn in_flight(&self) -> u32 {
+    pub(crate) fn in_flight(&self) -> Load {
         self.in_flight.get()
     }
 
     /// Counts one more request.
-    pub(crate) fn enter(self: &Rc<Self>) -> InFlight {
-        self.in_flight.set(self.in_flight.get() + 1);
-        InFlight(self.clone())
+    pub(crate) fn enter(self: &Rc<Self>, priority: Priority) -> InFlight {
+        let load = Load::of(priority);
+        self.in_flight.set(self.in_flight.get() + load);
+        InFlight {
+            runner: self.clone(),
+            load,
+        }
     }
 
     /// Notes a broken connection: the runner is passed over for a moment.
@@ -151,10 +200,11 @@
         self.runners
             .borrow()
             .values()
-            .filter(|runner| runner.in_flight() > 0)
+            .filter(|runner| runner.in_flight().all > 0)
             .map(|runner| RunnerLoad {
                 runner: runner.name.to_string(),
-                in_flight: runner.in_flight(),
+                in_flight: runner.in_flight().all,
+                batch: runner.in_flight().batch,
             })
             .collect()
     }
--- a/src/inventory/rules.rs
+++ b/src/inventory/rules.rs
@@ -17,6 +17,8 @@
     pub routing: RoutingRule,
     /// How copies follow the demand.
     pub placement: PlacementRule,
+    /// The part of a runner's slots up to which batch requests may fill it; 1 for no limit.
+    pub batch_fill: f64,
 }
 
 /// How a runner is chosen among those that hold what a request needs.
@@ -54,6 +56,7 @@
             moves: MovePolicy::default(),
             routing: RoutingRule::default(),
             placement: PlacementRule::default(),
+            batch_fill: 1.0,
         }
     }
 }
@@ -61,6 +64,9 @@
 impl Rules {
     pub(crate) fn check(&self, problems: &mut Vec<String>) {
         self.moves.check(problems);
+        if !(self.batch_fill > 0.0 && self.batch_fill <= 1.0) {
+            problems.push("rules.batch_fill must be a number above 0, at most 1".into());
+        }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! they must agree on they take from the order of records in the platform's
 //! log; docs/DESIGN.md tells why.
 
+mod batch_queue;
 pub mod cli;
 mod client;
 mod completion;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,6 +1,7 @@
 //! Which VMs live: the platform's list, and heartbeats that tell sooner.
 
 use crate::events::{Event, emit};
+use crate::fleet::Load;
 use crate::inventory::Name;
 use crate::kernel::Service;
 use crate::platform::{ListedVm, VmList};
@@ -188,14 +189,19 @@
     }
 
     /// Requests in flight by runner, summed over the peers that live.
-    pub(crate) fn peer_loads(&self) -> HashMap<Name, u32> {
+    pub(crate) fn peer_loads(&self) -> HashMap<Name, Load> {
         let mut loads = HashMap::new();
         for peer in self.peers.borrow().values().filter(|peer| peer.is_alive()) {
             let Some((_, heartbeat)) = &peer.heard else {
                 continue;
             };
             for load in &heartbeat.loads {
-                *loads.entry(load.runner.as_str().into()).or_default() += load.in_flight;
+                let sum: &mut Load = loads.entry(load.runner.as_str().into()).or_default();
+                *sum = *sum
+                    + Load {
+                        all: load.in_flight,
+                        batch: load.batch,
+                    };
             }
         }
         loads
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,10 +1,11 @@
 //! Choosing a runner for a request.
 
+use crate::batch_queue::{BatchQueue, Ticket};
 use crate::completion::Ask;
 use crate::control::{Artifact, Control};
 use crate::demand::Demand;
 use crate::fleet::{Fleet, Runner};
-use crate::inventory::{Name, RoutingRule};
+use crate::inventory::{Name, Priority, RoutingRule, Rules};
 use crate::kernel::Service;
 use crate::membership::Membership;
 use crate::server::ControlStream;
@@ -97,6 +98,7 @@
     fleet: Rc<Fleet>,
     membership: Rc<Membership>,
     demand: Rc<Demand>,
+    batch_queue: Rc<BatchQueue>,
     turn: Cell<usize>,
 }
 
@@ -117,6 +119,7 @@
             fleet,
             membership,
             demand,
+            batch_queue: Rc::default(),
             turn: Cell::new(0),
         }
     }
@@ -136,15 +139,18 @@
     ///
     /// With `pinned`, only that very version will do. Runners in `avoid` are
     /// taken only when there is no other.
-    pub(crate) fn choose(&self, wanted: &Target, pinned: bool, avoid: &[Name]) -> Option<Choice> {
-        self.choose_for(wanted, avoid).or_else(|| {
+    pub(crate) fn choose(&self, ask: &Ask, pinned: bool, avoid: &[Name]) -> Option<Choice> {
+        let wanted = &ask.target;
+        // A batch request that has begun is not held back any more.
+        let yields = ask.priority == Priority::Batch && !pinned;
+        self.choose_for(wanted, yields, avoid).or_else(|| {
             if pinned {
                 return None;
             }
             let older = self.control.with(|control| wanted.older(control));
             older
                 .iter()
-                .find_map(|target| self.choose_for(target, avoid))
+                .find_map(|target| self.choose_for(target, yields, avoid))
         })
     }
 
@@ -163,8 +169,18 @@
         self.control.with(|control| control.inventory.rules.routing)
     }
 
-    fn choose_for(&self, target: &Target, avoid: &[Name]) -> Option<Choice> {
-        let mut scored = self.scored(target);
+    /// Whether any runner serves the model, though it may be full for batch requests.
+    pub(crate) fn is_served(&self, wanted: &Target) -> bool {
+        !self.scored(wanted, false).is_empty()
+    }
+
+    /// Enters a batch request that found no place into the queue of this VM.
+    pub(crate) fn queue(&self, ask: &Ask) -> Ticket {
+        self.batch_queue.enter(&ask.target.base.model, ask.deadline)
+    }
+
+    fn choose_for(&self, target: &Target, yields: bool, avoid: &[Name]) -> Option<Choice> {
+        let mut scored = self.scored(target, yields);
         if scored
             .iter()
             .any(|(_, runner)| !avoid.contains(&runner.name))
@@ -191,7 +207,9 @@
         })
     }
 
-    fn scored(&self, target: &Target) -> Vec<(f64, Rc<Runner>)> {
+    /// The runners that serve `target` with their loads; with `yields`, without those where
+    /// urgent requests should find a slot.
+    fn scored(&self, target: &Target, yields: bool) -> Vec<(f64, Rc<Runner>)> {
         let peer_loads = self.membership.peer_loads();
         self.control.with(|control| {
             self.fleet
@@ -204,9 +222,13 @@
                     if server.leaving {
                         return None;
                     }
-                    let peers = peer_loads.get(&runner.name).copied().unwrap_or(0);
+                    let peers = peer_loads.get(&runner.name).copied().unwrap_or_default();
+                    let in_flight = runner.in_flight().all + peers.all;
+                    if yields && !has_place(&control.inventory.rules, server.slots, in_flight) {
+                        return None;
+                    }
                     let requests = match control.inventory.rules.routing {
-                        RoutingRule::LeastInFlight => runner.in_flight() + peers,
+                        RoutingRule::LeastInFlight => in_flight,
                         RoutingRule::LeastReported => runner
                             .report(|report| report.running + report.waiting)
                             .unwrap_or(0),
@@ -221,3 +243,8 @@
         })
     }
 }
+
+/// Whether one more batch request leaves the slots free that urgent ones are to find.
+fn has_place(rules: &Rules, slots: u32, in_flight: u32) -> bool {
+    rules.batch_fill >= 1.0 || f64::from(in_flight + 1) <= rules.batch_fill * f64::from(slots)
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -36,6 +36,9 @@
     /// Requests sent and not ended.
     #[prost(uint32, tag = "2")]
     pub in_flight: u32,
+    /// Those among them that are batch.
+    #[prost(uint32, tag = "3")]
+    pub batch: u32,
 }
 /// What the requests for one model ask for at one VM.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/workbench/src/experiment.rs
+++ b/workbench/src/experiment.rs
@@ -115,34 +115,46 @@
     pub name: &'static str,
     routing: RoutingRule,
     placement: PlacementRule,
+    batch_fill: f64,
 }
 
 /// The baselines, and last what is shipped.
-pub const POLICIES: [Policy; 5] = [
+pub const POLICIES: [Policy; 6] = [
     Policy {
         name: "round_robin",
         routing: RoutingRule::RoundRobin,
         placement: PlacementRule::Static,
+        batch_fill: 1.0,
     },
     Policy {
         name: "least_reported",
         routing: RoutingRule::LeastReported,
         placement: PlacementRule::Static,
+        batch_fill: 1.0,
     },
     Policy {
         name: "static",
         routing: RoutingRule::LeastInFlight,
         placement: PlacementRule::Static,
+        batch_fill: 1.0,
     },
     Policy {
         name: "on_demand",
         routing: RoutingRule::LeastInFlight,
         placement: PlacementRule::OnDemand,
+        batch_fill: 1.0,
+    },
+    Policy {
+        name: "yield",
+        routing: RoutingRule::LeastInFlight,
+        placement: PlacementRule::Static,
+        batch_fill: 0.75,
     },
     Policy {
         name: "shipped",
         routing: RoutingRule::LeastInFlight,
         placement: PlacementRule::Demand,
+        batch_fill: 0.75,
     },
 ];
 
@@ -223,6 +235,7 @@
         }
         inventory.rules.routing = self.policy.routing;
         inventory.rules.placement = self.policy.placement;
+        inventory.rules.batch_fill = self.policy.batch_fill;
         inventory.rules.moves = self.scenario.moves.clone();
     }
 
