--- a/src/completion.rs
+++ b/src/completion.rs
@@ -204,6 +204,9 @@
             if self.tokens == 0 && Instant::now() >= self.ask.deadline {
                 return Err(self.late());
             }
+            if !self.router.refreshed().await {
+                return Err(self.exhausted());
+            }
             let pinned = self.tokens > 0;
             let in_line = self.ticket.as_ref().is_none_or(Ticket::is_first);
             let choice = in_line
@@ -316,6 +319,9 @@
             request.headers_mut().insert("x-request-id", id.clone());
             request
         };
+        if !self.router.may_send(choice) {
+            return Err(AttemptError::NotRun("outdated"));
+        }
         if let Some(mut pooled) = self.pool.take(address) {
             let sent = compio::time::timeout(SILENCE, pooled.send(build())).await;
             match sent {
@@ -335,6 +341,9 @@
                     choice.runner.note_broken();
                     AttemptError::NotRun("no_connection")
                 })?;
+        if !self.router.may_send(choice) {
+            return Err(AttemptError::NotRun("outdated"));
+        }
         match compio::time::timeout(SILENCE, connection.send(build())).await {
             Ok(Ok(response)) => Ok((connection, response)),
             Ok(Err(SendError::NotSent)) => Err(AttemptError::NotRun("not_sent")),
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,14 +1,15 @@
 //! Deciding what to load and unload, from the books and the inventory alone.
 
-use crate::control::{Artifact, Control, CopyState, RunnerBook};
+mod replicas;
+mod room;
+
+use crate::control::{Artifact, Control, CopyState, MAX_OPEN_LOADS, RunnerBook};
 use crate::demand::Slots;
 use crate::inventory::{BackendServer, Model, Name};
 use std::collections::{HashMap, HashSet};
 use std::fmt::Write;
 use std::time::Duration;
 
-/// Loads that the weight store serves at full speed.
-pub(crate) const MAX_OPEN_LOADS: usize = 6;
 /// Copies of a model that are made wherever they fit, in different availability zones.
 const SPARE_REPLICAS: u32 = 2;
 
@@ -32,17 +33,26 @@
     },
 }
 
+impl Move {
+    /// What is loaded or unloaded.
+    fn artifact(&self) -> &Artifact {
+        match self {
+            Self::Load { artifact, .. } | Self::Unload { artifact, .. } => artifact,
+        }
+    }
+}
+
 /// What a plan is made from.
 #[derive(Debug)]
 pub(crate) struct Planning<'a> {
-    pub(crate) control: &'a Control,
-    pub(crate) runners: Vec<&'a BackendServer>,
+    control: &'a Control,
+    runners: Vec<&'a BackendServer>,
     /// The demand for each model.
-    pub(crate) demand: HashMap<Name, Slots>,
+    demand: HashMap<Name, Slots>,
     /// How long a request is expected to take.
-    pub(crate) service_time: Duration,
+    service_time: Duration,
     /// The hour of the day, UTC.
-    pub(crate) hour: u8,
+    hour: u8,
 }
 
 impl<'a> Planning<'a> {
@@ -80,8 +90,11 @@
         let mut moves = self.unloads();
         let budget = MAX_OPEN_LOADS.saturating_sub(self.control.open_loads());
         let mut loads = self.missing_adapters();
-        loads.extend(self.missing_copies());
-        if loads.is_empty() {
+        let lacking = self.lacking();
+        loads.extend(self.place(lacking.iter().copied(), "copy_missing"));
+        if !lacking.is_empty() {
+            moves.extend(self.make_room(&lacking));
+        } else if loads.is_empty() {
             for followed in self.follow_demand() {
                 match followed {
                     Move::Load { .. } => loads.push(followed),
@@ -89,7 +102,8 @@
                 }
             }
         }
-        if loads.is_empty() && self.control.open_loads() == 0 && !self.wants_room() {
+        let is_quiet = loads.is_empty() && self.control.open_loads() == 0;
+        if lacking.is_empty() && is_quiet && !self.wants_room() {
             loads.extend(self.spare_copies());
         }
         loads.truncate(budget);
@@ -97,11 +111,11 @@
         moves
     }
 
-    pub(crate) fn book(&self, runner: &BackendServer) -> RunnerBook {
+    fn book(&self, runner: &BackendServer) -> RunnerBook {
         self.control.book(&runner.name)
     }
 
-    pub(crate) fn artifact(model: &Model) -> Artifact {
+    fn artifact(model: &Model) -> Artifact {
         Artifact {
             model: model.name.clone(),
             adapter: None,
@@ -121,7 +135,7 @@
     }
 
     /// Memory that is free and not needed for adapters of models already there.
-    pub(crate) fn free_mib(&self, runner: &BackendServer) -> u64 {
+    fn free_mib(&self, runner: &BackendServer) -> u64 {
         let book = self.book(runner);
         let owed_mib: u64 = self
             .control
@@ -138,7 +152,7 @@
             .saturating_sub(book.taken_mib() + owed_mib)
     }
 
-    pub(crate) fn holders(&self, model: &Model) -> Vec<&'a BackendServer> {
+    fn holders(&self, model: &Model) -> Vec<&'a BackendServer> {
         let artifact = Self::artifact(model);
         self.runners
             .iter()
@@ -176,8 +190,8 @@
         loads
     }
 
-    /// First copies before further ones.
-    fn missing_copies(&self) -> Vec<Move> {
+    /// Models with too few copies, those without any first.
+    fn lacking(&self) -> Vec<&'a Model> {
         let mut models: Vec<(usize, &Model)> = self
             .control
             .inventory
@@ -187,7 +201,7 @@
             .filter(|(copies, model)| (*copies as u32) < model.min_replicas)
             .collect();
         models.sort_by_key(|(copies, model)| (*copies, std::cmp::Reverse(model.resident_mib())));
-        self.place(models.into_iter().map(|(_, model)| model), "copy_missing")
+        models.into_iter().map(|(_, model)| model).collect()
     }
 
     fn spare_copies(&self) -> Vec<Move> {
@@ -247,7 +261,8 @@
             .map(|runner| {
                 let new_zone = self.control.inventory.rules.spread_zones
                     && !zones.contains(&runner.availability_zone);
-                (new_zone, self.free_mib(runner), *runner)
+                let reserved_mib = self.book(runner).reserved_mib(&artifact);
+                (new_zone, self.free_mib(runner) + reserved_mib, *runner)
             })
             .filter(|(_, free_mib, _)| *free_mib >= model.resident_mib())
             .collect();
@@ -262,14 +277,14 @@
     fn unloads(&self) -> Vec<Move> {
         let mut unloads = Vec::new();
         for runner in &self.runners {
-            for (artifact, copy) in &self.book(runner).copies {
-                if copy.state != CopyState::Resident {
+            let book = self.book(runner);
+            for (artifact, copy) in &book.copies {
+                if copy.state != CopyState::Resident
+                    || self.control.is_last_copy(&runner.name, artifact)
+                {
                     continue;
                 }
-                let orphan = self
-                    .is_orphan(runner, artifact)
-                    .then_some("model_not_on_runner");
-                if let Some(reason) = orphan.or_else(|| self.reason_to_unload(artifact)) {
+                if let Some(reason) = self.reason_to_unload(&book, artifact) {
                     unloads.push(Move::Unload {
                         runner: runner.name.clone(),
                         artifact: artifact.clone(),
@@ -281,7 +296,7 @@
         unloads
     }
 
-    fn reason_to_unload(&self, artifact: &Artifact) -> Option<&'static str> {
+    fn reason_to_unload(&self, book: &RunnerBook, artifact: &Artifact) -> Option<&'static str> {
         let Some(model) = self.control.inventory.model(&artifact.model) else {
             return Some("model_not_listed");
         };
@@ -296,7 +311,7 @@
             },
         };
         if current == *artifact {
-            return None;
+            return is_orphan(book, artifact).then_some("adapter_without_model");
         }
         let copies = self.control.resident_on(&current).count();
         let complete = self.complete_copies(model);
@@ -305,7 +320,7 @@
     }
 
     /// Runners that hold the model in force with all its adapters.
-    pub(crate) fn complete_copies(&self, model: &Model) -> usize {
+    fn complete_copies(&self, model: &Model) -> usize {
         self.runners
             .iter()
             .filter(|runner| {
@@ -316,3 +331,12 @@
             .count()
     }
 }
+
+/// Whether an adapter lies on a runner that does not hold its model in any version.
+fn is_orphan(book: &RunnerBook, artifact: &Artifact) -> bool {
+    artifact.adapter.is_some()
+        && !book
+            .copies
+            .keys()
+            .any(|held| held.model == artifact.model && held.adapter.is_none())
+}
--- a/src/replicas.rs
+++ b/src/placement/replicas.rs
@@ -1,10 +1,10 @@
 //! Copies that follow the demand: which model gains one, where, and in whose place.
 
-use crate::control::{Artifact, CopyState};
+use super::{Move, Planning};
+use crate::control::CopyState;
 use crate::demand::Slots;
 use crate::inventory::{BackendServer, Model, MovePolicy, Name, PlacementRule};
-use crate::placement::{Move, Planning};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// Parts in which a model's demand is spread over its copies.
 const PARTS: u32 = 16;
@@ -140,7 +140,7 @@
                     .total_cmp(&load(right).unwrap_or(0.0))
             });
             let place = free.into_iter().find_map(|runner| {
-                let victim = self.victim(runner, model, &holders)?;
+                let victim = self.victim(runner, model)?;
                 Some((runner, victim))
             });
             if let Some((runner, victim)) = place {
@@ -179,12 +179,8 @@
         clippy::option_option,
         reason = "no room and no need of a victim differ"
     )]
-    fn victim(
-        &self,
-        runner: &BackendServer,
-        model: &Model,
-        holders: &Holders<'a>,
-    ) -> Option<Option<&'a Model>> {
+    fn victim(&self, runner: &BackendServer, model: &Model) -> Option<Option<&'a Model>> {
+        let book = self.book(runner);
         let free_mib = self.free_mib(runner);
         if free_mib >= model.resident_mib() {
             return Some(None);
@@ -193,7 +189,7 @@
             .inventory
             .models
             .iter()
-            .filter(|other| self.can_spare(other, runner, holders))
+            .filter(|other| self.can_spare(runner, &book, &Self::artifact(other)))
             .filter(|other| free_mib + other.resident_mib() >= model.resident_mib())
             .min_by(|left, right| {
                 let key = |model: &Model| self.weighted(&model.name);
@@ -202,13 +198,6 @@
             .map(Some)
     }
 
-    /// Whether a model's copy on a runner can go: others are complete, also without it.
-    fn can_spare(&self, model: &Model, runner: &BackendServer, holders: &Holders<'a>) -> bool {
-        let on_runner = self.book(runner).is_resident(&Self::artifact(model));
-        let kept = (model.min_replicas.max(1) + 1) as usize;
-        on_runner && holders[&model.name].len() >= kept && self.complete_copies(model) >= kept
-    }
-
     /// The one change that pays most, if it pays at all.
     fn worthwhile(&self) -> Vec<Move> {
         if self.is_moving() {
@@ -225,7 +214,7 @@
         let short = self.short_models(&holders, &spread, FULL);
         for model in short.into_iter().take(CANDIDATES) {
             for runner in self.without(model, &holders) {
-                let Some(victim) = self.victim(runner, model, &holders) else {
+                let Some(victim) = self.victim(runner, model) else {
                     continue;
                 };
                 let after = self.after(&holders, model, runner, victim);
@@ -291,11 +280,7 @@
                 others: format!("gain_slots:{:.1}", gain.slots),
             }];
         };
-        vec![Move::Unload {
-            runner: gain.runner.name.clone(),
-            artifact: Self::artifact(victim),
-            reason: "makes_room",
-        }]
+        self.unload_whole(gain.runner, &Self::artifact(victim), "less_demanded")
     }
 
     /// Models that a placement keeps from getting spare copies back: all, while copies follow
@@ -304,29 +289,9 @@
         if self.control.inventory.rules.placement == PlacementRule::Static {
             return false;
         }
-        let unloading = self.runners.iter().any(|runner| {
-            let book = self.book(runner);
-            book.copies
-                .values()
-                .any(|copy| copy.state == CopyState::Unloading)
-        });
         let holders = self.all_holders();
         let spread = self.spread(&holders, |model| self.weighted(model));
-        unloading || !self.short_models(&holders, &spread, FULL).is_empty()
-    }
-
-    /// Adapters whose model is not on the runner any more.
-    pub(crate) fn is_orphan(&self, runner: &BackendServer, artifact: &Artifact) -> bool {
-        let book = self.book(runner);
-        let bases: HashSet<CopyState> = book
-            .copies
-            .iter()
-            .filter(|(held, _)| held.model == artifact.model && held.adapter.is_none())
-            .map(|(_, copy)| copy.state)
-            .collect();
-        artifact.adapter.is_some()
-            && !bases.contains(&CopyState::Loading)
-            && !bases.contains(&CopyState::Resident)
+        self.is_freeing() || !self.short_models(&holders, &spread, FULL).is_empty()
     }
 }
 
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -97,6 +97,8 @@
     pub thin_runners: bool,
     /// What each runner holds from its start, as `artifact:mib`.
     pub holds: Vec<Vec<String>>,
+    /// Settings of single VMs, by index.
+    pub vm_settings: Vec<(usize, Value)>,
     /// Addresses that VMs use in place of the real ones, such as proxies.
     pub detours: Vec<(SocketAddr, SocketAddr)>,
 }
@@ -118,6 +120,7 @@
             settings: json!({"drain_grace_ms": 300}),
             thin_runners: false,
             holds: Vec::new(),
+            vm_settings: Vec::new(),
             detours: Vec::new(),
         }
     }
@@ -364,29 +367,28 @@
 
     /// Lists VMs and backend servers, with some of them as leaving.
     pub async fn set_list(&self, leaving: &[String]) {
+        web::post(self.platform_address(), "/vms", &self.list(leaving))
+            .await
+            .expect("the platform answers");
+    }
+
+    /// The VM list with some VMs and backend servers as leaving.
+    pub fn list(&self, leaving: &[String]) -> Value {
+        let shape = &self.plan.shape;
+        let entry = |kind: &str, index: usize| {
+            let name = format!("{kind}-{index}");
+            let leaving = leaving.contains(&name);
+            json!({"name": name, "availability_zone": shape.zone(index), "leaving": leaving})
+        };
         let mut list = Vec::new();
         for index in 0..self.plan.vms {
-            let name = format!("vm-{index}");
-            list.push(json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "peer_address": self.seen(self.peer_address(index)), "leaving": leaving.contains(&name)}));
-        }
-        for index in 0..self.plan.shape.runners {
-            let name = format!("runner-{index}");
-            list.push(
-                json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "leaving": leaving.contains(&name)}),
-            );
-        }
-        for index in 0..self.plan.shape.servers {
-            let name = format!("server-{index}");
-            list.push(
-                json!({"name": name, "availability_zone": self.plan.shape.zone(index),
-                "leaving": leaving.contains(&name)}),
-            );
+            let mut vm = entry("vm", index);
+            vm["peer_address"] = json!(self.seen(self.peer_address(index)));
+            list.push(vm);
         }
-        web::post(self.platform_address(), "/vms", &json!(list))
-            .await
-            .expect("the platform answers");
+        list.extend((0..shape.runners).map(|index| entry("runner", index)));
+        list.extend((0..shape.servers).map(|index| entry("server", index)));
+        json!(list)
     }
 
     /// Starts a runner's process, again after it was killed.
@@ -462,8 +464,11 @@
             "vm_list_address": self.platform_address(),
             "log_retention_ms": self.plan.platform.retention_ms,
         });
-        for (field, value) in self.plan.settings.as_object().into_iter().flatten() {
-            settings[field] = value.clone();
+        let own = self.plan.vm_settings.iter().filter(|(vm, _)| *vm == index);
+        for more in std::iter::once(&self.plan.settings).chain(own.map(|(_, settings)| settings)) {
+            for (field, value) in more.as_object().into_iter().flatten() {
+                settings[field] = value.clone();
+            }
         }
         let path = self.folder.join(format!("vm-{index}.json"));
         std::fs::write(&path, settings.to_string()).expect("the folder takes files");
@@ -478,17 +483,17 @@
 
     /// The platform's address.
     pub fn platform_address(&self) -> SocketAddr {
-        self.address(PLATFORM_PORT)
+        platform_at(self.ip)
     }
 
     /// A runner's own address.
     pub fn runner_address(&self, index: usize) -> SocketAddr {
-        self.address(RUNNER_PORT + index as u16)
+        runner_at(self.ip, index)
     }
 
     /// A server's own address.
     pub fn server_address(&self, index: usize) -> SocketAddr {
-        self.address(SERVER_PORT + index as u16)
+        server_at(self.ip, index)
     }
 
     /// Where a VM serves callers.
@@ -516,6 +521,21 @@
     }
 }
 
+/// The platform's address at a site that is not started yet.
+pub fn platform_at(ip: IpAddr) -> SocketAddr {
+    SocketAddr::new(ip, PLATFORM_PORT)
+}
+
+/// A runner's address at a site that is not started yet.
+pub fn runner_at(ip: IpAddr, index: usize) -> SocketAddr {
+    SocketAddr::new(ip, RUNNER_PORT + index as u16)
+}
+
+/// A server's address at a site that is not started yet.
+pub fn server_at(ip: IpAddr, index: usize) -> SocketAddr {
+    SocketAddr::new(ip, SERVER_PORT + index as u16)
+}
+
 fn start_platform(plan: &Plan, ip: IpAddr, folder: &Path) -> Process {
     let mut command = Command::new(workbench_binary());
     let state = serde_json::to_string(&plan.platform).expect("the state serializes");
--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod report;
 pub mod service;
 pub mod shape;
+pub mod soak;
 pub mod traffic;
 pub mod usage;
 pub mod web;
