--- a/src/batch_queue.rs
+++ b/src/batch_queue.rs
@@ -4,13 +4,17 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// The weight of the newest wait in the mean.
+const LEARNING_RATE: f64 = 0.2;
 
 /// The requests that wait, by model and then by deadline.
 #[derive(Debug, Default)]
 pub(crate) struct BatchQueue {
     waiting: RefCell<BTreeSet<(Name, Instant, u64)>>,
     next: Cell<u64>,
+    waited_s: Cell<f64>,
 }
 
 /// One request's place in the queue, given up when dropped.
@@ -18,6 +22,7 @@
 pub(crate) struct Ticket {
     queue: Rc<BatchQueue>,
     place: (Name, Instant, u64),
+    entered_at: Instant,
 }
 
 impl BatchQueue {
@@ -30,6 +35,17 @@
         Ticket {
             queue: self.clone(),
             place,
+            entered_at: Instant::now(),
+        }
+    }
+
+    /// How long one more request for a model would wait, as those before it did.
+    pub(crate) fn expected_wait(&self, model: &Name) -> Duration {
+        let waiting = self.waiting.borrow();
+        if waiting.iter().any(|(waits, ..)| waits == model) {
+            Duration::from_secs_f64(self.waited_s.get())
+        } else {
+            Duration::ZERO
         }
     }
 }
@@ -46,5 +62,10 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         self.queue.waiting.borrow_mut().remove(&self.place);
+        let waited_s = self.entered_at.elapsed().as_secs_f64();
+        let mean_s = self.queue.waited_s.get();
+        self.queue
+            .waited_s
+            .set(mean_s + LEARNING_RATE * (waited_s - mean_s));
     }
 }
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -24,6 +24,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Attempts at one request at most.
 const MAX_ATTEMPTS: u32 = 5;
+/// How often one batch request gives up its slot at most.
+const MAX_YIELDS: u32 = 3;
 /// The pause before looking again when no runner can take the request.
 const NO_RUNNER_PAUSE: Duration = Duration::from_millis(50);
 
@@ -40,6 +42,8 @@
     pub(crate) priority: Priority,
     /// When the first token must have come.
     pub(crate) deadline: Instant,
+    /// When the first token should have come, if the caller says so.
+    pub(crate) first_token_by: Option<Instant>,
 }
 
 impl Ask {
@@ -64,7 +68,7 @@
     reader: SseReader,
     connection: Connection,
     runner: Name,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 /// One completion under way.
@@ -77,6 +81,7 @@
     tokens: u32,
     avoid: Vec<Name>,
     ticket: Option<Ticket>,
+    yields: u32,
     ran: bool,
     resumes: u32,
 }
@@ -103,6 +108,7 @@
             tokens: 0,
             avoid: Vec::new(),
             ticket: None,
+            yields: 0,
             ran: false,
             resumes: 0,
         }
@@ -125,6 +131,7 @@
     /// Fails once no runner can go on, or the deadline passed before any token.
     pub(crate) async fn next(&mut self) -> Result<Step, Failure> {
         loop {
+            self.give_way();
             if self.attempt.is_none() {
                 self.attempt = Some(self.open().await?);
             }
@@ -146,6 +153,42 @@
         }
     }
 
+    /// Gives up the slot if urgent requests want it; the answer goes on later.
+    fn give_way(&mut self) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let may_yield = self.tokens > 0 && self.yields < MAX_YIELDS && self.holds_back();
+        if !may_yield || !attempt.in_flight.runner().take_yield() {
+            return;
+        }
+        emit(
+            Event::Yielded,
+            format_args!(
+                "request={} runner={} token={}",
+                self.ask.id, attempt.runner, self.tokens
+            ),
+        );
+        self.yields += 1;
+        self.attempts -= 1;
+        self.attempt = None;
+        self.ticket = Some(self.router.queue(&self.ask));
+    }
+
+    /// Whether the request leaves room to urgent ones: batch, while its deadline allows it.
+    fn holds_back(&self) -> bool {
+        if self.ask.priority != Priority::Batch {
+            return false;
+        }
+        let has_begun = self.tokens > 0;
+        if has_begun && self.yields == 0 && self.attempt.is_none() {
+            // Broken off by a failure: the caller waits in the middle of an answer.
+            return false;
+        }
+        let left = self.ask.deadline.saturating_duration_since(Instant::now());
+        !has_begun || left > self.router.service_time(&self.ask) * 2
+    }
+
     /// How long to wait for the next event: no longer than the deadline before the first token.
     fn silence(&self) -> Result<Duration, Failure> {
         if self.tokens > 0 {
@@ -208,9 +251,13 @@
                 return Err(self.exhausted());
             }
             let pinned = self.tokens > 0;
-            let in_line = self.ticket.as_ref().is_none_or(Ticket::is_first);
+            let in_line = !self.holds_back() || self.ticket.as_ref().is_none_or(Ticket::is_first);
             let choice = in_line
-                .then(|| self.router.choose(&self.ask, pinned, &self.avoid))
+                .then(|| {
+                    let holds_back = self.holds_back();
+                    self.router
+                        .choose(&self.ask, pinned, holds_back, &self.avoid)
+                })
                 .flatten();
             let Some(choice) = choice else {
                 self.wait_for_runner().await?;
@@ -279,6 +326,9 @@
             ),
         );
         let in_flight = choice.runner.enter(self.ask.priority);
+        if self.ask.priority == Priority::Urgent {
+            self.router.make_room_on(&choice.runner);
+        }
         let body = self.body_for(&choice.target);
         let (connection, response) = self.send(&choice, body).await?;
         match response.status() {
@@ -297,7 +347,7 @@
             reader: SseReader::new(response.into_body()),
             connection,
             runner: choice.runner.name.clone(),
-            _in_flight: in_flight,
+            in_flight,
         })
     }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -41,6 +41,7 @@
     name: Name,
     priority: Priority,
     deadline_ms: u64,
+    first_token_ms: Option<u64>,
     max_concurrent: u32,
 }
 
@@ -252,8 +253,15 @@
             body,
             priority: sender.priority,
             deadline: started + Duration::from_millis(deadline_ms),
+            first_token_by: sender
+                .first_token_ms
+                .map(|time_ms| started + Duration::from_millis(time_ms)),
         };
         self.router.note_arrival(&ask);
+        if let Err(failure) = self.router.admit(&ask) {
+            self.count(sender.priority, Some(&failure));
+            return Err(failure);
+        }
         let mut completion = Completion::new(self.router.clone(), self.pool.clone(), ask);
         let first = match completion.next().await {
             Ok(step) => step,
@@ -451,6 +459,7 @@
             name: arcstr::literal!("anonymous"),
             priority,
             deadline_ms: 30_000,
+            first_token_ms: None,
             max_concurrent: 0,
         }),
         None => Err(Failure::new(Kind::UnknownCaller, "an API key is required")),
@@ -463,6 +472,7 @@
             name: caller.name.clone(),
             priority: caller.priority,
             deadline_ms: caller.deadline_ms,
+            first_token_ms: caller.first_token_ms,
             max_concurrent: caller.max_concurrent,
         }
     }
--- a/src/events.rs
+++ b/src/events.rs
@@ -22,6 +22,8 @@
     Refused,
     /// A request goes on on another runner.
     Resumed,
+    /// A batch request gave its slot to urgent ones.
+    Yielded,
     /// A request ended.
     Answered,
     /// A call was given to a plain service.
@@ -152,6 +154,13 @@
         Level::Debug,
         "a request ended: request, tokens, duration_ms",
     ),
+    row(
+        Event::Yielded,
+        306,
+        "yielded",
+        Level::Info,
+        "a batch request gives its slot to urgent ones: request, runner, token",
+    ),
     row(
         Event::CallRouted,
         304,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -29,6 +29,7 @@
     report: RefCell<Option<(Instant, Report)>>,
     in_flight: Cell<Load>,
     broken_at: Cell<Option<Instant>>,
+    yields_wanted: Cell<u32>,
 }
 
 /// Counts a request as in flight on a runner until dropped.
@@ -38,6 +39,13 @@
     load: Load,
 }
 
+impl InFlight {
+    /// The runner that the request is on.
+    pub(crate) fn runner(&self) -> &Runner {
+        &self.runner
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let in_flight = self.runner.in_flight.get();
@@ -94,6 +102,7 @@
             report: RefCell::new(None),
             in_flight: Cell::default(),
             broken_at: Cell::new(None),
+            yields_wanted: Cell::new(0),
         }
     }
 
@@ -139,6 +148,18 @@
         }
     }
 
+    /// Wants so many of this VM's batch requests on the runner to give up their slots.
+    pub(crate) fn want_yields(&self, count: u32) {
+        self.yields_wanted.set(count.min(self.in_flight().batch));
+    }
+
+    /// Takes one wanted yield, if there is any.
+    pub(crate) fn take_yield(&self) -> bool {
+        let wanted = self.yields_wanted.get();
+        self.yields_wanted.set(wanted.saturating_sub(1));
+        wanted > 0
+    }
+
     /// Notes a broken connection: the runner is passed over for a moment.
     pub(crate) fn note_broken(&self) {
         self.broken_at.set(Some(Instant::now()));
--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -9,7 +9,7 @@
 pub use backend_server::{BackendServer, Duty};
 pub use caller::{Caller, Priority};
 pub use model::{Adapter, Model};
-pub use rules::{MovePolicy, PlacementRule, RoutingRule, Rules};
+pub use rules::{AdmissionRule, MovePolicy, PlacementRule, RoutingRule, Rules};
 pub use service::PlainService;
 
 use arcstr::ArcStr;
--- a/src/inventory/rules.rs
+++ b/src/inventory/rules.rs
@@ -19,6 +19,22 @@
     pub placement: PlacementRule,
     /// The part of a runner's slots up to which batch requests may fill it; 1 for no limit.
     pub batch_fill: f64,
+    /// Whether batch requests that run give up their slots, and go on later, while urgent ones
+    /// wait.
+    pub batch_yields: bool,
+    /// Whether requests are refused that cannot meet their deadlines.
+    pub admission: AdmissionRule,
+}
+
+/// Whether requests are refused that cannot meet their deadlines.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdmissionRule {
+    /// Every request is taken; it is refused once its deadline has passed.
+    Unlimited,
+    /// A request that is not expected to meet its deadlines is refused at once.
+    #[default]
+    Deadline,
 }
 
 /// How a runner is chosen among those that hold what a request needs.
@@ -39,9 +55,9 @@
 #[serde(rename_all = "snake_case")]
 pub enum PlacementRule {
     /// First copies, then spare ones; demand changes nothing.
-    #[default]
     Static,
     /// One more copy where what it gains over the pay-back time beats the moves' cost.
+    #[default]
     Demand,
     /// A copy as soon as requests exceed the slots of those there are, in the place of the
     /// least recently used.
@@ -56,7 +72,9 @@
             moves: MovePolicy::default(),
             routing: RoutingRule::default(),
             placement: PlacementRule::default(),
-            batch_fill: 1.0,
+            batch_fill: 0.9,
+            batch_yields: true,
+            admission: AdmissionRule::default(),
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! they must agree on they take from the order of records in the platform's
 //! log; docs/DESIGN.md tells why.
 
+mod admission;
 mod batch_queue;
 pub mod cli;
 mod client;
@@ -44,8 +45,8 @@
 pub use events::{EVENTS, Event, EventRow};
 pub use http::{Body, ReadError, json_response, listen, read_body, serve as serve_http};
 pub use inventory::{
-    Adapter, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name, PlacementRule,
-    PlainService, Priority, RoutingRule, Rules,
+    Adapter, AdmissionRule, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name,
+    PlacementRule, PlainService, Priority, RoutingRule, Rules,
 };
 pub use server::serve;
 pub use shutdown::{OpenGuard, Shutdown};
--- a/src/router.rs
+++ b/src/router.rs
@@ -5,7 +5,7 @@
 use crate::control::{Artifact, Control};
 use crate::demand::Demand;
 use crate::fleet::{Fleet, Runner};
-use crate::inventory::{Name, Priority, RoutingRule, Rules};
+use crate::inventory::{Name, RoutingRule, Rules};
 use crate::kernel::Service;
 use crate::membership::Membership;
 use crate::server::ControlStream;
@@ -96,11 +96,11 @@
 
 /// Chooses runners by the requests in flight that this VM and its peers know of.
 pub(crate) struct Router {
-    control: Rc<ControlStream>,
-    fleet: Rc<Fleet>,
-    membership: Rc<Membership>,
+    pub(crate) control: Rc<ControlStream>,
+    pub(crate) fleet: Rc<Fleet>,
+    pub(crate) membership: Rc<Membership>,
     demand: Rc<Demand>,
-    batch_queue: Rc<BatchQueue>,
+    pub(crate) batch_queue: Rc<BatchQueue>,
     turn: Cell<usize>,
 }
 
@@ -153,10 +153,15 @@
     ///
     /// With `pinned`, only that very version will do. Runners in `avoid` are
     /// taken only when there is no other.
-    pub(crate) fn choose(&self, ask: &Ask, pinned: bool, avoid: &[Name]) -> Option<Choice> {
+    /// With `yields`, runners are left out on which urgent requests should find a slot.
+    pub(crate) fn choose(
+        &self,
+        ask: &Ask,
+        pinned: bool,
+        yields: bool,
+        avoid: &[Name],
+    ) -> Option<Choice> {
         let wanted = &ask.target;
-        // A batch request that has begun is not held back any more.
-        let yields = ask.priority == Priority::Batch && !pinned;
         self.choose_for(wanted, yields, avoid).or_else(|| {
             if pinned {
                 return None;
@@ -183,6 +188,11 @@
         self.control.with(|control| control.inventory.rules.routing)
     }
 
+    /// How long a runner is expected to be busy with a request.
+    pub(crate) fn service_time(&self, ask: &Ask) -> Duration {
+        self.demand.service_time(ask.max_tokens())
+    }
+
     /// Whether any runner serves the model, though it may be full for batch requests.
     pub(crate) fn is_served(&self, wanted: &Target) -> bool {
         !self.scored(wanted, false).is_empty()
@@ -224,7 +234,7 @@
 
     /// The runners that serve `target` with their loads; with `yields`, without those where
     /// urgent requests should find a slot.
-    fn scored(&self, target: &Target, yields: bool) -> Vec<(f64, Rc<Runner>)> {
+    pub(crate) fn scored(&self, target: &Target, yields: bool) -> Vec<(f64, Rc<Runner>)> {
         let peer_loads = self.membership.peer_loads();
         self.control.with(|control| {
             self.fleet
--- a/workbench/src/experiment.rs
+++ b/workbench/src/experiment.rs
@@ -8,7 +8,7 @@
 use crate::traffic::{Arrival, Class, Traffic};
 use compio::time::{sleep, timeout};
 use futures_util::future::join_all;
-use rattanjunction::{Inventory, MovePolicy, PlacementRule, Priority, RoutingRule};
+use rattanjunction::{AdmissionRule, Inventory, MovePolicy, PlacementRule, Priority, RoutingRule};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
@@ -116,45 +116,69 @@
     routing: RoutingRule,
     placement: PlacementRule,
     batch_fill: f64,
+    batch_yields: bool,
+    admission: AdmissionRule,
 }
 
-/// The baselines, and last what is shipped.
-pub const POLICIES: [Policy; 6] = [
-    Policy {
-        name: "round_robin",
-        routing: RoutingRule::RoundRobin,
-        placement: PlacementRule::Static,
-        batch_fill: 1.0,
-    },
-    Policy {
-        name: "least_reported",
-        routing: RoutingRule::LeastReported,
-        placement: PlacementRule::Static,
-        batch_fill: 1.0,
-    },
+impl Policy {
+    /// A baseline: nothing is refused, held back or given up.
+    const fn baseline(name: &'static str, routing: RoutingRule, placement: PlacementRule) -> Self {
+        Self {
+            name,
+            routing,
+            placement,
+            batch_fill: 1.0,
+            batch_yields: false,
+            admission: AdmissionRule::Unlimited,
+        }
+    }
+}
+
+const STATIC: Policy =
+    Policy::baseline("static", RoutingRule::LeastInFlight, PlacementRule::Static);
+
+const SHIPPED: Policy = Policy {
+    name: "shipped",
+    placement: PlacementRule::Demand,
+    batch_fill: 0.9,
+    batch_yields: true,
+    admission: AdmissionRule::Deadline,
+    ..STATIC
+};
+
+/// The baselines, what is shipped, and what is shipped with one rule left out.
+pub const POLICIES: [Policy; 8] = [
+    Policy::baseline(
+        "round_robin",
+        RoutingRule::RoundRobin,
+        PlacementRule::Static,
+    ),
+    Policy::baseline(
+        "least_reported",
+        RoutingRule::LeastReported,
+        PlacementRule::Static,
+    ),
+    STATIC,
+    Policy::baseline(
+        "on_demand",
+        RoutingRule::LeastInFlight,
+        PlacementRule::OnDemand,
+    ),
+    SHIPPED,
     Policy {
-        name: "static",
-        routing: RoutingRule::LeastInFlight,
+        name: "no_demand",
         placement: PlacementRule::Static,
-        batch_fill: 1.0,
-    },
-    Policy {
-        name: "on_demand",
-        routing: RoutingRule::LeastInFlight,
-        placement: PlacementRule::OnDemand,
-        batch_fill: 1.0,
+        ..SHIPPED
     },
     Policy {
-        name: "yield",
-        routing: RoutingRule::LeastInFlight,
-        placement: PlacementRule::Static,
-        batch_fill: 0.75,
+        name: "no_yields",
+        batch_yields: false,
+        ..SHIPPED
     },
     Policy {
-        name: "shipped",
-        routing: RoutingRule::LeastInFlight,
-        placement: PlacementRule::Demand,
-        batch_fill: 0.75,
+        name: "no_admission",
+        admission: AdmissionRule::Unlimited,
+        ..SHIPPED
     },
 ];
 
@@ -236,6 +260,8 @@
         inventory.rules.routing = self.policy.routing;
         inventory.rules.placement = self.policy.placement;
         inventory.rules.batch_fill = self.policy.batch_fill;
+        inventory.rules.batch_yields = self.policy.batch_yields;
+        inventory.rules.admission = self.policy.admission;
         inventory.rules.moves = self.scenario.moves.clone();
     }
 
