--- a/src/inventory/rules.rs
+++ b/src/inventory/rules.rs
@@ -92,7 +92,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MovePolicy {
-    /// Requests a second that a move must serve better to be worth it.
+    /// Requests that a move must serve better, over the time to pay back, to be worth it.
     pub cost_requests: f64,
     /// The time over which a move must pay back.
     pub payback_ms: u64,
@@ -100,6 +100,8 @@
     pub busy_hours: Vec<u8>,
     /// The factor for moves in busy hours.
     pub busy_factor: f64,
+    /// The factor by which urgent demand may rise at once; copies are made ahead for it.
+    pub burst_factor: f64,
 }
 
 impl Default for MovePolicy {
@@ -109,6 +111,7 @@
             payback_ms: 60_000,
             busy_hours: Vec::new(),
             busy_factor: 1.0,
+            burst_factor: 2.0,
         }
     }
 }
@@ -121,6 +124,9 @@
         if !(self.busy_factor >= 1.0 && self.busy_factor.is_finite()) {
             problems.push("rules.moves.busy_factor must be a number of at least 1".into());
         }
+        if !(self.burst_factor >= 1.0 && self.burst_factor.is_finite()) {
+            problems.push("rules.moves.burst_factor must be a number of at least 1".into());
+        }
         if self.payback_ms == 0 {
             problems.push("rules.moves.payback_ms must be at least 1".into());
         }
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -53,9 +53,11 @@
         self.demand.get(model).copied().unwrap_or_default()
     }
 
+    /// The demand that copies are kept for: urgent bursts count whole, batch in part.
     fn weighted(&self, model: &Name) -> f64 {
         let slots = self.slots(model);
-        slots.urgent + BATCH_WEIGHT * (slots.all - slots.urgent)
+        let burst_factor = self.control.inventory.rules.moves.burst_factor;
+        burst_factor * slots.urgent + BATCH_WEIGHT * (slots.all - slots.urgent)
     }
 
     /// Spreads each model's demand over its copies, always to the one with the least load.
