--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod batch_queue;
+mod check;
 pub mod cli;
 mod client;
 mod completion;
@@ -31,11 +32,17 @@
 mod plain;
 mod planner;
 mod platform;
+mod recent;
+mod reference;
+mod register;
+mod rehearsal;
+mod retry;
 mod router;
 mod server;
 mod shutdown;
 mod signal;
 mod sse;
+mod stall;
 mod stream;
 mod wire;
 
@@ -46,7 +53,8 @@
 pub use http::{Body, ReadError, json_response, listen, read_body, serve as serve_http};
 pub use inventory::{
     Adapter, AdmissionRule, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name,
-    PlacementRule, PlainService, Priority, RoutingRule, Rules,
+    PlacementRule, PlainService, Priority, Problem, RoutingRule, Rules,
 };
+pub use reference::{FIELDS, FieldRow};
 pub use server::serve;
 pub use shutdown::{OpenGuard, Shutdown};
--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -5,12 +5,14 @@
 
 pub mod answer;
 pub mod asker;
+pub mod calls;
 pub mod capacity;
 pub mod cluster;
 pub mod demo;
 pub mod engine;
 pub mod experiment;
 pub mod journal;
+pub mod keyed;
 pub mod overhead;
 pub mod platform;
 pub mod proxy;
