--- a/src/completion.rs
+++ b/src/completion.rs
@@ -1,5 +1,6 @@
 //! A chat completion from its request to its last event, over as many runners as it takes.
 
+use crate::batch_queue::Ticket;
 use crate::client::{Connection, Pool, SendError};
 use crate::engine::request;
 use crate::error::{Failure, Kind, Ran};
@@ -26,6 +27,8 @@
 const IDLE_SILENCE: Duration = Duration::from_millis(700);
 /// How long a connection to an engine may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often one batch request gives up its slot at most.
+const MAX_YIELDS: u32 = 3;
 /// Attempts in a row that bring no token, at most.
 const MAX_FRUITLESS: u32 = 5;
 /// The pause before looking again when no runner can take the request.
@@ -48,6 +51,15 @@
     pub(crate) priority: Priority,
     /// When the first token must have come.
     pub(crate) deadline: Instant,
+    /// When the first token should have come, if the caller says so.
+    pub(crate) first_token_by: Option<Instant>,
+}
+
+impl Ask {
+    /// The tokens that the request asks for at most, if it says so.
+    pub(crate) fn max_tokens(&self) -> Option<u64> {
+        self.body.get("max_tokens").and_then(Value::as_u64)
+    }
 }
 
 /// What comes next in an answer.
@@ -69,7 +81,7 @@
     reader: SseReader,
     connection: Connection,
     runner: Rc<Runner>,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 /// What all completions of a VM share.
@@ -93,6 +105,8 @@
     finished: bool,
     preamble: Bytes,
     avoid: Vec<Name>,
+    ticket: Option<Ticket>,
+    yields: u32,
     ran: bool,
     resumes: u32,
     give_up_at: Instant,
@@ -125,6 +139,8 @@
             finished: false,
             preamble: Bytes::new(),
             avoid: Vec::new(),
+            ticket: None,
+            yields: 0,
             ran: false,
             resumes: 0,
             give_up_at: ask.deadline,
@@ -149,6 +165,7 @@
     /// Fails once no runner can go on, or the deadline passed before any token.
     pub(crate) async fn next(&mut self) -> Result<Step, Failure> {
         loop {
+            self.give_way();
             if self.attempt.is_none() {
                 self.attempt = Some(self.open().await?);
             }
@@ -161,6 +178,43 @@
         }
     }
 
+    /// Gives up the slot if urgent requests want it; the answer goes on later.
+    fn give_way(&mut self) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let is_streaming = self.tokens > 0 && !self.finished;
+        let may_yield = is_streaming && self.yields < MAX_YIELDS && self.holds_back();
+        if !may_yield || !attempt.in_flight.runner().take_yield() {
+            return;
+        }
+        emit(
+            Event::Yielded,
+            format_args!(
+                "request={} runner={} token={}",
+                self.ask.id, attempt.runner.name, self.tokens
+            ),
+        );
+        self.yields += 1;
+        self.attempts -= 1;
+        self.attempt = None;
+        self.ticket = Some(self.shared.router.queue(&self.ask));
+    }
+
+    /// Whether the request leaves room to urgent ones: batch, while its deadline allows it.
+    fn holds_back(&self) -> bool {
+        if self.ask.priority != Priority::Batch {
+            return false;
+        }
+        let has_begun = self.tokens > 0;
+        if has_begun && self.yields == 0 && self.attempt.is_none() {
+            // Broken off by a failure: the caller waits in the middle of an answer.
+            return false;
+        }
+        let left = self.ask.deadline.saturating_duration_since(Instant::now());
+        !has_begun || left > self.shared.router.service_time(&self.ask) * 2
+    }
+
     /// What an event means for the caller; `None` for nothing.
     fn take_event(&mut self, event: Result<SseEvent, Broken>) -> Result<Option<Step>, Failure> {
         match event {
@@ -285,11 +339,20 @@
                 return Err(self.exhausted("every attempt failed"));
             }
             let pinned = self.tokens > 0;
-            let router = &self.shared.router;
-            let Some(choice) = router.choose(&self.ask.target, pinned, &self.avoid) else {
+            let in_line = !self.holds_back() || self.ticket.as_ref().is_none_or(Ticket::is_first);
+            let choice = in_line
+                .then(|| {
+                    let holds_back = self.holds_back();
+                    self.shared
+                        .router
+                        .choose(&self.ask, pinned, holds_back, &self.avoid)
+                })
+                .flatten();
+            let Some(choice) = choice else {
                 self.wait_for_runner().await?;
                 continue;
             };
+            self.ticket = None;
             if self.attempts > 0 && !self.shared.budget.take(self.tokens > 0) {
                 return Err(self.exhausted("too many requests are being retried now"));
             }
@@ -333,12 +396,16 @@
 
     /// Waits a moment for a copy that is being loaded; without one in sight, gives up at once.
     async fn wait_for_runner(&mut self) -> Result<(), Failure> {
+        let (router, target) = (&self.shared.router, &self.ask.target);
         let pinned = self.tokens > 0;
         if Instant::now() >= self.give_up_at
-            || !self.shared.router.is_coming(&self.ask.target, pinned)
+            || !(router.is_coming(target, pinned) || router.is_served(target))
         {
             return Err(self.exhausted("no runner can take the request now"));
         }
+        if self.ticket.is_none() && self.ask.priority == Priority::Batch {
+            self.ticket = Some(self.shared.router.queue(&self.ask));
+        }
         self.avoid.clear();
         compio::time::sleep(NO_RUNNER_PAUSE).await;
         Ok(())
@@ -360,7 +427,10 @@
                 self.ask.id, choice.target.base, choice.runner.name, choice.score, choice.others
             ),
         );
-        let in_flight = choice.runner.enter();
+        let in_flight = choice.runner.enter(self.ask.priority);
+        if self.ask.priority == Priority::Urgent {
+            self.shared.router.make_room_on(&choice.runner);
+        }
         let body = self.body_for(&choice.target);
         let (connection, response) = self.send(&choice, body).await?;
         match response.status() {
@@ -386,7 +456,7 @@
             reader: SseReader::new(response.into_body()),
             connection,
             runner: choice.runner,
-            _in_flight: in_flight,
+            in_flight,
         })
     }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -42,6 +42,7 @@
     name: Name,
     priority: Priority,
     deadline_ms: u64,
+    first_token_ms: Option<u64>,
     max_concurrent: u32,
 }
 
@@ -258,7 +259,15 @@
             body,
             priority: sender.priority,
             deadline: started + Duration::from_millis(deadline_ms),
+            first_token_by: sender
+                .first_token_ms
+                .map(|time_ms| started + Duration::from_millis(time_ms)),
         };
+        self.completions.router.note_arrival(&ask);
+        if let Err(failure) = self.completions.router.admit(&ask) {
+            self.count(sender.priority, Some(&failure));
+            return Err(failure);
+        }
         let mut completion = Completion::new(self.completions.clone(), ask);
         let first = match completion.next().await {
             Ok(step) => step,
@@ -267,6 +276,7 @@
                 return Err(failure);
             }
         };
+        let first_token_at = Instant::now();
         self.metrics
             .first_token
             .observe(started.elapsed().as_secs_f64());
@@ -275,6 +285,7 @@
             id: id.clone(),
             priority: sender.priority,
             started,
+            first_token_at,
             completion,
             _guard: guard,
         };
@@ -318,6 +329,7 @@
     id: Name,
     priority: Priority,
     started: Instant,
+    first_token_at: Instant,
     completion: Completion,
     _guard: CallerGuard,
 }
@@ -410,6 +422,11 @@
         metrics.resumes.inc_by(resumes.into());
         metrics.retries.inc_by(attempts.saturating_sub(1).into());
         self.entry.count(self.priority, failure);
+        if outcome == "complete" {
+            let streaming = self.first_token_at.elapsed();
+            let tokens = self.completion.tokens();
+            self.entry.completions.router.note_answer(tokens, streaming);
+        }
         emit(
             Event::Answered,
             format_args!(
@@ -455,6 +472,7 @@
             name: arcstr::literal!("anonymous"),
             priority,
             deadline_ms: 30_000,
+            first_token_ms: None,
             max_concurrent: 0,
         }),
         None => Err(Failure::new(Kind::UnknownCaller, "an API key is required")),
@@ -467,6 +485,7 @@
             name: caller.name.clone(),
             priority: caller.priority,
             deadline_ms: caller.deadline_ms,
+            first_token_ms: caller.first_token_ms,
             max_concurrent: caller.max_concurrent,
         }
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::{EngineClient, Report, ReportedState};
 use crate::events::{Event, emit};
-use crate::inventory::{BackendServer, Name};
+use crate::inventory::{BackendServer, Name, Priority};
 use crate::kernel::Service;
 use crate::wire::RunnerLoad;
 use prometheus_client::metrics::counter::Counter;
@@ -27,17 +27,70 @@
     /// Where it listens.
     pub(crate) address: SocketAddr,
     report: RefCell<Option<(Instant, Report)>>,
-    in_flight: Cell<u32>,
+    in_flight: Cell<Load>,
     broken_at: Cell<Option<Instant>>,
+    yields_wanted: Cell<u32>,
 }
 
 /// Counts a request as in flight on a runner until dropped.
 #[derive(Debug)]
-pub(crate) struct InFlight(Rc<Runner>);
+pub(crate) struct InFlight {
+    runner: Rc<Runner>,
+    load: Load,
+}
+
+impl InFlight {
+    /// The runner that the request is on.
+    pub(crate) fn runner(&self) -> &Runner {
+        &self.runner
+    }
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        let in_flight = self.runner.in_flight.get();
+        self.runner.in_flight.set(in_flight - self.load);
+    }
+}
+
+/// Requests in flight.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Load {
+    /// All of them.
+    pub(crate) all: u32,
+    /// The batch ones among them.
+    pub(crate) batch: u32,
+}
+
+impl std::ops::Add for Load {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            all: self.all + other.all,
+            batch: self.batch + other.batch,
+        }
+    }
+}
+
+impl std::ops::Sub for Load {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            all: self.all - other.all,
+            batch: self.batch - other.batch,
+        }
+    }
+}
+
+impl Load {
+    /// The load of one request.
+    fn of(priority: Priority) -> Self {
+        Self {
+            all: 1,
+            batch: u32::from(priority == Priority::Batch),
+        }
     }
 }
 
@@ -47,8 +100,9 @@
             name: server.name.clone(),
             address: server.address,
             report: RefCell::new(None),
-            in_flight: Cell::new(0),
+            in_flight: Cell::default(),
             broken_at: Cell::new(None),
+            yields_wanted: Cell::new(0),
         }
     }
 
@@ -94,14 +148,30 @@
     }
 
     /// Requests of this VM on the runner.
-    pub(crate) fn in_flight(&self) -> u32 {
+    pub(crate) fn in_flight(&self) -> Load {
         self.in_flight.get()
     }
 
     /// Counts one more request.
-    pub(crate) fn enter(self: &Rc<Self>) -> InFlight {
-        self.in_flight.set(self.in_flight.get() + 1);
-        InFlight(self.clone())
+    pub(crate) fn enter(self: &Rc<Self>, priority: Priority) -> InFlight {
+        let load = Load::of(priority);
+        self.in_flight.set(self.in_flight.get() + load);
+        InFlight {
+            runner: self.clone(),
+            load,
+        }
+    }
+
+    /// Wants so many of this VM's batch requests on the runner to give up their slots.
+    pub(crate) fn want_yields(&self, count: u32) {
+        self.yields_wanted.set(count.min(self.in_flight().batch));
+    }
+
+    /// Takes one wanted yield, if there is any.
+    pub(crate) fn take_yield(&self) -> bool {
+        let wanted = self.yields_wanted.get();
+        self.yields_wanted.set(wanted.saturating_sub(1));
+        wanted > 0
     }
 
     /// Notes a broken connection: the runner is passed over for a moment.
@@ -165,10 +235,11 @@
         self.runners
             .borrow()
             .values()
-            .filter(|runner| runner.in_flight() > 0)
+            .filter(|runner| runner.in_flight().all > 0)
             .map(|runner| RunnerLoad {
                 runner: runner.name.to_string(),
-                in_flight: runner.in_flight(),
+                in_flight: runner.in_flight().all,
+                batch: runner.in_flight().batch,
             })
             .collect()
     }
--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use change::InventoryChange;
 pub use model::{Adapter, Model};
 pub use problem::Problem;
-pub use rules::{MovePolicy, Rules};
+pub use rules::{AdmissionRule, MovePolicy, PlacementRule, RoutingRule, Rules};
 pub use service::PlainService;
 
 use arcstr::ArcStr;
--- a/src/inventory/rules.rs
+++ b/src/inventory/rules.rs
@@ -13,6 +13,55 @@
     pub spread_zones: bool,
     /// When a move is worth its cost.
     pub moves: MovePolicy,
+    /// How a runner is chosen.
+    pub routing: RoutingRule,
+    /// How copies follow the demand.
+    pub placement: PlacementRule,
+    /// The part of a runner's slots up to which batch requests may fill it; 1 for no limit.
+    pub batch_fill: f64,
+    /// Whether batch requests that run give up their slots, and go on later, while urgent ones
+    /// wait.
+    pub batch_yields: bool,
+    /// Whether requests are refused that cannot meet their deadlines.
+    pub admission: AdmissionRule,
+}
+
+/// Whether requests are refused that cannot meet their deadlines.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdmissionRule {
+    /// Every request is taken; it is refused once its deadline has passed.
+    Unlimited,
+    /// A request that is not expected to meet its deadlines is refused at once.
+    #[default]
+    Deadline,
+}
+
+/// How a runner is chosen among those that hold what a request needs.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RoutingRule {
+    /// The fewest requests in flight per slot, own and as peers tell in heartbeats.
+    #[default]
+    LeastInFlight,
+    /// The fewest requests running and waiting per slot, as the runner's report says.
+    LeastReported,
+    /// Each in turn.
+    RoundRobin,
+}
+
+/// How copies follow the demand.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementRule {
+    /// First copies, then spare ones; demand changes nothing.
+    Static,
+    /// One more copy where what it gains over the pay-back time beats the moves' cost.
+    #[default]
+    Demand,
+    /// A copy as soon as requests exceed the slots of those there are, in the place of the
+    /// least recently used.
+    OnDemand,
 }
 
 impl Default for Rules {
@@ -21,6 +70,11 @@
             anonymous_priority: Some(Priority::Normal),
             spread_zones: true,
             moves: MovePolicy::default(),
+            routing: RoutingRule::default(),
+            placement: PlacementRule::default(),
+            batch_fill: 0.9,
+            batch_yields: true,
+            admission: AdmissionRule::default(),
         }
     }
 }
@@ -28,6 +82,10 @@
 impl Rules {
     pub(crate) fn check(&self, problems: &mut Vec<Problem>) {
         self.moves.check(problems);
+        if !(self.batch_fill > 0.0 && self.batch_fill <= 1.0) {
+            let message = "must be a number above 0, at most 1";
+            problems.push(Problem::new("rules.batch_fill", message));
+        }
     }
 }
 
@@ -35,7 +93,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MovePolicy {
-    /// Requests a second that a move must serve better to be worth it.
+    /// Requests that a move must serve better, over the time to pay back, to be worth it.
     pub cost_requests: f64,
     /// The time over which a move must pay back.
     pub payback_ms: u64,
@@ -43,6 +101,8 @@
     pub busy_hours: Vec<u8>,
     /// The factor for moves in busy hours.
     pub busy_factor: f64,
+    /// The factor by which urgent demand may rise at once; copies are made ahead for it.
+    pub burst_factor: f64,
 }
 
 impl Default for MovePolicy {
@@ -52,6 +112,7 @@
             payback_ms: 60_000,
             busy_hours: Vec::new(),
             busy_factor: 1.0,
+            burst_factor: 2.0,
         }
     }
 }
@@ -66,6 +127,10 @@
             let field = "rules.moves.busy_factor";
             problems.push(Problem::new(field, "must be a number of at least 1"));
         }
+        if !(self.burst_factor >= 1.0 && self.burst_factor.is_finite()) {
+            let field = "rules.moves.burst_factor";
+            problems.push(Problem::new(field, "must be a number of at least 1"));
+        }
         if self.payback_ms == 0 {
             problems.push(Problem::new("rules.moves.payback_ms", "must be at least 1"));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,15 @@
 //! they must agree on they take from the order of records in the platform's
 //! log; docs/DESIGN.md tells why.
 
+mod admission;
+mod batch_queue;
 mod check;
 pub mod cli;
 mod client;
 mod completion;
 mod config;
 mod control;
+mod demand;
 mod engine;
 mod entry;
 mod error;
@@ -50,8 +53,8 @@
 pub use events::{EVENTS, Event, EventRow};
 pub use http::{Body, ReadError, json_response, listen, read_body, serve as serve_http};
 pub use inventory::{
-    Adapter, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name, PlainService,
-    Priority, Problem, Rules,
+    Adapter, AdmissionRule, BackendServer, Caller, Duty, Inventory, Model, MovePolicy, Name,
+    PlacementRule, PlainService, Priority, Problem, RoutingRule, Rules,
 };
 pub use reference::{FIELDS, FieldRow};
 pub use server::serve;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,12 +1,13 @@
 //! Which VMs live: the platform's list, and heartbeats that tell sooner.
 
 use crate::events::{Event, emit};
+use crate::fleet::Load;
 use crate::inventory::Name;
 use crate::kernel::Service;
 use crate::pause::PauseWatch;
 use crate::platform::{ListedVm, VmList};
 use crate::server::ControlStream;
-use crate::wire::Heartbeat;
+use crate::wire::{Heartbeat, ModelDemand};
 use futures_util::future::select;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -248,7 +249,7 @@
     ///
     /// `asked_at` says when the question was sent that the heartbeat answers.
     /// A VM that never saw the list learns its peers from those that call it.
-    pub(crate) fn note(&self, heartbeat: Heartbeat, asked_at: Option<Instant>) -> Option<Name> {
+    pub(crate) fn note(&self, mut heartbeat: Heartbeat, asked_at: Option<Instant>) -> Option<Name> {
         let mut peers = self.peers.borrow_mut();
         let mut new = None;
         if self.listed_at.get().is_none() && !peers.contains_key(heartbeat.vm.as_str()) {
@@ -264,6 +265,12 @@
                 format_args!("vm={} up=true", heartbeat.vm),
             );
         }
+        if let Some((_, before)) = &mut peer.heard
+            && heartbeat.demands.is_empty()
+            && heartbeat.revision == before.revision
+        {
+            heartbeat.demands = std::mem::take(&mut before.demands);
+        }
         peer.heard = Some((Instant::now(), heartbeat));
         peer.asked_at = asked_at.or(peer.asked_at);
         drop(peers);
@@ -358,15 +365,32 @@
         self.listed_at.get().map(|at| at.elapsed())
     }
 
+    /// What the live peers at this revision last said of their demand.
+    pub(crate) fn peer_demands(&self, revision: u64) -> Vec<ModelDemand> {
+        let peers = self.peers.borrow();
+        peers
+            .values()
+            .filter(|peer| peer.is_alive())
+            .filter_map(|peer| peer.heard.as_ref())
+            .filter(|(_, heartbeat)| heartbeat.revision == revision)
+            .flat_map(|(_, heartbeat)| heartbeat.demands.iter().copied())
+            .collect()
+    }
+
     /// Requests in flight by runner, summed over the peers that live.
-    pub(crate) fn peer_loads(&self) -> HashMap<Name, u32> {
+    pub(crate) fn peer_loads(&self) -> HashMap<Name, Load> {
         let mut loads = HashMap::new();
         for peer in self.peers.borrow().values().filter(|peer| peer.is_alive()) {
             let Some((_, heartbeat)) = &peer.heard else {
                 continue;
             };
             for load in &heartbeat.loads {
-                *loads.entry(load.runner.as_str().into()).or_default() += load.in_flight;
+                let sum: &mut Load = loads.entry(load.runner.as_str().into()).or_default();
+                *sum = *sum
+                    + Load {
+                        all: load.in_flight,
+                        batch: load.batch,
+                    };
             }
         }
         loads
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,11 +1,14 @@
 //! Deciding what to load and unload, from the books and the inventory alone.
 
+mod replicas;
 mod room;
 
 use crate::control::{Artifact, Control, CopyState, MAX_OPEN_LOADS, RunnerBook};
+use crate::demand::Slots;
 use crate::inventory::{BackendServer, Model, Name};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::fmt::Write;
+use std::time::Duration;
 
 /// Copies of a model that are made wherever they fit, in different availability zones.
 const SPARE_REPLICAS: u32 = 2;
@@ -30,11 +33,26 @@
     },
 }
 
+impl Move {
+    /// What is loaded or unloaded.
+    fn artifact(&self) -> &Artifact {
+        match self {
+            Self::Load { artifact, .. } | Self::Unload { artifact, .. } => artifact,
+        }
+    }
+}
+
 /// What a plan is made from.
 #[derive(Debug)]
 pub(crate) struct Planning<'a> {
     control: &'a Control,
     runners: Vec<&'a BackendServer>,
+    /// The demand for each model.
+    demand: HashMap<Name, Slots>,
+    /// How long a request is expected to take.
+    service_time: Duration,
+    /// The hour of the day, UTC.
+    hour: u8,
 }
 
 impl<'a> Planning<'a> {
@@ -45,7 +63,26 @@
             .runners()
             .filter(|runner| runner.group == group && !runner.leaving && is_up(&runner.name))
             .collect();
-        Self { control, runners }
+        Self {
+            control,
+            runners,
+            demand: HashMap::new(),
+            service_time: Duration::ZERO,
+            hour: 0,
+        }
+    }
+
+    /// The same planning with what is asked for, and when.
+    pub(crate) fn with_demand(
+        mut self,
+        demand: HashMap<Name, Slots>,
+        service_time: Duration,
+        hour: u8,
+    ) -> Self {
+        self.demand = demand;
+        self.service_time = service_time;
+        self.hour = hour;
+        self
     }
 
     /// The moves to make now, the most urgent first.
@@ -58,7 +95,16 @@
         loads.extend(self.place(lacking.iter().copied(), "copy_missing"));
         if !lacking.is_empty() {
             moves.extend(self.make_room(&lacking));
-        } else if loads.is_empty() && self.control.open_loads() == 0 {
+        } else if loads.is_empty() {
+            for followed in self.follow_demand() {
+                match followed {
+                    Move::Load { .. } => loads.push(followed),
+                    Move::Unload { .. } => moves.push(followed),
+                }
+            }
+        }
+        let is_quiet = loads.is_empty() && self.control.open_loads() == 0;
+        if lacking.is_empty() && is_quiet && !self.wants_room() {
             loads.extend(self.spare_copies());
         }
         loads.truncate(budget);
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -26,7 +26,7 @@
             .map_or_else(Vec::new, |(_, unloads)| unloads)
     }
 
-    fn is_freeing(&self) -> bool {
+    pub(super) fn is_freeing(&self) -> bool {
         self.runners.iter().any(|runner| {
             let book = self.book(runner);
             book.copies
@@ -76,22 +76,43 @@
             if !self.can_spare(runner, &book, base) {
                 continue;
             }
-            for (artifact, copy) in &book.copies {
-                if artifact == base || is_adapter_of(artifact, base, &book) {
-                    freed_mib += copy.mib;
-                    unloads.push(Move::Unload {
-                        runner: runner.name.clone(),
-                        artifact: artifact.clone(),
-                        reason,
-                    });
-                }
-            }
+            let whole = self.unload_whole(runner, base, reason);
+            freed_mib += whole
+                .iter()
+                .filter_map(|unload| book.copies.get(unload.artifact()))
+                .map(|copy| copy.mib)
+                .sum::<u64>();
+            unloads.extend(whole);
         }
         (freed_mib, unloads)
     }
 
+    /// Unloads of a model and of its adapters on a runner.
+    pub(super) fn unload_whole(
+        &self,
+        runner: &BackendServer,
+        base: &Artifact,
+        reason: &'static str,
+    ) -> Vec<Move> {
+        let book = self.book(runner);
+        book.copies
+            .keys()
+            .filter(|artifact| *artifact == base || is_adapter_of(artifact, base, &book))
+            .map(|artifact| Move::Unload {
+                runner: runner.name.clone(),
+                artifact: artifact.clone(),
+                reason,
+            })
+            .collect()
+    }
+
     /// Whether enough other copies of the model are ready without this one.
-    fn can_spare(&self, runner: &BackendServer, book: &RunnerBook, base: &Artifact) -> bool {
+    pub(super) fn can_spare(
+        &self,
+        runner: &BackendServer,
+        book: &RunnerBook,
+        base: &Artifact,
+    ) -> bool {
         let Some(model) = self.control.inventory.model(&base.model) else {
             return false;
         };
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -7,6 +7,7 @@
 use crate::control::{
     Artifact, Claim, Command, Copy, CopyState, Held, Outcome, RunnerBook, Under, Verdict,
 };
+use crate::demand::Demand;
 use crate::engine::{EngineClient, Order, OrderAnswer, Report, ReportedArtifact, ReportedState};
 use crate::events::{Event, emit};
 use crate::fleet::Fleet;
@@ -21,7 +22,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The time between two looks at the books.
 const TICK: Duration = Duration::from_millis(200);
@@ -55,6 +56,7 @@
 /// The planner service of one VM.
 pub(crate) struct Planner {
     control: Rc<ControlStream>,
+    demand: Rc<Demand>,
     fleet: Rc<Fleet>,
     membership: Rc<Membership>,
     metrics: Rc<Metrics>,
@@ -77,6 +79,7 @@
         let metrics: Rc<Metrics> = kernel.find();
         Self {
             control: kernel.find(),
+            demand: kernel.find(),
             fleet: kernel.find(),
             membership: kernel.find(),
             engines: EngineClient::new(metrics.leg("reports")),
@@ -168,12 +171,14 @@
         });
         join_all(runners.iter().map(|runner| self.drive(&under, runner))).await;
         let moves = self.control.with(|control| {
+            let demand = self.demand.total(&control.inventory, control.revision);
             Planning::new(control, group, |name| {
                 let known = |book: &RunnerBook| book.boot != 0 && !book.down;
                 control.books.get(name).is_some_and(known)
                     && self.fleet.runner(name).is_some_and(|runner| runner.is_up())
                     && !self.membership.is_server_leaving(name)
             })
+            .with_demand(demand, self.demand.service_time(None), hour_utc())
             .moves()
         });
         join_all(
@@ -529,3 +534,9 @@
         }
     }
 }
+
+/// The hour of the day, UTC.
+fn hour_utc() -> u8 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |since| (since.as_secs() / 3_600 % 24) as u8)
+}
--- a/src/reference.rs
+++ b/src/reference.rs
@@ -358,6 +358,41 @@
         "moves",
         "when a move is worth its cost",
     ),
+    row(
+        "rules",
+        "routing",
+        "\"least_in_flight\"",
+        "least_in_flight, least_reported or round_robin",
+        "how a runner is chosen",
+    ),
+    row(
+        "rules",
+        "placement",
+        "\"demand\"",
+        "demand, on_demand or static",
+        "how copies follow the demand",
+    ),
+    row(
+        "rules",
+        "batch_fill",
+        "0.9",
+        "part, above 0, at most 1",
+        "the part of a runner's slots up to which batch may fill it",
+    ),
+    row(
+        "rules",
+        "batch_yields",
+        "true",
+        BOOL,
+        "whether batch that runs gives up its slot to urgent requests and goes on later",
+    ),
+    row(
+        "rules",
+        "admission",
+        "\"deadline\"",
+        "deadline or unlimited",
+        "whether requests that cannot meet their deadlines are refused at once",
+    ),
     row(
         "moves",
         "cost_requests",
@@ -386,4 +421,11 @@
         "factor, 1 or more",
         "how much more moves cost in busy hours",
     ),
+    row(
+        "moves",
+        "burst_factor",
+        "2.0",
+        "factor, 1 or more",
+        "how much urgent demand may rise at once; copies are made ahead for it",
+    ),
 ];
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,14 +1,18 @@
 //! Choosing a runner for a request.
 
+use crate::batch_queue::{BatchQueue, Ticket};
+use crate::completion::Ask;
 use crate::control::{Artifact, Control};
+use crate::demand::Demand;
 use crate::fleet::{Fleet, Runner};
-use crate::inventory::Name;
+use crate::inventory::{Name, RoutingRule, Rules};
 use crate::kernel::Service;
 use crate::membership::Membership;
 use crate::server::ControlStream;
+use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The artifacts that a request needs on one runner.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -94,9 +98,12 @@
 
 /// Chooses runners by the requests in flight that this VM and its peers know of.
 pub(crate) struct Router {
-    control: Rc<ControlStream>,
-    fleet: Rc<Fleet>,
-    membership: Rc<Membership>,
+    pub(crate) control: Rc<ControlStream>,
+    pub(crate) fleet: Rc<Fleet>,
+    pub(crate) membership: Rc<Membership>,
+    demand: Rc<Demand>,
+    pub(crate) batch_queue: Rc<BatchQueue>,
+    turn: Cell<usize>,
 }
 
 impl Service for Router {
@@ -109,14 +116,29 @@
         control: Rc<ControlStream>,
         fleet: Rc<Fleet>,
         membership: Rc<Membership>,
+        demand: Rc<Demand>,
     ) -> Self {
         Self {
             control,
             fleet,
             membership,
+            demand,
+            batch_queue: Rc::default(),
+            turn: Cell::new(0),
         }
     }
 
+    /// Counts a request that came, whatever becomes of it.
+    pub(crate) fn note_arrival(&self, ask: &Ask) {
+        self.demand
+            .note_arrival(&ask.target.base.model, ask.priority, ask.max_tokens());
+    }
+
+    /// Learns from an answer that was complete.
+    pub(crate) fn note_answer(&self, tokens: u32, streaming: Duration) {
+        self.demand.note_answer(tokens, streaming);
+    }
+
     /// Waits until the choice can be made from a view newer than this VM's last pause.
     pub(crate) async fn refreshed(&self) -> bool {
         self.membership.refreshed(&self.control).await
@@ -133,15 +155,23 @@
     ///
     /// With `pinned`, only that very version will do. Runners in `avoid` are
     /// taken only when there is no other.
-    pub(crate) fn choose(&self, wanted: &Target, pinned: bool, avoid: &[Name]) -> Option<Choice> {
-        self.choose_for(wanted, avoid).or_else(|| {
+    /// With `yields`, runners are left out on which urgent requests should find a slot.
+    pub(crate) fn choose(
+        &self,
+        ask: &Ask,
+        pinned: bool,
+        yields: bool,
+        avoid: &[Name],
+    ) -> Option<Choice> {
+        let wanted = &ask.target;
+        self.choose_for(wanted, yields, avoid).or_else(|| {
             if pinned {
                 return None;
             }
             let older = self.control.with(|control| wanted.older(control));
             older
                 .iter()
-                .find_map(|target| self.choose_for(target, avoid))
+                .find_map(|target| self.choose_for(target, yields, avoid))
         })
     }
 
@@ -169,15 +199,40 @@
         })
     }
 
-    fn choose_for(&self, target: &Target, avoid: &[Name]) -> Option<Choice> {
-        let mut scored = self.scored(target);
+    fn routing(&self) -> RoutingRule {
+        self.control.with(|control| control.inventory.rules.routing)
+    }
+
+    /// How long a runner is expected to be busy with a request.
+    pub(crate) fn service_time(&self, ask: &Ask) -> Duration {
+        self.demand.service_time(ask.max_tokens())
+    }
+
+    /// Whether any runner serves the model, though it may be full for batch requests.
+    pub(crate) fn is_served(&self, wanted: &Target) -> bool {
+        !self.scored(wanted, false).is_empty()
+    }
+
+    /// Enters a batch request that found no place into the queue of this VM.
+    pub(crate) fn queue(&self, ask: &Ask) -> Ticket {
+        self.batch_queue.enter(&ask.target.base.model, ask.deadline)
+    }
+
+    fn choose_for(&self, target: &Target, yields: bool, avoid: &[Name]) -> Option<Choice> {
+        let mut scored = self.scored(target, yields);
         if scored
             .iter()
             .any(|(_, runner)| !avoid.contains(&runner.name))
         {
             scored.retain(|(_, runner)| !avoid.contains(&runner.name));
         }
-        scored.sort_by(|left, right| left.0.total_cmp(&right.0));
+        if self.routing() == RoutingRule::RoundRobin {
+            self.turn.set(self.turn.get() + 1);
+            let first = self.turn.get() % scored.len().max(1);
+            scored.rotate_left(first);
+        } else {
+            scored.sort_by(|left, right| left.0.total_cmp(&right.0));
+        }
         let mut others = String::new();
         for (score, runner) in scored.iter().skip(1) {
             let _ = write!(others, "{}:{score:.2},", runner.name);
@@ -192,7 +247,9 @@
         })
     }
 
-    fn scored(&self, target: &Target) -> Vec<(f64, Rc<Runner>)> {
+    /// The runners that serve `target` with their loads; with `yields`, without those where
+    /// urgent requests should find a slot.
+    pub(crate) fn scored(&self, target: &Target, yields: bool) -> Vec<(f64, Rc<Runner>)> {
         let peer_loads = self.membership.peer_loads();
         self.control.with(|control| {
             self.fleet
@@ -205,13 +262,29 @@
                     if server.leaving {
                         return None;
                     }
-                    let peers = peer_loads.get(&runner.name).copied().unwrap_or(0);
-                    let load = f64::from(runner.in_flight() + peers);
+                    let peers = peer_loads.get(&runner.name).copied().unwrap_or_default();
+                    let in_flight = runner.in_flight().all + peers.all;
+                    if yields && !has_place(&control.inventory.rules, server.slots, in_flight) {
+                        return None;
+                    }
+                    let requests = match control.inventory.rules.routing {
+                        RoutingRule::LeastInFlight => in_flight,
+                        RoutingRule::LeastReported => runner
+                            .report(|report| report.running + report.waiting)
+                            .unwrap_or(0),
+                        RoutingRule::RoundRobin => 0,
+                    };
                     // A little noise keeps VMs from choosing alike on equal loads.
                     let noise = rand::random::<f64>() * 0.01;
-                    Some((load / f64::from(server.slots.max(1)) + noise, runner))
+                    let load = f64::from(requests) / f64::from(server.slots.max(1));
+                    Some((load + noise, runner))
                 })
                 .collect()
         })
     }
 }
+
+/// Whether one more batch request leaves the slots free that urgent ones are to find.
+fn has_place(rules: &Rules, slots: u32, in_flight: u32) -> bool {
+    rules.batch_fill >= 1.0 || f64::from(in_flight + 1) <= rules.batch_fill * f64::from(slots)
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -61,6 +61,9 @@
     /// The sender's own requests in flight, by runner; runners without any are left out.
     #[prost(message, repeated, tag = "7")]
     pub loads: ::prost::alloc::vec::Vec<RunnerLoad>,
+    /// The demand at the sender, by model; left out of most heartbeats, which say nothing of it.
+    #[prost(message, repeated, tag = "20")]
+    pub demands: ::prost::alloc::vec::Vec<ModelDemand>,
     /// Backend servers that the VM list marks as leaving, as the sender knows.
     #[prost(string, repeated, tag = "8")]
     pub leaving_servers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
@@ -80,4 +83,20 @@
     /// Requests sent and not ended.
     #[prost(uint32, tag = "2")]
     pub in_flight: u32,
+    /// Those among them that are batch.
+    #[prost(uint32, tag = "3")]
+    pub batch: u32,
+}
+/// What the requests for one model ask for at one VM.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ModelDemand {
+    /// The model's place in the inventory of the sender's revision.
+    #[prost(uint32, tag = "1")]
+    pub model: u32,
+    /// Hundredths of a slot that urgent requests ask for.
+    #[prost(uint32, tag = "2")]
+    pub urgent_centislots: u32,
+    /// Hundredths of a slot that all requests ask for.
+    #[prost(uint32, tag = "3")]
+    pub all_centislots: u32,
 }
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -98,6 +98,8 @@
     pub settings: Value,
     /// Whether all runners share one process, without journals' files.
     pub thin_runners: bool,
+    /// What each runner holds from its start, as `artifact:mib`.
+    pub holds: Vec<Vec<String>>,
     /// Settings of single VMs, by index.
     pub vm_settings: Vec<(usize, Value)>,
     /// Addresses that VMs use in place of the real ones, such as proxies.
@@ -120,6 +122,7 @@
             max_batch: 32,
             settings: json!({"drain_grace_ms": 300}),
             thin_runners: false,
+            holds: Vec::new(),
             vm_settings: Vec::new(),
             detours: Vec::new(),
         }
@@ -425,6 +428,9 @@
         command
             .arg("--journal")
             .arg(self.journal_path("runner", index));
+        for held in self.plan.holds.get(index).into_iter().flatten() {
+            command.arg("--hold").arg(held);
+        }
         Process::start(command, &self.folder.join(format!("runner-{index}.log")))
     }
 
--- a/workbench/src/engine.rs
+++ b/workbench/src/engine.rs
@@ -150,6 +150,15 @@
         engine
     }
 
+    /// Holds an artifact from the start.
+    pub fn hold(&self, artifact: &str, mib: u64) {
+        let state = HeldState::Ready;
+        self.held
+            .borrow_mut()
+            .insert(artifact.to_owned(), Held { mib, state });
+        self.note_memory();
+    }
+
     /// Serves until the process ends.
     pub async fn serve(self: Rc<Self>, address: SocketAddr) {
         compio::runtime::spawn(self.clone().batch()).detach();
