--- a/workbench/tests/operators.rs
+++ b/workbench/tests/operators.rs
@@ -3,7 +3,8 @@
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
-use std::process::{Command, Output};
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 use workbench::asker::{Asker, Question, call};
 use workbench::cluster::{Cluster, Plan, product_binary};
@@ -11,6 +12,9 @@
 
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// Looks of a watched status, a second apart, until a change must be shown.
+const MAX_LOOKS: usize = 20;
+
 fn block_on<F: Future>(future: F) -> F::Output {
     compio::runtime::Runtime::new()
         .expect("a runtime needs nothing special")
@@ -94,7 +98,69 @@
     let path = format!("/streams/control/records?from={from}&wait_ms=0");
     let page = workbench::web::get(cluster.platform_address(), &path).await;
     let text = page.expect("the log answers").to_string();
-    text.matches("\"Publish\"").count()
+    text.matches("\"Publish\"").count() + text.matches("\"Amend\"").count()
+}
+
+#[googletest::test]
+fn a_change_costs_its_own_size_and_is_the_same_everywhere() {
+    block_on(async {
+        let cluster = start().await;
+        let first = cluster.inventory.clone();
+        let mut changed = first.clone();
+        changed.callers[0].deadline_ms += 1;
+        let mut listed = changed.clone();
+        listed.callers.remove(1);
+        listed.models.push(rattanjunction::Model {
+            name: "model-new".into(),
+            weights_mib: 100,
+            ..listed.models[0].clone()
+        });
+        listed.models[0].min_replicas = 2;
+        let mut turned = listed.clone();
+        turned.models.reverse();
+        let mut sizes = Vec::new();
+        for (round, inventory) in [changed, listed, turned].iter().enumerate() {
+            let before = log_end(&cluster).await;
+            let revision = cluster.publish(round, inventory, None).await;
+            let revision = revision.expect("it is accepted");
+            sizes.push(record_bytes(&cluster, before).await);
+            cluster
+                .wait_for("it is in force everywhere", LIMIT, async || {
+                    let mut all = true;
+                    for vm in 0..3 {
+                        all &= in_force(&cluster, vm).await == json!([revision, inventory]);
+                    }
+                    all
+                })
+                .await;
+        }
+        let whole = json!(first).to_string().len();
+        println!("the inventory has {whole} bytes, records of its changes {sizes:?}");
+        expect_that!(sizes[0] * 4, lt(whole));
+        expect_that!(sizes[1] * 2, lt(whole));
+        // Another order of the list is told whole.
+        expect_that!(sizes[2], gt(whole));
+    });
+}
+
+/// The revision and the inventory in force on a VM.
+async fn in_force(cluster: &Cluster, vm: usize) -> Value {
+    let answer = workbench::web::get(cluster.operator_address(vm), "/inventory").await;
+    let answer = answer.unwrap_or_default();
+    json!([answer["revision"], answer["inventory"]])
+}
+
+/// The size of the first publication's record from an offset on.
+async fn record_bytes(cluster: &Cluster, from: u64) -> usize {
+    let path = format!("/streams/control/records?from={from}&wait_ms=0");
+    let page = workbench::web::get(cluster.platform_address(), &path).await;
+    let page = page.expect("the log answers");
+    let records = page["records"].as_array().into_iter().flatten();
+    let mut sizes = records
+        .map(|record| record["data"].to_string())
+        .filter(|data| data.contains("\"Publish\"") || data.contains("\"Amend\""))
+        .map(|data| data.len());
+    sizes.next().expect("the publication is in the log")
 }
 
 #[googletest::test]
@@ -150,6 +216,35 @@
     });
 }
 
+#[googletest::test]
+fn a_watched_status_shows_a_new_revision_by_itself() {
+    block_on(async {
+        let cluster = start().await;
+        let via = cluster.operator_address(1).to_string();
+        let mut watch = Command::new(product_binary())
+            .args(["status", "--watch", "--via", &via])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let output = BufReader::new(watch.stdout.take().expect("it is piped"));
+        let mut heads = output.lines().map_while(Result::ok).filter_map(|line| {
+            let (_, head) = line.split_once("revision ")?;
+            head.contains("as seen by").then(|| head.to_owned())
+        });
+        let first = heads.next();
+        let mut changed = cluster.inventory.clone();
+        changed.callers[0].deadline_ms += 1;
+        let revision = cluster.publish(0, &changed, None).await.expect("accepted");
+        let shown = heads
+            .take(MAX_LOOKS)
+            .find(|head| head.starts_with(&revision.to_string()));
+        watch.kill().expect("it still watches");
+        watch.wait().expect("it ends");
+        expect_that!(first, some(not(starts_with(revision.to_string()))));
+        expect_that!(shown, some(contains_substring("vm-1")));
+    });
+}
+
 #[googletest::test]
 fn the_page_of_metrics_shows_what_vms_report() {
     block_on(async {
