--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -46,6 +46,12 @@
                         .help("The seed of the load; drawn and printed if left out"),
                 )
                 .arg(decimal("load", "1").help("The factor of all rates"))
+                .arg(
+                    Arg::new("check")
+                        .long("check")
+                        .action(ArgAction::SetTrue)
+                        .help("Fail if the shipped policy falls behind the baselines of this run"),
+                )
                 .arg(
                     Arg::new("out")
                         .long("out")
@@ -262,6 +268,11 @@
     let title = format!("{name}, load {load}, seed {seed}");
     let json = std::fs::write(out.join(format!("{name}.json")), format!("{whole:#}\n"));
     let plot = report::plot(&reports, &title, &out.join(format!("{name}.svg")));
+    let regressions = report::regressions(&reports);
+    if matches.get_flag("check") && !regressions.is_empty() {
+        eprintln!("{}", regressions.join("\n"));
+        return ExitCode::FAILURE;
+    }
     match (json, plot) {
         (Ok(()), Ok(())) => ExitCode::SUCCESS,
         (json, plot) => {
--- a/workbench/src/report.rs
+++ b/workbench/src/report.rs
@@ -13,6 +13,10 @@
 
 /// A refusal within this time counts as given at once.
 const AT_ONCE: Duration = Duration::from_millis(100);
+/// Bounds of the regression check, below what was measured by more than runs differ.
+const LEAST_TOKENS_RATIO: f64 = 0.97;
+const LEAST_URGENT_RATIO: f64 = 1.05;
+const LEAST_MOVES_RATIO: f64 = 1.5;
 /// The time of one point in the plot.
 const POINT: Duration = Duration::from_secs(2);
 
@@ -387,6 +391,37 @@
     )
 }
 
+/// Where the shipped policy falls behind the baselines of the same run, as ratios.
+pub fn regressions(reports: &[PolicyReport]) -> Vec<String> {
+    let is_shipped = |report: &&PolicyReport| report.policy == "shipped";
+    let Some(shipped) = reports.iter().find(is_shipped) else {
+        return vec!["the shipped policy was not run".to_owned()];
+    };
+    let mut found = Vec::new();
+    let baselines = reports
+        .iter()
+        .filter(|report| !is_shipped(report) && !report.policy.starts_with("no_"));
+    for other in baselines {
+        let mut bound = |what: &str, ratio: f64, least: f64| {
+            if ratio < least {
+                found.push(format!(
+                    "{what}: {ratio:.2} times that of {}, at least {least} is asked",
+                    other.policy
+                ));
+            }
+        };
+        let tokens = shipped.attainment_per_accelerator() / other.attainment_per_accelerator();
+        bound("attained tokens", tokens, LEAST_TOKENS_RATIO);
+        let urgent = shipped.attained_share("desk") / other.attained_share("desk");
+        bound("urgent attainment", urgent, LEAST_URGENT_RATIO);
+        if other.policy == "on_demand" {
+            let moves = other.moves.models as f64 / (shipped.moves.models as f64).max(1.0);
+            bound("moves spared", moves, LEAST_MOVES_RATIO);
+        }
+    }
+    found
+}
+
 /// Draws attained tokens a second and accelerator over the run, a line for each policy.
 ///
 /// # Errors
