--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,7 @@
 use crate::inventory::Inventory;
 use crate::operator::Publication;
 use crate::register;
+use crate::replay::Replay;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
 use serde_json::Value;
@@ -126,6 +127,11 @@
                 .arg(file("An inventory or settings, in JSON")),
         )
         .subcommand(Command::new("events").about("Print the catalogue of log events"))
+        .subcommand(
+            Command::new("replay")
+                .about("Fold a page of the control stream and print the state")
+                .arg(file("A page as the log answers it, in JSON")),
+        )
         .subcommand(
             Command::new("completions")
                 .about("Print a completion script")
@@ -167,6 +173,7 @@
             print_events();
             Ok(())
         }
+        Some(("replay", matches)) => replay(matches),
         Some(("completions", matches)) => {
             print_completions(matches);
             Ok(())
@@ -444,6 +451,17 @@
     }
 }
 
+fn replay(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let path: &PathBuf = matches.get_one("file").expect("required");
+    let page = std::fs::read_to_string(path)
+        .change_context(Fault::Settings)
+        .attach_with(|| format!("{} cannot be read", path.display()))?;
+    let mut replay = Replay::default();
+    replay.fold_page(&page)?;
+    println!("{:#}", replay.state());
+    Ok(())
+}
+
 fn print_completions(matches: &ArgMatches) {
     let shell: &clap_complete::Shell = matches.get_one("shell").expect("required");
     clap_complete::generate(
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) use command::{Command, Held, Outcome, Under, Verdict};
 
 use crate::inventory::{Inventory, Name};
-use crate::stream::{Fold, Position};
+use crate::replica::{Fold, Position};
 use books::Given;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/idempotency.rs
+++ b/src/idempotency.rs
@@ -1,7 +1,7 @@
 //! The stream of idempotency keys: each key is claimed once, by the log's order.
 
 use crate::inventory::Name;
-use crate::stream::{Fold, Position};
+use crate::replica::{Fold, Position};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::num::NonZeroU64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,8 @@
 mod reference;
 mod register;
 mod rehearsal;
+mod replay;
+mod replica;
 mod retry;
 mod router;
 mod server;
@@ -57,5 +59,6 @@
     PlacementRule, PlainService, Priority, Problem, RoutingRule, Rules,
 };
 pub use reference::{FIELDS, FieldRow};
+pub use replay::{Judged, Replay};
 pub use server::serve;
 pub use shutdown::{OpenGuard, Shutdown};
--- a/src/rehearsal.rs
+++ b/src/rehearsal.rs
@@ -3,7 +3,7 @@
 use crate::control::{Artifact, Command, Control, CopyState, Outcome, Under, Verdict};
 use crate::inventory::{Inventory, Name};
 use crate::placement::{Move, Planning};
-use crate::stream::{Fold, Position};
+use crate::replica::{Fold, Position};
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -17,19 +17,16 @@
 use crate::inventory::Name;
 use crate::pace::Pace;
 use crate::platform::{LogError, LogRecord, LogService, Page};
+use crate::replica::{Envelope, Fold, Folded, MAX_BATCH, Position, Replica};
 use crate::signal::Signal;
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-/// Commands in one envelope at most; also the factor from offsets to fences.
-const MAX_BATCH: usize = 1_024;
 /// How long a read waits for the next record.
 const READ_WAIT: Duration = Duration::from_millis(2_000);
 /// The pause after a failed call.
@@ -40,31 +37,6 @@
 const STUCK_AFTER: Duration = Duration::from_millis(1_200);
 /// How long a reader may stay behind a peer before it takes a new connection.
 const BEHIND_LIMIT: Duration = Duration::from_millis(400);
-/// How long the sequence number of a silent writer is kept, in log time.
-const WRITER_KEPT_MS: u64 = 3_600_000;
-
-/// Where a command stands in the log.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Position {
-    /// Grows with every command of the stream: the fencing number.
-    pub(crate) fence: u64,
-    /// The log's clock, in milliseconds since the epoch.
-    pub(crate) at_ms: u64,
-}
-
-/// State that is a function of a stream's records alone.
-pub(crate) trait Fold: Default + DeserializeOwned + Serialize + 'static {
-    /// What writers ask for.
-    type Command: DeserializeOwned + Serialize + 'static;
-    /// What became of it.
-    type Verdict: Clone + 'static;
-    /// Whether records that the log has dropped count on without a snapshot.
-    const OUTLIVES_RETENTION: bool = true;
-
-    /// Applies one command; depends on nothing but state and arguments.
-    fn apply(&mut self, position: Position, writer: &Name, command: Self::Command)
-    -> Self::Verdict;
-}
 
 /// A command that was read back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -84,28 +56,6 @@
     VerdictLost,
 }
 
-#[derive(Deserialize, Serialize)]
-enum Envelope<C, S> {
-    Commands {
-        writer: Name,
-        sequence: u64,
-        commands: Vec<C>,
-    },
-    Snapshot {
-        read_to: u64,
-        writers: HashMap<Name, LastSeen>,
-        state: S,
-    },
-    /// Everything before was lost: every reader goes on from the empty state.
-    Restart {},
-}
-
-#[derive(Clone, Copy, Deserialize, Serialize)]
-struct LastSeen {
-    sequence: u64,
-    at_ms: u64,
-}
-
 type Waiter<V> = oneshot::Sender<Result<Recorded<V>, ProposeError>>;
 
 /// A command that is to be written.
@@ -156,15 +106,13 @@
     name: Name,
     log: Rc<L>,
     writer: Name,
-    fold: RefCell<F>,
-    writers: RefCell<HashMap<Name, LastSeen>>,
+    replica: RefCell<Replica<F>>,
     queue: RefCell<VecDeque<Queued<F>>>,
     queued: Signal,
     pace: Pace,
     open: RefCell<Option<OpenEnvelope<F>>>,
     open_since: Cell<Option<Instant>>,
     sequence: Cell<u64>,
-    next_offset: Cell<u64>,
     end: Cell<u64>,
     ready: Cell<bool>,
     changed: Signal,
@@ -188,15 +136,13 @@
             name: name.into(),
             log,
             writer,
-            fold: RefCell::default(),
-            writers: RefCell::default(),
+            replica: RefCell::default(),
             queue: RefCell::default(),
             queued: Signal::default(),
             pace: Pace::default(),
             open: RefCell::new(None),
             open_since: Cell::new(None),
             sequence: Cell::new(0),
-            next_offset: Cell::new(0),
             end: Cell::new(0),
             ready: Cell::new(false),
             changed: Signal::default(),
@@ -217,7 +163,7 @@
 
     /// Looks at the folded state.
     pub(crate) fn with<R>(&self, look: impl FnOnce(&F) -> R) -> R {
-        look(&self.fold.borrow())
+        look(&self.replica.borrow().fold)
     }
 
     /// Whether everything the log held was folded once.
@@ -252,7 +198,7 @@
 
     /// Notes how far a peer has read: a reader that stays behind may read a silent connection.
     pub(crate) fn note_peer_offset(&self, offset: u64) {
-        if offset <= self.next_offset.get() {
+        if offset <= self.next_offset() {
             return self.behind_since.set(None);
         }
         let since = self.behind_since.get().unwrap_or_else(Instant::now);
@@ -285,7 +231,7 @@
 
     /// The next offset to be read.
     pub(crate) fn next_offset(&self) -> u64 {
-        self.next_offset.get()
+        self.replica.borrow().next_offset()
     }
 
     /// How old the last snapshot in the stream is, by this VM's clock; `None` without one.
@@ -408,25 +354,20 @@
 
     /// The present state, for the log or for a peer.
     pub(crate) fn state(&self) -> FoldedState {
-        let read_to = self.next_offset.get();
-        let envelope = Envelope::<F::Command, &F>::Snapshot {
-            read_to,
-            writers: self.writers.borrow().clone(),
-            state: &*self.fold.borrow(),
-        };
+        let replica = self.replica.borrow();
         FoldedState {
-            read_to,
-            record: serde_json::to_vec(&envelope).expect("state serializes"),
+            read_to: replica.next_offset(),
+            record: replica.snapshot(),
         }
     }
 
     /// Takes over a peer's state, if it lies ahead; false if it is of no use.
     pub(crate) fn take_state(&self, state: &FoldedState) -> bool {
-        if state.read_to <= self.next_offset.get() {
+        if state.read_to <= self.next_offset() {
             return false;
         }
         let taken = std::str::from_utf8(&state.record)
-            .is_ok_and(|record| self.restore(self.next_offset.get(), record));
+            .is_ok_and(|record| self.restore(self.next_offset(), record));
         if taken {
             self.given.set(true);
             self.changed.notify();
@@ -550,7 +491,7 @@
     /// A reader that is past it without having seen it skipped it with others that
     /// the log no longer keeps.
     async fn wait_read_past(&self, offset: u64) {
-        while self.next_offset.get() <= offset {
+        while self.next_offset() <= offset {
             let wait = self.wait_read_back();
             if compio::time::timeout(BEHIND_LIMIT, wait).await.is_ok() {
                 return;
@@ -598,7 +539,7 @@
             self.checked_at.set(Some(begun));
             if helped {
                 self.read_at.set(Some(Instant::now()));
-                if self.ready.get() && self.next_offset.get() >= self.end.get() {
+                if self.ready.get() && self.next_offset() >= self.end.get() {
                     self.confirmed_at.set(Some(begun));
                 }
             } else {
@@ -610,7 +551,7 @@
 
     /// Reads the next page; `None` when nudged before it came.
     async fn read_page(&self, wait: Duration) -> Option<Result<Page, LogError>> {
-        let read = pin!(self.log.read(&self.name, self.next_offset.get(), wait));
+        let read = pin!(self.log.read(&self.name, self.next_offset(), wait));
         match select(read, pin!(self.nudged.wait())).await {
             Either::Left((page, _)) => Some(page),
             Either::Right(((), _)) => None,
@@ -619,18 +560,18 @@
 
     /// Folds a page; false if it leaves the reader behind records that are dropped.
     async fn take_page(&self, page: Page) -> bool {
-        if page.first > self.next_offset.get() {
+        if page.first > self.next_offset() {
             if F::OUTLIVES_RETENTION {
                 // What this VM knows may be outdated by any of the dropped records.
                 self.ready.set(false);
                 self.given.set(false);
                 return self.bridge_gap(page.first).await;
             }
-            self.next_offset.set(page.first);
+            self.replica.borrow_mut().skip_to(page.first);
         }
         self.fold_records(page.records);
         self.end.set(page.end);
-        if self.next_offset.get() >= page.end {
+        if self.next_offset() >= page.end {
             self.ready.set(true);
         }
         true
@@ -638,27 +579,26 @@
 
     fn fold_records(&self, records: Vec<LogRecord>) {
         for record in records {
-            if record.offset < self.next_offset.get() {
-                continue;
+            if record.offset >= self.next_offset() {
+                self.fold_record(&record);
             }
-            self.fold_record(record.offset, record.at_ms, record.data.get());
-            self.next_offset.set(record.offset + 1);
         }
     }
 
-    fn fold_record(&self, offset: u64, at_ms: u64, data: &str) {
-        match serde_json::from_str::<Envelope<F::Command, F>>(data) {
-            Ok(Envelope::Commands {
+    fn fold_record(&self, record: &LogRecord) {
+        let (offset, at_ms) = (record.offset, record.at_ms);
+        let folded = self
+            .replica
+            .borrow_mut()
+            .fold_record(offset, at_ms, record.data.get());
+        match folded {
+            Ok(Folded::Commands {
                 writer,
                 sequence,
-                commands,
-            }) => {
-                if self.note_writer(&writer, sequence, at_ms) {
-                    self.apply_all(offset, at_ms, &writer, sequence, commands);
-                }
-            }
-            Ok(Envelope::Snapshot { .. }) => self.snapshot_at_ms.set(at_ms),
-            Ok(Envelope::Restart {}) => self.restart(offset),
+                verdicts,
+            }) => self.tell_verdicts(&writer, sequence, verdicts),
+            Ok(Folded::Snapshot) => self.snapshot_at_ms.set(at_ms),
+            Ok(Folded::Repeat | Folded::Restart) => {}
             Err(error) => crate::events::emit(
                 crate::events::Event::RecordUnreadable,
                 format_args!("stream={} offset={offset} error={error}", self.name),
@@ -666,41 +606,11 @@
         }
     }
 
-    /// Notes a writer's envelope; false for a repeat.
-    fn note_writer(&self, writer: &Name, sequence: u64, at_ms: u64) -> bool {
-        let mut writers = self.writers.borrow_mut();
-        let last = writers
-            .get(writer)
-            .filter(|last| last.at_ms + WRITER_KEPT_MS >= at_ms);
-        if last.is_some_and(|last| sequence <= last.sequence) {
-            return false;
-        }
-        writers.insert(writer.clone(), LastSeen { sequence, at_ms });
-        if writers.len() > 1_024 {
-            writers.retain(|_, last| last.at_ms + WRITER_KEPT_MS >= at_ms);
-        }
-        true
-    }
-
-    fn apply_all(
-        &self,
-        offset: u64,
-        at_ms: u64,
-        writer: &Name,
-        sequence: u64,
-        commands: Vec<F::Command>,
-    ) {
-        let mut entries = self.take_entries(writer, sequence).into_iter();
-        for (index, command) in commands.into_iter().enumerate() {
-            let position = Position {
-                // Fence 0 is kept for "none".
-                fence: offset * MAX_BATCH as u64 + index as u64 + 1,
-                at_ms,
-            };
-            let verdict = self.fold.borrow_mut().apply(position, writer, command);
-            if let Some(entry) = entries.next() {
-                entry.end(Ok(Recorded { position, verdict }));
-            }
+    /// Tells this VM's own waiters what became of their commands.
+    fn tell_verdicts(&self, writer: &Name, sequence: u64, verdicts: Vec<(Position, F::Verdict)>) {
+        let entries = self.take_entries(writer, sequence);
+        for (entry, (position, verdict)) in entries.into_iter().zip(verdicts) {
+            entry.end(Ok(Recorded { position, verdict }));
         }
     }
 
@@ -756,42 +666,26 @@
         let envelope = serde_json::from_str::<Envelope<F::Command, F>>(record.data.get());
         let restarts = matches!(envelope, Ok(Envelope::Restart {}));
         if restarts {
-            self.restart(record.offset);
+            self.replica.borrow_mut().restart(record.offset);
         }
         restarts
     }
 
-    fn restart(&self, offset: u64) {
-        self.fold.take();
-        self.writers.take();
-        self.next_offset.set(offset + 1);
-    }
-
     /// Restores a snapshot that ends at or behind `first`.
     fn restore(&self, first: u64, data: &str) -> bool {
-        let Ok(Envelope::Snapshot {
-            read_to,
-            writers,
-            state,
-        }) = serde_json::from_str::<Envelope<F::Command, F>>(data)
-        else {
-            return false;
-        };
-        if read_to < first || read_to < self.next_offset.get() {
-            return false;
+        let restored = self.replica.borrow_mut().restore(first, data);
+        if restored {
+            self.end_covered_envelope();
         }
-        *self.fold.borrow_mut() = state;
-        *self.writers.borrow_mut() = writers;
-        self.next_offset.set(read_to);
-        self.end_covered_envelope();
-        true
+        restored
     }
 
     /// Ends the open envelope if it is among the records that a snapshot replaced.
     fn end_covered_envelope(&self) {
-        let last = self.writers.borrow().get(&self.writer).copied();
-        let Some(last) = last else { return };
-        let covered = |open: &mut OpenEnvelope<F>| open.sequence <= last.sequence;
+        let Some(last) = self.replica.borrow().last_sequence(&self.writer) else {
+            return;
+        };
+        let covered = |open: &mut OpenEnvelope<F>| open.sequence <= last;
         let open = self.open.borrow_mut().take_if(covered);
         if let Some(open) = open {
             open.fail(ProposeError::VerdictLost);
