Poison requests: each suspect runs alone once; retries within a tenth of the load

Cause: a request that crashes its runner was retried up to five times at each sending; nothing wrote the suspects that the entry looked for; nothing bounded retries when runners refuse everything.

Change: a broken connection is probed; if the engine's boot changed or it refuses connections, Crashed(fingerprint, runner, boot) is appended and read back before anything is retried. A suspect goes on only under Isolate(runner), by which all VMs send that runner nothing new (5 s of log time at most); it is cleared after three tokens, so the innocent aboard go on within a second, and the guilty one crashes its second runner alone and is refused. Retries take from the budget.

Ruled out: counting crashes alone, since an innocent request can be aboard two crashes of two poisons; running a suspect beside other new requests, same reason; emptying the runner first, since streams run for many seconds. Not proved: one poison sent through several VMs within the same few milliseconds, before any record can exist, can crash a runner for each. With the log down a request aboard a crash ends in an explicit error.

--- a/src/client.rs
+++ b/src/client.rs
@@ -86,6 +86,12 @@
     }
 }
 
+/// Whether a process at the address refuses connections; false if it is unknown.
+pub(crate) async fn is_refused(address: SocketAddr) -> bool {
+    let connected = TcpStream::connect(address).await;
+    connected.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -1,12 +1,14 @@
 //! A chat completion from its request to its last event, over as many runners as it takes.
 
 use crate::client::{Connection, Pool, SendError};
+use crate::control::Standing;
 use crate::engine::request;
 use crate::error::{Failure, Kind, Ran};
 use crate::events::{Event, emit};
 use crate::fleet::{InFlight, Runner};
 use crate::http::Body;
 use crate::inventory::{Name, Priority};
+use crate::quarantine::{EngineRun, Isolation, Quarantine};
 use crate::retry::RetryBudget;
 use crate::router::{Choice, Router, Target};
 use crate::sse::{Broken, SseEvent, SseReader};
@@ -32,6 +34,12 @@
 const NO_RUNNER_PAUSE: Duration = Duration::from_millis(50);
 /// How long a broken stream may look for a runner when its deadline is near or past.
 const RESUME_WAIT: Duration = Duration::from_millis(2_000);
+/// How long a crashed runner may take to start again before its requests give up.
+const RESTART_WAIT: Duration = Duration::from_millis(5_000);
+/// How long a suspect whose stream has begun may wait for a runner to itself.
+const SUSPECT_WAIT: Duration = Duration::from_secs(20);
+/// Tokens after which a suspect has got past the point of the crash.
+const PROBATION_TOKENS: u32 = 3;
 /// The last event of a complete stream.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
@@ -40,6 +48,8 @@
 pub(crate) struct Ask {
     /// Names the request through every process.
     pub(crate) id: Name,
+    /// The same for each sending of the request, through whichever VM.
+    pub(crate) fingerprint: u64,
     /// The artifacts to run it on.
     pub(crate) target: Target,
     /// The request's body.
@@ -68,7 +78,7 @@
 struct Attempt {
     reader: SseReader,
     connection: Connection,
-    runner: Rc<Runner>,
+    run: EngineRun,
     _in_flight: InFlight,
 }
 
@@ -80,6 +90,8 @@
     pub(crate) pool: Rc<Pool>,
     /// Bounds the attempts after the first.
     pub(crate) budget: RetryBudget,
+    /// Keeps suspects apart once a runner crashed.
+    pub(crate) quarantine: Rc<Quarantine>,
 }
 
 /// One completion under way.
@@ -96,6 +108,10 @@
     ran: bool,
     resumes: u32,
     give_up_at: Instant,
+    hopeful_until: Instant,
+    crashed_here: bool,
+    isolation: Option<Isolation>,
+    probation_ends: u32,
 }
 
 /// Why an attempt brought no stream.
@@ -130,6 +146,10 @@
             ran: false,
             resumes: 0,
             give_up_at: ask.deadline,
+            hopeful_until: Instant::now(),
+            crashed_here: false,
+            isolation: None,
+            probation_ends: 0,
             ask,
         }
     }
@@ -157,14 +177,16 @@
             let silence = self.silence()?;
             let attempt = self.attempt.as_mut().expect("an attempt was just opened");
             let event = attempt.reader.next(silence).await;
-            if let Some(step) = self.take_event(event)? {
-                return Ok(step);
+            match self.take_event(event) {
+                Ok(Some(step)) => return Ok(step),
+                Ok(None) => {}
+                Err(broken) => self.note_broken(broken).await?,
             }
         }
     }
 
     /// What an event means for the caller; `None` for nothing.
-    fn take_event(&mut self, event: Result<SseEvent, Broken>) -> Result<Option<Step>, Failure> {
+    fn take_event(&mut self, event: Result<SseEvent, Broken>) -> Result<Option<Step>, Broken> {
         match event {
             Ok(SseEvent::Comment) => Ok((self.tokens > 0).then_some(Step::Waiting)),
             Ok(SseEvent::Other(event)) if self.tokens == 0 && !self.finished => {
@@ -179,6 +201,9 @@
             Ok(SseEvent::Token(event, text)) if !self.finished => {
                 self.tokens += 1;
                 self.fruitless = 0;
+                if self.tokens >= self.probation_ends {
+                    self.end_isolation(self.crashed_here);
+                }
                 Ok(Some(Step::Token(self.with_preamble(event), text)))
             }
             Ok(SseEvent::Finish(event, reason)) if !self.finished => {
@@ -187,15 +212,17 @@
             }
             Ok(SseEvent::Done(event)) if self.finished => {
                 self.give_back();
+                self.end_isolation(true);
                 Ok(Some(Step::Done(event)))
             }
             // Every token and the finish reason have come: nothing is missing.
             Ok(_) | Err(_) if self.finished => {
                 self.attempt = None;
+                self.end_isolation(true);
                 Ok(Some(Step::Done(Bytes::from_static(DONE_EVENT))))
             }
-            Ok(_) => self.note_broken(Broken::Garbled).map(|()| None),
-            Err(broken) => self.note_broken(broken).map(|()| None),
+            Ok(_) => Err(Broken::Garbled),
+            Err(broken) => Err(broken),
         }
     }
 
@@ -241,14 +268,27 @@
         }
     }
 
-    fn note_broken(&mut self, broken: Broken) -> Result<(), Failure> {
+    /// Ends the isolation, if there is one; a suspect that is `cleared` may share runners again.
+    fn end_isolation(&mut self, cleared: bool) {
+        let quarantine = &self.shared.quarantine;
+        let fingerprint = self.ask.fingerprint;
+        if cleared && quarantine.standing(fingerprint) == Standing::Suspect {
+            quarantine.clear(fingerprint);
+        }
+        self.isolation = None;
+    }
+
+    async fn note_broken(&mut self, broken: Broken) -> Result<(), Failure> {
         let attempt = self.attempt.take().expect("only an open attempt breaks");
+        let run = attempt.run.clone();
         if self.tokens == 0 && self.time_left().is_zero() {
             return Err(self.late());
         }
         if broken == Broken::Silent {
             self.shared.pool.clear(attempt.connection.address());
         }
+        // Dropped before anything else, so that the engine cancels its copy.
+        drop(attempt);
         self.resumes += 1;
         self.give_up_at = self.give_up_at.max(Instant::now() + RESUME_WAIT);
         let cause = match broken {
@@ -256,10 +296,60 @@
             Broken::Garbled => "garbled",
             Broken::Silent => "silent",
         };
-        self.pass_over(&attempt.runner.name, cause);
+        self.pass_over(&run.runner.name, cause);
+        if broken == Broken::Cut {
+            self.note_cut(&run).await?;
+        }
+        self.isolation = None;
+        Ok(())
+    }
+
+    /// Finds out whether the runner crashed; if so, the request is a suspect from now on.
+    async fn note_cut(&mut self, run: &EngineRun) -> Result<(), Failure> {
+        let quarantine = &self.shared.quarantine;
+        let noted = quarantine.note_cut(&self.ask.id, self.ask.fingerprint, run);
+        match noted.await {
+            Some(false) => {}
+            Some(true) => {
+                let now = Instant::now();
+                self.crashed_here = true;
+                self.hopeful_until = now + RESTART_WAIT;
+                self.give_up_at = self.give_up_at.max(now + SUSPECT_WAIT);
+            }
+            None => {
+                let cause = "a runner crashed, and the log does not take the record of it";
+                return Err(self.exhausted(cause));
+            }
+        }
         Ok(())
     }
 
+    fn refuse_convicted(&self) -> Result<(), Failure> {
+        if self.shared.quarantine.standing(self.ask.fingerprint) != Standing::Convicted {
+            return Ok(());
+        }
+        let message = "runners crashed each time this request was aboard";
+        let ran = if self.ran { Ran::Yes } else { Ran::No };
+        Err(Failure::new(Kind::Poison, message).ran(ran))
+    }
+
+    /// The engine run to send to; a suspect waits for one to itself.
+    ///
+    /// Returns `None` when the runner cannot be had now.
+    async fn engine_run(&mut self, runner: &Rc<Runner>) -> Option<EngineRun> {
+        let quarantine = &self.shared.quarantine;
+        if quarantine.standing(self.ask.fingerprint) == Standing::Clear {
+            let boot = runner.report(|report| report.boot)?;
+            let runner = runner.clone();
+            return Some(EngineRun { runner, boot });
+        }
+        let isolation = quarantine.isolate(runner).await?;
+        let run = isolation.run.clone();
+        self.isolation = Some(isolation);
+        self.probation_ends = self.tokens + PROBATION_TOKENS;
+        Some(run)
+    }
+
     /// Gives the connection back once its answer has been read to its end.
     fn give_back(&mut self) {
         let Some(attempt) = self.attempt.take() else {
@@ -286,19 +376,30 @@
             if !self.shared.router.refreshed().await {
                 return Err(self.exhausted("this VM's view of the fleet is too old"));
             }
+            self.refuse_convicted()?;
             let pinned = self.tokens > 0;
             let router = &self.shared.router;
             let Some(choice) = router.choose(&self.ask.target, pinned, &self.avoid) else {
                 self.wait_for_runner().await?;
                 continue;
             };
+            let Some(run) = self.engine_run(&choice.runner).await else {
+                self.wait_for_runner().await?;
+                continue;
+            };
+            // Another sending of it may have crashed a runner while this one waited.
+            self.refuse_convicted()?;
             if self.attempts > 0 && !self.shared.budget.take(self.tokens > 0) {
                 return Err(self.exhausted("too many requests are being retried now"));
             }
             self.attempts += 1;
             self.fruitless += 1;
             let runner = choice.runner.clone();
-            match self.try_on(choice).await {
+            let outcome = self.try_on(choice, run.clone()).await;
+            if outcome.is_err() {
+                self.isolation = None;
+            }
+            match outcome {
                 Ok(attempt) => return Ok(attempt),
                 Err(AttemptError::Final(failure)) => return Err(self.with_ran(failure)),
                 Err(AttemptError::NotLoaded) => self.pass_over(&runner.name, "not_loaded"),
@@ -315,10 +416,12 @@
                     self.ran = true;
                     runner.note_broken();
                     self.pass_over(&runner.name, cause);
+                    self.note_cut(&run).await?;
                 }
                 Err(AttemptError::StaleConnection) => {
                     // A new connection to the same runner is no retry.
                     self.ran = true;
+                    self.note_cut(&run).await?;
                     self.shared.pool.clear(runner.address);
                     self.attempts -= 1;
                     self.fruitless -= 1;
@@ -341,9 +444,10 @@
     /// Waits a moment for a copy that is being loaded; without one in sight, gives up at once.
     async fn wait_for_runner(&mut self) -> Result<(), Failure> {
         let pinned = self.tokens > 0;
-        if Instant::now() >= self.give_up_at
-            || !self.shared.router.is_coming(&self.ask.target, pinned)
-        {
+        let now = Instant::now();
+        let is_hopeful =
+            now < self.hopeful_until || self.shared.router.is_coming(&self.ask.target, pinned);
+        if now >= self.give_up_at || !is_hopeful {
             return Err(self.exhausted("no runner can take the request now"));
         }
         self.avoid.clear();
@@ -359,7 +463,7 @@
         self.with_ran(Failure::new(Kind::Unavailable, cause))
     }
 
-    async fn try_on(&mut self, choice: Choice) -> Result<Attempt, AttemptError> {
+    async fn try_on(&mut self, choice: Choice, run: EngineRun) -> Result<Attempt, AttemptError> {
         emit(
             Event::Routed,
             format_args!(
@@ -388,7 +492,7 @@
         Ok(Attempt {
             reader: SseReader::new(response.into_body()),
             connection,
-            runner: choice.runner,
+            run,
             _in_flight: in_flight,
         })
     }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,6 +1,6 @@
 //! Commands of the control stream.
 
-use super::{Artifact, CopyState};
+use super::{Artifact, CopyState, SuspectCommand};
 use crate::inventory::{Inventory, Name};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -89,12 +89,8 @@
         fenced: bool,
         held: Vec<Held>,
     },
-    /// Notes that a runner crashed with this request aboard.
-    Suspect {
-        fingerprint: u64,
-        runner: Name,
-        boot: u64,
-    },
+    /// Says something of requests that may crash runners.
+    Suspect(SuspectCommand),
 }
 
 impl Command {
@@ -109,7 +105,7 @@
             | Self::MarkDown { under, runner }
             | Self::Fence { under, runner }
             | Self::Reset { under, runner, .. } => Some((under, runner)),
-            Self::Publish { .. } | Self::Claim { .. } | Self::Suspect { .. } => None,
+            Self::Publish { .. } | Self::Claim { .. } | Self::Suspect(_) => None,
         }
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,16 +6,18 @@
 mod artifact;
 mod books;
 mod command;
+mod suspects;
 
 pub(crate) use artifact::Artifact;
 pub(crate) use books::{Copy, CopyState, RunnerBook};
 pub(crate) use command::{Command, Held, Outcome, Under, Verdict};
+pub(crate) use suspects::{Standing, SuspectCommand, Suspects};
 
 use crate::inventory::{Inventory, Name};
 use crate::stream::{Fold, Position};
 use books::Given;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,8 +49,8 @@
     pub(crate) books: BTreeMap<Name, RunnerBook>,
     /// What late orders may still take at addresses that are not listed any more.
     pub(crate) retired: BTreeMap<SocketAddr, RunnerBook>,
-    /// Runs of runners that crashed, by the fingerprint of a request aboard.
-    pub(crate) suspects: BTreeMap<u64, BTreeSet<(Name, u64)>>,
+    /// Requests that may crash runners.
+    pub(crate) suspects: Suspects,
 }
 
 impl Control {
@@ -73,11 +75,6 @@
         self.books.values().map(RunnerBook::open_loads).sum()
     }
 
-    /// How many runs of runners crashed with this request aboard.
-    pub(crate) fn crashes(&self, fingerprint: u64) -> usize {
-        self.suspects.get(&fingerprint).map_or(0, BTreeSet::len)
-    }
-
     fn publish(&mut self, fence: u64, base: u64, inventory: Rc<Inventory>) -> Verdict {
         if base != self.revision {
             return Verdict::Refused;
@@ -207,7 +204,7 @@
             Command::Load { .. }
             | Command::Publish { .. }
             | Command::Claim { .. }
-            | Command::Suspect { .. } => Verdict::Refused,
+            | Command::Suspect(_) => Verdict::Refused,
         }
     }
 
@@ -229,17 +226,7 @@
             Command::Claim { group, vm, after } => {
                 self.claim(position.fence, writer, group, vm, after)
             }
-            Command::Suspect {
-                fingerprint,
-                runner,
-                boot,
-            } => {
-                self.suspects
-                    .entry(fingerprint)
-                    .or_default()
-                    .insert((runner, boot));
-                Verdict::Accepted
-            }
+            Command::Suspect(command) => self.suspects.apply(position, command),
             order => {
                 let Some((under, runner)) = order.under() else {
                     return Verdict::Refused;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -33,8 +33,6 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// What a caller gets while its engine has no token: it shows that the path lives.
 const WAITING_COMMENT: &[u8] = b": waiting\n\n";
-/// Runners that one request may crash before it is refused.
-const MAX_CRASHES: usize = 2;
 
 /// Who sends a request, and how urgent it is.
 #[derive(Clone, Debug)]
@@ -87,6 +85,7 @@
                 router: kernel.find(),
                 pool: Rc::default(),
                 budget: RetryBudget::default(),
+                quarantine: kernel.find(),
             }),
             calls: kernel.find(),
             metrics: kernel.find(),
@@ -251,9 +250,9 @@
         })?;
         let streamed = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
         let target = self.target(&body)?;
-        self.refuse_poison(fingerprint(&body))?;
         let ask = Ask {
             id: id.clone(),
+            fingerprint: fingerprint(&body),
             target,
             body,
             priority: sender.priority,
@@ -285,16 +284,6 @@
         }
     }
 
-    /// Refuses a request that has crashed runners before.
-    fn refuse_poison(&self, fingerprint: u64) -> Result<(), Failure> {
-        let crashes = self.control.with(|control| control.crashes(fingerprint));
-        if crashes < MAX_CRASHES {
-            return Ok(());
-        }
-        let message = format!("this request was aboard {crashes} runners when they crashed");
-        Err(Failure::new(Kind::Poison, message))
-    }
-
     fn target(&self, body: &Map<String, Value>) -> Result<Target, Failure> {
         let name = body
             .get("model")
--- a/src/events.rs
+++ b/src/events.rs
@@ -255,7 +255,7 @@
         700,
         "runner_crashed",
         Level::Error,
-        "a runner crashed with requests aboard: runner, boot, suspects",
+        "a runner crashed with a request aboard: runner, boot, request, fingerprint",
     ),
 ];
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 mod plain;
 mod planner;
 mod platform;
+mod quarantine;
 mod retry;
 mod router;
 mod server;
--- a/src/router.rs
+++ b/src/router.rs
@@ -8,7 +8,7 @@
 use crate::server::ControlStream;
 use std::fmt::Write;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// The artifacts that a request needs on one runner.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -192,12 +192,14 @@
 
     fn scored(&self, target: &Target) -> Vec<(f64, Rc<Runner>)> {
         let peer_loads = self.membership.peer_loads();
+        let now_ms = now_ms();
         self.control.with(|control| {
             self.fleet
                 .runners()
                 .into_iter()
                 .filter(|runner| runner.is_up() && target.is_ready_on(runner))
                 .filter(|runner| !self.membership.is_server_leaving(&runner.name))
+                .filter(|runner| !control.suspects.is_isolated(&runner.name, now_ms))
                 .filter_map(|runner| {
                     let server = control.inventory.backend_server(&runner.name)?;
                     if server.leaving {
@@ -213,3 +215,10 @@
         })
     }
 }
+
+/// The wall clock; one that is off only lets an isolation end early or late.
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/src/server.rs
+++ b/src/server.rs
@@ -18,6 +18,7 @@
 use crate::plain::PlainCalls;
 use crate::planner::Planner;
 use crate::platform::{HttpLog, HttpVmList};
+use crate::quarantine::Quarantine;
 use crate::router::Router;
 use crate::shutdown::Shutdown;
 use crate::stream::{FoldedState, Stream};
@@ -153,6 +154,7 @@
     let keys: Rc<KeyStream> = kernel.register(Stream::open("keys", log, writer.clone()));
     let membership = kernel.register(Rc::new(Membership::new(config.vm.clone())));
     let fleet = kernel.register(Rc::new(Fleet::new(metrics.leg("reports"))));
+    kernel.register(Rc::new(Quarantine::new(control.clone())));
     kernel.register(Rc::new(Router::new(
         control.clone(),
         fleet,
