--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,6 +1,6 @@
 //! Commands of the control stream.
 
-use super::{Artifact, CopyState};
+use super::{Artifact, CopyState, SuspectCommand};
 use crate::inventory::{Inventory, InventoryChange, Name};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -94,12 +94,8 @@
         fenced: bool,
         held: Vec<Held>,
     },
-    /// Notes that a runner crashed with this request aboard.
-    Suspect {
-        fingerprint: u64,
-        runner: Name,
-        boot: u64,
-    },
+    /// Says something of requests that may crash runners.
+    Suspect(SuspectCommand),
 }
 
 impl Command {
@@ -114,10 +110,9 @@
             | Self::MarkDown { under, runner }
             | Self::Fence { under, runner }
             | Self::Reset { under, runner, .. } => Some((under, runner)),
-            Self::Publish { .. }
-            | Self::Amend { .. }
-            | Self::Claim { .. }
-            | Self::Suspect { .. } => None,
+            Self::Publish { .. } | Self::Amend { .. } | Self::Claim { .. } | Self::Suspect(_) => {
+                None
+            }
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 mod plain;
 mod planner;
 mod platform;
+mod quarantine;
 mod recent;
 mod reference;
 mod register;
--- a/src/router.rs
+++ b/src/router.rs
@@ -12,7 +12,7 @@
 use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The artifacts that a request needs on one runner.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -251,12 +251,14 @@
     /// urgent requests should find a slot.
     pub(crate) fn scored(&self, target: &Target, yields: bool) -> Vec<(f64, Rc<Runner>)> {
         let peer_loads = self.membership.peer_loads();
+        let now_ms = now_ms();
         self.control.with(|control| {
             self.fleet
                 .runners()
                 .into_iter()
                 .filter(|runner| runner.is_up() && target.is_ready_on(runner))
                 .filter(|runner| !self.membership.is_server_leaving(&runner.name))
+                .filter(|runner| !control.suspects.is_isolated(&runner.name, now_ms))
                 .filter_map(|runner| {
                     let server = control.inventory.backend_server(&runner.name)?;
                     if server.leaving {
@@ -288,3 +290,10 @@
 fn has_place(rules: &Rules, slots: u32, in_flight: u32) -> bool {
     rules.batch_fill >= 1.0 || f64::from(in_flight + 1) <= rules.batch_fill * f64::from(slots)
 }
+
+/// The wall clock; one that is off only lets an isolation end early or late.
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/src/server.rs
+++ b/src/server.rs
@@ -19,6 +19,7 @@
 use crate::plain::PlainCalls;
 use crate::planner::Planner;
 use crate::platform::{HttpLog, HttpVmList};
+use crate::quarantine::Quarantine;
 use crate::router::Router;
 use crate::shutdown::Shutdown;
 use crate::stream::{FoldedState, Stream};
@@ -182,6 +183,7 @@
     let membership = kernel.register(Rc::new(Membership::new(config.vm.clone())));
     let fleet = kernel.register(Rc::new(Fleet::new(metrics.leg("reports"))));
     let demand = kernel.register(Rc::new(Demand::new(membership.clone())));
+    kernel.register(Rc::new(Quarantine::new(control.clone())));
     kernel.register(Rc::new(Router::new(
         control.clone(),
         fleet,
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -228,6 +228,12 @@
 
     /// Publishes the first inventory and waits until every model answers.
     pub async fn publish_and_settle(&self, limit: Duration) {
+        // Before that it refuses publications, as it should.
+        self.wait_for("the VM has read the log", limit, async || {
+            let status = self.status(0).await;
+            status.is_some_and(|status| status["log_silence_ms"].is_u64())
+        })
+        .await;
         let revision = self.publish(0, &self.inventory, None).await;
         assert!(
             revision.is_ok(),
