Placement reads books in place; names in the field's terms; one block_on for tests

Change: Control::book returns a reference. Also: the dry run, the poison standing and the peers' service bear their usual names; the planner's two records share one function; tests share block_on.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -372,8 +372,8 @@
         }
     }
 
-    fn refuse_convicted(&self) -> Result<(), Failure> {
-        if self.shared.quarantine.standing(self.ask.fingerprint) != Standing::Convicted {
+    fn refuse_suspect(&self) -> Result<(), Failure> {
+        if self.shared.quarantine.standing(self.ask.fingerprint) != Standing::Poison {
             return Ok(());
         }
         let message = "runners crashed each time this request was aboard";
@@ -424,7 +424,7 @@
             if !self.shared.router.refreshed().await {
                 return Err(self.exhausted("this VM's view of the fleet is too old"));
             }
-            self.refuse_convicted()?;
+            self.refuse_suspect()?;
             let pinned = self.tokens > 0;
             let in_line = !self.holds_back() || self.ticket.as_ref().is_none_or(Ticket::is_first);
             let choice = in_line
@@ -444,7 +444,7 @@
                 continue;
             };
             // Another sending of it may have crashed a runner while this one waited.
-            self.refuse_convicted()?;
+            self.refuse_suspect()?;
             self.ticket = None;
             if self.attempts > 0 && !self.shared.budget.take(self.tokens > 0) {
                 return Err(self.exhausted("too many requests are being retried now"));
--- a/src/control/books.rs
+++ b/src/control/books.rs
@@ -63,6 +63,15 @@
 }
 
 impl RunnerBook {
+    /// The book of a runner that was never given an order.
+    pub(super) const fn new() -> Self {
+        Self {
+            boot: 0,
+            down: false,
+            copies: BTreeMap::new(),
+        }
+    }
+
     /// Memory taken, or set aside for orders that may still arrive.
     pub(crate) fn taken_mib(&self) -> u64 {
         self.copies.values().map(|copy| copy.mib).sum()
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -55,8 +55,9 @@
 
 impl Control {
     /// The book of a runner, empty if nothing was ever ordered.
-    pub(crate) fn book(&self, runner: &str) -> RunnerBook {
-        self.books.get(runner).cloned().unwrap_or_default()
+    pub(crate) fn book(&self, runner: &str) -> &RunnerBook {
+        static EMPTY: RunnerBook = RunnerBook::new();
+        self.books.get(runner).unwrap_or(&EMPTY)
     }
 
     /// The runners that answer and on which an artifact is resident.
--- a/src/control/suspects.rs
+++ b/src/control/suspects.rs
@@ -40,7 +40,7 @@
     /// A runner crashed with it aboard; it may run alone.
     Suspect,
     /// It has crashed as many runners as one request may.
-    Convicted,
+    Poison,
 }
 
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -74,7 +74,7 @@
         match self.crashes.get(&fingerprint) {
             None => Standing::Clear,
             Some(crashes) if crashes.runs.len() < MAX_CRASHES => Standing::Suspect,
-            Some(_) => Standing::Convicted,
+            Some(_) => Standing::Poison,
         }
     }
 
--- a/src/rehearsal.rs
+++ b/src/dry_run.rs
@@ -10,12 +10,12 @@
 
 /// Rounds of planning at most.
 const MAX_ROUNDS: usize = 1_000;
-/// Fences of a rehearsal lie above all real ones.
+/// Fences of a dry run lie above all real ones.
 const FIRST_FENCE: u64 = u64::MAX / 2;
 
 /// One order that the planner would give.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub(crate) struct RehearsedMove {
+pub(crate) struct ForecastMove {
     /// `load` or `unload`.
     pub(crate) order: &'static str,
     /// What is moved.
@@ -30,32 +30,32 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub(crate) struct Forecast {
     /// The orders, in order.
-    pub(crate) moves: Vec<RehearsedMove>,
+    pub(crate) moves: Vec<ForecastMove>,
     /// Models and adapters that would find no place.
     pub(crate) missing: Vec<String>,
 }
 
 /// A copy of the folded state that is planned on.
-pub(crate) struct Rehearsal {
+pub(crate) struct DryRun {
     control: Control,
     writer: Name,
     fence: u64,
 }
 
-impl Rehearsal {
-    /// A rehearsal of a publication, from the state in force.
+impl DryRun {
+    /// A dry run of a publication, from the state in force.
     pub(crate) fn new(control: &Control, inventory: Inventory) -> Self {
-        let mut rehearsal = Self {
+        let mut dry_run = Self {
             control: control.clone(),
-            writer: arcstr::literal!("rehearsal"),
+            writer: arcstr::literal!("dry-run"),
             fence: FIRST_FENCE,
         };
         let publication = Command::Publish {
-            base: rehearsal.control.revision,
+            base: dry_run.control.revision,
             inventory: Rc::new(inventory),
         };
-        rehearsal.apply(publication);
-        rehearsal
+        dry_run.apply(publication);
+        dry_run
     }
 
     /// Plans until nothing is left to do; `is_up` tells which runners take orders.
@@ -135,7 +135,7 @@
     }
 
     /// Gives an order and ends it as done.
-    fn carry_out(&mut self, under: &Under, planned: Move) -> Option<RehearsedMove> {
+    fn carry_out(&mut self, under: &Under, planned: Move) -> Option<ForecastMove> {
         let (order, runner, artifact, reason) = match planned {
             Move::Load {
                 runner,
@@ -171,7 +171,7 @@
             outcome: Outcome::Done,
             clean: true,
         });
-        Some(RehearsedMove {
+        Some(ForecastMove {
             order,
             artifact: artifact.to_string(),
             runner,
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operators' side: status, metrics, health and publication.
 
 use crate::control::{Command, CopyState, Verdict};
+use crate::dry_run::DryRun;
 use crate::entry::Entry;
 use crate::error::{Failure, Kind};
 use crate::events::{Event, emit};
@@ -11,7 +12,6 @@
 use crate::membership::Membership;
 use crate::metrics::{Metrics, StreamLabels};
 use crate::recent;
-use crate::rehearsal::Rehearsal;
 use crate::server::{ControlStream, KeyStream};
 use crate::stream::{ProposeError, Recorded};
 use hyper::body::Incoming;
@@ -163,11 +163,11 @@
 
     /// Tells what would move, and whether everything would find its place.
     fn forecast(&self, publication: Publication) -> Response<Body> {
-        let (revision, rehearsal) = self.control.with(|control| {
-            let rehearsal = Rehearsal::new(control, publication.inventory);
-            (control.revision, rehearsal)
+        let (revision, dry_run) = self.control.with(|control| {
+            let dry_run = DryRun::new(control, publication.inventory);
+            (control.revision, dry_run)
         });
-        let forecast = rehearsal.run(|name| {
+        let forecast = dry_run.run(|name| {
             // A runner that is new with this publication is taken for ready.
             let known = self.fleet.runner(name);
             known.is_none_or(|runner| runner.is_up()) && !self.membership.is_server_leaving(name)
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -36,8 +36,8 @@
 
 type Link = Framed<Compat<Pin<Box<AsyncStream<TcpStream>>>>, LengthDelimitedCodec>;
 
-/// What a VM says of itself in each heartbeat.
-pub(crate) trait Speaker: 'static {
+/// What a VM tells its peers, and takes from them.
+pub(crate) trait PeerService: 'static {
     /// Builds the heartbeat to send now.
     fn heartbeat(&self) -> Heartbeat;
     /// Takes note of a peer's heartbeat.
@@ -51,17 +51,17 @@
 }
 
 /// The links of this VM to its peers.
-pub(crate) struct Links<S: Speaker> {
-    speaker: Rc<S>,
+pub(crate) struct Links<S: PeerService> {
+    service: Rc<S>,
     membership: Rc<Membership>,
     bytes: Counter,
 }
 
-impl<S: Speaker> Links<S> {
-    /// Links that say what `speaker` says.
-    pub(crate) fn new(speaker: Rc<S>, membership: Rc<Membership>, metrics: &Metrics) -> Rc<Self> {
+impl<S: PeerService> Links<S> {
+    /// Links over which `service` talks to peers.
+    pub(crate) fn new(service: Rc<S>, membership: Rc<Membership>, metrics: &Metrics) -> Rc<Self> {
         Rc::new(Self {
-            speaker,
+            service,
             membership,
             bytes: metrics.leg("peers"),
         })
@@ -96,7 +96,7 @@
     }
 
     async fn say(&self, link: &mut Link) -> Option<()> {
-        let heartbeat = Body::Heartbeat(self.speaker.heartbeat());
+        let heartbeat = Body::Heartbeat(self.service.heartbeat());
         self.send(link, heartbeat).await
     }
 
@@ -109,7 +109,7 @@
     }
 
     fn note(self: &Rc<Self>, heartbeat: Heartbeat, asked_at: Option<Instant>) {
-        self.speaker.heard(&heartbeat);
+        self.service.heard(&heartbeat);
         if let Some(peer) = self.membership.note(heartbeat, asked_at) {
             compio::runtime::spawn(self.clone().call(peer)).detach();
         }
@@ -131,7 +131,7 @@
     pub(crate) async fn catch_up(self: Rc<Self>) {
         loop {
             compio::time::sleep(STATE_LOOK).await;
-            let Some(offset) = self.speaker.wants_state() else {
+            let Some(offset) = self.service.wants_state() else {
                 continue;
             };
             let Some(address) = self.membership.furthest_peer(offset) else {
@@ -139,7 +139,7 @@
             };
             let fetched = compio::time::timeout(STATE_TIMEOUT, self.fetch_state(address, offset));
             if let Ok(Some(state)) = fetched.await {
-                self.speaker.take_state(&state);
+                self.service.take_state(&state);
             }
             compio::time::sleep(STATE_INTERVAL).await;
         }
@@ -192,7 +192,7 @@
     }
 
     async fn hand_over(&self, link: &mut Link, request: &StateRequest) -> Option<()> {
-        let state = self.speaker.state(request.after_offset)?;
+        let state = self.service.state(request.after_offset)?;
         let state = ControlState {
             read_to: state.read_to,
             record: state.record,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -112,7 +112,7 @@
         moves
     }
 
-    fn book(&self, runner: &BackendServer) -> RunnerBook {
+    fn book(&self, runner: &BackendServer) -> &'a RunnerBook {
         self.control.book(&runner.name)
     }
 
@@ -285,7 +285,7 @@
                 {
                     continue;
                 }
-                if let Some(reason) = self.reason_to_unload(&book, artifact) {
+                if let Some(reason) = self.reason_to_unload(book, artifact) {
                     unloads.push(Move::Unload {
                         runner: runner.name.clone(),
                         artifact: artifact.clone(),
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -191,7 +191,7 @@
             .inventory
             .models
             .iter()
-            .filter(|other| self.can_spare(runner, &book, &Self::artifact(other)))
+            .filter(|other| self.can_spare(runner, book, &Self::artifact(other)))
             .filter(|other| free_mib + other.resident_mib() >= model.resident_mib())
             .min_by(|left, right| {
                 let key = |model: &Model| self.weighted(&model.name);
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -73,7 +73,7 @@
             if freed_mib >= needed_mib {
                 break;
             }
-            if !self.can_spare(runner, &book, base) {
+            if !self.can_spare(runner, book, base) {
                 continue;
             }
             let whole = self.unload_whole(runner, base, reason);
@@ -97,7 +97,7 @@
         let book = self.book(runner);
         book.copies
             .keys()
-            .filter(|artifact| *artifact == base || is_adapter_of(artifact, base, &book))
+            .filter(|artifact| *artifact == base || is_adapter_of(artifact, base, book))
             .map(|artifact| Move::Unload {
                 runner: runner.name.clone(),
                 artifact: artifact.clone(),
@@ -127,7 +127,7 @@
         };
         let others = self.runners.iter().filter(|other| {
             let held = self.book(other);
-            other.name != runner.name && self.serves_whole(&held, model, base)
+            other.name != runner.name && self.serves_whole(held, model, base)
         });
         others.count() >= needed as usize
     }
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -189,6 +189,7 @@
         .await;
     }
 
+    /// Writes a decision as an intent; its order is given once it is read back.
     async fn record(&self, under: &Under, decided: Move) {
         let under = under.clone();
         match decided {
@@ -199,55 +200,58 @@
                 others,
                 ..
             } => {
+                let why = format!("reason={reason} others={others}");
                 let line = format!("artifact={artifact} runner={runner}");
                 let command = Command::Load {
                     under,
                     runner,
                     artifact,
                 };
-                if let Some(fence) = self.propose(command).await {
-                    self.metrics
-                        .orders
-                        .get_or_create(&OrderLabels { order: "load" })
-                        .inc();
-                    emit(
-                        Event::LoadPlaced,
-                        format_args!("{line} intent={fence} reason={reason} others={others}"),
-                    );
-                }
+                self.record_order("load", Event::LoadPlaced, command, &line, &why)
+                    .await;
             }
             Move::Unload {
                 runner,
                 artifact,
                 reason,
             } => {
+                let why = format!("reason={reason}");
                 let line = format!("artifact={artifact} runner={runner}");
                 let command = Command::Unload {
                     under,
                     runner,
                     artifact,
                 };
-                if let Some(fence) = self.propose(command).await {
-                    self.metrics
-                        .orders
-                        .get_or_create(&OrderLabels { order: "unload" })
-                        .inc();
-                    emit(
-                        Event::UnloadPlaced,
-                        format_args!("{line} intent={fence} reason={reason}"),
-                    );
-                }
+                self.record_order("unload", Event::UnloadPlaced, command, &line, &why)
+                    .await;
             }
         }
     }
 
+    async fn record_order(
+        &self,
+        order: &'static str,
+        event: Event,
+        command: Command,
+        line: &str,
+        why: &str,
+    ) {
+        if let Some(fence) = self.propose(command).await {
+            let labels = OrderLabels { order };
+            self.metrics.orders.get_or_create(&labels).inc();
+            emit(event, format_args!("{line} intent={fence} {why}"));
+        }
+    }
+
     /// Brings one runner's open orders forward and its book up to date.
     async fn drive(&self, under: &Under, server: &BackendServer) {
         let Some(report) = self.engines.report(server.address).await else {
             return self.note_silent(under, server).await;
         };
         self.silent_since.borrow_mut().remove(&server.name);
-        let book = self.control.with(|control| control.book(&server.name));
+        let book = self
+            .control
+            .with(|control| control.book(&server.name).clone());
         let is_behind = book.boot != report.boot || book.down;
         if is_behind || (server.checks_fencing && book.has_reserved()) {
             return self.reset(under, server, &book, report).await;
@@ -279,7 +283,9 @@
             .borrow_mut()
             .entry(server.name.clone())
             .or_insert_with(Instant::now);
-        let book = self.control.with(|control| control.book(&server.name));
+        let book = self
+            .control
+            .with(|control| control.book(&server.name).clone());
         if since.elapsed() < DOWN_AFTER || book.down || book.boot == 0 {
             return;
         }
@@ -401,7 +407,9 @@
 
     /// Enters into the book what the engine holds though nothing of ours is open for it.
     async fn adopt(&self, under: &Under, server: &BackendServer, report: &Report) {
-        let book = self.control.with(|control| control.book(&server.name));
+        let book = self
+            .control
+            .with(|control| control.book(&server.name).clone());
         for (held, reported) in self.held(report).into_iter().zip(&report.artifacts) {
             let known = book.copies.iter().any(|(artifact, copy)| {
                 copy.state != CopyState::Reserved && artifact.to_string() == reported.name
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -80,7 +80,7 @@
     pub(crate) fn standing(&self, fingerprint: u64) -> Standing {
         let unrecorded = self.unrecorded.borrow().get(&fingerprint).copied();
         if unrecorded.is_some_and(|crashes| crashes >= MAX_UNRECORDED) {
-            return Standing::Convicted;
+            return Standing::Poison;
         }
         self.control
             .with(|control| control.suspects.standing(fingerprint))
--- a/src/server.rs
+++ b/src/server.rs
@@ -15,7 +15,7 @@
 use crate::membership::Membership;
 use crate::metrics::Metrics;
 use crate::operator::Operator;
-use crate::peer::{HEARTBEAT_INTERVAL, Links, Speaker};
+use crate::peer::{HEARTBEAT_INTERVAL, Links, PeerService};
 use crate::plain::PlainCalls;
 use crate::planner::Planner;
 use crate::platform::{HttpLog, HttpVmList};
@@ -57,8 +57,8 @@
 /// How often the share of the log's appends is worked out anew.
 const PACE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Says in heartbeats how this VM is.
-struct Voice {
+/// What this VM tells its peers, and takes from them.
+struct VmPeerService {
     config: Config,
     boot: u64,
     control: Rc<ControlStream>,
@@ -69,7 +69,7 @@
     demand_said_at: Cell<Instant>,
 }
 
-impl Voice {
+impl VmPeerService {
     /// The demand, in all heartbeats of a short time and then not for a while.
     fn demands(&self) -> Vec<ModelDemand> {
         let age = self.demand_said_at.get().elapsed();
@@ -84,7 +84,7 @@
     }
 }
 
-impl Speaker for Voice {
+impl PeerService for VmPeerService {
     fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             vm: self.config.vm.to_string(),
@@ -207,7 +207,7 @@
 fn start_peers(kernel: &Kernel, config: &Config, boot: u64, listener: TcpListener) {
     let membership: Rc<Membership> = kernel.find();
     let shutdown: Rc<Shutdown> = kernel.find();
-    let voice = Rc::new(Voice {
+    let service = Rc::new(VmPeerService {
         config: config.clone(),
         boot,
         control: kernel.find(),
@@ -217,7 +217,7 @@
         shutdown: shutdown.clone(),
         demand_said_at: Cell::new(Instant::now()),
     });
-    let links = Links::new(voice, membership.clone(), &kernel.find::<Metrics>());
+    let links = Links::new(service, membership.clone(), &kernel.find::<Metrics>());
     compio::runtime::spawn(links.clone().accept(listener, shutdown)).detach();
     compio::runtime::spawn(links.clone().catch_up()).detach();
     compio::runtime::spawn(membership.clone().watch_pauses(kernel.find())).detach();
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -25,6 +25,17 @@
 /// Ports from here on are free for proxies.
 pub const PROXY_PORT: u16 = 21_000;
 
+/// Runs a future to its end on a runtime of its own.
+///
+/// # Panics
+///
+/// Panics when no runtime can be made.
+pub fn block_on<F: Future>(future: F) -> F::Output {
+    compio::runtime::Runtime::new()
+        .expect("a runtime needs nothing special")
+        .block_on(future)
+}
+
 /// A process started by the workbench, killed at the end.
 #[derive(Debug)]
 pub struct Process {
--- a/workbench/tests/answers.rs
+++ b/workbench/tests/answers.rs
@@ -11,7 +11,9 @@
 use std::sync::{Condvar, Mutex};
 use std::time::{Duration, Instant};
 use workbench::asker::{Asker, End, Outcome, Question};
-use workbench::cluster::{Cluster, PLATFORM_PORT, PROXY_PORT, Plan, RUNNER_PORT, VM_PORT};
+use workbench::cluster::{
+    Cluster, PLATFORM_PORT, PROXY_PORT, Plan, RUNNER_PORT, VM_PORT, block_on,
+};
 use workbench::engine::EngineFaults;
 use workbench::proxy::{Faults, Proxy};
 use workbench::shape::Shape;
@@ -21,12 +23,6 @@
 /// Tokens of an answer that takes about a second.
 const LONG: u32 = 200;
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 /// Sites running at once, so that a machine with few cores keeps up.
 const MAX_SITES: usize = 4;
 static SITES: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
--- a/workbench/tests/configuration.rs
+++ b/workbench/tests/configuration.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use workbench::asker::{Asker, End, Question};
-use workbench::cluster::{Cluster, PROXY_PORT, Plan};
+use workbench::cluster::{Cluster, PROXY_PORT, Plan, block_on};
 use workbench::proxy::{Faults, Proxy};
 use workbench::shape::Shape;
 use workbench::web;
@@ -21,12 +21,6 @@
 /// The shortest retention that the settings allow.
 const RETENTION_MS: u64 = 10_000;
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 async fn start(retention_ms: u64) -> Cluster {
     let mut plan = Plan::new(Shape::small(), 3);
     plan.platform.retention_ms = retention_ms;
--- a/workbench/tests/decisions.rs
+++ b/workbench/tests/decisions.rs
@@ -4,18 +4,12 @@
 use googletest::prelude::*;
 use std::time::Duration;
 use workbench::asker::{Asker, End, Outcome, Question};
-use workbench::cluster::{Cluster, Plan};
+use workbench::cluster::{Cluster, Plan, block_on};
 use workbench::shape::Shape;
 
 const LIMIT: Duration = Duration::from_secs(30);
 const SLOTS: u32 = 4;
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 /// Three VMs before one runner of few slots.
 async fn start(first_token_ms: Option<u64>) -> Cluster {
     let shape = Shape {
--- a/workbench/tests/idempotency.rs
+++ b/workbench/tests/idempotency.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use workbench::cluster::{Cluster, PLATFORM_PORT, PROXY_PORT, Plan, SERVER_PORT};
+use workbench::cluster::{Cluster, PLATFORM_PORT, PROXY_PORT, Plan, SERVER_PORT, block_on};
 use workbench::journal::now_ms;
 use workbench::keyed::{CallAnswer, KeyedCall, Ledger, exchange, runs, runs_by_key};
 use workbench::proxy::{Faults, Proxy};
@@ -20,12 +20,6 @@
 /// The time between two rounds of calls.
 const ROUND: Duration = Duration::from_millis(100);
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 /// A small site with a proxy before the service and one between each VM and the log.
 struct Site {
     cluster: Cluster,
--- a/workbench/tests/leaving.rs
+++ b/workbench/tests/leaving.rs
@@ -6,7 +6,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 use workbench::asker::{Asker, CallEnd, End, Question, call};
-use workbench::cluster::{Cluster, PROXY_PORT, Plan};
+use workbench::cluster::{Cluster, PROXY_PORT, Plan, block_on};
 use workbench::journal::now_ms;
 use workbench::proxy::{Faults, Proxy};
 use workbench::shape::Shape;
@@ -20,12 +20,6 @@
 /// The servers that are marked in these tests.
 const MARKED: [&str; 2] = ["runner-0", "server-0"];
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 fn plan() -> Plan {
     let shape = Shape {
         servers: 2,
--- a/workbench/tests/memory.rs
+++ b/workbench/tests/memory.rs
@@ -12,7 +12,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
-use workbench::cluster::{Cluster, PROXY_PORT, Plan, is_resident};
+use workbench::cluster::{Cluster, PROXY_PORT, Plan, block_on, is_resident};
 use workbench::proxy::{Faults, Proxy};
 use workbench::shape::Shape;
 use workbench::web;
@@ -25,12 +25,6 @@
 /// How long books must not change to count as settled.
 const QUIET: Duration = Duration::from_millis(700);
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 /// A site of tight memory whose runners are reached through proxies.
 struct Site {
     cluster: Cluster,
--- a/workbench/tests/operators.rs
+++ b/workbench/tests/operators.rs
@@ -7,7 +7,7 @@
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 use workbench::asker::{Asker, Question, call};
-use workbench::cluster::{Cluster, Plan, product_binary};
+use workbench::cluster::{Cluster, Plan, block_on, product_binary};
 use workbench::shape::Shape;
 
 const LIMIT: Duration = Duration::from_secs(30);
@@ -15,12 +15,6 @@
 /// Looks of a watched status, a second apart, until a change must be shown.
 const MAX_LOOKS: usize = 20;
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 /// Runs a command of the product against a VM.
 fn run(cluster: &Cluster, vm: usize, arguments: &[&str]) -> Output {
     Command::new(product_binary())
--- a/workbench/tests/path.rs
+++ b/workbench/tests/path.rs
@@ -5,18 +5,12 @@
 use serde_json::json;
 use std::time::Duration;
 use workbench::asker::{Asker, CallEnd, End, Question, call};
-use workbench::cluster::{Cluster, Plan};
+use workbench::cluster::{Cluster, Plan, block_on};
 use workbench::shape::Shape;
 use workbench::web;
 
 const LIMIT: Duration = Duration::from_secs(30);
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 async fn start() -> Cluster {
     let cluster = Cluster::start(Plan::new(Shape::small(), 3)).await;
     cluster.publish_and_settle(LIMIT).await;
--- a/workbench/tests/poison.rs
+++ b/workbench/tests/poison.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use workbench::asker::{Asker, End, Outcome, Question};
-use workbench::cluster::{Cluster, Plan};
+use workbench::cluster::{Cluster, Plan, block_on};
 use workbench::engine::EngineFaults;
 use workbench::shape::Shape;
 use workbench::web;
@@ -17,12 +17,6 @@
 /// What each VM may retry at once before its budget is a tenth of its load.
 const SAVED_RETRIES: usize = 8;
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 async fn start() -> Cluster {
     let mut plan = Plan::new(Shape::small(), 3);
     // Fast loads: engines start anew often here.
--- a/workbench/tests/reachability.rs
+++ b/workbench/tests/reachability.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use workbench::asker::{Asker, End, Question};
-use workbench::cluster::{Cluster, Plan, is_resident};
+use workbench::cluster::{Cluster, Plan, block_on, is_resident};
 use workbench::shape::Shape;
 use workbench::web;
 
@@ -27,12 +27,6 @@
 /// Loads that the weight store serves at full speed.
 const STORE_SLOTS: u64 = 6;
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 /// Asks every model through every VM until stopped.
 struct Prober {
     /// The names that callers use, each with the texts' versions.
--- a/workbench/tests/shutdown.rs
+++ b/workbench/tests/shutdown.rs
@@ -7,7 +7,7 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 use workbench::asker::{Asker, End, Outcome, Question};
-use workbench::cluster::{Cluster, Plan, Process};
+use workbench::cluster::{Cluster, Plan, Process, block_on};
 use workbench::shape::Shape;
 
 const LIMIT: Duration = Duration::from_secs(30);
@@ -20,12 +20,6 @@
 /// Tokens of an answer that takes several times the grace.
 const LONG: u32 = 400;
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    compio::runtime::Runtime::new()
-        .expect("a runtime needs nothing special")
-        .block_on(future)
-}
-
 async fn start(grace: Duration) -> Cluster {
     let mut plan = Plan::new(Shape::small(), 3);
     plan.settings["drain_grace_ms"] = json!(grace.as_millis() as u64);
