--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,8 +4,10 @@
 use crate::config::Config;
 use crate::error::Fault;
 use crate::events::EVENTS;
+use crate::gateway;
 use crate::inventory::Inventory;
 use crate::operator::Publication;
+use crate::platform::{self, PlatformProtocol, PlatformRunners, PlatformStore};
 use crate::register;
 use crate::replay::Replay;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -15,6 +17,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Exit code for settings, inventories or arguments that are not valid.
@@ -60,6 +63,11 @@
                     .help("The VM's settings"),
             ),
         )
+        .subcommand(
+            Command::new("front").about(
+                "Run one VM on the users' platform; its settings file is named by the platform",
+            ),
+        )
         .subcommand(
             Command::new("publish")
                 .about("Put an inventory in force everywhere")
@@ -164,6 +172,7 @@
     let matches = command().get_matches();
     let outcome = match matches.subcommand() {
         Some(("serve", matches)) => serve(matches),
+        Some(("front", _)) => front(),
         Some(("publish", matches)) => publish(matches),
         Some(("status", matches)) => status(matches),
         Some(("check", matches)) => check(matches),
@@ -227,6 +236,17 @@
     runtime()?.block_on(crate::server::serve(config))
 }
 
+fn front() -> Result<(), Report<Fault>> {
+    let settings = platform::load_settings(&platform::settings_path())?;
+    let store = Rc::new(PlatformStore::new(settings.log_address));
+    runtime()?.block_on(gateway::serve::<PlatformProtocol, _, _>(
+        settings,
+        store,
+        PlatformRunners,
+        platform::READY_PATH,
+    ))
+}
+
 fn publish(matches: &ArgMatches) -> Result<(), Report<Fault>> {
     let path: &PathBuf = matches.get_one("file").expect("required");
     let publication = Publication {
--- a/src/client.rs
+++ b/src/client.rs
@@ -5,10 +5,12 @@
 
 use crate::http::Body;
 use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
@@ -31,6 +33,8 @@
 pub struct Connection {
     sender: SendRequest<Body>,
     address: SocketAddr,
+    /// Ends the connection's driver, and so the connection, when dropped.
+    driver: Option<JoinHandle<()>>,
 }
 
 impl fmt::Debug for Connection {
@@ -48,21 +52,64 @@
     ///
     /// Fails with [`SendError::NotSent`] when the address does not accept within `timeout`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, SendError> {
+        let mut connection = Self::connect(address, timeout, None).await?;
+        if let Some(driver) = connection.driver.take() {
+            driver.detach();
+        }
+        Ok(connection)
+    }
+
+    /// Opens a new connection that is cut as soon as it is dropped, also in mid-answer.
+    ///
+    /// Bytes that stay unacknowledged for `unacked_limit` break it: a path may go silent.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendError::NotSent`] when the address does not accept within `timeout`.
+    pub(crate) async fn open_owned(
+        address: SocketAddr,
+        timeout: Duration,
+        unacked_limit: Duration,
+    ) -> Result<Self, SendError> {
+        Self::connect(address, timeout, Some(unacked_limit)).await
+    }
+
+    async fn connect(
+        address: SocketAddr,
+        timeout: Duration,
+        unacked_limit: Option<Duration>,
+    ) -> Result<Self, SendError> {
         let stream = compio::time::timeout(timeout, TcpStream::connect(address))
             .await
             .map_err(|_elapsed| SendError::NotSent)?
             .map_err(|_refused| SendError::NotSent)?;
-        // A slow loss of this option only costs latency.
+        // A slow loss of these options only costs latency.
         let _ = stream.set_nodelay(true);
+        if unacked_limit.is_some() {
+            let _ = SockRef::from(&stream).set_tcp_user_timeout(unacked_limit);
+        }
         let (sender, driver) = http1::handshake(HyperStream::new_plain(stream))
             .await
             .map_err(|_closed| SendError::NotSent)?;
-        compio::runtime::spawn(async move {
+        let driver = compio::runtime::spawn(async move {
             // The sender reports a broken connection to whoever waits on it.
             let _ = driver.await;
+        });
+        Ok(Self {
+            sender,
+            address,
+            driver: Some(driver),
         })
-        .detach();
-        Ok(Self { sender, address })
+    }
+
+    /// Whether another request can be sent at once.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Whether the other end is gone.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
     }
 
     /// Sends one request and waits for the head of its answer.
--- /dev/null
+++ b/src/gateway/ask.rs
@@ -0,0 +1,67 @@
+//! What a caller asks for, whatever protocol it came by.
+
+use crate::inventory::Name;
+use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method};
+use std::hash::Hasher;
+use std::time::Duration;
+use xxhash_rust::xxh3::Xxh3;
+
+/// The cost of a generated token, in prompt tokens read.
+const GENERATED_COST: u32 = 7;
+
+/// One request of a caller, read whole.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    /// The caller's name for this request.
+    pub(crate) id: Name,
+    /// The method, passed on unchanged.
+    pub(crate) method: Method,
+    /// The host that the caller addressed.
+    pub(crate) host: Name,
+    /// The path with its query, passed on unchanged.
+    pub(crate) path: PathAndQuery,
+    /// The headers to pass on unchanged.
+    pub(crate) headers: HeaderMap,
+    /// The body; empty until it was read.
+    pub(crate) body: Bytes,
+    /// How long the caller waits for the whole answer, from the request's arrival.
+    pub(crate) patience: Option<Duration>,
+    /// The last event that the caller has already, where it resumes a stream.
+    pub(crate) last_event: Option<u64>,
+    /// What a model is to generate; plain calls have none.
+    pub(crate) generation: Option<Generation>,
+}
+
+/// The generation that a request asks a model runner for.
+#[derive(Clone, Debug)]
+pub(crate) struct Generation {
+    /// The model.
+    pub(crate) model: Name,
+    /// The adapter over it, if any.
+    pub(crate) adapter: Option<Name>,
+    /// Tokens of the prompt.
+    pub(crate) prompt_tokens: u32,
+    /// Tokens to generate at most.
+    pub(crate) max_tokens: u32,
+}
+
+impl Ask {
+    /// The same for each sending of the same request by the same caller, through whichever VM.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.write(self.host.as_bytes());
+        hash.write(self.path.as_str().as_bytes());
+        hash.write(&self.body);
+        hash.finish()
+    }
+
+    /// What the request costs a runner, in prompt tokens read: one that is generated in a
+    /// batch of thirty takes as long as seven that are read.
+    pub(crate) fn cost_tokens(&self) -> u32 {
+        self.generation.as_ref().map_or(0, |generation| {
+            generation.prompt_tokens + GENERATED_COST * generation.max_tokens
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,264 @@
+//! The backend servers as this VM sees them.
+
+use crate::gateway::Weights;
+use crate::inventory::Name;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long a server that broke a connection or refused one is passed over at first.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// How long it is passed over at most, while it goes on failing.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
+/// How long a server that said it lacks a model is taken at its word; by then the
+/// directory has a newer entry.
+const MISSING_PAUSE: Duration = Duration::from_millis(1_000);
+/// How old what the leading VM says of a server's models may be.
+const LEADER_VIEW_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Whether a backend server takes new requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ServerState {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// A model that a runner holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Holding {
+    /// The model.
+    pub(crate) model: Name,
+    /// The version of its weights.
+    pub(crate) version: u64,
+    /// The adapters over it.
+    pub(crate) adapters: Vec<Name>,
+}
+
+/// A backend server's entry in the directory.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Entry {
+    /// One run of the server's process.
+    pub(crate) id: Name,
+    /// The service that it belongs to.
+    pub(crate) service: Name,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// The availability zone that it stands in.
+    pub(crate) availability_zone: Name,
+    /// Requests that it runs at a time.
+    pub(crate) slots: u32,
+    /// Whether it takes new requests.
+    pub(crate) state: ServerState,
+    /// The models that it holds.
+    pub(crate) holdings: Vec<Holding>,
+    /// Models whose weights it keeps in host memory.
+    pub(crate) in_memory: Vec<Name>,
+    /// Models whose weights it keeps on disk.
+    pub(crate) on_disk: Vec<Name>,
+}
+
+/// One backend server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    /// One run of the server's process.
+    pub(crate) id: Name,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    entry: RefCell<Entry>,
+    in_flight: Cell<u32>,
+    failures: Cell<u32>,
+    passed_over_until: Cell<Option<Instant>>,
+    lapsed_at: Cell<Option<Instant>>,
+    missing: RefCell<Vec<(Weights, Instant)>>,
+    leader_view: RefCell<Option<(Instant, Vec<Holding>)>>,
+}
+
+/// Counts a request as in flight on a server until dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight(Rc<Server>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+impl Server {
+    fn new(entry: Entry) -> Self {
+        Self {
+            id: entry.id.clone(),
+            address: entry.address,
+            entry: RefCell::new(entry),
+            in_flight: Cell::new(0),
+            failures: Cell::new(0),
+            passed_over_until: Cell::new(None),
+            lapsed_at: Cell::new(None),
+            missing: RefCell::default(),
+            leader_view: RefCell::new(None),
+        }
+    }
+
+    /// Looks at the server's entry.
+    pub(crate) fn with<R>(&self, look: impl FnOnce(&Entry) -> R) -> R {
+        look(&self.entry.borrow())
+    }
+
+    /// Whether it takes new requests, as far as the directory tells.
+    pub(crate) fn is_listed_ready(&self) -> bool {
+        self.lapsed_at.get().is_none() && self.entry.borrow().state == ServerState::Ready
+    }
+
+    /// Whether it broke or refused a connection a moment ago.
+    pub(crate) fn is_passed_over(&self, now: Instant) -> bool {
+        self.passed_over_until
+            .get()
+            .is_some_and(|until| now < until)
+    }
+
+    /// Requests of this VM on the server.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Counts one more request.
+    pub(crate) fn enter(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(self.clone())
+    }
+
+    /// Notes that a connection was refused, broke or stayed silent.
+    pub(crate) fn note_failure(&self, now: Instant) {
+        let failures = self.failures.get().min(8);
+        let pause = (FIRST_PAUSE * 2_u32.pow(failures)).min(LONGEST_PAUSE);
+        self.failures.set(failures + 1);
+        self.passed_over_until.set(Some(now + pause));
+    }
+
+    /// Notes a whole answer.
+    pub(crate) fn note_success(&self) {
+        self.failures.set(0);
+        self.passed_over_until.set(None);
+    }
+
+    /// Notes that the server said it lacks these weights.
+    pub(crate) fn note_missing(&self, weights: Weights, now: Instant) {
+        let mut missing = self.missing.borrow_mut();
+        missing.retain(|(_, until)| *until > now);
+        missing.push((weights, now + MISSING_PAUSE));
+    }
+
+    /// Takes over what the leading VM says of the server's models.
+    pub(crate) fn note_leader_view(&self, holdings: Vec<Holding>, now: Instant) {
+        self.missing.borrow_mut().clear();
+        *self.leader_view.borrow_mut() = Some((now, holdings));
+    }
+
+    /// Whether the server holds these weights, as far as is known.
+    pub(crate) fn holds(&self, weights: &Weights, now: Instant) -> bool {
+        let missing = self.missing.borrow();
+        let is_missing = |(what, until): &(Weights, Instant)| what == weights && *until > now;
+        if missing.iter().any(is_missing) {
+            return false;
+        }
+        self.with_holdings(now, |holdings| holds(holdings, weights))
+    }
+
+    /// Looks at the models that the server holds, as far as is known.
+    pub(crate) fn with_holdings<R>(&self, now: Instant, look: impl FnOnce(&[Holding]) -> R) -> R {
+        let view = self.leader_view.borrow();
+        match view.as_ref() {
+            Some((at, holdings)) if now.duration_since(*at) < LEADER_VIEW_LIMIT => look(holdings),
+            _ => look(&self.entry.borrow().holdings),
+        }
+    }
+}
+
+/// Whether the weights are among the holdings.
+pub(crate) fn holds(holdings: &[Holding], weights: &Weights) -> bool {
+    let of_model = holdings
+        .iter()
+        .find(|holding| holding.model == weights.model);
+    of_model.is_some_and(|holding| match &weights.adapter {
+        Some(adapter) => holding.adapters.contains(adapter),
+        None => true,
+    })
+}
+
+/// All backend servers in the directory.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    servers: RefCell<HashMap<Name, Rc<Server>>>,
+}
+
+impl Fleet {
+    /// Takes over an entry; tells whether the server is new or changed its state.
+    pub(crate) fn take(&self, entry: Entry) -> bool {
+        let mut servers = self.servers.borrow_mut();
+        let known = servers
+            .get(&entry.id)
+            .filter(|server| server.address == entry.address);
+        if let Some(server) = known {
+            server.lapsed_at.set(None);
+            let state = entry.state;
+            let before = server.entry.replace(entry);
+            return before.state != state;
+        }
+        servers.insert(entry.id.clone(), Rc::new(Server::new(entry)));
+        true
+    }
+
+    /// Marks a server's entry as gone; [`Fleet::forget_lapsed`] takes it away.
+    pub(crate) fn lapse(&self, id: &str, now: Instant) {
+        if let Some(server) = self.servers.borrow().get(id) {
+            server.lapsed_at.set(Some(now));
+        }
+    }
+
+    /// Takes away servers whose entry has been gone for `limit`; returns their ids.
+    pub(crate) fn forget_lapsed(&self, limit: Duration, now: Instant) -> Vec<Name> {
+        let mut gone = Vec::new();
+        self.servers.borrow_mut().retain(|id, server| {
+            let is_gone = server
+                .lapsed_at
+                .get()
+                .is_some_and(|at| now.duration_since(at) >= limit);
+            if is_gone {
+                gone.push(id.clone());
+            }
+            !is_gone
+        });
+        gone
+    }
+
+    /// Marks every server that is not among `ids` as gone.
+    pub(crate) fn keep_only(&self, ids: &[Name], now: Instant) {
+        for server in self.servers.borrow().values() {
+            if !ids.contains(&server.id) && server.lapsed_at.get().is_none() {
+                server.lapsed_at.set(Some(now));
+            }
+        }
+    }
+
+    /// Finds a server.
+    pub(crate) fn server(&self, id: &str) -> Option<Rc<Server>> {
+        self.servers.borrow().get(id).cloned()
+    }
+
+    /// The servers of a service.
+    pub(crate) fn of_service(&self, service: &str) -> Vec<Rc<Server>> {
+        let servers = self.servers.borrow();
+        let of_service = servers
+            .values()
+            .filter(|server| server.entry.borrow().service == service);
+        of_service.cloned().collect()
+    }
+
+    /// All servers.
+    pub(crate) fn servers(&self) -> Vec<Rc<Server>> {
+        self.servers.borrow().values().cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,40 @@
+//! The serving role: one process on every VM between callers and backend servers.
+//!
+//! Everything here speaks in the types of this folder. Callers, backend servers, the
+//! log and the directory are met through the small traits of [`outside`]; what decides
+//! (routing, retries, placement) is plain code without a network.
+
+mod ask;
+mod budget;
+mod choose;
+mod configuration;
+mod demand;
+mod events;
+mod exchange;
+mod fleet;
+mod journal;
+mod leading;
+mod ordering;
+mod outside;
+mod peers;
+mod planning;
+mod relay;
+mod server;
+mod settings;
+mod state;
+mod streaming;
+mod suspects;
+mod watch;
+
+pub(crate) use ask::{Ask, Generation};
+pub(crate) use configuration::{
+    Configuration, Engine, Limits, Model, Route, RouteKind, Service, Target,
+};
+pub(crate) use fleet::{Entry, Holding, ServerState};
+pub(crate) use outside::{
+    Changes, Claims, ConfigSource, Directory, Group, Malformed, Membership, Order, OrderOutcome,
+    Protocol, Refusal, Reply, RunnerControl, RunnerReport, SendOptions, ServerChange, StoreError,
+    Weights,
+};
+pub(crate) use server::serve;
+pub(crate) use settings::{Bounds, Settings};
--- /dev/null
+++ b/src/gateway/ordering.rs
@@ -0,0 +1,460 @@
+//! The orders that the leading VM gives, and what it knows of the runners by them.
+
+use crate::gateway::fleet::{Holding, Server};
+use crate::gateway::planning::{Planning, RunnerView, Steps};
+use crate::gateway::state::State;
+use crate::gateway::{Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
+use crate::inventory::Name;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+/// How old a runner's account may get before it is asked for again.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
+/// The pause before asking again a runner whose account did not come.
+const REFRESH_PAUSE: Duration = Duration::from_millis(500);
+/// By how much a runner's account lags behind what it does.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// The time between two looks whether a load or a drop is complete.
+const LOOK_INTERVAL: Duration = Duration::from_millis(120);
+/// How long a load or a drop may take before the runner is planned for anew.
+const STEP_LIMIT: Duration = Duration::from_secs(20);
+/// How often one order is tried.
+const MAX_TRIES: u32 = 4;
+
+/// What is known of one runner.
+#[derive(Debug, Default)]
+struct Tracked {
+    /// Its account; `None` until it was asked.
+    report: Option<RunnerReport>,
+    asked_at: Option<Instant>,
+    is_working: bool,
+    /// A model that is being dropped: no request is to be sent for it.
+    dropping: Option<Name>,
+    /// A model that is being loaded.
+    loading: Option<Name>,
+}
+
+/// Gives orders while this VM holds the claim.
+pub(crate) struct Ordering<R> {
+    state: Rc<State>,
+    runners: R,
+    fence: Cell<Option<u64>>,
+    is_fenced: Cell<bool>,
+    tracked: RefCell<BTreeMap<Name, Tracked>>,
+    cold_loads: RefCell<VecDeque<Instant>>,
+}
+
+impl<R: RunnerControl> Ordering<R> {
+    /// Gives no orders yet.
+    pub(crate) fn new(state: Rc<State>, runners: R) -> Rc<Self> {
+        Rc::new(Self {
+            state,
+            runners,
+            fence: Cell::new(None),
+            is_fenced: Cell::new(false),
+            tracked: RefCell::default(),
+            cold_loads: RefCell::default(),
+        })
+    }
+
+    /// Whether this VM holds the claim.
+    pub(crate) fn is_holder(&self) -> bool {
+        self.fence.get().is_some()
+    }
+
+    /// Begins to give orders under a fence.
+    pub(crate) fn start(&self, fence: u64) {
+        self.tracked.borrow_mut().clear();
+        self.fence.set(Some(fence));
+    }
+
+    /// Gives no further order.
+    pub(crate) fn stop(&self) {
+        self.fence.set(None);
+        self.tracked.borrow_mut().clear();
+        self.state.leader_view.borrow_mut().clear();
+    }
+
+    /// Whether a later holder was met since the last call.
+    pub(crate) fn take_fenced(&self) -> bool {
+        self.is_fenced.replace(false)
+    }
+
+    /// Looks at all runners and begins what is to be done.
+    pub(crate) fn tick(self: &Rc<Self>) {
+        self.follow_fleet();
+        self.refresh();
+        self.tell();
+        let Some(configuration) = self.state.configuration() else {
+            return;
+        };
+        let now = Instant::now();
+        let demand = self.state.demand(now);
+        for (service, engine) in configuration.engines() {
+            let runners = self.views(&service.name);
+            let planning = Planning {
+                engine,
+                runners: &runners,
+                demand: &demand,
+                cold_loads: self.cold_loads_left(engine.loads_per_s, now),
+            };
+            for (runner, steps) in planning.plan() {
+                self.begin(&runner, steps, now);
+            }
+        }
+    }
+
+    /// Tracks each listed runner, and none that is gone.
+    fn follow_fleet(&self) {
+        let Some(configuration) = self.state.configuration() else {
+            return;
+        };
+        let mut tracked = self.tracked.borrow_mut();
+        tracked.retain(|id, _| self.state.fleet.server(id).is_some());
+        for (service, _) in configuration.engines() {
+            for server in self.state.fleet.of_service(&service.name) {
+                tracked.entry(server.id.clone()).or_default();
+            }
+        }
+    }
+
+    /// Asks runners whose account is old or missing.
+    fn refresh(self: &Rc<Self>) {
+        let now = Instant::now();
+        let mut tracked = self.tracked.borrow_mut();
+        for (id, tracked) in tracked.iter_mut() {
+            let limit = match tracked.report {
+                Some(_) => REFRESH_INTERVAL,
+                None => REFRESH_PAUSE,
+            };
+            let is_old = tracked
+                .asked_at
+                .is_none_or(|at| now.duration_since(at) >= limit);
+            if tracked.is_working || !is_old {
+                continue;
+            }
+            let Some(server) = self.state.fleet.server(id) else {
+                continue;
+            };
+            tracked.asked_at = Some(now);
+            let ordering = self.clone();
+            compio::runtime::spawn(async move {
+                ordering.ask(&server).await;
+            })
+            .detach();
+        }
+    }
+
+    /// Asks a runner for its account and takes it over.
+    async fn ask(&self, server: &Server) -> Option<RunnerReport> {
+        let fence = self.fence.get();
+        let report = self.runners.report(server.address).await?;
+        if self.fence.get() != fence {
+            return None;
+        }
+        let mut all = self.tracked.borrow_mut();
+        let tracked = all.get_mut(&server.id)?;
+        // An account that is older than an order accepted meanwhile says nothing.
+        let known = tracked.report.as_ref().map_or(0, |known| known.orders);
+        if report.orders < known {
+            return None;
+        }
+        tracked.asked_at = Some(Instant::now());
+        tracked.report = Some(report.clone());
+        Some(report)
+    }
+
+    /// Tells all VMs what runners hold.
+    fn tell(&self) {
+        let now = Instant::now();
+        let mut view = Vec::new();
+        for (id, tracked) in self.tracked.borrow().iter() {
+            let Some(holdings) = tracked.usable() else {
+                continue;
+            };
+            if let Some(server) = self.state.fleet.server(id) {
+                server.note_leader_view(holdings.clone(), now);
+            }
+            view.push((id.clone(), holdings));
+        }
+        let has_changed = *self.state.leader_view.borrow() != view;
+        if has_changed {
+            *self.state.leader_view.borrow_mut() = view;
+            self.state.changed.notify();
+            self.state.peers.hurry();
+        }
+    }
+
+    fn views(&self, service: &str) -> Vec<RunnerView> {
+        let tracked = self.tracked.borrow();
+        let servers = self.state.fleet.of_service(service);
+        let mut views: Vec<RunnerView> = servers
+            .iter()
+            .filter(|server| server.is_listed_ready())
+            .filter_map(|server| tracked.get(&server.id)?.view(server, &self.state))
+            .collect();
+        views.sort_by(|left, right| left.id.cmp(&right.id));
+        views
+    }
+
+    /// Loads from the weight store that may begin now.
+    fn cold_loads_left(&self, loads_per_s: f64, now: Instant) -> usize {
+        let window = self.state.settings.bounds.load_window;
+        let mut begun = self.cold_loads.borrow_mut();
+        while begun
+            .front()
+            .is_some_and(|at| now.duration_since(*at) > window)
+        {
+            begun.pop_front();
+        }
+        let allowed = (loads_per_s * window.as_secs_f64()).floor() as usize;
+        allowed.saturating_sub(begun.len())
+    }
+
+    fn begin(self: &Rc<Self>, runner: &Name, steps: Steps, now: Instant) {
+        let Some(server) = self.state.fleet.server(runner) else {
+            return;
+        };
+        {
+            let mut all = self.tracked.borrow_mut();
+            let Some(tracked) = all.get_mut(runner) else {
+                return;
+            };
+            tracked.is_working = true;
+            let is_model = |weights: &&Weights| weights.adapter.is_none();
+            let loading = steps.load.iter().find(is_model);
+            tracked.loading = loading.map(|weights| weights.model.clone());
+        }
+        if steps.is_cold {
+            self.cold_loads.borrow_mut().push_back(now);
+        }
+        let ordering = self.clone();
+        compio::runtime::spawn(async move {
+            ordering.carry_out(&server, &steps).await;
+            if let Some(tracked) = ordering.tracked.borrow_mut().get_mut(&server.id) {
+                tracked.is_working = false;
+                tracked.loading = None;
+                tracked.dropping = None;
+            }
+            ordering.tell();
+        })
+        .detach();
+    }
+
+    async fn carry_out(&self, server: &Rc<Server>, steps: &Steps) {
+        let drops = steps.drop.iter().map(|weights| (weights, false));
+        let loads = steps.load.iter().map(|weights| (weights, true));
+        for (weights, is_load) in drops.chain(loads) {
+            if !is_load && weights.adapter.is_none() {
+                self.set_dropping(server, Some(weights.model.clone()));
+            }
+            let began = Instant::now();
+            let done = self.step(server, weights, is_load).await;
+            info!(
+                server = %server.id,
+                model = %weights.model,
+                adapter = weights.adapter.as_deref().unwrap_or(""),
+                is_load,
+                done,
+                took_ms = began.elapsed().as_millis() as u64,
+                "order carried out"
+            );
+            if !done {
+                return;
+            }
+            self.set_dropping(server, None);
+            self.tell();
+        }
+    }
+
+    fn set_dropping(&self, server: &Server, model: Option<Name>) {
+        if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.id) {
+            tracked.dropping = model;
+        }
+        self.tell();
+    }
+
+    /// Gives one order and waits until it is complete.
+    async fn step(&self, server: &Rc<Server>, weights: &Weights, is_load: bool) -> bool {
+        for _ in 0..MAX_TRIES {
+            let Some(outcome) = self.order(server, weights, is_load).await else {
+                return false;
+            };
+            match outcome {
+                OrderOutcome::Accepted => {
+                    self.note_accepted(server, weights, is_load);
+                    return weights.adapter.is_some()
+                        || self.complete(server, weights, is_load).await;
+                }
+                OrderOutcome::Held => {
+                    self.note_held(server, weights, is_load);
+                    return true;
+                }
+                OrderOutcome::Fenced => {
+                    warn!(server = %server.id, "a later holder gives orders");
+                    self.is_fenced.set(true);
+                    self.stop();
+                    return false;
+                }
+                OrderOutcome::Invalid | OrderOutcome::NotSent => return false,
+                OrderOutcome::Busy | OrderOutcome::Unanswered => {
+                    compio::time::sleep(REPORT_LAG).await;
+                    self.ask(server).await;
+                }
+            }
+        }
+        false
+    }
+
+    async fn order(
+        &self,
+        server: &Rc<Server>,
+        weights: &Weights,
+        is_load: bool,
+    ) -> Option<OrderOutcome> {
+        let fence = self.fence.get()?;
+        let expected_orders = {
+            let tracked = self.tracked.borrow();
+            tracked.get(&server.id)?.report.as_ref()?.orders
+        };
+        let order = Order {
+            server: &server.id,
+            is_load,
+            weights,
+            expected_orders: Some(expected_orders),
+            holder: &self.state.settings.vm,
+            fence,
+        };
+        let outcome = self.runners.order(server.address, &order).await;
+        info!(
+            server = %server.id,
+            model = %weights.model,
+            adapter = weights.adapter.as_deref().unwrap_or(""),
+            is_load,
+            fence,
+            expected_orders,
+            ?outcome,
+            "order given"
+        );
+        (self.fence.get() == Some(fence)).then_some(outcome)
+    }
+
+    /// Counts an accepted order; an adapter is there, or gone, within milliseconds.
+    fn note_accepted(&self, server: &Server, weights: &Weights, is_load: bool) {
+        let mut all = self.tracked.borrow_mut();
+        let tracked = all.get_mut(&server.id);
+        if let Some(report) = tracked.and_then(|it| it.report.as_mut()) {
+            report.orders += 1;
+            if weights.adapter.is_some() {
+                apply(&mut report.holdings, weights, is_load);
+            }
+        }
+    }
+
+    fn note_held(&self, server: &Server, weights: &Weights, is_load: bool) {
+        let mut all = self.tracked.borrow_mut();
+        let tracked = all.get_mut(&server.id);
+        if let Some(report) = tracked.and_then(|it| it.report.as_mut()) {
+            apply(&mut report.holdings, weights, is_load);
+        }
+    }
+
+    /// Waits until a model is there, or gone.
+    async fn complete(&self, server: &Rc<Server>, weights: &Weights, is_load: bool) -> bool {
+        let began = Instant::now();
+        compio::time::sleep(self.expected(server, weights, is_load)).await;
+        while began.elapsed() < STEP_LIMIT && self.is_holder() {
+            if let Some(report) = self.ask(server).await {
+                let holds = report
+                    .holdings
+                    .iter()
+                    .any(|holding| holding.model == weights.model);
+                if !report.is_busy && holds == is_load {
+                    return true;
+                }
+            }
+            compio::time::sleep(LOOK_INTERVAL).await;
+        }
+        false
+    }
+
+    /// How long an order takes at least.
+    fn expected(&self, server: &Server, weights: &Weights, is_load: bool) -> Duration {
+        if !is_load {
+            return REPORT_LAG;
+        }
+        let configuration = self.state.configuration();
+        let model = configuration.as_ref().and_then(|configuration| {
+            let mut engines = configuration.engines();
+            engines.find_map(|(_, engine)| engine.model(&weights.model))
+        });
+        let Some(model) = model else {
+            return REPORT_LAG;
+        };
+        let millis = server.with(|entry| {
+            if entry.in_memory.contains(&weights.model) {
+                model.warm_ms
+            } else if entry.on_disk.contains(&weights.model) {
+                model.disk_ms
+            } else {
+                model.load_ms
+            }
+        });
+        Duration::from_millis(millis)
+    }
+}
+
+impl Tracked {
+    /// The models that requests may be sent for.
+    fn usable(&self) -> Option<Vec<Holding>> {
+        let report = self.report.as_ref()?;
+        let holdings = report.holdings.iter();
+        let usable = holdings.filter(|holding| self.dropping.as_ref() != Some(&holding.model));
+        Some(usable.cloned().collect())
+    }
+
+    fn view(&self, server: &Server, state: &State) -> Option<RunnerView> {
+        let report = self.report.as_ref()?;
+        let usable = self.usable()?;
+        let adapters = usable.iter().flat_map(|holding| {
+            holding.adapters.iter().map(|adapter| Weights {
+                model: holding.model.clone(),
+                adapter: Some(adapter.clone()),
+            })
+        });
+        let (in_memory, on_disk) =
+            server.with(|entry| (entry.in_memory.clone(), entry.on_disk.clone()));
+        Some(RunnerView {
+            id: server.id.clone(),
+            adapters: adapters.chain(report.coming.iter().cloned()).collect(),
+            models: usable.into_iter().map(|holding| holding.model).collect(),
+            coming: self.loading.clone(),
+            is_working: self.is_working || report.is_busy,
+            in_memory,
+            on_disk,
+            in_flight: server.in_flight() + state.peers.in_flight(&server.id),
+        })
+    }
+}
+
+/// Enters a change into what a runner holds.
+fn apply(holdings: &mut Vec<Holding>, weights: &Weights, is_load: bool) {
+    let Some(adapter) = &weights.adapter else {
+        if !is_load {
+            holdings.retain(|holding| holding.model != weights.model);
+        }
+        return;
+    };
+    let of_model = holdings
+        .iter_mut()
+        .find(|holding| holding.model == weights.model);
+    if let Some(holding) = of_model {
+        holding.adapters.retain(|held| held != adapter);
+        if is_load {
+            holding.adapters.push(adapter.clone());
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/planning.rs
@@ -0,0 +1,360 @@
+//! Which runner should hold which model and adapter.
+//!
+//! Answers a load that keeps moving: a few models take most requests, others are asked for
+//! now and then, and which these are changes within seconds. Every model keeps one copy as
+//! long as room allows; the remaining room follows the demand for each copy.
+
+use crate::gateway::peers::WantedRate;
+use crate::gateway::{Engine, Model, Weights};
+use crate::inventory::Name;
+use std::collections::HashMap;
+
+/// The demand for one copy, in runners, from which another copy is worth a swap. A runner
+/// that spends a third of its time on one model still answers at once.
+const CROWDED: f64 = 0.30;
+/// How much lower the demand for each copy of what is dropped must be than that for each
+/// copy of what is loaded; keeps equal models from taking turns.
+const GAIN: f64 = 0.6;
+/// Swaps under way at a time: each takes a runner's copy away for about two seconds.
+const MAX_SWAPS: usize = 3;
+/// The demand for an adapter copy, in tokens a second, from which a second one is placed.
+const ADAPTER_CROWDED: f64 = 3_000.0;
+/// Adapters that may be on their way to one runner.
+const MAX_ADAPTERS_COMING: usize = 4;
+
+/// A model runner as the planner sees it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunnerView {
+    /// The runner.
+    pub(crate) id: Name,
+    /// The models that it holds and that are to stay.
+    pub(crate) models: Vec<Name>,
+    /// The model that is being loaded there.
+    pub(crate) coming: Option<Name>,
+    /// The adapters that it holds.
+    pub(crate) adapters: Vec<Weights>,
+    /// Whether steps are being carried out there.
+    pub(crate) is_working: bool,
+    /// Models whose weights it keeps in host memory.
+    pub(crate) in_memory: Vec<Name>,
+    /// Models whose weights it keeps on disk.
+    pub(crate) on_disk: Vec<Name>,
+    /// Requests on it.
+    pub(crate) in_flight: u32,
+}
+
+/// What one runner is to do, in this order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Steps {
+    /// What is dropped.
+    pub(crate) drop: Vec<Weights>,
+    /// What is loaded.
+    pub(crate) load: Vec<Weights>,
+    /// Whether a load comes from the weight store.
+    pub(crate) is_cold: bool,
+}
+
+/// The state that a plan is made from.
+#[derive(Debug)]
+pub(crate) struct Planning<'a> {
+    /// The models and the room of a runner.
+    pub(crate) engine: &'a Engine,
+    /// The runners.
+    pub(crate) runners: &'a [RunnerView],
+    /// The demand at all VMs.
+    pub(crate) demand: &'a HashMap<Weights, WantedRate>,
+    /// Loads from the weight store that may begin now.
+    pub(crate) cold_loads: usize,
+}
+
+/// The demand for one model and how many copies answer it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pressure {
+    runners: f64,
+    waiting: u32,
+    copies: usize,
+}
+
+impl Pressure {
+    /// The demand for each copy, in runners.
+    fn each(&self) -> f64 {
+        self.runners / self.copies.max(1) as f64
+    }
+}
+
+/// Cost tokens a second that one runner can work off: the prompt tokens that it reads.
+const RUNNER_TOKENS_PER_S: f64 = 38_000.0;
+
+impl Planning<'_> {
+    /// What each runner is to do; runners without steps are left out.
+    pub(crate) fn plan(&self) -> HashMap<Name, Steps> {
+        let mut steps = HashMap::new();
+        self.plan_models(&mut steps);
+        self.plan_adapters(&mut steps);
+        steps
+    }
+
+    fn pressures(&self) -> HashMap<Name, Pressure> {
+        let models = self.engine.models.iter();
+        let mut pressures: HashMap<Name, Pressure> = models
+            .map(|model| (model.name.clone(), Pressure::default()))
+            .collect();
+        for (weights, rate) in self.demand {
+            if let Some(pressure) = pressures.get_mut(&weights.model) {
+                pressure.runners += rate.tokens_per_s / RUNNER_TOKENS_PER_S;
+                pressure.waiting += rate.waiting;
+            }
+        }
+        for runner in self.runners {
+            for model in runner.models.iter().chain(&runner.coming) {
+                if let Some(pressure) = pressures.get_mut(model) {
+                    pressure.copies += 1;
+                }
+            }
+        }
+        pressures
+    }
+
+    fn plan_models(&self, steps: &mut HashMap<Name, Steps>) {
+        let mut pressures = self.pressures();
+        let mut swaps = self.runners.iter().filter(|it| it.coming.is_some()).count();
+        let mut cold_loads = self.cold_loads;
+        let mut wanted: Vec<&Model> = self.engine.models.iter().collect();
+        wanted.sort_by(|left, right| {
+            let urgency = |model: &Model| {
+                let pressure = pressures[&model.name];
+                let is_missing = pressure.copies == 0;
+                (
+                    is_missing && pressure.waiting > 0,
+                    is_missing,
+                    pressure.each(),
+                )
+            };
+            let (left, right) = (urgency(left), urgency(right));
+            right
+                .partial_cmp(&left)
+                .unwrap_or(std::cmp::Ordering::Equal)
+        });
+        for model in wanted {
+            let pressure = pressures[&model.name];
+            let is_wanted = pressure.copies == 0 || pressure.each() > CROWDED;
+            if !is_wanted || swaps >= MAX_SWAPS {
+                continue;
+            }
+            let Some((runner, swap)) = self.best_swap(model, &pressures, steps, cold_loads) else {
+                continue;
+            };
+            for dropped in &swap.drop {
+                if let Some(pressure) = pressures.get_mut(&dropped.model) {
+                    pressure.copies -= 1;
+                }
+            }
+            if let Some(pressure) = pressures.get_mut(&model.name) {
+                pressure.copies += 1;
+            }
+            cold_loads -= usize::from(swap.is_cold);
+            swaps += 1;
+            steps.insert(runner, swap);
+        }
+    }
+
+    /// The runner on which loading `model` costs least, with what makes room there.
+    fn best_swap(
+        &self,
+        model: &Model,
+        pressures: &HashMap<Name, Pressure>,
+        steps: &HashMap<Name, Steps>,
+        cold_loads: usize,
+    ) -> Option<(Name, Steps)> {
+        let free = self.runners.iter().filter(|runner| {
+            !runner.is_working
+                && runner.coming.is_none()
+                && !runner.models.contains(&model.name)
+                && !steps.contains_key(&runner.id)
+        });
+        let swaps = free.filter_map(|runner| {
+            let is_cold =
+                !runner.in_memory.contains(&model.name) && !runner.on_disk.contains(&model.name);
+            if is_cold && cold_loads == 0 {
+                return None;
+            }
+            let drop = self.room_for(model, runner, pressures)?;
+            let load_ms = if runner.in_memory.contains(&model.name) {
+                model.warm_ms
+            } else if is_cold {
+                model.load_ms
+            } else {
+                model.disk_ms
+            };
+            let lost: f64 = drop
+                .iter()
+                .map(|name| pressures.get(name).map_or(0.0, Pressure::each))
+                .sum();
+            // A drop waits for the runs that it ends; demand lost there counts like time.
+            let cost = load_ms as f64 + f64::from(runner.in_flight) * 10.0 + lost * 2_000.0;
+            let steps = Steps {
+                drop: drop.into_iter().map(whole).collect(),
+                load: vec![whole(model.name.clone())],
+                is_cold,
+            };
+            Some((cost, runner.id.clone(), steps))
+        });
+        let best = swaps.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        Some((best.1, best.2))
+    }
+
+    /// What must be dropped on a runner for `model` to fit; `None` if nothing of it may.
+    fn room_for(
+        &self,
+        model: &Model,
+        runner: &RunnerView,
+        pressures: &HashMap<Name, Pressure>,
+    ) -> Option<Vec<Name>> {
+        let wanted = pressures[&model.name];
+        let mut victims: Vec<(f64, &Name)> = runner
+            .models
+            .iter()
+            .filter_map(|held| {
+                let pressure = pressures.get(held).copied().unwrap_or_default();
+                let after = pressure.runners / (pressure.copies.max(2) - 1) as f64;
+                let is_spare = pressure.copies >= 2 && after < GAIN * wanted.each().max(CROWDED);
+                // The last copy of a model that nobody asks for gives way to one that is.
+                let is_idle = pressure.runners <= 0.0
+                    && pressure.waiting == 0
+                    && wanted.copies == 0
+                    && (wanted.waiting > 0 || wanted.runners > 0.0);
+                (is_spare || is_idle).then_some((after, held))
+            })
+            .collect();
+        victims.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let mut free_mb = self.engine.weights_mb - self.adapter_room_mb();
+        free_mb -= runner
+            .models
+            .iter()
+            .map(|held| self.size_mb(held))
+            .sum::<f64>();
+        let mut drop = Vec::new();
+        let mut victims = victims.into_iter();
+        while free_mb < model.weights_mb {
+            let (_, victim) = victims.next()?;
+            free_mb += self.size_mb(victim);
+            drop.push(victim.clone());
+        }
+        Some(drop)
+    }
+
+    fn size_mb(&self, model: &str) -> f64 {
+        let model = self.engine.model(model);
+        // A model that the configuration does not list fills the runner, to be safe.
+        model.map_or(self.engine.weights_mb, |model| model.weights_mb)
+    }
+
+    /// Room that adapters may need beside the models.
+    fn adapter_room_mb(&self) -> f64 {
+        let sizes = self.engine.models.iter().map(|model| model.adapter_mb);
+        sizes.fold(0.0, f64::max) * f64::from(self.engine.adapter_slots)
+    }
+
+    fn plan_adapters(&self, steps: &mut HashMap<Name, Steps>) {
+        let mut views: Vec<RunnerView> = self
+            .runners
+            .iter()
+            .filter(|runner| !runner.is_working && !steps.contains_key(&runner.id))
+            .cloned()
+            .collect();
+        let mut placed: HashMap<Weights, usize> = HashMap::new();
+        for runner in self.runners {
+            for adapter in &runner.adapters {
+                *placed.entry(adapter.clone()).or_default() += 1;
+            }
+        }
+        for wanted in self.wanted_adapters(&placed) {
+            let rate = self.demand.get(&wanted).copied().unwrap_or_default();
+            let copies = placed.get(&wanted).copied().unwrap_or(0);
+            let is_crowded = rate.tokens_per_s / (copies.max(1) as f64) > ADAPTER_CROWDED;
+            if copies > 0 && !is_crowded {
+                continue;
+            }
+            let is_asked_for = rate.waiting > 0 || rate.tokens_per_s > 0.0;
+            self.place_adapter(&wanted, copies == 0 && is_asked_for, &mut views, steps);
+        }
+    }
+
+    /// All adapters of models that some runner holds, the most wanted first.
+    fn wanted_adapters(&self, placed: &HashMap<Weights, usize>) -> Vec<Weights> {
+        let models = self.engine.models.iter();
+        let mut wanted: Vec<Weights> = models
+            .flat_map(|model| {
+                (1..=model.adapters).map(|number| Weights {
+                    model: model.name.clone(),
+                    adapter: Some(format!("a{number}").into()),
+                })
+            })
+            .collect();
+        wanted.sort_by(|left, right| {
+            let urgency = |weights: &Weights| {
+                let rate = self.demand.get(weights).copied().unwrap_or_default();
+                let is_missing = !placed.contains_key(weights);
+                (is_missing, rate.waiting, rate.tokens_per_s)
+            };
+            let (left, right) = (urgency(left), urgency(right));
+            right
+                .partial_cmp(&left)
+                .unwrap_or(std::cmp::Ordering::Equal)
+        });
+        wanted
+    }
+
+    fn place_adapter(
+        &self,
+        wanted: &Weights,
+        may_evict: bool,
+        views: &mut [RunnerView],
+        steps: &mut HashMap<Name, Steps>,
+    ) {
+        let slots = self.engine.adapter_slots as usize;
+        let fitting = views.iter_mut().filter(|runner| {
+            let coming = steps.get(&runner.id).map_or(0, |steps| steps.load.len());
+            runner.models.contains(&wanted.model)
+                && !runner.adapters.contains(wanted)
+                && coming < MAX_ADAPTERS_COMING
+        });
+        let Some(runner) = fitting.min_by_key(|runner| runner.adapters.len()) else {
+            return;
+        };
+        let mut drop = Vec::new();
+        if runner.adapters.len() >= slots {
+            let Some(victim) = may_evict
+                .then(|| self.idlest_adapter(runner, wanted))
+                .flatten()
+            else {
+                return;
+            };
+            runner.adapters.retain(|held| *held != victim);
+            drop.push(victim);
+        }
+        runner.adapters.push(wanted.clone());
+        let steps = steps.entry(runner.id.clone()).or_default();
+        steps.drop.extend(drop);
+        steps.load.push(wanted.clone());
+    }
+
+    /// The adapter on a runner that is asked for least, if less than `wanted`.
+    fn idlest_adapter(&self, runner: &RunnerView, wanted: &Weights) -> Option<Weights> {
+        let rate = |weights: &Weights| {
+            let rate = self.demand.get(weights).copied().unwrap_or_default();
+            rate.tokens_per_s + f64::from(rate.waiting) * 1_000.0
+        };
+        let held = runner.adapters.iter();
+        let idlest = held.min_by(|left, right| rate(left).total_cmp(&rate(right)))?;
+        (rate(idlest) < rate(wanted)).then(|| idlest.clone())
+    }
+}
+
+/// The model itself, without an adapter.
+fn whole(model: Name) -> Weights {
+    Weights {
+        model,
+        adapter: None,
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,542 @@
+//! A caller's request, from its arrival to its answer.
+
+use crate::client::{SendError, is_refused};
+use crate::gateway::budget::{Allowance, RetryBudget};
+use crate::gateway::choose::{Candidate, choose};
+use crate::gateway::exchange::{Exchange, Links};
+use crate::gateway::fleet::Server;
+use crate::gateway::state::State;
+use crate::gateway::{Ask, Malformed, Protocol, Refusal, Route, RouteKind, SendOptions, Weights};
+use crate::http::{Body, ReadError, read_body};
+use crate::inventory::Name;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::http::response;
+use hyper::{Request, Response, StatusCode};
+use std::marker::PhantomData;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+/// How long the head of an answer to an idempotent call may take before another server is
+/// asked: far above a plain service's slowest calls, below what callers wait.
+const HEAD_PATIENCE: Duration = Duration::from_millis(500);
+/// The same for a stream, whose head may wait for its first token.
+const STREAM_HEAD_PATIENCE: Duration = Duration::from_millis(1_300);
+/// How long a request waits at least for a model that no runner holds: about the time in
+/// which one is loaded from a runner's own disk.
+const MODEL_WAIT: Duration = Duration::from_millis(1_000);
+/// The longest wait for a model that no runner holds.
+const MAX_MODEL_WAIT: Duration = Duration::from_millis(2_500);
+/// Servers that refuse one request before it is given back.
+const MAX_REFUSED: u32 = 3;
+/// When to come back after a refusal for want of a place.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When to come back to a VM that knows too little to serve.
+const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When to come back where no server holds the model.
+const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(800);
+/// When a request that crashes servers may come back.
+const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// Why a request is not answered by a server's answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Failure {
+    /// This VM knows no configuration or no servers yet.
+    Unready,
+    /// The request cannot be read.
+    Malformed(&'static str),
+    /// No route is about it.
+    NoRoute,
+    /// Its body is larger than allowed.
+    TooLarge,
+    /// Its body did not arrive whole.
+    BodyCut,
+    /// No server can take it.
+    NoServer,
+    /// The servers that could take it are full.
+    Full,
+    /// It was sent, and what became of it is unknown.
+    Unknown,
+    /// Its time is up, and it was sent.
+    TimedOut,
+    /// Its time is up, and it was never sent.
+    Late,
+    /// Servers crashed each time it was aboard.
+    Poison,
+}
+
+impl Failure {
+    fn refusal(self) -> Refusal {
+        let (status, retry_after) = match self {
+            Self::Unready => (503, Some(UNREADY_RETRY_AFTER)),
+            Self::Malformed(_) => (400, None),
+            Self::NoRoute => (404, None),
+            Self::TooLarge => (413, None),
+            Self::BodyCut => (408, None),
+            Self::NoServer => (503, Some(NO_SERVER_RETRY_AFTER)),
+            Self::Full => (503, Some(FULL_RETRY_AFTER)),
+            Self::Unknown => (502, None),
+            Self::TimedOut => (504, None),
+            Self::Late => (503, None),
+            Self::Poison => (503, Some(POISON_RETRY_AFTER)),
+        };
+        Refusal {
+            status: StatusCode::from_u16(status).expect("the table holds valid statuses"),
+            retry_after,
+        }
+    }
+}
+
+/// One request under way.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) ask: Ask,
+    pub(crate) route: Rc<Route>,
+    pub(crate) service: Name,
+    pub(crate) arrived: Instant,
+    /// When the caller, or the operator, wants it ended.
+    pub(crate) deadline: Instant,
+    pub(crate) fingerprint: u64,
+    /// Servers that may have begun it.
+    pub(crate) runs: u32,
+    /// Servers that refused it without running it.
+    refused: u32,
+    /// Servers that it was sent to.
+    tried: Vec<Name>,
+}
+
+impl Call {
+    /// The time that is left.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether it may be begun at one more server.
+    pub(crate) fn may_run_again(&self) -> bool {
+        self.route.is_repeatable() && self.runs < self.route.max_attempts
+    }
+
+    fn weights(&self) -> Option<Weights> {
+        let generation = self.ask.generation.as_ref()?;
+        Some(Weights {
+            model: generation.model.clone(),
+            adapter: generation.adapter.clone(),
+        })
+    }
+
+    fn late(&self) -> Failure {
+        if self.runs > 0 {
+            Failure::TimedOut
+        } else {
+            Failure::Late
+        }
+    }
+}
+
+/// Passes requests on.
+pub(crate) struct Relay<P> {
+    pub(crate) state: Rc<State>,
+    pub(crate) links: Links,
+    budget: RetryBudget,
+    protocol: PhantomData<P>,
+}
+
+impl<P: Protocol> Relay<P> {
+    /// A relay over what the VM believes.
+    pub(crate) fn new(state: Rc<State>) -> Self {
+        let bounds = &state.settings.bounds;
+        let budget = RetryBudget::new(Allowance {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        });
+        Self {
+            state,
+            links: Links::default(),
+            budget,
+            protocol: PhantomData,
+        }
+    }
+
+    /// Answers one request.
+    pub(crate) async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let ask = match P::read_ask(&head) {
+            Ok(ask) => ask,
+            Err(Malformed(why)) => {
+                warn!(why, "request malformed");
+                return P::refuse(Failure::Malformed(why).refusal());
+            }
+        };
+        let id = ask.id.clone();
+        match self.clone().answer(ask, body, arrived).await {
+            Ok(response) => response,
+            Err(failure) => {
+                let age_ms = arrived.elapsed().as_millis() as u64;
+                let refusal = failure.refusal();
+                info!(request = %id, ?failure, status = refusal.status.as_u16(), age_ms, "request refused");
+                P::refuse(refusal)
+            }
+        }
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        ask: Ask,
+        body: Incoming,
+        arrived: Instant,
+    ) -> Result<Response<Body>, Failure> {
+        let mut call = self.open_call(ask, body, arrived).await?;
+        if self.state.suspects.is_poison(call.fingerprint, arrived) {
+            return Err(Failure::Poison);
+        }
+        match call.route.kind {
+            RouteKind::Streaming => self.stream(call).await,
+            RouteKind::Safe | RouteKind::Unsafe => self.plain(&mut call).await,
+        }
+    }
+
+    /// Finds the route and reads the body.
+    async fn open_call(
+        &self,
+        mut ask: Ask,
+        body: Incoming,
+        arrived: Instant,
+    ) -> Result<Call, Failure> {
+        let configuration = self.state.configuration().ok_or(Failure::Unready)?;
+        if !self.state.is_directory_known.get() {
+            return Err(Failure::Unready);
+        }
+        let route = configuration
+            .route(&ask.host, ask.path.path())
+            .ok_or(Failure::NoRoute)?;
+        let service = route
+            .pick_target(rand::random())
+            .ok_or(Failure::NoRoute)?
+            .clone();
+        let timeout = route.timeout();
+        let deadline = arrived
+            + ask
+                .patience
+                .map_or(timeout, |patience| patience.min(timeout));
+        let limit_bytes = configuration.limits.max_body_bytes;
+        let reading = read_body(body, limit_bytes);
+        let body = compio::time::timeout(deadline - arrived, reading).await;
+        ask.body = match body {
+            Ok(Ok(body)) => body,
+            Ok(Err(ReadError::TooLarge)) => return Err(Failure::TooLarge),
+            Ok(Err(ReadError::Cut)) | Err(_) => return Err(Failure::BodyCut),
+        };
+        let call = Call {
+            fingerprint: ask.fingerprint(),
+            ask,
+            route: route.clone(),
+            service,
+            arrived,
+            deadline,
+            runs: 0,
+            refused: 0,
+            tried: Vec::new(),
+        };
+        self.budget.note_request(&call.service, arrived);
+        if let Some(weights) = call.weights() {
+            self.state
+                .demand
+                .note(&weights, call.ask.cost_tokens(), arrived);
+        }
+        Ok(call)
+    }
+
+    /// Answers a call whose answer is held whole before it is passed on, so that one that
+    /// breaks off can still be had elsewhere.
+    async fn plain(&self, call: &mut Call) -> Result<Response<Body>, Failure> {
+        let mut kept: Option<(response::Parts, Bytes)> = None;
+        loop {
+            let exchange = match self.reach(call, None, None).await {
+                Ok(exchange) => exchange,
+                Err(failure) => match kept {
+                    Some((head, body)) => return Ok(P::to_caller(&head, Body::full(body))),
+                    None => return Err(failure),
+                },
+            };
+            let Some((head, body)) = self.read_whole(call, exchange).await else {
+                if call.may_run_again() && !call.time_left().is_zero() {
+                    continue;
+                }
+                return Err(Failure::Unknown);
+            };
+            let has_failed = head.status.is_server_error();
+            if has_failed && call.may_run_again() {
+                kept = Some((head, body));
+                continue;
+            }
+            self.state.suspects.clear(call.fingerprint);
+            info!(
+                request = %call.ask.id,
+                route = %call.route.name,
+                status = head.status.as_u16(),
+                runs = call.runs,
+                refused = call.refused,
+                age_ms = call.arrived.elapsed().as_millis() as u64,
+                "request answered"
+            );
+            return Ok(P::to_caller(&head, Body::full(body)));
+        }
+    }
+
+    /// Reads an answer to its end; `None` if it breaks off.
+    async fn read_whole(
+        &self,
+        call: &Call,
+        mut exchange: Exchange,
+    ) -> Option<(response::Parts, Bytes)> {
+        let server = exchange.server.clone();
+        let collected = (&mut exchange.body).collect();
+        match compio::time::timeout(call.time_left(), collected).await {
+            Ok(Ok(body)) => {
+                server.note_success();
+                let head = exchange.head.clone();
+                self.links.keep(exchange);
+                Some((head, body.to_bytes()))
+            }
+            Ok(Err(error)) => {
+                warn!(request = %call.ask.id, server = %server.id, %error, "answer broken off");
+                self.note_broken(call, &server);
+                None
+            }
+            Err(_elapsed) => None,
+        }
+    }
+
+    /// Notes a connection that broke with the request aboard.
+    pub(crate) fn note_broken(&self, call: &Call, server: &Rc<Server>) {
+        let now = Instant::now();
+        server.note_failure(now);
+        self.links.clear(&server.id);
+        let state = self.state.clone();
+        let server = server.clone();
+        let fingerprint = call.fingerprint;
+        let id = call.ask.id.clone();
+        compio::runtime::spawn(async move {
+            if is_refused(server.address).await {
+                let crashes = state.suspects.note_crash(fingerprint, now);
+                warn!(request = %id, server = %server.id, crashes, "server crashed");
+                state.peers.tell_crash(fingerprint, crashes, now);
+            }
+        })
+        .detach();
+    }
+
+    /// Sends the request until a server answers it.
+    pub(crate) async fn reach(
+        &self,
+        call: &mut Call,
+        last_event: Option<u64>,
+        weights: Option<u64>,
+    ) -> Result<Exchange, Failure> {
+        loop {
+            let server = self.server_for(call).await?;
+            let is_retry = call.runs + call.refused > 0;
+            let now = Instant::now();
+            let vms = self.state.peers.vms();
+            if is_retry && !self.budget.take(&call.service, vms, now) {
+                info!(request = %call.ask.id, service = %call.service, vms, "retry budget spent");
+                return Err(self.give_up(call));
+            }
+            match self.send(call, &server, last_event, weights).await {
+                Ok(exchange) => return Ok(exchange),
+                Err(Some(failure)) => return Err(failure),
+                Err(None) => {}
+            }
+        }
+    }
+
+    /// Sends the request once; `Err(None)` if another server may be asked.
+    async fn send(
+        &self,
+        call: &mut Call,
+        server: &Rc<Server>,
+        last_event: Option<u64>,
+        weights: Option<u64>,
+    ) -> Result<Exchange, Option<Failure>> {
+        let time_left = call.time_left();
+        if time_left.is_zero() {
+            return Err(Some(call.late()));
+        }
+        let options = SendOptions {
+            server: &server.id,
+            time_left,
+            priority: call.route.priority,
+            last_event: last_event.or(call.ask.last_event),
+            weights,
+        };
+        call.tried.push(server.id.clone());
+        let limit = self.head_limit(call, time_left);
+        let request = || P::to_server(&call.ask, &options);
+        let sent = self.links.exchange::<P>(server, request, limit).await;
+        let now = Instant::now();
+        match sent {
+            Ok(exchange) => self.judge(call, exchange, now),
+            Err(SendError::NotSent) => {
+                server.note_failure(now);
+                warn!(request = %call.ask.id, server = %server.id, "server not reached");
+                call.refused += 1;
+                if call.refused >= MAX_REFUSED {
+                    return Err(Some(self.give_up(call)));
+                }
+                Err(None)
+            }
+            Err(SendError::MaybeSent) => {
+                call.runs += 1;
+                let age_ms = call.arrived.elapsed().as_millis() as u64;
+                warn!(request = %call.ask.id, server = %server.id, age_ms, "no answer from server");
+                self.note_broken(call, server);
+                if call.time_left().is_zero() {
+                    return Err(Some(Failure::TimedOut));
+                }
+                if call.may_run_again() {
+                    return Err(None);
+                }
+                Err(Some(Failure::Unknown))
+            }
+        }
+    }
+
+    /// What the head of an answer means for the request.
+    fn judge(
+        &self,
+        call: &mut Call,
+        exchange: Exchange,
+        now: Instant,
+    ) -> Result<Exchange, Option<Failure>> {
+        let status = exchange.head.status;
+        let server = exchange.server.clone();
+        let is_other = exchange
+            .reply
+            .request_id
+            .as_ref()
+            .is_some_and(|id| *id != call.ask.id);
+        let is_refused = exchange.reply.is_not_run || status == StatusCode::MISDIRECTED_REQUEST;
+        if is_refused && !is_other {
+            self.note_refused(call, &exchange, now);
+            self.links.keep(exchange);
+            if call.refused >= MAX_REFUSED {
+                return Err(Some(self.give_up(call)));
+            }
+            return Err(None);
+        }
+        call.runs += 1;
+        if is_other || (status.is_success() && !exchange.reply.is_signed) {
+            warn!(request = %call.ask.id, server = %server.id, is_other, "answer is not the request's");
+            server.note_failure(now);
+            self.links.clear(&server.id);
+            if call.may_run_again() {
+                return Err(None);
+            }
+            return Err(Some(Failure::Unknown));
+        }
+        Ok(exchange)
+    }
+
+    fn note_refused(&self, call: &mut Call, exchange: &Exchange, now: Instant) {
+        let server = &exchange.server;
+        let status = exchange.head.status;
+        info!(request = %call.ask.id, server = %server.id, status = status.as_u16(), "server refused");
+        call.refused += 1;
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let answered = exchange.reply.server.as_ref();
+        if answered.is_some_and(|id| *id != server.id) {
+            self.state.fleet.lapse(&server.id, now);
+        } else if let Some(weights) = call.weights() {
+            server.note_missing(weights, now);
+        }
+    }
+
+    /// The failure of a request that is not sent any more.
+    fn give_up(&self, call: &Call) -> Failure {
+        if call.runs > 0 {
+            Failure::Unknown
+        } else {
+            Failure::Full
+        }
+    }
+
+    fn head_limit(&self, call: &Call, time_left: Duration) -> Duration {
+        let is_last = call.runs + 1 >= call.route.max_attempts;
+        if is_last || !call.route.is_repeatable() {
+            return time_left;
+        }
+        let patience = match call.route.kind {
+            RouteKind::Streaming => STREAM_HEAD_PATIENCE,
+            RouteKind::Safe | RouteKind::Unsafe => HEAD_PATIENCE,
+        };
+        patience.min(time_left)
+    }
+
+    /// The server to send to; waits for one while a model is expected to be loaded.
+    async fn server_for(&self, call: &Call) -> Result<Rc<Server>, Failure> {
+        let target = Duration::from_millis(call.route.target_latency_ms);
+        let wait = target.clamp(MODEL_WAIT, MAX_MODEL_WAIT);
+        let wait_until = (call.arrived + wait).min(call.deadline);
+        let mut waiting = None;
+        loop {
+            let changed = self.state.changed.wait();
+            if let Some(server) = self.pick(call) {
+                return Ok(server);
+            }
+            let left = wait_until.saturating_duration_since(Instant::now());
+            let (false, Some(weights)) = (left.is_zero(), call.weights()) else {
+                return Err(if call.runs > 0 {
+                    Failure::Unknown
+                } else {
+                    Failure::NoServer
+                });
+            };
+            waiting.get_or_insert_with(|| self.state.wait_for(&weights));
+            // The end of the wait is looked at on the next turn.
+            let _ = compio::time::timeout(left, changed).await;
+        }
+    }
+
+    fn pick(&self, call: &Call) -> Option<Rc<Server>> {
+        let now = Instant::now();
+        let weights = call.weights();
+        let mut servers = self.state.fleet.of_service(&call.service);
+        servers.retain(|server| {
+            server.is_listed_ready()
+                && weights
+                    .as_ref()
+                    .is_none_or(|weights| server.holds(weights, now))
+        });
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .map(|server| self.candidate(call, server, now))
+            .collect();
+        let place = choose(&candidates, rand::random)?;
+        let chosen = candidates[place];
+        info!(
+            request = %call.ask.id,
+            server = %servers[place].id,
+            load = chosen.score(),
+            candidates = candidates.len(),
+            "routed"
+        );
+        Some(servers[place].clone())
+    }
+
+    fn candidate(&self, call: &Call, server: &Server, now: Instant) -> Candidate {
+        let in_flight = server.in_flight() + self.state.peers.in_flight(&server.id);
+        let zone = &self.state.settings.availability_zone;
+        server.with(|entry| Candidate {
+            in_flight,
+            slots: entry.slots,
+            is_near: entry.availability_zone == *zone,
+            has_failed: server.is_passed_over(now) || call.tried.contains(&server.id),
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,141 @@
+//! What one VM believes: configuration, backend servers, peers.
+
+use crate::gateway::demand::Demand;
+use crate::gateway::fleet::{Fleet, Holding};
+use crate::gateway::peers::{Peers, WantedRate};
+use crate::gateway::suspects::Suspects;
+use crate::gateway::{Configuration, Settings, Weights};
+use crate::inventory::Name;
+use crate::shutdown::Shutdown;
+use crate::signal::Signal;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+use tracing::info;
+
+/// The beliefs that all parts of the process share.
+#[derive(Debug)]
+pub(crate) struct State {
+    /// The settings that the process was started with.
+    pub(crate) settings: Settings,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    /// The backend servers.
+    pub(crate) fleet: Fleet,
+    /// Whether the directory was read since the start.
+    pub(crate) is_directory_known: Cell<bool>,
+    /// The other VMs.
+    pub(crate) peers: Peers,
+    /// Requests that were aboard when servers crashed.
+    pub(crate) suspects: Suspects,
+    /// The demand that this VM sees.
+    pub(crate) demand: Demand,
+    waiting: RefCell<HashMap<Weights, u32>>,
+    /// What runners hold, while this VM leads; told to all others.
+    pub(crate) leader_view: RefCell<Vec<(Name, Vec<Holding>)>>,
+    /// Notified when a server or what it holds has changed.
+    pub(crate) changed: Signal,
+    /// Whether the process is about to end.
+    pub(crate) shutdown: Rc<Shutdown>,
+}
+
+/// Counts a request as waiting for weights until dropped.
+#[derive(Debug)]
+pub(crate) struct WaitingGuard {
+    state: Rc<State>,
+    weights: Weights,
+}
+
+impl Drop for WaitingGuard {
+    fn drop(&mut self) {
+        let mut waiting = self.state.waiting.borrow_mut();
+        if let Some(count) = waiting.get_mut(&self.weights) {
+            *count -= 1;
+            if *count == 0 {
+                waiting.remove(&self.weights);
+            }
+        }
+    }
+}
+
+impl State {
+    /// A state that knows nothing yet.
+    pub(crate) fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            configuration: RefCell::default(),
+            fleet: Fleet::default(),
+            is_directory_known: Cell::new(false),
+            peers: Peers::default(),
+            suspects: Suspects::default(),
+            demand: Demand::default(),
+            waiting: RefCell::default(),
+            leader_view: RefCell::default(),
+            changed: Signal::default(),
+            shutdown: Rc::default(),
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless it is older than the present one.
+    pub(crate) fn take_configuration(&self, configuration: Configuration) {
+        let mut present = self.configuration.borrow_mut();
+        let before = present.as_ref().map_or(0, |present| present.version);
+        if present.is_some() && configuration.version <= before {
+            return;
+        }
+        info!(
+            version = configuration.version,
+            before,
+            routes = configuration.route_count(),
+            "configuration in force"
+        );
+        *present = Some(Rc::new(configuration));
+    }
+
+    /// Whether callers can be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.shutdown.is_leaving()
+            && self.is_directory_known.get()
+            && self.configuration.borrow().is_some()
+    }
+
+    /// Counts a request that waits for weights.
+    pub(crate) fn wait_for(self: &Rc<Self>, weights: &Weights) -> WaitingGuard {
+        let mut waiting = self.waiting.borrow_mut();
+        *waiting.entry(weights.clone()).or_default() += 1;
+        self.peers.hurry();
+        WaitingGuard {
+            state: self.clone(),
+            weights: weights.clone(),
+        }
+    }
+
+    /// The demand at this VM.
+    pub(crate) fn own_demand(&self, now: Instant) -> Vec<(Weights, WantedRate)> {
+        let mut demand: HashMap<Weights, WantedRate> = HashMap::new();
+        for (weights, tokens_per_s) in self.demand.rates(now) {
+            demand.entry(weights).or_default().tokens_per_s = tokens_per_s;
+        }
+        for (weights, waiting) in self.waiting.borrow().iter() {
+            demand.entry(weights.clone()).or_default().waiting = *waiting;
+        }
+        demand.into_iter().collect()
+    }
+
+    /// The demand at all VMs.
+    pub(crate) fn demand(&self, now: Instant) -> HashMap<Weights, WantedRate> {
+        let mut demand: HashMap<Weights, WantedRate> = HashMap::new();
+        let all = self.own_demand(now).into_iter().chain(self.peers.demands());
+        for (weights, rate) in all {
+            let sum = demand.entry(weights).or_default();
+            sum.tokens_per_s += rate.tokens_per_s;
+            sum.waiting += rate.waiting;
+        }
+        demand
+    }
+}
--- /dev/null
+++ b/src/gateway/streaming.rs
@@ -0,0 +1,221 @@
+//! A stream of events to a caller, over as many servers as it takes.
+
+use crate::gateway::Protocol;
+use crate::gateway::events::{EventBuffer, StreamEvent};
+use crate::gateway::exchange::Exchange;
+use crate::gateway::relay::{Call, Failure, Relay};
+use crate::http::{AnswerSender, Body};
+use http_body_util::BodyExt;
+use hyper::Response;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Events that wait for a caller that reads slowly; then the server is not read either.
+const CHANNEL_EVENTS: usize = 8;
+/// How long a server may be silent in mid-stream before the stream goes on elsewhere:
+/// callers give up after two seconds.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// How a server's stream went on.
+enum Next {
+    Event(StreamEvent),
+    End,
+    Broken(&'static str),
+}
+
+/// A stream under way from one server.
+struct Feed {
+    exchange: Exchange,
+    buffer: EventBuffer,
+}
+
+impl Feed {
+    fn new(exchange: Exchange) -> Self {
+        Self {
+            exchange,
+            buffer: EventBuffer::default(),
+        }
+    }
+
+    async fn next(&mut self, silence: Duration) -> Next {
+        loop {
+            if let Some(event) = self.buffer.next() {
+                return Next::Event(event);
+            }
+            let frame = compio::time::timeout(silence, self.exchange.body.frame()).await;
+            match frame {
+                Err(_elapsed) => return Next::Broken("silent"),
+                Ok(None) if self.buffer.is_empty() => return Next::End,
+                Ok(None) => return Next::Broken("ends in mid-event"),
+                Ok(Some(Err(_cut))) => return Next::Broken("cut"),
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.data_ref();
+                    if data.is_some_and(|data| !self.buffer.push(data)) {
+                        return Next::Broken("event too long");
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl<P: Protocol> Relay<P> {
+    /// Answers a request by a stream; returns once the first event has come.
+    pub(crate) async fn stream(self: Rc<Self>, mut call: Call) -> Result<Response<Body>, Failure> {
+        loop {
+            let exchange = self.reach(&mut call, None, None).await?;
+            if !exchange.head.status.is_success() {
+                return self.pass_failure(&mut call, exchange).await;
+            }
+            let mut feed = Feed::new(exchange);
+            match feed.next(self.silence(&call)).await {
+                Next::Event(first) => return Ok(self.begin(call, feed, first)),
+                Next::End => return Ok(P::to_caller(&feed.exchange.head, Body::empty())),
+                Next::Broken(why) => self.note_break(&call, &feed, why),
+            }
+            if call.time_left().is_zero() {
+                return Err(Failure::TimedOut);
+            }
+            if !call.may_run_again() {
+                return Err(Failure::Unknown);
+            }
+        }
+    }
+
+    async fn pass_failure(
+        &self,
+        call: &mut Call,
+        exchange: Exchange,
+    ) -> Result<Response<Body>, Failure> {
+        let body = exchange.body.collect().await;
+        let body = body.map_err(|_cut| Failure::Unknown)?;
+        info!(request = %call.ask.id, status = exchange.head.status.as_u16(), "stream refused by server");
+        Ok(P::to_caller(&exchange.head, Body::full(body.to_bytes())))
+    }
+
+    /// Passes the stream on in a task that ends with the caller's connection.
+    fn begin(self: Rc<Self>, call: Call, feed: Feed, first: StreamEvent) -> Response<Body> {
+        let head = feed.exchange.head.clone();
+        let body = Body::answer_by(CHANNEL_EVENTS, |sender| {
+            compio::runtime::spawn(self.pump(call, feed, first, sender))
+        });
+        P::to_caller(&head, body)
+    }
+
+    async fn pump(
+        self: Rc<Self>,
+        mut call: Call,
+        mut feed: Feed,
+        first: StreamEvent,
+        mut sender: AnswerSender,
+    ) {
+        let weights = feed.exchange.reply.weights;
+        let mut last = call.ask.last_event;
+        let mut event = first;
+        let mut events = 0_u32;
+        loop {
+            if is_next(last, event.id) {
+                last = event.id.or(last);
+                events += 1;
+                if !sender.send(event.bytes).await {
+                    return;
+                }
+            }
+            event = loop {
+                match feed.next(self.silence(&call)).await {
+                    Next::Event(event) if is_gap(last, event.id) => {
+                        self.note_break(&call, &feed, "event missing");
+                    }
+                    Next::Event(event) => break event,
+                    Next::End => {
+                        self.end_whole(&call, feed, events);
+                        sender.end_whole();
+                        return;
+                    }
+                    Next::Broken(why) => self.note_break(&call, &feed, why),
+                }
+                let Some(next) = self.resume(&mut call, last, weights).await else {
+                    return;
+                };
+                feed = next;
+            };
+        }
+    }
+
+    fn end_whole(&self, call: &Call, feed: Feed, events: u32) {
+        feed.exchange.server.note_success();
+        self.state.suspects.clear(call.fingerprint);
+        info!(
+            request = %call.ask.id,
+            route = %call.route.name,
+            server = %feed.exchange.server.id,
+            events,
+            runs = call.runs,
+            age_ms = call.arrived.elapsed().as_millis() as u64,
+            "stream complete"
+        );
+        self.links.keep(feed.exchange);
+    }
+
+    /// Goes on with a broken stream at another server; `None` if that cannot be.
+    async fn resume(
+        &self,
+        call: &mut Call,
+        last: Option<u64>,
+        weights: Option<u64>,
+    ) -> Option<Feed> {
+        if last.is_none() || !call.may_run_again() || call.time_left().is_zero() {
+            info!(request = %call.ask.id, runs = call.runs, "stream broken off");
+            return None;
+        }
+        match self.reach(call, last, weights).await {
+            Ok(exchange) if exchange.head.status.is_success() => {
+                info!(request = %call.ask.id, server = %exchange.server.id, ?last, "stream resumed");
+                Some(Feed::new(exchange))
+            }
+            Ok(exchange) => {
+                warn!(request = %call.ask.id, status = exchange.head.status.as_u16(), "stream not resumed");
+                None
+            }
+            Err(failure) => {
+                warn!(request = %call.ask.id, ?failure, "stream not resumed");
+                None
+            }
+        }
+    }
+
+    fn note_break(&self, call: &Call, feed: &Feed, why: &'static str) {
+        let server = &feed.exchange.server;
+        warn!(request = %call.ask.id, server = %server.id, why, "stream broken");
+        if call.time_left().is_zero() {
+            return;
+        }
+        self.note_broken(call, server);
+    }
+
+    fn silence(&self, call: &Call) -> Duration {
+        let left = call.time_left();
+        if call.may_run_again() {
+            left.min(SILENCE)
+        } else {
+            left
+        }
+    }
+}
+
+/// Whether an event is new to the caller; events of a resumed run may come again.
+fn is_next(last: Option<u64>, id: Option<u64>) -> bool {
+    match (last, id) {
+        (Some(last), Some(id)) => id > last,
+        _ => true,
+    }
+}
+
+/// Whether events are missing before this one.
+fn is_gap(last: Option<u64>, id: Option<u64>) -> bool {
+    match (last, id) {
+        (Some(last), Some(id)) => id > last + 1,
+        _ => false,
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -4,6 +4,7 @@
 use crate::stall::{StallWatch, Watched};
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpSocket, TcpStream};
+use compio::runtime::JoinHandle;
 use cyper_core::{CompioTimer, HyperStream};
 use futures_channel::mpsc;
 use futures_util::future::{Either, select};
@@ -54,6 +55,8 @@
 pub struct AnswerBody {
     chunks: mpsc::Receiver<Bytes>,
     whole: Rc<Cell<bool>>,
+    /// The task that makes the answer; ends when the body is dropped.
+    maker: Option<JoinHandle<()>>,
 }
 
 /// The sending half of an answer under way.
@@ -118,9 +121,22 @@
         let body = AnswerBody {
             chunks: receiver,
             whole,
+            maker: None,
         };
         (sender, Self::Answer(body))
     }
+
+    /// An answer made by a task that is cancelled once its client is gone.
+    pub(crate) fn answer_by(
+        capacity: usize,
+        spawn: impl FnOnce(AnswerSender) -> JoinHandle<()>,
+    ) -> Self {
+        let (sender, mut body) = Self::answer(capacity);
+        if let Self::Answer(answer) = &mut body {
+            answer.maker = Some(spawn(sender));
+        }
+        body
+    }
 }
 
 impl hyper::body::Body for Body {
@@ -209,13 +225,28 @@
 where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
+{
+    serve_patiently(listener, shutdown, || HEADER_TIMEOUT, handler).await;
+}
+
+/// Like [`serve`]; `head_timeout` tells, for each connection, how long a client may be idle
+/// or take to send a request head.
+pub(crate) async fn serve_patiently<T, H, F>(
+    listener: TcpListener,
+    shutdown: Rc<Shutdown>,
+    head_timeout: T,
+    handler: H,
+) where
+    T: Fn() -> Duration,
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
 {
     let mut stop = pin!(shutdown.wait());
     loop {
         let accept = pin!(listener.accept());
         match select(accept, stop.as_mut()).await {
             Either::Left((Ok((stream, _)), _)) => {
-                spawn_connection(stream, shutdown.clone(), handler.clone());
+                spawn_connection(stream, shutdown.clone(), head_timeout(), handler.clone());
             }
             Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_PAUSE).await,
             Either::Right(_) => break,
@@ -225,7 +256,7 @@
     let linger = async {
         loop {
             if let Ok((stream, _)) = listener.accept().await {
-                spawn_connection(stream, shutdown.clone(), handler.clone());
+                spawn_connection(stream, shutdown.clone(), head_timeout(), handler.clone());
             }
         }
     };
@@ -233,8 +264,12 @@
     let _ = compio::time::timeout(CLOSE_LINGER, linger).await;
 }
 
-fn spawn_connection<H, F>(stream: TcpStream, shutdown: Rc<Shutdown>, handler: H)
-where
+fn spawn_connection<H, F>(
+    stream: TcpStream,
+    shutdown: Rc<Shutdown>,
+    head_timeout: Duration,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
@@ -253,7 +288,7 @@
         let (stream, watch) = Watched::new(HyperStream::new_plain(stream));
         let connection = http1::Builder::new()
             .timer(CompioTimer)
-            .header_read_timeout(HEADER_TIMEOUT)
+            .header_read_timeout(head_timeout)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(stream, service);
         let serving = async {
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,159 @@
+//! The operator's configuration as the platform keeps it.
+
+use crate::gateway::{Configuration, Engine, Limits, Model, Route, RouteKind, Service, Target};
+use crate::inventory::Name;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct WireConfiguration {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+struct WireRoute {
+    name: Name,
+    hostname: Name,
+    path_prefix: Name,
+    kind: WireKind,
+    timeout_ms: u64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u32,
+    /// The only service; routes with shares name several instead.
+    #[serde(default)]
+    service: Option<Name>,
+    #[serde(default)]
+    traffic_split: Vec<WireShare>,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct WireShare {
+    service: Name,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireKind {
+    Safe,
+    Unsafe,
+    Streaming,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    name: Name,
+    #[serde(default)]
+    engine: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    /// A runner's room for weights and adapters together, not the size of one model.
+    weights_mb: f64,
+    #[serde(default)]
+    adapter_slots: u32,
+    #[serde(default)]
+    loads_per_s: f64,
+    #[serde(default)]
+    models: Vec<WireModel>,
+}
+
+#[derive(Deserialize)]
+struct WireModel {
+    name: Name,
+    weights_mb: f64,
+    load_time_s: f64,
+    warm_s: Option<f64>,
+    disk_s: Option<f64>,
+    /// The number of adapters, which are named a1, a2 and so on.
+    #[serde(default)]
+    adapters: u32,
+    #[serde(default)]
+    adapter_mb: f64,
+}
+
+#[derive(Deserialize)]
+struct WireLimits {
+    max_body_bytes: usize,
+    idle_timeout_ms: u64,
+}
+
+/// Milliseconds from seconds; the platform gives fractions.
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1_000.0).round() as u64
+}
+
+/// Reads a configuration.
+pub(crate) fn decode(value: &[u8]) -> Result<Configuration, serde_json::Error> {
+    let wire: WireConfiguration = serde_json::from_slice(value)?;
+    let routes = wire.routes.into_iter().map(route).collect();
+    let services = wire.services.into_iter().map(service).collect();
+    let limits = Limits {
+        max_body_bytes: wire.limits.max_body_bytes,
+        idle_timeout_ms: wire.limits.idle_timeout_ms,
+    };
+    Ok(Configuration::new(wire.version, routes, services, limits))
+}
+
+fn route(wire: WireRoute) -> Route {
+    let alone = wire.service.map(|service| Target { service, weight: 1 });
+    let shares = wire.traffic_split.into_iter().map(|share| Target {
+        service: share.service,
+        weight: share.weight.round() as u32,
+    });
+    Route {
+        name: wire.name,
+        host: wire.hostname,
+        prefix: wire.path_prefix,
+        kind: match wire.kind {
+            WireKind::Safe => RouteKind::Safe,
+            WireKind::Unsafe => RouteKind::Unsafe,
+            WireKind::Streaming => RouteKind::Streaming,
+        },
+        resumable: wire.resumable,
+        timeout_ms: wire.timeout_ms,
+        target_latency_ms: wire.target_latency_ms.round() as u64,
+        max_attempts: wire.max_attempts.unwrap_or(1),
+        priority: wire.priority,
+        targets: alone.into_iter().chain(shares).collect(),
+    }
+}
+
+fn service(wire: WireService) -> Service {
+    Service {
+        name: wire.name,
+        engine: wire.engine.map(engine),
+    }
+}
+
+fn engine(wire: WireEngine) -> Engine {
+    Engine {
+        weights_mb: wire.weights_mb,
+        adapter_slots: wire.adapter_slots,
+        loads_per_s: wire.loads_per_s,
+        models: wire.models.into_iter().map(model).collect(),
+    }
+}
+
+fn model(wire: WireModel) -> Model {
+    Model {
+        name: wire.name,
+        weights_mb: wire.weights_mb,
+        load_ms: millis(wire.load_time_s),
+        warm_ms: millis(wire.warm_s.unwrap_or(wire.load_time_s)),
+        disk_ms: millis(wire.disk_s.unwrap_or(wire.load_time_s)),
+        adapters: wire.adapters,
+        adapter_mb: wire.adapter_mb,
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,7 +1,19 @@
-//! The platform's services, each behind one small trait.
+//! The users' platform: its names, formats and calls, and nothing that decides.
+//!
+//! Each file translates one part of what the platform speaks into the types of
+//! [`crate::gateway`].
 
-mod log;
-mod vm_list;
+mod configuration;
+mod entries;
+mod orders;
+mod requests;
+mod settings;
+mod store;
 
-pub(crate) use log::{HttpLog, LogError, LogRecord, LogService, Page};
-pub(crate) use vm_list::{HttpVmList, ListedVm, VmList};
+pub(crate) use orders::PlatformRunners;
+pub(crate) use requests::PlatformProtocol;
+pub(crate) use settings::{load_settings, settings_path};
+pub(crate) use store::PlatformStore;
+
+/// Where a VM tells whether it takes new connections.
+pub(crate) const READY_PATH: &str = "/-/readiness";
--- /dev/null
+++ b/src/platform/orders.rs
@@ -0,0 +1,147 @@
+//! Orders to model runners and their own account, as the platform words them.
+
+use crate::client::{Connection, SendError};
+use crate::gateway::{Holding, Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
+use crate::http::{Body, read_body};
+use crate::inventory::Name;
+use crate::platform::entries::WireHolding;
+use bytes::Bytes;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const REPORT_PATH: &str = "/-/report";
+const ORDER_PATH: &str = "/-/order";
+const EXPECT_SERVER: HeaderName = HeaderName::from_static("x-expect-instance");
+/// How long a runner may take to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a runner may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// The largest account of a runner.
+const MAX_REPORT_BYTES: usize = 1024 * 1024;
+
+/// The control side of the platform's model runners.
+#[derive(Debug)]
+pub(crate) struct PlatformRunners;
+
+#[derive(Serialize)]
+struct WireOrder<'a> {
+    operation: &'static str,
+    model: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    adapter: Option<&'a str>,
+    /// The number of orders that the runner has accepted, if it must be just that.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    precondition: Option<u64>,
+    holder: &'a str,
+    fence_token: u64,
+}
+
+#[derive(Deserialize)]
+struct WireReport {
+    #[serde(default)]
+    models: Vec<WireHolding>,
+    #[serde(default)]
+    busy: bool,
+    /// Orders accepted.
+    #[serde(default)]
+    sequence: u64,
+    /// Adapters on their way, as MODEL/NAME@VERSION.
+    #[serde(default)]
+    coming: Vec<String>,
+}
+
+fn coming(text: &str) -> Option<Weights> {
+    let (name, _version) = text.split_once('@').unwrap_or((text, ""));
+    let (model, adapter) = name.split_once('/')?;
+    Some(Weights {
+        model: model.into(),
+        adapter: Some(Name::from(adapter)),
+    })
+}
+
+/// Sends one request over a connection of its own.
+async fn call(
+    address: SocketAddr,
+    request: Request<Body>,
+) -> Result<(StatusCode, Bytes), SendError> {
+    let exchange = async {
+        let mut connection =
+            Connection::open_owned(address, CONNECT_TIMEOUT, ANSWER_TIMEOUT).await?;
+        let response = connection.send(request).await?;
+        let status = response.status();
+        let body = read_body(response.into_body(), MAX_REPORT_BYTES).await;
+        let body = body.map_err(|_cut| SendError::MaybeSent)?;
+        Ok((status, body))
+    };
+    compio::time::timeout(CONNECT_TIMEOUT + ANSWER_TIMEOUT, exchange)
+        .await
+        .unwrap_or(Err(SendError::MaybeSent))
+}
+
+fn host(address: SocketAddr) -> HeaderValue {
+    HeaderValue::from_str(&address.to_string()).expect("an address is a header value")
+}
+
+impl RunnerControl for PlatformRunners {
+    async fn report(&self, address: SocketAddr) -> Option<RunnerReport> {
+        let request = Request::get(REPORT_PATH)
+            .header(header::HOST, host(address))
+            .body(Body::empty())
+            .expect("the parts are valid");
+        let (status, body) = call(address, request).await.ok()?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        let wire: WireReport = match serde_json::from_slice(&body) {
+            Ok(wire) => wire,
+            Err(error) => {
+                tracing::warn!(%address, %error, "runner's report unreadable");
+                return None;
+            }
+        };
+        Some(RunnerReport {
+            holdings: wire.models.into_iter().map(Holding::from).collect(),
+            is_busy: wire.busy,
+            orders: wire.sequence,
+            coming: wire.coming.iter().filter_map(|it| coming(it)).collect(),
+        })
+    }
+
+    async fn order(&self, address: SocketAddr, order: &Order<'_>) -> OrderOutcome {
+        let wire = WireOrder {
+            operation: if order.is_load {
+                "loading"
+            } else {
+                "unloading"
+            },
+            model: &order.weights.model,
+            adapter: order.weights.adapter.as_deref(),
+            precondition: order.expected_orders,
+            holder: order.holder,
+            fence_token: order.fence,
+        };
+        let body = serde_json::to_vec(&wire).expect("an order serializes");
+        let request = Request::post(ORDER_PATH)
+            .header(header::HOST, host(address))
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(EXPECT_SERVER, order.server)
+            .body(Body::full(body));
+        let Ok(request) = request else {
+            return OrderOutcome::Invalid;
+        };
+        match call(address, request).await {
+            Ok((StatusCode::ACCEPTED, _)) => OrderOutcome::Accepted,
+            Ok((StatusCode::OK, _)) => OrderOutcome::Held,
+            Ok((StatusCode::CONFLICT, _)) => OrderOutcome::Busy,
+            Ok((StatusCode::PRECONDITION_FAILED, _)) => OrderOutcome::Fenced,
+            Ok((StatusCode::BAD_REQUEST | StatusCode::MISDIRECTED_REQUEST, _)) => {
+                OrderOutcome::Invalid
+            }
+            Ok(_) | Err(SendError::MaybeSent) => OrderOutcome::Unanswered,
+            Err(SendError::NotSent) => OrderOutcome::NotSent,
+        }
+    }
+}
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -15,8 +15,8 @@
 //! that no snapshot covers, takes a snapshot from a peer. It never skips records.
 
 use crate::inventory::Name;
+use crate::outside::{LogError, LogRecord, LogService, Page};
 use crate::pace::Pace;
-use crate::platform::{LogError, LogRecord, LogService, Page};
 use crate::replica::{Envelope, Fold, Folded, MAX_BATCH, Position, Replica};
 use crate::signal::Signal;
 use futures_channel::oneshot;
