--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -19,6 +19,10 @@
 const MAX_SWAPS: usize = 3;
 /// The demand for an adapter copy, in tokens a second, from which a second one is placed.
 const ADAPTER_CROWDED: f64 = 3_000.0;
+/// What the loss of a copy that adapters need costs, as demand for each copy.
+const ADAPTER_LACK: f64 = 0.1;
+/// Loads from the weight store that filling a runner leaves to models that are missed.
+const FILL_RESERVE: usize = 4;
 /// Adapters that may be on their way to one runner.
 const MAX_ADAPTERS_COMING: usize = 4;
 
@@ -156,6 +160,7 @@
             swaps += 1;
             steps.insert(runner, swap);
         }
+        self.fill(&mut pressures, steps);
     }
 
     /// The runner on which loading `model` costs least, with what makes room there.
@@ -216,7 +221,13 @@
             .iter()
             .filter_map(|held| {
                 let pressure = pressures.get(held).copied().unwrap_or_default();
-                let after = pressure.runners / (pressure.copies.max(2) - 1) as f64;
+                let copies = pressure.copies.max(2) - 1;
+                let lack = if copies < self.copies_for_adapters(held) {
+                    ADAPTER_LACK
+                } else {
+                    0.0
+                };
+                let after = pressure.runners / copies as f64 + lack;
                 let is_spare = pressure.copies >= 2 && after < GAIN * wanted.each().max(CROWDED);
                 // The last copy of a model that nobody asks for gives way to one that is.
                 let is_idle = pressure.runners <= 0.0
@@ -243,6 +254,60 @@
         Some(drop)
     }
 
+    /// The copies of a model that hold all its adapters.
+    fn copies_for_adapters(&self, model: &str) -> usize {
+        let adapters = self.engine.model(model).map_or(0, |model| model.adapters);
+        adapters.div_ceil(self.engine.adapter_slots.max(1)) as usize
+    }
+
+    /// Fills runners that have room left with the model that is most wanted for each copy.
+    fn fill(&self, pressures: &mut HashMap<Name, Pressure>, steps: &mut HashMap<Name, Steps>) {
+        for runner in self.runners {
+            if runner.is_working || runner.coming.is_some() || steps.contains_key(&runner.id) {
+                continue;
+            }
+            let fitting = self.engine.models.iter().filter(|model| {
+                let is_at_hand =
+                    runner.in_memory.contains(&model.name) || runner.on_disk.contains(&model.name);
+                !runner.models.contains(&model.name)
+                    && (is_at_hand || self.cold_loads > FILL_RESERVE)
+                    && self.free_mb(runner) >= model.weights_mb
+            });
+            let wanted = fitting.max_by(|left, right| {
+                let worth = |model: &Model| {
+                    let pressure = pressures[&model.name];
+                    let lacks = pressure.copies < self.copies_for_adapters(&model.name);
+                    let is_at_hand = runner.in_memory.contains(&model.name)
+                        || runner.on_disk.contains(&model.name);
+                    (pressure.each(), lacks, is_at_hand)
+                };
+                let (left, right) = (worth(left), worth(right));
+                left.partial_cmp(&right)
+                    .unwrap_or(std::cmp::Ordering::Equal)
+            });
+            let Some(model) = wanted else {
+                continue;
+            };
+            if let Some(pressure) = pressures.get_mut(&model.name) {
+                pressure.copies += 1;
+            }
+            let is_cold =
+                !runner.in_memory.contains(&model.name) && !runner.on_disk.contains(&model.name);
+            let fill = Steps {
+                drop: Vec::new(),
+                load: vec![whole(model.name.clone())],
+                is_cold,
+            };
+            steps.insert(runner.id.clone(), fill);
+        }
+    }
+
+    /// Room for models on a runner.
+    fn free_mb(&self, runner: &RunnerView) -> f64 {
+        let held = runner.models.iter().map(|held| self.size_mb(held));
+        self.engine.weights_mb - self.adapter_room_mb() - held.sum::<f64>()
+    }
+
     fn size_mb(&self, model: &str) -> f64 {
         let model = self.engine.model(model);
         // A model that the configuration does not list fills the runner, to be safe.
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -43,7 +43,7 @@
 }
 
 impl Process {
-    fn start(mut command: Command, output: &Path) -> Self {
+    pub(crate) fn start(mut command: Command, output: &Path) -> Self {
         let file = File::options()
             .append(true)
             .create(true)
--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod report;
 pub mod service;
 pub mod shape;
+pub mod site;
 pub mod soak;
 pub mod traffic;
 pub mod usage;
--- /dev/null
+++ b/workbench/tests/site_once.rs
@@ -0,0 +1,240 @@
+//! On the platform: at most once, promises that are true, answers that are the request's.
+
+use googletest::prelude::*;
+use serde_json::json;
+use std::time::Duration;
+use workbench::cluster::block_on;
+use workbench::site::{Act, Answer, Ask, Call, Caller, Site, plain, route, signed};
+
+async fn site(servers: usize) -> Site {
+    let mut site = Site::start(vec![("books", vec![]); servers]).await;
+    site.configure(
+        json!([
+            route("/", "safe", "books"),
+            route("/orders/", "unsafe", "books")
+        ]),
+        json!([plain("books")]),
+    );
+    site.start_vms(1);
+    site.wait_ready().await;
+    site
+}
+
+fn runs_of(site: &Site, id: &str) -> usize {
+    let servers = site.servers.iter();
+    servers
+        .flat_map(|server| server.runs())
+        .filter(|run| run.header("x-attempt-id") == id)
+        .count()
+}
+
+async fn ask(site: &Site, caller: &Caller, ask: &Ask) -> Answer {
+    caller.ask(site.front(0), ask).await
+}
+
+/// All that a server may answer which is not the whole answer to its request.
+fn spoilt() -> Vec<(&'static str, fn(&Call) -> Vec<Act>)> {
+    vec![
+        ("closes without an answer", |_| vec![Act::Close]),
+        ("closes within the head", |_| {
+            vec![Act::Write(b"HTTP/1.1 200 OK\r\nX-Att".to_vec()), Act::Close]
+        }),
+        ("closes within the body", |call| {
+            let mut answer = signed(call.header("x-attempt-id"), 200, "a body that is cut off");
+            answer.truncate(answer.len() - 5);
+            vec![Act::Write(answer), Act::Close]
+        }),
+        ("sends what is no answer", |_| {
+            vec![
+                Act::Write(b"\x00\x01 what is this\r\n\r\n".to_vec()),
+                Act::Close,
+            ]
+        }),
+        ("answers another request", |_| {
+            vec![Act::Write(signed("0123456789abcdef", 200, "of another"))]
+        }),
+        ("does not sign", |call| {
+            let id = call.header("x-attempt-id");
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nno");
+            vec![Act::Write(answer.into_bytes())]
+        }),
+    ]
+}
+
+#[googletest::test]
+fn an_unsafe_request_with_a_spoilt_answer_runs_once_and_nothing_is_promised() {
+    block_on(async {
+        let site = site(2).await;
+        let caller = Caller::default();
+        for (what, script) in spoilt() {
+            for server in &site.servers {
+                server.script(script);
+            }
+            let order = Ask::post("/orders/1", what);
+            let answer = ask(&site, &caller, &order).await;
+            expect_that!(runs_of(&site, &order.id), eq(1), "{what}");
+            expect_that!(answer.promises_not_run(), eq(false), "{what}: {answer:?}");
+            expect_that!(answer.status, some(ge(500)), "{what}: {answer:?}");
+        }
+    });
+}
+
+#[googletest::test]
+fn a_safe_request_with_a_spoilt_answer_is_answered_by_another_server() {
+    block_on(async {
+        let site = site(2).await;
+        let caller = Caller::default();
+        for (what, script) in spoilt() {
+            site.servers[0].script(script);
+            let before = site.servers[0].runs().len();
+            let ask_one = async || {
+                let answer = ask(&site, &caller, &Ask::get("/x")).await;
+                expect_that!(answer.status, some(eq(200)), "{what}: {answer:?}");
+                expect_that!(answer.is_whole, eq(true), "{what}");
+                expect_that!(answer.body, eq("i-1 says /x"), "{what}");
+            };
+            // A server that failed is passed over for a while.
+            site.wait("the spoilt server is asked", async || {
+                ask_one().await;
+                site.servers[0].runs().len() > before
+            })
+            .await;
+        }
+    });
+}
+
+#[googletest::test]
+fn an_extra_answer_goes_to_nobody() {
+    block_on(async {
+        let site = site(1).await;
+        site.servers[0].script(|call| {
+            let id = call.header("x-attempt-id");
+            vec![
+                Act::Write(signed(id, 200, &format!("first of {id}"))),
+                Act::Wait(Duration::from_millis(30)),
+                Act::Write(signed(id, 200, "second")),
+            ]
+        });
+        let caller = Caller::default();
+        for pause_ms in [0, 0, 10, 30, 50, 100, 0] {
+            let order = Ask::post("/orders/1", "one");
+            let answer = ask(&site, &caller, &order).await;
+            expect_that!(runs_of(&site, &order.id), le(1));
+            if answer.status == Some(200) {
+                expect_that!(answer.body, eq(&format!("first of {}", order.id)));
+            } else {
+                expect_that!(answer.promises_not_run(), eq(false));
+            }
+            compio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    });
+}
+
+#[googletest::test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    block_on(async {
+        let site = site(1).await;
+        site.servers[0].script(|call| {
+            let id = call.header("x-attempt-id");
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: s\r\n\r\nwhole"
+            );
+            vec![Act::Write(answer.into_bytes()), Act::Close]
+        });
+        let answer = ask(&site, &Caller::default(), &Ask::post("/orders/1", "one")).await;
+        expect_that!(answer.status, some(eq(200)));
+        expect_that!(answer.body, eq("whole"));
+        expect_that!(answer.is_whole, eq(true));
+    });
+}
+
+#[googletest::test]
+fn a_refusal_by_one_server_is_made_good_by_another() {
+    block_on(async {
+        let site = site(2).await;
+        site.servers[0].script(|_| {
+            let answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            vec![Act::Write(answer.into())]
+        });
+        let caller = Caller::default();
+        for _ in 0..6 {
+            let order = Ask::post("/orders/1", "one");
+            let answer = ask(&site, &caller, &order).await;
+            expect_that!(answer.status, some(eq(200)));
+            expect_that!(answer.body, starts_with("i-1"));
+        }
+    });
+}
+
+#[googletest::test]
+fn where_nobody_takes_it_the_promise_is_true_and_says_when_to_come_back() {
+    block_on(async {
+        let site = site(2).await;
+        for server in &site.servers {
+            server.script(|_| {
+                let answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+                vec![Act::Write(answer.into())]
+            });
+        }
+        let answer = ask(&site, &Caller::default(), &Ask::post("/orders/1", "one")).await;
+        expect_that!(answer.status, some(eq(503)));
+        expect_that!(answer.header("retry-after").parse::<f64>(), ok(gt(&0.0)));
+        expect_that!(answer.took, lt(Duration::from_millis(500)));
+    });
+}
+
+#[googletest::test]
+fn a_server_at_a_reused_address_runs_nothing_meant_for_another() {
+    block_on(async {
+        let site = site(1).await;
+        // The directory still names another run at this address.
+        let mut entry = site.servers[0].entry("ready");
+        entry["service"] = json!("books");
+        site.remove(&site.servers[0]);
+        site.store.put("keyed.servers", "i-gone", &entry);
+        compio::time::sleep(Duration::from_millis(1_500)).await;
+        let order = Ask::post("/orders/1", "one");
+        let answer = ask(&site, &Caller::default(), &order).await;
+        expect_that!(runs_of(&site, &order.id), eq(0));
+        expect_that!(answer.promises_not_run(), eq(true), "{answer:?}");
+    });
+}
+
+#[googletest::test]
+fn servers_that_refuse_connections_cost_an_unsafe_request_nothing() {
+    block_on(async {
+        let site = site(2).await;
+        site.servers[0].die();
+        compio::time::sleep(Duration::from_millis(100)).await;
+        let caller = Caller::default();
+        for _ in 0..6 {
+            let order = Ask::post("/orders/1", "one");
+            let answer = ask(&site, &caller, &order).await;
+            expect_that!(answer.status, some(eq(200)), "{answer:?}");
+            expect_that!(runs_of(&site, &order.id), eq(1));
+        }
+    });
+}
+
+#[googletest::test]
+fn retries_stay_within_the_budget() {
+    block_on(async {
+        let site = site(2).await;
+        for server in &site.servers {
+            server.script(|call| {
+                let id = call.header("x-attempt-id");
+                vec![Act::Write(signed(id, 500, "broken inside"))]
+            });
+        }
+        let caller = Caller::default();
+        let count = 150;
+        for _ in 0..count {
+            ask(&site, &caller, &Ask::get("/x")).await;
+        }
+        let runs: usize = site.servers.iter().map(|it| it.runs().len()).sum();
+        // A fifth of the requests and the slack of the settings, all of it this VM's.
+        expect_that!(runs - count, le(count / 5 + 58));
+        expect_that!(runs - count, gt(20));
+    });
+}
