Swap models by the demand that copies answer in time

Change: a swap is made where the demand that the new copy answers in time exceeds what the dropped copies answered; an idle model's last copy may go.

--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -1,26 +1,34 @@
 //! Which runner should hold which model and adapter.
 //!
 //! Answers a load that keeps moving: a few models take most requests, others are asked for
-//! now and then, and which these are changes within seconds. Every model keeps one copy as
-//! long as room allows; the remaining room follows the demand for each copy.
+//! now and then, and which these are changes within seconds. A swap is made where the demand
+//! that the new copy answers in time exceeds what the dropped ones answered.
 
 use crate::gateway::peers::WantedRate;
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
 use std::collections::HashMap;
 
-/// The demand for one copy, in runners, from which another copy is worth a swap. A runner
-/// that spends a third of its time on one model still answers at once.
-const CROWDED: f64 = 0.30;
-/// How much lower the demand for each copy of what is dropped must be than that for each
-/// copy of what is loaded; keeps equal models from taking turns.
-const GAIN: f64 = 0.6;
+/// The demand that one copy answers in time, in runners: a runner's time goes to several
+/// models, and one that is half busy still answers at once.
+const COPY_CAPACITY: f64 = 0.5;
+/// What one copy of a model that nobody asks for now is worth, in runners of demand: little,
+/// since a runner loads it anew from its own disk within a second.
+const REACH: f64 = 0.04;
+/// What a request that waits for a model counts, in runners of demand.
+const WAITING: f64 = 0.05;
+/// The gain from which a swap is made; keeps models with equal demand from taking turns.
+const MIN_GAIN: f64 = 0.08;
+/// What a load from the weight store costs more than one from a runner's disk.
+const COLD_COST: f64 = 0.05;
+/// What dropping costs for each request on the runner, whose end it may wait for.
+const DROP_COST: f64 = 0.0005;
+/// What the loss of a copy that adapters need costs.
+const ADAPTER_LACK: f64 = 0.05;
 /// Swaps under way at a time: each takes a runner's copy away for about two seconds.
-const MAX_SWAPS: usize = 3;
+const MAX_SWAPS: usize = 4;
 /// The demand for an adapter copy, in tokens a second, from which a second one is placed.
 const ADAPTER_CROWDED: f64 = 3_000.0;
-/// What the loss of a copy that adapters need costs, as demand for each copy.
-const ADAPTER_LACK: f64 = 0.1;
 /// Loads from the weight store that filling a runner leaves to models that are missed.
 const FILL_RESERVE: usize = 4;
 /// Adapters that may be on their way to one runner.
@@ -47,6 +55,13 @@
     pub(crate) in_flight: u32,
 }
 
+impl RunnerView {
+    /// Whether a model can be loaded there without the weight store.
+    fn has_at_hand(&self, model: &Name) -> bool {
+        self.in_memory.contains(model) || self.on_disk.contains(model)
+    }
+}
+
 /// What one runner is to do, in this order.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Steps {
@@ -82,8 +97,35 @@
 impl Pressure {
     /// The demand for each copy, in runners.
     fn each(&self) -> f64 {
-        self.runners / self.copies.max(1) as f64
+        self.demand() / self.copies.max(1) as f64
+    }
+
+    fn demand(&self) -> f64 {
+        self.runners + f64::from(self.waiting) * WAITING
     }
+
+    /// The demand that so many copies answer in time.
+    fn answered(&self, copies: usize) -> f64 {
+        let reach = if copies > 0 { REACH } else { 0.0 };
+        reach + self.demand().min(copies as f64 * COPY_CAPACITY)
+    }
+
+    /// What one more copy gains.
+    fn gain(&self) -> f64 {
+        self.answered(self.copies + 1) - self.answered(self.copies)
+    }
+
+    /// What one copy less loses.
+    fn loss(&self) -> f64 {
+        self.answered(self.copies) - self.answered(self.copies.saturating_sub(1))
+    }
+}
+
+/// A swap on one runner with what it gains.
+struct Swap {
+    gain: f64,
+    runner: Name,
+    steps: Steps,
 }
 
 /// Cost tokens a second that one runner can work off: the prompt tokens that it reads.
@@ -119,139 +161,100 @@
         pressures
     }
 
+    /// Makes the swaps that gain most, one after the other.
     fn plan_models(&self, steps: &mut HashMap<Name, Steps>) {
         let mut pressures = self.pressures();
-        let mut swaps = self.runners.iter().filter(|it| it.coming.is_some()).count();
+        let under_way = self.runners.iter().filter(|it| it.coming.is_some()).count();
         let mut cold_loads = self.cold_loads;
-        let mut wanted: Vec<&Model> = self.engine.models.iter().collect();
-        wanted.sort_by(|left, right| {
-            let urgency = |model: &Model| {
-                let pressure = pressures[&model.name];
-                let is_missing = pressure.copies == 0;
-                (
-                    is_missing && pressure.waiting > 0,
-                    is_missing,
-                    pressure.each(),
-                )
+        for _ in under_way..MAX_SWAPS {
+            let models = self.engine.models.iter();
+            let swaps =
+                models.filter_map(|model| self.best_swap(model, &pressures, steps, cold_loads));
+            let best = swaps.max_by(|left, right| left.gain.total_cmp(&right.gain));
+            let Some(swap) = best.filter(|swap| swap.gain >= MIN_GAIN) else {
+                break;
             };
-            let (left, right) = (urgency(left), urgency(right));
-            right
-                .partial_cmp(&left)
-                .unwrap_or(std::cmp::Ordering::Equal)
-        });
-        for model in wanted {
-            let pressure = pressures[&model.name];
-            let is_wanted = pressure.copies == 0 || pressure.each() > CROWDED;
-            if !is_wanted || swaps >= MAX_SWAPS {
-                continue;
-            }
-            let Some((runner, swap)) = self.best_swap(model, &pressures, steps, cold_loads) else {
-                continue;
-            };
-            for dropped in &swap.drop {
+            for dropped in &swap.steps.drop {
                 if let Some(pressure) = pressures.get_mut(&dropped.model) {
                     pressure.copies -= 1;
                 }
             }
-            if let Some(pressure) = pressures.get_mut(&model.name) {
-                pressure.copies += 1;
+            for loaded in &swap.steps.load {
+                if let Some(pressure) = pressures.get_mut(&loaded.model) {
+                    pressure.copies += 1;
+                }
             }
-            cold_loads -= usize::from(swap.is_cold);
-            swaps += 1;
-            steps.insert(runner, swap);
+            cold_loads -= usize::from(swap.steps.is_cold);
+            steps.insert(swap.runner, swap.steps);
         }
         self.fill(&mut pressures, steps);
     }
 
-    /// The runner on which loading `model` costs least, with what makes room there.
+    /// The runner on which one more copy of `model` gains most, with what makes room there.
     fn best_swap(
         &self,
         model: &Model,
         pressures: &HashMap<Name, Pressure>,
         steps: &HashMap<Name, Steps>,
         cold_loads: usize,
-    ) -> Option<(Name, Steps)> {
+    ) -> Option<Swap> {
         let free = self.runners.iter().filter(|runner| {
             !runner.is_working
                 && runner.coming.is_none()
                 && !runner.models.contains(&model.name)
                 && !steps.contains_key(&runner.id)
         });
+        let gain = pressures[&model.name].gain();
         let swaps = free.filter_map(|runner| {
-            let is_cold =
-                !runner.in_memory.contains(&model.name) && !runner.on_disk.contains(&model.name);
+            let is_cold = !runner.has_at_hand(&model.name);
             if is_cold && cold_loads == 0 {
                 return None;
             }
-            let drop = self.room_for(model, runner, pressures)?;
-            let load_ms = if runner.in_memory.contains(&model.name) {
-                model.warm_ms
-            } else if is_cold {
-                model.load_ms
-            } else {
-                model.disk_ms
-            };
-            let lost: f64 = drop
-                .iter()
-                .map(|name| pressures.get(name).map_or(0.0, Pressure::each))
-                .sum();
-            // A drop waits for the runs that it ends; demand lost there counts like time.
-            let cost = load_ms as f64 + f64::from(runner.in_flight) * 10.0 + lost * 2_000.0;
-            let steps = Steps {
-                drop: drop.into_iter().map(whole).collect(),
-                load: vec![whole(model.name.clone())],
-                is_cold,
-            };
-            Some((cost, runner.id.clone(), steps))
+            let (drop, loss) = self.room_for(model, runner, pressures)?;
+            let cold = if is_cold { COLD_COST } else { 0.0 };
+            let waits = if drop.is_empty() { 0 } else { runner.in_flight };
+            Some(Swap {
+                gain: gain - loss - cold - f64::from(waits) * DROP_COST,
+                runner: runner.id.clone(),
+                steps: Steps {
+                    drop: drop.into_iter().map(whole).collect(),
+                    load: vec![whole(model.name.clone())],
+                    is_cold,
+                },
+            })
         });
-        let best = swaps.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some((best.1, best.2))
+        swaps.max_by(|left, right| left.gain.total_cmp(&right.gain))
     }
 
-    /// What must be dropped on a runner for `model` to fit; `None` if nothing of it may.
+    /// What is dropped on a runner for `model` to fit, and the loss; `None` if it never does.
     fn room_for(
         &self,
         model: &Model,
         runner: &RunnerView,
         pressures: &HashMap<Name, Pressure>,
-    ) -> Option<Vec<Name>> {
-        let wanted = pressures[&model.name];
+    ) -> Option<(Vec<Name>, f64)> {
         let mut victims: Vec<(f64, &Name)> = runner
             .models
             .iter()
-            .filter_map(|held| {
+            .map(|held| {
                 let pressure = pressures.get(held).copied().unwrap_or_default();
-                let copies = pressure.copies.max(2) - 1;
-                let lack = if copies < self.copies_for_adapters(held) {
-                    ADAPTER_LACK
-                } else {
-                    0.0
-                };
-                let after = pressure.runners / copies as f64 + lack;
-                let is_spare = pressure.copies >= 2 && after < GAIN * wanted.each().max(CROWDED);
-                // The last copy of a model that nobody asks for gives way to one that is.
-                let is_idle = pressure.runners <= 0.0
-                    && pressure.waiting == 0
-                    && wanted.copies == 0
-                    && (wanted.waiting > 0 || wanted.runners > 0.0);
-                (is_spare || is_idle).then_some((after, held))
+                let lacks = pressure.copies <= self.copies_for_adapters(held);
+                let lack = if lacks { ADAPTER_LACK } else { 0.0 };
+                (pressure.loss() + lack, held)
             })
             .collect();
         victims.sort_by(|left, right| left.0.total_cmp(&right.0));
-        let mut free_mb = self.engine.weights_mb - self.adapter_room_mb();
-        free_mb -= runner
-            .models
-            .iter()
-            .map(|held| self.size_mb(held))
-            .sum::<f64>();
+        let mut free_mb = self.free_mb(runner);
         let mut drop = Vec::new();
+        let mut lost = 0.0;
         let mut victims = victims.into_iter();
         while free_mb < model.weights_mb {
-            let (_, victim) = victims.next()?;
+            let (loss, victim) = victims.next()?;
             free_mb += self.size_mb(victim);
+            lost += loss;
             drop.push(victim.clone());
         }
-        Some(drop)
+        Some((drop, lost))
     }
 
     /// The copies of a model that hold all its adapters.
@@ -277,9 +280,7 @@
                 let worth = |model: &Model| {
                     let pressure = pressures[&model.name];
                     let lacks = pressure.copies < self.copies_for_adapters(&model.name);
-                    let is_at_hand = runner.in_memory.contains(&model.name)
-                        || runner.on_disk.contains(&model.name);
-                    (pressure.each(), lacks, is_at_hand)
+                    (pressure.each(), lacks, runner.has_at_hand(&model.name))
                 };
                 let (left, right) = (worth(left), worth(right));
                 left.partial_cmp(&right)
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{info, warn};
 
 /// Events that wait for a caller that reads slowly; then the server is not read either.
@@ -60,6 +60,36 @@
     }
 }
 
+/// How a stream has gone so far.
+struct Progress {
+    arrived: Instant,
+    last_at: Option<Instant>,
+    events: u32,
+    first: Duration,
+    longest_pause: Duration,
+}
+
+impl Progress {
+    fn new(call: &Call) -> Self {
+        Self {
+            arrived: call.arrived,
+            last_at: None,
+            events: 0,
+            first: Duration::ZERO,
+            longest_pause: Duration::ZERO,
+        }
+    }
+
+    fn note_event(&mut self, now: Instant) {
+        match self.last_at {
+            Some(last_at) => self.longest_pause = self.longest_pause.max(now - last_at),
+            None => self.first = now - self.arrived,
+        }
+        self.last_at = Some(now);
+        self.events += 1;
+    }
+}
+
 impl<P: Protocol> Relay<P> {
     /// Answers a request by a stream; returns once the first event has come.
     pub(crate) async fn stream(self: Rc<Self>, mut call: Call) -> Result<Response<Body>, Failure> {
@@ -113,11 +143,11 @@
         let weights = feed.exchange.reply.weights;
         let mut last = call.ask.last_event;
         let mut event = first;
-        let mut events = 0_u32;
+        let mut progress = Progress::new(&call);
         loop {
             if is_next(last, event.id) {
                 last = event.id.or(last);
-                events += 1;
+                progress.note_event(Instant::now());
                 if !sender.send(event.bytes).await {
                     return;
                 }
@@ -129,7 +159,7 @@
                     }
                     Next::Event(event) => break event,
                     Next::End => {
-                        self.end_whole(&call, feed, events);
+                        self.end_whole(&call, feed, &progress);
                         sender.end_whole();
                         return;
                     }
@@ -143,14 +173,16 @@
         }
     }
 
-    fn end_whole(&self, call: &Call, feed: Feed, events: u32) {
+    fn end_whole(&self, call: &Call, feed: Feed, progress: &Progress) {
         feed.exchange.server.note_success();
         self.state.suspects.clear(call.fingerprint);
         info!(
             request = %call.ask.id,
             route = %call.route.name,
             server = %feed.exchange.server.id,
-            events,
+            events = progress.events,
+            first_ms = progress.first.as_millis() as u64,
+            longest_pause_ms = progress.longest_pause.as_millis() as u64,
             runs = call.runs,
             age_ms = call.arrived.elapsed().as_millis() as u64,
             "stream complete"
--- a/workbench/tests/site_once.rs
+++ b/workbench/tests/site_once.rs
@@ -32,8 +32,11 @@
     caller.ask(site.front(0), ask).await
 }
 
+/// What a server does, in words and in acts.
+type Spoilt = (&'static str, fn(&Call) -> Vec<Act>);
+
 /// All that a server may answer which is not the whole answer to its request.
-fn spoilt() -> Vec<(&'static str, fn(&Call) -> Vec<Act>)> {
+fn spoilt() -> Vec<Spoilt> {
     vec![
         ("closes without an answer", |_| vec![Act::Close]),
         ("closes within the head", |_| {
