--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -23,9 +23,14 @@
 }
 
 impl Candidate {
-    /// The load that decides, in requests for each slot.
+    /// The load, in requests for each slot.
+    pub(crate) fn load(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.slots.max(1))
+    }
+
+    /// What decides: the load with what speaks against the server.
     pub(crate) fn score(&self) -> f64 {
-        let load = f64::from(self.in_flight) / f64::from(self.slots.max(1));
+        let load = self.load();
         let zone = if self.is_near { 0.0 } else { ZONE_PENALTY };
         let failed = if self.has_failed { FAILED_PENALTY } else { 0.0 };
         load + zone + failed
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -9,12 +9,19 @@
 use crate::inventory::Name;
 use std::collections::HashMap;
 
-/// The demand that one copy answers in time, in runners: a runner's time goes to several
-/// models, and one that is half busy still answers at once.
-const COPY_CAPACITY: f64 = 0.5;
+/// The demand that one copy answers in time, in runners: beyond a quarter of a runner's time
+/// prompts queue behind each other and hold up the streams beside them.
+const IN_TIME: f64 = 0.25;
+/// The demand that one copy answers at all beside other models, in runners.
+const AT_ALL: f64 = 0.6;
+/// What an answer counts that comes late.
+const LATE_VALUE: f64 = 0.3;
 /// What one copy of a model that nobody asks for now is worth, in runners of demand: little,
 /// since a runner loads it anew from its own disk within a second.
 const REACH: f64 = 0.04;
+/// What one copy of a model that is asked for is worth beside the demand that it answers:
+/// requests for rare models are to be served as well as those for busy ones.
+const ASKED: f64 = 0.2;
 /// What a request that waits for a model counts, in runners of demand.
 const WAITING: f64 = 0.05;
 /// The gain from which a swap is made; keeps models with equal demand from taking turns.
@@ -104,10 +111,16 @@
         self.runners + f64::from(self.waiting) * WAITING
     }
 
-    /// The demand that so many copies answer in time.
+    /// What so many copies are worth: the demand that they answer, late answers less.
     fn answered(&self, copies: usize) -> f64 {
-        let reach = if copies > 0 { REACH } else { 0.0 };
-        reach + self.demand().min(copies as f64 * COPY_CAPACITY)
+        let reach = match (copies, self.demand() > 0.0) {
+            (0, _) => 0.0,
+            (_, false) => REACH,
+            (_, true) => ASKED,
+        };
+        let in_time = self.demand().min(copies as f64 * IN_TIME);
+        let at_all = self.demand().min(copies as f64 * AT_ALL);
+        reach + in_time + (at_all - in_time) * LATE_VALUE
     }
 
     /// What one more copy gains.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -29,10 +29,20 @@
 const MODEL_WAIT: Duration = Duration::from_millis(1_000);
 /// The longest wait for a model that no runner holds.
 const MAX_MODEL_WAIT: Duration = Duration::from_millis(2_500);
+/// The load up to which a runner takes requests, in requests for each slot: what waits there
+/// beyond its slots comes late and holds up what is begun.
+const MAX_LOAD: f64 = 1.1;
+/// The load from which a server may be slow to answer, in requests for each slot.
+const BUSY_LOAD: f64 = 0.7;
+/// The part of a route's target that a request waits for a place on a full runner.
+const PLACE_WAIT_SHARE: f64 = 0.4;
+/// The time between two looks for a place.
+const PLACE_POLL: Duration = Duration::from_millis(40);
 /// Servers that refuse one request before it is given back.
 const MAX_REFUSED: u32 = 3;
-/// When to come back after a refusal for want of a place.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When to come back after a refusal for want of a place, on average: by then streams that
+/// hold the places have ended.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(800);
 /// When to come back to a VM that knows too little to serve.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// When to come back where no server holds the model.
@@ -76,7 +86,11 @@
             Self::TooLarge => (413, None),
             Self::BodyCut => (408, None),
             Self::NoServer => (503, Some(NO_SERVER_RETRY_AFTER)),
-            Self::Full => (503, Some(FULL_RETRY_AFTER)),
+            // Spread, so that those refused together do not come back together.
+            Self::Full => {
+                let spread = rand::random_range(0.5..1.5);
+                (503, Some(FULL_RETRY_AFTER.mul_f64(spread)))
+            }
             Self::Unknown => (502, None),
             Self::TimedOut => (504, None),
             Self::Late => (503, None),
@@ -376,6 +390,7 @@
         call.tried.push(server.id.clone());
         let limit = self.head_limit(call, time_left);
         let request = || P::to_server(&call.ask, &options);
+        let sent_at = Instant::now();
         let sent = self.links.exchange::<P>(server, request, limit).await;
         let now = Instant::now();
         match sent {
@@ -391,9 +406,15 @@
             }
             Err(SendError::MaybeSent) => {
                 call.runs += 1;
-                let age_ms = call.arrived.elapsed().as_millis() as u64;
-                warn!(request = %call.ask.id, server = %server.id, age_ms, "no answer from server");
-                self.note_broken(call, server);
+                let waited = sent_at.elapsed();
+                let waited_ms = waited.as_millis() as u64;
+                warn!(request = %call.ask.id, server = %server.id, waited_ms, "no answer from server");
+                if waited < limit {
+                    self.note_broken(call, server);
+                } else if !self.is_loaded(server) {
+                    // A server that is busy may well be slow; one that is not is ill.
+                    server.note_failure(now);
+                }
                 if call.time_left().is_zero() {
                     return Err(Some(Failure::TimedOut));
                 }
@@ -405,6 +426,12 @@
         }
     }
 
+    /// Whether most places of a server are taken.
+    fn is_loaded(&self, server: &Server) -> bool {
+        let in_flight = server.in_flight() + self.state.peers.in_flight(&server.id);
+        f64::from(in_flight) >= BUSY_LOAD * server.with(|entry| f64::from(entry.slots))
+    }
+
     /// What the head of an answer means for the request.
     fn judge(
         &self,
@@ -478,32 +505,44 @@
         patience.min(time_left)
     }
 
-    /// The server to send to; waits for one while a model is expected to be loaded.
+    /// The server to send to; waits for a place, or for a model that is to be loaded.
     async fn server_for(&self, call: &Call) -> Result<Rc<Server>, Failure> {
-        let target = Duration::from_millis(call.route.target_latency_ms);
-        let wait = target.clamp(MODEL_WAIT, MAX_MODEL_WAIT);
-        let wait_until = (call.arrived + wait).min(call.deadline);
         let mut waiting = None;
         loop {
             let changed = self.state.changed.wait();
-            if let Some(server) = self.pick(call) {
-                return Ok(server);
+            let why = match self.pick(call) {
+                Ok(server) => return Ok(server),
+                Err(why) => why,
+            };
+            let until = (call.arrived + Self::wait_limit(call, why)).min(call.deadline);
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(if call.runs > 0 { Failure::Unknown } else { why });
             }
-            let left = wait_until.saturating_duration_since(Instant::now());
-            let (false, Some(weights)) = (left.is_zero(), call.weights()) else {
-                return Err(if call.runs > 0 {
-                    Failure::Unknown
-                } else {
-                    Failure::NoServer
-                });
+            if let (Failure::NoServer, Some(weights)) = (why, call.weights()) {
+                waiting.get_or_insert_with(|| self.state.wait_for(&weights));
+            }
+            let pause = match why {
+                Failure::Full => left.min(PLACE_POLL),
+                _ => left,
             };
-            waiting.get_or_insert_with(|| self.state.wait_for(&weights));
-            // The end of the wait is looked at on the next turn.
-            let _ = compio::time::timeout(left, changed).await;
+            // Whatever ends the wait, the next turn looks again.
+            let _ = compio::time::timeout(pause, changed).await;
+        }
+    }
+
+    /// How long a request waits for a server, from its arrival.
+    fn wait_limit(call: &Call, why: Failure) -> Duration {
+        let target = Duration::from_millis(call.route.target_latency_ms);
+        match why {
+            Failure::Full => target.mul_f64(PLACE_WAIT_SHARE),
+            _ if call.ask.generation.is_some() => target.clamp(MODEL_WAIT, MAX_MODEL_WAIT),
+            _ => Duration::ZERO,
         }
     }
 
-    fn pick(&self, call: &Call) -> Option<Rc<Server>> {
+    /// The least loaded server that can serve the request.
+    fn pick(&self, call: &Call) -> Result<Rc<Server>, Failure> {
         let now = Instant::now();
         let weights = call.weights();
         let mut servers = self.state.fleet.of_service(&call.service);
@@ -517,8 +556,12 @@
             .iter()
             .map(|server| self.candidate(call, server, now))
             .collect();
-        let place = choose(&candidates, rand::random)?;
+        let place = choose(&candidates, rand::random).ok_or(Failure::NoServer)?;
         let chosen = candidates[place];
+        // A stream that was begun goes on even where others have to wait.
+        if weights.is_some() && call.runs == 0 && chosen.load() >= MAX_LOAD {
+            return Err(Failure::Full);
+        }
         info!(
             request = %call.ask.id,
             server = %servers[place].id,
@@ -526,7 +569,7 @@
             candidates = candidates.len(),
             "routed"
         );
-        Some(servers[place].clone())
+        Ok(servers[place].clone())
     }
 
     fn candidate(&self, call: &Call, server: &Server, now: Instant) -> Candidate {
