--- a/src/cli.rs
+++ b/src/cli.rs
@@ -64,9 +64,15 @@
             ),
         )
         .subcommand(
-            Command::new("front").about(
-                "Run one VM on the users' platform; its settings file is named by the platform",
-            ),
+            Command::new("front")
+                .about("Run one VM on the users' platform, by the settings file that it names")
+                .arg(
+                    Arg::new("metrics_port")
+                        .long("metrics-port")
+                        .value_name("PORT")
+                        .value_parser(value_parser!(u16).range(1..))
+                        .help("Serve metrics at this port too, at /metrics"),
+                ),
         )
         .subcommand(
             Command::new("publish")
@@ -172,7 +178,7 @@
     let matches = command().get_matches();
     let outcome = match matches.subcommand() {
         Some(("serve", matches)) => serve(matches),
-        Some(("front", _)) => front(),
+        Some(("front", matches)) => front(matches),
         Some(("publish", matches)) => publish(matches),
         Some(("status", matches)) => status(matches),
         Some(("check", matches)) => check(matches),
@@ -236,11 +242,15 @@
     runtime()?.block_on(crate::server::serve(config))
 }
 
-fn front() -> Result<(), Report<Fault>> {
-    let settings = platform::load_settings(&platform::settings_path())?;
-    let store = Rc::new(PlatformStore::new(settings.log_address));
+fn front(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let mut settings = platform::load_settings(&platform::settings_path())?;
+    let port = matches.get_one::<u16>("metrics_port");
+    settings.metrics_address = port.map(|port| SocketAddr::new(settings.ready_address.ip(), *port));
+    let metrics = Rc::new(gateway::Metrics::new());
+    let store = Rc::new(PlatformStore::new(settings.log_address, metrics.clone()));
     runtime()?.block_on(gateway::serve::<PlatformProtocol, _, _>(
         settings,
+        metrics,
         store,
         PlatformRunners,
         platform::READY_PATH,
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -65,6 +65,17 @@
     Streaming,
 }
 
+impl RouteKind {
+    /// The name in metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Unsafe => "unsafe",
+            Self::Streaming => "streaming",
+        }
+    }
+}
+
 /// A group of backend servers that serve the same.
 #[derive(Clone, Debug)]
 pub(crate) struct Service {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response};
+use prometheus_client::metrics::counter::Counter;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -48,12 +49,21 @@
 }
 
 /// The connections of this VM to backend servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Links {
+    opened: Counter,
     idle: RefCell<HashMap<Name, Vec<Idle>>>,
 }
 
 impl Links {
+    /// No connections yet; counts those that it opens.
+    pub(crate) fn new(opened: Counter) -> Self {
+        Self {
+            opened,
+            idle: RefCell::default(),
+        }
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// Dropping the future cuts the connection, so that the server stops its work.
@@ -76,7 +86,7 @@
                     outcome => return outcome.map(|response| (connection, response)),
                 }
             }
-            let mut connection = Self::open(server).await?;
+            let mut connection = self.open(server).await?;
             let response = connection.send(request()).await?;
             Ok((connection, response))
         };
@@ -133,7 +143,8 @@
         None
     }
 
-    async fn open(server: &Server) -> Result<Connection, SendError> {
+    async fn open(&self, server: &Server) -> Result<Connection, SendError> {
+        self.opened.inc();
         Connection::open_owned(server.address, CONNECT_TIMEOUT, UNACKED_LIMIT).await
     }
 }
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,214 @@
+//! Counters, gauges and histograms of the serving role, in the Prometheus text format.
+
+use prometheus_client::encoding::{EncodeLabelSet, text::encode};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Metric, Registry};
+use std::time::Duration;
+
+/// One metric as docs/METRICS.md shows it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MetricRow {
+    /// The name, without the prefix of all.
+    pub(crate) name: &'static str,
+    /// What it counts or measures.
+    pub(crate) meaning: &'static str,
+}
+
+const fn row(name: &'static str, meaning: &'static str) -> MetricRow {
+    MetricRow { name, meaning }
+}
+
+/// Every metric of the serving role.
+pub(crate) const ROWS: &[MetricRow] = &[
+    row(
+        "served_requests",
+        "requests ended, by route kind and outcome",
+    ),
+    row(
+        "answer_seconds",
+        "time from a plain request to its whole answer",
+    ),
+    row(
+        "first_event_seconds",
+        "time from a request to its stream's first event",
+    ),
+    row(
+        "longest_pause_seconds",
+        "longest pause between two events of a whole stream",
+    ),
+    row(
+        "place_wait_seconds",
+        "time that a request waited for a server, where it did",
+    ),
+    row("attempts", "requests sent to servers, by what came of it"),
+    row("retries", "requests sent to a server once more"),
+    row("retries_denied", "retries that the budget did not allow"),
+    row("streams_resumed", "streams that went on at another server"),
+    row("connections_opened", "connections opened to servers"),
+    row("store_calls", "calls to the store, by call and outcome"),
+    row(
+        "store_call_seconds",
+        "time of answered calls to the store, waits included",
+    ),
+    row(
+        "orders_given",
+        "orders to runners, by operation and outcome",
+    ),
+    row("configuration_version", "the configuration in force"),
+    row("servers", "backend servers in the directory"),
+    row("vms", "VMs known, this one included"),
+    row("is_leading", "1 while this VM gives orders"),
+    row("open_connections", "callers' connections"),
+];
+
+/// A request's end.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RequestLabels {
+    /// `safe`, `unsafe` or `streaming`; `none` where the request was refused.
+    pub(crate) kind: &'static str,
+    /// `answered`, `broken_off`, or why it was refused.
+    pub(crate) outcome: &'static str,
+}
+
+/// What came of something.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct OutcomeLabels {
+    /// What came of it.
+    pub(crate) outcome: &'static str,
+}
+
+/// A call or an operation with its outcome.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct CallLabels {
+    /// The call or operation.
+    pub(crate) call: &'static str,
+    /// What came of it.
+    pub(crate) outcome: &'static str,
+}
+
+/// The metrics of one VM.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: Family<RequestLabels, Counter>,
+    pub(crate) answer: Histogram,
+    pub(crate) first_event: Histogram,
+    pub(crate) longest_pause: Histogram,
+    pub(crate) place_wait: Histogram,
+    pub(crate) attempts: Family<OutcomeLabels, Counter>,
+    pub(crate) retries: Counter,
+    pub(crate) retries_denied: Counter,
+    pub(crate) streams_resumed: Counter,
+    pub(crate) connections_opened: Counter,
+    pub(crate) store_calls: Family<CallLabels, Counter>,
+    pub(crate) store_call: Histogram,
+    pub(crate) orders: Family<CallLabels, Counter>,
+    pub(crate) configuration_version: Gauge,
+    pub(crate) servers: Gauge,
+    pub(crate) vms: Gauge,
+    pub(crate) is_leading: Gauge,
+    pub(crate) open_connections: Gauge,
+}
+
+/// Buckets from 5 ms to 20 s.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.005, 2.0, 13))
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("rattanjunction"),
+            requests: Family::default(),
+            answer: seconds(),
+            first_event: seconds(),
+            longest_pause: seconds(),
+            place_wait: seconds(),
+            attempts: Family::default(),
+            retries: Counter::default(),
+            retries_denied: Counter::default(),
+            streams_resumed: Counter::default(),
+            connections_opened: Counter::default(),
+            store_calls: Family::default(),
+            store_call: seconds(),
+            orders: Family::default(),
+            configuration_version: Gauge::default(),
+            servers: Gauge::default(),
+            vms: Gauge::default(),
+            is_leading: Gauge::default(),
+            open_connections: Gauge::default(),
+        };
+        metrics.register_all();
+        metrics
+    }
+
+    fn register_all(&mut self) {
+        self.register("served_requests", self.requests.clone());
+        self.register("answer_seconds", self.answer.clone());
+        self.register("first_event_seconds", self.first_event.clone());
+        self.register("longest_pause_seconds", self.longest_pause.clone());
+        self.register("place_wait_seconds", self.place_wait.clone());
+        self.register("attempts", self.attempts.clone());
+        self.register("retries", self.retries.clone());
+        self.register("retries_denied", self.retries_denied.clone());
+        self.register("streams_resumed", self.streams_resumed.clone());
+        self.register("connections_opened", self.connections_opened.clone());
+        self.register("store_calls", self.store_calls.clone());
+        self.register("store_call_seconds", self.store_call.clone());
+        self.register("orders_given", self.orders.clone());
+        self.register("configuration_version", self.configuration_version.clone());
+        self.register("servers", self.servers.clone());
+        self.register("vms", self.vms.clone());
+        self.register("is_leading", self.is_leading.clone());
+        self.register("open_connections", self.open_connections.clone());
+    }
+
+    fn register(&mut self, name: &'static str, metric: impl Metric) {
+        let row = ROWS.iter().find(|row| row.name == name);
+        let row = row.expect("every metric has a row");
+        self.registry.register(row.name, row.meaning, metric);
+    }
+
+    /// Counts a request's end.
+    pub(crate) fn note_request(&self, kind: &'static str, outcome: &'static str) {
+        let labels = RequestLabels { kind, outcome };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts what came of sending a request to a server.
+    pub(crate) fn note_attempt(&self, outcome: &'static str) {
+        self.attempts
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn note_store_call(
+        &self,
+        call: &'static str,
+        outcome: &'static str,
+        took: Duration,
+    ) {
+        let labels = CallLabels { call, outcome };
+        self.store_calls.get_or_create(&labels).inc();
+        self.store_call.observe(took.as_secs_f64());
+    }
+
+    /// Counts an order.
+    pub(crate) fn note_order(&self, call: &'static str, outcome: &'static str) {
+        self.orders
+            .get_or_create(&CallLabels { call, outcome })
+            .inc();
+    }
+
+    /// All metrics as text.
+    pub(crate) fn to_text(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("a string takes all text");
+        text
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod journal;
 mod leading;
+mod metrics;
 mod ordering;
 mod outside;
 mod peers;
@@ -33,6 +34,7 @@
     Configuration, Engine, Limits, Model, Route, RouteKind, Service, Target,
 };
 pub(crate) use fleet::{Entry, Holding, ServerState};
+pub(crate) use metrics::Metrics;
 pub(crate) use outside::{
     Changes, Claims, ConfigSource, Directory, Group, Malformed, Membership, Order, OrderOutcome,
     Protocol, Refusal, Reply, RunnerControl, RunnerReport, SendOptions, ServerChange, StoreError,
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -68,12 +68,14 @@
     /// Begins to give orders under a fence.
     pub(crate) fn start(&self, fence: u64) {
         self.tracked.borrow_mut().clear();
+        self.state.metrics.is_leading.set(1);
         self.fence.set(Some(fence));
     }
 
     /// Gives no further order.
     pub(crate) fn stop(&self) {
         self.fence.set(None);
+        self.state.metrics.is_leading.set(0);
         self.tracked.borrow_mut().clear();
         self.state.leader_view.borrow_mut().clear();
     }
@@ -353,6 +355,8 @@
             fence,
         };
         let outcome = self.runners.order(server.address, &order).await;
+        let operation = if is_load { "load" } else { "drop" };
+        self.state.metrics.note_order(operation, outcome.name());
         info!(
             server = %server.id,
             model = %weights.model,
--- a/src/gateway/outside.rs
+++ b/src/gateway/outside.rs
@@ -208,6 +208,21 @@
     Unanswered,
 }
 
+impl OrderOutcome {
+    /// The name in metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Held => "held",
+            Self::Busy => "busy",
+            Self::Fenced => "fenced",
+            Self::Invalid => "invalid",
+            Self::NotSent => "not_sent",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// A model runner's own account.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunnerReport {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -78,6 +78,23 @@
 }
 
 impl Failure {
+    /// The name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unready => "unready",
+            Self::Malformed(_) => "malformed",
+            Self::NoRoute => "no_route",
+            Self::TooLarge => "too_large",
+            Self::BodyCut => "body_cut",
+            Self::NoServer => "no_server",
+            Self::Full => "full",
+            Self::Unknown => "unknown",
+            Self::TimedOut => "timed_out",
+            Self::Late => "late",
+            Self::Poison => "poison",
+        }
+    }
+
     fn refusal(self) -> Refusal {
         let (status, retry_after) = match self {
             Self::Unready => (503, Some(UNREADY_RETRY_AFTER)),
@@ -167,8 +184,8 @@
             window: bounds.retry_window,
         });
         Self {
+            links: Links::new(state.metrics.connections_opened.clone()),
             state,
-            links: Links::default(),
             budget,
             protocol: PhantomData,
         }
@@ -191,6 +208,7 @@
             Err(failure) => {
                 let age_ms = arrived.elapsed().as_millis() as u64;
                 let refusal = failure.refusal();
+                self.state.metrics.note_request("none", failure.name());
                 info!(request = %id, ?failure, status = refusal.status.as_u16(), age_ms, "request refused");
                 P::refuse(refusal)
             }
@@ -288,6 +306,9 @@
                 continue;
             }
             self.state.suspects.clear(call.fingerprint);
+            let metrics = &self.state.metrics;
+            metrics.note_request(call.route.kind.name(), "answered");
+            metrics.answer.observe(call.arrived.elapsed().as_secs_f64());
             info!(
                 request = %call.ask.id,
                 route = %call.route.name,
@@ -357,9 +378,13 @@
             let now = Instant::now();
             let vms = self.state.peers.vms();
             if is_retry && !self.budget.take(&call.service, vms, now) {
+                self.state.metrics.retries_denied.inc();
                 info!(request = %call.ask.id, service = %call.service, vms, "retry budget spent");
                 return Err(self.give_up(call));
             }
+            if is_retry {
+                self.state.metrics.retries.inc();
+            }
             match self.send(call, &server, last_event, weights).await {
                 Ok(exchange) => return Ok(exchange),
                 Err(Some(failure)) => return Err(failure),
@@ -397,6 +422,7 @@
             Ok(exchange) => self.judge(call, exchange, now),
             Err(SendError::NotSent) => {
                 server.note_failure(now);
+                self.state.metrics.note_attempt("not_reached");
                 warn!(request = %call.ask.id, server = %server.id, "server not reached");
                 call.refused += 1;
                 if call.refused >= MAX_REFUSED {
@@ -406,6 +432,7 @@
             }
             Err(SendError::MaybeSent) => {
                 call.runs += 1;
+                self.state.metrics.note_attempt("no_answer");
                 let waited = sent_at.elapsed();
                 let waited_ms = waited.as_millis() as u64;
                 warn!(request = %call.ask.id, server = %server.id, waited_ms, "no answer from server");
@@ -448,6 +475,7 @@
             .is_some_and(|id| *id != call.ask.id);
         let is_refused = exchange.reply.is_not_run || status == StatusCode::MISDIRECTED_REQUEST;
         if is_refused && !is_other {
+            self.state.metrics.note_attempt("refused");
             self.note_refused(call, &exchange, now);
             self.links.keep(exchange);
             if call.refused >= MAX_REFUSED {
@@ -458,6 +486,7 @@
         call.runs += 1;
         if is_other || (status.is_success() && !exchange.reply.is_signed) {
             warn!(request = %call.ask.id, server = %server.id, is_other, "answer is not the request's");
+            self.state.metrics.note_attempt("not_its_answer");
             server.note_failure(now);
             self.links.clear(&server.id);
             if call.may_run_again() {
@@ -465,6 +494,7 @@
             }
             return Err(Some(Failure::Unknown));
         }
+        self.state.metrics.note_attempt("answered");
         Ok(exchange)
     }
 
@@ -508,10 +538,17 @@
     /// The server to send to; waits for a place, or for a model that is to be loaded.
     async fn server_for(&self, call: &Call) -> Result<Rc<Server>, Failure> {
         let mut waiting = None;
+        let began = Instant::now();
         loop {
             let changed = self.state.changed.wait();
             let why = match self.pick(call) {
-                Ok(server) => return Ok(server),
+                Ok(server) => {
+                    let waited = began.elapsed();
+                    if waited >= PLACE_POLL {
+                        self.state.metrics.place_wait.observe(waited.as_secs_f64());
+                    }
+                    return Ok(server);
+                }
                 Err(why) => why,
             };
             let until = (call.arrived + Self::wait_limit(call, why)).min(call.deadline);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -7,20 +7,26 @@
 use crate::gateway::relay::Relay;
 use crate::gateway::state::State;
 use crate::gateway::watch::Watch;
-use crate::gateway::{Claims, ConfigSource, Directory, Group, Protocol, RunnerControl, Settings};
+use crate::gateway::{
+    Claims, ConfigSource, Directory, Group, Metrics, Protocol, RunnerControl, Settings,
+};
 use crate::http::{self, Body, serve_patiently};
 use crate::inventory::Name;
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
 use futures_util::future::{Either, select};
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, header};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
 
+/// Where metrics are served, beside readiness.
+const METRICS_PATH: &str = "/metrics";
+/// The format of metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// SIGTERM and SIGINT begin a graceful end.
 const STOP_SIGNALS: [i32; 2] = [15, 2];
 /// SIGHUP tells that the settings file has changed.
@@ -43,6 +49,7 @@
 /// Fails when an address cannot be bound or the log cannot be started.
 pub(crate) async fn serve<P, S, R>(
     settings: Settings,
+    metrics: Rc<Metrics>,
     store: Rc<S>,
     runners: R,
     ready_path: &'static str,
@@ -55,7 +62,7 @@
     let journal = Journal::start().change_context(Fault::Logging)?;
     let callers = bind(settings.caller_address).await?;
     let ready = bind(settings.ready_address).await?;
-    let state = Rc::new(State::new(settings));
+    let state = Rc::new(State::new(settings, metrics));
     let gossip = Gossip::bind(state.clone())
         .await
         .change_context(Fault::Bind)
@@ -71,6 +78,10 @@
     let leading = Leading::new(state.clone(), store, runners);
     compio::runtime::spawn(leading.clone().keep_membership()).detach();
     compio::runtime::spawn(leading.clone().lead()).detach();
+    if let Some(address) = settings.metrics_address {
+        let listener = bind(address).await?;
+        compio::runtime::spawn(serve_ready(listener, state.clone(), ready_path)).detach();
+    }
     compio::runtime::spawn(serve_ready(ready, state.clone(), ready_path)).detach();
     serve_callers::<P>(callers, state.clone());
     stop_signal().await;
@@ -113,10 +124,18 @@
     .detach();
 }
 
+fn metrics_answer(state: &State) -> Response<Body> {
+    let mut response = Response::new(Body::full(state.metrics_text()));
+    let kind = header::HeaderValue::from_static(METRICS_TYPE);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
 async fn serve_ready(listener: TcpListener, state: Rc<State>, path: &'static str) {
     let shutdown = Rc::default();
     let answer = move |request: Request<Incoming>| {
         let status = match request.uri().path() {
+            METRICS_PATH => return std::future::ready(metrics_answer(&state)),
             asked if asked != path => StatusCode::NOT_FOUND,
             _ if state.is_ready() => StatusCode::OK,
             _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -15,6 +15,8 @@
     pub(crate) caller_address: SocketAddr,
     /// Where readiness and metrics are served.
     pub(crate) ready_address: SocketAddr,
+    /// Where metrics are served beside the ready address, if anywhere.
+    pub(crate) metrics_address: Option<SocketAddr>,
     /// Where peers' messages arrive.
     pub(crate) peer_address: SocketAddr,
     /// The log service that holds all that lasts.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,7 +4,7 @@
 use crate::gateway::fleet::{Fleet, Holding};
 use crate::gateway::peers::{Peers, WantedRate};
 use crate::gateway::suspects::Suspects;
-use crate::gateway::{Configuration, Settings, Weights};
+use crate::gateway::{Configuration, Metrics, Settings, Weights};
 use crate::inventory::Name;
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
@@ -17,6 +17,8 @@
 /// The beliefs that all parts of the process share.
 #[derive(Debug)]
 pub(crate) struct State {
+    /// What is counted and measured.
+    pub(crate) metrics: Rc<Metrics>,
     /// The settings that the process was started with.
     pub(crate) settings: Settings,
     configuration: RefCell<Option<Rc<Configuration>>>,
@@ -60,8 +62,9 @@
 
 impl State {
     /// A state that knows nothing yet.
-    pub(crate) fn new(settings: Settings) -> Self {
+    pub(crate) fn new(settings: Settings, metrics: Rc<Metrics>) -> Self {
         Self {
+            metrics,
             settings,
             configuration: RefCell::default(),
             fleet: Fleet::default(),
@@ -97,6 +100,17 @@
         *present = Some(Rc::new(configuration));
     }
 
+    /// All metrics as text, gauges as of now.
+    pub(crate) fn metrics_text(&self) -> String {
+        let metrics = &self.metrics;
+        let version = self.configuration().map_or(0, |it| it.version);
+        metrics.configuration_version.set(version as i64);
+        metrics.servers.set(self.fleet.servers().len() as i64);
+        metrics.vms.set(self.peers.vms() as i64);
+        metrics.open_connections.set(self.shutdown.open() as i64);
+        metrics.to_text()
+    }
+
     /// Whether callers can be served.
     pub(crate) fn is_ready(&self) -> bool {
         !self.shutdown.is_leaving()
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -176,6 +176,12 @@
     fn end_whole(&self, call: &Call, feed: Feed, progress: &Progress) {
         feed.exchange.server.note_success();
         self.state.suspects.clear(call.fingerprint);
+        let metrics = &self.state.metrics;
+        metrics.note_request(call.route.kind.name(), "answered");
+        metrics.first_event.observe(progress.first.as_secs_f64());
+        metrics
+            .longest_pause
+            .observe(progress.longest_pause.as_secs_f64());
         info!(
             request = %call.ask.id,
             route = %call.route.name,
@@ -198,11 +204,14 @@
         weights: Option<u64>,
     ) -> Option<Feed> {
         if last.is_none() || !call.may_run_again() || call.time_left().is_zero() {
+            let metrics = &self.state.metrics;
+            metrics.note_request(call.route.kind.name(), "broken_off");
             info!(request = %call.ask.id, runs = call.runs, "stream broken off");
             return None;
         }
         match self.reach(call, last, weights).await {
             Ok(exchange) if exchange.head.status.is_success() => {
+                self.state.metrics.streams_resumed.inc();
                 info!(request = %call.ask.id, server = %exchange.server.id, ?last, "stream resumed");
                 Some(Feed::new(exchange))
             }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -80,6 +80,7 @@
         availability_zone: file.zone,
         caller_address: file.listen.front,
         ready_address: file.listen.ready_addr,
+        metrics_address: None,
         peer_address: SocketAddr::new(file.ip, file.internal_ports[0]),
         log_address: file.platform.address,
         bounds: Bounds {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,8 +2,8 @@
 
 use crate::client::{Connection, SendError};
 use crate::gateway::{
-    Changes, Claims, ConfigSource, Configuration, Directory, Group, Membership, ServerChange,
-    StoreError,
+    Changes, Claims, ConfigSource, Configuration, Directory, Group, Membership, Metrics,
+    ServerChange, StoreError,
 };
 use crate::http::{Body, read_body};
 use crate::inventory::Name;
@@ -14,10 +14,20 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::Duration;
-
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The calls, as metrics name them.
+const CALLS: [&str; 6] = [
+    "/-/log-newest",
+    "/-/log-read",
+    "/-/log-append",
+    "/-/log-join",
+    "/-/log-leave",
+    "/-/log-owners",
+];
 /// The topic that the operator writes.
 const OPERATOR_TOPIC: &str = "keyed.op";
 /// The key of the configuration in it.
@@ -50,7 +60,7 @@
 pub(crate) struct PlatformStore {
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
-    calls: Cell<u64>,
+    metrics: Rc<Metrics>,
 }
 
 #[derive(Deserialize)]
@@ -116,11 +126,11 @@
 
 impl PlatformStore {
     /// A client of the store at `address`.
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr, metrics: Rc<Metrics>) -> Self {
         Self {
             address,
             idle: RefCell::default(),
-            calls: Cell::new(0),
+            metrics,
         }
     }
 
@@ -131,7 +141,26 @@
         body: Bytes,
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        self.calls.set(self.calls.get() + 1);
+        let began = Instant::now();
+        let answer = self.call_untold(method, path, body, wait).await;
+        let outcome = match &answer {
+            Ok((status, _)) if status.is_success() => "answered",
+            Ok(_) | Err(StoreError::Refused) => "refused",
+            Err(_) => "unanswered",
+        };
+        let call = CALLS.iter().find(|call| path.starts_with(**call));
+        let call = call.copied().unwrap_or("other");
+        self.metrics.note_store_call(call, outcome, began.elapsed());
+        answer
+    }
+
+    async fn call_untold(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
         let exchange = async {
             let kept = self.take();
             if let Some(connection) = kept {
