Leave a silent server only for a better one

Cause: a stream's head that took 1.3 s on a busy runner was cut and the request sent again, at times to the same runner in the moment in which it began to run. Change: a silent head or stream is left only if another server that was not tried can take it, and the silent one is not just busy or the other one has places.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -75,24 +75,20 @@
         &self,
         server: &Rc<Server>,
         request: impl Fn() -> Request<Body>,
-        limit: Duration,
     ) -> Result<Exchange, SendError> {
         let in_flight = server.enter();
-        let send = async {
-            while let Some(mut connection) = self.take(server) {
-                match connection.send(request()).await {
-                    // It was closed before the request was written: another will do.
-                    Err(SendError::NotSent) => {}
-                    outcome => return outcome.map(|response| (connection, response)),
+        while let Some(mut connection) = self.take(server) {
+            match connection.send(request()).await {
+                // It was closed before the request was written: another will do.
+                Err(SendError::NotSent) => {}
+                Err(SendError::MaybeSent) => return Err(SendError::MaybeSent),
+                Ok(response) => {
+                    return Ok(Exchange::new::<P>(server, connection, response, in_flight));
                 }
             }
-            let mut connection = self.open(server).await?;
-            let response = connection.send(request()).await?;
-            Ok((connection, response))
-        };
-        let (connection, response) = compio::time::timeout(limit, send)
-            .await
-            .unwrap_or(Err(SendError::MaybeSent))?;
+        }
+        let mut connection = self.open(server).await?;
+        let response = connection.send(request()).await?;
         Ok(Exchange::new::<P>(server, connection, response, in_flight))
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,6 +15,7 @@
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use std::marker::PhantomData;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -413,14 +414,14 @@
             weights,
         };
         call.tried.push(server.id.clone());
-        let limit = self.head_limit(call, time_left);
         let request = || P::to_server(&call.ask, &options);
         let sent_at = Instant::now();
-        let sent = self.links.exchange::<P>(server, request, limit).await;
+        let sent = self.links.exchange::<P>(server, request);
+        let sent = self.await_head(call, server, sent).await;
         let now = Instant::now();
         match sent {
-            Ok(exchange) => self.judge(call, exchange, now),
-            Err(SendError::NotSent) => {
+            Some(Ok(exchange)) => self.judge(call, exchange, now),
+            Some(Err(SendError::NotSent)) => {
                 server.note_failure(now);
                 self.state.metrics.note_attempt("not_reached");
                 warn!(request = %call.ask.id, server = %server.id, "server not reached");
@@ -430,13 +431,13 @@
                 }
                 Err(None)
             }
-            Err(SendError::MaybeSent) => {
+            silent_or_broken => {
                 call.runs += 1;
                 self.state.metrics.note_attempt("no_answer");
                 let waited = sent_at.elapsed();
                 let waited_ms = waited.as_millis() as u64;
                 warn!(request = %call.ask.id, server = %server.id, waited_ms, "no answer from server");
-                if waited < limit {
+                if silent_or_broken.is_some() {
                     self.note_broken(call, server);
                 } else if !self.is_loaded(server) {
                     // A server that is busy may well be slow; one that is not is ill.
@@ -523,16 +524,40 @@
         }
     }
 
-    fn head_limit(&self, call: &Call, time_left: Duration) -> Duration {
-        let is_last = call.runs + 1 >= call.route.max_attempts;
-        if is_last || !call.route.is_repeatable() {
-            return time_left;
-        }
+    /// Waits for the head of an answer; `None` once another server is to be asked instead,
+    /// or the time is up.
+    async fn await_head(
+        &self,
+        call: &Call,
+        server: &Server,
+        head: impl Future<Output = Result<Exchange, SendError>>,
+    ) -> Option<Result<Exchange, SendError>> {
+        let mut head = pin!(head);
         let patience = match call.route.kind {
             RouteKind::Streaming => STREAM_HEAD_PATIENCE,
             RouteKind::Safe | RouteKind::Unsafe => HEAD_PATIENCE,
         };
-        patience.min(time_left)
+        loop {
+            let limit = call.time_left().min(patience);
+            if let Ok(head) = compio::time::timeout(limit, head.as_mut()).await {
+                return Some(head);
+            }
+            let is_last = call.runs + 1 >= call.route.max_attempts;
+            let may_ask = !is_last && call.route.is_repeatable();
+            if call.time_left().is_zero() || (may_ask && self.has_better(call, server)) {
+                return None;
+            }
+        }
+    }
+
+    /// Whether a server that is silent is better left for another one: it is not just busy,
+    /// or another one has places.
+    pub(crate) fn has_better(&self, call: &Call, silent: &Server) -> bool {
+        let now = Instant::now();
+        let mut others = self.able(call, now);
+        others.retain(|other| other.id != silent.id && !call.tried.contains(&other.id));
+        !others.is_empty()
+            && (!self.is_loaded(silent) || others.iter().any(|other| !self.is_loaded(other)))
     }
 
     /// The server to send to; waits for a place, or for a model that is to be loaded.
@@ -578,9 +603,8 @@
         }
     }
 
-    /// The least loaded server that can serve the request.
-    fn pick(&self, call: &Call) -> Result<Rc<Server>, Failure> {
-        let now = Instant::now();
+    /// The servers that can serve the request.
+    fn able(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
         let weights = call.weights();
         let mut servers = self.state.fleet.of_service(&call.service);
         servers.retain(|server| {
@@ -589,6 +613,13 @@
                     .as_ref()
                     .is_none_or(|weights| server.holds(weights, now))
         });
+        servers
+    }
+
+    /// The least loaded server that can serve the request.
+    fn pick(&self, call: &Call) -> Result<Rc<Server>, Failure> {
+        let now = Instant::now();
+        let servers = self.able(call, now);
         let candidates: Vec<Candidate> = servers
             .iter()
             .map(|server| self.candidate(call, server, now))
@@ -596,7 +627,7 @@
         let place = choose(&candidates, rand::random).ok_or(Failure::NoServer)?;
         let chosen = candidates[place];
         // A stream that was begun goes on even where others have to wait.
-        if weights.is_some() && call.runs == 0 && chosen.load() >= MAX_LOAD {
+        if call.ask.generation.is_some() && call.runs == 0 && chosen.load() >= MAX_LOAD {
             return Err(Failure::Full);
         }
         info!(
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -21,6 +21,7 @@
 enum Next {
     Event(StreamEvent),
     End,
+    Silent,
     Broken(&'static str),
 }
 
@@ -45,7 +46,7 @@
             }
             let frame = compio::time::timeout(silence, self.exchange.body.frame()).await;
             match frame {
-                Err(_elapsed) => return Next::Broken("silent"),
+                Err(_elapsed) => return Next::Silent,
                 Ok(None) if self.buffer.is_empty() => return Next::End,
                 Ok(None) => return Next::Broken("ends in mid-event"),
                 Ok(Some(Err(_cut))) => return Next::Broken("cut"),
@@ -99,9 +100,10 @@
                 return self.pass_failure(&mut call, exchange).await;
             }
             let mut feed = Feed::new(exchange);
-            match feed.next(self.silence(&call)).await {
+            match self.next(&call, &mut feed).await {
                 Next::Event(first) => return Ok(self.begin(call, feed, first)),
                 Next::End => return Ok(P::to_caller(&feed.exchange.head, Body::empty())),
+                Next::Silent => self.note_break(&call, &feed, "silent"),
                 Next::Broken(why) => self.note_break(&call, &feed, why),
             }
             if call.time_left().is_zero() {
@@ -153,7 +155,7 @@
                 }
             }
             event = loop {
-                match feed.next(self.silence(&call)).await {
+                match self.next(&call, &mut feed).await {
                     Next::Event(event) if is_gap(last, event.id) => {
                         self.note_break(&call, &feed, "event missing");
                     }
@@ -163,6 +165,7 @@
                         sender.end_whole();
                         return;
                     }
+                    Next::Silent => self.note_break(&call, &feed, "silent"),
                     Next::Broken(why) => self.note_break(&call, &feed, why),
                 }
                 let Some(next) = self.resume(&mut call, last, weights).await else {
@@ -235,12 +238,16 @@
         self.note_broken(call, server);
     }
 
-    fn silence(&self, call: &Call) -> Duration {
-        let left = call.time_left();
-        if call.may_run_again() {
-            left.min(SILENCE)
-        } else {
-            left
+    /// What comes next; silence only where another server is better or the time is up.
+    async fn next(&self, call: &Call, feed: &mut Feed) -> Next {
+        loop {
+            let left = call.time_left();
+            let next = feed.next(left.min(SILENCE)).await;
+            let is_silent = matches!(next, Next::Silent);
+            let leaves = call.may_run_again() && self.has_better(call, &feed.exchange.server);
+            if !is_silent || leaves || call.time_left().is_zero() {
+                return next;
+            }
         }
     }
 }
