Drops count the requests that they wait for; a model just loaded stays

Change: VMs tell their requests in flight by model; a drop costs 0.0015 runners a request; a model stays for 2 s once loaded.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -74,9 +74,10 @@
     pub(crate) async fn exchange<P: Protocol>(
         &self,
         server: &Rc<Server>,
+        model: Name,
         request: impl Fn() -> Request<Body>,
     ) -> Result<Exchange, SendError> {
-        let in_flight = server.enter();
+        let in_flight = server.enter(model);
         while let Some(mut connection) = self.take(server) {
             match connection.send(request()).await {
                 // It was closed before the request was written: another will do.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -69,7 +69,7 @@
     /// Where it listens.
     pub(crate) address: SocketAddr,
     entry: RefCell<Entry>,
-    in_flight: Cell<u32>,
+    in_flight: RefCell<HashMap<Name, u32>>,
     failures: Cell<u32>,
     passed_over_until: Cell<Option<Instant>>,
     lapsed_at: Cell<Option<Instant>>,
@@ -79,11 +79,20 @@
 
 /// Counts a request as in flight on a server until dropped.
 #[derive(Debug)]
-pub(crate) struct InFlight(Rc<Server>);
+pub(crate) struct InFlight {
+    server: Rc<Server>,
+    model: Name,
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        let mut in_flight = self.server.in_flight.borrow_mut();
+        if let Some(count) = in_flight.get_mut(&self.model) {
+            *count -= 1;
+            if *count == 0 {
+                in_flight.remove(&self.model);
+            }
+        }
     }
 }
 
@@ -93,7 +102,7 @@
             id: entry.id.clone(),
             address: entry.address,
             entry: RefCell::new(entry),
-            in_flight: Cell::new(0),
+            in_flight: RefCell::default(),
             failures: Cell::new(0),
             passed_over_until: Cell::new(None),
             lapsed_at: Cell::new(None),
@@ -121,13 +130,29 @@
 
     /// Requests of this VM on the server.
     pub(crate) fn in_flight(&self) -> u32 {
-        self.in_flight.get()
+        self.in_flight.borrow().values().sum()
     }
 
-    /// Counts one more request.
-    pub(crate) fn enter(self: &Rc<Self>) -> InFlight {
-        self.in_flight.set(self.in_flight.get() + 1);
-        InFlight(self.clone())
+    /// Requests of this VM on the server by model; the empty name stands for plain calls.
+    pub(crate) fn in_flight_by_model(&self) -> Vec<(Name, u32)> {
+        let in_flight = self.in_flight.borrow();
+        let counts = in_flight.iter();
+        counts
+            .map(|(model, count)| (model.clone(), *count))
+            .collect()
+    }
+
+    /// Counts one more request for a model; the empty name stands for plain calls.
+    pub(crate) fn enter(self: &Rc<Self>, model: Name) -> InFlight {
+        *self
+            .in_flight
+            .borrow_mut()
+            .entry(model.clone())
+            .or_default() += 1;
+        InFlight {
+            server: self.clone(),
+            model,
+        }
     }
 
     /// Notes that a connection was refused, broke or stayed silent.
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -21,6 +21,9 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(120);
 /// How long a load or a drop may take before the runner is planned for anew.
 const STEP_LIMIT: Duration = Duration::from_secs(20);
+/// How long a model stays once it was loaded: the demand that it was loaded for is counted
+/// over a second and a half and needs some time to show at the new copy.
+const SETTLE: Duration = Duration::from_secs(2);
 /// How often one order is tried.
 const MAX_TRIES: u32 = 4;
 
@@ -35,6 +38,8 @@
     dropping: Option<Name>,
     /// A model that is being loaded.
     loading: Option<Name>,
+    /// When models were loaded of late.
+    loaded: Vec<(Name, Instant)>,
 }
 
 /// Gives orders while this VM holds the claim.
@@ -272,10 +277,20 @@
                 return;
             }
             self.set_dropping(server, None);
+            if is_load && weights.adapter.is_none() {
+                self.note_loaded(server, &weights.model);
+            }
             self.tell();
         }
     }
 
+    fn note_loaded(&self, server: &Server, model: &Name) {
+        if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.id) {
+            tracked.loaded.retain(|(_, at)| at.elapsed() < SETTLE);
+            tracked.loaded.push((model.clone(), Instant::now()));
+        }
+    }
+
     fn set_dropping(&self, server: &Server, model: Option<Name>) {
         if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.id) {
             tracked.dropping = model;
@@ -478,7 +493,24 @@
             is_working: self.is_working || report.is_busy,
             in_memory,
             on_disk,
-            in_flight: server.in_flight() + state.peers.in_flight(&server.id),
+            in_flight: report
+                .holdings
+                .iter()
+                .map(|holding| {
+                    let model = &holding.model;
+                    let own = server.in_flight_by_model();
+                    let own = own.iter().find(|(name, _)| name == model);
+                    let own = own.map_or(0, |(_, count)| *count);
+                    let all = own + state.peers.in_flight_for(&server.id, model);
+                    (model.clone(), all)
+                })
+                .collect(),
+            settling: self
+                .loaded
+                .iter()
+                .filter(|(_, at)| at.elapsed() < SETTLE)
+                .map(|(model, _)| model.clone())
+                .collect(),
         })
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -64,6 +64,9 @@
     server: String,
     #[prost(uint32, tag = "2")]
     in_flight: u32,
+    /// The model that they ask for; empty for plain calls.
+    #[prost(string, tag = "3")]
+    model: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -118,7 +121,7 @@
 #[derive(Debug)]
 struct Peer {
     heard_at: Instant,
-    loads: HashMap<Name, u32>,
+    loads: HashMap<Name, Vec<(Name, u32)>>,
     demands: Vec<(Weights, WantedRate)>,
 }
 
@@ -150,7 +153,15 @@
     pub(crate) fn in_flight(&self, server: &Name) -> u32 {
         let heard = self.heard.borrow();
         let loads = heard.values().filter_map(|peer| peer.loads.get(server));
-        loads.sum()
+        loads.flatten().map(|(_, count)| count).sum()
+    }
+
+    /// Requests of all other VMs on a server for one model.
+    pub(crate) fn in_flight_for(&self, server: &Name, model: &Name) -> u32 {
+        let heard = self.heard.borrow();
+        let loads = heard.values().filter_map(|peer| peer.loads.get(server));
+        let of_model = loads.flatten().filter(|(name, _)| name == model);
+        of_model.map(|(_, count)| count).sum()
     }
 
     /// The demand at all other VMs.
@@ -277,10 +288,13 @@
                 .fleet
                 .servers()
                 .iter()
-                .filter(|server| server.in_flight() > 0)
-                .map(|server| ServerRequests {
-                    server: server.id.to_string(),
-                    in_flight: server.in_flight(),
+                .flat_map(|server| {
+                    let counts = server.in_flight_by_model().into_iter();
+                    counts.map(|(model, in_flight)| ServerRequests {
+                        server: server.id.to_string(),
+                        in_flight,
+                        model: model.to_string(),
+                    })
                 })
                 .collect(),
             demands: state
@@ -377,13 +391,15 @@
 
 impl Peer {
     fn read(digest: &Digest, now: Instant) -> Self {
-        let loads = digest.loads.iter();
+        let mut loads: HashMap<Name, Vec<(Name, u32)>> = HashMap::new();
+        for load in &digest.loads {
+            let of_server = loads.entry(load.server.as_str().into()).or_default();
+            of_server.push((load.model.as_str().into(), load.in_flight));
+        }
         let demands = digest.demands.iter();
         Self {
             heard_at: now,
-            loads: loads
-                .map(|load| (Name::from(load.server.as_str()), load.in_flight))
-                .collect(),
+            loads,
             demands: demands
                 .map(|demand| {
                     let weights = Weights {
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -31,8 +31,9 @@
 const MIN_FIRST_GAIN: f64 = 0.02;
 /// What a load from the weight store costs more than one from a runner's disk.
 const COLD_COST: f64 = 0.05;
-/// What dropping costs for each request on the runner, whose end it may wait for.
-const DROP_COST: f64 = 0.0005;
+/// What dropping a model costs for each of its requests there: it waits for their end, and
+/// the runner has one model less meanwhile.
+const DROP_COST: f64 = 0.0015;
 /// What the loss of a copy that adapters need costs.
 const ADAPTER_LACK: f64 = 0.05;
 /// Swaps under way at a time: each takes a runner's copy away for about two seconds.
@@ -61,8 +62,10 @@
     pub(crate) in_memory: Vec<Name>,
     /// Models whose weights it keeps on disk.
     pub(crate) on_disk: Vec<Name>,
-    /// Requests on it.
-    pub(crate) in_flight: u32,
+    /// Requests on it, by model.
+    pub(crate) in_flight: HashMap<Name, u32>,
+    /// Models that were loaded a moment ago and stay for now.
+    pub(crate) settling: Vec<Name>,
 }
 
 impl RunnerView {
@@ -234,7 +237,8 @@
             }
             let (drop, loss) = self.room_for(model, runner, pressures)?;
             let cold = if is_cold { COLD_COST } else { 0.0 };
-            let waits = if drop.is_empty() { 0 } else { runner.in_flight };
+            let in_flight = drop.iter().filter_map(|model| runner.in_flight.get(model));
+            let waits: u32 = in_flight.sum();
             Some(Swap {
                 gain: gain - loss - cold - f64::from(waits) * DROP_COST,
                 runner: runner.id.clone(),
@@ -259,6 +263,7 @@
         let mut victims: Vec<(f64, &Name)> = runner
             .models
             .iter()
+            .filter(|held| !runner.settling.contains(held))
             .map(|held| {
                 let pressure = pressures.get(held).copied().unwrap_or_default();
                 let lacks = pressure.copies <= self.copies_for_adapters(held);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -158,6 +158,12 @@
         })
     }
 
+    /// The model that it asks for; empty for plain calls.
+    fn model(&self) -> Name {
+        let generation = self.ask.generation.as_ref();
+        generation.map_or_else(Name::default, |generation| generation.model.clone())
+    }
+
     fn late(&self) -> Failure {
         if self.runs > 0 {
             Failure::TimedOut
@@ -416,7 +422,7 @@
         call.tried.push(server.id.clone());
         let request = || P::to_server(&call.ask, &options);
         let sent_at = Instant::now();
-        let sent = self.links.exchange::<P>(server, request);
+        let sent = self.links.exchange::<P>(server, call.model(), request);
         let sent = self.await_head(call, server, sent).await;
         let now = Instant::now();
         match sent {
