trace: one request's lines of several VMs in order; settings checked with all errors at once

Tests of decisions (choosing, budget over nine VMs, suspects, routes, events, demand, lapsed entries), of the adapter, and of the pages against the code.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -10,6 +10,7 @@
 use crate::platform::{self, PlatformProtocol, PlatformRunners, PlatformStore};
 use crate::register;
 use crate::replay::Replay;
+use crate::trace::trace;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
 use serde_json::Value;
@@ -138,7 +139,27 @@
         .subcommand(
             Command::new("check")
                 .about("Check an inventory or settings and print all that is wrong")
-                .arg(file("An inventory or settings, in JSON")),
+                .arg(file(
+                    "An inventory or settings in JSON, or a platform's settings in TOML",
+                )),
+        )
+        .subcommand(
+            Command::new("trace")
+                .about("Put the log lines about one request, from several VMs, in order")
+                .arg(
+                    Arg::new("id")
+                        .value_name("REQUEST-ID")
+                        .required(true)
+                        .help("The request's id"),
+                )
+                .arg(
+                    Arg::new("logs")
+                        .value_name("LOGFILE")
+                        .required(true)
+                        .num_args(1..)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Logs of `rattanjunction front`, a file a VM"),
+                ),
         )
         .subcommand(Command::new("events").about("Print the catalogue of log events"))
         .subcommand(
@@ -189,6 +210,7 @@
             Ok(())
         }
         Some(("replay", matches)) => replay(matches),
+        Some(("trace", matches)) => print_trace(matches),
         Some(("completions", matches)) => {
             print_completions(matches);
             Ok(())
@@ -242,6 +264,17 @@
     runtime()?.block_on(crate::server::serve(config))
 }
 
+fn print_trace(matches: &ArgMatches) -> Result<(), Report<Fault>> {
+    let id: &String = matches.get_one("id").expect("required");
+    let logs: Vec<PathBuf> = matches
+        .get_many("logs")
+        .expect("required")
+        .cloned()
+        .collect();
+    print!("{}", trace(id, &logs)?);
+    Ok(())
+}
+
 fn front(matches: &ArgMatches) -> Result<(), Report<Fault>> {
     let mut settings = platform::load_settings(&platform::settings_path())?;
     let port = matches.get_one::<u16>("metrics_port");
@@ -363,6 +396,14 @@
 
 fn check(matches: &ArgMatches) -> Result<(), Report<Fault>> {
     let path: &PathBuf = matches.get_one("file").expect("required");
+    if path
+        .extension()
+        .is_some_and(|extension| extension == "toml")
+    {
+        platform::load_settings(path)?;
+        println!("{} is valid", path.display());
+        return Ok(());
+    }
     let value: Value = check::load(path, |_| Vec::new())?;
     if value.get("caller_address").is_some() {
         Config::load(path)?;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -210,13 +210,15 @@
             }
         };
         let id = ask.id.clone();
+        let model = ask.generation.as_ref().map(|it| it.model.clone());
+        let model = model.unwrap_or_default();
         match self.clone().answer(ask, body, arrived).await {
             Ok(response) => response,
             Err(failure) => {
                 let age_ms = arrived.elapsed().as_millis() as u64;
                 let refusal = failure.refusal();
                 self.state.metrics.note_request("none", failure.name());
-                info!(request = %id, ?failure, status = refusal.status.as_u16(), age_ms, "request refused");
+                info!(request = %id, %model, ?failure, status = refusal.status.as_u16(), age_ms, "request refused");
                 P::refuse(refusal)
             }
         }
@@ -639,6 +641,7 @@
         info!(
             request = %call.ask.id,
             server = %servers[place].id,
+            model = %call.model(),
             load = chosen.score(),
             candidates = candidates.len(),
             "routed"
--- /dev/null
+++ b/src/gateway/tests/decisions.rs
@@ -0,0 +1,225 @@
+//! Choosing a server, the retry budget, suspects, routes, events and rates.
+
+use crate::gateway::budget::{Allowance, RetryBudget};
+use crate::gateway::choose::{Candidate, choose};
+use crate::gateway::demand::Demand;
+use crate::gateway::events::EventBuffer;
+use crate::gateway::fleet::Fleet;
+use crate::gateway::suspects::Suspects;
+use crate::gateway::{
+    Configuration, Entry, Holding, Limits, Route, RouteKind, ServerState, Target, Weights,
+};
+use crate::inventory::Name;
+use std::time::{Duration, Instant};
+
+fn candidate(in_flight: u32) -> Candidate {
+    Candidate {
+        in_flight,
+        slots: 64,
+        is_near: true,
+        has_failed: false,
+    }
+}
+
+#[test]
+fn the_least_loaded_server_is_chosen_and_the_near_one_of_equals() {
+    let far = Candidate {
+        is_near: false,
+        ..candidate(10)
+    };
+    assert_eq!(
+        choose(&[candidate(40), candidate(10), candidate(30)], || 0.5),
+        Some(1)
+    );
+    assert_eq!(choose(&[far, candidate(10)], || 0.5), Some(1));
+    // The own zone is not worth a queue.
+    assert_eq!(choose(&[far, candidate(40)], || 0.5), Some(0));
+    assert_eq!(choose(&[], || 0.5), None);
+}
+
+#[test]
+fn a_server_that_failed_is_taken_only_where_there_is_no_other() {
+    let failed = Candidate {
+        has_failed: true,
+        ..candidate(0)
+    };
+    assert_eq!(choose(&[failed, candidate(60)], || 0.5), Some(1));
+    assert_eq!(choose(&[failed], || 0.5), Some(0));
+}
+
+#[test]
+fn all_vms_together_stay_within_the_retry_budget_in_any_window() {
+    const VMS: usize = 9;
+    let allowance = Allowance {
+        ratio: 0.2,
+        slack: 58.0,
+        window: Duration::from_secs(10),
+    };
+    let budgets: Vec<RetryBudget> = (0..VMS).map(|_| RetryBudget::new(allowance)).collect();
+    let service = Name::from("s");
+    let start = Instant::now();
+    let mut retries = Vec::new();
+    // Every request wants to be sent again, at an uneven load, for half a minute.
+    for step in 0..3_000_u64 {
+        let now = start + Duration::from_millis(step * 10);
+        let budget = &budgets[(step * step) as usize % VMS];
+        budget.note_request(&service, now);
+        if budget.take(&service, VMS, now) {
+            retries.push(step);
+        }
+    }
+    for begin in (0..2_000).step_by(50) {
+        let in_window = |step: &&u64| (begin..begin + 1_000).contains(*step);
+        let count = retries.iter().filter(in_window).count();
+        assert!(count as f64 <= 0.2 * 1_000.0 + 58.0, "{count} from {begin}");
+    }
+    assert!(retries.len() > 300, "{}", retries.len());
+}
+
+#[test]
+fn a_request_is_refused_after_the_crashes_that_all_vms_saw() {
+    let suspects = Suspects::default();
+    let now = Instant::now();
+    assert_eq!(suspects.note_crash(7, now), 1);
+    assert!(!suspects.is_poison(7, now));
+    // A peer tells of one more.
+    suspects.note_crashes(7, 2, now);
+    assert!(suspects.is_poison(7, now));
+    assert!(!suspects.is_poison(8, now));
+    suspects.clear(7);
+    assert!(!suspects.is_poison(7, now));
+}
+
+fn route(name: &str, prefix: &str) -> Route {
+    let target = |service: &str, weight| Target {
+        service: service.into(),
+        weight,
+    };
+    Route {
+        name: name.into(),
+        host: "h".into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        resumable: false,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        max_attempts: 2,
+        priority: 0,
+        targets: vec![target("most", 90), target("some", 10)],
+    }
+}
+
+#[test]
+fn the_longest_prefix_decides_and_shares_are_kept() {
+    let routes = vec![route("short", "/a/"), route("long", "/a/b/")];
+    let configuration = Configuration::new(3, routes, Vec::new(), Limits::default());
+    let name = |path: &str| configuration.route("h", path).map(|it| it.name.to_string());
+    assert_eq!(name("/a/x").as_deref(), Some("short"));
+    assert_eq!(name("/a/b/x").as_deref(), Some("long"));
+    assert_eq!(name("/a/bx").as_deref(), Some("short"));
+    assert_eq!(name("/b/"), None);
+    assert!(configuration.route("other", "/a/x").is_none());
+    let route = configuration.route("h", "/a/x").expect("it is there");
+    let target = |point| route.pick_target(point).map(Name::to_string);
+    assert_eq!(target(0.0).as_deref(), Some("most"));
+    assert_eq!(target(0.89).as_deref(), Some("most"));
+    assert_eq!(target(0.91).as_deref(), Some("some"));
+    assert_eq!(target(1.0).as_deref(), Some("some"));
+}
+
+#[test]
+fn events_are_cut_out_whole_wherever_the_bytes_are_split() {
+    let text = b"id: 1\ndata: a\n\nx-version: 2\nid: 2\ndata: b\n\ndata: none\n\nid: 3\nda";
+    for split in 0..text.len() {
+        let mut buffer = EventBuffer::default();
+        let mut ids = Vec::new();
+        let mut bytes = Vec::new();
+        for piece in [&text[..split], &text[split..]] {
+            assert!(buffer.push(piece));
+            while let Some(event) = buffer.next() {
+                ids.push(event.id);
+                bytes.extend(event.bytes);
+            }
+        }
+        assert_eq!(ids, [Some(1), Some(2), None]);
+        assert_eq!(bytes, text[..text.len() - 8]);
+        assert!(!buffer.is_empty());
+    }
+}
+
+#[test]
+fn demand_fades() {
+    let demand = Demand::default();
+    let weights = Weights {
+        model: "m".into(),
+        adapter: None,
+    };
+    let start = Instant::now();
+    for step in 0..100 {
+        demand.note(&weights, 1_000, start + Duration::from_millis(step * 100));
+    }
+    let rate = |after_s| {
+        let rates = demand.rates(start + Duration::from_secs(after_s));
+        rates.first().map_or(0.0, |(_, rate)| *rate)
+    };
+    // Ten requests of 1,000 tokens a second.
+    assert!((8_000.0..12_000.0).contains(&rate(10)), "{}", rate(10));
+    assert!(rate(13) < 2_000.0, "{}", rate(13));
+    assert!(demand.rates(start + Duration::from_secs(60)).is_empty());
+}
+
+fn entry(id: &str, state: ServerState) -> Entry {
+    Entry {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        availability_zone: "a".into(),
+        slots: 4,
+        state,
+        holdings: vec![Holding {
+            model: "m".into(),
+            version: 1,
+            adapters: vec!["a1".into()],
+        }],
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+#[test]
+fn an_entry_that_lapsed_counts_again_only_if_it_comes_back_in_time() {
+    let fleet = Fleet::default();
+    let now = Instant::now();
+    let limit = Duration::from_secs(2);
+    assert!(fleet.take(entry("i", ServerState::Ready)));
+    let server = fleet.server("i").expect("it was just entered");
+    fleet.lapse("i", now);
+    assert!(!server.is_listed_ready());
+    assert!(
+        fleet
+            .forget_lapsed(limit, now + Duration::from_secs(1))
+            .is_empty()
+    );
+    fleet.take(entry("i", ServerState::Ready));
+    assert!(server.is_listed_ready());
+    fleet.lapse("i", now);
+    let gone = fleet.forget_lapsed(limit, now + Duration::from_secs(3));
+    assert_eq!(gone, ["i"]);
+    assert!(fleet.server("i").is_none());
+}
+
+#[test]
+fn what_a_server_says_it_lacks_is_not_asked_of_it_for_a_while() {
+    let fleet = Fleet::default();
+    let now = Instant::now();
+    fleet.take(entry("i", ServerState::Ready));
+    let server = fleet.server("i").expect("it was just entered");
+    let adapter = Weights {
+        model: "m".into(),
+        adapter: Some("a1".into()),
+    };
+    assert!(server.holds(&adapter, now));
+    server.note_missing(adapter.clone(), now);
+    assert!(!server.holds(&adapter, now));
+    assert!(server.holds(&adapter, now + Duration::from_secs(2)));
+}
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,3 +1,5 @@
 //! Tests of decisions that need no network.
 
+mod decisions;
+mod pages;
 mod planning;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 mod sse;
 mod stall;
 mod stream;
+mod trace;
 mod wire;
 
 pub use client::{Connection, Pool, SendError};
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,6 +9,8 @@
 mod requests;
 mod settings;
 mod store;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use orders::PlatformRunners;
 pub(crate) use requests::PlatformProtocol;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::error::Fault;
 use crate::gateway::{Bounds, Settings};
-use crate::inventory::Name;
+use crate::inventory::{Name, Problem};
 use error_stack::{Report, ResultExt};
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
@@ -14,6 +14,11 @@
 /// Where the file lies if the variable is not set.
 const DEFAULT_PATH: &str = "/etc/rattanjunction/settings.toml";
 
+/// A whole file, whose values stand in for wrong ones while further errors are looked for.
+const EXAMPLE: &str = include_str!("../../examples/front.toml");
+/// The longest time that a setting may give, in seconds: a day.
+const MAX_SECONDS: f64 = 86_400.0;
+
 #[derive(Deserialize)]
 struct File {
     node_name: Name,
@@ -66,13 +71,13 @@
     parse_settings(&text).attach_with(|| path.display().to_string())
 }
 
-fn parse_settings(text: &str) -> Result<Settings, Report<Fault>> {
-    let document = toml::Deserializer::parse(text).change_context(Fault::Settings)?;
-    let file: File = serde_path_to_error::deserialize(document)
-        .map_err(|error| Report::new(Fault::Settings).attach(error.to_string()))?;
-    let duration = |field: &str, seconds: f64| {
-        Duration::try_from_secs_f64(seconds)
-            .map_err(|error| Report::new(Fault::Settings).attach(format!("{field}: {error}")))
+/// Reads settings from their text.
+pub(super) fn parse_settings(text: &str) -> Result<Settings, Report<Fault>> {
+    let table: toml::Table = toml::from_str(text).change_context(Fault::Settings)?;
+    let (file, mut problems) = read_whole(table);
+    problems.extend(file.iter().flat_map(out_of_range));
+    let Some(file) = file.filter(|_| problems.is_empty()) else {
+        return Err(refuse(problems));
     };
     let bounds = &file.bounds;
     Ok(Settings {
@@ -84,14 +89,98 @@
         peer_address: SocketAddr::new(file.ip, file.internal_ports[0]),
         log_address: file.platform.address,
         bounds: Bounds {
-            grace: duration("bounds.grace_s", bounds.grace_s)?,
+            grace: Duration::from_secs_f64(bounds.grace_s),
             drain: Duration::from_millis(bounds.drain_ms),
             retry_ratio: bounds.budget_ratio,
-            retry_window: duration("bounds.budget_window_s", bounds.budget_window_s)?,
+            retry_window: Duration::from_secs_f64(bounds.budget_window_s),
             retry_slack: bounds.budget_slack,
             lease: Duration::from_millis(bounds.lease_ms),
-            load_window: duration("bounds.ceiling_window_s", bounds.ceiling_window_s)?,
+            load_window: Duration::from_secs_f64(bounds.ceiling_window_s),
             min_member_ttl: Duration::from_millis(file.platform.ttl_min_ms),
         },
     })
 }
+
+fn refuse(problems: Vec<Problem>) -> Report<Fault> {
+    let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    Report::new(Fault::Settings).attach(lines.join("\n  "))
+}
+
+/// Deserializes the file and tells everything that is missing or of the wrong shape; where
+/// something is, the file holds the example's values instead.
+fn read_whole(table: toml::Table) -> (Option<File>, Vec<Problem>) {
+    let example: toml::Table = toml::from_str(EXAMPLE).expect("the example is valid");
+    let example = toml::Value::Table(example);
+    let mut value = toml::Value::Table(table);
+    let mut problems = Vec::new();
+    loop {
+        let error = match serde_path_to_error::deserialize::<_, File>(value.clone()) {
+            Ok(file) => return (Some(file), problems),
+            Err(error) => error,
+        };
+        let message = error.inner().to_string();
+        let message = message.lines().next().unwrap_or_default();
+        let mut path = error.path().to_string();
+        if message.starts_with("missing field") {
+            let field = message.split('`').nth(1).unwrap_or_default();
+            path = format!("{path}.{field}");
+        }
+        let path = path.trim_start_matches('.');
+        problems.push(Problem::new(path, message));
+        // With the example's value in place of the wrong one, the next error shows.
+        let is_new = problems.iter().filter(|it| it.field == path).count() == 1;
+        if !is_new || !mend(&mut value, &example, path) {
+            return (None, problems);
+        }
+    }
+}
+
+/// Puts the example's value at a path; false if it has none there.
+fn mend(value: &mut toml::Value, example: &toml::Value, path: &str) -> bool {
+    let (parent, field) = path.rsplit_once('.').unwrap_or(("", path));
+    let parents = || parent.split('.').filter(|part| !part.is_empty());
+    let sound = parents()
+        .chain([field])
+        .try_fold(example, |value, part| value.get(part));
+    let place = parents().try_fold(value, |value, part| value.get_mut(part));
+    match (sound, place.and_then(toml::Value::as_table_mut)) {
+        (Some(sound), Some(table)) => {
+            table.insert(field.to_owned(), sound.clone());
+            true
+        }
+        _ => false,
+    }
+}
+
+/// What is of the right shape and yet not allowed.
+fn out_of_range(file: &File) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    let bounds = &file.bounds;
+    let seconds = [
+        ("bounds.grace_s", bounds.grace_s),
+        ("bounds.budget_window_s", bounds.budget_window_s),
+        ("bounds.ceiling_window_s", bounds.ceiling_window_s),
+    ];
+    for (field, value) in seconds {
+        if !(value > 0.0 && value <= MAX_SECONDS) {
+            let message = format!("is {value}, allowed are seconds up to {MAX_SECONDS}");
+            problems.push(Problem::new(field, message));
+        }
+    }
+    let amounts = [
+        ("bounds.budget_ratio", bounds.budget_ratio),
+        ("bounds.budget_slack", bounds.budget_slack),
+    ];
+    for (field, value) in amounts {
+        if !(value >= 0.0 && value.is_finite()) {
+            problems.push(Problem::new(
+                field,
+                format!("is {value}, allowed is 0 or more"),
+            ));
+        }
+    }
+    if file.node_name.is_empty() {
+        problems.push(Problem::new("node_name", "must not be empty"));
+    }
+    problems
+}
--- /dev/null
+++ b/src/platform/tests/mod.rs
@@ -0,0 +1,132 @@
+//! What the platform writes is read as it is meant, and what is wrong is named.
+
+use crate::gateway::{Protocol, RouteKind, SendOptions};
+use crate::platform::PlatformProtocol;
+use crate::platform::configuration;
+use crate::platform::settings::parse_settings;
+use hyper::Request;
+use std::time::Duration;
+
+const SETTINGS: &str = r#"
+node_name = "front-a-1"
+ip = "10.1.0.38"
+zone = "a"
+internal_ports = [7380, 7395]
+a_field_of_later = { any = "thing" }
+[listen]
+front = "10.1.0.38:8149"
+ready_addr = "10.1.0.38:8141"
+[bounds]
+drain_ms = 2000
+grace_s = 8
+budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 58
+lease_ms = 3000
+ceiling_window_s = 5
+[platform]
+address = "10.200.1.7:8142"
+ttl_min_ms = 1000
+"#;
+
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let settings = parse_settings(SETTINGS).expect("they are whole");
+    assert_eq!(settings.vm, "front-a-1");
+    assert_eq!(settings.peer_address.to_string(), "10.1.0.38:7380");
+    assert_eq!(settings.bounds.grace, Duration::from_secs(8));
+    assert_eq!(settings.log_address.to_string(), "10.200.1.7:8142");
+}
+
+#[test]
+fn every_wrong_setting_is_named_at_once() {
+    let broken = SETTINGS
+        .replace("grace_s = 8", "grace_s = -8")
+        .replace("budget_ratio = 0.2", "budget_ratio = \"much\"")
+        .replace("front = \"10.1.0.38:8149\"", "front = \"nowhere\"");
+    let report = parse_settings(&broken).expect_err("they are broken");
+    let text = format!("{report:?}");
+    for field in ["bounds.grace_s", "bounds.budget_ratio", "listen.front"] {
+        assert!(text.contains(field), "{field} in {text}");
+    }
+}
+
+#[test]
+fn a_configuration_is_read_with_shares_and_engines() {
+    let text = r#"{"version": 7, "routes": [
+        {"name": "r", "hostname": "h", "path_prefix": "/p/", "kind": "streaming",
+         "timeout_ms": 12000, "target_latency_ms": 250, "priority": 1, "resumable": true,
+         "traffic_split": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+         "max_attempts": 2, "sticky": true, "gap_aim_ms": 150}],
+      "services": [{"name": "x", "engine": {"slots": 64, "kv_capacity": 158674,
+         "weights_mb": 200000.0, "adapter_slots": 8, "loads_per_s": 1.6, "models": [
+           {"name": "m", "weights_mb": 72700.0, "load_time_s": 4.2, "adapters": 28,
+            "adapter_mb": 66.0, "warm_s": 0.63, "disk_s": 0.84}]}}],
+      "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+         "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}"#;
+    let configuration = configuration::decode(text.as_bytes()).expect("it is valid");
+    let route = configuration.route("h", "/p/x").expect("it is there");
+    assert_eq!(route.kind, RouteKind::Streaming);
+    assert!(route.is_repeatable());
+    assert_eq!(route.targets.len(), 2);
+    let (_, engine) = configuration.engines().next().expect("one has models");
+    assert_eq!(engine.model("m").map(|it| it.disk_ms), Some(840));
+}
+
+#[test]
+fn a_request_is_read_and_what_is_the_systems_to_set_is_taken_away() {
+    let (head, ()) = Request::post("/p/x?q=1")
+        .header("Host", "H.example:8080")
+        .header("X-Attempt-Id", "9c41")
+        .header("X-Deadline-Ms", "1500")
+        .header("X-Model", "m/a3")
+        .header("X-Token-Usage", "1460,80")
+        .header("Last-Event-Id", "12")
+        .header("X-Hold", "h")
+        .header("X-Request-Priority", "0")
+        .header("Connection", "close, X-Hop")
+        .header("X-Hop", "1")
+        .header("X-Kept", "1")
+        .body(())
+        .expect("the parts are valid")
+        .into_parts();
+    let ask = PlatformProtocol::read_ask(&head).expect("it is well formed");
+    assert_eq!(ask.host, "h.example");
+    assert_eq!(ask.patience, Some(Duration::from_millis(1_500)));
+    assert_eq!(ask.last_event, Some(12));
+    let generation = ask.generation.as_ref().expect("it names a model");
+    assert_eq!(generation.model, "m");
+    assert_eq!(generation.adapter.as_deref(), Some("a3"));
+    assert_eq!(
+        (generation.prompt_tokens, generation.max_tokens),
+        (1460, 80)
+    );
+    let options = SendOptions {
+        server: "i-1",
+        time_left: Duration::from_millis(700),
+        priority: 2,
+        last_event: Some(20),
+        weights: Some(4),
+    };
+    let sent = PlatformProtocol::to_server(&ask, &options);
+    let header = |name: &str| sent.headers().get(name).map(|value| value.to_str().ok());
+    assert_eq!(sent.uri().to_string(), "/p/x?q=1");
+    assert_eq!(header("x-attempt-id"), Some(Some("9c41")));
+    assert_eq!(header("x-deadline-ms"), Some(Some("700")));
+    assert_eq!(header("x-expect-instance"), Some(Some("i-1")));
+    assert_eq!(header("last-event-id"), Some(Some("20")));
+    assert_eq!(header("x-kept"), Some(Some("1")));
+    for gone in ["x-hold", "x-hop", "connection"] {
+        assert_eq!(header(gone), None, "{gone}");
+    }
+}
+
+#[test]
+fn a_request_without_an_id_is_malformed() {
+    let (head, ()) = Request::get("/p/")
+        .header("Host", "h")
+        .body(())
+        .expect("the parts are valid")
+        .into_parts();
+    assert!(PlatformProtocol::read_ask(&head).is_err());
+}
