Orders stay with their holder when the group changes

Machines were stopped in turn; each that came or went had the store deal out the partitions anew, and the owner of the first one took the orders over: six holders in 13 s, each with no idea of what was under way, models dropped whose successors were never loaded, 421 requests refused for want of one. Change: the owner of the first partition claims only if it hears nobody give orders; a holder that is not the owner looks for later claims in the log; one that claims after a holder fell silent waits 1 s with its first order. Ruled out: lost orders (none was unanswered in that span).

--- a/src/gateway/leading.rs
+++ b/src/gateway/leading.rs
@@ -1,8 +1,9 @@
 //! Which VM gives orders to model runners.
 //!
 //! The log deals out the partitions of a topic among the group of VMs; whoever has the
-//! first one is to lead. It then claims a place in the log, which is its fence, so that a
-//! runner refuses what an earlier holder still sends.
+//! first one claims a place in the log if it hears nobody give orders. The place is its
+//! fence, so that a runner refuses what an earlier holder still sends. A holder goes on
+//! when the partitions are dealt anew, which every VM that comes or goes brings about.
 
 use crate::gateway::ordering::Ordering;
 use crate::gateway::state::State;
@@ -19,6 +20,13 @@
 const MEMBER_TTL: Duration = Duration::from_millis(2_400);
 /// The time between two looks at what is to be ordered.
 const TICK: Duration = Duration::from_millis(100);
+/// How long a new member listens for a VM that gives orders, in three messages' time.
+const HEARING_TIME: Duration = Duration::from_millis(600);
+/// The time between two looks for later claims.
+const CHECK_INTERVAL: Duration = Duration::from_millis(700);
+/// How long a new holder waits with its first order after one that fell silent: longer than
+/// between two of that one's looks; with the silence, longer than a membership.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(1_000);
 /// The pause after a claim that the log did not take.
 const CLAIM_PAUSE: Duration = Duration::from_millis(300);
 
@@ -33,6 +41,14 @@
     /// The place that the next claim will have, as far as is known.
     place: Cell<u64>,
     lost_at: Cell<Option<Instant>>,
+    /// When this process first became a member.
+    joined_at: Cell<Option<Instant>>,
+    /// When another VM was last heard to give orders.
+    holder_heard_at: Cell<Option<Instant>>,
+    /// When this VM claimed after a holder that was not heard to give up.
+    begun_at: Cell<Option<Instant>>,
+    /// When the log was last looked at for later claims.
+    checked_at: Cell<Option<Instant>>,
 }
 
 impl<S: Group + Claims, R: RunnerControl> Leading<S, R> {
@@ -48,6 +64,10 @@
             renewed_at: Cell::new(None),
             place: Cell::new(0),
             lost_at: Cell::new(None),
+            joined_at: Cell::new(None),
+            holder_heard_at: Cell::new(None),
+            begun_at: Cell::new(None),
+            checked_at: Cell::new(None),
         })
     }
 
@@ -71,6 +91,9 @@
     async fn take_membership(&self, membership: Membership, asked_at: Instant) {
         let before = self.membership.replace(membership);
         self.renewed_at.set(Some(asked_at));
+        if self.joined_at.get().is_none() {
+            self.joined_at.set(Some(Instant::now()));
+        }
         if before.generation == membership.generation {
             return;
         }
@@ -97,27 +120,81 @@
         }
     }
 
-    /// Gives orders while this VM leads.
+    /// Gives orders while this VM holds the claim.
     pub(crate) async fn lead(self: Rc<Self>) {
         loop {
             compio::time::sleep(TICK).await;
-            if !self.may_lead() {
-                self.stop();
-            } else if self.ordering.is_holder() {
-                self.ordering.tick();
-            } else if let Some(fence) = self.claim().await {
-                info!(fence, "orders claimed");
-                self.ordering.start(fence);
+            let highest = self.state.peers.highest_fence();
+            if highest.is_some() {
+                self.holder_heard_at.set(Some(Instant::now()));
+            }
+            let is_outrun = highest.is_some_and(|fence| self.ordering.fence() < Some(fence));
+            match self.ordering.fence() {
+                Some(_) if !self.is_member() || is_outrun => self.stop(),
+                Some(fence) => {
+                    self.check_claim(fence).await;
+                    if self.is_settled() {
+                        self.ordering.tick();
+                    }
+                }
+                None if self.may_claim() && highest.is_none() => self.begin().await,
+                None => {}
             }
         }
     }
 
-    /// Whether the group has this VM lead, as of less than a membership's time ago.
-    fn may_lead(&self) -> bool {
+    /// Whether the group has this VM as a member, as of less than a membership's time ago.
+    fn is_member(&self) -> bool {
         let renewed_at = self.renewed_at.get();
+        !self.state.shutdown.is_leaving() && renewed_at.is_some_and(|at| at.elapsed() < self.ttl())
+    }
+
+    /// Whether this VM is to claim where nobody is heard to give orders.
+    fn may_claim(&self) -> bool {
+        let joined_at = self.joined_at.get();
         self.membership.get().is_first
-            && !self.state.shutdown.is_leaving()
-            && renewed_at.is_some_and(|at| at.elapsed() < self.ttl())
+            && self.is_member()
+            && joined_at.is_some_and(|at| at.elapsed() >= HEARING_TIME)
+    }
+
+    /// Whether orders may be given by now: an earlier holder that was not heard to give up
+    /// has seen this VM's claim in the log, or has lost its membership.
+    fn is_settled(&self) -> bool {
+        let begun_at = self.begun_at.get();
+        begun_at.is_none_or(|at| at.elapsed() >= TAKEOVER_WAIT)
+    }
+
+    async fn begin(&self) {
+        let Some(fence) = self.claim().await else {
+            return;
+        };
+        // Whoever gave orders until now was last heard with its fence and then fell silent,
+        // or told that it gives up, or there was nobody.
+        let heard_at = self.holder_heard_at.get();
+        let is_abrupt = heard_at.is_some_and(|at| at.elapsed() < self.ttl());
+        let has_released = self.state.peers.has_released();
+        let waits = is_abrupt && !has_released;
+        info!(fence, waits, "orders claimed");
+        self.begun_at.set(waits.then(Instant::now));
+        self.checked_at.set(Some(Instant::now()));
+        self.ordering.start(fence);
+    }
+
+    /// Gives up once the log shows a later claim; looked up only while the group would have
+    /// another VM claim.
+    async fn check_claim(&self, fence: u64) {
+        let checked_at = self.checked_at.get();
+        let is_due = checked_at.is_none_or(|at| at.elapsed() >= CHECK_INTERVAL);
+        if self.membership.get().is_first || !is_due {
+            return;
+        }
+        self.checked_at.set(Some(Instant::now()));
+        match self.store.has_successor(fence).await {
+            Ok(true) => self.stop(),
+            Ok(false) => {}
+            // The membership lapses if the log stays away.
+            Err(error) => tracing::debug!(?error, "claim not checked"),
+        }
     }
 
     fn stop(&self) {
@@ -142,7 +219,7 @@
         match self.store.claim(&self.member, self.place.get()).await {
             Ok(fence) => {
                 self.place.set(fence);
-                self.may_lead().then_some(fence)
+                self.is_member().then_some(fence)
             }
             Err(StoreError::Conflict(place)) => {
                 self.place.set(place);
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -65,6 +65,11 @@
         })
     }
 
+    /// The fence under which this VM gives orders.
+    pub(crate) fn fence(&self) -> Option<u64> {
+        self.fence.get()
+    }
+
     /// Whether this VM holds the claim.
     pub(crate) fn is_holder(&self) -> bool {
         self.fence.get().is_some()
@@ -75,11 +80,14 @@
         self.tracked.borrow_mut().clear();
         self.state.metrics.is_leading.set(1);
         self.fence.set(Some(fence));
+        self.state.fence.set(fence);
+        self.state.peers.hurry();
     }
 
     /// Gives no further order.
     pub(crate) fn stop(&self) {
         self.fence.set(None);
+        self.state.fence.set(0);
         self.state.metrics.is_leading.set(0);
         self.tracked.borrow_mut().clear();
         self.state.leader_view.borrow_mut().clear();
--- a/src/gateway/outside.rs
+++ b/src/gateway/outside.rs
@@ -158,6 +158,9 @@
 
 /// The order of claims on giving orders; a claim's place is its fence.
 pub(crate) trait Claims: 'static {
+    /// Whether a claim came after the one with this fence.
+    fn has_successor(&self, fence: u64) -> impl Future<Output = Result<bool, StoreError>>;
+
     /// Claims, if `place` is the next; returns the fence, or [`StoreError::Conflict`] with
     /// the next place.
     fn claim(&self, holder: &str, place: u64) -> impl Future<Output = Result<u64, StoreError>>;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -53,6 +53,9 @@
     /// Crashes with requests aboard that the sender saw lately.
     #[prost(message, repeated, tag = "6")]
     crashes: Vec<Crashes>,
+    /// The fence under which the sender gives orders; 0 if it gives none.
+    #[prost(uint64, tag = "8")]
+    fence: u64,
     /// Whether loads and demands are left out of this message.
     #[prost(bool, tag = "7")]
     is_partial: bool,
@@ -121,6 +124,7 @@
 #[derive(Debug)]
 struct Peer {
     heard_at: Instant,
+    fence: u64,
     loads: HashMap<Name, Vec<(Name, u32)>>,
     demands: Vec<(Weights, WantedRate)>,
 }
@@ -131,6 +135,7 @@
     heard: RefCell<HashMap<SocketAddr, Peer>>,
     members: RefCell<Vec<SocketAddr>>,
     most_seen: Cell<usize>,
+    has_released: Cell<bool>,
     is_urgent: crate::signal::Signal,
     crashes: RefCell<Vec<(Crashes, Instant)>>,
 }
@@ -164,6 +169,18 @@
         of_model.map(|(_, count)| count).sum()
     }
 
+    /// The highest fence under which another VM gives orders.
+    pub(crate) fn highest_fence(&self) -> Option<u64> {
+        let heard = self.heard.borrow();
+        let fences = heard.values().map(|peer| peer.fence);
+        fences.filter(|fence| *fence > 0).max()
+    }
+
+    /// Whether the VM that gave orders last was heard to give them up.
+    pub(crate) fn has_released(&self) -> bool {
+        self.has_released.get()
+    }
+
     /// The demand at all other VMs.
     pub(crate) fn demands(&self) -> Vec<(Weights, WantedRate)> {
         let heard = self.heard.borrow();
@@ -308,6 +325,7 @@
                 })
                 .collect(),
             holdings: Vec::new(),
+            fence: state.fence.get(),
             crashes: crashes.iter().map(|(crash, _)| *crash).collect(),
             is_partial: false,
         }
@@ -360,6 +378,12 @@
             return;
         }
         let mut heard = self.state.peers.heard.borrow_mut();
+        let held = heard.get(&sender).is_some_and(|peer| peer.fence > 0);
+        if digest.fence > 0 {
+            self.state.peers.has_released.set(false);
+        } else if held {
+            self.state.peers.has_released.set(true);
+        }
         if digest.is_leaving {
             heard.remove(&sender);
             return;
@@ -399,6 +423,7 @@
         let demands = digest.demands.iter();
         Self {
             heard_at: now,
+            fence: digest.fence,
             loads,
             demands: demands
                 .map(|demand| {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,6 +35,8 @@
     waiting: RefCell<HashMap<Weights, u32>>,
     /// What runners hold, while this VM leads; told to all others.
     pub(crate) leader_view: RefCell<Vec<(Name, Vec<Holding>)>>,
+    /// The fence under which this VM gives orders; 0 if it gives none.
+    pub(crate) fence: Cell<u64>,
     /// Notified when a server or what it holds has changed.
     pub(crate) changed: Signal,
     /// Whether the process is about to end.
@@ -74,6 +76,7 @@
             demand: Demand::default(),
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
+            fence: Cell::new(0),
             changed: Signal::default(),
             shutdown: Rc::default(),
         }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -441,6 +441,21 @@
 }
 
 impl Claims for PlatformStore {
+    async fn has_successor(&self, fence: u64) -> Result<bool, StoreError> {
+        // A claim's fence is the offset of the next one.
+        let path = format!("/-/log-read?topic={CLAIMS_TOPIC}&part=0&from={fence}&wait_ms=0");
+        let answer = self.get(&path, Duration::ZERO).await;
+        match answer {
+            Ok(answer) => {
+                let records = split_records(answer).ok_or(StoreError::Garbled)?;
+                Ok(!records.is_empty())
+            }
+            // Records are forgotten only after later ones were written.
+            Err(StoreError::Compacted) => Ok(true),
+            Err(error) => Err(error),
+        }
+    }
+
     async fn claim(&self, holder: &str, place: u64) -> Result<u64, StoreError> {
         let mut record = BytesMut::new();
         record.put_u32(holder.len() as u32);
--- a/workbench/tests/site_orders.rs
+++ b/workbench/tests/site_orders.rs
@@ -186,3 +186,31 @@
         expect_that!(unreached.count(), lt(10));
     });
 }
+
+#[googletest::test]
+fn a_vm_that_joins_leaves_the_orders_where_they_are() {
+    block_on(async {
+        let mut site = site(2).await;
+        wait_for_model(&site, "m3").await;
+        // The group prefers the first VM; without it the second one gives orders.
+        site.vms[0].kill();
+        let runner = site.add_server("llm", vec![]).await;
+        site.wait("the second VM gives orders", async || {
+            !runner.orders().is_empty()
+        })
+        .await;
+        let (before, _) = runner.orders().remove(0);
+        expect_that!(before["holder"].as_str(), some(eq("vm-1")));
+        site.restart_vm(0);
+        site.wait_ready().await;
+        compio::time::sleep(Duration::from_secs(3)).await;
+        let runner = site.add_server("llm", vec![]).await;
+        site.wait("orders go on", async || !runner.orders().is_empty())
+            .await;
+        let (after, _) = runner.orders().remove(0);
+        expect_that!(after["holder"], eq(&before["holder"]));
+        expect_that!(after["fence_token"], eq(&before["fence_token"]));
+        expect_one_holder(&site);
+        expect_no_overrun(&site);
+    });
+}
