--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,11 +6,13 @@
 
 mod ask;
 mod budget;
+mod call;
 mod choose;
 mod configuration;
 mod demand;
 mod events;
 mod exchange;
+mod failure;
 mod fleet;
 mod journal;
 mod leading;
@@ -20,6 +22,7 @@
 mod peers;
 mod planning;
 mod relay;
+mod routing;
 mod server;
 mod settings;
 mod state;
@@ -27,6 +30,7 @@
 mod suspects;
 #[cfg(test)]
 mod tests;
+mod tracked;
 mod watch;
 
 pub(crate) use ask::{Ask, Generation};
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -1,8 +1,9 @@
 //! The orders that the leading VM gives, and what it knows of the runners by them.
 
-use crate::gateway::fleet::{Holding, Server, holds};
+use crate::gateway::fleet::{Server, holds};
 use crate::gateway::planning::{Planning, RunnerView, Steps};
 use crate::gateway::state::State;
+use crate::gateway::tracked::{SETTLE, Tracked, apply};
 use crate::gateway::{Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
 use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
@@ -21,27 +22,9 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(120);
 /// How long a load or a drop may take before the runner is planned for anew.
 const STEP_LIMIT: Duration = Duration::from_secs(20);
-/// How long a model stays once it was loaded: the demand that it was loaded for is counted
-/// over a second and a half and needs some time to show at the new copy.
-const SETTLE: Duration = Duration::from_secs(2);
 /// How often one order is tried.
 const MAX_TRIES: u32 = 4;
 
-/// What is known of one runner.
-#[derive(Debug, Default)]
-struct Tracked {
-    /// Its account; `None` until it was asked.
-    report: Option<RunnerReport>,
-    asked_at: Option<Instant>,
-    is_working: bool,
-    /// A model that is being dropped: no request is to be sent for it.
-    dropping: Option<Name>,
-    /// A model that is being loaded.
-    loading: Option<Name>,
-    /// When models were loaded of late.
-    loaded: Vec<(Name, Instant)>,
-}
-
 /// Gives orders while this VM holds the claim.
 pub(crate) struct Ordering<R> {
     state: Rc<State>,
@@ -470,74 +453,3 @@
         Duration::from_millis(millis)
     }
 }
-
-impl Tracked {
-    /// The models that requests may be sent for.
-    fn usable(&self) -> Option<Vec<Holding>> {
-        let report = self.report.as_ref()?;
-        let holdings = report.holdings.iter();
-        let usable = holdings.filter(|holding| self.dropping.as_ref() != Some(&holding.model));
-        Some(usable.cloned().collect())
-    }
-
-    fn view(&self, server: &Server, state: &State) -> Option<RunnerView> {
-        let report = self.report.as_ref()?;
-        let usable = self.usable()?;
-        let adapters = usable.iter().flat_map(|holding| {
-            holding.adapters.iter().map(|adapter| Weights {
-                model: holding.model.clone(),
-                adapter: Some(adapter.clone()),
-            })
-        });
-        let coming = report.coming.iter();
-        let coming = coming.filter(|weights| !holds(&usable, weights));
-        let (in_memory, on_disk) =
-            server.with(|entry| (entry.in_memory.clone(), entry.on_disk.clone()));
-        Some(RunnerView {
-            id: server.id.clone(),
-            adapters: adapters.chain(coming.cloned()).collect(),
-            models: usable.iter().map(|holding| holding.model.clone()).collect(),
-            coming: self.loading.clone(),
-            is_working: self.is_working || report.is_busy,
-            in_memory,
-            on_disk,
-            in_flight: report
-                .holdings
-                .iter()
-                .map(|holding| {
-                    let model = &holding.model;
-                    let own = server.in_flight_by_model();
-                    let own = own.iter().find(|(name, _)| name == model);
-                    let own = own.map_or(0, |(_, count)| *count);
-                    let all = own + state.peers.in_flight_for(&server.id, model);
-                    (model.clone(), all)
-                })
-                .collect(),
-            settling: self
-                .loaded
-                .iter()
-                .filter(|(_, at)| at.elapsed() < SETTLE)
-                .map(|(model, _)| model.clone())
-                .collect(),
-        })
-    }
-}
-
-/// Enters a change into what a runner holds.
-fn apply(holdings: &mut Vec<Holding>, weights: &Weights, is_load: bool) {
-    let Some(adapter) = &weights.adapter else {
-        if !is_load {
-            holdings.retain(|holding| holding.model != weights.model);
-        }
-        return;
-    };
-    let of_model = holdings
-        .iter_mut()
-        .find(|holding| holding.model == weights.model);
-    if let Some(holding) = of_model {
-        holding.adapters.retain(|held| held != adapter);
-        if is_load {
-            holding.adapters.push(adapter.clone());
-        }
-    }
-}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,13 +2,13 @@
 
 use crate::client::{SendError, is_refused};
 use crate::gateway::budget::{Allowance, RetryBudget};
-use crate::gateway::choose::{Candidate, choose};
+use crate::gateway::call::Call;
 use crate::gateway::exchange::{Exchange, Links};
+use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
 use crate::gateway::state::State;
-use crate::gateway::{Ask, Malformed, Protocol, Refusal, Route, RouteKind, SendOptions, Weights};
+use crate::gateway::{Ask, Malformed, Protocol, RouteKind, SendOptions};
 use crate::http::{Body, ReadError, read_body};
-use crate::inventory::Name;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -25,153 +25,8 @@
 const HEAD_PATIENCE: Duration = Duration::from_millis(500);
 /// The same for a stream, whose head may wait for its first token.
 const STREAM_HEAD_PATIENCE: Duration = Duration::from_millis(1_300);
-/// How long a request waits at least for a model that no runner holds: about the time in
-/// which one is loaded from a runner's own disk.
-const MODEL_WAIT: Duration = Duration::from_millis(1_000);
-/// The longest wait for a model that no runner holds.
-const MAX_MODEL_WAIT: Duration = Duration::from_millis(2_500);
-/// The load up to which a runner takes requests, in requests for each slot: what waits there
-/// beyond its slots comes late and holds up what is begun.
-const MAX_LOAD: f64 = 1.1;
-/// The load from which a server may be slow to answer, in requests for each slot.
-const BUSY_LOAD: f64 = 0.7;
-/// The part of a route's target that a request waits for a place on a full runner.
-const PLACE_WAIT_SHARE: f64 = 0.4;
-/// The time between two looks for a place.
-const PLACE_POLL: Duration = Duration::from_millis(40);
 /// Servers that refuse one request before it is given back.
 const MAX_REFUSED: u32 = 3;
-/// When to come back after a refusal for want of a place, on average: by then streams that
-/// hold the places have ended.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(800);
-/// When to come back to a VM that knows too little to serve.
-const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// When to come back where no server holds the model.
-const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(800);
-/// When a request that crashes servers may come back.
-const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
-
-/// Why a request is not answered by a server's answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Failure {
-    /// This VM knows no configuration or no servers yet.
-    Unready,
-    /// The request cannot be read.
-    Malformed(&'static str),
-    /// No route is about it.
-    NoRoute,
-    /// Its body is larger than allowed.
-    TooLarge,
-    /// Its body did not arrive whole.
-    BodyCut,
-    /// No server can take it.
-    NoServer,
-    /// The servers that could take it are full.
-    Full,
-    /// It was sent, and what became of it is unknown.
-    Unknown,
-    /// Its time is up, and it was sent.
-    TimedOut,
-    /// Its time is up, and it was never sent.
-    Late,
-    /// Servers crashed each time it was aboard.
-    Poison,
-}
-
-impl Failure {
-    /// The name in metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Unready => "unready",
-            Self::Malformed(_) => "malformed",
-            Self::NoRoute => "no_route",
-            Self::TooLarge => "too_large",
-            Self::BodyCut => "body_cut",
-            Self::NoServer => "no_server",
-            Self::Full => "full",
-            Self::Unknown => "unknown",
-            Self::TimedOut => "timed_out",
-            Self::Late => "late",
-            Self::Poison => "poison",
-        }
-    }
-
-    fn refusal(self) -> Refusal {
-        let (status, retry_after) = match self {
-            Self::Unready => (503, Some(UNREADY_RETRY_AFTER)),
-            Self::Malformed(_) => (400, None),
-            Self::NoRoute => (404, None),
-            Self::TooLarge => (413, None),
-            Self::BodyCut => (408, None),
-            Self::NoServer => (503, Some(NO_SERVER_RETRY_AFTER)),
-            // Spread, so that those refused together do not come back together.
-            Self::Full => {
-                let spread = rand::random_range(0.5..1.5);
-                (503, Some(FULL_RETRY_AFTER.mul_f64(spread)))
-            }
-            Self::Unknown => (502, None),
-            Self::TimedOut => (504, None),
-            Self::Late => (503, None),
-            Self::Poison => (503, Some(POISON_RETRY_AFTER)),
-        };
-        Refusal {
-            status: StatusCode::from_u16(status).expect("the table holds valid statuses"),
-            retry_after,
-        }
-    }
-}
-
-/// One request under way.
-#[derive(Debug)]
-pub(crate) struct Call {
-    pub(crate) ask: Ask,
-    pub(crate) route: Rc<Route>,
-    pub(crate) service: Name,
-    pub(crate) arrived: Instant,
-    /// When the caller, or the operator, wants it ended.
-    pub(crate) deadline: Instant,
-    pub(crate) fingerprint: u64,
-    /// Servers that may have begun it.
-    pub(crate) runs: u32,
-    /// Servers that refused it without running it.
-    refused: u32,
-    /// Servers that it was sent to.
-    tried: Vec<Name>,
-}
-
-impl Call {
-    /// The time that is left.
-    pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
-    /// Whether it may be begun at one more server.
-    pub(crate) fn may_run_again(&self) -> bool {
-        self.route.is_repeatable() && self.runs < self.route.max_attempts
-    }
-
-    fn weights(&self) -> Option<Weights> {
-        let generation = self.ask.generation.as_ref()?;
-        Some(Weights {
-            model: generation.model.clone(),
-            adapter: generation.adapter.clone(),
-        })
-    }
-
-    /// The model that it asks for; empty for plain calls.
-    fn model(&self) -> Name {
-        let generation = self.ask.generation.as_ref();
-        generation.map_or_else(Name::default, |generation| generation.model.clone())
-    }
-
-    fn late(&self) -> Failure {
-        if self.runs > 0 {
-            Failure::TimedOut
-        } else {
-            Failure::Late
-        }
-    }
-}
 
 /// Passes requests on.
 pub(crate) struct Relay<P> {
@@ -462,12 +317,6 @@
         }
     }
 
-    /// Whether most places of a server are taken.
-    fn is_loaded(&self, server: &Server) -> bool {
-        let in_flight = server.in_flight() + self.state.peers.in_flight(&server.id);
-        f64::from(in_flight) >= BUSY_LOAD * server.with(|entry| f64::from(entry.slots))
-    }
-
     /// What the head of an answer means for the request.
     fn judge(
         &self,
@@ -557,106 +406,4 @@
             }
         }
     }
-
-    /// Whether a server that is silent is better left for another one: it is not just busy,
-    /// or another one has places.
-    pub(crate) fn has_better(&self, call: &Call, silent: &Server) -> bool {
-        let now = Instant::now();
-        let mut others = self.able(call, now);
-        others.retain(|other| other.id != silent.id && !call.tried.contains(&other.id));
-        !others.is_empty()
-            && (!self.is_loaded(silent) || others.iter().any(|other| !self.is_loaded(other)))
-    }
-
-    /// The server to send to; waits for a place, or for a model that is to be loaded.
-    async fn server_for(&self, call: &Call) -> Result<Rc<Server>, Failure> {
-        let mut waiting = None;
-        let began = Instant::now();
-        loop {
-            let changed = self.state.changed.wait();
-            let why = match self.pick(call) {
-                Ok(server) => {
-                    let waited = began.elapsed();
-                    if waited >= PLACE_POLL {
-                        self.state.metrics.place_wait.observe(waited.as_secs_f64());
-                    }
-                    return Ok(server);
-                }
-                Err(why) => why,
-            };
-            let until = (call.arrived + Self::wait_limit(call, why)).min(call.deadline);
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(if call.runs > 0 { Failure::Unknown } else { why });
-            }
-            if let (Failure::NoServer, Some(weights)) = (why, call.weights()) {
-                waiting.get_or_insert_with(|| self.state.wait_for(&weights));
-            }
-            let pause = match why {
-                Failure::Full => left.min(PLACE_POLL),
-                _ => left,
-            };
-            // Whatever ends the wait, the next turn looks again.
-            let _ = compio::time::timeout(pause, changed).await;
-        }
-    }
-
-    /// How long a request waits for a server, from its arrival.
-    fn wait_limit(call: &Call, why: Failure) -> Duration {
-        let target = Duration::from_millis(call.route.target_latency_ms);
-        match why {
-            Failure::Full => target.mul_f64(PLACE_WAIT_SHARE),
-            _ if call.ask.generation.is_some() => target.clamp(MODEL_WAIT, MAX_MODEL_WAIT),
-            _ => Duration::ZERO,
-        }
-    }
-
-    /// The servers that can serve the request.
-    fn able(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
-        let weights = call.weights();
-        let mut servers = self.state.fleet.of_service(&call.service);
-        servers.retain(|server| {
-            server.is_listed_ready()
-                && weights
-                    .as_ref()
-                    .is_none_or(|weights| server.holds(weights, now))
-        });
-        servers
-    }
-
-    /// The least loaded server that can serve the request.
-    fn pick(&self, call: &Call) -> Result<Rc<Server>, Failure> {
-        let now = Instant::now();
-        let servers = self.able(call, now);
-        let candidates: Vec<Candidate> = servers
-            .iter()
-            .map(|server| self.candidate(call, server, now))
-            .collect();
-        let place = choose(&candidates, rand::random).ok_or(Failure::NoServer)?;
-        let chosen = candidates[place];
-        // A stream that was begun goes on even where others have to wait.
-        if call.ask.generation.is_some() && call.runs == 0 && chosen.load() >= MAX_LOAD {
-            return Err(Failure::Full);
-        }
-        info!(
-            request = %call.ask.id,
-            server = %servers[place].id,
-            model = %call.model(),
-            load = chosen.score(),
-            candidates = candidates.len(),
-            "routed"
-        );
-        Ok(servers[place].clone())
-    }
-
-    fn candidate(&self, call: &Call, server: &Server, now: Instant) -> Candidate {
-        let in_flight = server.in_flight() + self.state.peers.in_flight(&server.id);
-        let zone = &self.state.settings.availability_zone;
-        server.with(|entry| Candidate {
-            in_flight,
-            slots: entry.slots,
-            is_near: entry.availability_zone == *zone,
-            has_failed: server.is_passed_over(now) || call.tried.contains(&server.id),
-        })
-    }
 }
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -1,9 +1,11 @@
 //! A stream of events to a caller, over as many servers as it takes.
 
 use crate::gateway::Protocol;
+use crate::gateway::call::Call;
 use crate::gateway::events::{EventBuffer, StreamEvent};
 use crate::gateway::exchange::Exchange;
-use crate::gateway::relay::{Call, Failure, Relay};
+use crate::gateway::failure::Failure;
+use crate::gateway::relay::Relay;
 use crate::http::{AnswerSender, Body};
 use http_body_util::BodyExt;
 use hyper::Response;
