--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -105,7 +105,7 @@
             match self.next(&call, &mut feed).await {
                 Next::Event(first) => return Ok(self.begin(call, feed, first)),
                 Next::End => return Ok(P::to_caller(&feed.exchange.head, Body::empty())),
-                Next::Silent => self.note_break(&call, &feed, "silent"),
+                Next::Silent => self.note_break(&call, &feed, silence_of(&call)),
                 Next::Broken(why) => self.note_break(&call, &feed, why),
             }
             if call.time_left().is_zero() {
@@ -167,7 +167,7 @@
                         sender.end_whole();
                         return;
                     }
-                    Next::Silent => self.note_break(&call, &feed, "silent"),
+                    Next::Silent => self.note_break(&call, &feed, silence_of(&call)),
                     Next::Broken(why) => self.note_break(&call, &feed, why),
                 }
                 let Some(next) = self.resume(&mut call, last, weights).await else {
@@ -211,7 +211,9 @@
         if last.is_none() || !call.may_run_again() || call.time_left().is_zero() {
             let metrics = &self.state.metrics;
             metrics.note_request(call.route.kind.name(), "broken_off");
-            info!(request = %call.ask.id, runs = call.runs, "stream broken off");
+            let age_ms = call.arrived.elapsed().as_millis() as u64;
+            let timeout_ms = call.route.timeout_ms;
+            info!(request = %call.ask.id, runs = call.runs, age_ms, timeout_ms, "stream broken off");
             return None;
         }
         match self.reach(call, last, weights).await {
@@ -254,6 +256,15 @@
     }
 }
 
+/// Why a stream that is silent is left.
+fn silence_of(call: &Call) -> &'static str {
+    if call.time_left().is_zero() {
+        "time is up"
+    } else {
+        "silent"
+    }
+}
+
 /// Whether an event is new to the caller; events of a resumed run may come again.
 fn is_next(last: Option<u64>, id: Option<u64>) -> bool {
     match (last, id) {
