A new holder of orders allows for its predecessor's loads from the weight store

Cause: found in reading: each holder counted only its own loads, so two holders in turn could begin 16 in a window that allows 11. Change: the count is code of its own; a holder under any fence but the first begins three at most in its first window. Test holders_that_follow_each_other_stay_below_the_ceiling_on_loads: its first assertion is the state before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod ask;
 mod budget;
 mod call;
+mod ceiling;
 mod choose;
 mod configuration;
 mod demand;
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -1,5 +1,6 @@
 //! The orders that the leading VM gives, and what it knows of the runners by them.
 
+use crate::gateway::ceiling::Ceiling;
 use crate::gateway::fleet::{Server, holds};
 use crate::gateway::planning::{Planning, RunnerView, Steps};
 use crate::gateway::state::State;
@@ -7,7 +8,7 @@
 use crate::gateway::{Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
 use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -22,6 +23,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(120);
 /// How long a load or a drop may take before the runner is planned for anew.
 const STEP_LIMIT: Duration = Duration::from_secs(20);
+/// The fence of the first claim ever.
+const FIRST_FENCE: u64 = 1;
 /// How often one order is tried.
 const MAX_TRIES: u32 = 4;
 
@@ -32,19 +35,20 @@
     fence: Cell<Option<u64>>,
     is_fenced: Cell<bool>,
     tracked: RefCell<BTreeMap<Name, Tracked>>,
-    cold_loads: RefCell<VecDeque<Instant>>,
+    ceiling: Ceiling,
 }
 
 impl<R: RunnerControl> Ordering<R> {
     /// Gives no orders yet.
     pub(crate) fn new(state: Rc<State>, runners: R) -> Rc<Self> {
+        let ceiling = Ceiling::new(state.settings.bounds.load_window);
         Rc::new(Self {
             state,
             runners,
             fence: Cell::new(None),
             is_fenced: Cell::new(false),
             tracked: RefCell::default(),
-            cold_loads: RefCell::default(),
+            ceiling,
         })
     }
 
@@ -58,8 +62,11 @@
         self.fence.get().is_some()
     }
 
-    /// Begins to give orders under a fence.
+    /// Begins to give orders under a fence; every fence but the first had a holder before.
     pub(crate) fn start(&self, fence: u64) {
+        if fence > FIRST_FENCE {
+            self.ceiling.take_over(Instant::now());
+        }
         self.tracked.borrow_mut().clear();
         self.state.metrics.is_leading.set(1);
         self.fence.set(Some(fence));
@@ -97,7 +104,7 @@
                 engine,
                 runners: &runners,
                 demand: &demand,
-                cold_loads: self.cold_loads_left(engine.loads_per_s, now),
+                cold_loads: self.ceiling.left(engine.loads_per_s, now),
             };
             for (runner, steps) in planning.plan() {
                 self.begin(&runner, steps, now);
@@ -202,20 +209,6 @@
         views
     }
 
-    /// Loads from the weight store that may begin now.
-    fn cold_loads_left(&self, loads_per_s: f64, now: Instant) -> usize {
-        let window = self.state.settings.bounds.load_window;
-        let mut begun = self.cold_loads.borrow_mut();
-        while begun
-            .front()
-            .is_some_and(|at| now.duration_since(*at) > window)
-        {
-            begun.pop_front();
-        }
-        let allowed = (loads_per_s * window.as_secs_f64()).floor() as usize;
-        allowed.saturating_sub(begun.len())
-    }
-
     fn begin(self: &Rc<Self>, runner: &Name, steps: Steps, now: Instant) {
         let Some(server) = self.state.fleet.server(runner) else {
             return;
@@ -231,7 +224,7 @@
             tracked.loading = loading.map(|weights| weights.model.clone());
         }
         if steps.is_cold {
-            self.cold_loads.borrow_mut().push_back(now);
+            self.ceiling.note(now);
         }
         let ordering = self.clone();
         compio::runtime::spawn(async move {
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -1,6 +1,7 @@
 //! Choosing a server, the retry budget, suspects, routes, events and rates.
 
 use crate::gateway::budget::{Allowance, RetryBudget};
+use crate::gateway::ceiling::Ceiling;
 use crate::gateway::choose::{Candidate, choose};
 use crate::gateway::demand::Demand;
 use crate::gateway::events::EventBuffer;
@@ -223,3 +224,42 @@
     assert!(!server.holds(&adapter, now));
     assert!(server.holds(&adapter, now + Duration::from_secs(2)));
 }
+
+/// The most loads that begin in any window, if every holder begins all that it may.
+fn most_loads(takes_over: impl Fn(&Ceiling, Instant)) -> usize {
+    let window = Duration::from_secs(5);
+    let start = Instant::now();
+    let mut begun = Vec::new();
+    // The first holder gives way to another at the worst moment, and that one to a third.
+    for holder in 0..3_u64 {
+        let ceiling = Ceiling::new(window);
+        if holder > 0 {
+            takes_over(&ceiling, start + Duration::from_millis(holder * 5_500));
+        }
+        for step in 0..55 {
+            let now = start + Duration::from_millis(holder * 5_500 + step * 100);
+            // Nothing at first, then all at once: the latest moment of each holder.
+            let may_begin = holder > 0 || step > 50;
+            while may_begin && ceiling.left(1.6, now) > 0 {
+                ceiling.note(now);
+                begun.push(now);
+            }
+        }
+    }
+    let in_window = |from: &Instant| {
+        let until = *from + window;
+        begun
+            .iter()
+            .filter(|at| (*from..=until).contains(*at))
+            .count()
+    };
+    begun.iter().map(in_window).max().unwrap_or(0)
+}
+
+#[test]
+fn holders_that_follow_each_other_stay_below_the_ceiling_on_loads() {
+    // 1.6 a second over 5 s, a tenth more, and three.
+    let allowed = 11;
+    assert!(most_loads(|_, _| ()) > allowed, "without the allowance");
+    assert!(most_loads(Ceiling::take_over) <= allowed);
+}
