VMs with old loads no longer all choose the same server

Cause: VMs know each other's requests in flight as of up to 200 ms ago and all took the least loaded server of then; a busy model gets dozens of requests in that time, so that prompts piled up on one runner while others were idle, and held up its streams.

Change: chance adds up to 1.0 to a load instead of 0.04. Servers with no place left stand behind all others whatever chance adds (a choice by chance would have refused where another had places).

Test: nine VMs and four runners at half their reading speed: 50 % of the requests met prompts that hold up streams with 0.04, 34 % with 0.2, 1 to 4 % with 0.5, under 1 % with 1.0 as with chance alone; the test failed with 0.04.

Ruled out: too few places (64 a runner, 45 taken); generated tokens (a step is 5.3 ms).

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -3,9 +3,19 @@
 /// What another zone costs, in slots' worth of load: enough that equal servers are taken
 /// from the own zone, too little to leave a busier one there.
 const ZONE_PENALTY: f64 = 0.05;
-/// Loads closer than this count as equal, and one of them is drawn: VMs that know the
-/// same would otherwise choose alike.
-const NOISE: f64 = 0.04;
+/// The most that chance adds to a load, in requests for each slot: as much as a whole server.
+///
+/// Loads of other VMs are up to 200 ms old, in which a busy model gets dozens of requests.
+/// VMs that all take the least loaded server of then pile their prompts up on it: with 0.04
+/// half of all requests met prompts that hold up streams for over 150 ms, with 1.0 under 1 %,
+/// as with a choice by chance alone, which knows no slow or full servers (nine VMs, four
+/// runners at half their reading speed, simulated in `tests/spreading.rs`).
+const NOISE: f64 = 1.0;
+/// The load up to which a runner takes requests, in requests for each slot: what waits there
+/// beyond its slots comes late and holds up what is begun.
+pub(crate) const FULL_LOAD: f64 = 1.1;
+/// Puts full servers behind those with places, whatever chance adds.
+const FULL_PENALTY: f64 = 10.0;
 /// Puts servers that failed just now, or failed this very request, behind all others.
 const FAILED_PENALTY: f64 = 1_000.0;
 
@@ -28,12 +38,18 @@
         f64::from(self.in_flight) / f64::from(self.slots.max(1))
     }
 
+    /// Whether its places are taken and others wait there already.
+    pub(crate) fn is_full(&self) -> bool {
+        self.load() >= FULL_LOAD
+    }
+
     /// What decides: the load with what speaks against the server.
     pub(crate) fn score(&self) -> f64 {
         let load = self.load();
         let zone = if self.is_near { 0.0 } else { ZONE_PENALTY };
+        let full = if self.is_full() { FULL_PENALTY } else { 0.0 };
         let failed = if self.has_failed { FAILED_PENALTY } else { 0.0 };
-        load + zone + failed
+        load + zone + full + failed
     }
 }
 
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -15,9 +15,6 @@
 const MODEL_WAIT: Duration = Duration::from_millis(1_000);
 /// The longest wait for a model that no runner holds.
 const MAX_MODEL_WAIT: Duration = Duration::from_millis(2_500);
-/// The load up to which a runner takes requests, in requests for each slot: what waits there
-/// beyond its slots comes late and holds up what is begun.
-const MAX_LOAD: f64 = 1.1;
 /// The load from which a server may be slow to answer, in requests for each slot.
 const BUSY_LOAD: f64 = 0.7;
 /// The part of a route's target that a request waits for a place on a full runner.
@@ -109,7 +106,7 @@
         let place = choose(&candidates, rand::random).ok_or(Failure::NoServer)?;
         let chosen = candidates[place];
         // A stream that was begun goes on even where others have to wait.
-        if call.ask.generation.is_some() && call.runs == 0 && chosen.load() >= MAX_LOAD {
+        if call.ask.generation.is_some() && call.runs == 0 && chosen.is_full() {
             return Err(Failure::Full);
         }
         info!(
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -48,6 +48,15 @@
     assert_eq!(choose(&[failed], || 0.5), Some(0));
 }
 
+#[test]
+fn a_full_server_is_taken_only_where_all_are_full() {
+    // Chance speaks for the full one as loudly as it can.
+    let mut draws = [0.0, 1.0].into_iter();
+    let chosen = choose(&[candidate(71), candidate(60)], || draws.next().unwrap());
+    assert_eq!(chosen, Some(1));
+    assert_eq!(choose(&[candidate(71), candidate(80)], || 0.5), Some(0));
+}
+
 #[test]
 fn all_vms_together_stay_within_the_retry_budget_in_any_window() {
     const VMS: usize = 9;
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -3,3 +3,4 @@
 mod decisions;
 mod pages;
 mod planning;
+mod spreading;
