Swaps in proportion to the runners; a VM that cannot serve asks the log on at the first pace

Cause: four swaps at a time, whatever the number of runners: on 20 to 90 runners demand that moved waited for seconds. Cause of the second: all machines lost power while the log was away; each failed read lengthened the pause, so VMs stayed unready for up to 0.75 s after the log was back.

Change: swaps on 0.44 of the runners (four of nine, as before); retries at 250 ms until the VM can serve. Each swap is logged with what decided it, each routing with the prompts that wait, a broken stream with the caller's patience; peer messages are counted.

Tests: more_runners_take_more_swaps_at_a_time (4 of 90 before), a_vm_that_cannot_serve_asks_*.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -96,6 +96,7 @@
             if target == self.state.settings.peer_address {
                 continue;
             }
+            self.state.metrics.peer_messages.inc();
             let BufResult(sent, _) = self.socket.send_to(bytes.clone(), target).await;
             if let Err(error) = sent {
                 tracing::debug!(peer = %target, %error, "peer message not sent");
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -48,6 +48,7 @@
     row("retries_denied", "retries that the budget did not allow"),
     row("streams_resumed", "streams that went on at another server"),
     row("connections_opened", "connections opened to servers"),
+    row("peer_messages", "messages sent to other VMs"),
     row("store_calls", "calls to the store, by call and outcome"),
     row(
         "store_call_seconds",
@@ -103,6 +104,7 @@
     pub(crate) retries_denied: Counter,
     pub(crate) streams_resumed: Counter,
     pub(crate) connections_opened: Counter,
+    pub(crate) peer_messages: Counter,
     pub(crate) store_calls: Family<CallLabels, Counter>,
     pub(crate) store_call: Histogram,
     pub(crate) orders: Family<CallLabels, Counter>,
@@ -133,6 +135,7 @@
             retries_denied: Counter::default(),
             streams_resumed: Counter::default(),
             connections_opened: Counter::default(),
+            peer_messages: Counter::default(),
             store_calls: Family::default(),
             store_call: seconds(),
             orders: Family::default(),
@@ -157,6 +160,7 @@
         self.register("retries_denied", self.retries_denied.clone());
         self.register("streams_resumed", self.streams_resumed.clone());
         self.register("connections_opened", self.connections_opened.clone());
+        self.register("peer_messages", self.peer_messages.clone());
         self.register("store_calls", self.store_calls.clone());
         self.register("store_call_seconds", self.store_call.clone());
         self.register("orders_given", self.orders.clone());
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -9,6 +9,7 @@
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
 use std::collections::HashMap;
+use tracing::info;
 
 /// The demand that one copy answers in time, in runners: beyond a quarter of a runner's time
 /// prompts queue behind each other and hold up the streams beside them.
@@ -37,8 +38,9 @@
 const DROP_COST: f64 = 0.0015;
 /// What the loss of a copy that adapters need costs.
 const ADAPTER_LACK: f64 = 0.05;
-/// Swaps under way at a time: each takes a runner's copy away for about two seconds.
-const MAX_SWAPS: usize = 4;
+/// The part of the runners on which swaps may be under way: four of nine, since each takes a
+/// runner's copy away for about two seconds; with three quarters worth did not change.
+const SWAP_SHARE: f64 = 0.44;
 /// The demand for an adapter copy, in tokens a second, from which a second one is placed.
 const ADAPTER_CROWDED: f64 = 3_000.0;
 /// Loads from the weight store that filling a runner leaves to models that are missed.
@@ -148,6 +150,28 @@
     steps: Steps,
 }
 
+impl Swap {
+    /// Tells what decided; the figures count this swap already.
+    fn log(&self, pressures: &HashMap<Name, Pressure>) {
+        let Some(loaded) = self.steps.load.first() else {
+            return;
+        };
+        let pressure = pressures.get(&loaded.model).copied().unwrap_or_default();
+        let dropped = self.steps.drop.iter().map(|weights| &*weights.model);
+        info!(
+            server = %self.runner,
+            model = %loaded.model,
+            dropped = dropped.collect::<Vec<_>>().join(","),
+            gain = self.gain,
+            demand_runners = pressure.runners,
+            waiting = pressure.waiting,
+            copies = pressure.copies,
+            is_cold = self.steps.is_cold,
+            "swap planned"
+        );
+    }
+}
+
 impl Planning<'_> {
     /// What each runner is to do; runners without steps are left out.
     pub(crate) fn plan(&self) -> HashMap<Name, Steps> {
@@ -183,7 +207,7 @@
         let mut pressures = self.pressures();
         let under_way = self.runners.iter().filter(|it| it.coming.is_some()).count();
         let mut cold_loads = self.cold_loads;
-        for _ in under_way..MAX_SWAPS {
+        for _ in under_way..self.max_swaps() {
             let models = self.engine.models.iter();
             let swaps =
                 models.filter_map(|model| self.best_swap(model, &pressures, steps, cold_loads));
@@ -202,11 +226,16 @@
                 }
             }
             cold_loads -= usize::from(swap.steps.is_cold);
+            swap.log(&pressures);
             steps.insert(swap.runner, swap.steps);
         }
         self.fill(&mut pressures, steps);
     }
 
+    fn max_swaps(&self) -> usize {
+        (self.runners.len() as f64 * SWAP_SHARE).ceil() as usize
+    }
+
     /// The runner on which one more copy of `model` gains most, with what makes room there.
     fn best_swap(
         &self,
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -113,7 +113,9 @@
             request = %call.ask.id,
             server = %servers[place].id,
             model = %call.model(),
-            load = chosen.score(),
+            load = chosen.load(),
+            prompts_wait_ms = chosen.prompts_wait_ms as u64,
+            has_failed = chosen.has_failed,
             candidates = candidates.len(),
             "routed"
         );
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -213,7 +213,11 @@
             metrics.note_request(call.route.kind.name(), "broken_off");
             let age_ms = call.arrived.elapsed().as_millis() as u64;
             let timeout_ms = call.route.timeout_ms;
-            info!(request = %call.ask.id, runs = call.runs, age_ms, timeout_ms, "stream broken off");
+            let patience_ms = call
+                .ask
+                .patience
+                .map(|patience| patience.as_millis() as u64);
+            info!(request = %call.ask.id, runs = call.runs, age_ms, timeout_ms, patience_ms, "stream broken off");
             return None;
         }
         match self.reach(call, last, weights).await {
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -8,6 +8,7 @@
 use crate::gateway::events::EventBuffer;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::suspects::Suspects;
+use crate::gateway::watch::retry_pause;
 use crate::gateway::{
     Configuration, Entry, Holding, Limits, Route, RouteKind, ServerState, Target, Weights,
 };
@@ -295,3 +296,11 @@
     assert!(most_loads(|_, _| ()) > allowed, "without the allowance");
     assert!(most_loads(Ceiling::take_over) <= allowed);
 }
+
+#[test]
+fn a_vm_that_cannot_serve_asks_the_log_on_at_the_first_pace() {
+    let first = retry_pause(1, true);
+    assert!(retry_pause(4, true) > first);
+    assert_eq!(retry_pause(4, true), retry_pause(9, true));
+    assert_eq!(retry_pause(9, false), first);
+}
--- a/src/gateway/tests/planning.rs
+++ b/src/gateway/tests/planning.rs
@@ -160,6 +160,20 @@
     assert!(drops < 3, "the last copy of m0 must stay: {plan:?}");
 }
 
+#[test]
+fn more_runners_take_more_swaps_at_a_time() {
+    let engine = engine(0);
+    let swaps_of = |count: usize| {
+        let runners: Vec<RunnerView> = (0..count)
+            .map(|number| runner(&format!("r{number}"), &["m0", "m2"]))
+            .collect();
+        let demand = HashMap::from([(model("m1"), rate(4_000_000.0))]);
+        plan(&engine, &runners, &demand).len()
+    };
+    assert_eq!(swaps_of(9), 4);
+    assert_eq!(swaps_of(90), 40);
+}
+
 #[test]
 fn equal_demand_leaves_copies_where_they_are() {
     let engine = engine(0);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -19,7 +19,8 @@
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(650);
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// The longest pause while reads go on failing.
+/// The longest pause while reads go on failing at a VM that can serve with what it knows. One
+/// that knows too little refuses every request, and asks on at the first pace.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long after a failed read the directory counts as shaken.
 const SHAKEN_FOR: Duration = Duration::from_millis(4_000);
@@ -68,7 +69,8 @@
                     }
                     self.note_failure("configuration", error, failures);
                     failures += 1;
-                    compio::time::sleep(pause(failures)).await;
+                    let pause = retry_pause(failures, self.state.is_ready());
+                    compio::time::sleep(pause).await;
                 }
             }
         }
@@ -102,7 +104,8 @@
                     self.failed_at.set(Some(Instant::now()));
                     self.note_failure("directory", error, failures);
                     failures += 1;
-                    compio::time::sleep(pause(failures)).await;
+                    let pause = retry_pause(failures, self.state.is_ready());
+                    compio::time::sleep(pause).await;
                 }
             }
             self.forget_lapsed();
@@ -157,6 +160,11 @@
     }
 }
 
-fn pause(failures: u32) -> Duration {
-    (RETRY_PAUSE * failures.clamp(1, 4)).min(MAX_RETRY_PAUSE)
+/// The pause after so many failed reads in a row.
+pub(crate) fn retry_pause(failures: u32, is_ready: bool) -> Duration {
+    if is_ready {
+        (RETRY_PAUSE * failures.clamp(1, 4)).min(MAX_RETRY_PAUSE)
+    } else {
+        RETRY_PAUSE
+    }
 }
