--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,18 +4,19 @@
 use crate::error::{Failure, Kind};
 use crate::events::{Event, emit};
 use crate::http::{AnswerSender, Body, ReadError, json_response, read_body};
-use crate::inventory::{Caller, Inventory, Name, PlainService, Priority};
+use crate::inventory::{Inventory, Name, PlainService, Priority};
 use crate::kernel::{Kernel, Service};
 use crate::membership::Membership;
 use crate::metrics::{Metrics, RequestLabels};
-use crate::plain::{Call, IdempotencyKey, PlainCalls};
+use crate::plain::{Call, PlainCalls};
 use crate::retry::RetryBudget;
 use crate::router::Target;
+use crate::sender::{Sender, deadline_ms, fingerprint, idempotency_key, request_id, sender};
 use crate::server::{ControlStream, KeyStream};
 use crate::shutdown::{OpenGuard, Shutdown};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
+use hyper::{Method, Request, Response, StatusCode, header};
 use serde_json::{Map, Value, json};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -34,16 +35,6 @@
 /// What a caller gets while its engine has no token: it shows that the path lives.
 const WAITING_COMMENT: &[u8] = b": waiting\n\n";
 
-/// Who sends a request, and how urgent it is.
-#[derive(Clone, Debug)]
-struct Sender {
-    name: Name,
-    priority: Priority,
-    deadline_ms: u64,
-    first_token_ms: Option<u64>,
-    max_concurrent: u32,
-}
-
 /// The callers' entry of one VM.
 pub(crate) struct Entry {
     control: Rc<ControlStream>,
@@ -432,81 +423,6 @@
     format!("data: {}\n\n", failure.to_json()).into()
 }
 
-/// The caller's own request id if it is a plain token, else a new one.
-fn request_id(headers: &HeaderMap) -> Name {
-    headers
-        .get("x-request-id")
-        .and_then(|value| value.to_str().ok())
-        .filter(|id| !id.is_empty() && id.len() <= 64)
-        .filter(|id| {
-            id.bytes()
-                .all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
-        })
-        .map_or_else(|| uuid::Uuid::now_v7().to_string().into(), Name::from)
-}
-
-fn sender(inventory: &Inventory, headers: &HeaderMap) -> Result<Sender, Failure> {
-    let token = headers
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "));
-    if let Some(token) = token {
-        return inventory
-            .caller(token)
-            .map(Sender::from)
-            .ok_or_else(|| Failure::new(Kind::UnknownCaller, "the API key is not listed"));
-    }
-    match inventory.rules.anonymous_priority {
-        Some(priority) => Ok(Sender {
-            name: arcstr::literal!("anonymous"),
-            priority,
-            deadline_ms: 30_000,
-            first_token_ms: None,
-            max_concurrent: 0,
-        }),
-        None => Err(Failure::new(Kind::UnknownCaller, "an API key is required")),
-    }
-}
-
-impl From<&Caller> for Sender {
-    fn from(caller: &Caller) -> Self {
-        Self {
-            name: caller.name.clone(),
-            priority: caller.priority,
-            deadline_ms: caller.deadline_ms,
-            first_token_ms: caller.first_token_ms,
-            max_concurrent: caller.max_concurrent,
-        }
-    }
-}
-
-fn deadline_ms(headers: &HeaderMap) -> Result<Option<u64>, Failure> {
-    let Some(value) = headers.get("x-deadline-ms") else {
-        return Ok(None);
-    };
-    value
-        .to_str()
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .map(Some)
-        .ok_or_else(|| Failure::new(Kind::Malformed, "x-deadline-ms must be a whole number"))
-}
-
-fn idempotency_key(headers: &HeaderMap) -> Result<IdempotencyKey, Failure> {
-    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let Some(key) = text("idempotency-key") else {
-        let message = "this route needs an Idempotency-Key header; the call was not made";
-        return Err(Failure::new(Kind::KeyRequired, message));
-    };
-    IdempotencyKey::parse(key, text("idempotency-time"))
-}
-
-/// The same for each sending of a request, through whichever VM.
-fn fingerprint(body: &Map<String, Value>) -> u64 {
-    let text = json!([body.get("model"), body.get("messages")]).to_string();
-    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
-}
-
 fn models(inventory: &Inventory) -> Response<Body> {
     let mut data = Vec::new();
     for model in &inventory.models {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod outside;
 mod peers;
 mod planning;
+mod pressure;
 mod relay;
 mod routing;
 mod server;
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -6,26 +6,12 @@
 
 use crate::gateway::backlog::READ_TOKENS_PER_MS;
 use crate::gateway::peers::WantedRate;
+use crate::gateway::pressure::Pressure;
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
 use std::collections::HashMap;
 use tracing::info;
 
-/// The demand that one copy answers in time, in runners: beyond a quarter of a runner's time
-/// prompts queue behind each other and hold up the streams beside them.
-const IN_TIME: f64 = 0.25;
-/// The demand that one copy answers at all beside other models, in runners.
-const AT_ALL: f64 = 0.6;
-/// What an answer counts that comes late.
-const LATE_VALUE: f64 = 0.3;
-/// What one copy of a model that nobody asks for now is worth, in runners of demand: little,
-/// since a runner loads it anew from its own disk within a second.
-const REACH: f64 = 0.08;
-/// What one copy of a model that is asked for is worth beside the demand that it answers:
-/// requests for rare models are to be served as well as those for busy ones.
-const ASKED: f64 = 0.2;
-/// What a request that waits for a model counts, in runners of demand.
-const WAITING: f64 = 0.05;
 /// The gain from which one more copy is loaded; keeps models with equal demand from taking
 /// turns.
 const MIN_GAIN: f64 = 0.08;
@@ -102,47 +88,6 @@
     pub(crate) cold_loads: usize,
 }
 
-/// The demand for one model and how many copies answer it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pressure {
-    runners: f64,
-    waiting: u32,
-    copies: usize,
-}
-
-impl Pressure {
-    /// The demand for each copy, in runners.
-    fn each(&self) -> f64 {
-        self.demand() / self.copies.max(1) as f64
-    }
-
-    fn demand(&self) -> f64 {
-        self.runners + f64::from(self.waiting) * WAITING
-    }
-
-    /// What so many copies are worth: the demand that they answer, late answers less.
-    fn answered(&self, copies: usize) -> f64 {
-        let reach = match (copies, self.demand() > 0.0) {
-            (0, _) => 0.0,
-            (_, false) => REACH,
-            (_, true) => ASKED,
-        };
-        let in_time = self.demand().min(copies as f64 * IN_TIME);
-        let at_all = self.demand().min(copies as f64 * AT_ALL);
-        reach + in_time + (at_all - in_time) * LATE_VALUE
-    }
-
-    /// What one more copy gains.
-    fn gain(&self) -> f64 {
-        self.answered(self.copies + 1) - self.answered(self.copies)
-    }
-
-    /// What one copy less loses.
-    fn loss(&self) -> f64 {
-        self.answered(self.copies) - self.answered(self.copies.saturating_sub(1))
-    }
-}
-
 /// A swap on one runner with what it gains.
 struct Swap {
     gain: f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! log; docs/DESIGN.md tells why.
 
 mod admission;
+mod arguments;
 mod batch_queue;
 mod check;
 pub mod cli;
@@ -44,6 +45,7 @@
 mod replica;
 mod retry;
 mod router;
+mod sender;
 mod server;
 mod shutdown;
 mod signal;
