workbench account: where requests went, from VMs' logs

A table with a row for each span: whole streams, late by first event or pause, broken off, refused by reason; for the models asked for most how many servers could take them, their load and the prompts that waited there.

--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in keeps a journal of what it was asked and did, so that the
 //! system's promises can be checked from the outside.
 
+pub mod account;
 pub mod answer;
 pub mod asker;
 pub mod calls;
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use workbench::account::{Account, Limits};
 use workbench::calls::{self, CallLoad};
 use workbench::capacity::{self, Size};
 use workbench::demo;
@@ -60,6 +61,20 @@
                         .help("The folder for the JSON report and the plot"),
                 ),
         )
+        .subcommand(
+            Command::new("account")
+                .about("Tell from VMs' logs where requests went, a row for each span of time")
+                .arg(
+                    Arg::new("log")
+                        .value_name("LOGFILE")
+                        .required(true)
+                        .action(ArgAction::Append)
+                        .value_parser(value_parser!(PathBuf)),
+                )
+                .arg(number("first-ms", "250").help("A later first event counts as late"))
+                .arg(number("pause-ms", "150").help("A longer pause counts as late"))
+                .arg(number("span-s", "2").value_parser(value_parser!(u64).range(1..=3_600))),
+        )
         .subcommand(
             Command::new("overhead")
                 .about("Measure what one VM adds against asking engines directly")
@@ -234,6 +249,7 @@
             };
             capacity::run(&size, Duration::from_secs(get(matches, "seconds"))).await;
         }
+        Some(("account", matches)) => return print_account(matches),
         Some(("engine", matches)) => run_engine(matches).await,
         Some(("engines", matches)) => run_engines(matches).await,
         Some(("service", matches)) => run_service(matches).await,
@@ -282,6 +298,25 @@
     }
 }
 
+fn print_account(matches: &ArgMatches) -> ExitCode {
+    let mut account = Account::new(Limits {
+        first_ms: get(matches, "first-ms"),
+        pause_ms: get(matches, "pause-ms"),
+        span_s: get(matches, "span-s"),
+    });
+    for path in matches.get_many::<PathBuf>("log").into_iter().flatten() {
+        match std::fs::read_to_string(path) {
+            Ok(log) => account.read(&log),
+            Err(error) => {
+                eprintln!("{} cannot be read: {error}", path.display());
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    print!("{}", account.table());
+    ExitCode::SUCCESS
+}
+
 async fn run_platform(matches: &ArgMatches) {
     let state: String = get(matches, "state");
     let state: PlatformState = serde_json::from_str(&state).expect("the state is valid");
