--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -6,16 +6,17 @@
 /// Prompts that take so long to read, in milliseconds, weigh as much as a whole server's load:
 /// prompts that wait hold up all streams there, streams hardly hold up each other.
 ///
-/// At three quarters of what four runners read, one of them had prompts waiting that hold up
-/// streams for over 150 ms in 18 % of the time by chance alone, in 0.5 % with 50 ms, in 0.3 %
-/// with 10 ms (nine VMs, simulated in `tests/spreading.rs`).
+/// At three quarters of what four runners read, a runner had prompts waiting that hold up
+/// streams for over 150 ms in 14 to 22 % of the time by chance alone, in 0.4 to 0.5 % with
+/// 50 ms, in 0.1 to 0.3 % with 10 ms (nine VMs, simulated in `tests/spreading.rs`).
 const LOAD_MS: f64 = 10.0;
 /// The most that chance adds to a load, in requests for each slot: as much as a whole server.
 ///
 /// Requests in flight at other VMs are known as of up to 200 ms ago, in which a busy model
 /// gets dozens of requests; VMs that all take the least loaded server of then pile their
 /// prompts up on it where messages about them are lost. At half of what the runners read they
-/// had prompts waiting that hold up streams in 17 % of the time with 0.1, in 0.1 % with 1.0.
+/// had prompts waiting that hold up streams in 13 to 17 % of the time with 0.1 and 50 ms, in
+/// 0.1 % with 1.0 and 10 ms.
 const NOISE: f64 = 1.0;
 /// The load up to which a runner takes requests, in requests for each slot: what waits there
 /// beyond its slots comes late and holds up what is begun.
