A server that starts again under its id is a new one; entries of other writers name no server

Cause: the platform's runners may start again under the id that they had; 'born' tells the run. Kept connections, loads, waiting prompts and the leader's view were kept by id alone, so what was known of the run before would have been taken for the new one, and a late record of the run before replaced what the new one wrote. An entry without one of its fields was taken with defaults (slots 0).

Change: a run is named by id and start time in fleet, orders, connections and what VMs tell each other; older records of a server are passed over, also once it is gone; an entry that lacks a field or has another type names no server, and what the log said of that id before lapses.

Ruled out: keeping the present server where its record became unreadable (a VM that starts at that moment would not list it, so VMs would differ).

Tests: decisions.rs (a new run, late records), platform/tests (each field missing or wrong, bytes at random).

--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -63,6 +63,9 @@
 pub(super) struct ServerHoldings {
     #[prost(string, tag = "1")]
     pub(super) server: String,
+    /// When the server's process started, in Unix milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub(super) started_ms: u64,
     #[prost(message, repeated, tag = "2")]
     pub(super) models: Vec<ModelHolding>,
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! One request sent to one backend server, and the connections kept for the next.
 
 use crate::client::{Connection, SendError};
-use crate::gateway::fleet::{InFlight, Server};
+use crate::gateway::fleet::{InFlight, Incarnation, Server};
 use crate::gateway::{Protocol, Reply};
 use crate::http::Body;
 use crate::inventory::Name;
@@ -52,7 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct Links {
     opened: Counter,
-    idle: RefCell<HashMap<Name, Vec<Idle>>>,
+    idle: RefCell<HashMap<Incarnation, Vec<Idle>>>,
 }
 
 impl Links {
@@ -108,7 +108,7 @@
             .keep_alive
             .map_or(KEPT_UNTOLD, |timeout| timeout.mul_f64(KEPT_SHARE));
         let mut idle = self.idle.borrow_mut();
-        let idle = idle.entry(server.id.clone()).or_default();
+        let idle = idle.entry(server.incarnation()).or_default();
         if idle.len() < MAX_IDLE {
             let until = Instant::now() + kept;
             idle.push(Idle { connection, until });
@@ -116,21 +116,21 @@
     }
 
     /// Drops the connections to servers that are gone, and those idle for too long.
-    pub(crate) fn clean(&self, is_listed: impl Fn(&Name) -> bool, now: Instant) {
-        self.idle.borrow_mut().retain(|id, idle| {
+    pub(crate) fn clean(&self, is_listed: impl Fn(&Incarnation) -> bool, now: Instant) {
+        self.idle.borrow_mut().retain(|run, idle| {
             idle.retain(|idle| now < idle.until && !idle.connection.is_closed());
-            is_listed(id) && !idle.is_empty()
+            is_listed(run) && !idle.is_empty()
         });
     }
 
     /// Drops the idle connections to a server, such as after one went silent.
-    pub(crate) fn clear(&self, server: &Name) {
-        self.idle.borrow_mut().remove(server);
+    pub(crate) fn clear(&self, server: &Server) {
+        self.idle.borrow_mut().remove(&server.incarnation());
     }
 
     fn take(&self, server: &Server) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let idle = idle.get_mut(&server.id)?;
+        let idle = idle.get_mut(&server.incarnation())?;
         let now = Instant::now();
         while let Some(kept) = idle.pop() {
             if now < kept.until && kept.connection.is_ready() {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -19,6 +19,10 @@
 /// How old what the leading VM says of a server's models may be.
 const LEADER_VIEW_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Servers that are gone whose last run is kept in mind, at most: what they wrote before is
+/// in the log for minutes.
+const MAX_ENDED: usize = 10_000;
+
 /// Whether a backend server takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ServerState {
@@ -42,8 +46,12 @@
 /// A backend server's entry in the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Entry {
-    /// One run of the server's process.
+    /// The server's name, which it may keep when it starts again.
     pub(crate) id: Name,
+    /// When the server's process started, in Unix milliseconds: names one run under the id.
+    pub(crate) started_ms: u64,
+    /// Counts what this run wrote of itself.
+    pub(crate) sequence: u64,
     /// The service that it belongs to.
     pub(crate) service: Name,
     /// Where it listens.
@@ -62,11 +70,29 @@
     pub(crate) on_disk: Vec<Name>,
 }
 
-/// One backend server.
+impl Entry {
+    /// Whether the same server wrote `other` before this, in this run or in an earlier one.
+    fn is_newer_than(&self, other: &Self) -> bool {
+        (self.started_ms, self.sequence) >= (other.started_ms, other.sequence)
+    }
+}
+
+/// One run of a backend server's process; the server may start again under its id.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Incarnation {
+    /// The server's name.
+    pub(crate) id: Name,
+    /// When the process started, in Unix milliseconds.
+    pub(crate) started_ms: u64,
+}
+
+/// One run of a backend server's process.
 #[derive(Debug)]
 pub(crate) struct Server {
-    /// One run of the server's process.
+    /// The server's name.
     pub(crate) id: Name,
+    /// When this run started, in Unix milliseconds.
+    pub(crate) started_ms: u64,
     /// Where it listens.
     pub(crate) address: SocketAddr,
     /// The prompts that wait there.
@@ -103,6 +129,7 @@
     fn new(entry: Entry) -> Self {
         Self {
             id: entry.id.clone(),
+            started_ms: entry.started_ms,
             address: entry.address,
             backlog: Backlog::default(),
             entry: RefCell::new(entry),
@@ -115,6 +142,14 @@
         }
     }
 
+    /// What names this run.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            started_ms: self.started_ms,
+        }
+    }
+
     /// Looks at the server's entry.
     pub(crate) fn with<R>(&self, look: impl FnOnce(&Entry) -> R) -> R {
         look(&self.entry.borrow())
@@ -221,16 +256,30 @@
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
     servers: RefCell<HashMap<Name, Rc<Server>>>,
+    /// The last run of each server that is gone: what an earlier one wrote comes late.
+    ended: RefCell<HashMap<Name, u64>>,
 }
 
 impl Fleet {
     /// Takes over an entry; tells whether the server is new or changed its state.
+    ///
+    /// A server that started again under its id is a new one, which holds nothing of before;
+    /// an entry that it wrote earlier than the present one is passed over.
     pub(crate) fn take(&self, entry: Entry) -> bool {
         let mut servers = self.servers.borrow_mut();
-        let known = servers
-            .get(&entry.id)
-            .filter(|server| server.address == entry.address);
-        if let Some(server) = known {
+        let ended = self.ended.borrow_mut().remove(&entry.id);
+        if let Some(ended) = ended.filter(|ended| *ended > entry.started_ms) {
+            self.ended.borrow_mut().insert(entry.id, ended);
+            return false;
+        }
+        let known = servers.get(&entry.id);
+        if known.is_some_and(|server| !entry.is_newer_than(&server.entry.borrow())) {
+            return false;
+        }
+        let same = known.filter(|server| {
+            server.started_ms == entry.started_ms && server.address == entry.address
+        });
+        if let Some(server) = same {
             server.lapsed_at.set(None);
             let state = entry.state;
             let before = server.entry.replace(entry);
@@ -250,6 +299,10 @@
     /// Takes away servers whose entry has been gone for `limit`; returns their ids.
     pub(crate) fn forget_lapsed(&self, limit: Duration, now: Instant) -> Vec<Name> {
         let mut gone = Vec::new();
+        let mut ended = self.ended.borrow_mut();
+        if ended.len() >= MAX_ENDED {
+            ended.clear();
+        }
         self.servers.borrow_mut().retain(|id, server| {
             let is_gone = server
                 .lapsed_at
@@ -257,6 +310,7 @@
                 .is_some_and(|at| now.duration_since(at) >= limit);
             if is_gone {
                 gone.push(id.clone());
+                ended.insert(id.clone(), server.started_ms);
             }
             !is_gone
         });
@@ -272,6 +326,12 @@
         }
     }
 
+    /// Finds a run of a server.
+    pub(crate) fn run(&self, incarnation: &Incarnation) -> Option<Rc<Server>> {
+        let server = self.server(&incarnation.id)?;
+        (server.started_ms == incarnation.started_ms).then_some(server)
+    }
+
     /// Finds a server.
     pub(crate) fn server(&self, id: &str) -> Option<Rc<Server>> {
         self.servers.borrow().get(id).cloned()
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,6 +5,7 @@
 //! soon read and past.
 
 use crate::gateway::digest::{Digest, ModelHolding, ServerHoldings, ServerRequests, WeightsDemand};
+use crate::gateway::fleet::Incarnation;
 use crate::gateway::peers::holding;
 use crate::gateway::state::State;
 use crate::inventory::Name;
@@ -164,8 +165,9 @@
 
     fn holdings(&self) -> Vec<ServerHoldings> {
         let view = self.state.leader_view.borrow();
-        let view = view.iter().map(|(server, holdings)| ServerHoldings {
-            server: server.to_string(),
+        let view = view.iter().map(|(run, holdings)| ServerHoldings {
+            server: run.id.to_string(),
+            started_ms: run.started_ms,
             models: holdings
                 .iter()
                 .map(|holding| ModelHolding {
@@ -227,7 +229,11 @@
             return;
         }
         for told in &digest.holdings {
-            let Some(server) = self.state.fleet.server(&told.server) else {
+            let run = Incarnation {
+                id: told.server.as_str().into(),
+                started_ms: told.started_ms,
+            };
+            let Some(server) = self.state.fleet.run(&run) else {
                 continue;
             };
             let models = told.models.iter();
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -1,7 +1,7 @@
 //! The orders that the leading VM gives, and what it knows of the runners by them.
 
 use crate::gateway::ceiling::Ceiling;
-use crate::gateway::fleet::{Server, holds};
+use crate::gateway::fleet::{Incarnation, Server, holds};
 use crate::gateway::planning::{Planning, RunnerView, Steps};
 use crate::gateway::state::State;
 use crate::gateway::tracked::{SETTLE, Tracked, apply};
@@ -34,7 +34,7 @@
     runners: R,
     fence: Cell<Option<u64>>,
     is_fenced: Cell<bool>,
-    tracked: RefCell<BTreeMap<Name, Tracked>>,
+    tracked: RefCell<BTreeMap<Incarnation, Tracked>>,
     ceiling: Ceiling,
 }
 
@@ -118,10 +118,10 @@
             return;
         };
         let mut tracked = self.tracked.borrow_mut();
-        tracked.retain(|id, _| self.state.fleet.server(id).is_some());
+        tracked.retain(|run, _| self.state.fleet.run(run).is_some());
         for (service, _) in configuration.engines() {
             for server in self.state.fleet.of_service(&service.name) {
-                tracked.entry(server.id.clone()).or_default();
+                tracked.entry(server.incarnation()).or_default();
             }
         }
     }
@@ -130,7 +130,7 @@
     fn refresh(self: &Rc<Self>) {
         let now = Instant::now();
         let mut tracked = self.tracked.borrow_mut();
-        for (id, tracked) in tracked.iter_mut() {
+        for (run, tracked) in tracked.iter_mut() {
             let limit = match tracked.report {
                 Some(_) => REFRESH_INTERVAL,
                 None => REFRESH_PAUSE,
@@ -141,7 +141,7 @@
             if tracked.is_working || !is_old {
                 continue;
             }
-            let Some(server) = self.state.fleet.server(id) else {
+            let Some(server) = self.state.fleet.run(run) else {
                 continue;
             };
             tracked.asked_at = Some(now);
@@ -161,8 +161,9 @@
             return None;
         }
         let mut all = self.tracked.borrow_mut();
-        let tracked = all.get_mut(&server.id)?;
-        let Some(report) = report else {
+        let tracked = all.get_mut(&server.incarnation())?;
+        // One that has started again is planned for once the directory lists its new run.
+        let Some(report) = report.filter(|report| report.started_ms == server.started_ms) else {
             tracked.report = None;
             return None;
         };
@@ -180,14 +181,14 @@
     fn tell(&self) {
         let now = Instant::now();
         let mut view = Vec::new();
-        for (id, tracked) in self.tracked.borrow().iter() {
+        for (run, tracked) in self.tracked.borrow().iter() {
             let Some(holdings) = tracked.usable() else {
                 continue;
             };
-            if let Some(server) = self.state.fleet.server(id) {
+            if let Some(server) = self.state.fleet.run(run) {
                 server.note_leader_view(holdings.clone(), now);
             }
-            view.push((id.clone(), holdings));
+            view.push((run.clone(), holdings));
         }
         let has_changed = *self.state.leader_view.borrow() != view;
         if has_changed {
@@ -203,7 +204,11 @@
         let mut views: Vec<RunnerView> = servers
             .iter()
             .filter(|server| server.is_listed_ready())
-            .filter_map(|server| tracked.get(&server.id)?.view(server, &self.state))
+            .filter_map(|server| {
+                tracked
+                    .get(&server.incarnation())?
+                    .view(server, &self.state)
+            })
             .collect();
         views.sort_by(|left, right| left.id.cmp(&right.id));
         views
@@ -215,7 +220,7 @@
         };
         {
             let mut all = self.tracked.borrow_mut();
-            let Some(tracked) = all.get_mut(runner) else {
+            let Some(tracked) = all.get_mut(&server.incarnation()) else {
                 return;
             };
             tracked.is_working = true;
@@ -229,7 +234,7 @@
         let ordering = self.clone();
         compio::runtime::spawn(async move {
             ordering.carry_out(&server, &steps).await;
-            if let Some(tracked) = ordering.tracked.borrow_mut().get_mut(&server.id) {
+            if let Some(tracked) = ordering.tracked.borrow_mut().get_mut(&server.incarnation()) {
                 tracked.is_working = false;
                 tracked.loading = None;
                 tracked.dropping = None;
@@ -269,14 +274,14 @@
     }
 
     fn note_loaded(&self, server: &Server, model: &Name) {
-        if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.id) {
+        if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.incarnation()) {
             tracked.loaded.retain(|(_, at)| at.elapsed() < SETTLE);
             tracked.loaded.push((model.clone(), Instant::now()));
         }
     }
 
     fn set_dropping(&self, server: &Server, model: Option<Name>) {
-        if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.id) {
+        if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.incarnation()) {
             tracked.dropping = model;
         }
         self.tell();
@@ -323,7 +328,7 @@
     fn note_unreachable(&self, server: &Server) {
         let now = Instant::now();
         server.note_failure(now);
-        if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.id) {
+        if let Some(tracked) = self.tracked.borrow_mut().get_mut(&server.incarnation()) {
             tracked.report = None;
             tracked.asked_at = Some(now);
         }
@@ -338,7 +343,7 @@
         let fence = self.fence.get()?;
         let expected_orders = {
             let tracked = self.tracked.borrow();
-            let report = tracked.get(&server.id)?.report.as_ref()?;
+            let report = tracked.get(&server.incarnation())?.report.as_ref()?;
             if is_load && !self.fits(server, report, weights) {
                 warn!(server = %server.id, ?weights, held = ?report.holdings, "load does not fit");
                 return None;
@@ -383,7 +388,7 @@
     /// Counts an accepted order.
     fn note_accepted(&self, server: &Server, weights: &Weights, is_load: bool) {
         let mut all = self.tracked.borrow_mut();
-        let tracked = all.get_mut(&server.id);
+        let tracked = all.get_mut(&server.incarnation());
         if let Some(report) = tracked.and_then(|it| it.report.as_mut()) {
             report.orders += 1;
             if is_load && weights.adapter.is_some() {
@@ -394,7 +399,7 @@
 
     fn note_held(&self, server: &Server, weights: &Weights, is_load: bool) {
         let mut all = self.tracked.borrow_mut();
-        let tracked = all.get_mut(&server.id);
+        let tracked = all.get_mut(&server.incarnation());
         if let Some(report) = tracked.and_then(|it| it.report.as_mut()) {
             let is_dropped = !is_load && holds(&report.holdings, weights);
             if is_dropped && weights.adapter.is_some() {
--- a/src/gateway/outside.rs
+++ b/src/gateway/outside.rs
@@ -235,6 +235,8 @@
     pub(crate) is_busy: bool,
     /// Orders accepted since its start.
     pub(crate) orders: u64,
+    /// When the server's process started, in Unix milliseconds.
+    pub(crate) started_ms: u64,
     /// Adapters that are on their way to it.
     pub(crate) coming: Vec<Weights>,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -214,7 +214,7 @@
     pub(crate) fn note_broken(&self, call: &Call, server: &Rc<Server>) {
         let now = Instant::now();
         server.note_failure(now);
-        self.links.clear(&server.id);
+        self.links.clear(server);
         let state = self.state.clone();
         let server = server.clone();
         let fingerprint = call.fingerprint;
@@ -351,7 +351,7 @@
             warn!(request = %call.ask.id, server = %server.id, is_other, "answer is not the request's");
             self.state.metrics.note_attempt("not_its_answer");
             server.note_failure(now);
-            self.links.clear(&server.id);
+            self.links.clear(&server);
             if call.may_run_again() {
                 return Err(None);
             }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,6 +1,7 @@
 //! One VM's process in the serving role, from start to end.
 
 use crate::error::Fault;
+use crate::gateway::fleet::Incarnation;
 use crate::gateway::gossip::Gossip;
 use crate::gateway::journal::Journal;
 use crate::gateway::leading::Leading;
@@ -11,7 +12,6 @@
     Claims, ConfigSource, Directory, Group, Metrics, Protocol, RunnerControl, Settings,
 };
 use crate::http::{self, Body, serve_patiently};
-use crate::inventory::Name;
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
 use futures_util::future::{Either, select};
@@ -104,7 +104,7 @@
         loop {
             compio::time::sleep(CLEAN_INTERVAL).await;
             let fleet = &cleaned.state.fleet;
-            let is_listed = |id: &Name| fleet.server(id).is_some();
+            let is_listed = |run: &Incarnation| fleet.run(run).is_some();
             cleaned.links.clean(is_listed, Instant::now());
         }
     })
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,11 +1,10 @@
 //! What one VM believes: configuration, backend servers, peers.
 
 use crate::gateway::demand::Demand;
-use crate::gateway::fleet::{Fleet, Holding};
+use crate::gateway::fleet::{Fleet, Holding, Incarnation};
 use crate::gateway::peers::{Peers, WantedRate};
 use crate::gateway::suspects::Suspects;
 use crate::gateway::{Configuration, Metrics, Settings, Weights};
-use crate::inventory::Name;
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
@@ -34,7 +33,7 @@
     pub(crate) demand: Demand,
     waiting: RefCell<HashMap<Weights, u32>>,
     /// What runners hold, while this VM leads; told to all others.
-    pub(crate) leader_view: RefCell<Vec<(Name, Vec<Holding>)>>,
+    pub(crate) leader_view: RefCell<Vec<(Incarnation, Vec<Holding>)>>,
     /// The fence under which this VM gives orders; 0 if it gives none.
     pub(crate) fence: Cell<u64>,
     /// Notified when a server or what it holds has changed.
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -211,6 +211,8 @@
 fn entry(id: &str, state: ServerState) -> Entry {
     Entry {
         id: id.into(),
+        started_ms: 1_000,
+        sequence: 1,
         service: "s".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         availability_zone: "a".into(),
@@ -310,3 +312,64 @@
     assert_eq!(retry_pause(4, true), retry_pause(9, true));
     assert_eq!(retry_pause(9, false), first);
 }
+
+#[test]
+fn a_server_that_starts_again_under_its_id_holds_nothing_of_before() {
+    let fleet = Fleet::default();
+    let now = Instant::now();
+    fleet.take(entry("i", ServerState::Ready));
+    let before = fleet.server("i").expect("it was just entered");
+    let told = [Holding {
+        model: "m".into(),
+        version: 1,
+        adapters: Vec::new(),
+    }];
+    before.note_leader_view(told.to_vec(), now);
+    before.backlog.note(1_000, now);
+    let _in_flight = before.enter("m".into());
+    let again = Entry {
+        started_ms: 2_000,
+        holdings: Vec::new(),
+        ..entry("i", ServerState::Ready)
+    };
+    assert!(fleet.take(again), "a new run is a new server");
+    let after = fleet.server("i").expect("it was entered anew");
+    assert_eq!(after.in_flight(), 0);
+    assert_eq!(after.backlog.wait_ms(now), 0.0);
+    let model = Weights {
+        model: "m".into(),
+        adapter: None,
+    };
+    assert!(!after.holds(&model, now));
+    assert!(fleet.run(&before.incarnation()).is_none());
+}
+
+#[test]
+fn what_a_server_wrote_before_never_replaces_what_it_wrote_since() {
+    let fleet = Fleet::default();
+    let now = Instant::now();
+    let leaving = Entry {
+        started_ms: 2_000,
+        sequence: 7,
+        ..entry("i", ServerState::Draining)
+    };
+    fleet.take(leaving.clone());
+    // A late one of the same run, and a late one of the run before with a higher count.
+    for (started_ms, sequence) in [(2_000, 6), (1_000, 90)] {
+        let late = Entry {
+            started_ms,
+            sequence,
+            ..entry("i", ServerState::Ready)
+        };
+        assert!(!fleet.take(late));
+        let server = fleet.server("i").expect("it is listed");
+        assert!(!server.is_listed_ready());
+    }
+    fleet.lapse("i", now);
+    fleet.forget_lapsed(Duration::ZERO, now);
+    // Also once it is gone.
+    fleet.take(entry("i", ServerState::Ready));
+    assert!(fleet.server("i").is_none());
+    fleet.take(leaving);
+    assert!(fleet.server("i").is_some());
+}
--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -2,21 +2,32 @@
 
 use crate::gateway::{Entry, Holding, ServerState};
 use crate::inventory::Name;
+use crate::platform::object::Object;
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::num::NonZero;
 
+/// What a runner writes of itself; what lacks any of it was written by something else.
 #[derive(Deserialize)]
 struct WireEntry {
     service: Name,
     address: SocketAddr,
     zone: Name,
-    #[serde(default)]
-    slots: u32,
+    /// The version of its software, not of weights.
+    #[serde(rename = "version")]
+    _software: Name,
+    slots: NonZero<u32>,
     state: WireState,
+    #[serde(rename = "cold_remaining_ms")]
+    _slow_for_ms: f64,
+    /// Counts what the runner wrote, unlike the field of that name in its report.
+    sequence: u64,
+    /// When the process started, in Unix milliseconds.
+    born: u64,
     #[serde(default)]
-    models: Vec<WireHolding>,
+    models: Vec<Object<WireHolding>>,
     #[serde(default)]
-    at_hand: WireAtHand,
+    at_hand: Object<WireAtHand>,
 }
 
 #[derive(Deserialize)]
@@ -66,21 +77,29 @@
     }
 }
 
-/// Reads an entry; its key is the id of one run of the server's process.
+/// What a runner holds.
+pub(super) fn holdings(wire: Vec<Object<WireHolding>>) -> Vec<Holding> {
+    wire.into_iter().map(|Object(it)| it.into()).collect()
+}
+
+/// Reads an entry; its key is the server's id.
 pub(super) fn decode(id: Name, value: &[u8]) -> Result<Entry, serde_json::Error> {
-    let wire: WireEntry = serde_json::from_slice(value)?;
+    let Object(wire) = serde_json::from_slice::<Object<WireEntry>>(value)?;
+    let Object(at_hand) = wire.at_hand;
     Ok(Entry {
         id,
+        started_ms: wire.born,
+        sequence: wire.sequence,
         service: wire.service,
         address: wire.address,
         availability_zone: wire.zone,
-        slots: wire.slots,
+        slots: wire.slots.get(),
         state: match wire.state {
             WireState::Ready => ServerState::Ready,
             WireState::Draining => ServerState::Draining,
         },
-        holdings: wire.models.into_iter().map(Holding::from).collect(),
-        in_memory: wire.at_hand.in_memory,
-        on_disk: wire.at_hand.on_disk,
+        holdings: holdings(wire.models),
+        in_memory: at_hand.in_memory,
+        on_disk: at_hand.on_disk,
     })
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 
 mod configuration;
 mod entries;
+mod object;
 mod orders;
 mod requests;
 mod settings;
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -1,10 +1,11 @@
 //! Orders to model runners and their own account, as the platform words them.
 
 use crate::client::{Connection, SendError};
-use crate::gateway::{Holding, Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
+use crate::gateway::{Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
 use crate::http::{Body, read_body};
 use crate::inventory::Name;
-use crate::platform::entries::WireHolding;
+use crate::platform::entries::{WireHolding, holdings};
+use crate::platform::object::Object;
 use bytes::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
@@ -43,12 +44,14 @@
 #[derive(Deserialize)]
 struct WireReport {
     #[serde(default)]
-    models: Vec<WireHolding>,
+    models: Vec<Object<WireHolding>>,
     #[serde(default)]
     busy: bool,
-    /// Orders accepted.
+    /// Orders accepted since the start.
     #[serde(default)]
     sequence: u64,
+    /// When the process started, in Unix milliseconds.
+    born: u64,
     /// Adapters on their way, as MODEL/NAME@VERSION.
     #[serde(default)]
     coming: Vec<String>,
@@ -63,6 +66,18 @@
     })
 }
 
+/// Reads a runner's own account.
+pub(super) fn decode_report(body: &[u8]) -> Result<RunnerReport, serde_json::Error> {
+    let Object(wire) = serde_json::from_slice::<Object<WireReport>>(body)?;
+    Ok(RunnerReport {
+        holdings: holdings(wire.models),
+        is_busy: wire.busy,
+        orders: wire.sequence,
+        started_ms: wire.born,
+        coming: wire.coming.iter().filter_map(|it| coming(it)).collect(),
+    })
+}
+
 /// Sends one request over a connection of its own.
 async fn call(
     address: SocketAddr,
@@ -97,19 +112,13 @@
         if status != StatusCode::OK {
             return None;
         }
-        let wire: WireReport = match serde_json::from_slice(&body) {
-            Ok(wire) => wire,
+        match decode_report(&body) {
+            Ok(report) => Some(report),
             Err(error) => {
                 tracing::warn!(%address, %error, "runner's report unreadable");
-                return None;
+                None
             }
-        };
-        Some(RunnerReport {
-            holdings: wire.models.into_iter().map(Holding::from).collect(),
-            is_busy: wire.busy,
-            orders: wire.sequence,
-            coming: wire.coming.iter().filter_map(|it| coming(it)).collect(),
-        })
+        }
     }
 
     async fn order(&self, address: SocketAddr, order: &Order<'_>) -> OrderOutcome {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -360,9 +360,10 @@
         }
         match entries::decode(id.clone(), &record.value) {
             Ok(entry) => Some(ServerChange::Here(entry)),
+            // Whoever wrote it, it names no server to use; one that lives writes anew.
             Err(error) => {
-                tracing::error!(server = %id, %error, "server's entry unreadable");
-                None
+                tracing::warn!(server = %id, %error, "server's entry unreadable");
+                Some(ServerChange::Gone(id))
             }
         }
     });
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -2,9 +2,11 @@
 
 use crate::gateway::{Protocol, RouteKind, SendOptions};
 use crate::platform::PlatformProtocol;
-use crate::platform::configuration;
 use crate::platform::settings::parse_settings;
+use crate::platform::{configuration, entries, orders};
 use hyper::Request;
+use proptest::prelude::*;
+use serde_json::{Value, json};
 use std::time::Duration;
 
 const SETTINGS: &str = r#"
@@ -130,3 +132,98 @@
         .into_parts();
     assert!(PlatformProtocol::read_ask(&head).is_err());
 }
+
+fn entry() -> Value {
+    json!({
+        "service": "s", "address": "10.128.0.9:8080", "zone": "a", "version": "v1",
+        "slots": 32, "state": "ready", "cold_remaining_ms": 0, "stage": "colocated",
+        "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
+        "sequence": 4, "born": 1_700_000_000_000_u64,
+    })
+}
+
+fn is_read(entry: &Value) -> bool {
+    entries::decode("i".into(), entry.to_string().as_bytes()).is_ok()
+}
+
+#[test]
+fn an_entry_tells_the_run_of_its_server() {
+    let read = entries::decode("i".into(), entry().to_string().as_bytes()).expect("it is whole");
+    assert_eq!(read.started_ms, 1_700_000_000_000);
+    assert_eq!(read.sequence, 4);
+    assert_eq!(read.holdings[0].adapters, ["a1"]);
+}
+
+#[test]
+fn an_entry_that_another_writer_left_names_no_server() {
+    let fields = [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "cold_remaining_ms",
+    ];
+    for field in fields.into_iter().chain(["sequence", "born"]) {
+        let mut lacks = entry();
+        lacks.as_object_mut().expect("an object").remove(field);
+        assert!(!is_read(&lacks), "without {field}");
+        for other in [json!(null), json!([1]), json!({"a": 1}), json!(true)] {
+            let mut wrong = entry();
+            wrong[field] = other;
+            assert!(!is_read(&wrong), "{field}: {}", wrong[field]);
+        }
+    }
+    let wrong = [
+        ("born", json!(1.5)),
+        ("born", json!("1700000000000")),
+        ("state", json!("starting")),
+        ("address", json!("nowhere")),
+        ("slots", json!(0)),
+        ("models", json!("m")),
+        ("models", json!([{"version": 1}])),
+        ("at_hand", json!([])),
+    ];
+    for (field, value) in wrong {
+        let mut entry = entry();
+        entry[field] = value;
+        assert!(!is_read(&entry), "{field}: {}", entry[field]);
+    }
+    let nested = "[".repeat(100_000);
+    for bytes in [
+        b"".as_slice(),
+        b"\xff\xfe",
+        b"{",
+        b"null",
+        b"[]",
+        nested.as_bytes(),
+    ] {
+        assert!(entries::decode("i".into(), bytes).is_err());
+    }
+}
+
+#[test]
+fn a_report_tells_the_run_of_its_server() {
+    let report = br#"{"models": [], "busy": false, "sequence": 2, "born": 1700000000000}"#;
+    let report = orders::decode_report(report).expect("it is whole");
+    assert_eq!(report.started_ms, 1_700_000_000_000);
+    assert!(orders::decode_report(br#"{"models": [], "sequence": 2}"#).is_err());
+}
+
+proptest! {
+    #[test]
+    fn whatever_bytes_come_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = entries::decode("i".into(), &bytes);
+        let _ = configuration::decode(&bytes);
+        let _ = orders::decode_report(&bytes);
+    }
+
+    #[test]
+    fn an_entry_with_bytes_changed_is_read_or_refused(place in 0_usize..300, byte in any::<u8>()) {
+        let mut bytes = entry().to_string().into_bytes();
+        let place = place % bytes.len();
+        bytes[place] = byte;
+        let _ = entries::decode("i".into(), &bytes);
+    }
+}
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -17,6 +17,10 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 /// How often an idle connection looks whether its server is dead.
 const DEATH_POLL: Duration = Duration::from_millis(20);
+/// When a server started, in Unix milliseconds.
+const FIRST_START_MS: u64 = 1_700_000_000_000;
+/// From one start of a server to the next.
+const RESTART_MS: u64 = 5_000;
 /// Headers of a request at most.
 const MAX_HEADERS: usize = 64;
 
@@ -76,6 +80,7 @@
     /// The service that it belongs to.
     pub service: String,
     address: SocketAddr,
+    started_ms: Cell<u64>,
     holds: RefCell<Vec<(String, Vec<String>)>>,
     orders: Cell<u64>,
     fence: Cell<u64>,
@@ -125,6 +130,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             address,
+            started_ms: Cell::new(FIRST_START_MS),
             holds: RefCell::new(
                 holds
                     .map(|(model, adapters)| (model.to_owned(), owned(adapters)))
@@ -158,6 +164,7 @@
             "cold_remaining_ms": 0,
             "models": self.models(),
             "sequence": 1,
+            "born": self.started_ms.get(),
         })
     }
 
@@ -179,6 +186,14 @@
         *self.script.borrow_mut() = Some(Box::new(script));
     }
 
+    /// Starts again under its id: it holds nothing, and counts and fences begin anew.
+    pub fn restart(&self) {
+        self.started_ms.set(self.started_ms.get() + RESTART_MS);
+        self.holds.borrow_mut().clear();
+        self.orders.set(0);
+        self.fence.set(0);
+    }
+
     /// Ends all connections and takes no more.
     pub fn die(&self) {
         self.is_dead.set(true);
@@ -336,6 +351,7 @@
             "models": self.models(),
             "busy": false,
             "sequence": self.orders.get(),
+            "born": self.started_ms.get(),
             "waiting": 0,
             "running": 0,
             "kv_used": 0,
