Servers that never tell their start are listed all the same

Change: the start is untold until some entry of the directory tells one; from then on an entry without it names no server. A start that is no moment is refused as before.

--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -4,9 +4,13 @@
 use crate::inventory::Name;
 use crate::platform::object::Object;
 use serde::Deserialize;
+use serde::de::Error;
 use std::net::SocketAddr;
 use std::num::NonZero;
 
+/// Stands for the start of runners that do not tell it.
+pub(super) const UNTOLD_START: u64 = 0;
+
 /// What a runner writes of itself; what lacks any of it was written by something else.
 #[derive(Deserialize)]
 struct WireEntry {
@@ -22,8 +26,10 @@
     _slow_for_ms: f64,
     /// Counts what the runner wrote, unlike the field of that name in its report.
     sequence: u64,
-    /// When the process started, in Unix milliseconds.
-    born: u64,
+    /// When the process started, in Unix milliseconds; where no runner tells it, each start
+    /// has an id of its own.
+    #[serde(default)]
+    born: Option<u64>,
     #[serde(default)]
     models: Vec<Object<WireHolding>>,
     #[serde(default)]
@@ -77,6 +83,14 @@
     }
 }
 
+/// The start of a runner's process; a runner that tells it names a moment.
+pub(super) fn start_of(born: Option<u64>) -> Result<u64, serde_json::Error> {
+    match born {
+        Some(UNTOLD_START) => Err(serde_json::Error::custom("born is no moment")),
+        born => Ok(born.unwrap_or(UNTOLD_START)),
+    }
+}
+
 /// What a runner holds.
 pub(super) fn holdings(wire: Vec<Object<WireHolding>>) -> Vec<Holding> {
     wire.into_iter().map(|Object(it)| it.into()).collect()
@@ -88,7 +102,7 @@
     let Object(at_hand) = wire.at_hand;
     Ok(Entry {
         id,
-        started_ms: wire.born,
+        started_ms: start_of(wire.born)?,
         sequence: wire.sequence,
         service: wire.service,
         address: wire.address,
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -4,7 +4,7 @@
 use crate::gateway::{Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
 use crate::http::{Body, read_body};
 use crate::inventory::Name;
-use crate::platform::entries::{WireHolding, holdings};
+use crate::platform::entries::{WireHolding, holdings, start_of};
 use crate::platform::object::Object;
 use bytes::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -51,7 +51,8 @@
     #[serde(default)]
     sequence: u64,
     /// When the process started, in Unix milliseconds.
-    born: u64,
+    #[serde(default)]
+    born: Option<u64>,
     /// Adapters on their way, as MODEL/NAME@VERSION.
     #[serde(default)]
     coming: Vec<String>,
@@ -73,7 +74,7 @@
         holdings: holdings(wire.models),
         is_busy: wire.busy,
         orders: wire.sequence,
-        started_ms: wire.born,
+        started_ms: start_of(wire.born)?,
         coming: wire.coming.iter().filter_map(|it| coming(it)).collect(),
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 };
 use crate::http::{Body, read_body};
 use crate::inventory::Name;
+use crate::platform::entries::UNTOLD_START;
 use crate::platform::{configuration, entries};
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
@@ -14,7 +15,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -61,6 +62,8 @@
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     metrics: Rc<Metrics>,
+    /// Whether servers tell when they started.
+    tells_start: Cell<bool>,
 }
 
 #[derive(Deserialize)]
@@ -119,11 +122,21 @@
 }
 
 /// A record of a keyed topic; without a value the key is dropped.
-struct KeyedRecord {
+pub(super) struct KeyedRecord {
     key: Bytes,
     value: Bytes,
 }
 
+#[cfg(test)]
+impl KeyedRecord {
+    pub(super) fn new(key: &str, value: &str) -> Self {
+        Self {
+            key: Bytes::copy_from_slice(key.as_bytes()),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        }
+    }
+}
+
 impl PlatformStore {
     /// A client of the store at `address`.
     pub(crate) fn new(address: SocketAddr, metrics: Rc<Metrics>) -> Self {
@@ -131,6 +144,7 @@
             address,
             idle: RefCell::default(),
             metrics,
+            tells_start: Cell::new(false),
         }
     }
 
@@ -352,7 +366,12 @@
     }
 }
 
-fn server_changes(records: Changes<KeyedRecord>) -> Changes<ServerChange> {
+/// The changes of the directory; `tells_start` says whether its servers tell their start, and
+/// an entry without one is then another writer's.
+pub(super) fn server_changes(
+    records: Changes<KeyedRecord>,
+    tells_start: &Cell<bool>,
+) -> Changes<ServerChange> {
     let changes = records.items.into_iter().filter_map(|record| {
         let id = Name::from(std::str::from_utf8(&record.key).ok()?);
         if record.value.is_empty() {
@@ -367,12 +386,32 @@
             }
         }
     });
+    let mut items: Vec<ServerChange> = changes.collect();
+    let started = |change: &ServerChange| match change {
+        ServerChange::Here(entry) => entry.started_ms != UNTOLD_START,
+        ServerChange::Gone(_) => false,
+    };
+    tells_start.set(tells_start.get() || items.iter().any(started));
+    if tells_start.get() {
+        items = items.into_iter().map(with_start).collect();
+    }
     Changes {
-        items: changes.collect(),
+        items,
         next: records.next,
     }
 }
 
+/// The change, if it is one of a server that tells its start.
+fn with_start(change: ServerChange) -> ServerChange {
+    match change {
+        ServerChange::Here(entry) if entry.started_ms == UNTOLD_START => {
+            tracing::warn!(server = %entry.id, "server's entry without its start");
+            ServerChange::Gone(entry.id)
+        }
+        change => change,
+    }
+}
+
 impl ConfigSource for PlatformStore {
     async fn newest(&self) -> Result<Changes<Configuration>, StoreError> {
         self.newest_of(OPERATOR_TOPIC).await.map(configurations)
@@ -390,12 +429,13 @@
 
 impl Directory for PlatformStore {
     async fn entries(&self) -> Result<Changes<ServerChange>, StoreError> {
-        self.newest_of(SERVERS_TOPIC).await.map(server_changes)
+        let records = self.newest_of(SERVERS_TOPIC).await?;
+        Ok(server_changes(records, &self.tells_start))
     }
 
     async fn changes_since(&self, from: u64) -> Result<Changes<ServerChange>, StoreError> {
         let records = self.records_of(SERVERS_TOPIC, from, Duration::ZERO).await;
-        records.map(server_changes)
+        Ok(server_changes(records?, &self.tells_start))
     }
 }
 
