Orders go on while the store is away, where runners check fences; members are read seldom

Change: where the deployment's runners check fences, a holder goes on by its fence until it hears a higher one, a runner refuses it, or the log shows a later claim, which it asks for as soon as its membership is back. A VM reads the members once in ten seconds at most.

Ruled out: going on without fences (two holders could take turns at a runner that checks none). Test: site_orders a_holder_whose_fence_is_checked_goes_on_while_the_store_is_away: no order for the model that was lost before the change, since the holder had given up.

--- a/src/gateway/leading.rs
+++ b/src/gateway/leading.rs
@@ -4,6 +4,11 @@
 //! first one claims a place in the log if it hears nobody give orders. The place is its
 //! fence, so that a runner refuses what an earlier holder still sends. A holder goes on
 //! when the partitions are dealt anew, which every VM that comes or goes brings about.
+//!
+//! Where runners check fences, a holder also goes on while it cannot reach the log: nobody can
+//! claim there if the log is away for all, and if it is away for this VM only, the others hear
+//! its fence, or a runner refuses its orders once one of them has claimed. Models go on moving
+//! through an outage; without it none moved for its length and the lease.
 
 use crate::gateway::ordering::Ordering;
 use crate::gateway::state::State;
@@ -16,6 +21,10 @@
 
 /// The time between two renewals of the membership; each costs a tenth of a call.
 const JOIN_INTERVAL: Duration = Duration::from_millis(800);
+/// The time between two readings of the group's members: a VM that joins reads them and is heard
+/// by all, so that the others need the list only to find each other after a partition. While
+/// large fleets are restarted in turn, a reading at each change by each VM was half of all calls.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(10);
 /// How long a silent member is kept: three renewals.
 const MEMBER_TTL: Duration = Duration::from_millis(2_400);
 /// The time between two looks at what is to be ordered.
@@ -49,6 +58,12 @@
     begun_at: Cell<Option<Instant>>,
     /// When the log was last looked at for later claims.
     checked_at: Cell<Option<Instant>>,
+    /// Whether the group has changed since its members were read.
+    is_changed: Cell<bool>,
+    /// When they were read.
+    members_read_at: Cell<Option<Instant>>,
+    /// Whether the membership lapsed since the log was last looked at for later claims.
+    is_unchecked: Cell<bool>,
 }
 
 impl<S: Group + Claims, R: RunnerControl> Leading<S, R> {
@@ -68,6 +83,9 @@
             holder_heard_at: Cell::new(None),
             begun_at: Cell::new(None),
             checked_at: Cell::new(None),
+            is_changed: Cell::new(false),
+            members_read_at: Cell::new(None),
+            is_unchecked: Cell::new(false),
         })
     }
 
@@ -94,14 +112,21 @@
         if self.joined_at.get().is_none() {
             self.joined_at.set(Some(Instant::now()));
         }
-        if before.generation == membership.generation {
+        if before.generation != membership.generation {
+            info!(
+                generation = membership.generation,
+                is_first = membership.is_first,
+                "group changed"
+            );
+            self.is_changed.set(true);
+        }
+        let read_at = self.members_read_at.get();
+        let is_due = read_at.is_none_or(|at| at.elapsed() >= MEMBERS_INTERVAL);
+        if !self.is_changed.get() || !is_due {
             return;
         }
-        info!(
-            generation = membership.generation,
-            is_first = membership.is_first,
-            "group changed"
-        );
+        self.is_changed.set(false);
+        self.members_read_at.set(Some(Instant::now()));
         match self.store.members().await {
             Ok(members) => {
                 let members = members.iter().filter(|member| **member != self.member);
@@ -130,7 +155,7 @@
             }
             let is_outrun = highest.is_some_and(|fence| self.ordering.fence() < Some(fence));
             match self.ordering.fence() {
-                Some(_) if !self.is_member() || is_outrun => self.stop(),
+                Some(_) if !self.may_go_on() || is_outrun => self.stop(),
                 Some(fence) => {
                     self.check_claim(fence).await;
                     if self.is_settled() {
@@ -143,6 +168,15 @@
         }
     }
 
+    /// Whether a holder may go on: as a member, or by its fence where runners check it.
+    fn may_go_on(&self) -> bool {
+        if self.is_member() {
+            return true;
+        }
+        self.is_unchecked.set(true);
+        self.state.settings.bounds.is_fenced && !self.state.shutdown.is_leaving()
+    }
+
     /// Whether the group has this VM as a member, as of less than a membership's time ago.
     fn is_member(&self) -> bool {
         let renewed_at = self.renewed_at.get();
@@ -180,19 +214,20 @@
         self.ordering.start(fence);
     }
 
-    /// Gives up once the log shows a later claim; looked up only while the group would have
-    /// another VM claim.
+    /// Gives up once the log shows a later claim; looked up while the group would have another
+    /// VM claim, and after the membership has lapsed.
     async fn check_claim(&self, fence: u64) {
         let checked_at = self.checked_at.get();
         let is_due = checked_at.is_none_or(|at| at.elapsed() >= CHECK_INTERVAL);
-        if self.membership.get().is_first || !is_due {
+        let needs_check = self.is_unchecked.get() || !self.membership.get().is_first;
+        if !needs_check || !is_due || !self.is_member() {
             return;
         }
         self.checked_at.set(Some(Instant::now()));
         match self.store.has_successor(fence).await {
             Ok(true) => self.stop(),
-            Ok(false) => {}
-            // The membership lapses if the log stays away.
+            Ok(false) => self.is_unchecked.set(false),
+            // Asked again at the next turn, unless the log is away.
             Err(error) => tracing::debug!(?error, "claim not checked"),
         }
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -38,6 +38,8 @@
     pub(crate) retry_window: Duration,
     /// Retries allowed in a window beyond the ratio, over all VMs.
     pub(crate) retry_slack: f64,
+    /// Whether runners refuse orders under a lower fence than one that they have seen.
+    pub(crate) is_fenced: bool,
     /// How long a holder of orders must be left alone after its last one.
     pub(crate) lease: Duration,
     /// The window over which loads from the weight store are counted.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -44,6 +44,9 @@
     budget_ratio: f64,
     budget_window_s: f64,
     budget_slack: f64,
+    /// Whether runners check the fence of an order.
+    #[serde(default)]
+    fencing_required: bool,
     lease_ms: u64,
     ceiling_window_s: f64,
 }
@@ -94,6 +97,7 @@
             retry_ratio: bounds.budget_ratio,
             retry_window: Duration::from_secs_f64(bounds.budget_window_s),
             retry_slack: bounds.budget_slack,
+            is_fenced: bounds.fencing_required,
             lease: Duration::from_millis(bounds.lease_ms),
             load_window: Duration::from_secs_f64(bounds.ceiling_window_s),
             min_member_ttl: Duration::from_millis(file.platform.ttl_min_ms),
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -41,6 +41,8 @@
     pub vms: Vec<Process>,
     /// The address of everything.
     pub ip: IpAddr,
+    /// Whether VMs are told that servers check the fences of orders.
+    pub is_fenced: bool,
     folder: PathBuf,
     version: u64,
 }
@@ -57,6 +59,7 @@
             servers: Vec::new(),
             vms: Vec::new(),
             ip,
+            is_fenced: false,
             folder,
             version: 0,
         };
@@ -141,6 +144,7 @@
 budget_ratio = 0.2
 budget_window_s = 10
 budget_slack = 58
+fencing_required = {is_fenced}
 lease_ms = 3000
 ceiling_window_s = 5
 [platform]
@@ -150,6 +154,7 @@
 ttl_min_ms = 1000
 "#,
             ip = self.ip,
+            is_fenced = self.is_fenced,
             first = port + 2,
             last = port + 9,
             front = at(0),
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -194,6 +194,11 @@
         self.fence.set(0);
     }
 
+    /// Loses a model without an order, as an engine that fails does.
+    pub fn forget(&self, model: &str) {
+        self.holds.borrow_mut().retain(|(name, _)| name != model);
+    }
+
     /// Ends all connections and takes no more.
     pub fn die(&self) {
         self.is_dead.set(true);
--- a/workbench/tests/site_orders.rs
+++ b/workbench/tests/site_orders.rs
@@ -8,6 +8,10 @@
 use workbench::site::{Ask, Caller, Site, StoreFaults, engine, route};
 
 async fn site(vms: usize) -> Site {
+    site_of(vms, false).await
+}
+
+async fn site_of(vms: usize, is_fenced: bool) -> Site {
     let mut site = Site::start(vec![
         ("llm", vec![("m0", vec![]), ("m1", vec![])]),
         ("llm", vec![("m0", vec![]), ("m1", vec![])]),
@@ -21,6 +25,7 @@
             &[("m0", 12), ("m1", 0), ("m2", 3), ("m3", 0)]
         )]),
     );
+    site.is_fenced = is_fenced;
     site.start_vms(vms);
     site.wait_ready().await;
     site
@@ -140,6 +145,30 @@
     });
 }
 
+#[googletest::test]
+fn a_holder_whose_fence_is_checked_goes_on_while_the_store_is_away() {
+    block_on(async {
+        let mut site = site_of(2, true).await;
+        wait_for_model(&site, "m3").await;
+        site.store.set(StoreFaults {
+            is_silent: true,
+            ..StoreFaults::default()
+        });
+        // Longer than a membership lasts.
+        compio::time::sleep(Duration::from_secs(4)).await;
+        for server in &site.servers {
+            server.forget("m3");
+        }
+        wait_for_model(&site, "m3").await;
+        site.store.set(StoreFaults::default());
+        let runner = site.add_server("llm", vec![]).await;
+        site.wait("orders go on", async || !runner.orders().is_empty())
+            .await;
+        expect_one_holder(&site);
+        expect_no_overrun(&site);
+    });
+}
+
 #[googletest::test]
 fn claims_whose_answers_are_lost_leave_fences_unique() {
     block_on(async {
