--- a/src/gateway/ask.rs
+++ b/src/gateway/ask.rs
@@ -8,10 +8,6 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
 
-/// The cost of a generated token, in prompt tokens read: tokens of a full batch are made
-/// together, and requests end before their limit.
-const GENERATED_COST: u32 = 2;
-
 /// One request of a caller, read whole.
 #[derive(Clone, Debug)]
 pub(crate) struct Ask {
@@ -57,11 +53,4 @@
         hash.write(&self.body);
         hash.finish()
     }
-
-    /// What the request costs a runner, in prompt tokens read.
-    pub(crate) fn cost_tokens(&self) -> u32 {
-        self.generation.as_ref().map_or(0, |generation| {
-            generation.prompt_tokens + GENERATED_COST * generation.max_tokens
-        })
-    }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,15 +1,38 @@
 //! One request under way.
 
 use crate::gateway::failure::Failure;
+use crate::gateway::patience::Patience;
 use crate::gateway::{Ask, Route, Weights};
 use crate::inventory::Name;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// What a request costs a runner.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Cost {
+    /// The time in which its prompt is read and nothing else goes on, in milliseconds.
+    pub(crate) read_ms: f64,
+    /// With it, its share of the time in which all streams go on, in milliseconds.
+    pub(crate) busy_ms: f64,
+    /// How long its stream lasts from the first event on, in milliseconds.
+    pub(crate) stream_ms: f64,
+}
+
+/// How a request was sent to a runner.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sending {
+    pub(crate) at: Instant,
+    /// Whether it met no other prompt there and a free place, as far as was known.
+    pub(crate) is_alone: bool,
+}
+
 /// One request under way.
 #[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) ask: Ask,
+    pub(crate) cost: Cost,
+    /// The last sending.
+    pub(crate) sending: Option<Sending>,
     pub(crate) route: Rc<Route>,
     pub(crate) service: Name,
     pub(crate) arrived: Instant,
@@ -50,6 +73,38 @@
         generation.map_or_else(Name::default, |generation| generation.model.clone())
     }
 
+    /// The times that bear on its beginning.
+    pub(crate) fn patience(&self) -> Patience {
+        Patience {
+            arrived: self.arrived,
+            target: Duration::from_millis(self.route.target_latency_ms),
+            max_pause: Duration::from_millis(self.route.max_pause_ms),
+            deadline: self.deadline,
+        }
+    }
+
+    /// How long its prompt is read.
+    pub(crate) fn read_time(&self) -> Duration {
+        Duration::from_secs_f64(self.cost.read_ms / 1_000.0)
+    }
+
+    /// Until when it may be held: its caller must not have left, and the answer must fit in.
+    pub(crate) fn hold_until(&self) -> Instant {
+        let answer = Duration::from_secs_f64(self.cost.stream_ms / 1_000.0) + self.read_time();
+        let latest = self.deadline.checked_sub(answer).unwrap_or(self.arrived);
+        self.patience().limit().min(latest).max(self.arrived)
+    }
+
+    /// How long it may be held in all.
+    pub(crate) fn hold_time(&self) -> Duration {
+        self.hold_until() - self.arrived
+    }
+
+    /// Whether no server has begun it, and its caller has nothing of an answer yet.
+    pub(crate) fn is_new(&self) -> bool {
+        self.runs == 0 && self.ask.last_event.is_none()
+    }
+
     /// The failure once its time is up.
     pub(crate) fn late(&self) -> Failure {
         if self.runs > 0 {
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -21,6 +21,14 @@
 /// The load up to which a runner takes requests, in requests for each slot: what waits there
 /// beyond its slots comes late and holds up what is begun.
 pub(crate) const FULL_LOAD: f64 = 1.1;
+/// The part of the longest pause for which prompts may keep a runner reading: steps of the
+/// streams take some of the rest, and what VMs have not told each other yet.
+const PAUSE_SHARE: f64 = 0.6;
+/// The load up to which a near server is taken before farther ones, in requests for each slot:
+/// streams hardly hold up each other at a quarter of the slots.
+const EASY_LOAD: f64 = 0.25;
+/// Prompts that wait for no longer than this, in milliseconds, are as good as read.
+const READING_MS: f64 = 5.0;
 
 /// A backend server that can serve the request.
 #[derive(Clone, Copy, Debug)]
@@ -48,16 +56,29 @@
         self.load() >= FULL_LOAD
     }
 
+    /// Whether a prompt that takes `read_ms` had better wait until others are read there: with
+    /// it, streams there would pause for longer than an answer in time may.
+    pub(crate) fn is_reading(&self, read_ms: f64, max_pause_ms: f64) -> bool {
+        let wait_ms = self.prompts_wait_ms;
+        wait_ms > READING_MS && wait_ms + read_ms > max_pause_ms * PAUSE_SHARE
+    }
+
     /// The load with what else speaks against the server.
     fn score(&self) -> f64 {
         let zone = if self.is_near { 0.0 } else { ZONE_PENALTY };
         self.load() + self.prompts_wait_ms / LOAD_MS + zone
     }
 
+    /// Whether it stands near and has so little to do that no farther one would be better.
+    fn is_near_and_easy(&self) -> bool {
+        self.is_near && self.load() < EASY_LOAD && self.prompts_wait_ms < READING_MS
+    }
+
     /// What is compared first: a server that failed stands behind all others, a full one
-    /// behind those with places, whatever their load.
-    fn class(&self) -> (bool, bool) {
-        (self.has_failed, self.is_full())
+    /// behind those with places, whatever their load, and those first that answer from nearby
+    /// without delay: a byte from another zone costs, and comes later.
+    fn class(&self) -> (bool, bool, bool) {
+        (self.has_failed, self.is_full(), !self.is_near_and_easy())
     }
 }
 
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -37,6 +37,9 @@
     pub(crate) timeout_ms: u64,
     /// The time within which an answer, or a stream's first event, has its full worth.
     pub(crate) target_latency_ms: u64,
+    /// The longest pause between two events of an answer that has its full worth; 0 where
+    /// none is told.
+    pub(crate) max_pause_ms: u64,
     /// Backend servers that one request may be sent to.
     pub(crate) max_attempts: u32,
     /// The rank; 0 is the most urgent.
@@ -90,6 +93,8 @@
 pub(crate) struct Engine {
     /// Accelerator memory for weights and adapters, in MB.
     pub(crate) weights_mb: f64,
+    /// Requests that a runner works on at a time.
+    pub(crate) slots: u32,
     /// Adapters that a runner can hold.
     pub(crate) adapter_slots: u32,
     /// Loads a second that the weight store allows over all runners.
@@ -177,6 +182,12 @@
         self.routes.values().map(Vec::len).sum()
     }
 
+    /// A model and what its runners can do.
+    pub(crate) fn model(&self, name: &str) -> Option<(&Engine, &Model)> {
+        let mut engines = self.engines();
+        engines.find_map(|(_, engine)| Some((engine, engine.model(name)?)))
+    }
+
     /// The services with model runners.
     pub(crate) fn engines(&self) -> impl Iterator<Item = (&Rc<Service>, &Engine)> {
         let services = self.services.values();
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -1,25 +1,31 @@
 //! What requests ask of each model, as rates that fade.
 
 use crate::gateway::Weights;
+use crate::gateway::peers::WantedRate;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// How fast a rate follows: half of a shift of demand shows after 0.7 of this.
 const FADE: Duration = Duration::from_millis(1_500);
-/// A rate below this, in tokens a second, is forgotten.
-const MIN_RATE: f64 = 0.5;
+/// A rate below this is forgotten.
+const MIN_REQUESTS_PER_S: f64 = 0.001;
 
 #[derive(Clone, Copy, Debug)]
 struct Rate {
-    tokens_per_s: f64,
+    wanted: WantedRate,
     at: Instant,
 }
 
 impl Rate {
-    fn now(self, now: Instant) -> f64 {
+    fn now(self, now: Instant) -> WantedRate {
         let age = now.saturating_duration_since(self.at).as_secs_f64();
-        self.tokens_per_s * (-age / FADE.as_secs_f64()).exp()
+        let left = (-age / FADE.as_secs_f64()).exp();
+        WantedRate {
+            busy_ms_per_s: self.wanted.busy_ms_per_s * left,
+            requests_per_s: self.wanted.requests_per_s * left,
+            waiting: 0,
+        }
     }
 }
 
@@ -30,21 +36,20 @@
 }
 
 impl Demand {
-    /// Counts a request for some weights.
-    pub(crate) fn note(&self, weights: &Weights, tokens: u32, now: Instant) {
+    /// Counts a request for some weights that keeps a runner busy for so long.
+    pub(crate) fn note(&self, weights: &Weights, busy_ms: f64, now: Instant) {
         let mut rates = self.rates.borrow_mut();
-        let before = rates.get(weights).map_or(0.0, |rate| rate.now(now));
-        let rate = Rate {
-            tokens_per_s: before + f64::from(tokens) / FADE.as_secs_f64(),
-            at: now,
-        };
-        rates.insert(weights.clone(), rate);
+        let before = rates.get(weights).map(|rate| rate.now(now));
+        let mut wanted = before.unwrap_or_default();
+        wanted.busy_ms_per_s += busy_ms / FADE.as_secs_f64();
+        wanted.requests_per_s += 1.0 / FADE.as_secs_f64();
+        rates.insert(weights.clone(), Rate { wanted, at: now });
     }
 
-    /// The rates now, in tokens a second.
-    pub(crate) fn rates(&self, now: Instant) -> Vec<(Weights, f64)> {
+    /// The rates now.
+    pub(crate) fn rates(&self, now: Instant) -> Vec<(Weights, WantedRate)> {
         let mut rates = self.rates.borrow_mut();
-        rates.retain(|_, rate| rate.now(now) >= MIN_RATE);
+        rates.retain(|_, rate| rate.now(now).requests_per_s >= MIN_REQUESTS_PER_S);
         let rates = rates.iter();
         rates
             .map(|(weights, rate)| (weights.clone(), rate.now(now)))
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -14,7 +14,16 @@
     /// The sender's requests in flight; servers without any are left out.
     #[prost(message, repeated, tag = "3")]
     pub(super) loads: Vec<ServerRequests>,
-    /// The demand at the sender.
+    /// Whether this message tells the demand at the sender.
+    #[prost(bool, tag = "12")]
+    pub(super) is_demand: bool,
+    /// Grows with each telling of the demand, whose messages share it.
+    #[prost(uint32, tag = "14")]
+    pub(super) demand_turn: u32,
+    /// Whether more of that demand follows in the next message.
+    #[prost(bool, tag = "13")]
+    pub(super) has_more: bool,
+    /// The demand at the sender, told to the VM that gives orders.
     #[prost(message, repeated, tag = "4")]
     pub(super) demands: Vec<WeightsDemand>,
     /// What runners hold, if the sender leads.
@@ -29,11 +38,34 @@
     /// Prompts sent to runners since the last message about prompts.
     #[prost(message, repeated, tag = "9")]
     pub(super) prompts: Vec<SentPrompt>,
+    /// The sender's availability zone.
+    #[prost(string, tag = "10")]
+    pub(super) availability_zone: String,
+    /// What the sender read of the log, if it follows it closely.
+    #[prost(message, optional, tag = "11")]
+    pub(super) followed: Option<Followed>,
     /// Whether loads and demands are left out of this message.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
 }
 
+/// What a VM that follows the log closely has read of it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct Followed {
+    /// The offset after the last change of the directory that others must know of at once.
+    #[prost(uint64, tag = "1")]
+    pub(super) directory_news: u64,
+    /// The age of the last reading of the directory.
+    #[prost(uint32, tag = "2")]
+    pub(super) directory_age_ms: u32,
+    /// The offset after the last change of the configuration.
+    #[prost(uint64, tag = "3")]
+    pub(super) configuration_news: u64,
+    /// The age of the last reading of the configuration.
+    #[prost(uint32, tag = "4")]
+    pub(super) configuration_age_ms: u32,
+}
+
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct ServerRequests {
     #[prost(string, tag = "1")]
@@ -51,9 +83,12 @@
     pub(super) model: String,
     #[prost(string, optional, tag = "2")]
     pub(super) adapter: Option<String>,
-    /// Tokens a second.
+    /// What it takes of runners' time, in microseconds a second.
     #[prost(uint32, tag = "3")]
-    pub(super) tokens_per_s: u32,
+    pub(super) busy_us_per_s: u32,
+    /// Requests in a thousand seconds.
+    #[prost(uint32, tag = "5")]
+    pub(super) requests_per_1000_s: u32,
     /// Requests that wait for a runner that holds the weights.
     #[prost(uint32, tag = "4")]
     pub(super) waiting: u32,
@@ -93,7 +128,7 @@
 pub(super) struct SentPrompt {
     #[prost(string, tag = "1")]
     pub(super) server: String,
-    /// Tokens of the prompt.
+    /// How long the runner takes to read it, in microseconds.
     #[prost(uint32, tag = "2")]
-    pub(super) tokens: u32,
+    pub(super) read_us: u32,
 }
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -4,16 +4,13 @@
 use hyper::StatusCode;
 use std::time::Duration;
 
-/// When to come back after a refusal for want of a place, on average: a place comes with one
-/// more copy, which takes 0.3 to 3 s to make room for and 1 to 4.5 s to load. With 0.8 s more of
-/// those refused came back to a second refusal: 5.2 % of urgent requests were never served
-/// instead of 4.4 % (15 plays of days with trouble or high load).
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(2_200);
-/// When to come back to a VM that knows too little to serve.
-const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// When to come back where no server holds the model: it waited for a load of a second or more
-/// already; one from the weight store takes three more.
-const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(2_000);
+/// The part of a caller's time left after which one that was refused for want of a place, of a
+/// copy, or of knowledge comes back at the latest: callers wait for a third at most. A place comes
+/// with one more copy, which takes seconds to make room for and to load; a VM that has started
+/// knows nothing until the log answers; and most callers come back once.
+const MAX_RETRY_SHARE: f64 = 0.33;
+/// The same at the earliest; spread, so that those refused together do not come back together.
+const MIN_RETRY_SHARE: f64 = 0.2;
 /// When a request that crashes servers may come back.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -62,19 +59,16 @@
         }
     }
 
-    /// What the caller is told.
-    pub(crate) fn refusal(self) -> Refusal {
+    /// What a caller is told that has so much time left.
+    pub(crate) fn refusal(self, time_left: Duration) -> Refusal {
         let (status, retry_after) = match self {
-            Self::Unready => (503, Some(UNREADY_RETRY_AFTER)),
             Self::Malformed(_) => (400, None),
             Self::NoRoute => (404, None),
             Self::TooLarge => (413, None),
             Self::BodyCut => (408, None),
-            Self::NoServer => (503, Some(NO_SERVER_RETRY_AFTER)),
-            // Spread, so that those refused together do not come back together.
-            Self::Full => {
-                let spread = rand::random_range(0.5..1.5);
-                (503, Some(FULL_RETRY_AFTER.mul_f64(spread)))
+            Self::Full | Self::NoServer | Self::Unready => {
+                let share = rand::random_range(MIN_RETRY_SHARE..MAX_RETRY_SHARE);
+                (503, Some(time_left.mul_f64(share)))
             }
             Self::Unknown => (502, None),
             Self::TimedOut => (504, None),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -16,8 +16,9 @@
 /// How long a server that said it lacks a model is taken at its word; by then the
 /// directory has a newer entry.
 const MISSING_PAUSE: Duration = Duration::from_millis(1_000);
-/// How old what the leading VM says of a server's models may be.
-const LEADER_VIEW_LIMIT: Duration = Duration::from_millis(1_500);
+/// How old what the leading VM says of a server's models may be: it says so at each change, and
+/// again every few seconds.
+const LEADER_VIEW_LIMIT: Duration = Duration::from_millis(6_000);
 
 /// Servers that are gone whose last run is kept in mind, at most: what they wrote before is
 /// in the log for minutes.
@@ -317,13 +318,16 @@
         gone
     }
 
-    /// Marks every server that is not among `ids` as gone.
-    pub(crate) fn keep_only(&self, ids: &[Name], now: Instant) {
+    /// Marks every server that is not among `ids` as gone; tells whether there were any.
+    pub(crate) fn keep_only(&self, ids: &[Name], now: Instant) -> bool {
+        let mut any = false;
         for server in self.servers.borrow().values() {
             if !ids.contains(&server.id) && server.lapsed_at.get().is_none() {
                 server.lapsed_at.set(Some(now));
+                any = true;
             }
         }
+        any
     }
 
     /// Finds a run of a server.
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -2,13 +2,14 @@
 
 use crate::gateway::ceiling::Ceiling;
 use crate::gateway::fleet::{Incarnation, Server, holds};
+use crate::gateway::peers::{Urgency, WantedRate};
 use crate::gateway::planning::{Planning, RunnerView, Steps};
 use crate::gateway::state::State;
 use crate::gateway::tracked::{SETTLE, Tracked, apply};
 use crate::gateway::{Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
 use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -25,6 +26,8 @@
 const STEP_LIMIT: Duration = Duration::from_secs(20);
 /// The fence of the first claim ever.
 const FIRST_FENCE: u64 = 1;
+/// For how long a model that was asked for counts as one that will be asked for again.
+const ASKED_FOR: Duration = Duration::from_secs(20);
 /// How often one order is tried.
 const MAX_TRIES: u32 = 4;
 
@@ -36,6 +39,8 @@
     is_fenced: Cell<bool>,
     tracked: RefCell<BTreeMap<Incarnation, Tracked>>,
     ceiling: Ceiling,
+    /// When models were last asked for.
+    asked: RefCell<HashMap<Name, Instant>>,
 }
 
 impl<R: RunnerControl> Ordering<R> {
@@ -49,6 +54,7 @@
             is_fenced: Cell::new(false),
             tracked: RefCell::default(),
             ceiling,
+            asked: RefCell::default(),
         })
     }
 
@@ -98,12 +104,14 @@
         };
         let now = Instant::now();
         let demand = self.state.demand(now);
+        let asked = self.asked_lately(&demand, now);
         for (service, engine) in configuration.engines() {
             let runners = self.views(&service.name);
             let planning = Planning {
                 engine,
                 runners: &runners,
                 demand: &demand,
+                asked: &asked,
                 cold_loads: self.ceiling.left(engine.loads_per_s, now),
             };
             for (runner, steps) in planning.plan() {
@@ -112,6 +120,16 @@
         }
     }
 
+    /// The models that were asked for lately.
+    fn asked_lately(&self, demand: &HashMap<Weights, WantedRate>, now: Instant) -> HashSet<Name> {
+        let mut asked = self.asked.borrow_mut();
+        for weights in demand.keys() {
+            asked.insert(weights.model.clone(), now);
+        }
+        asked.retain(|_, at| now.duration_since(*at) < ASKED_FOR);
+        asked.keys().cloned().collect()
+    }
+
     /// Tracks each listed runner, and none that is gone.
     fn follow_fleet(&self) {
         let Some(configuration) = self.state.configuration() else {
@@ -194,7 +212,7 @@
         if has_changed {
             *self.state.leader_view.borrow_mut() = view;
             self.state.changed.notify();
-            self.state.peers.hurry();
+            self.state.peers.hurry_to(Urgency::Holdings);
         }
     }
 
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -1,36 +1,17 @@
-//! Which runner should hold which model and adapter.
-//!
-//! Answers a load that keeps moving: a few models take most requests, others are asked for
-//! now and then, and which these are changes within seconds. A swap is made where the demand
-//! that the new copy answers in time exceeds what the dropped ones answered.
+//! Which runner should hold which model and adapter: models by [`Swaps`], then adapters.
 
-use crate::gateway::backlog::READ_TOKENS_PER_MS;
 use crate::gateway::peers::WantedRate;
-use crate::gateway::pressure::Pressure;
+use crate::gateway::swaps::Swaps;
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
-use std::collections::HashMap;
-use tracing::info;
-
-/// The gain from which one more copy is loaded; keeps models with equal demand from taking
-/// turns.
-const MIN_GAIN: f64 = 0.08;
-/// The gain from which a model that no runner holds is loaded.
-const MIN_FIRST_GAIN: f64 = 0.02;
-/// What a load from the weight store costs more than one from a runner's disk.
-const COLD_COST: f64 = 0.05;
-/// What dropping a model costs for each of its requests there: it waits for their end, and
-/// the runner has one model less meanwhile.
-const DROP_COST: f64 = 0.0015;
-/// What the loss of a copy that adapters need costs.
-const ADAPTER_LACK: f64 = 0.05;
-/// The part of the runners on which swaps may be under way: four of nine, since each takes a
-/// runner's copy away for about two seconds; with three quarters worth did not change.
-const SWAP_SHARE: f64 = 0.44;
-/// The demand for an adapter copy, in tokens a second, from which a second one is placed.
-const ADAPTER_CROWDED: f64 = 3_000.0;
-/// Loads from the weight store that filling a runner leaves to models that are missed.
-const FILL_RESERVE: usize = 4;
+use std::collections::{HashMap, HashSet};
+
+/// The demand for an adapter copy from which a second one is placed, in milliseconds of a
+/// runner's time a second.
+const ADAPTER_CROWDED: f64 = 100.0;
+/// What a request that waits for an adapter counts beside the demand, in milliseconds of a
+/// runner's time a second.
+const WAITING_MS_PER_S: f64 = 30.0;
 /// Adapters that may be on their way to one runner.
 const MAX_ADAPTERS_COMING: usize = 4;
 
@@ -58,8 +39,13 @@
 }
 
 impl RunnerView {
+    /// Whether an order can be given there.
+    pub(super) fn is_free(&self) -> bool {
+        !self.is_working && self.coming.is_none()
+    }
+
     /// Whether a model can be loaded there without the weight store.
-    fn has_at_hand(&self, model: &Name) -> bool {
+    pub(super) fn has_at_hand(&self, model: &Name) -> bool {
         self.in_memory.contains(model) || self.on_disk.contains(model)
     }
 }
@@ -84,227 +70,29 @@
     pub(crate) runners: &'a [RunnerView],
     /// The demand at all VMs.
     pub(crate) demand: &'a HashMap<Weights, WantedRate>,
+    /// Models that were asked for lately.
+    pub(crate) asked: &'a HashSet<Name>,
     /// Loads from the weight store that may begin now.
     pub(crate) cold_loads: usize,
 }
 
-/// A swap on one runner with what it gains.
-struct Swap {
-    gain: f64,
-    runner: Name,
-    steps: Steps,
-}
-
-impl Swap {
-    /// Tells what decided; the figures count this swap already.
-    fn log(&self, pressures: &HashMap<Name, Pressure>) {
-        let Some(loaded) = self.steps.load.first() else {
-            return;
-        };
-        let pressure = pressures.get(&loaded.model).copied().unwrap_or_default();
-        let dropped = self.steps.drop.iter().map(|weights| &*weights.model);
-        info!(
-            server = %self.runner,
-            model = %loaded.model,
-            dropped = dropped.collect::<Vec<_>>().join(","),
-            gain = self.gain,
-            demand_runners = pressure.runners,
-            waiting = pressure.waiting,
-            copies = pressure.copies,
-            is_cold = self.steps.is_cold,
-            "swap planned"
-        );
-    }
-}
-
 impl Planning<'_> {
     /// What each runner is to do; runners without steps are left out.
     pub(crate) fn plan(&self) -> HashMap<Name, Steps> {
         let mut steps = HashMap::new();
-        self.plan_models(&mut steps);
+        Swaps::new(self).plan(&mut steps);
         self.plan_adapters(&mut steps);
         steps
     }
 
-    fn pressures(&self) -> HashMap<Name, Pressure> {
-        let models = self.engine.models.iter();
-        let mut pressures: HashMap<Name, Pressure> = models
-            .map(|model| (model.name.clone(), Pressure::default()))
-            .collect();
-        for (weights, rate) in self.demand {
-            if let Some(pressure) = pressures.get_mut(&weights.model) {
-                pressure.runners += rate.tokens_per_s / (READ_TOKENS_PER_MS * 1_000.0);
-                pressure.waiting += rate.waiting;
-            }
-        }
-        for runner in self.runners {
-            for model in runner.models.iter().chain(&runner.coming) {
-                if let Some(pressure) = pressures.get_mut(model) {
-                    pressure.copies += 1;
-                }
-            }
-        }
-        pressures
-    }
-
-    /// Makes the swaps that gain most, one after the other.
-    fn plan_models(&self, steps: &mut HashMap<Name, Steps>) {
-        let mut pressures = self.pressures();
-        let under_way = self.runners.iter().filter(|it| it.coming.is_some()).count();
-        let mut cold_loads = self.cold_loads;
-        for _ in under_way..self.max_swaps() {
-            let models = self.engine.models.iter();
-            let swaps =
-                models.filter_map(|model| self.best_swap(model, &pressures, steps, cold_loads));
-            let best = swaps.max_by(|left, right| left.gain.total_cmp(&right.gain));
-            let Some(swap) = best else {
-                break;
-            };
-            for dropped in &swap.steps.drop {
-                if let Some(pressure) = pressures.get_mut(&dropped.model) {
-                    pressure.copies -= 1;
-                }
-            }
-            for loaded in &swap.steps.load {
-                if let Some(pressure) = pressures.get_mut(&loaded.model) {
-                    pressure.copies += 1;
-                }
-            }
-            cold_loads -= usize::from(swap.steps.is_cold);
-            swap.log(&pressures);
-            steps.insert(swap.runner, swap.steps);
-        }
-        self.fill(&mut pressures, steps);
-    }
-
-    fn max_swaps(&self) -> usize {
-        (self.runners.len() as f64 * SWAP_SHARE).ceil() as usize
-    }
-
-    /// The runner on which one more copy of `model` gains most, with what makes room there.
-    fn best_swap(
-        &self,
-        model: &Model,
-        pressures: &HashMap<Name, Pressure>,
-        steps: &HashMap<Name, Steps>,
-        cold_loads: usize,
-    ) -> Option<Swap> {
-        let free = self.runners.iter().filter(|runner| {
-            !runner.is_working
-                && runner.coming.is_none()
-                && !runner.models.contains(&model.name)
-                && !steps.contains_key(&runner.id)
-        });
-        let pressure = pressures[&model.name];
-        let gain = pressure.gain();
-        let min_gain = if pressure.copies == 0 {
-            MIN_FIRST_GAIN
-        } else {
-            MIN_GAIN
-        };
-        let swaps = free.filter_map(|runner| {
-            let is_cold = !runner.has_at_hand(&model.name);
-            if is_cold && cold_loads == 0 {
-                return None;
-            }
-            let (drop, loss) = self.room_for(model, runner, pressures)?;
-            let cold = if is_cold { COLD_COST } else { 0.0 };
-            let in_flight = drop.iter().filter_map(|model| runner.in_flight.get(model));
-            let waits: u32 = in_flight.sum();
-            Some(Swap {
-                gain: gain - loss - cold - f64::from(waits) * DROP_COST,
-                runner: runner.id.clone(),
-                steps: Steps {
-                    drop: drop.into_iter().map(whole).collect(),
-                    load: vec![whole(model.name.clone())],
-                    is_cold,
-                },
-            })
-        });
-        let best = swaps.max_by(|left, right| left.gain.total_cmp(&right.gain))?;
-        (best.gain >= min_gain).then_some(best)
-    }
-
-    /// What is dropped on a runner for `model` to fit, and the loss; `None` if it never does.
-    fn room_for(
-        &self,
-        model: &Model,
-        runner: &RunnerView,
-        pressures: &HashMap<Name, Pressure>,
-    ) -> Option<(Vec<Name>, f64)> {
-        let mut victims: Vec<(f64, &Name)> = runner
-            .models
-            .iter()
-            .filter(|held| !runner.settling.contains(held))
-            .map(|held| {
-                let pressure = pressures.get(held).copied().unwrap_or_default();
-                let lacks = pressure.copies <= self.copies_for_adapters(held);
-                let lack = if lacks { ADAPTER_LACK } else { 0.0 };
-                (pressure.loss() + lack, held)
-            })
-            .collect();
-        victims.sort_by(|left, right| left.0.total_cmp(&right.0));
-        let mut free_mb = self.free_mb(runner);
-        let mut drop = Vec::new();
-        let mut lost = 0.0;
-        let mut victims = victims.into_iter();
-        while free_mb < model.weights_mb {
-            let (loss, victim) = victims.next()?;
-            free_mb += self.size_mb(victim);
-            lost += loss;
-            drop.push(victim.clone());
-        }
-        Some((drop, lost))
-    }
-
     /// The copies of a model that hold all its adapters.
-    fn copies_for_adapters(&self, model: &str) -> usize {
-        let adapters = self.engine.model(model).map_or(0, |model| model.adapters);
-        adapters.div_ceil(self.engine.adapter_slots.max(1)) as usize
-    }
-
-    /// Fills runners that have room left with the model that is most wanted for each copy.
-    fn fill(&self, pressures: &mut HashMap<Name, Pressure>, steps: &mut HashMap<Name, Steps>) {
-        for runner in self.runners {
-            if runner.is_working || runner.coming.is_some() || steps.contains_key(&runner.id) {
-                continue;
-            }
-            let fitting = self.engine.models.iter().filter(|model| {
-                let is_at_hand =
-                    runner.in_memory.contains(&model.name) || runner.on_disk.contains(&model.name);
-                !runner.models.contains(&model.name)
-                    && (is_at_hand || self.cold_loads > FILL_RESERVE)
-                    && self.free_mb(runner) >= model.weights_mb
-            });
-            let wanted = fitting.max_by(|left, right| {
-                let worth = |model: &Model| {
-                    let pressure = pressures[&model.name];
-                    let lacks = pressure.copies < self.copies_for_adapters(&model.name);
-                    (pressure.each(), lacks, runner.has_at_hand(&model.name))
-                };
-                let (left, right) = (worth(left), worth(right));
-                left.partial_cmp(&right)
-                    .unwrap_or(std::cmp::Ordering::Equal)
-            });
-            let Some(model) = wanted else {
-                continue;
-            };
-            if let Some(pressure) = pressures.get_mut(&model.name) {
-                pressure.copies += 1;
-            }
-            let is_cold =
-                !runner.in_memory.contains(&model.name) && !runner.on_disk.contains(&model.name);
-            let fill = Steps {
-                drop: Vec::new(),
-                load: vec![whole(model.name.clone())],
-                is_cold,
-            };
-            steps.insert(runner.id.clone(), fill);
-        }
+    pub(super) fn copies_for_adapters(&self, model: &Model) -> usize {
+        let slots = self.engine.adapter_slots.max(1);
+        model.adapters.div_ceil(slots) as usize
     }
 
     /// Room for models on a runner.
-    fn free_mb(&self, runner: &RunnerView) -> f64 {
+    pub(super) fn free_mb(&self, runner: &RunnerView) -> f64 {
         let held = runner.models.iter().map(|held| self.size_mb(held));
         self.engine.weights_mb - self.adapter_room_mb() - held.sum::<f64>()
     }
@@ -337,11 +125,11 @@
         for wanted in self.wanted_adapters(&placed) {
             let rate = self.demand.get(&wanted).copied().unwrap_or_default();
             let copies = placed.get(&wanted).copied().unwrap_or(0);
-            let is_crowded = rate.tokens_per_s / (copies.max(1) as f64) > ADAPTER_CROWDED;
+            let is_crowded = rate.busy_ms_per_s / (copies.max(1) as f64) > ADAPTER_CROWDED;
             if copies > 0 && !is_crowded {
                 continue;
             }
-            let is_asked_for = rate.waiting > 0 || rate.tokens_per_s > 0.0;
+            let is_asked_for = rate.waiting > 0 || rate.busy_ms_per_s > 0.0;
             self.place_adapter(&wanted, copies == 0 && is_asked_for, &mut views, steps);
         }
     }
@@ -361,7 +149,7 @@
             let urgency = |weights: &Weights| {
                 let rate = self.demand.get(weights).copied().unwrap_or_default();
                 let is_missing = !placed.contains_key(weights);
-                (is_missing, rate.waiting, rate.tokens_per_s)
+                (is_missing, rate.waiting, rate.busy_ms_per_s)
             };
             let (left, right) = (urgency(left), urgency(right));
             right
@@ -416,7 +204,7 @@
     ) -> Option<Weights> {
         let rate = |weights: &Weights| {
             let rate = self.demand.get(weights).copied().unwrap_or_default();
-            rate.tokens_per_s + f64::from(rate.waiting) * 1_000.0
+            rate.busy_ms_per_s + f64::from(rate.waiting) * WAITING_MS_PER_S
         };
         let held = runner
             .adapters
@@ -428,7 +216,7 @@
 }
 
 /// The model itself, without an adapter.
-fn whole(model: Name) -> Weights {
+pub(super) fn whole(model: Name) -> Weights {
     Weights {
         model,
         adapter: None,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,11 +2,12 @@
 
 use crate::client::{SendError, is_refused};
 use crate::gateway::budget::{Allowance, RetryBudget};
-use crate::gateway::call::Call;
+use crate::gateway::call::{Call, Sending};
 use crate::gateway::exchange::{Exchange, Links};
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
 use crate::gateway::state::State;
+use crate::gateway::turns::Turns;
 use crate::gateway::{Ask, Malformed, Protocol, RouteKind, SendOptions};
 use crate::http::{Body, ReadError, read_body};
 use bytes::Bytes;
@@ -25,6 +26,10 @@
 const HEAD_PATIENCE: Duration = Duration::from_millis(500);
 /// The same for a stream, whose head may wait for its first token.
 const STREAM_HEAD_PATIENCE: Duration = Duration::from_millis(1_300);
+/// Prompts that wait for less time than this, in milliseconds, hardly hold up the next one.
+const ALONE_WAIT_MS: f64 = 2.0;
+/// How long a caller is taken to wait that does not tell.
+const UNTOLD_PATIENCE: Duration = Duration::from_secs(6);
 /// Servers that refuse one request before it is given back.
 const MAX_REFUSED: u32 = 3;
 
@@ -32,6 +37,7 @@
 pub(crate) struct Relay<P> {
     pub(crate) state: Rc<State>,
     pub(crate) links: Links,
+    pub(crate) turns: Rc<Turns>,
     budget: RetryBudget,
     protocol: PhantomData<P>,
 }
@@ -47,6 +53,7 @@
         });
         Self {
             links: Links::new(state.metrics.connections_opened.clone()),
+            turns: Rc::default(),
             state,
             budget,
             protocol: PhantomData,
@@ -61,17 +68,19 @@
             Ok(ask) => ask,
             Err(Malformed(why)) => {
                 warn!(why, "request malformed");
-                return P::refuse(Failure::Malformed(why).refusal());
+                return P::refuse(Failure::Malformed(why).refusal(UNTOLD_PATIENCE));
             }
         };
         let id = ask.id.clone();
+        let patience = ask.patience.unwrap_or(UNTOLD_PATIENCE);
         let model = ask.generation.as_ref().map(|it| it.model.clone());
         let model = model.unwrap_or_default();
         match self.clone().answer(ask, body, arrived).await {
             Ok(response) => response,
             Err(failure) => {
-                let age_ms = arrived.elapsed().as_millis() as u64;
-                let refusal = failure.refusal();
+                let age = arrived.elapsed();
+                let age_ms = age.as_millis() as u64;
+                let refusal = failure.refusal(patience.saturating_sub(age));
                 self.state.metrics.note_request("none", failure.name());
                 info!(request = %id, %model, ?failure, status = refusal.status.as_u16(), age_ms, "request refused");
                 P::refuse(refusal)
@@ -126,7 +135,10 @@
             Ok(Err(ReadError::TooLarge)) => return Err(Failure::TooLarge),
             Ok(Err(ReadError::Cut)) | Err(_) => return Err(Failure::BodyCut),
         };
+        let cost = ask.generation.as_ref().map(|it| self.state.cost(it));
         let call = Call {
+            cost: cost.unwrap_or_default(),
+            sending: None,
             fingerprint: ask.fingerprint(),
             ask,
             route: route.clone(),
@@ -139,9 +151,7 @@
         };
         self.budget.note_request(&call.service, arrived);
         if let Some(weights) = call.weights() {
-            self.state
-                .demand
-                .note(&weights, call.ask.cost_tokens(), arrived);
+            self.state.demand.note(&weights, call.cost.busy_ms, arrived);
         }
         Ok(call)
     }
@@ -277,11 +287,7 @@
             weights,
         };
         call.tried.push(server.id.clone());
-        if let Some(generation) = &call.ask.generation {
-            let tokens = generation.prompt_tokens;
-            server.backlog.note(tokens, Instant::now());
-            self.state.peers.tell_prompt(&server.id, tokens);
-        }
+        self.note_sending(call, server);
         let request = || P::to_server(&call.ask, &options);
         let sent_at = Instant::now();
         let sent = self.links.exchange::<P>(server, call.model(), request);
@@ -322,6 +328,19 @@
         }
     }
 
+    /// Counts the prompt at its runner, here and at peers.
+    fn note_sending(&self, call: &mut Call, server: &Server) {
+        let now = Instant::now();
+        call.sending = Some(Sending {
+            at: now,
+            is_alone: server.backlog.wait_ms(now) < ALONE_WAIT_MS && !self.is_loaded(server),
+        });
+        if call.ask.generation.is_some() {
+            server.backlog.note(call.cost.read_ms, now);
+            self.state.peers.tell_prompt(&server.id, call.cost.read_ms);
+        }
+    }
+
     /// What the head of an answer means for the request.
     fn judge(
         &self,
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -6,21 +6,74 @@
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
 use crate::gateway::relay::Relay;
+use crate::gateway::turns::Turn;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
 
-/// How long a request waits at least for a model that no runner holds: about the time in
-/// which one is loaded from a runner's own disk.
-const MODEL_WAIT: Duration = Duration::from_millis(1_000);
-/// The longest wait for a model that no runner holds.
-const MAX_MODEL_WAIT: Duration = Duration::from_millis(2_500);
 /// The load from which a server may be slow to answer, in requests for each slot.
 const BUSY_LOAD: f64 = 0.7;
-/// The part of a route's target that a request waits for a place on a full runner.
-const PLACE_WAIT_SHARE: f64 = 0.4;
-/// The time between two looks for a place.
+/// The longest time between two looks for a place.
 const PLACE_POLL: Duration = Duration::from_millis(40);
+/// The longest time between two looks for a server that holds the model; each change of what
+/// servers hold brings one at once.
+const MODEL_POLL: Duration = Duration::from_millis(250);
+
+/// The least loaded server, with how it stands.
+struct Choice {
+    server: Rc<Server>,
+    candidate: Candidate,
+    /// Servers that there were to choose from.
+    candidates: usize,
+}
+
+impl Choice {
+    /// Tells what decided.
+    fn log(&self, call: &Call) {
+        info!(
+            request = %call.ask.id,
+            server = %self.server.id,
+            model = %call.model(),
+            load = self.candidate.load(),
+            prompts_wait_ms = self.candidate.prompts_wait_ms as u64,
+            read_ms = call.cost.read_ms as u64,
+            has_failed = self.candidate.has_failed,
+            candidates = self.candidates,
+            waited_ms = call.arrived.elapsed().as_millis() as u64,
+            "routed"
+        );
+    }
+}
+
+/// Why a request is not sent now.
+enum Obstacle {
+    /// No server can serve it.
+    NoServer,
+    /// Those that can are full.
+    Full,
+    /// The server reads other prompts, or more urgent requests wait for it.
+    Reading(Rc<Server>),
+}
+
+impl Obstacle {
+    /// Until when the request is held.
+    fn hold_limit(&self, call: &Call) -> Instant {
+        if call.ask.generation.is_none() {
+            return call.arrived;
+        }
+        call.hold_until()
+    }
+
+    /// What becomes of the request at the end of its hold.
+    fn give_up(self, call: &Call) -> Result<Rc<Server>, Failure> {
+        match self {
+            Self::Reading(server) => Ok(server),
+            _ if call.runs > 0 => Err(Failure::Unknown),
+            Self::NoServer => Err(Failure::NoServer),
+            Self::Full => Err(Failure::Full),
+        }
+    }
+}
 
 impl<P: Protocol> Relay<P> {
     /// Whether a server that is silent is better left for another one: it is not just busy,
@@ -39,47 +92,84 @@
         f64::from(in_flight) >= BUSY_LOAD * server.with(|entry| f64::from(entry.slots))
     }
 
-    /// The server to send to; waits for a place, or for a model that is to be loaded.
+    /// The server to send to; waits for a place, for prompts that are read before, or for a
+    /// model that is to be loaded.
     pub(crate) async fn server_for(&self, call: &Call) -> Result<Rc<Server>, Failure> {
         let mut waiting = None;
-        let began = Instant::now();
+        let mut turn = None;
         loop {
             let changed = self.state.changed.wait();
-            let why = match self.pick(call) {
+            let obstacle = match self.look(call, turn.as_ref()) {
                 Ok(server) => {
-                    let waited = began.elapsed();
-                    if waited >= PLACE_POLL {
+                    let waited = call.arrived.elapsed();
+                    if turn.is_some() {
                         self.state.metrics.place_wait.observe(waited.as_secs_f64());
                     }
                     return Ok(server);
                 }
-                Err(why) => why,
+                Err(obstacle) => obstacle,
             };
-            let until = (call.arrived + Self::wait_limit(call, why)).min(call.deadline);
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(if call.runs > 0 { Failure::Unknown } else { why });
+            let limit = obstacle.hold_limit(call);
+            let left = limit.saturating_duration_since(Instant::now());
+            // A VM that is about to end holds nothing that another one can serve.
+            let is_leaving = self.state.shutdown.is_leaving();
+            if left.is_zero() || is_leaving || self.is_hopeless(call, &obstacle) {
+                return obstacle.give_up(call);
             }
-            if let (Failure::NoServer, Some(weights)) = (why, call.weights()) {
-                waiting.get_or_insert_with(|| self.state.wait_for(&weights));
+            if let Some(weights) = call.weights() {
+                let due = call.patience().due(call.read_time());
+                turn.get_or_insert_with(|| self.turns.enter(&weights, due));
+                if matches!(obstacle, Obstacle::NoServer) {
+                    waiting.get_or_insert_with(|| self.state.wait_for(&weights));
+                }
             }
-            let pause = match why {
-                Failure::Full => left.min(PLACE_POLL),
-                _ => left,
+            let poll = match obstacle {
+                Obstacle::NoServer => MODEL_POLL,
+                _ => PLACE_POLL.mul_f64(rand::random_range(0.5..1.0)),
             };
             // Whatever ends the wait, the next turn looks again.
-            let _ = compio::time::timeout(pause, changed).await;
+            let _ = compio::time::timeout(left.min(poll), changed).await;
         }
     }
 
-    /// How long a request waits for a server, from its arrival.
-    fn wait_limit(call: &Call, why: Failure) -> Duration {
-        let target = Duration::from_millis(call.route.target_latency_ms);
-        match why {
-            Failure::Full => target.mul_f64(PLACE_WAIT_SHARE),
-            _ if call.ask.generation.is_some() => target.clamp(MODEL_WAIT, MAX_MODEL_WAIT),
-            _ => Duration::ZERO,
+    /// The server that the request can be sent to now.
+    fn look(&self, call: &Call, turn: Option<&Turn>) -> Result<Rc<Server>, Obstacle> {
+        let choice = self.pick(call).ok_or(Obstacle::NoServer)?;
+        let candidate = &choice.candidate;
+        // A stream that was begun goes on even where others have to wait.
+        let weights = call.weights().filter(|_| call.is_new());
+        if let Some(weights) = weights {
+            if candidate.is_full() {
+                return Err(Obstacle::Full);
+            }
+            let max_pause_ms = call.route.max_pause_ms as f64;
+            let now = Instant::now();
+            let is_next = match turn {
+                Some(turn) => turn.is_next(now),
+                None => {
+                    let due = call.patience().due(call.read_time());
+                    self.turns.is_first(&weights, due, now)
+                }
+            };
+            if !is_next || candidate.is_reading(call.cost.read_ms, max_pause_ms) {
+                return Err(Obstacle::Reading(choice.server));
+            }
         }
+        choice.log(call);
+        Ok(choice.server)
+    }
+
+    /// Whether more requests wait for full servers than these take in until the hold ends.
+    fn is_hopeless(&self, call: &Call, obstacle: &Obstacle) -> bool {
+        let (Obstacle::Full, Some(weights)) = (obstacle, call.weights()) else {
+            return false;
+        };
+        let slots = self.able(call, Instant::now());
+        let slots: u32 = slots.iter().map(|it| it.with(|entry| entry.slots)).sum();
+        let taken_in = f64::from(slots) * call.hold_time().as_secs_f64() * 1_000.0
+            / call.cost.stream_ms.max(1.0);
+        let waiting = self.turns.count(&weights) * self.state.peers.vms();
+        waiting as f64 > taken_in
     }
 
     /// The servers that can serve the request.
@@ -96,30 +186,19 @@
     }
 
     /// The least loaded server that can serve the request.
-    fn pick(&self, call: &Call) -> Result<Rc<Server>, Failure> {
+    fn pick(&self, call: &Call) -> Option<Choice> {
         let now = Instant::now();
         let servers = self.able(call, now);
         let candidates: Vec<Candidate> = servers
             .iter()
             .map(|server| self.candidate(call, server, now))
             .collect();
-        let place = choose(&candidates, rand::random).ok_or(Failure::NoServer)?;
-        let chosen = candidates[place];
-        // A stream that was begun goes on even where others have to wait.
-        if call.ask.generation.is_some() && call.runs == 0 && chosen.is_full() {
-            return Err(Failure::Full);
-        }
-        info!(
-            request = %call.ask.id,
-            server = %servers[place].id,
-            model = %call.model(),
-            load = chosen.load(),
-            prompts_wait_ms = chosen.prompts_wait_ms as u64,
-            has_failed = chosen.has_failed,
-            candidates = candidates.len(),
-            "routed"
-        );
-        Ok(servers[place].clone())
+        let place = choose(&candidates, rand::random)?;
+        Some(Choice {
+            server: servers[place].clone(),
+            candidate: candidates[place],
+            candidates: candidates.len(),
+        })
     }
 
     fn candidate(&self, call: &Call, server: &Server, now: Instant) -> Candidate {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,10 +1,13 @@
 //! What one VM believes: configuration, backend servers, peers.
 
+use crate::gateway::call::Cost;
 use crate::gateway::demand::Demand;
 use crate::gateway::fleet::{Fleet, Holding, Incarnation};
-use crate::gateway::peers::{Peers, WantedRate};
+use crate::gateway::following::{Following, Readings, follows_closely};
+use crate::gateway::peers::{Peers, Urgency, WantedRate};
+use crate::gateway::speeds::Speeds;
 use crate::gateway::suspects::Suspects;
-use crate::gateway::{Configuration, Metrics, Settings, Weights};
+use crate::gateway::{Configuration, Generation, Metrics, Settings, Weights};
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
@@ -27,10 +30,14 @@
     pub(crate) is_directory_known: Cell<bool>,
     /// The other VMs.
     pub(crate) peers: Peers,
+    /// What this VM read of the log.
+    pub(crate) following: Following,
     /// Requests that were aboard when servers crashed.
     pub(crate) suspects: Suspects,
     /// The demand that this VM sees.
     pub(crate) demand: Demand,
+    /// How fast runners work on each model.
+    pub(crate) speeds: Speeds,
     waiting: RefCell<HashMap<Weights, u32>>,
     /// What runners hold, while this VM leads; told to all others.
     pub(crate) leader_view: RefCell<Vec<(Incarnation, Vec<Holding>)>>,
@@ -71,8 +78,10 @@
             fleet: Fleet::default(),
             is_directory_known: Cell::new(false),
             peers: Peers::default(),
+            following: Following::default(),
             suspects: Suspects::default(),
             demand: Demand::default(),
+            speeds: Speeds::default(),
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
             fence: Cell::new(0),
@@ -102,6 +111,22 @@
         *present = Some(Rc::new(configuration));
     }
 
+    /// What a generation costs a runner; nothing where the configuration lacks its model.
+    pub(crate) fn cost(&self, generation: &Generation) -> Cost {
+        let configuration = self.configuration.borrow();
+        let known = configuration.as_ref();
+        let Some((engine, model)) = known.and_then(|known| known.model(&generation.model)) else {
+            return Cost::default();
+        };
+        let read_ms = self.speeds.read_ms(model, generation.prompt_tokens);
+        let stream_ms = self.speeds.stream_ms(model, generation.max_tokens);
+        Cost {
+            read_ms,
+            busy_ms: read_ms + stream_ms / f64::from(engine.slots.max(1)),
+            stream_ms,
+        }
+    }
+
     /// All metrics as text, gauges as of now.
     pub(crate) fn metrics_text(&self) -> String {
         let metrics = &self.metrics;
@@ -113,6 +138,26 @@
         metrics.to_text()
     }
 
+    /// Whether this VM is to follow the log closely.
+    pub(crate) fn follows_closely(&self, now: Instant) -> bool {
+        let zone = &self.settings.availability_zone;
+        follows_closely(self.settings.peer_address, self.peers.readings(zone), now)
+    }
+
+    /// The news of which VMs tell that follow the log closely for this one; `None` if this VM is
+    /// to follow it itself.
+    pub(crate) fn told_news(&self, now: Instant) -> Option<Readings> {
+        // Whoever gives orders has to know what servers hold as soon as they tell.
+        if self.fence.get() > 0 || self.follows_closely(now) {
+            return None;
+        }
+        let told = self.peers.readings(&self.settings.availability_zone);
+        told.into_iter()
+            .map(|(_, readings)| readings)
+            .filter(|readings| readings.is_fresh(now))
+            .max_by_key(|readings| (readings.configuration.news, readings.directory.news))
+    }
+
     /// Whether callers can be served.
     pub(crate) fn is_ready(&self) -> bool {
         !self.shutdown.is_leaving()
@@ -124,7 +169,7 @@
     pub(crate) fn wait_for(self: &Rc<Self>, weights: &Weights) -> WaitingGuard {
         let mut waiting = self.waiting.borrow_mut();
         *waiting.entry(weights.clone()).or_default() += 1;
-        self.peers.hurry();
+        self.peers.hurry_to(Urgency::Holder);
         WaitingGuard {
             state: self.clone(),
             weights: weights.clone(),
@@ -134,8 +179,8 @@
     /// The demand at this VM.
     pub(crate) fn own_demand(&self, now: Instant) -> Vec<(Weights, WantedRate)> {
         let mut demand: HashMap<Weights, WantedRate> = HashMap::new();
-        for (weights, tokens_per_s) in self.demand.rates(now) {
-            demand.entry(weights).or_default().tokens_per_s = tokens_per_s;
+        for (weights, rate) in self.demand.rates(now) {
+            demand.insert(weights, rate);
         }
         for (weights, waiting) in self.waiting.borrow().iter() {
             demand.entry(weights.clone()).or_default().waiting = *waiting;
@@ -149,7 +194,8 @@
         let all = self.own_demand(now).into_iter().chain(self.peers.demands());
         for (weights, rate) in all {
             let sum = demand.entry(weights).or_default();
-            sum.tokens_per_s += rate.tokens_per_s;
+            sum.busy_ms_per_s += rate.busy_ms_per_s;
+            sum.requests_per_s += rate.requests_per_s;
             sum.waiting += rate.waiting;
         }
         demand
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -103,7 +103,10 @@
             }
             let mut feed = Feed::new(exchange);
             match self.next(&call, &mut feed).await {
-                Next::Event(first) => return Ok(self.begin(call, feed, first)),
+                Next::Event(first) => {
+                    self.learn_first_event(&call);
+                    return Ok(self.begin(call, feed, first));
+                }
                 Next::End => return Ok(P::to_caller(&feed.exchange.head, Body::empty())),
                 Next::Silent => self.note_break(&call, &feed, silence_of(&call)),
                 Next::Broken(why) => self.note_break(&call, &feed, why),
@@ -117,6 +120,42 @@
         }
     }
 
+    /// Learns how fast the model is read from a first event that nothing held up.
+    fn learn_first_event(&self, call: &Call) {
+        let configuration = self.state.configuration();
+        let (Some(sending), Some(generation), Some(configuration)) =
+            (call.sending, &call.ask.generation, configuration)
+        else {
+            return;
+        };
+        if !sending.is_alone || call.ask.last_event.is_some() {
+            return;
+        }
+        if let Some((_, model)) = configuration.model(&generation.model) {
+            let took = sending.at.elapsed();
+            let speeds = &self.state.speeds;
+            speeds.note_first_event(model, generation.prompt_tokens, took);
+        }
+    }
+
+    /// Learns how long a model's streams last from one that came whole from one runner.
+    fn learn_stream(&self, call: &Call, progress: &Progress) {
+        let configuration = self.state.configuration();
+        let (Some(generation), Some(configuration)) = (&call.ask.generation, configuration) else {
+            return;
+        };
+        // Among many others it would last longer than the model takes.
+        let is_alone = call.sending.is_some_and(|sending| sending.is_alone);
+        if call.runs != 1 || call.ask.last_event.is_some() || !is_alone {
+            return;
+        }
+        if let Some((_, model)) = configuration.model(&generation.model) {
+            let took = call.arrived.elapsed().saturating_sub(progress.first);
+            let speeds = &self.state.speeds;
+            speeds.note_stream(model, generation.max_tokens, took);
+        }
+    }
+
     async fn pass_failure(
         &self,
         call: &mut Call,
@@ -181,6 +220,7 @@
     fn end_whole(&self, call: &Call, feed: Feed, progress: &Progress) {
         feed.exchange.server.note_success();
         self.state.suspects.clear(call.fingerprint);
+        self.learn_stream(call, progress);
         let metrics = &self.state.metrics;
         metrics.note_request(call.route.kind.name(), "answered");
         metrics.first_event.observe(progress.first.as_secs_f64());
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,6 +1,10 @@
 //! Tests of decisions that need no network.
 
 mod decisions;
+mod following;
 mod pages;
 mod planning;
+mod speeds;
 mod spreading;
+mod swaps;
+mod waiting;
--- /dev/null
+++ b/src/gateway/tests/speeds.rs
@@ -0,0 +1,103 @@
+//! Speeds are learnt from streams, whatever the engines are.
+
+use crate::gateway::Model;
+use crate::gateway::speeds::Speeds;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+
+fn model(name: &str, weights_mb: f64) -> Model {
+    Model {
+        name: name.into(),
+        weights_mb,
+        load_ms: 9_000,
+        warm_ms: 1_100,
+        disk_ms: 2_400,
+        adapters: 0,
+        adapter_mb: 12.0,
+    }
+}
+
+/// Plays `count` first events of a model that reads a token in `read_ms`.
+fn play(speeds: &Speeds, model: &Model, read_ms: f64, count: usize, random: &mut SmallRng) {
+    for _ in 0..count {
+        let tokens = random.random_range(200..4_000);
+        // Two steps of a batch on the way, and now and then a prompt that nobody told of.
+        let mut took_ms = 25.0 + random.random_range(0.0..12.0) + f64::from(tokens) * read_ms;
+        if random.random_bool(0.1) {
+            took_ms += 100.0;
+        }
+        speeds.note_first_event(model, tokens, Duration::from_secs_f64(took_ms / 1_000.0));
+    }
+}
+
+#[test]
+fn models_that_differ_by_a_factor_of_eight_are_told_apart_after_ten_streams() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let speeds = Speeds::default();
+    let (slow, fast) = (model("slow", 72_700.0), model("fast", 65_100.0));
+    play(&speeds, &slow, 0.049, 10, &mut random);
+    play(&speeds, &fast, 0.0064, 10, &mut random);
+    let (slow, fast) = (speeds.read_ms(&slow, 1_000), speeds.read_ms(&fast, 1_000));
+    assert!((35.0..65.0).contains(&slow), "{slow}");
+    assert!(fast < 16.0, "{fast}");
+}
+
+#[test]
+fn a_model_not_asked_for_yet_is_taken_for_one_of_its_size() {
+    let mut random = SmallRng::seed_from_u64(2);
+    let speeds = Speeds::default();
+    play(&speeds, &model("known", 65_100.0), 0.0064, 30, &mut random);
+    let other = speeds.read_ms(&model("new", 65_100.0), 1_000);
+    assert!(other < 18.0, "{other}");
+    let of_other_size = speeds.read_ms(&model("large", 72_700.0), 1_000);
+    assert!((of_other_size - 40.0).abs() < 0.01, "{of_other_size}");
+}
+
+#[test]
+fn a_runner_that_is_ill_for_a_while_does_not_bend_what_is_learnt() {
+    let mut random = SmallRng::seed_from_u64(3);
+    let speeds = Speeds::default();
+    let known = model("m", 72_700.0);
+    play(&speeds, &known, 0.03, 60, &mut random);
+    for turn in 0..40 {
+        play(&speeds, &known, 0.03, 3, &mut random);
+        if turn % 2 == 0 {
+            speeds.note_first_event(&known, 1_000, Duration::from_secs(20));
+        }
+    }
+    let read_ms = speeds.read_ms(&known, 1_000);
+    assert!((15.0..80.0).contains(&read_ms), "{read_ms}");
+}
+
+#[test]
+fn how_long_streams_last_follows_their_tokens() {
+    let speeds = Speeds::default();
+    let known = model("m", 72_700.0);
+    for tokens in [50, 100, 200, 400].repeat(5) {
+        let took = Duration::from_millis(u64::from(tokens) * 11);
+        speeds.note_stream(&known, tokens, took);
+    }
+    let lasts_ms = speeds.stream_ms(&known, 100);
+    assert!((900.0..1_200.0).contains(&lasts_ms), "{lasts_ms}");
+}
+
+proptest! {
+    #[test]
+    fn whatever_comes_speeds_stay_within_bounds(
+        points in prop::collection::vec((any::<u32>(), 0_u64..10_000_000), 0..60),
+    ) {
+        let speeds = Speeds::default();
+        let known = model("m", 1.0);
+        for (tokens, took_us) in points {
+            let took = Duration::from_micros(took_us);
+            speeds.note_first_event(&known, tokens, took);
+            speeds.note_stream(&known, tokens, took);
+        }
+        let read_ms = speeds.read_ms(&known, 1_000);
+        prop_assert!((1.0..=500.0).contains(&read_ms), "{read_ms}");
+        let stream_ms = speeds.stream_ms(&known, 1_000);
+        prop_assert!((100.0..=100_000.0).contains(&stream_ms), "{stream_ms}");
+    }
+}
--- /dev/null
+++ b/src/gateway/tests/waiting.rs
@@ -0,0 +1,107 @@
+//! How long requests wait, and who goes first.
+
+use crate::gateway::Weights;
+use crate::gateway::choose::Candidate;
+use crate::gateway::patience::Patience;
+use crate::gateway::turns::Turns;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+fn patience(target_ms: u64, max_pause_ms: u64, left_ms: u64) -> Patience {
+    let arrived = Instant::now();
+    Patience {
+        arrived,
+        target: Duration::from_millis(target_ms),
+        max_pause: Duration::from_millis(max_pause_ms),
+        deadline: arrived + Duration::from_millis(left_ms),
+    }
+}
+
+fn held_ms(patience: Patience) -> u128 {
+    (patience.limit() - patience.arrived).as_millis()
+}
+
+#[test]
+fn a_request_is_given_back_while_its_caller_still_waits() {
+    // Callers leave after four targets, eight pauses, or two seconds.
+    assert_eq!(held_ms(patience(1_000, 300, 15_000)), 2_800);
+    assert_eq!(held_ms(patience(250, 150, 12_000)), 1_400);
+    // And half of its time is left for the answer.
+    assert_eq!(held_ms(patience(2_500, 300, 8_000)), 4_000);
+    assert_eq!(held_ms(patience(10_000, 300, 3_000)), 1_500);
+}
+
+#[test]
+fn a_prompt_must_be_sent_in_time_to_be_read_by_its_target() {
+    let patience = patience(1_000, 300, 15_000);
+    let due = patience.due(Duration::from_millis(200));
+    assert_eq!((due - patience.arrived).as_millis(), 740);
+    let long = patience.due(Duration::from_secs(5));
+    assert_eq!(long, patience.arrived);
+}
+
+#[test]
+fn the_most_urgent_that_can_still_be_in_time_goes_first() {
+    let turns = Rc::new(Turns::default());
+    let weights = Weights {
+        model: "m".into(),
+        adapter: None,
+    };
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let relaxed = turns.enter(&weights, at(9_000));
+    let urgent = turns.enter(&weights, at(500));
+    assert!(urgent.is_next(now) && !relaxed.is_next(now));
+    assert!(turns.is_first(&weights, at(100), now));
+    assert!(!turns.is_first(&weights, at(700), now));
+    // Once it is late, it stands behind what can still be in time.
+    assert!(relaxed.is_next(at(600)) && !urgent.is_next(at(600)));
+    assert_eq!(turns.count(&weights), 2);
+    drop(relaxed);
+    assert!(urgent.is_next(at(600)));
+    let other = Weights {
+        model: "other".into(),
+        adapter: None,
+    };
+    assert!(turns.is_first(&other, at(900), now));
+}
+
+/// Prompts of 70 ms that come at three quarters of what a runner reads, in bursts of `burst`;
+/// returns the longest time in which its streams stand still for prompts read one after another.
+fn longest_pause_ms(burst: u32, is_held: bool) -> f64 {
+    const READ_MS: f64 = 70.0;
+    const MAX_PAUSE_MS: f64 = 300.0;
+    let mut waiting = 0_u32;
+    let mut backlog_ms = 0.0_f64;
+    let mut longest_ms = 0.0_f64;
+    for now_ms in 0..20_000_u32 {
+        if now_ms.is_multiple_of(burst * 93) {
+            waiting += burst;
+        }
+        while waiting > 0 {
+            let candidate = Candidate {
+                in_flight: 10,
+                slots: 32,
+                prompts_wait_ms: backlog_ms,
+                is_near: true,
+                has_failed: false,
+            };
+            if is_held && candidate.is_reading(READ_MS, MAX_PAUSE_MS) {
+                break;
+            }
+            waiting -= 1;
+            backlog_ms += READ_MS;
+        }
+        longest_ms = longest_ms.max(backlog_ms);
+        backlog_ms = (backlog_ms - 1.0).max(0.0);
+    }
+    longest_ms
+}
+
+#[test]
+fn prompts_that_come_together_are_read_in_turn() {
+    // Streams are late by pauses over 300 ms: eight prompts at once make 560 ms, held ones 180.
+    assert!(longest_pause_ms(8, false) > 500.0);
+    let held = longest_pause_ms(8, true);
+    assert!(held < 200.0, "{held}");
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration and the directory of backend servers.
 
+use crate::gateway::following::{Reading, Readings};
 use crate::gateway::state::State;
 use crate::gateway::{Changes, ConfigSource, Directory, ServerChange, StoreError};
 use std::cell::Cell;
@@ -7,21 +8,29 @@
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
 
-/// How long one read waits for a change of the configuration: a read that is held while
-/// the log goes silent is given up soon after, so that a change made at the log's return is
-/// in force within 2 s or little more.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_300);
+/// How long one read waits for a change of the configuration: what it did not bring is then known
+/// not to be there, of which others are told. A read that is held while the log goes silent is
+/// given up soon after, so that a change made at the log's return is in force within 2 s.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
 /// The shortest time between two reads of the configuration, so that a storm of changes
 /// costs five calls a second; a tenth of the time in which a change has to be in force.
 const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(200);
-/// The time between two reads of the directory: a third of the time after which no request
+/// The time between two reads of the directory: a quarter of the time after which no request
 /// may reach a server that leaves.
-const DIRECTORY_INTERVAL: Duration = Duration::from_millis(650);
+const DIRECTORY_INTERVAL: Duration = Duration::from_millis(500);
+/// The time between two reads where another VM in the zone follows the log and tells of news.
+const SELDOM_INTERVAL: Duration = Duration::from_millis(5_000);
+/// The time between two reads where the log itself is behind what was told.
+const BEHIND_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The time between two looks for such news, half of that between two messages.
+const NEWS_POLL: Duration = Duration::from_millis(100);
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// The longest pause while reads go on failing at a VM that can serve with what it knows. One
 /// that knows too little refuses every request, and asks on at the first pace.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// The pause after a failed read at a VM that another one would tell of news.
+const TOLD_RETRY_PAUSE: Duration = Duration::from_millis(2_000);
 /// How long after a failed read the directory counts as shaken.
 const SHAKEN_FOR: Duration = Duration::from_millis(4_000);
 /// How long an entry that lapsed in a shaken directory has to come back.
@@ -52,16 +61,31 @@
             let read_at = Instant::now();
             let read = match next {
                 None => self.store.newest().await,
-                Some(from) => self.store.changes(from, CONFIGURATION_WAIT).await,
+                Some(from) => {
+                    let told = self.state.told_news(read_at);
+                    let wait = told.map_or(CONFIGURATION_WAIT, |_| Duration::ZERO);
+                    self.store.changes(from, wait).await
+                }
             };
             match read {
                 Ok(changes) => {
                     failures = 0;
                     next = Some(changes.next);
+                    let reading = Reading {
+                        news: changes.next,
+                        at: Instant::now(),
+                    };
+                    let following = &self.state.following;
+                    let before = following.configuration.replace(Some(reading));
                     for configuration in changes.items {
                         self.state.take_configuration(configuration);
                     }
-                    compio::time::sleep_until(read_at + CONFIGURATION_INTERVAL).await;
+                    if before.is_some_and(|before| before.news < reading.news) {
+                        self.state.peers.hurry();
+                    }
+                    let is_news = |told: Readings| told.configuration.news > reading.news;
+                    self.await_turn(read_at, CONFIGURATION_INTERVAL, is_news)
+                        .await;
                 }
                 Err(error) => {
                     if error == StoreError::Compacted {
@@ -69,8 +93,7 @@
                     }
                     self.note_failure("configuration", error, failures);
                     failures += 1;
-                    let pause = retry_pause(failures, self.state.is_ready());
-                    compio::time::sleep(pause).await;
+                    compio::time::sleep(self.retry_pause(failures)).await;
                 }
             }
         }
@@ -93,9 +116,12 @@
                     }
                     failures = 0;
                     let is_whole = next.is_none();
-                    next = Some(changes.next);
-                    self.take(changes, is_whole);
-                    compio::time::sleep_until(read_at + DIRECTORY_INTERVAL).await;
+                    let end = changes.next;
+                    next = Some(end);
+                    let has_news = self.take(changes, is_whole);
+                    self.note_directory(end, has_news);
+                    let is_news = |told: Readings| told.directory.news > end;
+                    self.await_turn(read_at, DIRECTORY_INTERVAL, is_news).await;
                 }
                 Err(error) => {
                     if error == StoreError::Compacted {
@@ -104,17 +130,56 @@
                     self.failed_at.set(Some(Instant::now()));
                     self.note_failure("directory", error, failures);
                     failures += 1;
-                    let pause = retry_pause(failures, self.state.is_ready());
-                    compio::time::sleep(pause).await;
+                    compio::time::sleep(self.retry_pause(failures)).await;
                 }
             }
             self.forget_lapsed();
         }
     }
 
-    fn take(&self, changes: Changes<ServerChange>, is_whole: bool) {
+    /// Waits for the next reading: for `interval` at least, and where another VM follows the log
+    /// for this one, until it tells of news or much time has passed.
+    async fn await_turn(
+        &self,
+        read_at: Instant,
+        interval: Duration,
+        is_news: impl Fn(Readings) -> bool,
+    ) {
+        // A log that is behind what was told is not asked again at once.
+        let told = self.state.told_news(Instant::now());
+        let is_behind = told.is_some_and(&is_news);
+        let interval = if is_behind { BEHIND_INTERVAL } else { interval };
+        compio::time::sleep_until(read_at + interval).await;
+        while read_at.elapsed() < SELDOM_INTERVAL {
+            match self.state.told_news(Instant::now()) {
+                Some(told) if !is_news(told) => compio::time::sleep(NEWS_POLL).await,
+                _ => return,
+            }
+        }
+    }
+
+    /// Notes how far the directory was read; what others must know of is told at once.
+    fn note_directory(&self, end: u64, has_news: bool) {
+        let directory = &self.state.following.directory;
+        let before = directory.get();
+        let news = match before {
+            Some(before) if !has_news => before.news,
+            _ => end,
+        };
+        directory.set(Some(Reading {
+            news,
+            at: Instant::now(),
+        }));
+        if has_news {
+            self.state.peers.hurry();
+        }
+    }
+
+    /// Takes changes over; tells whether servers came, left or changed their state.
+    fn take(&self, changes: Changes<ServerChange>, is_whole: bool) -> bool {
         let now = Instant::now();
         let fleet = &self.state.fleet;
+        let mut has_news = false;
         let mut here = Vec::new();
         for change in changes.items {
             match change {
@@ -122,18 +187,23 @@
                     let id = entry.id.clone();
                     let state = entry.state;
                     if fleet.take(entry) {
+                        has_news = true;
                         info!(server = %id, ?state, "server listed");
                     }
                     here.push(id);
                 }
-                ServerChange::Gone(id) => fleet.lapse(&id, now),
+                ServerChange::Gone(id) => {
+                    has_news |= fleet.server(&id).is_some();
+                    fleet.lapse(&id, now);
+                }
             }
         }
         if is_whole {
-            fleet.keep_only(&here, now);
+            has_news |= fleet.keep_only(&here, now);
         }
         self.state.is_directory_known.set(true);
         self.state.changed.notify();
+        has_news
     }
 
     /// Servers whose entry lapsed are gone, at once unless the directory itself was away.
@@ -153,6 +223,14 @@
         }
     }
 
+    /// The pause after so many failed reads in a row; long where another VM follows the log.
+    fn retry_pause(&self, failures: u32) -> Duration {
+        match self.state.told_news(Instant::now()) {
+            Some(_) if self.state.is_ready() => TOLD_RETRY_PAUSE,
+            _ => retry_pause(failures, self.state.is_ready()),
+        }
+    }
+
     fn note_failure(&self, what: &'static str, error: StoreError, failures: u32) {
         if failures == 0 {
             warn!(what, ?error, "log not read");
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -23,6 +23,9 @@
     timeout_ms: u64,
     #[serde(default)]
     target_latency_ms: f64,
+    /// The longest pause between two events.
+    #[serde(default)]
+    gap_aim_ms: f64,
     #[serde(default)]
     priority: u32,
     /// The only service; routes with shares name several instead.
@@ -61,6 +64,7 @@
 struct WireEngine {
     /// A runner's room for weights and adapters together, not the size of one model.
     weights_mb: f64,
+    slots: u32,
     #[serde(default)]
     adapter_slots: u32,
     #[serde(default)]
@@ -124,6 +128,7 @@
         resumable: wire.resumable,
         timeout_ms: wire.timeout_ms,
         target_latency_ms: wire.target_latency_ms.round() as u64,
+        max_pause_ms: wire.gap_aim_ms.round() as u64,
         max_attempts: wire.max_attempts.unwrap_or(1),
         priority: wire.priority,
         targets: alone.into_iter().chain(shares).collect(),
@@ -140,6 +145,7 @@
 fn engine(wire: WireEngine) -> Engine {
     Engine {
         weights_mb: wire.weights_mb,
+        slots: wire.slots,
         adapter_slots: wire.adapter_slots,
         loads_per_s: wire.loads_per_s,
         models: wire.models.into_iter().map(model).collect(),
