Changes of the directory are passed on in the zone; few VMs ask a log that is away

Change: the VM that follows the directory passes changes on with the offsets between which they lie; whoever has missed something reads for itself. Only that VM hurries its zone. While nobody in a zone can read, three go on asking and the others wait to hear of it.

--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -1,5 +1,6 @@
 //! The messages between VMs.
 
+use crate::gateway::news::DirectoryNews;
 use crate::gateway::view::Sighting;
 use crate::inventory::Name;
 use prost::Message;
@@ -58,6 +59,9 @@
     /// Whether the receiver is to tell all VMs that it knows.
     #[prost(bool, tag = "17")]
     pub(super) asks_vms: bool,
+    /// Changes of the directory, passed on to the own zone.
+    #[prost(message, optional, tag = "18")]
+    pub(super) directory: Option<DirectoryNews>,
     /// Whether loads and demands are left out of this message.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
@@ -78,6 +82,9 @@
     /// The age of the last reading of the configuration.
     #[prost(uint32, tag = "4")]
     pub(super) configuration_age_ms: u32,
+    /// The offset up to which the directory was read.
+    #[prost(uint64, tag = "5")]
+    pub(super) directory_end: u64,
 }
 
 /// VMs of one availability zone.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -161,6 +161,11 @@
         self.lapsed_at.get().is_none() && self.entry.borrow().state == ServerState::Ready
     }
 
+    /// Whether its entry is gone.
+    pub(crate) fn is_lapsed(&self) -> bool {
+        self.lapsed_at.get().is_some()
+    }
+
     /// Whether it broke or refused a connection a moment ago.
     pub(crate) fn is_passed_over(&self, now: Instant) -> bool {
         self.passed_over_until
@@ -253,6 +258,17 @@
     })
 }
 
+/// What an entry brought.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Taken {
+    /// Nothing, or only that the server lives.
+    Renewed,
+    /// The server holds something else, or its entry is back.
+    Changed,
+    /// The server is new or changed its state.
+    News,
+}
+
 /// All backend servers in the directory.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
@@ -262,32 +278,38 @@
 }
 
 impl Fleet {
-    /// Takes over an entry; tells whether the server is new or changed its state.
+    /// Takes over an entry; tells what is new in it.
     ///
     /// A server that started again under its id is a new one, which holds nothing of before;
     /// an entry that it wrote earlier than the present one is passed over.
-    pub(crate) fn take(&self, entry: Entry) -> bool {
+    pub(crate) fn take(&self, entry: Entry) -> Taken {
         let mut servers = self.servers.borrow_mut();
         let ended = self.ended.borrow_mut().remove(&entry.id);
         if let Some(ended) = ended.filter(|ended| *ended > entry.started_ms) {
             self.ended.borrow_mut().insert(entry.id, ended);
-            return false;
+            return Taken::Renewed;
         }
         let known = servers.get(&entry.id);
         if known.is_some_and(|server| !entry.is_newer_than(&server.entry.borrow())) {
-            return false;
+            return Taken::Renewed;
         }
         let same = known.filter(|server| {
             server.started_ms == entry.started_ms && server.address == entry.address
         });
         if let Some(server) = same {
-            server.lapsed_at.set(None);
-            let state = entry.state;
-            let before = server.entry.replace(entry);
-            return before.state != state;
+            let was_lapsed = server.lapsed_at.take().is_some();
+            let before = server.entry.replace(entry.clone());
+            if before.state != entry.state {
+                return Taken::News;
+            }
+            let is_same = before.holdings == entry.holdings && before.slots == entry.slots;
+            return match is_same && !was_lapsed {
+                true => Taken::Renewed,
+                false => Taken::Changed,
+            };
         }
         servers.insert(entry.id.clone(), Rc::new(Server::new(entry)));
-        true
+        Taken::News
     }
 
     /// Marks a server's entry as gone; [`Fleet::forget_lapsed`] takes it away.
@@ -318,18 +340,6 @@
         gone
     }
 
-    /// Marks every server that is not among `ids` as gone; tells whether there were any.
-    pub(crate) fn keep_only(&self, ids: &[Name], now: Instant) -> bool {
-        let mut any = false;
-        for server in self.servers.borrow().values() {
-            if !ids.contains(&server.id) && server.lapsed_at.get().is_none() {
-                server.lapsed_at.set(Some(now));
-                any = true;
-            }
-        }
-        any
-    }
-
     /// Finds a run of a server.
     pub(crate) fn run(&self, incarnation: &Incarnation) -> Option<Rc<Server>> {
         let server = self.server(&incarnation.id)?;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,10 +5,11 @@
 //! soon read and past.
 
 use crate::gateway::digest::{
-    Digest, Followed, ModelHolding, ServerHoldings, ServerRequests, WeightsDemand, zones_of,
+    Digest, Followed, ServerHoldings, ServerRequests, WeightsDemand, zones_of,
 };
 use crate::gateway::fleet::{Holding, Incarnation};
 use crate::gateway::following::Reading;
+use crate::gateway::news::told_holding;
 use crate::gateway::peers::{MICROS_PER_MILLI, Targets, Urgency, holding};
 use crate::gateway::state::State;
 use crate::inventory::Name;
@@ -132,8 +133,9 @@
             let is_all = match urgency {
                 Urgency::All => true,
                 Urgency::Holdings => targets.far_turns() == 1,
-                Urgency::Holder | Urgency::None => false,
+                Urgency::Zone | Urgency::Holder | Urgency::None => false,
             };
+            self.send_news(&targets.near).await;
             if now >= next_turn || is_all {
                 next_turn = now + INTERVAL;
                 // A VM that gives orders is listened for everywhere.
@@ -143,6 +145,8 @@
                     next_probe = now + PROBE_INTERVAL;
                     self.probe().await;
                 }
+            } else if urgency == Urgency::Zone {
+                self.send_to(&self.digest(), &targets.near).await;
             } else if urgency == Urgency::Holder {
                 self.send_demand().await;
             }
@@ -218,6 +222,19 @@
         }
     }
 
+    /// Passes changes of the directory on.
+    async fn send_news(&self, near: &[SocketAddr]) {
+        for news in self.state.peers.take_news() {
+            let message = Digest {
+                boot: self.boot,
+                is_partial: true,
+                directory: Some(news),
+                ..Digest::default()
+            };
+            self.send_to(&message, near).await;
+        }
+    }
+
     /// Speaks to a VM that was lost: it may be back after a partition.
     async fn probe(&self) {
         if let Some(lost) = self.state.peers.lost_one() {
@@ -396,6 +413,7 @@
         let readings = self.state.following.readings()?;
         Some(Followed {
             directory_news: readings.directory.news,
+            directory_end: readings.directory_end,
             directory_age_ms: age_ms(readings.directory),
             configuration_news: readings.configuration.news,
             configuration_age_ms: age_ms(readings.configuration),
@@ -456,6 +474,9 @@
                 info!(peer = %sender, fingerprint = crash.fingerprint, crashes = crash.crashes, "crash told");
             }
         }
+        if let Some(news) = digest.directory.clone() {
+            self.state.take_directory_news(news, now);
+        }
         self.take_holdings(&digest, now);
         self.take_prompts(&digest, now);
         if digest.is_demand {
@@ -501,13 +522,6 @@
     ServerHoldings {
         server: run.id.to_string(),
         started_ms: run.started_ms,
-        models: holdings
-            .iter()
-            .map(|holding| ModelHolding {
-                model: holding.model.to_string(),
-                version: holding.version,
-                adapters: holding.adapters.iter().map(Name::to_string).collect(),
-            })
-            .collect(),
+        models: holdings.iter().map(told_holding).collect(),
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod leading;
 mod line_fit;
 mod metrics;
+mod news;
 mod ordering;
 mod outside;
 mod patience;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,6 +4,7 @@
 use crate::gateway::digest::{Crashes, Digest, Followed, SentPrompt, sightings_of};
 use crate::gateway::fleet::Holding;
 use crate::gateway::following::{Reading, Readings};
+use crate::gateway::news::DirectoryNews;
 use crate::gateway::view::{Sighting, View};
 use crate::inventory::Name;
 use crate::signal::Signal;
@@ -91,6 +92,8 @@
     None,
     /// The VM that gives orders.
     Holder,
+    /// The own zone.
+    Zone,
     /// All, of what runners hold.
     Holdings,
     /// All.
@@ -109,6 +112,8 @@
     urgency: Cell<Urgency>,
     is_urgent: Signal,
     crashes: RefCell<Vec<(Crashes, Instant)>>,
+    /// Changes of the directory that the own zone is yet to be told of.
+    news: RefCell<Vec<DirectoryNews>>,
     /// Prompts that peers are yet to be told of.
     prompts: RefCell<Vec<SentPrompt>>,
     has_prompts: Signal,
@@ -126,6 +131,7 @@
             urgency: Cell::default(),
             is_urgent: Signal::default(),
             crashes: RefCell::default(),
+            news: RefCell::default(),
             prompts: RefCell::default(),
             has_prompts: Signal::default(),
         }
@@ -148,6 +154,13 @@
         view.is_settled(now).then(|| view.most_vms())
     }
 
+    /// How many VMs of `zone` come before this one by address.
+    pub(crate) fn rank_in(&self, zone: &Name) -> usize {
+        let view = self.view.borrow();
+        let of_zone = view.all().filter(|vm| vm.availability_zone == *zone);
+        of_zone.filter(|vm| vm.address < self.own).count()
+    }
+
     /// `count` VMs outside `zone` to tell it of, others at each call.
     pub(super) fn some_outside(&self, zone: &Name, count: usize) -> Vec<Sighting> {
         self.view.borrow_mut().some_outside(zone, count)
@@ -227,6 +240,17 @@
         self.urgency.take()
     }
 
+    /// Passes changes of the directory on to the own zone.
+    pub(super) fn tell_news(&self, news: Vec<DirectoryNews>) {
+        self.news.borrow_mut().extend(news);
+        self.hurry_to(Urgency::Zone);
+    }
+
+    /// Takes the changes of the directory that the own zone is yet to be told of.
+    pub(super) fn take_news(&self) -> Vec<DirectoryNews> {
+        self.news.take()
+    }
+
     /// Tells peers of a crash with a request aboard.
     pub(crate) fn tell_crash(&self, fingerprint: u64, crashes: u32, now: Instant) {
         let crash = Crashes {
@@ -443,6 +467,7 @@
             .unwrap_or(now),
     };
     Readings {
+        directory_end: followed.directory_end,
         directory: reading(followed.directory_news, followed.directory_age_ms),
         configuration: reading(followed.configuration_news, followed.configuration_age_ms),
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,19 +2,25 @@
 
 use crate::gateway::call::Cost;
 use crate::gateway::demand::Demand;
-use crate::gateway::fleet::{Fleet, Holding, Incarnation};
+use crate::gateway::fleet::{Fleet, Holding, Incarnation, Taken};
 use crate::gateway::following::{Following, Readings, follows_closely};
+use crate::gateway::news::{Assembly, DirectoryNews};
 use crate::gateway::peers::{Peers, Urgency, WantedRate};
 use crate::gateway::speeds::Speeds;
 use crate::gateway::suspects::Suspects;
-use crate::gateway::{Configuration, Generation, Metrics, Settings, Weights};
+use crate::gateway::{
+    Changes, Configuration, Generation, Metrics, ServerChange, Settings, Weights,
+};
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
-use tracing::info;
+use std::time::{Duration, Instant};
+use tracing::{debug, info};
+
+/// How long an entry that lapsed in a shaken directory has to come back.
+const LAPSE_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// The beliefs that all parts of the process share.
 #[derive(Debug)]
@@ -43,6 +49,8 @@
     pub(crate) leader_view: RefCell<Vec<(Incarnation, Vec<Holding>)>>,
     /// The fence under which this VM gives orders; 0 if it gives none.
     pub(crate) fence: Cell<u64>,
+    /// Changes of the directory as far as their parts have come.
+    assembly: RefCell<Assembly>,
     /// Notified when a server or what it holds has changed.
     pub(crate) changed: Signal,
     /// Whether the process is about to end.
@@ -84,6 +92,7 @@
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
             fence: Cell::new(0),
+            assembly: RefCell::default(),
             changed: Signal::default(),
             shutdown: Rc::default(),
             settings,
@@ -158,6 +167,82 @@
             .max_by_key(|readings| (readings.configuration.news, readings.directory.news))
     }
 
+    /// Takes over changes of the directory that the VM that follows it passed on.
+    pub(super) fn take_directory_news(&self, news: DirectoryNews, now: Instant) {
+        let is_shaken = news.is_shaken;
+        let end = self.following.directory_end.get();
+        let changes = self.assembly.borrow_mut().take(news, end);
+        let Some(changes) = changes else {
+            return;
+        };
+        if is_shaken {
+            self.following.shaken_at.set(Some(now));
+        }
+        debug!(
+            from = end,
+            next = changes.next,
+            changes = changes.items.len(),
+            "directory told"
+        );
+        let next = changes.next;
+        self.take_directory(changes, now);
+        self.following.note_told(next);
+        self.forget_lapsed(now);
+    }
+
+    /// Takes changes of the directory over; returns those that others are to be told of, and
+    /// whether servers came, left or changed their state.
+    pub(super) fn take_directory(
+        &self,
+        changes: Changes<ServerChange>,
+        now: Instant,
+    ) -> (Vec<ServerChange>, bool) {
+        let mut has_news = false;
+        let mut told = Vec::new();
+        for change in changes.items {
+            match change {
+                ServerChange::Here(entry) => {
+                    let taken = self.fleet.take(entry.clone());
+                    if taken == Taken::News {
+                        has_news = true;
+                        info!(server = %entry.id, state = ?entry.state, "server listed");
+                    }
+                    if taken > Taken::Renewed {
+                        told.push(ServerChange::Here(entry));
+                    }
+                }
+                ServerChange::Gone(id) => {
+                    if self.fleet.server(&id).is_some() {
+                        has_news = true;
+                        told.push(ServerChange::Gone(id.clone()));
+                    }
+                    self.fleet.lapse(&id, now);
+                }
+            }
+        }
+        self.is_directory_known.set(true);
+        self.changed.notify();
+        (told, has_news)
+    }
+
+    /// Servers whose entry lapsed are gone, at once unless the log itself was away.
+    pub(super) fn forget_lapsed(&self, now: Instant) {
+        let is_shaken = self.following.is_shaken(now);
+        let limit = if is_shaken {
+            LAPSE_LIMIT
+        } else {
+            Duration::ZERO
+        };
+        for id in self.fleet.forget_lapsed(limit, now) {
+            info!(server = %id, is_shaken, "server gone");
+        }
+    }
+
+    /// How many VMs of the own zone come before this one by address.
+    pub(crate) fn zone_rank(&self) -> usize {
+        self.peers.rank_in(&self.settings.availability_zone)
+    }
+
     /// Whether callers can be served.
     pub(crate) fn is_ready(&self) -> bool {
         !self.shutdown.is_leaving()
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -6,7 +6,7 @@
 use crate::gateway::choose::{Candidate, choose};
 use crate::gateway::demand::Demand;
 use crate::gateway::events::EventBuffer;
-use crate::gateway::fleet::Fleet;
+use crate::gateway::fleet::{Fleet, Taken};
 use crate::gateway::suspects::Suspects;
 use crate::gateway::watch::retry_pause;
 use crate::gateway::{
@@ -234,7 +234,7 @@
     let fleet = Fleet::default();
     let now = Instant::now();
     let limit = Duration::from_secs(2);
-    assert!(fleet.take(entry("i", ServerState::Ready)));
+    assert_eq!(fleet.take(entry("i", ServerState::Ready)), Taken::News);
     let server = fleet.server("i").expect("it was just entered");
     fleet.lapse("i", now);
     assert!(!server.is_listed_ready());
@@ -335,7 +335,7 @@
         holdings: Vec::new(),
         ..entry("i", ServerState::Ready)
     };
-    assert!(fleet.take(again), "a new run is a new server");
+    assert_eq!(fleet.take(again), Taken::News, "a new run is a new server");
     let after = fleet.server("i").expect("it was entered anew");
     assert_eq!(after.in_flight(), 0);
     assert_eq!(after.backlog.wait_ms(now), 0.0);
@@ -364,7 +364,7 @@
             sequence,
             ..entry("i", ServerState::Ready)
         };
-        assert!(!fleet.take(late));
+        assert_eq!(fleet.take(late), Taken::Renewed);
         let server = fleet.server("i").expect("it is listed");
         assert!(!server.is_listed_ready());
     }
--- a/src/gateway/tests/following.rs
+++ b/src/gateway/tests/following.rs
@@ -14,6 +14,7 @@
     let reading = Reading { news: 7, at };
     Readings {
         directory: reading,
+        directory_end: 9,
         configuration: reading,
     }
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -3,6 +3,7 @@
 mod decisions;
 mod following;
 mod pages;
+mod passing;
 mod planning;
 mod speeds;
 mod spreading;
--- /dev/null
+++ b/src/gateway/tests/passing.rs
@@ -0,0 +1,86 @@
+//! Changes of the directory reach the zone whole, or not at all.
+
+use crate::gateway::ServerChange;
+use crate::gateway::fleet::{Entry, Holding, ServerState};
+use crate::gateway::news::{Assembly, DirectoryNews, news_of};
+use crate::inventory::Name;
+use prost::Message;
+
+/// Bytes of a message that fit one datagram on any path.
+const DATAGRAM_BYTES: usize = 1_300;
+
+fn here(index: usize) -> ServerChange {
+    let names = |count: usize| (0..count).map(|it| Name::from(format!("model-{it}")));
+    ServerChange::Here(Entry {
+        id: format!("i-{index}").into(),
+        started_ms: 1_000 + index as u64,
+        sequence: 5,
+        service: "llm".into(),
+        address: "10.1.0.9:8000".parse().expect("an address"),
+        availability_zone: "a".into(),
+        slots: 16,
+        state: ServerState::Draining,
+        holdings: names(2)
+            .map(|model| Holding {
+                model,
+                version: 3,
+                adapters: vec!["a1".into()],
+            })
+            .collect(),
+        in_memory: names(3).collect(),
+        on_disk: names(5).collect(),
+    })
+}
+
+fn changes(count: usize) -> Vec<ServerChange> {
+    let gone = ServerChange::Gone("i-gone".into());
+    (0..count).map(here).chain([gone]).collect()
+}
+
+fn parts(count: usize, from: u64, next: u64) -> Vec<DirectoryNews> {
+    news_of(&changes(count), from, next, false).expect("they are few enough")
+}
+
+/// What is taken over of messages by a reader that has read up to `end`.
+fn taken(messages: Vec<DirectoryNews>, end: Option<u64>) -> Option<(usize, u64)> {
+    let mut assembly = Assembly::default();
+    let mut whole = None;
+    for message in messages {
+        whole = whole.or(assembly.take(message, end));
+    }
+    whole.map(|changes| (changes.items.len(), changes.next))
+}
+
+#[test]
+fn changes_arrive_as_they_were_in_whatever_order_their_messages_come() {
+    let mut messages = parts(12, 40, 60);
+    assert!(messages.len() > 1);
+    assert!(messages.iter().all(|it| it.encoded_len() <= DATAGRAM_BYTES));
+    messages.reverse();
+    assert_eq!(taken(messages.clone(), Some(50)), Some((13, 60)));
+    let mut assembly = Assembly::default();
+    let whole = messages
+        .into_iter()
+        .find_map(|it| assembly.take(it, Some(50)));
+    let items = whole.expect("all parts are there").items;
+    assert_eq!(format!("{items:?}"), format!("{:?}", changes(12)));
+}
+
+#[test]
+fn a_reader_that_missed_something_takes_nothing_over() {
+    // It has not reached the beginning of the stretch, or knows nothing yet.
+    assert_eq!(taken(parts(1, 40, 60), Some(39)), None);
+    assert_eq!(taken(parts(1, 40, 60), None), None);
+    // It has read beyond it.
+    assert_eq!(taken(parts(1, 40, 60), Some(60)), None);
+    // A part was lost, and the next stretch does not make up for it.
+    let mut messages = parts(12, 40, 60);
+    messages.remove(0);
+    messages.extend(parts(1, 60, 70));
+    assert_eq!(taken(messages, Some(50)), None);
+}
+
+#[test]
+fn a_fleet_that_starts_as_a_whole_is_read_from_the_log() {
+    assert!(news_of(&changes(400), 0, 400, false).is_none());
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,9 +1,12 @@
 //! Follows the configuration and the directory of backend servers.
 
 use crate::gateway::following::{Reading, Readings};
+use crate::gateway::news::news_of;
+use crate::gateway::peers::Urgency;
 use crate::gateway::state::State;
 use crate::gateway::{Changes, ConfigSource, Directory, ServerChange, StoreError};
-use std::cell::Cell;
+use crate::inventory::Name;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -19,7 +22,7 @@
 /// may reach a server that leaves.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(500);
 /// The time between two reads where another VM in the zone follows the log and tells of news.
-const SELDOM_INTERVAL: Duration = Duration::from_millis(5_000);
+const SELDOM_INTERVAL: Duration = Duration::from_millis(15_000);
 /// The time between two reads where the log itself is behind what was told.
 const BEHIND_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The time between two looks for such news, half of that between two messages.
@@ -31,26 +34,22 @@
 /// change in force 3.5 s after it. One that knows too little refuses every request, and asks on
 /// at the first pace.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
-/// How long after a failed read the directory counts as shaken.
-const SHAKEN_FOR: Duration = Duration::from_millis(4_000);
-/// How long an entry that lapsed in a shaken directory has to come back.
-const LAPSE_LIMIT: Duration = Duration::from_millis(2_000);
+/// VMs of a zone that go on asking a log that none of them can read; one may itself be cut off, and
+/// each question of each VM costs.
+const ASKERS: usize = 3;
+/// The longest pause of the others.
+const OTHERS_PAUSE: Duration = Duration::from_millis(4_000);
 
 /// Keeps the state in step with what the log holds.
 pub(crate) struct Watch<S> {
     state: Rc<State>,
     store: Rc<S>,
-    failed_at: Cell<Option<Instant>>,
 }
 
 impl<S: ConfigSource + Directory> Watch<S> {
     /// A watch over a store.
     pub(crate) fn new(state: Rc<State>, store: Rc<S>) -> Rc<Self> {
-        Rc::new(Self {
-            state,
-            store,
-            failed_at: Cell::new(None),
-        })
+        Rc::new(Self { state, store })
     }
 
     /// Follows the configuration until the process ends.
@@ -80,8 +79,9 @@
                     for configuration in changes.items {
                         self.state.take_configuration(configuration);
                     }
-                    if before.is_some_and(|before| before.news < reading.news) {
-                        self.state.peers.hurry();
+                    let is_change = before.is_some_and(|before| before.news < reading.news);
+                    if is_change && self.state.follows_closely(reading.at) {
+                        self.state.peers.hurry_to(Urgency::Zone);
                     }
                     let is_news = |told: Readings| told.configuration.news > reading.news;
                     self.await_turn(read_at, CONFIGURATION_INTERVAL, is_news)
@@ -93,8 +93,7 @@
                     }
                     self.note_failure("configuration", error, failures);
                     failures += 1;
-                    let pause = retry_pause(failures, self.state.is_ready());
-                    compio::time::sleep(pause).await;
+                    self.await_retry(failures).await;
                 }
             }
         }
@@ -102,43 +101,58 @@
 
     /// Follows the directory until the process ends.
     pub(crate) async fn follow_directory(self: Rc<Self>) {
-        let mut next = None;
+        let following = &self.state.following;
         let mut failures = 0;
         loop {
             let read_at = Instant::now();
-            let read = match next {
+            let from = following.directory_end.get();
+            let read = match from {
                 None => self.store.entries().await,
                 Some(from) => self.store.changes_since(from).await,
             };
             match read {
+                // What was passed on meanwhile is newer.
+                Ok(_) if following.directory_end.get() != from => {}
                 Ok(changes) => {
                     if failures > 0 {
                         info!(failures, "directory regained");
                     }
                     failures = 0;
-                    let is_whole = next.is_none();
-                    let end = changes.next;
-                    next = Some(end);
-                    let has_news = self.take(changes, is_whole);
-                    self.note_directory(end, has_news);
-                    let is_news = |told: Readings| told.directory.news > end;
-                    self.await_turn(read_at, DIRECTORY_INTERVAL, is_news).await;
+                    self.take(changes, from);
+                    self.await_directory_turn(read_at).await;
                 }
                 Err(error) => {
                     if error == StoreError::Compacted {
-                        next = None;
+                        following.directory_end.set(None);
                     }
-                    self.failed_at.set(Some(Instant::now()));
+                    following.shaken_at.set(Some(Instant::now()));
                     self.note_failure("directory", error, failures);
                     failures += 1;
-                    let pause = retry_pause(failures, self.state.is_ready());
-                    compio::time::sleep(pause).await;
+                    self.await_retry(failures).await;
                 }
             }
-            self.forget_lapsed();
+            self.state.forget_lapsed(Instant::now());
         }
     }
 
+    /// Waits until the directory is to be read again: where another VM follows it for this one,
+    /// until it tells of changes that did not come.
+    async fn await_directory_turn(&self, read_at: Instant) {
+        let following = &self.state.following;
+        let is_news = |told: Readings| {
+            let end = following.directory_end.get();
+            let has_missed = end.is_none_or(|end| told.directory.news > end);
+            if !has_missed {
+                // Nothing that matters comes before the place up to which it has read.
+                following
+                    .directory_end
+                    .set(end.max(Some(told.directory_end)));
+            }
+            has_missed
+        };
+        self.await_turn(read_at, DIRECTORY_INTERVAL, is_news).await;
+    }
+
     /// Waits for the next reading: for `interval` at least, and where another VM follows the log
     /// for this one, until it tells of news or much time has passed.
     async fn await_turn(
@@ -153,6 +167,7 @@
         let interval = if is_behind { BEHIND_INTERVAL } else { interval };
         compio::time::sleep_until(read_at + interval).await;
         while read_at.elapsed() < SELDOM_INTERVAL {
+            self.state.forget_lapsed(Instant::now());
             match self.state.told_news(Instant::now()) {
                 Some(told) if !is_news(told) => compio::time::sleep(NEWS_POLL).await,
                 _ => return,
@@ -160,68 +175,71 @@
         }
     }
 
-    /// Notes how far the directory was read; what others must know of is told at once.
-    fn note_directory(&self, end: u64, has_news: bool) {
-        let directory = &self.state.following.directory;
-        let before = directory.get();
+    /// Takes a reading over that began at `from`, or was whole; passes on what the zone must know
+    /// if this VM follows the directory for it.
+    fn take(&self, mut changes: Changes<ServerChange>, from: Option<u64>) {
+        let now = Instant::now();
+        let next = changes.next;
+        if from.is_none() {
+            changes.items.extend(self.unlisted(&changes.items));
+        }
+        let (told, has_news) = self.state.take_directory(changes, now);
+        let following = &self.state.following;
+        following.directory_end.set(Some(next));
+        let before = following.directory.get();
         let news = match before {
-            Some(before) if !has_news => before.news,
-            _ => end,
+            Some(before) if told.is_empty() => before.news,
+            _ => next,
         };
-        directory.set(Some(Reading {
-            news,
-            at: Instant::now(),
-        }));
-        if has_news {
-            self.state.peers.hurry();
+        following.directory.set(Some(Reading { news, at: now }));
+        if !self.state.follows_closely(now) {
+            following.told_to.set(None);
+            return;
+        }
+        let told_to = following.told_to.get().or(from);
+        if told.is_empty() {
+            following.told_to.set(told_to);
+            return;
         }
+        following.told_to.set(Some(next));
+        let is_shaken = following.is_shaken(now);
+        let news = told_to.and_then(|from| news_of(&told, from, next, is_shaken));
+        info!(
+            changes = told.len(),
+            has_news,
+            next,
+            is_told = news.is_some(),
+            "directory changed"
+        );
+        self.state.peers.tell_news(news.unwrap_or_default());
     }
 
-    /// Takes changes over; tells whether servers came, left or changed their state.
-    fn take(&self, changes: Changes<ServerChange>, is_whole: bool) -> bool {
-        let now = Instant::now();
-        let fleet = &self.state.fleet;
-        let mut has_news = false;
-        let mut here = Vec::new();
-        for change in changes.items {
-            match change {
-                ServerChange::Here(entry) => {
-                    let id = entry.id.clone();
-                    let state = entry.state;
-                    if fleet.take(entry) {
-                        has_news = true;
-                        info!(server = %id, ?state, "server listed");
-                    }
-                    here.push(id);
-                }
-                ServerChange::Gone(id) => {
-                    has_news |= fleet.server(&id).is_some();
-                    fleet.lapse(&id, now);
-                }
-            }
-        }
-        if is_whole {
-            has_news |= fleet.keep_only(&here, now);
-        }
-        self.state.is_directory_known.set(true);
-        self.state.changed.notify();
-        has_news
+    /// Servers that a whole reading did not bring.
+    fn unlisted(&self, here: &[ServerChange]) -> Vec<ServerChange> {
+        let ids: HashSet<&Name> = here
+            .iter()
+            .filter_map(|change| match change {
+                ServerChange::Here(entry) => Some(&entry.id),
+                ServerChange::Gone(_) => None,
+            })
+            .collect();
+        let servers = self.state.fleet.servers().into_iter();
+        let gone = servers.filter(|server| !ids.contains(&server.id) && !server.is_lapsed());
+        gone.map(|server| ServerChange::Gone(server.id.clone()))
+            .collect()
     }
 
-    /// Servers whose entry lapsed are gone, at once unless the directory itself was away.
-    fn forget_lapsed(&self) {
-        let now = Instant::now();
-        let is_shaken = self
-            .failed_at
-            .get()
-            .is_some_and(|at| now.duration_since(at) < SHAKEN_FOR);
-        let limit = if is_shaken {
-            LAPSE_LIMIT
-        } else {
-            Duration::ZERO
-        };
-        for id in self.state.fleet.forget_lapsed(limit, now) {
-            info!(server = %id, is_shaken, "server gone");
+    /// Waits after a failed read. While nobody in the zone reads the log, a few VMs of it ask on
+    /// and the others wait to hear of it from them.
+    async fn await_retry(&self, failures: u32) {
+        let failed_at = Instant::now();
+        compio::time::sleep(retry_pause(failures, self.state.is_ready())).await;
+        let leaves_it = || self.state.fence.get() == 0 && self.state.zone_rank() >= ASKERS;
+        while leaves_it() && failed_at.elapsed() < OTHERS_PAUSE {
+            if self.state.told_news(Instant::now()).is_some() {
+                return;
+            }
+            compio::time::sleep(NEWS_POLL).await;
         }
     }
 
