--- a/workbench/tests/site_fleet.rs
+++ b/workbench/tests/site_fleet.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
 use workbench::site::{Site, StoreFaults, plain, route};
 
@@ -55,3 +55,59 @@
         .await;
     });
 }
+
+/// VMs of one zone that learn of changes.
+const ZONE_VMS: usize = 10;
+/// Changes of the directory, one after the other.
+const CHANGES: usize = 10;
+/// Readings a second of a VM that follows the store: directory and configuration, each in half a
+/// second.
+const FOLLOWED_READS_PER_S: f64 = 4.0;
+/// VMs that follow it: one for the zone, and the one that gives orders.
+const FOLLOWERS: f64 = 2.0;
+/// The part of the VMs that may read for themselves at a change, whose message was lost or late.
+const MISSED_SHARE: f64 = 0.2;
+
+#[googletest::test]
+fn changes_of_the_directory_reach_a_zone_without_a_reading_by_each_vm() {
+    block_on(async {
+        let mut site = Site::start(vec![("books", vec![]); 2]).await;
+        site.configure(
+            json!([route("/", "safe", "books")]),
+            json!([plain("books")]),
+        );
+        site.start_vms(ZONE_VMS);
+        site.wait_ready().await;
+        site.wait("all know all", async || {
+            let mut known = true;
+            for index in 0..ZONE_VMS {
+                known &= site.metric(index, "vms").await == Some(ZONE_VMS as f64);
+            }
+            known
+        })
+        .await;
+        // Until one of them follows the store for all, each does.
+        compio::time::sleep(CALM).await;
+        let listed = |site: &Site, index| {
+            let log = site.log(index).into_iter();
+            log.filter(|line| line["message"] == "server listed")
+                .count()
+        };
+        let before: Vec<usize> = (0..ZONE_VMS).map(|index| listed(&site, index)).collect();
+        let reads = site.store.calls("/-/log-read");
+        let began = Instant::now();
+        for change in 1..=CHANGES {
+            let state = if change % 2 == 1 { "draining" } else { "ready" };
+            site.enter(&site.servers[1], state);
+            site.wait("all VMs know of it", async || {
+                (0..ZONE_VMS).all(|index| listed(&site, index) == before[index] + change)
+            })
+            .await;
+        }
+        let reads = (site.store.calls("/-/log-read") - reads) as f64;
+        let followed = FOLLOWERS * FOLLOWED_READS_PER_S * began.elapsed().as_secs_f64();
+        let missed = MISSED_SHARE * (CHANGES * ZONE_VMS) as f64;
+        let most = followed + missed;
+        expect_that!(reads, le(most), "for {CHANGES} changes");
+    });
+}
