A VM that could not read the members asks again with its next renewal

Cause: one failed reading was not repeated until the group changed and ten seconds had passed; a VM that started meanwhile knew nobody, and without their number takes all of the retry budget's slack for its own. Ruled out: that others find it anyway; they list twelve VMs at most, and not this one for sure.

--- a/src/gateway/leading.rs
+++ b/src/gateway/leading.rs
@@ -133,7 +133,13 @@
                 let members = members.filter_map(|member| member.parse::<SocketAddr>().ok());
                 self.state.peers.set_members(members.collect());
             }
-            Err(error) => warn!(?error, "members not read"),
+            Err(error) => {
+                warn!(?error, "members not read");
+                // Without them a VM that has just started finds nobody: asked for again with the
+                // next renewal.
+                self.is_changed.set(true);
+                self.members_read_at.set(None);
+            }
         }
     }
 
--- a/workbench/src/site/store.rs
+++ b/workbench/src/site/store.rs
@@ -29,6 +29,8 @@
     pub is_silent: bool,
     /// Writes take effect and are not answered.
     pub loses_answers: bool,
+    /// The owners of partitions are not told.
+    pub hides_owners: bool,
 }
 
 #[derive(Debug, Default)]
@@ -136,6 +138,9 @@
             "/-/log-append" => self.take_append(request).await,
             "/-/log-join" => self.join(request).await,
             "/-/log-leave" => self.leave(request).await,
+            "/-/log-owners" if self.faults.get().hides_owners => {
+                web::status(StatusCode::SERVICE_UNAVAILABLE)
+            }
             "/-/log-owners" => self.owners(&request),
             _ => web::status(StatusCode::NOT_FOUND),
         };
--- a/workbench/tests/site_fleet.rs
+++ b/workbench/tests/site_fleet.rs
@@ -18,6 +18,19 @@
     logs.map(|log| log.into_iter().filter(is_it).count()).sum()
 }
 
+/// Waits until all VMs know all.
+async fn wait_known(site: &Site) {
+    let count = site.vms.len();
+    site.wait("all know all", async || {
+        let mut known = true;
+        for index in 0..count {
+            known &= site.metric(index, "vms").await == Some(count as f64);
+        }
+        known
+    })
+    .await;
+}
+
 #[googletest::test]
 fn every_vm_of_a_large_fleet_knows_all_others_and_loses_none() {
     block_on(async {
@@ -28,14 +41,7 @@
         );
         site.start_vms(VMS);
         site.wait_ready().await;
-        site.wait("all know all", async || {
-            let mut known = true;
-            for index in 0..VMS {
-                known &= site.metric(index, "vms").await == Some(VMS as f64);
-            }
-            known
-        })
-        .await;
+        wait_known(&site).await;
         let before = count(&site, "peer lost");
         compio::time::sleep(CALM).await;
         expect_that!(count(&site, "peer lost"), eq(before));
@@ -78,14 +84,7 @@
         );
         site.start_vms(ZONE_VMS);
         site.wait_ready().await;
-        site.wait("all know all", async || {
-            let mut known = true;
-            for index in 0..ZONE_VMS {
-                known &= site.metric(index, "vms").await == Some(ZONE_VMS as f64);
-            }
-            known
-        })
-        .await;
+        wait_known(&site).await;
         // Until one of them follows the store for all, each does.
         compio::time::sleep(CALM).await;
         let listed = |site: &Site, index| {
@@ -111,3 +110,33 @@
         expect_that!(reads, le(most), "for {CHANGES} changes");
     });
 }
+
+#[googletest::test]
+fn vms_that_could_not_read_the_members_at_their_start_find_each_other_later() {
+    block_on(async {
+        let mut site = Site::start(vec![("books", vec![])]).await;
+        site.configure(
+            json!([route("/", "safe", "books")]),
+            json!([plain("books")]),
+        );
+        site.store.set(StoreFaults {
+            hides_owners: true,
+            ..StoreFaults::default()
+        });
+        site.start_vms(3);
+        site.wait_ready().await;
+        // Nothing else of the group changes meanwhile that would have them ask.
+        site.wait("all have tried again", async || {
+            let tried = |index| {
+                let log = site.log(index).into_iter();
+                log.filter(|line| line["message"] == "members not read")
+                    .count()
+            };
+            (0..3).all(|index| tried(index) >= 2)
+        })
+        .await;
+        expect_that!(site.metric(0, "vms").await, some(eq(1.0)));
+        site.store.set(StoreFaults::default());
+        wait_known(&site).await;
+    });
+}
