--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,4 +1,4 @@
-//! Sending and receiving the datagrams between VMs.
+//! Sending the datagrams between VMs.
 //!
 //! A digest stands for itself and a later one replaces it, so that a lost one costs only its
 //! age. Messages about prompts add up at their receivers; what a lost one would have added is
@@ -10,8 +10,9 @@
 use crate::gateway::fleet::{Holding, Incarnation};
 use crate::gateway::following::Reading;
 use crate::gateway::news::told_holding;
-use crate::gateway::peers::{MICROS_PER_MILLI, Targets, Urgency, holding};
+use crate::gateway::peers::{MICROS_PER_MILLI, Urgency};
 use crate::gateway::state::State;
+use crate::gateway::targets::Targets;
 use crate::inventory::Name;
 use compio::BufResult;
 use compio::net::UdpSocket;
@@ -22,7 +23,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::{info, warn};
+use tracing::debug;
 
 /// The time between two messages to each peer: load on a runner changes by a few requests
 /// in it, since a stream lasts seconds.
@@ -42,13 +43,8 @@
 const MAX_DEMANDS: usize = 35;
 /// Prompts that one message tells of at most, some 30 bytes each: they fit one datagram.
 const MAX_PROMPTS: usize = 40;
-/// The pause after a failed receipt.
-const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 /// Bytes of a message that fit one datagram on any path.
 const MAX_MESSAGE_BYTES: usize = 1_300;
-/// The largest message that is received.
-const RECEIVE_BYTES: usize = 64 * 1024;
-
 /// VMs of other zones that a message to the own one tells of, 25 bytes each: they fit one datagram.
 /// With 410 VMs and a tenth of the messages lost the oldest sign of life in any view was 3.6 s old;
 /// after 4 s a VM counts as gone (`tests/views.rs`).
@@ -63,8 +59,8 @@
 
 /// Sends and receives this VM's messages.
 pub(crate) struct Gossip {
-    state: Rc<State>,
-    socket: UdpSocket,
+    pub(super) state: Rc<State>,
+    pub(super) socket: UdpSocket,
     boot: u64,
     /// What peers were told that runners hold.
     told: RefCell<HashMap<Incarnation, Told>>,
@@ -251,7 +247,7 @@
     }
 
     /// Tells a VM of all others that are known, unless another one was told a moment ago.
-    async fn tell_all(&self, asker: SocketAddr) {
+    pub(super) async fn tell_all(&self, asker: SocketAddr) {
         let now = Instant::now();
         let told_at = self.told_all_at.get();
         if told_at.is_some_and(|at| now.duration_since(at) < TELL_ALL_INTERVAL) {
@@ -346,7 +342,7 @@
             self.state.metrics.peer_messages.inc();
             let BufResult(sent, _) = self.socket.send_to(bytes.clone(), *target).await;
             if let Err(error) = sent {
-                tracing::debug!(peer = %target, %error, "peer message not sent");
+                debug!(peer = %target, %error, "peer message not sent");
             }
         }
     }
@@ -454,82 +450,6 @@
         due.map(|(run, holdings)| holdings_of(run, holdings))
             .collect()
     }
-
-    /// Receives messages until the process ends.
-    pub(crate) async fn receive(self: Rc<Self>) {
-        loop {
-            let buffer = Vec::with_capacity(RECEIVE_BYTES);
-            let BufResult(received, buffer) = self.socket.recv_from(buffer).await;
-            match received {
-                Ok((_, sender)) => {
-                    if self.take(sender, &buffer) {
-                        self.tell_all(sender).await;
-                    }
-                }
-                // A peer that is gone makes the next receipt fail; nothing was lost.
-                Err(_) => compio::time::sleep(RECEIVE_PAUSE).await,
-            }
-        }
-    }
-
-    /// Takes a message over; tells whether it asks for all VMs.
-    fn take(&self, sender: SocketAddr, bytes: &[u8]) -> bool {
-        let digest = match Digest::decode(bytes) {
-            Ok(digest) => digest,
-            Err(error) => {
-                warn!(peer = %sender, %error, "peer message unreadable");
-                return false;
-            }
-        };
-        let now = Instant::now();
-        for crash in &digest.crashes {
-            let suspects = &self.state.suspects;
-            if suspects.note_crashes(crash.fingerprint, crash.crashes, now) {
-                info!(peer = %sender, fingerprint = crash.fingerprint, crashes = crash.crashes, "crash told");
-            }
-        }
-        if let Some(news) = digest.directory.clone() {
-            self.state.take_directory_news(news, now);
-        }
-        self.take_holdings(&digest, now);
-        self.take_prompts(&digest, now);
-        if digest.is_demand {
-            self.state.peers.take_demand(sender, &digest);
-        }
-        self.state.peers.take_sightings(&digest, now);
-        if !digest.is_partial {
-            self.state.peers.take(sender, &digest, now);
-        }
-        digest.asks_vms
-    }
-
-    fn take_prompts(&self, digest: &Digest, now: Instant) {
-        for prompt in &digest.prompts {
-            if let Some(server) = self.state.fleet.server(&prompt.server) {
-                let read_ms = f64::from(prompt.read_us) / MICROS_PER_MILLI;
-                server.backlog.note(read_ms, now);
-            }
-        }
-    }
-
-    fn take_holdings(&self, digest: &Digest, now: Instant) {
-        if digest.holdings.is_empty() {
-            return;
-        }
-        for told in &digest.holdings {
-            let run = Incarnation {
-                id: told.server.as_str().into(),
-                started_ms: told.started_ms,
-            };
-            let Some(server) = self.state.fleet.run(&run) else {
-                continue;
-            };
-            let models = told.models.iter();
-            let holdings = models.map(|it| holding(&it.model, it.version, &it.adapters));
-            server.note_leader_view(holdings.collect(), now);
-        }
-        self.state.changed.notify();
-    }
 }
 
 fn holdings_of(run: &Incarnation, holdings: &[Holding]) -> ServerHoldings {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod patience;
 mod peers;
 mod planning;
+mod receipt;
 mod relay;
 mod routing;
 mod server;
@@ -39,6 +40,7 @@
 mod streaming;
 mod suspects;
 mod swaps;
+mod targets;
 #[cfg(test)]
 mod tests;
 mod tracked;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,11 +5,12 @@
 use crate::gateway::fleet::Holding;
 use crate::gateway::following::{Reading, Readings};
 use crate::gateway::news::DirectoryNews;
+use crate::gateway::targets::Targets;
 use crate::gateway::view::{Sighting, View};
 use crate::inventory::Name;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tracing::{debug, info, warn};
@@ -48,61 +49,6 @@
     demand_turn: u32,
 }
 
-/// Messages to other zones that a VM sends in one turn, at most: bytes between zones cost, and with
-/// 76 VMs messages to all were 0.3 of 0.38 GB in a quiet minute.
-const MAX_FAR_MESSAGES: usize = 12;
-
-/// Messages to the own zone that a VM sends in one turn, at most: the load of one VM of a large zone
-/// changes a runner's little. With fewer, signs of life of 410 VMs spread too slowly
-/// (`tests/views.rs`).
-const MAX_NEAR_MESSAGES: usize = 28;
-
-/// Where messages go.
-#[derive(Debug, Default)]
-pub(super) struct Targets {
-    /// VMs in other zones, by zone and address.
-    pub(super) far: BTreeMap<Name, Vec<SocketAddr>>,
-    /// VMs in the own zone, and those whose zone is not known yet.
-    pub(super) near: Vec<SocketAddr>,
-}
-
-impl Targets {
-    /// How many VMs stand in other zones.
-    fn far_count(&self) -> usize {
-        self.far.values().map(Vec::len).sum()
-    }
-
-    /// After how many turns each VM in another zone has been spoken to once.
-    pub(super) fn far_turns(&self) -> usize {
-        self.far_count().div_ceil(MAX_FAR_MESSAGES).max(1)
-    }
-
-    /// After how many turns each VM in the own zone has been spoken to once.
-    pub(super) fn near_turns(&self) -> usize {
-        self.near.len().div_ceil(MAX_NEAR_MESSAGES).max(1)
-    }
-
-    /// The part of the own zone that is spoken to in this `turn`.
-    pub(super) fn near_part(&self, turn: usize) -> Vec<SocketAddr> {
-        part(&self.near, turn, self.near_turns())
-    }
-
-    /// The part of the VMs in other zones that is spoken to in this `turn`: so many of each zone
-    /// that all have been in as many turns as there are parts, and that each zone hears something
-    /// in each turn.
-    pub(super) fn far_part(&self, turn: usize) -> impl Iterator<Item = (&Name, Vec<SocketAddr>)> {
-        let parts = self.far_turns();
-        let far = self.far.iter();
-        far.map(move |(zone, vms)| (zone, part(vms, turn, parts)))
-    }
-}
-
-/// One of `parts` parts of the VMs, by the turn.
-fn part(vms: &[SocketAddr], turn: usize, parts: usize) -> Vec<SocketAddr> {
-    let of_part = vms.iter().skip(turn % parts).step_by(parts);
-    of_part.copied().collect()
-}
-
 /// Who is told of a change out of turn.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Urgency {
--- a/src/gateway/tests/following.rs
+++ b/src/gateway/tests/following.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::following::{FRESH_FOR, Reading, Readings, follows_closely};
 use crate::gateway::gossip::INTERVAL;
-use crate::gateway::peers::Targets;
+use crate::gateway::targets::Targets;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
