--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -35,6 +35,8 @@
             server = %self.server.id,
             model = %call.model(),
             load = self.candidate.load(),
+            is_near = self.candidate.is_near,
+            is_far_late = self.candidate.is_far_late,
             prompts_wait_ms = self.candidate.prompts_wait_ms as u64,
             read_ms = call.cost.read_ms as u64,
             has_failed = self.candidate.has_failed,
