An entry's end is passed on also where this VM has given the server up before

Cause: a VM that met another server at an address took the entry away by itself; the record of its end was then no news to it and not told, and the others took the place in the log for reached. Before: the test is told of no change; after: of one.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -212,11 +212,10 @@
                     }
                 }
                 ServerChange::Gone(id) => {
-                    if self.fleet.server(&id).is_some() {
-                        has_news = true;
-                        told.push(ServerChange::Gone(id.clone()));
-                    }
+                    has_news |= self.fleet.server(&id).is_some();
                     self.fleet.lapse(&id, now);
+                    // Others may know it still, where this VM alone met another one at its address.
+                    told.push(ServerChange::Gone(id));
                 }
             }
         }
--- a/src/gateway/tests/passing.rs
+++ b/src/gateway/tests/passing.rs
@@ -1,11 +1,13 @@
 //! Changes of the directory reach the zone whole, or not at all.
 
-use crate::gateway::ServerChange;
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::news::{Assembly, DirectoryNews, news_of};
 use crate::gateway::peers::Peers;
+use crate::gateway::state::State;
+use crate::gateway::{Bounds, Changes, Metrics, ServerChange, Settings};
 use crate::inventory::Name;
 use prost::Message;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Bytes of a message that fit one datagram on any path.
@@ -98,3 +100,56 @@
     assert_eq!(servers, ["i-2"]);
     assert!(peers.take_prompts(9, now).is_empty());
 }
+
+/// A VM's beliefs, of a deployment without any bounds that matter here.
+fn state() -> State {
+    let address = "10.1.0.1:7380".parse().expect("an address");
+    let settings = Settings {
+        vm: "vm".into(),
+        availability_zone: "a".into(),
+        caller_address: address,
+        ready_address: address,
+        metrics_address: None,
+        peer_address: address,
+        log_address: address,
+        bounds: Bounds {
+            grace: Duration::ZERO,
+            drain: Duration::ZERO,
+            retry_ratio: 0.0,
+            retry_window: Duration::ZERO,
+            retry_slack: 0.0,
+            is_fenced: true,
+            lease: Duration::ZERO,
+            load_window: Duration::ZERO,
+            min_member_ttl: Duration::ZERO,
+        },
+    };
+    State::new(settings, Rc::new(Metrics::new()))
+}
+
+fn read(state: &State, items: Vec<ServerChange>) -> usize {
+    let changes = Changes { items, next: 0 };
+    state.take_directory(changes, Instant::now()).0.len()
+}
+
+#[test]
+fn what_matters_to_others_is_told_and_what_is_only_renewed_is_not() {
+    let state = state();
+    assert_eq!(read(&state, vec![here(1)]), 1);
+    assert_eq!(read(&state, vec![here(1)]), 0);
+    let ServerChange::Here(mut entry) = here(1) else {
+        panic!("it is an entry");
+    };
+    entry.holdings.clear();
+    assert_eq!(read(&state, vec![ServerChange::Here(entry)]), 1);
+}
+
+#[test]
+fn a_server_that_this_vm_has_given_up_already_is_told_to_be_gone() {
+    let state = state();
+    read(&state, vec![here(1)]);
+    // Another server answered at its address.
+    state.fleet.lapse("i-1", Instant::now());
+    state.forget_lapsed(Instant::now());
+    assert_eq!(read(&state, vec![ServerChange::Gone("i-1".into())]), 1);
+}
