A VM that has just started shares the slack of retries where it knows all members

Change: the list of members is complete while it has room for more; then their number is known at once. A VM is ready once it has asked for them, with an answer or without. Ruled out: a smaller part for all that have just started (less than one retry each at nine VMs).

--- a/src/gateway/leading.rs
+++ b/src/gateway/leading.rs
@@ -102,6 +102,7 @@
                 Ok(membership) => self.take_membership(membership, asked_at).await,
                 Err(error) => tracing::debug!(?error, "membership not renewed"),
             }
+            self.state.has_sought_peers.set(true);
             compio::time::sleep_until(asked_at + JOIN_INTERVAL).await;
         }
     }
@@ -129,9 +130,10 @@
         self.members_read_at.set(Some(Instant::now()));
         match self.store.members().await {
             Ok(members) => {
-                let members = members.iter().filter(|member| **member != self.member);
-                let members = members.filter_map(|member| member.parse::<SocketAddr>().ok());
-                self.state.peers.set_members(members.collect());
+                let others = members.names.iter().filter(|name| **name != self.member);
+                let others = others.filter_map(|name| name.parse::<SocketAddr>().ok());
+                let peers = &self.state.peers;
+                peers.set_members(others.collect(), members.is_all);
             }
             Err(error) => {
                 warn!(?error, "members not read");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -55,9 +55,9 @@
 pub(crate) use fleet::{Entry, Holding, ServerState};
 pub(crate) use metrics::Metrics;
 pub(crate) use outside::{
-    Changes, Claims, ConfigSource, Directory, Group, Malformed, Membership, Order, OrderOutcome,
-    Protocol, Refusal, Reply, RunnerControl, RunnerReport, SendOptions, ServerChange, StoreError,
-    Weights,
+    Changes, Claims, ConfigSource, Directory, Group, Malformed, Members, Membership, Order,
+    OrderOutcome, Protocol, Refusal, Reply, RunnerControl, RunnerReport, SendOptions, ServerChange,
+    StoreError, Weights,
 };
 pub(crate) use server::serve;
 pub(crate) use settings::{Bounds, Settings};
--- a/src/gateway/outside.rs
+++ b/src/gateway/outside.rs
@@ -139,6 +139,15 @@
     pub(crate) is_first: bool,
 }
 
+/// Members of the group, as far as the log lists them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Members {
+    /// Their names.
+    pub(crate) names: Vec<Name>,
+    /// Whether the list has room for more, so that these are all.
+    pub(crate) is_all: bool,
+}
+
 /// The group of all VMs.
 pub(crate) trait Group: 'static {
     /// Joins, or stays a member for another `ttl`.
@@ -152,8 +161,8 @@
     /// Leaves the group.
     fn leave(&self, member: &str) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// All members.
-    fn members(&self) -> impl Future<Output = Result<Vec<Name>, StoreError>>;
+    /// Members; not all of a large group.
+    fn members(&self) -> impl Future<Output = Result<Members, StoreError>>;
 }
 
 /// The order of claims on giving orders; a claim's place is its fence.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -73,6 +73,8 @@
     heard: RefCell<HashMap<SocketAddr, Peer>>,
     /// Members that the log lists; not all.
     members: RefCell<Vec<SocketAddr>>,
+    /// Whether these were all at the last look.
+    has_all_members: Cell<bool>,
     has_released: Cell<bool>,
     /// Whether VMs in other zones are spoken to seldom.
     is_far_late: Cell<bool>,
@@ -94,6 +96,7 @@
             view: RefCell::new(View::new(own, now)),
             heard: RefCell::default(),
             members: RefCell::default(),
+            has_all_members: Cell::default(),
             has_released: Cell::default(),
             is_far_late: Cell::default(),
             urgency: Cell::default(),
@@ -105,9 +108,10 @@
         }
     }
 
-    /// Takes over the members of the group that the log lists.
-    pub(crate) fn set_members(&self, members: Vec<SocketAddr>) {
+    /// Takes over the other members of the group that the log lists, and whether these are all.
+    pub(crate) fn set_members(&self, members: Vec<SocketAddr>, is_all: bool) {
         *self.members.borrow_mut() = members;
+        self.has_all_members.set(is_all);
     }
 
     /// How many VMs there are, this one included.
@@ -116,10 +120,12 @@
     }
 
     /// How many VMs there were at most, this one included; `None` while this one has just started
-    /// and may know too few.
+    /// and may know too few: the log lists not all of a large group.
     pub(crate) fn most_vms(&self, now: Instant) -> Option<usize> {
         let view = self.view.borrow();
-        view.is_settled(now).then(|| view.most_vms())
+        let listed = self.members.borrow().len() + 1;
+        let is_known = self.has_all_members.get() || view.is_settled(now);
+        is_known.then(|| view.most_vms().max(listed))
     }
 
     /// How many VMs of `zone` come before this one by address.
--- a/src/gateway/tests/views.rs
+++ b/src/gateway/tests/views.rs
@@ -85,7 +85,8 @@
             }
             listed.retain(|it| *it != self.vms[index].address);
             if !self.vms[index].is_cut {
-                self.vms[index].peers.set_members(listed);
+                let is_all = listed.len() + 1 < LISTED;
+                self.vms[index].peers.set_members(listed, is_all);
             }
         }
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{Connection, SendError};
 use crate::gateway::{
-    Changes, Claims, ConfigSource, Configuration, Directory, Group, Membership, Metrics,
+    Changes, Claims, ConfigSource, Configuration, Directory, Group, Members, Membership, Metrics,
     ServerChange, StoreError,
 };
 use crate::http::{Body, read_body};
@@ -413,15 +413,18 @@
         self.post("/-/log-leave", &leave).await.map(drop)
     }
 
-    async fn members(&self) -> Result<Vec<Name>, StoreError> {
+    /// The owners of partitions: each member has one unless there are more members.
+    async fn members(&self) -> Result<Members, StoreError> {
         let path = format!("/-/log-owners?group={GROUP}");
         let answer = self.get(&path, Duration::ZERO).await?;
         let owners: WireOwners = parse(&answer)?;
+        let partitions = owners.parts.len();
         let owners = owners.parts.into_iter().map(|(_, _, member, _)| member);
-        let mut members: Vec<Name> = owners.map(Name::from).collect();
-        members.sort();
-        members.dedup();
-        Ok(members)
+        let mut names: Vec<Name> = owners.map(Name::from).collect();
+        names.sort();
+        names.dedup();
+        let is_all = names.len() < partitions;
+        Ok(Members { names, is_all })
     }
 }
 
