--- a/src/gateway/leading.rs
+++ b/src/gateway/leading.rs
@@ -21,8 +21,8 @@
 
 /// The time between two renewals of the membership; each costs a tenth of a call.
 const JOIN_INTERVAL: Duration = Duration::from_millis(800);
-/// The time between two readings of the group's members: a VM that joins reads them and is heard
-/// by all, so that the others need the list only to find each other after a partition. While
+/// The time between two readings of the group's members: VMs tell each other which there are, and
+/// the list is only where one begins and where the halves of a fleet meet after a partition. While
 /// large fleets are restarted in turn, a reading at each change by each VM was half of all calls.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(10);
 /// How long a silent member is kept: three renewals.
