Callers are known by their keys, and organisations' quotas are kept over all VMs by what each tells

Change: src/callers/ holds keys (secrecy, compared in constant time, found by a seeded hash), the register of organisations and the ledger of quotas, plain decisions without a network. A VM admits by the sum of what all VMs tell that they granted in three spans of the window; other zones are told of a whole zone, so that each VM hears of each zone in every turn. VMs that are not heard are left their even part. A grant of a request that does not run is taken back. Turns of messages begin anywhere, so that other zones are not heard in one burst every few seconds.

--- /dev/null
+++ b/src/callers/ledger.rs
@@ -0,0 +1,403 @@
+//! Whether a request is within its organisation's quota, over all VMs, without asking any.
+//!
+//! Each VM tells what it granted of late, and admits by the sum of what all tell. What is spent
+//! unseen, while messages are under way, is made up for by what is granted after; the margin that
+//! the deployment allows above quotas covers it meanwhile. VMs that are not heard are left their
+//! even part of each quota, so that the parts of a divided fleet together keep to it.
+
+use crate::callers::usage::{ASKED_SPAN, History, SPANS, Usage, spans};
+use crate::callers::{Organisation, Quota};
+use crate::inventory::Name;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How old a telling is beyond its time at this VM: the way of messages over a loaded link, and
+/// the sender's own view of its zone.
+const MIN_LAG: Duration = Duration::from_millis(600);
+/// The time in which what is left of a quota may be spent, in lags: with less, VMs that learn late
+/// what others spent swing together between too much and too little.
+const SPEND_LAGS: f64 = 3.0;
+/// The part of the margin above a quota that is granted; the rest covers what is spent unseen.
+const MARGIN_SHARE: f64 = 0.3;
+/// The part of what is left of the margin that covers growth which was not told yet.
+const GROWTH_SHARE: f64 = 0.5;
+/// How long a telling counts whole at least; an older one fades over the quota's window.
+const MIN_FRESH: Duration = Duration::from_millis(1_000);
+/// Tellings of a VM after which the one before counts whole no more, where it speaks seldom.
+const FRESH_TELLINGS: f64 = 2.5;
+/// For how long an organisation that was granted nothing of late is told of, so that others do not
+/// go on counting what they heard last.
+const TELL_EMPTY_FOR: Duration = Duration::from_millis(5_000);
+/// How long the telling that covers most VMs of a zone goes before others of it.
+const PREFERRED_FOR: Duration = Duration::from_millis(500);
+
+/// How exactly quotas are kept, over all VMs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct QuotaBounds {
+    /// The window over which grants are counted.
+    pub(crate) window: Duration,
+    /// The part of what a window allows that may be granted beyond it.
+    pub(crate) overage: f64,
+    /// The amount that may be granted beyond that.
+    pub(crate) slack: f64,
+}
+
+impl Default for QuotaBounds {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(10),
+            overage: 0.0,
+            slack: 0.0,
+        }
+    }
+}
+
+/// Names an organisation in messages.
+pub(crate) fn short_id(organisation: &str) -> u32 {
+    xxh3_64(organisation.as_bytes()) as u32
+}
+
+/// What one VM, or all of a zone, tell of the grants there.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Tally {
+    /// How many VMs it sums up.
+    pub(crate) vms: u32,
+    /// The usage by the organisation's [`short_id`].
+    pub(crate) usages: Vec<(u32, Usage)>,
+}
+
+/// What was told, with the moment of each figure.
+#[derive(Debug)]
+struct Told {
+    at: Instant,
+    /// How long a figure counts whole.
+    fresh_for: Duration,
+    vms: u32,
+    usages: HashMap<u32, (Usage, Instant)>,
+}
+
+impl Told {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < self.fresh_for
+    }
+
+    /// The part of an organisation's figures that counts, and these.
+    fn figures(&self, id: u32, window: Duration, now: Instant) -> Option<(f64, &Usage)> {
+        let (usage, at) = self.usages.get(&id)?;
+        let age = now.saturating_duration_since(*at);
+        let stale = age.saturating_sub(self.fresh_for);
+        let part = 1.0 - stale.as_secs_f64() / window.as_secs_f64();
+        (part > 0.0).then_some((part, usage))
+    }
+}
+
+/// What one organisation was granted at this VM.
+#[derive(Debug)]
+struct Account {
+    quota: Quota,
+    /// When it was asked for last.
+    asked_at: Instant,
+    history: History,
+}
+
+/// An amount that was granted.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Granted {
+    organisation: Name,
+    amount: f64,
+    at: Instant,
+}
+
+/// What a decision rested on, for its log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Standing {
+    /// What the request counts as.
+    pub(crate) amount: f64,
+    /// What is left of the quota for this part of the fleet; below 0 after too much was granted.
+    pub(crate) left: f64,
+    /// What was asked for a second, at all VMs that are heard.
+    pub(crate) asked_per_s: f64,
+    /// The part of the fleet that is heard, this VM included.
+    pub(crate) heard_share: f64,
+}
+
+/// A request that is beyond its organisation's quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct OverQuota {
+    /// When the quota may allow it.
+    pub(crate) retry_after: Duration,
+    /// What the decision rested on.
+    pub(crate) standing: Standing,
+}
+
+/// The grants of all VMs, as far as one VM knows.
+#[derive(Debug)]
+pub(crate) struct Ledger {
+    bounds: QuotaBounds,
+    accounts: HashMap<Name, Account>,
+    /// What each VM of the own zone tells of itself.
+    near: HashMap<SocketAddr, Told>,
+    /// What VMs of other zones tell of their whole zone.
+    far: HashMap<Name, Told>,
+}
+
+impl Ledger {
+    /// A ledger without any grant.
+    pub(crate) fn new(bounds: QuotaBounds) -> Self {
+        Self {
+            bounds,
+            accounts: HashMap::new(),
+            near: HashMap::new(),
+            far: HashMap::new(),
+        }
+    }
+
+    /// Grants a request, or tells when to come back. `vms` are all VMs of the fleet, heard or not;
+    /// `draw` from 0 to 1 decides who is served while more is asked for than the quota allows.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the quota is spent.
+    pub(crate) fn take(
+        &mut self,
+        organisation: &Organisation,
+        tokens: Option<f64>,
+        vms: usize,
+        draw: f64,
+        now: Instant,
+    ) -> Result<Option<Granted>, OverQuota> {
+        let Some(quota) = organisation.quota else {
+            return Ok(None);
+        };
+        let amount = quota.amount(tokens);
+        let account = self.account(&organisation.name, quota, now);
+        account.asked_at = now;
+        account.history.note_asked(amount, now);
+        let standing = self.standing(&organisation.name, amount, vms, now);
+        let rate_per_s = quota.rate_per_s * standing.heard_share;
+        let lag_s = self.lag(now).as_secs_f64();
+        let reserve = (1.0 - MARGIN_SHARE) * self.margin(&quota) * standing.heard_share;
+        let is_covered = standing.asked_per_s * lag_s <= reserve;
+        let spendable_per_s = standing.left / (lag_s * SPEND_LAGS) + rate_per_s;
+        let is_drawn = draw * standing.asked_per_s <= spendable_per_s;
+        let is_served = amount <= standing.left && (is_covered || is_drawn);
+        if !is_served {
+            let missing = (amount - standing.left).max(amount);
+            let wait_s = missing / rate_per_s.max(f64::MIN_POSITIVE);
+            return Err(OverQuota {
+                retry_after: Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX),
+                standing,
+            });
+        }
+        let account = self.account(&organisation.name, quota, now);
+        account.history.note_granted(amount, now);
+        Ok(Some(Granted {
+            organisation: organisation.name.clone(),
+            amount,
+            at: now,
+        }))
+    }
+
+    /// Takes back a grant of a request that did not run.
+    pub(crate) fn take_back(&mut self, granted: &Granted) {
+        if let Some(account) = self.accounts.get_mut(&granted.organisation) {
+            account.history.take_back(granted.amount, granted.at);
+        }
+    }
+
+    fn account(&mut self, organisation: &Name, quota: Quota, now: Instant) -> &mut Account {
+        let account = self
+            .accounts
+            .entry(organisation.clone())
+            .or_insert_with(|| Account {
+                quota,
+                asked_at: now,
+                history: History::default(),
+            });
+        if account.quota != quota {
+            // What was granted under a higher quota is not held against the lower one.
+            let part = quota.rate_per_s / account.quota.rate_per_s;
+            account.history.scale(part.min(1.0));
+            account.quota = quota;
+        }
+        account
+    }
+
+    /// How an organisation stands that asks for an amount.
+    fn standing(&mut self, organisation: &Name, amount: f64, vms: usize, now: Instant) -> Standing {
+        let window = self.bounds.window;
+        let Some(account) = self.accounts.get_mut(organisation) else {
+            return Standing::default();
+        };
+        let quota = account.quota;
+        let mut sum = account.history.usage(window, now);
+        self.add_told(&mut sum, short_id(organisation), now);
+        let heard_share = (self.heard_vms(now) as f64 / vms.max(1) as f64).min(1.0);
+        let margin = MARGIN_SHARE * self.margin(&quota);
+        let reserve = (1.0 - MARGIN_SHARE) * self.margin(&quota) * heard_share;
+        let left = left(
+            &quota,
+            margin,
+            heard_share,
+            &sum,
+            window,
+            self.lag(now),
+            reserve,
+        );
+        Standing {
+            amount,
+            left,
+            asked_per_s: sum.asked / ASKED_SPAN.as_secs_f64(),
+            heard_share,
+        }
+    }
+
+    /// What may be granted beyond a quota in a window.
+    fn margin(&self, quota: &Quota) -> f64 {
+        let whole = quota.rate_per_s * self.bounds.window.as_secs_f64() + quota.burst;
+        self.bounds.overage * whole + self.bounds.slack
+    }
+
+    /// Adds what other VMs told of an organisation.
+    fn add_told(&self, sum: &mut Usage, id: u32, now: Instant) {
+        for told in self.near.values().chain(self.far.values()) {
+            if let Some((part, usage)) = told.figures(id, self.bounds.window, now) {
+                sum.add(usage, part);
+            }
+        }
+    }
+
+    /// How old what other VMs tell is by now.
+    fn lag(&self, now: Instant) -> Duration {
+        let fresh = self.near.values().filter(|told| told.is_fresh(now));
+        let ages = fresh.map(|told| now.saturating_duration_since(told.at));
+        let (count, sum) = ages.fold((0, Duration::ZERO), |(count, sum), age| {
+            (count + 1, sum + age)
+        });
+        MIN_LAG + sum / count.max(1)
+    }
+
+    /// How many VMs are heard, this one included.
+    fn heard_vms(&self, now: Instant) -> u32 {
+        let told = self.near.values().chain(self.far.values());
+        let fresh = told.filter(|told| told.is_fresh(now));
+        fresh.map(|told| told.vms).sum::<u32>() + 1
+    }
+
+    /// What this VM granted, to tell its zone.
+    pub(crate) fn own_tally(&mut self, now: Instant) -> Tally {
+        let window = self.bounds.window;
+        let accounts = self.accounts.iter_mut();
+        let told = accounts.filter(|(_, account)| {
+            let age = now.saturating_duration_since(account.asked_at);
+            age < window + TELL_EMPTY_FOR
+        });
+        let usages = told.map(|(name, it)| (short_id(name), it.history.usage(window, now)));
+        Tally {
+            vms: 1,
+            usages: usages.collect(),
+        }
+    }
+
+    /// What this VM and its zone granted, to tell other zones.
+    pub(crate) fn zone_tally(&mut self, now: Instant) -> Tally {
+        let own = self.own_tally(now);
+        let fresh = self.near.values().filter(|told| told.is_fresh(now));
+        let vms = own.vms + fresh.map(|told| told.vms).sum::<u32>();
+        let mut usages: HashMap<u32, Usage> = own.usages.into_iter().collect();
+        let window = self.bounds.window;
+        for told in self.near.values() {
+            for id in told.usages.keys() {
+                if let Some((part, usage)) = told.figures(*id, window, now) {
+                    usages.entry(*id).or_default().add(usage, part);
+                }
+            }
+        }
+        Tally {
+            vms,
+            usages: usages.into_iter().collect(),
+        }
+    }
+
+    /// Takes over what a VM of the own zone tells of itself, and will tell again after `next_in`.
+    pub(crate) fn take_near(
+        &mut self,
+        sender: SocketAddr,
+        tally: Tally,
+        next_in: Duration,
+        now: Instant,
+    ) {
+        let told = self
+            .near
+            .entry(sender)
+            .or_insert_with(|| Told::nothing(now));
+        told.fresh_for = MIN_FRESH.max(next_in.mul_f64(FRESH_TELLINGS));
+        told.take(tally, now);
+    }
+
+    /// Takes over what a VM of another zone tells of that zone. A VM there that hears few others
+    /// does not stand for all that a better one told a moment ago.
+    pub(crate) fn take_far(&mut self, zone: &Name, tally: Tally, now: Instant) {
+        let told = self
+            .far
+            .entry(zone.clone())
+            .or_insert_with(|| Told::nothing(now));
+        let age = now.saturating_duration_since(told.at);
+        if tally.vms >= told.vms || age >= PREFERRED_FOR {
+            told.take(tally, now);
+        }
+    }
+
+    /// Forgets what counts no more.
+    pub(crate) fn forget(&mut self, now: Instant) {
+        let window = self.bounds.window;
+        let counts = |told: &Told| now.saturating_duration_since(told.at) < told.fresh_for + window;
+        self.near.retain(|_, told| counts(told));
+        self.far.retain(|_, told| counts(told));
+    }
+}
+
+impl Told {
+    fn nothing(now: Instant) -> Self {
+        Self {
+            at: now,
+            fresh_for: MIN_FRESH,
+            vms: 0,
+            usages: HashMap::new(),
+        }
+    }
+
+    fn take(&mut self, tally: Tally, now: Instant) {
+        self.at = now;
+        self.vms = tally.vms;
+        let figures = tally.usages.into_iter();
+        self.usages
+            .extend(figures.map(|(id, usage)| (id, (usage, now))));
+    }
+}
+
+/// What is left of a quota for a part of the fleet: as much as each span allows.
+fn left(
+    quota: &Quota,
+    margin: f64,
+    heard_share: f64,
+    granted: &Usage,
+    window: Duration,
+    lag: Duration,
+    reserve: f64,
+) -> f64 {
+    let spans: [Duration; SPANS] = spans(window);
+    let newest_per_s = granted.granted[0] / spans[0].as_secs_f64();
+    let lefts = spans.iter().zip(granted.granted).map(|(span, granted)| {
+        let span_s = span.as_secs_f64();
+        let allowed = quota.rate_per_s * span_s + quota.burst + margin;
+        // What is told was true a moment ago; where grants grow, the sum is above it by now.
+        let growth_per_s = (newest_per_s - granted / span_s).max(0.0);
+        let unseen = (growth_per_s * lag.as_secs_f64() - reserve * GROWTH_SHARE).max(0.0);
+        allowed * heard_share - granted - unseen
+    });
+    let most = (quota.burst + margin) * heard_share;
+    lefts.fold(most, f64::min)
+}
--- /dev/null
+++ b/src/callers/quota.rs
@@ -0,0 +1,35 @@
+//! What an organisation may ask for.
+
+/// What requests are counted in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Measure {
+    /// Each request counts as one.
+    Requests,
+    /// A request counts as the tokens that it tells, those of its prompt and the most that may
+    /// be generated.
+    Tokens {
+        /// What a request counts as that tells none.
+        untold: f64,
+    },
+}
+
+/// What an organisation may ask for over all VMs together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Quota {
+    /// What is counted.
+    pub(crate) measure: Measure,
+    /// The amount a second, on average.
+    pub(crate) rate_per_s: f64,
+    /// The amount that may be asked for at once after a pause.
+    pub(crate) burst: f64,
+}
+
+impl Quota {
+    /// What a request counts as that tells so many tokens, or none.
+    pub(crate) fn amount(&self, tokens: Option<f64>) -> f64 {
+        match self.measure {
+            Measure::Requests => 1.0,
+            Measure::Tokens { untold } => tokens.unwrap_or(untold),
+        }
+    }
+}
--- /dev/null
+++ b/src/callers/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of who is known and what is allowed, without a network.
+
+mod keys;
--- a/src/gateway/ask.rs
+++ b/src/gateway/ask.rs
@@ -1,5 +1,6 @@
 //! What a caller asks for, whatever protocol it came by.
 
+use crate::callers::ApiKey;
 use crate::inventory::Name;
 use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
@@ -27,6 +28,8 @@
     pub(crate) patience: Option<Duration>,
     /// The last event that the caller has already, where it resumes a stream.
     pub(crate) last_event: Option<u64>,
+    /// The caller's key, where there is exactly one.
+    pub(crate) key: Option<ApiKey>,
     /// What a model is to generate; plain calls have none.
     pub(crate) generation: Option<Generation>,
 }
@@ -38,12 +41,20 @@
     pub(crate) model: Name,
     /// The adapter over it, if any.
     pub(crate) adapter: Option<Name>,
-    /// Tokens of the prompt.
+    /// Tokens of the prompt; 0 where none are told.
     pub(crate) prompt_tokens: u32,
-    /// Tokens to generate at most.
+    /// Tokens to generate at most; 0 where none are told.
     pub(crate) max_tokens: u32,
 }
 
+impl Generation {
+    /// The tokens of the prompt and those to generate, where any are told.
+    pub(crate) fn tokens(&self) -> Option<f64> {
+        let tokens = f64::from(self.prompt_tokens) + f64::from(self.max_tokens);
+        (tokens > 0.0).then_some(tokens)
+    }
+}
+
 impl Ask {
     /// The same for each sending of the same request by the same caller, through whichever VM.
     pub(crate) fn fingerprint(&self) -> u64 {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,6 +1,8 @@
 //! One request under way.
 
+use crate::callers::Organisation;
 use crate::gateway::failure::Failure;
+use crate::gateway::grant::Grant;
 use crate::gateway::patience::Patience;
 use crate::gateway::{Ask, Route, Weights};
 use crate::inventory::Name;
@@ -34,6 +36,10 @@
     /// The last sending.
     pub(crate) sending: Option<Sending>,
     pub(crate) route: Rc<Route>,
+    /// The caller's organisation, where the configuration has any.
+    pub(crate) organisation: Option<Rc<Organisation>>,
+    /// Its part of the organisation's quota, if that has any.
+    pub(crate) grant: Option<Grant>,
     pub(crate) service: Name,
     pub(crate) arrived: Instant,
     /// When the caller, or the operator, wants it ended.
@@ -73,6 +79,27 @@
         generation.map_or_else(Name::default, |generation| generation.model.clone())
     }
 
+    /// Notes whether a server may run it, or has: only then does it use up its grant.
+    pub(crate) fn note_running(&mut self, may_run: bool) {
+        let may_have_run = may_run || self.runs > 0;
+        if let Some(grant) = &mut self.grant {
+            grant.may_have_run = may_have_run;
+        }
+    }
+
+    /// The name of the caller's organisation; empty where there is none.
+    pub(crate) fn organisation_name(&self) -> &str {
+        let organisation = self.organisation.as_ref();
+        organisation.map_or("", |organisation| organisation.name.as_str())
+    }
+
+    /// Its rank; 0 is the most urgent.
+    pub(crate) fn priority(&self) -> u32 {
+        let organisation = self.organisation.as_ref();
+        let own = organisation.and_then(|organisation| organisation.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// The times that bear on its beginning.
     pub(crate) fn patience(&self) -> Patience {
         Patience {
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -1,5 +1,7 @@
 //! The configuration in force: routes, services and limits.
 
+use crate::callers::{ApiKey, Organisation, Register};
+use crate::gateway::failure::Failure;
 use crate::gateway::fleet::holds;
 use crate::gateway::{Holding, Weights};
 use crate::inventory::Name;
@@ -18,6 +20,8 @@
     pub(crate) services: HashMap<Name, Rc<Service>>,
     /// What callers may send.
     pub(crate) limits: Limits,
+    /// The organisations that may send; `None` where requests need no key.
+    pub(crate) organisations: Option<Rc<Register>>,
 }
 
 /// Where requests of one host and path prefix go, and how they may be handled.
@@ -31,6 +35,8 @@
     pub(crate) prefix: Name,
     /// What may be repeated.
     pub(crate) kind: RouteKind,
+    /// Whether requests need no key.
+    pub(crate) is_public: bool,
     /// Whether a stream may go on at another backend server.
     pub(crate) resumable: bool,
     /// How long a caller is kept waiting at most.
@@ -166,6 +172,33 @@
             routes: by_host,
             services,
             limits,
+            organisations: None,
+        }
+    }
+
+    /// With the organisations that may send.
+    pub(crate) fn with_organisations(mut self, organisations: Register) -> Self {
+        self.organisations = Some(Rc::new(organisations));
+        self
+    }
+
+    /// The organisation of a request on a route; `None` where it needs none and names none.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the route needs a key and this one is no organisation's.
+    pub(crate) fn organisation(
+        &self,
+        route: &Route,
+        key: Option<&ApiKey>,
+    ) -> Result<Option<Rc<Organisation>>, Failure> {
+        let Some(register) = &self.organisations else {
+            return Ok(None);
+        };
+        let holder = key.and_then(|key| register.holder(key));
+        match holder {
+            None if !route.is_public => Err(Failure::UnknownKey),
+            holder => Ok(holder.cloned()),
         }
     }
 
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -1,5 +1,6 @@
 //! The messages between VMs.
 
+use crate::callers::{SPANS, Tally, Usage};
 use crate::gateway::news::DirectoryNews;
 use crate::gateway::view::Sighting;
 use crate::inventory::Name;
@@ -8,6 +9,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
+/// Organisations that one message tells of at most, some 25 bytes each: they fit one datagram.
+const MAX_USAGES: usize = 40;
+
 /// What one VM tells the others.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct Digest {
@@ -62,6 +66,9 @@
     /// Changes of the directory, passed on to the own zone.
     #[prost(message, optional, tag = "18")]
     pub(super) directory: Option<DirectoryNews>,
+    /// What organisations were granted at the sender, or in its zone for VMs of other zones.
+    #[prost(message, optional, tag = "19")]
+    pub(super) tally: Option<ToldTally>,
     /// Whether loads and demands are left out of this message.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
@@ -167,6 +174,75 @@
     })
 }
 
+/// What organisations were granted at one VM, or in a zone.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct ToldTally {
+    /// How many VMs it sums up.
+    #[prost(uint32, tag = "1")]
+    pub(super) vms: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub(super) usages: Vec<ToldUsage>,
+}
+
+/// What one organisation was granted.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct ToldUsage {
+    /// Names the organisation.
+    #[prost(fixed32, tag = "1")]
+    pub(super) organisation: u32,
+    #[prost(uint64, tag = "2")]
+    pub(super) asked: u64,
+    /// By span, the shortest first.
+    #[prost(uint64, repeated, tag = "3")]
+    pub(super) granted: Vec<u64>,
+}
+
+impl ToldTally {
+    /// The tellings of a tally, each short enough for a message; one of a VM without any grant
+    /// tells that it is there.
+    pub(super) fn parts(tally: &Tally) -> Vec<Self> {
+        let usages: Vec<ToldUsage> = tally.usages.iter().map(ToldUsage::of).collect();
+        let part = |usages: &[ToldUsage]| Self {
+            vms: tally.vms,
+            usages: usages.to_vec(),
+        };
+        match usages.is_empty() {
+            true => vec![part(&[])],
+            false => usages.chunks(MAX_USAGES).map(part).collect(),
+        }
+    }
+
+    /// The tally that it tells.
+    pub(super) fn tally(&self) -> Tally {
+        Tally {
+            vms: self.vms,
+            usages: self.usages.iter().map(ToldUsage::usage).collect(),
+        }
+    }
+}
+
+impl ToldUsage {
+    fn of((organisation, usage): &(u32, Usage)) -> Self {
+        Self {
+            organisation: *organisation,
+            asked: usage.asked.round() as u64,
+            granted: usage.granted.map(|it| it.round() as u64).to_vec(),
+        }
+    }
+
+    fn usage(&self) -> (u32, Usage) {
+        let mut granted = [0.0; SPANS];
+        for (span, told) in granted.iter_mut().zip(&self.granted) {
+            *span = *told as f64;
+        }
+        let usage = Usage {
+            asked: self.asked as f64,
+            granted,
+        };
+        (self.organisation, usage)
+    }
+}
+
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct ServerRequests {
     #[prost(string, tag = "1")]
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -11,6 +11,10 @@
 const MAX_RETRY_SHARE: f64 = 0.33;
 /// The same at the earliest; spread, so that those refused together do not come back together.
 const MIN_RETRY_SHARE: f64 = 0.2;
+/// Requests that are refused together for their quota come back spread over this time.
+const QUOTA_RETRY_SPREAD: Duration = Duration::from_millis(1_000);
+/// When a request whose quota allows it only later may come back at the latest.
+const MAX_QUOTA_RETRY: Duration = Duration::from_secs(60);
 /// When a request that crashes servers may come back.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -21,6 +25,10 @@
     Unready,
     /// The request cannot be read.
     Malformed(&'static str),
+    /// Its key is no organisation's.
+    UnknownKey,
+    /// Its organisation's quota is spent, and may allow it after this time.
+    OverQuota(Duration),
     /// No route is about it.
     NoRoute,
     /// Its body is larger than allowed.
@@ -47,6 +55,8 @@
         match self {
             Self::Unready => "unready",
             Self::Malformed(_) => "malformed",
+            Self::UnknownKey => "unknown_key",
+            Self::OverQuota(_) => "over_quota",
             Self::NoRoute => "no_route",
             Self::TooLarge => "too_large",
             Self::BodyCut => "body_cut",
@@ -63,6 +73,11 @@
     pub(crate) fn refusal(self, time_left: Duration) -> Refusal {
         let (status, retry_after) = match self {
             Self::Malformed(_) => (400, None),
+            Self::UnknownKey => (401, None),
+            Self::OverQuota(wait) => {
+                let spread = QUOTA_RETRY_SPREAD.mul_f64(rand::random());
+                (429, Some(wait.saturating_add(spread).min(MAX_QUOTA_RETRY)))
+            }
             Self::NoRoute => (404, None),
             Self::TooLarge => (413, None),
             Self::BodyCut => (408, None),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -4,8 +4,9 @@
 //! age. Messages about prompts add up at their receivers; what a lost one would have added is
 //! soon read and past.
 
+use crate::callers::{Ledger, Tally};
 use crate::gateway::digest::{
-    Digest, Followed, ServerHoldings, ServerRequests, WeightsDemand, zones_of,
+    Digest, Followed, ServerHoldings, ServerRequests, ToldTally, WeightsDemand, zones_of,
 };
 use crate::gateway::fleet::{Holding, Incarnation};
 use crate::gateway::following::Reading;
@@ -109,7 +110,8 @@
             boot,
             told: RefCell::default(),
             demand_turn: Cell::new(0),
-            turn: Cell::new(0),
+            // Others begin elsewhere, so that a VM hears of another zone in each turn.
+            turn: Cell::new(usize::from(rand::random::<u16>())),
             told_all_at: Cell::new(None),
         }))
     }
@@ -152,6 +154,7 @@
             let _ = compio::time::timeout(rest, urgent).await;
             let now = Instant::now();
             self.state.peers.forget_silent(now);
+            self.state.ledger.borrow_mut().forget(now);
         }
     }
 
@@ -175,9 +178,11 @@
         let turn = self.turn.get();
         self.turn.set(turn.wrapping_add(1));
         let next_in = INTERVAL * targets.near_turns() as u32;
+        let own = self.tallies(|ledger| ledger.own_tally(now));
         let near = Digest {
             vms: zones_of(&outside, now),
             next_in_ms: next_in.as_millis() as u32,
+            tally: own.first().cloned(),
             ..digest.clone()
         };
         // Whoever follows the log is listened for in its zone.
@@ -187,6 +192,8 @@
             false => targets.near_part(turn),
         };
         self.send_to(&near, &in_turn).await;
+        self.send_tallies(own.get(1..).unwrap_or_default(), next_in, &in_turn)
+            .await;
         for message in &holdings {
             self.send_to(message, &targets.near).await;
         }
@@ -220,12 +227,40 @@
                 || self.stands_in(&load.server, zone)
                 || self.stands_in(&load.server, own_zone)
         });
+        let tallies = self.tallies(|ledger| ledger.zone_tally(Instant::now()));
+        of_zone.tally = tallies.first().cloned();
         self.send_to(&of_zone, far).await;
+        self.send_tallies(tallies.get(1..).unwrap_or_default(), INTERVAL, far)
+            .await;
         for message in holdings {
             self.send_to(message, far).await;
         }
     }
 
+    /// The tellings of a tally; none where there are no organisations.
+    fn tallies(&self, tally: impl FnOnce(&mut Ledger) -> Tally) -> Vec<ToldTally> {
+        let configuration = self.state.configuration();
+        if configuration.is_none_or(|it| it.organisations.is_none()) {
+            return Vec::new();
+        }
+        ToldTally::parts(&tally(&mut self.state.ledger.borrow_mut()))
+    }
+
+    /// Tells what found no place in the messages before.
+    async fn send_tallies(&self, tallies: &[ToldTally], next_in: Duration, targets: &[SocketAddr]) {
+        for tally in tallies {
+            let message = Digest {
+                boot: self.boot,
+                is_partial: true,
+                availability_zone: self.state.settings.availability_zone.to_string(),
+                next_in_ms: next_in.as_millis() as u32,
+                tally: Some(tally.clone()),
+                ..Digest::default()
+            };
+            self.send_to(&message, targets).await;
+        }
+    }
+
     /// Passes changes of the directory on.
     async fn send_news(&self, near: &[SocketAddr]) {
         for news in self.state.peers.take_news() {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,6 +43,10 @@
         "place_wait_seconds",
         "time that a request waited for a server, where it did",
     ),
+    row(
+        "organisation_requests",
+        "requests of an organisation, by what its quota made of them",
+    ),
     row("attempts", "requests sent to servers, by what came of it"),
     row("retries", "requests sent to a server once more"),
     row("retries_denied", "retries that the budget did not allow"),
@@ -74,6 +78,15 @@
     pub(crate) outcome: &'static str,
 }
 
+/// A request of an organisation.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct OrganisationLabels {
+    /// The organisation.
+    pub(crate) organisation: String,
+    /// `granted` or `over_quota`.
+    pub(crate) outcome: &'static str,
+}
+
 /// What came of something.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct OutcomeLabels {
@@ -99,6 +112,7 @@
     pub(crate) first_event: Histogram,
     pub(crate) longest_pause: Histogram,
     pub(crate) place_wait: Histogram,
+    pub(crate) organisations: Family<OrganisationLabels, Counter>,
     pub(crate) attempts: Family<OutcomeLabels, Counter>,
     pub(crate) retries: Counter,
     pub(crate) retries_denied: Counter,
@@ -130,6 +144,7 @@
             first_event: seconds(),
             longest_pause: seconds(),
             place_wait: seconds(),
+            organisations: Family::default(),
             attempts: Family::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
@@ -155,6 +170,7 @@
         self.register("first_event_seconds", self.first_event.clone());
         self.register("longest_pause_seconds", self.longest_pause.clone());
         self.register("place_wait_seconds", self.place_wait.clone());
+        self.register("organisation_requests", self.organisations.clone());
         self.register("attempts", self.attempts.clone());
         self.register("retries", self.retries.clone());
         self.register("retries_denied", self.retries_denied.clone());
@@ -183,6 +199,15 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a request of an organisation.
+    pub(crate) fn note_organisation(&self, organisation: &str, outcome: &'static str) {
+        let labels = OrganisationLabels {
+            organisation: organisation.to_owned(),
+            outcome,
+        };
+        self.organisations.get_or_create(&labels).inc();
+    }
+
     /// Counts what came of sending a request to a server.
     pub(crate) fn note_attempt(&self, outcome: &'static str) {
         self.attempts
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod fleet;
 mod following;
 mod gossip;
+mod grant;
 mod journal;
 mod leading;
 mod line_fit;
--- a/src/gateway/outside.rs
+++ b/src/gateway/outside.rs
@@ -26,6 +26,8 @@
     pub(crate) last_event: Option<u64>,
     /// The version of the weights that a stream began with.
     pub(crate) weights: Option<u64>,
+    /// The caller's organisation.
+    pub(crate) organisation: Option<&'a str>,
 }
 
 /// What the head of a backend server's answer says beyond HTTP.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -138,6 +138,13 @@
         is_known.then(|| view.most_vms().max(listed))
     }
 
+    /// How many VMs share what all may grant together: as many as there ever were, or as are known
+    /// so far. Those that are not heard may still grant their part.
+    pub(crate) fn fleet_size(&self, now: Instant) -> usize {
+        let known = || self.view.borrow().most_vms();
+        self.most_vms(now).unwrap_or_else(known)
+    }
+
     /// How many VMs of `zone` come before this one by address.
     pub(crate) fn rank_in(&self, zone: &Name) -> usize {
         let view = self.view.borrow();
--- a/src/gateway/receipt.rs
+++ b/src/gateway/receipt.rs
@@ -55,6 +55,7 @@
         }
         self.take_holdings(&digest, now);
         self.take_prompts(&digest, now);
+        self.take_tally(sender, &digest, now);
         if digest.is_demand {
             self.state.peers.take_demand(sender, &digest);
         }
@@ -65,6 +66,20 @@
         digest.asks_vms
     }
 
+    fn take_tally(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
+        let Some(told) = &digest.tally else {
+            return;
+        };
+        let zone = digest.availability_zone.as_str();
+        let mut ledger = self.state.ledger.borrow_mut();
+        if zone == self.state.settings.availability_zone {
+            let next_in = Duration::from_millis(u64::from(digest.next_in_ms));
+            ledger.take_near(sender, told.tally(), next_in, now);
+        } else {
+            ledger.take_far(&zone.into(), told.tally(), now);
+        }
+    }
+
     fn take_prompts(&self, digest: &Digest, now: Instant) {
         for prompt in &digest.prompts {
             if let Some(server) = self.state.fleet.server(&prompt.server) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,14 +1,16 @@
 //! A caller's request, from its arrival to its answer.
 
+use crate::callers::{Organisation, OverQuota};
 use crate::client::{SendError, is_refused};
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::call::{Call, Sending};
 use crate::gateway::exchange::{Exchange, Links};
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
+use crate::gateway::grant::Grant;
 use crate::gateway::state::State;
 use crate::gateway::turns::Turns;
-use crate::gateway::{Ask, Malformed, Protocol, RouteKind, SendOptions};
+use crate::gateway::{Ask, Generation, Malformed, Protocol, RouteKind, SendOptions};
 use crate::http::{Body, ReadError, read_body};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -118,6 +120,8 @@
         let route = configuration
             .route(&ask.host, ask.path.path())
             .ok_or(Failure::NoRoute)?;
+        let organisation = configuration.organisation(route, ask.key.as_ref())?;
+        let grant = self.grant(&ask, organisation.as_deref(), arrived)?;
         let service = route
             .pick_target(rand::random())
             .ok_or(Failure::NoRoute)?
@@ -142,6 +146,8 @@
             fingerprint: ask.fingerprint(),
             ask,
             route: route.clone(),
+            organisation,
+            grant,
             service,
             arrived,
             deadline,
@@ -156,6 +162,47 @@
         Ok(call)
     }
 
+    /// Takes the request's part of its organisation's quota, where that has one.
+    fn grant(
+        &self,
+        ask: &Ask,
+        organisation: Option<&Organisation>,
+        now: Instant,
+    ) -> Result<Option<Grant>, Failure> {
+        let Some(organisation) = organisation else {
+            return Ok(None);
+        };
+        let generation = ask.generation.as_ref();
+        let tokens = generation.and_then(Generation::tokens);
+        let vms = self.state.peers.fleet_size(now);
+        let mut ledger = self.state.ledger.borrow_mut();
+        let taken = ledger.take(organisation, tokens, vms, rand::random(), now);
+        let metrics = &self.state.metrics;
+        match taken {
+            Ok(granted) => {
+                metrics.note_organisation(&organisation.name, "granted");
+                Ok(granted.map(|granted| Grant::new(self.state.clone(), granted)))
+            }
+            Err(OverQuota {
+                retry_after,
+                standing,
+            }) => {
+                metrics.note_organisation(&organisation.name, "over_quota");
+                info!(
+                    request = %ask.id,
+                    organisation = %organisation.name,
+                    amount = standing.amount,
+                    left = standing.left,
+                    asked_per_s = standing.asked_per_s,
+                    heard_share = standing.heard_share,
+                    vms,
+                    "over quota"
+                );
+                Err(Failure::OverQuota(retry_after))
+            }
+        }
+    }
+
     /// Answers a call whose answer is held whole before it is passed on, so that one that
     /// breaks off can still be had elsewhere.
     async fn plain(&self, call: &mut Call) -> Result<Response<Body>, Failure> {
@@ -279,12 +326,14 @@
         if time_left.is_zero() {
             return Err(Some(call.late()));
         }
+        let organisation = call.organisation.clone();
         let options = SendOptions {
             server: &server.id,
             time_left,
-            priority: call.route.priority,
+            priority: call.priority(),
             last_event: last_event.or(call.ask.last_event),
             weights,
+            organisation: organisation.as_ref().map(|it| it.name.as_str()),
         };
         call.tried.push(server.id.clone());
         self.note_sending(call, server);
@@ -299,6 +348,7 @@
                 server.note_failure(now);
                 self.state.metrics.note_attempt("not_reached");
                 warn!(request = %call.ask.id, server = %server.id, "server not reached");
+                call.note_running(false);
                 call.refused += 1;
                 if call.refused >= MAX_REFUSED {
                     return Err(Some(self.give_up(call)));
@@ -331,6 +381,7 @@
     /// Counts the prompt at its runner, here and at peers.
     fn note_sending(&self, call: &mut Call, server: &Server) {
         let now = Instant::now();
+        call.note_running(true);
         call.sending = Some(Sending {
             at: now,
             is_alone: server.backlog.wait_ms(now) < ALONE_WAIT_MS && !self.is_loaded(server),
@@ -385,6 +436,7 @@
         let server = &exchange.server;
         let status = exchange.head.status;
         info!(request = %call.ask.id, server = %server.id, status = status.as_u16(), "server refused");
+        call.note_running(false);
         call.refused += 1;
         if status != StatusCode::MISDIRECTED_REQUEST {
             return;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -34,6 +34,7 @@
             request = %call.ask.id,
             server = %self.server.id,
             model = %call.model(),
+            organisation = call.organisation_name(),
             load = self.candidate.load(),
             is_near = self.candidate.is_near,
             is_far_late = self.candidate.is_far_late,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of one VM's process.
 
+use crate::callers::QuotaBounds;
 use crate::inventory::Name;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,6 +39,8 @@
     pub(crate) retry_window: Duration,
     /// Retries allowed in a window beyond the ratio, over all VMs.
     pub(crate) retry_slack: f64,
+    /// How exactly organisations' quotas are kept.
+    pub(crate) quota: QuotaBounds,
     /// Whether runners refuse orders under a lower fence than one that they have seen.
     pub(crate) is_fenced: bool,
     /// How long a holder of orders must be left alone after its last one.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! What one VM believes: configuration, backend servers, peers.
 
+use crate::callers::Ledger;
 use crate::gateway::call::Cost;
 use crate::gateway::demand::Demand;
 use crate::gateway::fleet::{Fleet, Holding, Incarnation, Taken};
@@ -44,6 +45,8 @@
     pub(crate) demand: Demand,
     /// How fast runners work on each model.
     pub(crate) speeds: Speeds,
+    /// What organisations were granted, here and at other VMs.
+    pub(crate) ledger: RefCell<Ledger>,
     waiting: RefCell<HashMap<Weights, u32>>,
     /// What runners hold, while this VM leads; told to all others.
     pub(crate) leader_view: RefCell<Vec<(Incarnation, Vec<Holding>)>>,
@@ -89,6 +92,7 @@
             suspects: Suspects::default(),
             demand: Demand::default(),
             speeds: Speeds::default(),
+            ledger: RefCell::new(Ledger::new(settings.bounds.quota)),
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
             fence: Cell::new(0),
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -141,6 +141,7 @@
         host: "h".into(),
         prefix: prefix.into(),
         kind: RouteKind::Safe,
+        is_public: false,
         resumable: false,
         timeout_ms: 1_000,
         target_latency_ms: 100,
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod pages;
 mod passing;
 mod planning;
+mod quotas;
 mod speeds;
 mod spreading;
 mod swaps;
--- a/src/gateway/tests/passing.rs
+++ b/src/gateway/tests/passing.rs
@@ -113,6 +113,7 @@
         peer_address: address,
         log_address: address,
         bounds: Bounds {
+            quota: crate::callers::QuotaBounds::default(),
             grace: Duration::ZERO,
             drain: Duration::ZERO,
             retry_ratio: 0.0,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod arguments;
 mod batch_queue;
+mod callers;
 mod check;
 pub mod cli;
 mod client;
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,8 +1,10 @@
 //! The operator's configuration as the platform keeps it.
 
+use crate::callers::{ApiKey, Measure, Organisation, Quota, Register};
 use crate::gateway::{Configuration, Engine, Limits, Model, Route, RouteKind, Service, Target};
 use crate::inventory::Name;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use tracing::error;
 
 #[derive(Deserialize)]
 struct WireConfiguration {
@@ -12,6 +14,8 @@
     #[serde(default)]
     services: Vec<WireService>,
     limits: WireLimits,
+    /// Without this field requests need no key.
+    tenants: Option<Vec<WireOrganisation>>,
 }
 
 #[derive(Deserialize)]
@@ -37,6 +41,8 @@
     max_attempts: Option<u32>,
     #[serde(default)]
     resumable: bool,
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Deserialize)]
@@ -87,6 +93,39 @@
     adapter_mb: f64,
 }
 
+#[derive(Deserialize)]
+struct WireOrganisation {
+    name: Name,
+    #[serde(default)]
+    api_keys: Vec<WireKey>,
+    priority: Option<u32>,
+    /// What requests are counted in.
+    #[serde(default)]
+    unit: Name,
+    /// The amount a second; 0 for any.
+    #[serde(default)]
+    rate_per_s: f64,
+    /// The amount at once.
+    #[serde(default)]
+    burst: f64,
+    /// Tokens of a request that tells none.
+    #[serde(default)]
+    plain_tokens: f64,
+}
+
+/// The unit of a quota that counts tokens.
+const TOKENS: &str = "token_stream";
+
+/// A key, which is no [`String`] for longer than it takes to read it.
+struct WireKey(ApiKey);
+
+impl<'de> Deserialize<'de> for WireKey {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        Ok(Self(ApiKey::new(text.as_bytes())))
+    }
+}
+
 #[derive(Deserialize)]
 struct WireLimits {
     max_body_bytes: usize,
@@ -107,7 +146,40 @@
         max_body_bytes: wire.limits.max_body_bytes,
         idle_timeout_ms: wire.limits.idle_timeout_ms,
     };
-    Ok(Configuration::new(wire.version, routes, services, limits))
+    let configuration = Configuration::new(wire.version, routes, services, limits);
+    let Some(organisations) = wire.tenants else {
+        return Ok(configuration);
+    };
+    let register = Register::new(organisations.into_iter().map(organisation).collect());
+    for shared in register.shared_keys() {
+        error!(
+            version = wire.version,
+            organisations = shared.organisations.join(","),
+            "key listed twice"
+        );
+    }
+    Ok(configuration.with_organisations(register))
+}
+
+fn organisation(wire: WireOrganisation) -> (Organisation, Vec<ApiKey>) {
+    let measure = match wire.unit.as_str() {
+        TOKENS => Measure::Tokens {
+            untold: wire.plain_tokens,
+        },
+        _ => Measure::Requests,
+    };
+    let quota = Quota {
+        measure,
+        rate_per_s: wire.rate_per_s,
+        burst: wire.burst,
+    };
+    let organisation = Organisation {
+        name: wire.name,
+        priority: wire.priority,
+        quota: (wire.rate_per_s > 0.0).then_some(quota),
+    };
+    let keys = wire.api_keys.into_iter().map(|WireKey(key)| key);
+    (organisation, keys.collect())
 }
 
 fn route(wire: WireRoute) -> Route {
@@ -125,6 +197,7 @@
             WireKind::Unsafe => RouteKind::Unsafe,
             WireKind::Streaming => RouteKind::Streaming,
         },
+        is_public: wire.public,
         resumable: wire.resumable,
         timeout_ms: wire.timeout_ms,
         target_latency_ms: wire.target_latency_ms.round() as u64,
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -1,5 +1,6 @@
 //! Requests and answers as the platform words them.
 
+use crate::callers::ApiKey;
 use crate::gateway::{Ask, Generation, Malformed, Protocol, Refusal, Reply, SendOptions};
 use crate::http::Body;
 use crate::inventory::Name;
@@ -35,6 +36,11 @@
 /// The version of the weights.
 const WEIGHTS: HeaderName = HeaderName::from_static("x-weight-versions");
 
+/// The caller's key.
+const KEY: HeaderName = HeaderName::from_static("x-credential");
+/// The caller's organisation, as backend servers are told.
+const ORGANISATION: HeaderName = HeaderName::from_static("x-tenant");
+
 /// The lowest rank that a runner knows.
 const MAX_PRIORITY: u32 = 9;
 
@@ -52,8 +58,10 @@
     header::EXPECT,
 ];
 
-/// Headers that are this system's to set, whatever a caller sends.
-const OWN: [HeaderName; 9] = [
+/// Headers that are for this system alone, or its to set, whatever a caller sends.
+const OWN: [HeaderName; 11] = [
+    KEY,
+    ORGANISATION,
     DEADLINE_MS,
     EXPECT_SERVER,
     EXPECT_WEIGHTS,
@@ -112,6 +120,16 @@
     })
 }
 
+/// The key of a caller that sends exactly one.
+fn key_of(headers: &HeaderMap) -> Option<ApiKey> {
+    let mut keys = headers.get_all(KEY).iter();
+    let key = keys.next()?;
+    if keys.next().is_some() {
+        return None;
+    }
+    Some(ApiKey::new(key.as_bytes()))
+}
+
 /// The timeout of a `Keep-Alive` header.
 fn keep_alive_of(headers: &HeaderMap) -> Option<Duration> {
     let value = text(headers, &HeaderName::from_static("keep-alive"))?;
@@ -144,6 +162,7 @@
             path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
             patience: number(&head.headers, &DEADLINE_MS).map(Duration::from_millis),
             last_event: number(&head.headers, &LAST_EVENT),
+            key: key_of(&head.headers),
             generation: generation_of(&head.headers),
             headers,
             body: Bytes::new(),
@@ -166,6 +185,10 @@
         if let Ok(server) = HeaderValue::from_str(options.server) {
             headers.insert(EXPECT_SERVER, server);
         }
+        let organisation = options.organisation.map(HeaderValue::from_str);
+        if let Some(Ok(organisation)) = organisation {
+            headers.insert(ORGANISATION, organisation);
+        }
         if let Some(last_event) = options.last_event {
             headers.insert(LAST_EVENT, last_event.into());
         }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file that the platform writes for a process.
 
+use crate::callers::QuotaBounds;
 use crate::error::Fault;
 use crate::gateway::{Bounds, Settings};
 use crate::inventory::{Name, Problem};
@@ -44,6 +45,12 @@
     budget_ratio: f64,
     budget_window_s: f64,
     budget_slack: f64,
+    /// Organisations' quotas are there only where this is.
+    quota_window_s: Option<f64>,
+    #[serde(default)]
+    quota_overage: f64,
+    #[serde(default)]
+    quota_slack: f64,
     /// Whether runners check the fence of an order.
     #[serde(default)]
     fencing_required: bool,
@@ -97,6 +104,7 @@
             retry_ratio: bounds.budget_ratio,
             retry_window: Duration::from_secs_f64(bounds.budget_window_s),
             retry_slack: bounds.budget_slack,
+            quota: quota_bounds(bounds),
             is_fenced: bounds.fencing_required,
             lease: Duration::from_millis(bounds.lease_ms),
             load_window: Duration::from_secs_f64(bounds.ceiling_window_s),
@@ -105,6 +113,16 @@
     })
 }
 
+fn quota_bounds(bounds: &FileBounds) -> QuotaBounds {
+    let default = QuotaBounds::default();
+    let window = bounds.quota_window_s.map(Duration::from_secs_f64);
+    QuotaBounds {
+        window: window.unwrap_or(default.window),
+        overage: bounds.quota_overage,
+        slack: bounds.quota_slack,
+    }
+}
+
 fn refuse(problems: Vec<Problem>) -> Report<Fault> {
     let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
     Report::new(Fault::Settings).attach(lines.join("\n  "))
@@ -165,7 +183,9 @@
         ("bounds.budget_window_s", bounds.budget_window_s),
         ("bounds.ceiling_window_s", bounds.ceiling_window_s),
     ];
-    for (field, value) in seconds {
+    let window = bounds.quota_window_s;
+    let windows = window.map(|value| ("bounds.quota_window_s", value));
+    for (field, value) in seconds.into_iter().chain(windows) {
         if !(value > 0.0 && value <= MAX_SECONDS) {
             let message = format!("is {value}, allowed are seconds up to {MAX_SECONDS}");
             problems.push(Problem::new(field, message));
@@ -174,6 +194,8 @@
     let amounts = [
         ("bounds.budget_ratio", bounds.budget_ratio),
         ("bounds.budget_slack", bounds.budget_slack),
+        ("bounds.quota_overage", bounds.quota_overage),
+        ("bounds.quota_slack", bounds.quota_slack),
     ];
     for (field, value) in amounts {
         if !(value >= 0.0 && value.is_finite()) {
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -107,6 +107,7 @@
         (1460, 80)
     );
     let options = SendOptions {
+        organisation: Some("north"),
         server: "i-1",
         time_left: Duration::from_millis(700),
         priority: 2,
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -43,6 +43,8 @@
     pub ip: IpAddr,
     /// Whether VMs are told that servers check the fences of orders.
     pub is_fenced: bool,
+    /// The organisations of the next configuration; without any, requests need no key.
+    pub organisations: Option<Value>,
     folder: PathBuf,
     version: u64,
 }
@@ -60,6 +62,7 @@
             vms: Vec::new(),
             ip,
             is_fenced: false,
+            organisations: None,
             folder,
             version: 0,
         };
@@ -93,7 +96,7 @@
     /// Puts a configuration with these routes and services in force.
     pub fn configure(&mut self, routes: Value, services: Value) {
         self.version += 3;
-        let config = json!({
+        let mut config = json!({
             "version": self.version,
             "routes": routes,
             "services": services,
@@ -104,6 +107,9 @@
                 "idle_timeout_ms": 15_000,
             },
         });
+        if let Some(organisations) = &self.organisations {
+            config["tenants"] = organisations.clone();
+        }
         self.store.put("keyed.op", "config", &config);
     }
 
@@ -144,6 +150,9 @@
 budget_ratio = 0.2
 budget_window_s = 10
 budget_slack = 58
+quota_window_s = 8
+quota_overage = 0.1
+quota_slack = 0
 fencing_required = {is_fenced}
 lease_ms = 3000
 ceiling_window_s = 5
@@ -185,17 +194,21 @@
         SocketAddr::new(self.ip, VM_PORT + 10 * index as u16)
     }
 
+    /// Where a VM tells of its readiness and its metrics.
+    pub fn ready(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip, VM_PORT + 10 * index as u16 + 1)
+    }
+
     /// Whether a VM says that it takes connections.
     pub async fn is_ready(&self, index: usize) -> bool {
-        let address = SocketAddr::new(self.ip, VM_PORT + 10 * index as u16 + 1);
         let ask = Ask::get("/-/readiness");
-        Caller::default().ask(address, &ask).await.status == Some(200)
+        Caller::default().ask(self.ready(index), &ask).await.status == Some(200)
     }
 
     /// A gauge or counter of a VM, by its name without the prefix of all.
     pub async fn metric(&self, index: usize, name: &str) -> Option<f64> {
-        let address = SocketAddr::new(self.ip, VM_PORT + 10 * index as u16 + 1);
-        let answer = Caller::default().ask(address, &Ask::get("/metrics")).await;
+        let metrics = Ask::get("/metrics");
+        let answer = Caller::default().ask(self.ready(index), &metrics).await;
         let prefix = format!("rattanjunction_{name} ");
         let mut lines = answer.body.lines();
         let value = lines.find_map(|line| line.strip_prefix(&prefix))?;
@@ -255,6 +268,11 @@
     })
 }
 
+/// An organisation of the configuration, without a quota.
+pub fn organisation(name: &str, keys: &[&str]) -> Value {
+    json!({"name": name, "api_keys": keys, "priority": 1})
+}
+
 /// A plain service of the configuration.
 pub fn plain(name: &str) -> Value {
     json!({"name": name, "health_path": "/health", "max_connections": 110})
