A silent server is left only once a retry for another one was taken from the budget

A request whose server had not begun to answer was given up the same way with 502. Change: the retry is taken before the server is left; where there is none, the server is waited for. Tests: two with real processes and no retries allowed, which failed before. Ruled out: holding the silent server until the new one answers, since both would work on the stream.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,6 +6,7 @@
 use crate::gateway::patience::Patience;
 use crate::gateway::{Ask, Route, Weights};
 use crate::inventory::Name;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -47,6 +48,8 @@
     pub(crate) fingerprint: u64,
     /// Servers that may have begun it.
     pub(crate) runs: u32,
+    /// Whether a retry was taken from the budget and not used yet.
+    pub(crate) has_retry: Cell<bool>,
     /// Servers that refused it without running it.
     pub(crate) refused: u32,
     /// Servers that it was sent to.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
+use std::cell::Cell;
 use std::marker::PhantomData;
 use std::pin::pin;
 use std::rc::Rc;
@@ -152,6 +153,7 @@
             arrived,
             deadline,
             runs: 0,
+            has_retry: Cell::new(false),
             refused: 0,
             tried: Vec::new(),
         };
@@ -296,14 +298,11 @@
         loop {
             let server = self.server_for(call).await?;
             let is_retry = call.runs + call.refused > 0;
-            let now = Instant::now();
-            let vms = self.state.peers.most_vms(now);
-            if is_retry && !self.budget.take(&call.service, vms, now) {
-                self.state.metrics.retries_denied.inc();
-                info!(request = %call.ask.id, service = %call.service, ?vms, "retry budget spent");
+            if is_retry && !self.take_retry(call) {
                 return Err(self.give_up(call));
             }
             if is_retry {
+                call.has_retry.set(false);
                 self.state.metrics.retries.inc();
             }
             match self.send(call, &server, last_event, weights).await {
@@ -314,6 +313,28 @@
         }
     }
 
+    /// Takes a retry from the budget for the call's next sending, unless it has one already.
+    fn take_retry(&self, call: &Call) -> bool {
+        if call.has_retry.get() {
+            return true;
+        }
+        let now = Instant::now();
+        let vms = self.state.peers.most_vms(now);
+        let is_taken = self.budget.take(&call.service, vms, now);
+        call.has_retry.set(is_taken);
+        if !is_taken {
+            self.state.metrics.retries_denied.inc();
+            info!(request = %call.ask.id, service = %call.service, ?vms, "retry budget spent");
+        }
+        is_taken
+    }
+
+    /// Whether a server that is silent is left for another one. A retry is taken before, since
+    /// without it the request could not go on there, and the silent server may yet answer.
+    pub(crate) fn may_leave(&self, call: &Call, silent: &Server) -> bool {
+        self.has_better(call, silent) && self.take_retry(call)
+    }
+
     /// Sends the request once; `Err(None)` if another server may be asked.
     async fn send(
         &self,
@@ -478,7 +499,7 @@
             }
             let is_last = call.runs + 1 >= call.route.max_attempts;
             let may_ask = !is_last && call.route.is_repeatable();
-            if call.time_left().is_zero() || (may_ask && self.has_better(call, server)) {
+            if call.time_left().is_zero() || (may_ask && self.may_leave(call, server)) {
                 return None;
             }
         }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -84,7 +84,7 @@
 impl<P: Protocol> Relay<P> {
     /// Whether a server that is silent is better left for another one: it is not just busy,
     /// or another one has places.
-    pub(crate) fn has_better(&self, call: &Call, silent: &Server) -> bool {
+    pub(super) fn has_better(&self, call: &Call, silent: &Server) -> bool {
         let now = Instant::now();
         let mut others = self.able(call, now);
         others.retain(|other| other.id != silent.id && !call.tried.contains(&other.id));
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -292,8 +292,10 @@
             let left = call.time_left();
             let next = feed.next(left.min(SILENCE)).await;
             let is_silent = matches!(next, Next::Silent);
-            let leaves = call.may_run_again() && self.has_better(call, &feed.exchange.server);
-            if !is_silent || leaves || call.time_left().is_zero() {
+            if !is_silent || call.time_left().is_zero() {
+                return next;
+            }
+            if call.may_run_again() && self.may_leave(call, &feed.exchange.server) {
                 return next;
             }
         }
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -43,6 +43,8 @@
     pub ip: IpAddr,
     /// Whether VMs are told that servers check the fences of orders.
     pub is_fenced: bool,
+    /// Retries that all VMs are allowed beyond a part of the requests.
+    pub retry_slack: u32,
     /// The organisations of the next configuration; without any, requests need no key.
     pub organisations: Option<Value>,
     folder: PathBuf,
@@ -62,6 +64,7 @@
             vms: Vec::new(),
             ip,
             is_fenced: false,
+            retry_slack: 58,
             organisations: None,
             folder,
             version: 0,
@@ -149,7 +152,7 @@
 grace_s = 6
 budget_ratio = 0.2
 budget_window_s = 10
-budget_slack = 58
+budget_slack = {retry_slack}
 quota_window_s = 8
 quota_overage = 0.1
 quota_slack = 0
@@ -164,6 +167,7 @@
 "#,
             ip = self.ip,
             is_fenced = self.is_fenced,
+            retry_slack = self.retry_slack,
             first = port + 2,
             last = port + 9,
             front = at(0),
--- a/workbench/tests/site_path.rs
+++ b/workbench/tests/site_path.rs
@@ -46,6 +46,19 @@
     site
 }
 
+/// A site of two runners that hold `m0`, whose VM is allowed no retries.
+async fn site_without_retries() -> Site {
+    let mut site = Site::start(vec![("llm", vec![("m0", vec![])]); 2]).await;
+    site.retry_slack = 0;
+    site.configure(
+        json!([route("/s/", "streaming", "llm")]),
+        json!([engine("llm", &[("m0", 0)])]),
+    );
+    site.start_vms(1);
+    site.wait_ready().await;
+    site
+}
+
 /// Events from `first` on, each after a pause; `count` in all.
 fn events(call: &Call, first: u64, count: u64, pause_ms: u64) -> Vec<Act> {
     let id = call.header("x-attempt-id");
@@ -452,3 +465,45 @@
         expect_that!(runs, eq(1));
     });
 }
+
+#[googletest::test]
+fn a_silent_stream_is_left_only_where_it_may_go_on_elsewhere() {
+    block_on(async {
+        let site = site_without_retries().await;
+        for server in &site.servers {
+            // Silent in mid-stream, for longer than a server that is well ever is.
+            server.script(|call| {
+                let mut acts = events(call, 1, 2, 10);
+                acts.push(Act::Wait(Duration::from_millis(1_700)));
+                let rest = events(call, 3, 2, 10).into_iter();
+                acts.extend(rest.skip(1));
+                acts.push(end());
+                acts
+            });
+        }
+        let ask = Ask::model("/s/x", "m0");
+        let answer = Caller::default().ask(site.front(0), &ask).await;
+        expect_that!(answer.is_whole, eq(true));
+        expect_that!(answer.body, eq(&text(1, 4)));
+    });
+}
+
+#[googletest::test]
+fn a_silent_server_is_left_only_where_another_may_be_asked() {
+    block_on(async {
+        let site = site_without_retries().await;
+        for server in &site.servers {
+            // Its first event comes late.
+            server.script(|call| {
+                let mut acts = vec![Act::Wait(Duration::from_millis(1_800))];
+                acts.extend(events(call, 1, 2, 10));
+                acts.push(end());
+                acts
+            });
+        }
+        let ask = Ask::model("/s/x", "m0");
+        let answer = Caller::default().ask(site.front(0), &ask).await;
+        expect_that!(answer.status, some(eq(200)));
+        expect_that!(answer.body, eq(&text(1, 2)));
+    });
+}
