--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -5,7 +5,8 @@
 //! the deployment allows above quotas covers it meanwhile. VMs that are not heard are left their
 //! even part of each quota, so that the parts of a divided fleet together keep to it.
 
-use crate::callers::usage::{ASKED_SPAN, History, SPANS, Usage, spans};
+use crate::callers::outlook::Outlook;
+use crate::callers::usage::{History, Usage};
 use crate::callers::{Organisation, Quota};
 use crate::inventory::Name;
 use std::collections::HashMap;
@@ -16,13 +17,6 @@
 /// How old a telling is beyond its time at this VM: the way of messages over a loaded link, and
 /// the sender's own view of its zone.
 const MIN_LAG: Duration = Duration::from_millis(600);
-/// The time in which what is left of a quota may be spent, in lags: with less, VMs that learn late
-/// what others spent swing together between too much and too little.
-const SPEND_LAGS: f64 = 3.0;
-/// The part of the margin above a quota that is granted; the rest covers what is spent unseen.
-const MARGIN_SHARE: f64 = 0.3;
-/// The part of what is left of the margin that covers growth which was not told yet.
-const GROWTH_SHARE: f64 = 0.5;
 /// How long a telling counts whole at least; an older one fades over the quota's window.
 const MIN_FRESH: Duration = Duration::from_millis(1_000);
 /// Tellings of a VM after which the one before counts whole no more, where it speaks seldom.
@@ -172,23 +166,29 @@
             return Ok(None);
         };
         let amount = quota.amount(tokens);
+        let window = self.bounds.window;
         let account = self.account(&organisation.name, quota, now);
         account.asked_at = now;
         account.history.note_asked(amount, now);
-        let standing = self.standing(&organisation.name, amount, vms, now);
-        let rate_per_s = quota.rate_per_s * standing.heard_share;
-        let lag_s = self.lag(now).as_secs_f64();
-        let reserve = (1.0 - MARGIN_SHARE) * self.margin(&quota) * standing.heard_share;
-        let is_covered = standing.asked_per_s * lag_s <= reserve;
-        let spendable_per_s = standing.left / (lag_s * SPEND_LAGS) + rate_per_s;
-        let is_drawn = draw * standing.asked_per_s <= spendable_per_s;
-        let is_served = amount <= standing.left && (is_covered || is_drawn);
-        if !is_served {
-            let missing = (amount - standing.left).max(amount);
-            let wait_s = missing / rate_per_s.max(f64::MIN_POSITIVE);
+        let mut usage = account.history.usage(window, now);
+        self.add_told(&mut usage, short_id(&organisation.name), now);
+        let outlook = Outlook {
+            quota,
+            window,
+            margin: self.margin(&quota),
+            usage,
+            heard_share: (f64::from(self.heard_vms(now)) / vms.max(1) as f64).min(1.0),
+            lag: self.lag(now),
+        };
+        if !outlook.admits(amount, draw) {
             return Err(OverQuota {
-                retry_after: Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX),
-                standing,
+                retry_after: outlook.wait(amount),
+                standing: Standing {
+                    amount,
+                    left: outlook.left(),
+                    asked_per_s: outlook.asked_per_s(),
+                    heard_share: outlook.heard_share,
+                },
             });
         }
         let account = self.account(&organisation.name, quota, now);
@@ -225,35 +225,6 @@
         account
     }
 
-    /// How an organisation stands that asks for an amount.
-    fn standing(&mut self, organisation: &Name, amount: f64, vms: usize, now: Instant) -> Standing {
-        let window = self.bounds.window;
-        let Some(account) = self.accounts.get_mut(organisation) else {
-            return Standing::default();
-        };
-        let quota = account.quota;
-        let mut sum = account.history.usage(window, now);
-        self.add_told(&mut sum, short_id(organisation), now);
-        let heard_share = (self.heard_vms(now) as f64 / vms.max(1) as f64).min(1.0);
-        let margin = MARGIN_SHARE * self.margin(&quota);
-        let reserve = (1.0 - MARGIN_SHARE) * self.margin(&quota) * heard_share;
-        let left = left(
-            &quota,
-            margin,
-            heard_share,
-            &sum,
-            window,
-            self.lag(now),
-            reserve,
-        );
-        Standing {
-            amount,
-            left,
-            asked_per_s: sum.asked / ASKED_SPAN.as_secs_f64(),
-            heard_share,
-        }
-    }
-
     /// What may be granted beyond a quota in a window.
     fn margin(&self, quota: &Quota) -> f64 {
         let whole = quota.rate_per_s * self.bounds.window.as_secs_f64() + quota.burst;
@@ -377,27 +348,3 @@
             .extend(figures.map(|(id, usage)| (id, (usage, now))));
     }
 }
-
-/// What is left of a quota for a part of the fleet: as much as each span allows.
-fn left(
-    quota: &Quota,
-    margin: f64,
-    heard_share: f64,
-    granted: &Usage,
-    window: Duration,
-    lag: Duration,
-    reserve: f64,
-) -> f64 {
-    let spans: [Duration; SPANS] = spans(window);
-    let newest_per_s = granted.granted[0] / spans[0].as_secs_f64();
-    let lefts = spans.iter().zip(granted.granted).map(|(span, granted)| {
-        let span_s = span.as_secs_f64();
-        let allowed = quota.rate_per_s * span_s + quota.burst + margin;
-        // What is told was true a moment ago; where grants grow, the sum is above it by now.
-        let growth_per_s = (newest_per_s - granted / span_s).max(0.0);
-        let unseen = (growth_per_s * lag.as_secs_f64() - reserve * GROWTH_SHARE).max(0.0);
-        allowed * heard_share - granted - unseen
-    });
-    let most = (quota.burst + margin) * heard_share;
-    lefts.fold(most, f64::min)
-}
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -5,6 +5,7 @@
 mod key;
 mod ledger;
 mod organisation;
+mod outlook;
 mod quota;
 mod register;
 #[cfg(test)]
--- /dev/null
+++ b/src/callers/outlook.rs
@@ -0,0 +1,85 @@
+//! What is left of one organisation's quota, as one VM knows it.
+
+use crate::callers::Quota;
+use crate::callers::usage::{ASKED_SPAN, Usage, spans};
+use std::time::Duration;
+
+/// The part of the margin above a quota that is granted; the rest covers what is granted unseen,
+/// while messages are under way.
+const MARGIN_SHARE: f64 = 0.3;
+/// The part of that rest that covers growth which was not told yet.
+const GROWTH_SHARE: f64 = 0.5;
+/// The time in which what is left of a quota may be spent, in lags: with less, VMs that learn late
+/// what others spent swing together between too much and too little.
+const SPEND_LAGS: f64 = 3.0;
+
+/// What one VM knows of an organisation's grants at all VMs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Outlook {
+    /// What the organisation may ask for.
+    pub(super) quota: Quota,
+    /// The window over which grants are counted.
+    pub(super) window: Duration,
+    /// What may be granted beyond the quota in a window.
+    pub(super) margin: f64,
+    /// What was asked for and granted at all VMs that are heard.
+    pub(super) usage: Usage,
+    /// The part of the fleet that is heard, this VM included.
+    pub(super) heard_share: f64,
+    /// How old that knowledge is.
+    pub(super) lag: Duration,
+}
+
+impl Outlook {
+    /// The amount a second that the part of the fleet that is heard may grant.
+    fn rate_per_s(&self) -> f64 {
+        self.quota.rate_per_s * self.heard_share
+    }
+
+    /// What was asked for a second.
+    pub(super) fn asked_per_s(&self) -> f64 {
+        self.usage.asked / ASKED_SPAN.as_secs_f64()
+    }
+
+    /// The part of the margin that is not granted.
+    fn reserve(&self) -> f64 {
+        (1.0 - MARGIN_SHARE) * self.margin * self.heard_share
+    }
+
+    /// What is left for the part of the fleet that is heard: as much as each span allows, and not
+    /// more than is allowed at once.
+    pub(super) fn left(&self) -> f64 {
+        let at_once = (self.quota.burst + MARGIN_SHARE * self.margin) * self.heard_share;
+        let spans = spans(self.window).map(|span| span.as_secs_f64());
+        let newest_per_s = self.usage.granted[0] / spans[0];
+        let lefts = spans
+            .iter()
+            .zip(self.usage.granted)
+            .map(|(span_s, granted)| {
+                // What is told was true a moment ago; where grants grow, the sum is above it by now.
+                let growth_per_s = (newest_per_s - granted / span_s).max(0.0);
+                let growth = growth_per_s * self.lag.as_secs_f64();
+                let unseen = (growth - GROWTH_SHARE * self.reserve()).max(0.0);
+                self.rate_per_s() * span_s + at_once - granted - unseen
+            });
+        lefts.fold(at_once, f64::min)
+    }
+
+    /// Whether an amount is granted. Where more is asked for than may be spent, `draw` from 0 to 1
+    /// decides, so that all VMs grant the same part of it.
+    pub(super) fn admits(&self, amount: f64, draw: f64) -> bool {
+        let left = self.left();
+        let lag_s = self.lag.as_secs_f64();
+        // What little is asked for until others hear of it is covered.
+        let is_covered = self.asked_per_s() * lag_s <= self.reserve();
+        let spendable_per_s = left / (lag_s * SPEND_LAGS) + self.rate_per_s();
+        amount <= left && (is_covered || draw * self.asked_per_s() <= spendable_per_s)
+    }
+
+    /// After how long an amount may be granted if nobody else asks.
+    pub(super) fn wait(&self, amount: f64) -> Duration {
+        let missing = (amount - self.left()).max(amount);
+        let wait_s = missing / self.rate_per_s();
+        Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
+    }
+}
