--- a/src/gateway/ask.rs
+++ b/src/gateway/ask.rs
@@ -30,6 +30,8 @@
     pub(crate) last_event: Option<u64>,
     /// The caller's key, where there is exactly one.
     pub(crate) key: Option<ApiKey>,
+    /// Tokens of the prompt and those to generate, where the caller tells both.
+    pub(crate) tokens: Option<(u32, u32)>,
     /// What a model is to generate; plain calls have none.
     pub(crate) generation: Option<Generation>,
 }
@@ -47,15 +49,13 @@
     pub(crate) max_tokens: u32,
 }
 
-impl Generation {
-    /// The tokens of the prompt and those to generate, where any are told.
-    pub(crate) fn tokens(&self) -> Option<f64> {
-        let tokens = f64::from(self.prompt_tokens) + f64::from(self.max_tokens);
-        (tokens > 0.0).then_some(tokens)
+impl Ask {
+    /// What it counts as where tokens are counted, if the caller tells.
+    pub(crate) fn token_count(&self) -> Option<f64> {
+        let (prompt, most) = self.tokens?;
+        Some(f64::from(prompt) + f64::from(most))
     }
-}
 
-impl Ask {
     /// The same for each sending of the same request by the same caller, through whichever VM.
     pub(crate) fn fingerprint(&self) -> u64 {
         let mut hash = Xxh3::new();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use crate::gateway::grant::Grant;
 use crate::gateway::state::State;
 use crate::gateway::turns::Turns;
-use crate::gateway::{Ask, Generation, Malformed, Protocol, RouteKind, SendOptions};
+use crate::gateway::{Ask, Malformed, Protocol, RouteKind, SendOptions};
 use crate::http::{Body, ReadError, read_body};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -174,11 +174,9 @@
         let Some(organisation) = organisation else {
             return Ok(None);
         };
-        let generation = ask.generation.as_ref();
-        let tokens = generation.and_then(Generation::tokens);
         let vms = self.state.peers.fleet_size(now);
         let mut ledger = self.state.ledger.borrow_mut();
-        let taken = ledger.take(organisation, tokens, vms, rand::random(), now);
+        let taken = ledger.take(organisation, ask.token_count(), vms, rand::random(), now);
         let metrics = &self.state.metrics;
         match taken {
             Ok(granted) => {
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -100,18 +100,19 @@
     headers.remove(header::CONTENT_LENGTH);
 }
 
+/// Tokens of the prompt and those to generate at most.
+fn tokens_of(headers: &HeaderMap) -> Option<(u32, u32)> {
+    let (prompt, most) = text(headers, &TOKENS)?.split_once(',')?;
+    Some((prompt.trim().parse().ok()?, most.trim().parse().ok()?))
+}
+
 fn generation_of(headers: &HeaderMap) -> Option<Generation> {
     let model = text(headers, &MODEL)?;
     let (model, adapter) = match model.split_once('/') {
         Some((model, adapter)) => (model, Some(Name::from(adapter))),
         None => (model, None),
     };
-    let tokens = text(headers, &TOKENS).and_then(|tokens| tokens.split_once(','));
-    let tokens = tokens.map(|(prompt, most)| (prompt.trim().parse(), most.trim().parse()));
-    let (prompt_tokens, max_tokens) = match tokens {
-        Some((Ok(prompt), Ok(most))) => (prompt, most),
-        _ => (0, 0),
-    };
+    let (prompt_tokens, max_tokens) = tokens_of(headers).unwrap_or_default();
     Some(Generation {
         model: model.into(),
         adapter,
@@ -162,6 +163,7 @@
             path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
             patience: number(&head.headers, &DEADLINE_MS).map(Duration::from_millis),
             last_event: number(&head.headers, &LAST_EVENT),
+            tokens: tokens_of(&head.headers),
             key: key_of(&head.headers),
             generation: generation_of(&head.headers),
             headers,
--- a/workbench/tests/site_callers.rs
+++ b/workbench/tests/site_callers.rs
@@ -234,3 +234,62 @@
         }
     });
 }
+
+/// VMs that share one organisation's quota.
+const QUOTA_VMS: usize = 6;
+/// Tokens that a request counts as.
+const REQUEST_TOKENS: usize = 980;
+/// Tokens a second and at once.
+const QUOTA: usize = 2_000;
+/// What may be granted in a window of 8 s: the quota and a tenth beyond it.
+const ALLOWED: usize = (QUOTA * 8 + QUOTA) * 11 / 10;
+
+#[googletest::test]
+fn all_vms_together_keep_to_the_quota_of_an_organisation() {
+    block_on(async {
+        let mut site = Site::start(vec![("books", vec![])]).await;
+        let mut north = organisation("north", &["key-of-north"]);
+        north["unit"] = json!("token_stream");
+        north["rate_per_s"] = json!(QUOTA);
+        north["burst"] = json!(QUOTA);
+        configure(
+            &mut site,
+            json!([north, organisation("south", &["key-of-south"])]),
+        );
+        site.start_vms(QUOTA_VMS);
+        site.wait_ready().await;
+        site.wait("all VMs know each other", async || {
+            for vm in 0..QUOTA_VMS {
+                if site.metric(vm, "vms").await != Some(QUOTA_VMS as f64) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        let caller = Caller::default();
+        let mut refused = 0;
+        for round in 0..30 {
+            for vm in 0..QUOTA_VMS {
+                let asked = Ask::post(&format!("/orders/{round}"), "one")
+                    .with("X-Token-Usage", "700,280")
+                    .with(KEY, "key-of-north");
+                let answer = caller.ask(site.front(vm), &asked).await;
+                if answer.status == Some(429) {
+                    refused += 1;
+                    let after: f64 = answer.header("retry-after").parse().expect("a number");
+                    expect_that!(after, gt(0.0));
+                }
+            }
+            let other = Ask::get("/books").with(KEY, "key-of-south");
+            let answer = caller.ask(site.front(0), &other).await;
+            expect_that!(answer.status, some(eq(200)));
+        }
+        let runs = site.servers[0].runs();
+        let of_north = runs.iter().filter(|run| run.path.starts_with("/orders/"));
+        let granted = of_north.count() * REQUEST_TOKENS;
+        expect_that!(granted, le(ALLOWED));
+        expect_that!(granted, ge(QUOTA / 2));
+        expect_that!(refused, gt(0));
+    });
+}
