VMs that have just started take the quota before their start as spent

Change: a tally tells how much of the window its VMs remember; what is forgotten counts as spent. A single restart among many costs next to nothing, one of all leaves what the margin allows and the rate from there on. A request that was drawn out is told to come back after the rush's own time.

--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -58,6 +58,8 @@
 pub(crate) struct Tally {
     /// How many VMs it sums up.
     pub(crate) vms: u32,
+    /// How many of these remember the whole window; one that has started within it counts in part.
+    pub(crate) remembering_vms: f64,
     /// The usage by the organisation's [`short_id`].
     pub(crate) usages: Vec<(u32, Usage)>,
 }
@@ -69,6 +71,7 @@
     /// How long a figure counts whole.
     fresh_for: Duration,
     vms: u32,
+    remembering_vms: f64,
     usages: HashMap<u32, (Usage, Instant)>,
 }
 
@@ -130,6 +133,7 @@
 #[derive(Debug)]
 pub(crate) struct Ledger {
     bounds: QuotaBounds,
+    started_at: Instant,
     accounts: HashMap<Name, Account>,
     /// What each VM of the own zone tells of itself.
     near: HashMap<SocketAddr, Told>,
@@ -139,9 +143,10 @@
 
 impl Ledger {
     /// A ledger without any grant.
-    pub(crate) fn new(bounds: QuotaBounds) -> Self {
+    pub(crate) fn new(bounds: QuotaBounds, now: Instant) -> Self {
         Self {
             bounds,
+            started_at: now,
             accounts: HashMap::new(),
             near: HashMap::new(),
             far: HashMap::new(),
@@ -172,12 +177,14 @@
         account.history.note_asked(amount, now);
         let mut usage = account.history.usage(window, now);
         self.add_told(&mut usage, short_id(&organisation.name), now);
+        let (heard_vms, memory) = self.heard(now);
         let outlook = Outlook {
             quota,
             window,
             margin: self.margin(&quota),
             usage,
-            heard_share: (f64::from(self.heard_vms(now)) / vms.max(1) as f64).min(1.0),
+            heard_share: (heard_vms / vms.max(1) as f64).min(1.0),
+            memory,
             lag: self.lag(now),
         };
         if !outlook.admits(amount, draw) {
@@ -250,16 +257,28 @@
         MIN_LAG + sum / count.max(1)
     }
 
-    /// How many VMs are heard, this one included.
-    fn heard_vms(&self, now: Instant) -> u32 {
+    /// The part of the window that this VM's process has lived through.
+    fn own_memory(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.started_at);
+        (age.as_secs_f64() / self.bounds.window.as_secs_f64()).min(1.0)
+    }
+
+    /// How many VMs are heard, this one included, and which part of the window these remember.
+    fn heard(&self, now: Instant) -> (f64, f64) {
         let told = self.near.values().chain(self.far.values());
         let fresh = told.filter(|told| told.is_fresh(now));
-        fresh.map(|told| told.vms).sum::<u32>() + 1
+        let own = (1.0, self.own_memory(now));
+        let (vms, remembering_vms) = fresh.fold(own, |(vms, remembering_vms), told| {
+            let vms = vms + f64::from(told.vms);
+            (vms, remembering_vms + told.remembering_vms)
+        });
+        (vms, remembering_vms / vms)
     }
 
     /// What this VM granted, to tell its zone.
     pub(crate) fn own_tally(&mut self, now: Instant) -> Tally {
         let window = self.bounds.window;
+        let remembering_vms = self.own_memory(now);
         let accounts = self.accounts.iter_mut();
         let told = accounts.filter(|(_, account)| {
             let age = now.saturating_duration_since(account.asked_at);
@@ -268,6 +287,7 @@
         let usages = told.map(|(name, it)| (short_id(name), it.history.usage(window, now)));
         Tally {
             vms: 1,
+            remembering_vms,
             usages: usages.collect(),
         }
     }
@@ -275,8 +295,10 @@
     /// What this VM and its zone granted, to tell other zones.
     pub(crate) fn zone_tally(&mut self, now: Instant) -> Tally {
         let own = self.own_tally(now);
-        let fresh = self.near.values().filter(|told| told.is_fresh(now));
-        let vms = own.vms + fresh.map(|told| told.vms).sum::<u32>();
+        let fresh = || self.near.values().filter(|told| told.is_fresh(now));
+        let vms = own.vms + fresh().map(|told| told.vms).sum::<u32>();
+        let remembering = fresh().map(|told| told.remembering_vms).sum::<f64>();
+        let remembering_vms = own.remembering_vms + remembering;
         let mut usages: HashMap<u32, Usage> = own.usages.into_iter().collect();
         let window = self.bounds.window;
         for told in self.near.values() {
@@ -288,6 +310,7 @@
         }
         Tally {
             vms,
+            remembering_vms,
             usages: usages.into_iter().collect(),
         }
     }
@@ -336,6 +359,7 @@
             at: now,
             fresh_for: MIN_FRESH,
             vms: 0,
+            remembering_vms: 0.0,
             usages: HashMap::new(),
         }
     }
@@ -343,6 +367,7 @@
     fn take(&mut self, tally: Tally, now: Instant) {
         self.at = now;
         self.vms = tally.vms;
+        self.remembering_vms = tally.remembering_vms;
         let figures = tally.usages.into_iter();
         self.usages
             .extend(figures.map(|(id, usage)| (id, (usage, now))));
--- a/src/callers/outlook.rs
+++ b/src/callers/outlook.rs
@@ -1,7 +1,7 @@
 //! What is left of one organisation's quota, as one VM knows it.
 
 use crate::callers::Quota;
-use crate::callers::usage::{ASKED_SPAN, Usage, spans};
+use crate::callers::usage::{ASKED_SPAN, SPANS, Usage, spans};
 use std::time::Duration;
 
 /// The part of the margin above a quota that is granted; the rest covers what is granted unseen,
@@ -26,6 +26,9 @@
     pub(super) usage: Usage,
     /// The part of the fleet that is heard, this VM included.
     pub(super) heard_share: f64,
+    /// The part of the window that the VMs heard remember: those that have started within it do
+    /// not know what was granted at their place before.
+    pub(super) memory: f64,
     /// How old that knowledge is.
     pub(super) lag: Duration,
 }
@@ -46,22 +49,28 @@
         (1.0 - MARGIN_SHARE) * self.margin * self.heard_share
     }
 
+    /// What may have been granted within the window and is forgotten: after a restart of all, the
+    /// whole quota of the window before.
+    fn forgotten(&self) -> f64 {
+        let whole = self.rate_per_s() * self.window.as_secs_f64();
+        (whole + self.quota.burst * self.heard_share) * (1.0 - self.memory)
+    }
+
     /// What is left for the part of the fleet that is heard: as much as each span allows, and not
     /// more than is allowed at once.
     pub(super) fn left(&self) -> f64 {
         let at_once = (self.quota.burst + MARGIN_SHARE * self.margin) * self.heard_share;
         let spans = spans(self.window).map(|span| span.as_secs_f64());
-        let newest_per_s = self.usage.granted[0] / spans[0];
-        let lefts = spans
-            .iter()
-            .zip(self.usage.granted)
-            .map(|(span_s, granted)| {
-                // What is told was true a moment ago; where grants grow, the sum is above it by now.
-                let growth_per_s = (newest_per_s - granted / span_s).max(0.0);
-                let growth = growth_per_s * self.lag.as_secs_f64();
-                let unseen = (growth - GROWTH_SHARE * self.reserve()).max(0.0);
-                self.rate_per_s() * span_s + at_once - granted - unseen
-            });
+        let mut granted = self.usage.granted;
+        granted[SPANS - 1] += self.forgotten();
+        let newest_per_s = granted[0] / spans[0];
+        let lefts = spans.iter().zip(granted).map(|(span_s, granted)| {
+            // What is told was true a moment ago; where grants grow, the sum is above it by now.
+            let growth_per_s = (newest_per_s - granted / span_s).max(0.0);
+            let growth = growth_per_s * self.lag.as_secs_f64();
+            let unseen = (growth - GROWTH_SHARE * self.reserve()).max(0.0);
+            self.rate_per_s() * span_s + at_once - granted - unseen
+        });
         lefts.fold(at_once, f64::min)
     }
 
@@ -76,10 +85,11 @@
         amount <= left && (is_covered || draw * self.asked_per_s() <= spendable_per_s)
     }
 
-    /// After how long an amount may be granted if nobody else asks.
+    /// When to come back: once what is missing may be there, and not while the same rush goes on.
     pub(super) fn wait(&self, amount: f64) -> Duration {
-        let missing = (amount - self.left()).max(amount);
-        let wait_s = missing / self.rate_per_s();
-        Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
+        let missing = (amount - self.left()).max(0.0);
+        let refill = Duration::try_from_secs_f64(missing / self.rate_per_s());
+        let rush = self.lag.mul_f64(SPEND_LAGS);
+        refill.unwrap_or(Duration::MAX).max(rush)
     }
 }
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -182,6 +182,9 @@
     pub(super) vms: u32,
     #[prost(message, repeated, tag = "2")]
     pub(super) usages: Vec<ToldUsage>,
+    /// How many of them remember the whole window.
+    #[prost(float, tag = "3")]
+    pub(super) remembering_vms: f32,
 }
 
 /// What one organisation was granted.
@@ -204,6 +207,7 @@
         let usages: Vec<ToldUsage> = tally.usages.iter().map(ToldUsage::of).collect();
         let part = |usages: &[ToldUsage]| Self {
             vms: tally.vms,
+            remembering_vms: tally.remembering_vms as f32,
             usages: usages.to_vec(),
         };
         match usages.is_empty() {
@@ -216,6 +220,7 @@
     pub(super) fn tally(&self) -> Tally {
         Tally {
             vms: self.vms,
+            remembering_vms: f64::from(self.remembering_vms),
             usages: self.usages.iter().map(ToldUsage::usage).collect(),
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -92,7 +92,7 @@
             suspects: Suspects::default(),
             demand: Demand::default(),
             speeds: Speeds::default(),
-            ledger: RefCell::new(Ledger::new(settings.bounds.quota)),
+            ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
             fence: Cell::new(0),
