--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -10,6 +10,9 @@
 /// and 30 of 100 requests met a full runner, with the small penalty 2.8, 20 and 41; with 0.3 and
 /// 1.0 there were more in all at the higher two (`tests/zones.rs`).
 const LATE_ZONE_PENALTY: f64 = 0.6;
+/// What a new connection costs, in requests for each slot: servers make few of them at a time and
+/// count them, so that among equal servers those go first to which one is open.
+const CONNECT_PENALTY: f64 = 0.3;
 /// Prompts that take so long to read, in milliseconds, weigh as much as a whole server's load:
 /// prompts that wait hold up all streams there, streams hardly hold up each other.
 ///
@@ -50,6 +53,8 @@
     pub(crate) is_near: bool,
     /// Whether the load of VMs in other zones is known late.
     pub(crate) is_far_late: bool,
+    /// Whether a connection to it is open and idle.
+    pub(crate) is_connected: bool,
     /// Whether it failed a moment ago, or failed this very request.
     pub(crate) has_failed: bool,
 }
@@ -79,7 +84,11 @@
             (false, true) => LATE_ZONE_PENALTY,
             (false, false) => ZONE_PENALTY,
         };
-        self.load() + self.prompts_wait_ms / LOAD_MS + zone
+        let connect = match self.is_connected {
+            true => 0.0,
+            false => CONNECT_PENALTY,
+        };
+        self.load() + self.prompts_wait_ms / LOAD_MS + zone + connect
     }
 
     /// Whether it stands near and has so little to do that no farther one would be better.
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -38,6 +38,7 @@
             load = self.candidate.load(),
             is_near = self.candidate.is_near,
             is_far_late = self.candidate.is_far_late,
+            is_connected = self.candidate.is_connected,
             prompts_wait_ms = self.candidate.prompts_wait_ms as u64,
             read_ms = call.cost.read_ms as u64,
             has_failed = self.candidate.has_failed,
@@ -210,12 +211,14 @@
     fn candidate(&self, call: &Call, server: &Server, now: Instant) -> Candidate {
         let in_flight = server.in_flight() + self.state.peers.in_flight(&server.id);
         let zone = &self.state.settings.availability_zone;
+        let is_connected = self.links.has_idle(server, now);
         server.with(|entry| Candidate {
             in_flight,
             slots: entry.slots,
             prompts_wait_ms: server.backlog.wait_ms(now),
             is_near: entry.availability_zone == *zone,
             is_far_late: self.state.peers.is_far_late(),
+            is_connected,
             has_failed: server.is_passed_over(now) || call.tried.contains(&server.id),
         })
     }
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -22,6 +22,7 @@
         prompts_wait_ms: 0.0,
         is_near: true,
         is_far_late: false,
+        is_connected: true,
         has_failed: false,
     }
 }
@@ -42,6 +43,17 @@
     assert_eq!(choose(&[], || 0.5), None);
 }
 
+#[test]
+fn among_servers_alike_one_with_an_open_connection_is_chosen() {
+    let unconnected = Candidate {
+        is_connected: false,
+        ..candidate(10)
+    };
+    assert_eq!(choose(&[unconnected, candidate(14)], || 0.5), Some(1));
+    // A connection is not worth a queue.
+    assert_eq!(choose(&[unconnected, candidate(40)], || 0.5), Some(0));
+}
+
 #[test]
 fn a_server_that_failed_is_taken_only_where_there_is_no_other() {
     let failed = Candidate {
--- a/src/gateway/tests/spreading.rs
+++ b/src/gateway/tests/spreading.rs
@@ -80,6 +80,7 @@
                     prompts_wait_ms: believed[vm][runner].wait_ms(now),
                     is_near: runner % 3 == vm % 3,
                     is_far_late: false,
+                    is_connected: true,
                     has_failed: false,
                 }
             })
--- a/src/gateway/tests/zones.rs
+++ b/src/gateway/tests/zones.rs
@@ -82,6 +82,7 @@
                         prompts_wait_ms: believed[vm][runner].wait_ms(now),
                         is_near: runner % ZONES == zone,
                         is_far_late,
+                        is_connected: true,
                         has_failed: false,
                     }
                 })
