--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -6,90 +6,24 @@
 //! even part of each quota, so that the parts of a divided fleet together keep to it.
 
 use crate::callers::outlook::Outlook;
+use crate::callers::tally::short_id;
+use crate::callers::told::Told;
 use crate::callers::usage::{History, Usage};
-use crate::callers::{Organisation, Quota};
+use crate::callers::{Organisation, Quota, QuotaBounds, Tally};
 use crate::inventory::Name;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// How old a telling is beyond its time at this VM: the way of messages over a loaded link, and
 /// the sender's own view of its zone.
 const MIN_LAG: Duration = Duration::from_millis(600);
-/// How long a telling counts whole at least; an older one fades over the quota's window.
-const MIN_FRESH: Duration = Duration::from_millis(1_000);
-/// Tellings of a VM after which the one before counts whole no more, where it speaks seldom.
-const FRESH_TELLINGS: f64 = 2.5;
 /// For how long an organisation that was granted nothing of late is told of, so that others do not
 /// go on counting what they heard last.
 const TELL_EMPTY_FOR: Duration = Duration::from_millis(5_000);
 /// How long the telling that covers most VMs of a zone goes before others of it.
 const PREFERRED_FOR: Duration = Duration::from_millis(500);
 
-/// How exactly quotas are kept, over all VMs.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct QuotaBounds {
-    /// The window over which grants are counted.
-    pub(crate) window: Duration,
-    /// The part of what a window allows that may be granted beyond it.
-    pub(crate) overage: f64,
-    /// The amount that may be granted beyond that.
-    pub(crate) slack: f64,
-}
-
-impl Default for QuotaBounds {
-    fn default() -> Self {
-        Self {
-            window: Duration::from_secs(10),
-            overage: 0.0,
-            slack: 0.0,
-        }
-    }
-}
-
-/// Names an organisation in messages.
-pub(crate) fn short_id(organisation: &str) -> u32 {
-    xxh3_64(organisation.as_bytes()) as u32
-}
-
-/// What one VM, or all of a zone, tell of the grants there.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Tally {
-    /// How many VMs it sums up.
-    pub(crate) vms: u32,
-    /// How many of these remember the whole window; one that has started within it counts in part.
-    pub(crate) remembering_vms: f64,
-    /// The usage by the organisation's [`short_id`].
-    pub(crate) usages: Vec<(u32, Usage)>,
-}
-
-/// What was told, with the moment of each figure.
-#[derive(Debug)]
-struct Told {
-    at: Instant,
-    /// How long a figure counts whole.
-    fresh_for: Duration,
-    vms: u32,
-    remembering_vms: f64,
-    usages: HashMap<u32, (Usage, Instant)>,
-}
-
-impl Told {
-    fn is_fresh(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.at) < self.fresh_for
-    }
-
-    /// The part of an organisation's figures that counts, and these.
-    fn figures(&self, id: u32, window: Duration, now: Instant) -> Option<(f64, &Usage)> {
-        let (usage, at) = self.usages.get(&id)?;
-        let age = now.saturating_duration_since(*at);
-        let stale = age.saturating_sub(self.fresh_for);
-        let part = 1.0 - stale.as_secs_f64() / window.as_secs_f64();
-        (part > 0.0).then_some((part, usage))
-    }
-}
-
 /// What one organisation was granted at this VM.
 #[derive(Debug)]
 struct Account {
@@ -327,8 +261,7 @@
             .near
             .entry(sender)
             .or_insert_with(|| Told::nothing(now));
-        told.fresh_for = MIN_FRESH.max(next_in.mul_f64(FRESH_TELLINGS));
-        told.take(tally, now);
+        told.take(tally, next_in, now);
     }
 
     /// Takes over what a VM of another zone tells of that zone. A VM there that hears few others
@@ -340,36 +273,14 @@
             .or_insert_with(|| Told::nothing(now));
         let age = now.saturating_duration_since(told.at);
         if tally.vms >= told.vms || age >= PREFERRED_FOR {
-            told.take(tally, now);
+            told.take(tally, Duration::ZERO, now);
         }
     }
 
     /// Forgets what counts no more.
     pub(crate) fn forget(&mut self, now: Instant) {
         let window = self.bounds.window;
-        let counts = |told: &Told| now.saturating_duration_since(told.at) < told.fresh_for + window;
-        self.near.retain(|_, told| counts(told));
-        self.far.retain(|_, told| counts(told));
-    }
-}
-
-impl Told {
-    fn nothing(now: Instant) -> Self {
-        Self {
-            at: now,
-            fresh_for: MIN_FRESH,
-            vms: 0,
-            remembering_vms: 0.0,
-            usages: HashMap::new(),
-        }
-    }
-
-    fn take(&mut self, tally: Tally, now: Instant) {
-        self.at = now;
-        self.vms = tally.vms;
-        self.remembering_vms = tally.remembering_vms;
-        let figures = tally.usages.into_iter();
-        self.usages
-            .extend(figures.map(|(id, usage)| (id, (usage, now))));
+        self.near.retain(|_, told| told.prune(window, now));
+        self.far.retain(|_, told| told.prune(window, now));
     }
 }
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -8,13 +8,16 @@
 mod outlook;
 mod quota;
 mod register;
+mod tally;
 #[cfg(test)]
 mod tests;
+mod told;
 mod usage;
 
 pub(crate) use key::ApiKey;
-pub(crate) use ledger::{Granted, Ledger, OverQuota, QuotaBounds, Tally};
+pub(crate) use ledger::{Granted, Ledger, OverQuota};
 pub(crate) use organisation::Organisation;
-pub(crate) use quota::{Measure, Quota};
+pub(crate) use quota::{Measure, Quota, QuotaBounds};
 pub(crate) use register::Register;
+pub(crate) use tally::Tally;
 pub(crate) use usage::{SPANS, Usage};
--- a/src/callers/quota.rs
+++ b/src/callers/quota.rs
@@ -1,4 +1,6 @@
-//! What an organisation may ask for.
+//! What an organisation may ask for, and how exactly that is kept.
+
+use std::time::Duration;
 
 /// What requests are counted in.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -33,3 +35,24 @@
         }
     }
 }
+
+/// How exactly quotas are kept, over all VMs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct QuotaBounds {
+    /// The window over which grants are counted.
+    pub(crate) window: Duration,
+    /// The part of what a window allows that may be granted beyond it.
+    pub(crate) overage: f64,
+    /// The amount that may be granted beyond that.
+    pub(crate) slack: f64,
+}
+
+impl Default for QuotaBounds {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(10),
+            overage: 0.0,
+            slack: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/src/callers/tally.rs
@@ -0,0 +1,20 @@
+//! What VMs tell each other of their grants.
+
+use crate::callers::usage::Usage;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Names an organisation in messages.
+pub(crate) fn short_id(organisation: &str) -> u32 {
+    xxh3_64(organisation.as_bytes()) as u32
+}
+
+/// What one VM, or all of a zone, tell of the grants there.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Tally {
+    /// How many VMs it sums up.
+    pub(crate) vms: u32,
+    /// How many of these remember the whole window; one that has started within it counts in part.
+    pub(crate) remembering_vms: f64,
+    /// The usage by the organisation's [`short_id`].
+    pub(crate) usages: Vec<(u32, Usage)>,
+}
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -3,6 +3,7 @@
 use crate::callers::{ApiKey, Measure, Organisation, Quota, Register};
 use crate::gateway::{Configuration, Engine, Limits, Model, Route, RouteKind, Service, Target};
 use crate::inventory::Name;
+use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 use tracing::error;
 
@@ -121,7 +122,9 @@
 
 impl<'de> Deserialize<'de> for WireKey {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
+        // What stands there instead is not told: it may be a key.
+        let text = String::deserialize(deserializer)
+            .map_err(|_not_text| D::Error::custom("a key must be text"))?;
         Ok(Self(ApiKey::new(text.as_bytes())))
     }
 }
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,5 +1,6 @@
 //! What the platform writes is read as it is meant, and what is wrong is named.
 
+use crate::callers::ApiKey;
 use crate::gateway::{Changes, Protocol, RouteKind, SendOptions, ServerChange};
 use crate::platform::PlatformProtocol;
 use crate::platform::directory::server_changes;
@@ -256,3 +257,54 @@
     assert_eq!(read(&[untold.clone(), entry()], &tells), [false, true]);
     assert_eq!(read(&[untold], &tells), [false]);
 }
+
+fn with_organisations(organisations: &Value) -> Vec<u8> {
+    let configuration = json!({
+        "version": 3,
+        "limits": {"max_body_bytes": 1, "idle_timeout_ms": 1},
+        "tenants": organisations,
+    });
+    configuration.to_string().into_bytes()
+}
+
+#[test]
+fn organisations_are_read_with_their_quotas() {
+    let text = with_organisations(&json!([
+        {"name": "north", "api_keys": ["a"], "priority": 2, "unit": "token_stream",
+         "plain_tokens": 200, "rate_per_s": 1900, "burst": 950.5},
+        {"name": "south", "api_keys": ["b"], "rate_per_s": 3, "burst": 4},
+        {"name": "east", "api_keys": []},
+    ]));
+    let configuration = configuration::decode(&text).expect("it is well formed");
+    let register = configuration
+        .organisations
+        .expect("there are organisations");
+    let holder = |key: &[u8]| register.holder(&ApiKey::new(key)).cloned();
+    let north = holder(b"a").expect("north holds it");
+    assert_eq!(north.priority, Some(2));
+    let quota = north.quota.expect("it has one");
+    assert_eq!((quota.rate_per_s, quota.burst), (1_900.0, 950.5));
+    assert_eq!(
+        (quota.amount(None), quota.amount(Some(980.0))),
+        (200.0, 980.0)
+    );
+    let south = holder(b"b").expect("south holds it");
+    assert_eq!(south.priority, None);
+    let quota = south.quota.expect("it has one");
+    assert_eq!(quota.amount(Some(980.0)), 1.0);
+}
+
+#[test]
+fn a_key_that_is_no_text_is_refused_and_not_told() {
+    let text = with_organisations(&json!([{"name": "north", "api_keys": [90210]}]));
+    let error = configuration::decode(&text).expect_err("the key is a number");
+    let error = error.to_string();
+    assert!(!error.contains("90210"), "{error}");
+}
+
+#[test]
+fn a_configuration_without_organisations_asks_for_no_key() {
+    let text = with_organisations(&Value::Null);
+    let configuration = configuration::decode(&text).expect("it is well formed");
+    assert!(configuration.organisations.is_none());
+}
