The margin above a quota counts as spent as far as VMs do not remember its window

VMs that had just started took what they had not heard for covered by a margin that was spent before the restart. Change: the margin counts in proportion to memory.

--- a/src/callers/outlook.rs
+++ b/src/callers/outlook.rs
@@ -44,9 +44,15 @@
         self.usage.asked / ASKED_SPAN.as_secs_f64()
     }
 
+    /// The margin of the part of the fleet that is heard, as far as its VMs remember what was
+    /// granted: the rest may be spent already.
+    fn sure_margin(&self) -> f64 {
+        self.margin * self.heard_share * self.memory
+    }
+
     /// The part of the margin that is not granted.
     fn reserve(&self) -> f64 {
-        (1.0 - MARGIN_SHARE) * self.margin * self.heard_share
+        (1.0 - MARGIN_SHARE) * self.sure_margin()
     }
 
     /// What may have been granted within the window and is forgotten: after a restart of all, the
@@ -59,7 +65,8 @@
     /// What is left for the part of the fleet that is heard: as much as each span allows, and not
     /// more than is allowed at once.
     pub(super) fn left(&self) -> f64 {
-        let at_once = (self.quota.burst + MARGIN_SHARE * self.margin) * self.heard_share;
+        let burst = self.quota.burst * self.heard_share;
+        let at_once = burst + MARGIN_SHARE * self.sure_margin();
         let spans = spans(self.window).map(|span| span.as_secs_f64());
         let mut granted = self.usage.granted;
         granted[SPANS - 1] += self.forgotten();
