--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,6 +1,5 @@
 //! A caller's request, from its arrival to its answer.
 
-use crate::callers::{Organisation, OverQuota};
 use crate::client::{SendError, is_refused};
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::call::{Call, Sending};
@@ -122,7 +121,7 @@
             .route(&ask.host, ask.path.path())
             .ok_or(Failure::NoRoute)?;
         let organisation = configuration.organisation(route, ask.key.as_ref())?;
-        let grant = self.grant(&ask, organisation.as_deref(), arrived)?;
+        let grant = Grant::take(&self.state, &ask, organisation.as_deref(), arrived)?;
         let service = route
             .pick_target(rand::random())
             .ok_or(Failure::NoRoute)?
@@ -164,45 +163,6 @@
         Ok(call)
     }
 
-    /// Takes the request's part of its organisation's quota, where that has one.
-    fn grant(
-        &self,
-        ask: &Ask,
-        organisation: Option<&Organisation>,
-        now: Instant,
-    ) -> Result<Option<Grant>, Failure> {
-        let Some(organisation) = organisation else {
-            return Ok(None);
-        };
-        let vms = self.state.peers.fleet_size(now);
-        let mut ledger = self.state.ledger.borrow_mut();
-        let taken = ledger.take(organisation, ask.token_count(), vms, rand::random(), now);
-        let metrics = &self.state.metrics;
-        match taken {
-            Ok(granted) => {
-                metrics.note_organisation(&organisation.name, "granted");
-                Ok(granted.map(|granted| Grant::new(self.state.clone(), granted)))
-            }
-            Err(OverQuota {
-                retry_after,
-                standing,
-            }) => {
-                metrics.note_organisation(&organisation.name, "over_quota");
-                info!(
-                    request = %ask.id,
-                    organisation = %organisation.name,
-                    amount = standing.amount,
-                    left = standing.left,
-                    asked_per_s = standing.asked_per_s,
-                    heard_share = standing.heard_share,
-                    vms,
-                    "over quota"
-                );
-                Err(Failure::OverQuota(retry_after))
-            }
-        }
-    }
-
     /// Answers a call whose answer is held whole before it is passed on, so that one that
     /// breaks off can still be had elsewhere.
     async fn plain(&self, call: &mut Call) -> Result<Response<Body>, Failure> {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,6 +5,8 @@
 mod pages;
 mod passing;
 mod planning;
+mod quota_play;
+mod quota_ways;
 mod quotas;
 mod speeds;
 mod spreading;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -93,8 +93,7 @@
                 }
                 Err(StoreError::Compacted) => {
                     next = None;
-                    self.note_failure("configuration", StoreError::Compacted, failures);
-                    compio::time::sleep(COMPACTED_PAUSE.mul_f64(rand::random())).await;
+                    self.await_new_reading("configuration", failures).await;
                 }
                 Err(error) => {
                     self.note_failure("configuration", error, failures);
@@ -130,8 +129,7 @@
                 Err(StoreError::Compacted) => {
                     following.directory_end.set(None);
                     following.shaken_at.set(Some(Instant::now()));
-                    self.note_failure("directory", StoreError::Compacted, failures);
-                    compio::time::sleep(COMPACTED_PAUSE.mul_f64(rand::random())).await;
+                    self.await_new_reading("directory", failures).await;
                 }
                 Err(error) => {
                     following.shaken_at.set(Some(Instant::now()));
@@ -238,6 +236,12 @@
             .collect()
     }
 
+    /// Waits for the reading of all that is newest, after the log has dropped what was next.
+    async fn await_new_reading(&self, what: &'static str, failures: u32) {
+        self.note_failure(what, StoreError::Compacted, failures);
+        compio::time::sleep(COMPACTED_PAUSE.mul_f64(rand::random())).await;
+    }
+
     /// Waits after a failed read. While nobody in the zone reads the log, a few VMs of it ask on
     /// and the others wait to hear of it from them.
     async fn await_retry(&self, failures: u32) {
