--- a/src/gateway/tests/views.rs
+++ b/src/gateway/tests/views.rs
@@ -161,6 +161,23 @@
         }
     }
 
+    /// Lets time pass, and prints after how long all VMs that are up knew just these.
+    fn run_and_tell(&mut self, time: Duration, what: &str) {
+        let began = self.now;
+        let up = self.vms.iter().filter(|vm| vm.is_up).count();
+        let mut full_after = None;
+        while self.now < began + time {
+            self.turn();
+            if self.known() == (up, up) {
+                full_after.get_or_insert(self.now - began);
+            }
+        }
+        println!(
+            "{up} VMs, {what}, loss {}: full views after {full_after:?}",
+            self.loss
+        );
+    }
+
     /// The fewest and the most VMs that any VM that is up knows, itself included.
     fn known(&self) -> (usize, usize) {
         let up = self.vms.iter().filter(|vm| vm.is_up);
@@ -183,7 +200,7 @@
     ];
     for (count, loss) in fleets {
         let mut fleet = Fleet::start(count, loss);
-        fleet.run(Duration::from_secs(3));
+        fleet.run_and_tell(Duration::from_secs(3), "a start");
         assert_eq!(fleet.known(), (count, count), "loss {loss}");
         // Nobody alive is ever lost, though most are heard seldom.
         for _ in 0..25 {
@@ -199,7 +216,7 @@
         let mut fleet = Fleet::start(count, 0.1);
         fleet.run(Duration::from_secs(3));
         fleet.vms[3].is_up = false;
-        fleet.run(Duration::from_secs(5));
+        fleet.run_and_tell(Duration::from_secs(5), "one gone");
         assert_eq!(fleet.known(), (count - 1, count - 1));
         for _ in 0..25 {
             fleet.turn();
@@ -220,7 +237,7 @@
     fleet.run(Duration::from_secs(20));
     assert!(fleet.known().1 < 76);
     cut(&mut fleet, false);
-    fleet.run(Duration::from_secs(3));
+    fleet.run_and_tell(Duration::from_secs(3), "a zone back after 20 s");
     assert_eq!(fleet.known(), (76, 76));
 }
 
