A runner is given one order at a time, also where its entry lapses or another holder's order is in progress

Changes: what is given orders stays tracked until these end; a load is not sent on an account that tells of an order in progress; orders end with the claim under which they began. Ruled out: late orders (their precondition is checked when they are carried out); two holders (the number of orders tells them apart).

--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -43,6 +43,12 @@
     asked: RefCell<HashMap<Name, Instant>>,
 }
 
+/// Orders for one runner that are given one after the other, under one claim.
+struct Chain {
+    server: Rc<Server>,
+    fence: u64,
+}
+
 impl<R: RunnerControl> Ordering<R> {
     /// Gives no orders yet.
     pub(crate) fn new(state: Rc<State>, runners: R) -> Rc<Self> {
@@ -130,13 +136,14 @@
         asked.keys().cloned().collect()
     }
 
-    /// Tracks each listed runner, and none that is gone.
+    /// Tracks each listed runner, and none that is gone; one that is given orders stays until these
+    /// end, since its entry may come back meanwhile.
     fn follow_fleet(&self) {
         let Some(configuration) = self.state.configuration() else {
             return;
         };
         let mut tracked = self.tracked.borrow_mut();
-        tracked.retain(|run, _| self.state.fleet.run(run).is_some());
+        tracked.retain(|run, it| it.is_working || self.state.fleet.run(run).is_some());
         for (service, _) in configuration.engines() {
             for server in self.state.fleet.of_service(&service.name) {
                 tracked.entry(server.incarnation()).or_default();
@@ -236,6 +243,9 @@
         let Some(server) = self.state.fleet.server(runner) else {
             return;
         };
+        let Some(fence) = self.fence.get() else {
+            return;
+        };
         {
             let mut all = self.tracked.borrow_mut();
             let Some(tracked) = all.get_mut(&server.incarnation()) else {
@@ -250,19 +260,38 @@
             self.ceiling.note(now);
         }
         let ordering = self.clone();
+        let chain = Chain { server, fence };
         compio::runtime::spawn(async move {
-            ordering.carry_out(&server, &steps).await;
-            if let Some(tracked) = ordering.tracked.borrow_mut().get_mut(&server.incarnation()) {
-                tracked.is_working = false;
-                tracked.loading = None;
-                tracked.dropping = None;
-            }
-            ordering.tell();
+            ordering.carry_out(&chain, &steps).await;
+            ordering.end(&chain);
         })
         .detach();
     }
 
-    async fn carry_out(&self, server: &Rc<Server>, steps: &Steps) {
+    /// Whether the claim holds under which orders are given.
+    fn is_current(&self, chain: &Chain) -> bool {
+        self.fence.get() == Some(chain.fence)
+    }
+
+    /// Lets the runner be planned for again; what a later claim of this VM tracks is not touched.
+    fn end(&self, chain: &Chain) {
+        if !self.is_current(chain) {
+            return;
+        }
+        if let Some(tracked) = self
+            .tracked
+            .borrow_mut()
+            .get_mut(&chain.server.incarnation())
+        {
+            tracked.is_working = false;
+            tracked.loading = None;
+            tracked.dropping = None;
+        }
+        self.tell();
+    }
+
+    async fn carry_out(&self, chain: &Chain, steps: &Steps) {
+        let server = &chain.server;
         let drops = steps.drop.iter().map(|weights| (weights, false));
         let loads = steps.load.iter().map(|weights| (weights, true));
         for (weights, is_load) in drops.chain(loads) {
@@ -270,7 +299,7 @@
                 self.set_dropping(server, Some(weights.model.clone()));
             }
             let began = Instant::now();
-            let done = self.step(server, weights, is_load).await;
+            let done = self.step(chain, weights, is_load).await;
             info!(
                 server = %server.id,
                 model = %weights.model,
@@ -306,9 +335,10 @@
     }
 
     /// Gives one order and waits until it is complete.
-    async fn step(&self, server: &Rc<Server>, weights: &Weights, is_load: bool) -> bool {
+    async fn step(&self, chain: &Chain, weights: &Weights, is_load: bool) -> bool {
+        let server = &chain.server;
         for _ in 0..MAX_TRIES {
-            let Some(outcome) = self.order(server, weights, is_load).await else {
+            let Some(outcome) = self.order(chain, weights, is_load).await else {
                 return false;
             };
             match outcome {
@@ -317,7 +347,7 @@
                     // A new adapter is there within milliseconds; one that is dropped in
                     // use keeps its place until its runs have ended.
                     let is_quick = is_load && weights.adapter.is_some();
-                    return is_quick || self.complete(server, weights, is_load).await;
+                    return is_quick || self.complete(chain, weights, is_load).await;
                 }
                 OrderOutcome::Held => {
                     self.note_held(server, weights, is_load);
@@ -352,16 +382,21 @@
         }
     }
 
-    async fn order(
-        &self,
-        server: &Rc<Server>,
-        weights: &Weights,
-        is_load: bool,
-    ) -> Option<OrderOutcome> {
-        let fence = self.fence.get()?;
+    /// Gives an order; `None` where it may not be given, or the claim ended meanwhile.
+    async fn order(&self, chain: &Chain, weights: &Weights, is_load: bool) -> Option<OrderOutcome> {
+        let Chain { server, fence } = chain;
+        if !self.is_current(chain) {
+            return None;
+        }
         let expected_orders = {
             let tracked = self.tracked.borrow();
             let report = tracked.get(&server.incarnation())?.report.as_ref()?;
+            // The account does not tell what an order in progress brings, and the number of orders
+            // counts it already.
+            if is_load && report.is_busy {
+                info!(server = %server.id, ?weights, "load waits for an order in progress");
+                return Some(OrderOutcome::Busy);
+            }
             if is_load && !self.fits(server, report, weights) {
                 warn!(server = %server.id, ?weights, held = ?report.holdings, "load does not fit");
                 return None;
@@ -374,7 +409,7 @@
             weights,
             expected_orders: Some(expected_orders),
             holder: &self.state.settings.vm,
-            fence,
+            fence: *fence,
         };
         let outcome = self.runners.order(server.address, &order).await;
         let operation = if is_load { "load" } else { "drop" };
@@ -389,7 +424,7 @@
             ?outcome,
             "order given"
         );
-        (self.fence.get() == Some(fence)).then_some(outcome)
+        self.is_current(chain).then_some(outcome)
     }
 
     /// Whether a runner that holds what it reports has room for more; one that is ordered
@@ -429,10 +464,11 @@
     }
 
     /// Waits until a model is there, or gone.
-    async fn complete(&self, server: &Rc<Server>, weights: &Weights, is_load: bool) -> bool {
+    async fn complete(&self, chain: &Chain, weights: &Weights, is_load: bool) -> bool {
+        let server = &chain.server;
         let began = Instant::now();
         compio::time::sleep(self.expected(server, weights, is_load)).await;
-        while began.elapsed() < STEP_LIMIT && self.is_holder() {
+        while began.elapsed() < STEP_LIMIT && self.is_current(chain) {
             if let Some(report) = self.ask(server).await {
                 let holds = holds(&report.holdings, weights);
                 if !report.is_busy && holds == is_load {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod following;
+mod ordering;
 mod pages;
 mod passing;
 mod planning;
@@ -14,3 +15,35 @@
 mod views;
 mod waiting;
 mod zones;
+
+use crate::gateway::state::State;
+use crate::gateway::{Bounds, Metrics, Settings};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A VM's beliefs, of a deployment without any bounds that matter here.
+fn state() -> State {
+    let address = "10.1.0.1:7380".parse().expect("an address");
+    let settings = Settings {
+        vm: "vm".into(),
+        availability_zone: "a".into(),
+        caller_address: address,
+        ready_address: address,
+        metrics_address: None,
+        peer_address: address,
+        log_address: address,
+        bounds: Bounds {
+            quota: crate::callers::QuotaBounds::default(),
+            grace: Duration::ZERO,
+            drain: Duration::ZERO,
+            retry_ratio: 0.0,
+            retry_window: Duration::ZERO,
+            retry_slack: 0.0,
+            is_fenced: true,
+            lease: Duration::ZERO,
+            load_window: Duration::ZERO,
+            min_member_ttl: Duration::ZERO,
+        },
+    };
+    State::new(settings, Rc::new(Metrics::new()))
+}
--- a/src/gateway/tests/passing.rs
+++ b/src/gateway/tests/passing.rs
@@ -4,10 +4,10 @@
 use crate::gateway::news::{Assembly, DirectoryNews, news_of};
 use crate::gateway::peers::Peers;
 use crate::gateway::state::State;
-use crate::gateway::{Bounds, Changes, Metrics, ServerChange, Settings};
+use crate::gateway::tests::state;
+use crate::gateway::{Changes, ServerChange};
 use crate::inventory::Name;
 use prost::Message;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Bytes of a message that fit one datagram on any path.
@@ -101,33 +101,6 @@
     assert!(peers.take_prompts(9, now).is_empty());
 }
 
-/// A VM's beliefs, of a deployment without any bounds that matter here.
-fn state() -> State {
-    let address = "10.1.0.1:7380".parse().expect("an address");
-    let settings = Settings {
-        vm: "vm".into(),
-        availability_zone: "a".into(),
-        caller_address: address,
-        ready_address: address,
-        metrics_address: None,
-        peer_address: address,
-        log_address: address,
-        bounds: Bounds {
-            quota: crate::callers::QuotaBounds::default(),
-            grace: Duration::ZERO,
-            drain: Duration::ZERO,
-            retry_ratio: 0.0,
-            retry_window: Duration::ZERO,
-            retry_slack: 0.0,
-            is_fenced: true,
-            lease: Duration::ZERO,
-            load_window: Duration::ZERO,
-            min_member_ttl: Duration::ZERO,
-        },
-    };
-    State::new(settings, Rc::new(Metrics::new()))
-}
-
 fn read(state: &State, items: Vec<ServerChange>) -> usize {
     let changes = Changes { items, next: 0 };
     state.take_directory(changes, Instant::now()).0.len()
