--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -118,9 +118,8 @@
     /// Whether a connection to a server can be used again.
     pub(crate) fn has_idle(&self, server: &Server, now: Instant) -> bool {
         let idle = self.idle.borrow();
-        let kept = idle.get(&server.incarnation()).into_iter().flatten();
-        kept.into_iter()
-            .any(|kept| now < kept.until && kept.connection.is_ready())
+        let mut kept = idle.get(&server.incarnation()).into_iter().flatten();
+        kept.any(|kept| now < kept.until && kept.connection.is_ready())
     }
 
     /// Drops the connections to servers that are gone, and those idle for too long.
