--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -6,11 +6,11 @@
 //! even part of each quota, so that the parts of a divided fleet together keep to it.
 
 use crate::callers::outlook::Outlook;
-use crate::callers::tally::short_id;
 use crate::callers::told::Told;
 use crate::callers::usage::{History, Usage};
 use crate::callers::{Organisation, Quota, QuotaBounds, Tally};
 use crate::inventory::Name;
+use crate::short_id::short_id;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/src/callers/tally.rs
+++ b/src/callers/tally.rs
@@ -1,12 +1,6 @@
 //! What VMs tell each other of their grants.
 
 use crate::callers::usage::Usage;
-use xxhash_rust::xxh3::xxh3_64;
-
-/// Names an organisation in messages.
-pub(crate) fn short_id(organisation: &str) -> u32 {
-    xxh3_64(organisation.as_bytes()) as u32
-}
 
 /// What one VM, or all of a zone, tell of the grants there.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -69,6 +69,12 @@
     /// What organisations were granted at the sender, or in its zone for VMs of other zones.
     #[prost(message, optional, tag = "19")]
     pub(super) tally: Option<ToldTally>,
+    /// The load of the sender's zone, for VMs of other zones of a large fleet, in place of its own.
+    #[prost(message, optional, tag = "20")]
+    pub(super) zone_loads: Option<ToldZoneLoads>,
+    /// Whether this message tells the sender's load by itself.
+    #[prost(bool, tag = "21")]
+    pub(super) has_loads: bool,
     /// Whether loads and demands are left out of this message.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
@@ -174,6 +180,31 @@
     })
 }
 
+/// Requests in flight of all VMs of a zone, for some servers.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct ToldZoneLoads {
+    /// The servers by their short names.
+    #[prost(fixed32, repeated, tag = "1")]
+    servers: Vec<u32>,
+    /// The requests on each; none is told as well.
+    #[prost(uint32, repeated, tag = "2")]
+    in_flight: Vec<u32>,
+}
+
+impl ToldZoneLoads {
+    /// Tells of some servers.
+    pub(super) fn of(sums: impl Iterator<Item = (u32, u32)>) -> Self {
+        let (servers, in_flight) = sums.unzip();
+        Self { servers, in_flight }
+    }
+
+    /// The servers with the requests on each.
+    pub(super) fn sums(&self) -> impl Iterator<Item = (u32, u32)> {
+        let in_flight = self.in_flight.iter().copied();
+        self.servers.iter().copied().zip(in_flight)
+    }
+}
+
 /// What organisations were granted at one VM, or in a zone.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct ToldTally {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,7 +6,8 @@
 
 use crate::callers::{Ledger, Tally};
 use crate::gateway::digest::{
-    Digest, Followed, ServerHoldings, ServerRequests, ToldTally, WeightsDemand, zones_of,
+    Digest, Followed, ServerHoldings, ServerRequests, ToldTally, ToldZoneLoads, WeightsDemand,
+    zones_of,
 };
 use crate::gateway::fleet::{Holding, Incarnation};
 use crate::gateway::following::Reading;
@@ -14,7 +15,7 @@
 use crate::gateway::peers::{MICROS_PER_MILLI, Urgency};
 use crate::gateway::state::State;
 use crate::gateway::targets::Targets;
-use crate::inventory::Name;
+use crate::short_id::short_id;
 use compio::BufResult;
 use compio::net::UdpSocket;
 use prost::Message;
@@ -52,6 +53,8 @@
 pub(super) const VMS_A_MESSAGE: usize = 40;
 /// VMs that one message tells of where all are asked for, 25 bytes each: they fit one datagram.
 const MAX_VMS: usize = 45;
+/// Servers that a message tells a zone's load on, five or six bytes each: they fit one datagram.
+const MAX_SERVERS: usize = 160;
 /// The shortest time between two answers with all VMs: those of the members that the log lists
 /// are asked for by the whole fleet at its start.
 const TELL_ALL_INTERVAL: Duration = Duration::from_millis(100);
@@ -158,9 +161,8 @@
         }
     }
 
-    /// Tells each VM what it needs: those in the own zone the load on all servers, those in
-    /// another one, where they are many, the load on the servers of both zones, since others
-    /// take them seldom, and the VM that gives orders the demand.
+    /// Tells each VM what it needs: those in the own zone this VM's load, those in another one, where
+    /// they are many, the load of the whole zone, and the VM that gives orders the demand.
     async fn send_turn(&self, targets: &Targets, is_to_all: bool) {
         let now = Instant::now();
         let digest = self.digest();
@@ -197,38 +199,31 @@
             self.send_to(message, &targets.near).await;
         }
         self.send_demand().await;
-        if is_to_all {
-            for (zone, far) in &targets.far {
-                self.send_far(&digest, &holdings, zone, far, targets).await;
-            }
-            return;
+        let mut far: Vec<SocketAddr> = Vec::new();
+        match is_to_all {
+            true => far.extend(targets.far.values().flatten()),
+            false => far.extend(targets.far_part(turn).flat_map(|(_, part)| part)),
         }
-        for (zone, far) in targets.far_part(turn) {
-            self.send_far(&digest, &holdings, zone, &far, targets).await;
+        let far_turns = targets.far_turns();
+        let mut to_far = Digest {
+            next_in_ms: (INTERVAL * far_turns as u32).as_millis() as u32,
+            ..digest
+        };
+        if far_turns > 1 {
+            to_far.loads.clear();
+            to_far.zone_loads = Some(self.zone_loads(turn));
+            if turn.is_multiple_of(far_turns) {
+                self.send_loads().await;
+            }
         }
+        self.send_far(to_far, &holdings, &far).await;
     }
 
-    /// Tells VMs in another zone.
-    async fn send_far(
-        &self,
-        digest: &Digest,
-        holdings: &[Digest],
-        zone: &Name,
-        far: &[SocketAddr],
-        targets: &Targets,
-    ) {
-        let own_zone = &self.state.settings.availability_zone;
-        let far_turns = targets.far_turns();
-        let mut of_zone = digest.clone();
-        of_zone.next_in_ms = (INTERVAL * far_turns as u32).as_millis() as u32;
-        of_zone.loads.retain(|load| {
-            far_turns == 1
-                || self.stands_in(&load.server, zone)
-                || self.stands_in(&load.server, own_zone)
-        });
+    /// Tells VMs in other zones.
+    async fn send_far(&self, mut digest: Digest, holdings: &[Digest], far: &[SocketAddr]) {
         let tallies = self.tallies(|ledger| ledger.zone_tally(Instant::now()));
-        of_zone.tally = tallies.first().cloned();
-        self.send_to(&of_zone, far).await;
+        digest.tally = tallies.first().cloned();
+        self.send_to(&digest, far).await;
         self.send_tallies(tallies.get(1..).unwrap_or_default(), INTERVAL, far)
             .await;
         for message in holdings {
@@ -236,6 +231,21 @@
         }
     }
 
+    /// The load of the own zone on all servers; where these are many, on a part of them by the turn.
+    fn zone_loads(&self, turn: usize) -> ToldZoneLoads {
+        let of_others = self
+            .state
+            .peers
+            .in_flight_of(&self.state.settings.availability_zone);
+        let servers = self.state.fleet.servers();
+        let parts = servers.len().div_ceil(MAX_SERVERS).max(1);
+        let part = servers.iter().skip(turn % parts).step_by(parts);
+        ToldZoneLoads::of(part.map(|server| {
+            let others = of_others.get(&server.id).copied().unwrap_or(0);
+            (short_id(&server.id), server.in_flight() + others)
+        }))
+    }
+
     /// The tellings of a tally; none where there are no organisations.
     fn tallies(&self, tally: impl FnOnce(&mut Ledger) -> Tally) -> Vec<ToldTally> {
         let configuration = self.state.configuration();
@@ -299,9 +309,20 @@
         }
     }
 
-    fn stands_in(&self, server: &str, zone: &Name) -> bool {
-        let server = self.state.fleet.server(server);
-        server.is_some_and(|it| it.with(|entry| entry.availability_zone == *zone))
+    /// Tells the VM that gives orders this VM's load by model, where messages to other zones leave it
+    /// out.
+    async fn send_loads(&self) {
+        let Some(holder) = self.state.peers.holder() else {
+            return;
+        };
+        let message = Digest {
+            boot: self.boot,
+            is_partial: true,
+            has_loads: true,
+            loads: self.loads(),
+            ..Digest::default()
+        };
+        self.send_to(&message, &[holder]).await;
     }
 
     /// Tells the VM that gives orders what is wanted here.
@@ -411,25 +432,27 @@
             availability_zone: state.settings.availability_zone.to_string(),
             next_in_ms: INTERVAL.as_millis() as u32,
             followed: self.followed(),
-            loads: state
-                .fleet
-                .servers()
-                .iter()
-                .flat_map(|server| {
-                    let counts = server.in_flight_by_model().into_iter();
-                    counts.map(|(model, in_flight)| ServerRequests {
-                        server: server.id.to_string(),
-                        in_flight,
-                        model: model.to_string(),
-                    })
-                })
-                .collect(),
+            loads: self.loads(),
             fence: state.fence.get(),
             crashes: state.peers.crashes(),
             ..Digest::default()
         }
     }
 
+    /// This VM's requests in flight.
+    fn loads(&self) -> Vec<ServerRequests> {
+        let servers = self.state.fleet.servers();
+        let loads = servers.iter().flat_map(|server| {
+            let counts = server.in_flight_by_model().into_iter();
+            counts.map(|(model, in_flight)| ServerRequests {
+                server: server.id.to_string(),
+                in_flight,
+                model: model.to_string(),
+            })
+        });
+        loads.collect()
+    }
+
     fn demands(&self) -> Vec<WeightsDemand> {
         let demand = self.state.own_demand(Instant::now());
         let demand = demand.into_iter();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod turns;
 mod view;
 mod watch;
+mod zone_loads;
 
 pub(crate) use ask::{Ask, Generation};
 pub(crate) use configuration::{
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,7 +7,9 @@
 use crate::gateway::news::DirectoryNews;
 use crate::gateway::targets::Targets;
 use crate::gateway::view::{Sighting, View};
+use crate::gateway::zone_loads::ZoneLoads;
 use crate::inventory::Name;
+use crate::short_id::short_id;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -71,6 +73,8 @@
     own: SocketAddr,
     view: RefCell<View>,
     heard: RefCell<HashMap<SocketAddr, Peer>>,
+    /// The load of other zones of a large fleet.
+    zone_loads: RefCell<ZoneLoads>,
     /// Members that the log lists; not all.
     members: RefCell<Vec<SocketAddr>>,
     /// Whether the list was read since the start.
@@ -97,6 +101,7 @@
             own,
             view: RefCell::new(View::new(own, now)),
             heard: RefCell::default(),
+            zone_loads: RefCell::default(),
             members: RefCell::default(),
             has_read_members: Cell::default(),
             has_all_members: Cell::default(),
@@ -182,8 +187,28 @@
     /// Requests of all other VMs on a server.
     pub(crate) fn in_flight(&self, server: &Name) -> u32 {
         let heard = self.heard.borrow();
-        let loads = heard.values().filter_map(|peer| peer.loads.get(server));
-        loads.flatten().map(|(_, count)| count).sum()
+        let zone_loads = self.zone_loads.borrow();
+        // What VMs of a zone tell of themselves is in its sum.
+        let single = heard
+            .values()
+            .filter(|peer| !zone_loads.has(&peer.availability_zone));
+        let loads = single.filter_map(|peer| peer.loads.get(server));
+        let of_single: u32 = loads.flatten().map(|(_, count)| count).sum();
+        of_single + zone_loads.in_flight(short_id(server))
+    }
+
+    /// Requests of the other VMs of a zone, by server.
+    pub(super) fn in_flight_of(&self, zone: &Name) -> HashMap<Name, u32> {
+        let heard = self.heard.borrow();
+        let mut sums: HashMap<Name, u32> = HashMap::new();
+        let peers = heard
+            .values()
+            .filter(|peer| peer.availability_zone == *zone);
+        for (server, loads) in peers.flat_map(|peer| &peer.loads) {
+            let count: u32 = loads.iter().map(|(_, count)| count).sum();
+            *sums.entry(server.clone()).or_default() += count;
+        }
+        sums
     }
 
     /// Requests of all other VMs on a server for one model.
@@ -328,7 +353,15 @@
             seen_at: now,
         };
         self.note(sighting, now);
+        if let Some(told) = &digest.zone_loads {
+            let zone = &peer.availability_zone;
+            self.zone_loads.borrow_mut().take(zone, told.sums(), now);
+        }
         if let Some(before) = heard.remove(&sender) {
+            // Where it tells its zone's load, its own comes by itself, if at all.
+            if digest.zone_loads.is_some() {
+                peer.loads = before.loads;
+            }
             peer.demands = before.demands;
             peer.coming_demands = before.coming_demands;
             peer.demand_turn = before.demand_turn;
@@ -336,6 +369,13 @@
         heard.insert(sender, peer);
     }
 
+    /// Takes over a peer's load where it comes by itself.
+    pub(super) fn take_loads(&self, sender: SocketAddr, digest: &Digest) {
+        if let Some(peer) = self.heard.borrow_mut().get_mut(&sender) {
+            peer.loads = read_loads(digest);
+        }
+    }
+
     /// Takes over a part of the demand that a peer tells; all of it counts once it is there.
     pub(super) fn take_demand(&self, sender: SocketAddr, digest: &Digest) {
         let mut heard = self.heard.borrow_mut();
@@ -412,6 +452,7 @@
             }
             is_heard
         });
+        self.zone_loads.borrow_mut().forget(now);
         let mut crashes = self.crashes.borrow_mut();
         crashes.retain(|(_, at)| now.duration_since(*at) < SILENCE_LIMIT);
     }
@@ -419,18 +460,13 @@
 
 impl Peer {
     fn read(digest: &Digest, now: Instant) -> Self {
-        let mut loads: HashMap<Name, Vec<(Name, u32)>> = HashMap::new();
-        for load in &digest.loads {
-            let of_server = loads.entry(load.server.as_str().into()).or_default();
-            of_server.push((load.model.as_str().into(), load.in_flight));
-        }
         Self {
             heard_at: now,
             counts_for: counts_for(digest),
             availability_zone: digest.availability_zone.as_str().into(),
             readings: digest.followed.map(|followed| read_followed(followed, now)),
             fence: digest.fence,
-            loads,
+            loads: read_loads(digest),
             demands: Vec::new(),
             coming_demands: Vec::new(),
             demand_turn: 0,
@@ -438,6 +474,16 @@
     }
 }
 
+/// The requests in flight that a message tells, by server and model.
+fn read_loads(digest: &Digest) -> HashMap<Name, Vec<(Name, u32)>> {
+    let mut loads: HashMap<Name, Vec<(Name, u32)>> = HashMap::new();
+    for load in &digest.loads {
+        let of_server = loads.entry(load.server.as_str().into()).or_default();
+        of_server.push((load.model.as_str().into(), load.in_flight));
+    }
+    loads
+}
+
 /// For how long a message counts: as often as its sender says that it speaks. One that gives
 /// orders is replaced soon after it falls silent.
 fn counts_for(digest: &Digest) -> Duration {
--- a/src/gateway/receipt.rs
+++ b/src/gateway/receipt.rs
@@ -56,6 +56,9 @@
         self.take_holdings(&digest, now);
         self.take_prompts(&digest, now);
         self.take_tally(sender, &digest, now);
+        if digest.has_loads {
+            self.state.peers.take_loads(sender, &digest);
+        }
         if digest.is_demand {
             self.state.peers.take_demand(sender, &digest);
         }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod following;
+mod loads;
 mod ordering;
 mod pages;
 mod passing;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 mod router;
 mod sender;
 mod server;
+mod short_id;
 mod shutdown;
 mod signal;
 mod sse;
