--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -3,12 +3,13 @@
 /// What another zone costs, in slots' worth of load: enough that equal servers are taken
 /// from the own zone, too little to leave a busier one there.
 const ZONE_PENALTY: f64 = 0.05;
-/// The same where VMs in other zones tell of their load only every second or so: what looks free
-/// there is taken by all zones at once, while the own zone's load is known as of a moment ago.
+/// The same in a fleet in which a VM speaks to each of another zone only once in many turns: what looks
+/// free there is taken by all zones at once, while the own zone's load is known as of a moment ago, and
+/// prompts are told within it at most.
 ///
-/// With 195 VMs before 30 runners of 16 slots that are taken to six, eight and nine tenths, 1.5, 15
-/// and 30 of 100 requests met a full runner, with the small penalty 2.8, 20 and 41; with 0.3 and
-/// 1.0 there were more in all at the higher two (`tests/zones.rs`).
+/// With 195 VMs before 30 runners of 16 slots that are taken to six, eight and nine tenths, 2, 13 and
+/// 23 of 100 requests met a full runner, with the small penalty 6, 21 and 29, with 0.3 in between
+/// (`tests/zones.rs`).
 const LATE_ZONE_PENALTY: f64 = 0.6;
 /// What a new connection costs, in requests for each slot: servers make few of them at a time and
 /// count them, so that among equal servers those go first to which one is open.
