Revert: overloaded runners pass load on

A load that costs more the more it is, without end, makes a copy on one runner dearer than no copy at all for a model that asks for more than four runners, so that none is loaded. What stays open: beyond its time a runner's loss grows in proportion, so that leveling two overloaded runners gains nothing; a way with an end (a runner serves a little more the more it is asked for) was reckoned, not built.

--- a/src/gateway/spread.rs
+++ b/src/gateway/spread.rs
@@ -14,9 +14,7 @@
 /// deployment whose loads take 9 s got 0.35 of what full service is worth, with these 0.43 (ten
 /// plays each of days with trouble or high load).
 const LATE_LOSS: f64 = 0.4;
-/// What each unit of load costs beside: little, so that equal choices level the runners, and so that a
-/// runner that is asked for more than it can do passes some of it on to one that is asked for less,
-/// whose load may have been reckoned too high.
+/// What a load below the easy one costs: little, so that equal choices level the runners.
 const UNEVEN_LOSS: f64 = 0.05;
 
 /// What is asked of one model.
@@ -59,7 +57,7 @@
         // What a runner has no time for is not answered.
         let refused = (1.0 - 1.0 / self.runners.max(1.0)).max(0.0);
         let lost = late + (1.0 - late) * refused;
-        let uneven = UNEVEN_LOSS * self.runners;
+        let uneven = UNEVEN_LOSS * self.runners.min(1.0);
         self.requests_per_s * (uneven + (1.0 - UNEVEN_LOSS) * lost)
     }
 }
