The stand-in of a backend server loses no connection while it looks whether it is to end

Ruled out: the product's own accept loops (a wait that ends takes what came in the same moment first).

--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -238,6 +238,11 @@
         })
     }
 
+    /// Where it is reached.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Connections accepted so far.
     pub fn connections(&self) -> u64 {
         self.connections.get()
@@ -253,13 +258,24 @@
     }
 
     async fn accept(self: Rc<Self>, listener: TcpListener) {
+        while let Some(stream) = self.accept_one(&listener).await {
+            self.connections.set(self.connections.get() + 1);
+            compio::runtime::spawn(self.clone().serve(stream)).detach();
+        }
+    }
+
+    /// Waits for a connection; `None` once the server is dead. A wait that is given up loses the
+    /// connection that came in the same moment, so that it is given up only then.
+    async fn accept_one(&self, listener: &TcpListener) -> Option<TcpStream> {
+        let mut accept = Box::pin(listener.accept());
         while !self.is_dead.get() {
-            let accepted = compio::time::timeout(DEATH_POLL, listener.accept());
-            if let Ok(Ok((stream, _))) = accepted.await {
-                self.connections.set(self.connections.get() + 1);
-                compio::runtime::spawn(self.clone().serve(stream)).detach();
+            match compio::time::timeout(DEATH_POLL, accept.as_mut()).await {
+                Ok(Ok((stream, _))) => return Some(stream),
+                Ok(Err(_)) => accept = Box::pin(listener.accept()),
+                Err(_elapsed) => {}
             }
         }
+        None
     }
 
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
