--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,10 +1,11 @@
 //! What other VMs told: their load, their demand, and who gives orders.
 
 use crate::gateway::Weights;
-use crate::gateway::digest::{Crashes, Digest, Followed, SentPrompt, sightings_of};
+use crate::gateway::digest::{Crashes, Digest, SentPrompt, sightings_of};
 use crate::gateway::fleet::Holding;
-use crate::gateway::following::{Reading, Readings};
+use crate::gateway::following::Readings;
 use crate::gateway::news::DirectoryNews;
+use crate::gateway::peer::{Peer, read_demands, read_loads};
 use crate::gateway::targets::Targets;
 use crate::gateway::view::{Sighting, View};
 use crate::gateway::zone_loads::ZoneLoads;
@@ -18,9 +19,7 @@
 use tracing::{debug, info, warn};
 
 /// After so long without a message what a peer told counts no more, where it speaks often.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
-/// Messages of a VM that speaks seldom which may be missed before what it told counts no more.
-const MISSED_MESSAGES: u32 = 4;
+pub(super) const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 /// Microseconds in a millisecond.
 pub(super) const MICROS_PER_MILLI: f64 = 1_000.0;
 
@@ -35,22 +34,6 @@
     pub(crate) waiting: u32,
 }
 
-#[derive(Debug)]
-struct Peer {
-    heard_at: Instant,
-    /// For how long what it told counts without another message.
-    counts_for: Duration,
-    availability_zone: Name,
-    readings: Option<Readings>,
-    fence: u64,
-    loads: HashMap<Name, Vec<(Name, u32)>>,
-    demands: Vec<(Weights, WantedRate)>,
-    /// The demand as far as the messages that tell it have come.
-    coming_demands: Vec<(Weights, WantedRate)>,
-    /// The telling that they belong to.
-    demand_turn: u32,
-}
-
 /// Who is told of a change out of turn.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Urgency {
@@ -458,71 +441,6 @@
     }
 }
 
-impl Peer {
-    fn read(digest: &Digest, now: Instant) -> Self {
-        Self {
-            heard_at: now,
-            counts_for: counts_for(digest),
-            availability_zone: digest.availability_zone.as_str().into(),
-            readings: digest.followed.map(|followed| read_followed(followed, now)),
-            fence: digest.fence,
-            loads: read_loads(digest),
-            demands: Vec::new(),
-            coming_demands: Vec::new(),
-            demand_turn: 0,
-        }
-    }
-}
-
-/// The requests in flight that a message tells, by server and model.
-fn read_loads(digest: &Digest) -> HashMap<Name, Vec<(Name, u32)>> {
-    let mut loads: HashMap<Name, Vec<(Name, u32)>> = HashMap::new();
-    for load in &digest.loads {
-        let of_server = loads.entry(load.server.as_str().into()).or_default();
-        of_server.push((load.model.as_str().into(), load.in_flight));
-    }
-    loads
-}
-
-/// For how long a message counts: as often as its sender says that it speaks. One that gives
-/// orders is replaced soon after it falls silent.
-fn counts_for(digest: &Digest) -> Duration {
-    let next_in = Duration::from_millis(u64::from(digest.next_in_ms));
-    match digest.fence {
-        0 => SILENCE_LIMIT.max(next_in * MISSED_MESSAGES),
-        _ => SILENCE_LIMIT,
-    }
-}
-
-fn read_demands(digest: &Digest) -> impl Iterator<Item = (Weights, WantedRate)> {
-    digest.demands.iter().map(|demand| {
-        let weights = Weights {
-            model: demand.model.as_str().into(),
-            adapter: demand.adapter.as_deref().map(Name::from),
-        };
-        let rate = WantedRate {
-            busy_ms_per_s: f64::from(demand.busy_us_per_s) / MICROS_PER_MILLI,
-            requests_per_s: f64::from(demand.requests_per_1000_s) / 1_000.0,
-            waiting: demand.waiting,
-        };
-        (weights, rate)
-    })
-}
-
-fn read_followed(followed: Followed, now: Instant) -> Readings {
-    let reading = |news, age_ms| Reading {
-        news,
-        at: now
-            .checked_sub(Duration::from_millis(u64::from(age_ms)))
-            .unwrap_or(now),
-    };
-    Readings {
-        directory_end: followed.directory_end,
-        directory: reading(followed.directory_news, followed.directory_age_ms),
-        configuration: reading(followed.configuration_news, followed.configuration_age_ms),
-    }
-}
-
 /// A holding from its parts.
 pub(crate) fn holding(model: &str, version: u64, adapters: &[String]) -> Holding {
     Holding {
--- a/src/gateway/tests/loads.rs
+++ b/src/gateway/tests/loads.rs
@@ -3,10 +3,11 @@
 use crate::gateway::digest::{Digest, ServerRequests, ToldZoneLoads, zones_of};
 use crate::gateway::gossip::INTERVAL;
 use crate::gateway::peers::Peers;
+use crate::gateway::tests::{address, index};
 use crate::gateway::view::Sighting;
 use crate::inventory::Name;
 use crate::short_id::short_id;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const ZONES: usize = 3;
@@ -26,18 +27,6 @@
     turn: usize,
 }
 
-fn address(index: usize) -> SocketAddr {
-    SocketAddr::from(([10, 1, (index / 200) as u8, (index % 200) as u8], 1))
-}
-
-fn index(address: SocketAddr) -> usize {
-    let IpAddr::V4(ip) = address.ip() else {
-        panic!("{address} is no VM's");
-    };
-    let [_, _, high, low] = ip.octets();
-    usize::from(high) * 200 + usize::from(low)
-}
-
 fn server(index: usize) -> Name {
     format!("i-{index}").into()
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::gateway::state::State;
 use crate::gateway::{Bounds, Metrics, Settings};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,3 +50,17 @@
     };
     State::new(settings, Rc::new(Metrics::new()))
 }
+
+/// The address of a VM by its number in a fleet.
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, (index / 256) as u8, (index % 256) as u8], 7_380))
+}
+
+/// The number of the VM at an address.
+fn index(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else {
+        panic!("{address} is no VM's");
+    };
+    let [_, _, high, low] = ip.octets();
+    usize::from(high) * 256 + usize::from(low)
+}
--- a/src/gateway/tests/views.rs
+++ b/src/gateway/tests/views.rs
@@ -4,11 +4,12 @@
 use crate::gateway::digest::{Digest, zones_of};
 use crate::gateway::gossip::{INTERVAL, VMS_A_MESSAGE};
 use crate::gateway::peers::Peers;
+use crate::gateway::tests::{address, index};
 use crate::gateway::view::{SEEN_LIMIT, Sighting, View};
 use crate::inventory::Name;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Members that the log lists at most: the partitions of one topic.
@@ -35,18 +36,6 @@
     random: StdRng,
 }
 
-fn address(index: usize) -> SocketAddr {
-    SocketAddr::from(([10, 1, (index / 256) as u8, (index % 256) as u8], 7_380))
-}
-
-fn index(address: SocketAddr) -> usize {
-    let IpAddr::V4(ip) = address.ip() else {
-        panic!("{address} is no VM's");
-    };
-    let [_, _, high, low] = ip.octets();
-    usize::from(high) * 256 + usize::from(low)
-}
-
 impl Fleet {
     fn start(count: usize, loss: f64) -> Self {
         let mut fleet = Self {
