A publication called unknown: the test holds the publication itself

A load's own records were under way when the proxy began to hold requests, so that the publication waited behind them and was refused as not recorded, which was true. The test now publishes until its own append is the one that is held, and asks of each refusal before that it was true.

--- a/workbench/tests/configuration.rs
+++ b/workbench/tests/configuration.rs
@@ -18,6 +18,10 @@
 const IN_FORCE: Duration = Duration::from_secs(3);
 /// How long an answer to an operator may take, whatever the log does.
 const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// After how long without a record a log counts as quiet.
+const QUIET: Duration = Duration::from_secs(1);
+/// How often a publication is tried until it is the record that is held.
+const PUBLISH_TRIES: usize = 5;
 /// The shortest retention that the settings allow.
 const RETENTION_MS: u64 = 10_000;
 
@@ -273,6 +277,45 @@
     });
 }
 
+/// Waits until no record has come for a second.
+async fn wait_quiet(cluster: &Cluster) {
+    let seen = Cell::new((0, Instant::now()));
+    cluster
+        .wait_for("no record for a second", LIMIT, async || {
+            let (_, end) = log_bounds(cluster).await;
+            let (seen_end, since) = seen.get();
+            if end != seen_end {
+                seen.set((end, Instant::now()));
+                return false;
+            }
+            since.elapsed() > QUIET
+        })
+        .await;
+}
+
+/// Publishes at VM 0 while the proxy holds its requests to the log, until the publication itself
+/// is what is held. One that waits behind another record of this VM is refused as not recorded;
+/// that has to be true: it does not come into force when the log takes requests again.
+async fn publish_held(cluster: &Cluster, proxy: &Proxy, inventory: &Inventory) {
+    let before = deadline_in_force(cluster, 1).await;
+    for _ in 0..PUBLISH_TRIES {
+        proxy.set(Faults {
+            hold_requests: true,
+            ..Faults::default()
+        });
+        let answer = cluster.publish(0, inventory, None).await;
+        let (status, answer) = answer.expect_err("the append is held");
+        if status == 504 {
+            return;
+        }
+        expect_that!(status, eq(503), "{answer}");
+        proxy.set(Faults::default());
+        wait_quiet(cluster).await;
+        expect_that!(deadline_in_force(cluster, 1).await, eq(before), "{answer}");
+    }
+    panic!("no publication was held in {PUBLISH_TRIES} tries");
+}
+
 #[googletest::test]
 fn a_publication_called_unknown_may_land_when_its_vm_is_gone() {
     block_on(async {
@@ -284,14 +327,8 @@
         let proxy = Proxy::start(address, log).await;
         let mut cluster = Cluster::start_at(plan, ip).await;
         cluster.publish_and_settle(LIMIT).await;
-        proxy.set(Faults {
-            hold_requests: true,
-            ..Faults::default()
-        });
         let made = changed(&cluster, 18_000);
-        let answer = cluster.publish(0, &made, None).await;
-        let (status, answer) = answer.expect_err("the append is held");
-        expect_that!(status, eq(504), "{answer}");
+        publish_held(&cluster, &proxy, &made).await;
         cluster.vms[0].kill();
         proxy.set(Faults::default());
         cluster
@@ -303,6 +340,32 @@
     });
 }
 
+#[googletest::test]
+fn a_publication_refused_as_not_recorded_never_comes_into_force() {
+    block_on(async {
+        let ip = Cluster::pick_ip();
+        let mut plan = Plan::new(Shape::small(), 3);
+        let log = SocketAddr::new(ip, 20_000);
+        let address = SocketAddr::new(ip, PROXY_PORT);
+        plan.vm_settings = vec![(0, json!({"log_address": address}))];
+        let proxy = Proxy::start(address, log).await;
+        let cluster = Cluster::start_at(plan, ip).await;
+        cluster.publish_and_settle(LIMIT).await;
+        let (first, second) = (changed(&cluster, 18_000), changed(&cluster, 19_000));
+        let behind = async {
+            compio::time::sleep(Duration::from_millis(300)).await;
+            cluster.publish(0, &second, None).await
+        };
+        let (held, behind) = futures_util::join!(publish_held(&cluster, &proxy, &first), behind);
+        let () = held;
+        let (status, answer) = behind.expect_err("another append is held before it");
+        expect_that!(status, eq(503), "{answer}");
+        proxy.set(Faults::default());
+        wait_quiet(&cluster).await;
+        expect_that!(deadline_in_force(&cluster, 1).await, eq(18_000));
+    });
+}
+
 #[googletest::test]
 fn a_configuration_that_nobody_knows_any_more_is_missed_and_started_anew() {
     block_on(async {
