An adapter whose base alone is in a book is not waited for; two copies mean the adapters too

Traced: the test waited until each model had two copies, but not its adapters. With the poll at 3 ms one of three runs shows the state it can begin in (copies 2, 1, 2, 2: the adapter's second copy not yet ordered). With the log down nothing loads it any more, and when the killed runner held the only one, Router::is_coming took the base on the other runner for a copy to wait for, so that callers waited to their deadline for what could not come.

Changed: a book counts if it holds or was ordered to load all that the target needs (decision test, failed before); wait_spread asks for two copies of each adapter too, so the test's name is its premise. Ruled out: a killed runner that counts as up (reports are stale after 1.5 s); suspects (no record is taken, one crash each).

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,8 @@
 mod books;
 mod command;
 mod suspects;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use artifact::Artifact;
 pub(crate) use books::{Copy, CopyState, RunnerBook};
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,7 +2,7 @@
 
 use crate::batch_queue::{BatchQueue, Ticket};
 use crate::completion::Ask;
-use crate::control::{Artifact, Control};
+use crate::control::{Artifact, Control, RunnerBook};
 use crate::demand::Demand;
 use crate::fleet::{Fleet, Runner};
 use crate::inventory::{Name, RoutingRule, Rules};
@@ -44,6 +44,13 @@
         self.artifacts().iter().all(|name| runner.is_ready(name))
     }
 
+    /// Whether a runner holds all that the target needs, or was ordered to load it.
+    pub(crate) fn is_coming_in(&self, book: &RunnerBook) -> bool {
+        std::iter::once(&self.base)
+            .chain(&self.adapter)
+            .all(|artifact| book.is_coming(artifact))
+    }
+
     /// The artifacts by the names that engines use.
     pub(crate) fn artifacts(&self) -> Vec<String> {
         let artifacts = std::iter::once(&self.base).chain(&self.adapter);
@@ -177,7 +184,7 @@
 
     /// Whether a runner can be expected to serve `wanted` before long.
     ///
-    /// A copy in some runner's book counts while the runner answers. Otherwise
+    /// A copy in some runner's book counts, with its adapter, while the runner answers. Otherwise
     /// a planner has to load one: for the version in force, over a log that
     /// takes orders, onto a runner that answers.
     pub(crate) fn is_coming(&self, wanted: &Target, pinned: bool) -> bool {
@@ -186,7 +193,7 @@
             let in_book = control
                 .books
                 .iter()
-                .any(|(name, book)| book.is_coming(&wanted.base) && answers(name));
+                .any(|(name, book)| wanted.is_coming_in(book) && answers(name));
             let in_force = control
                 .inventory
                 .model(&wanted.base.model)
--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -4,7 +4,7 @@
 use crate::platform::PlatformState;
 use crate::shape::Shape;
 use crate::web;
-use rattanjunction::Inventory;
+use rattanjunction::{Inventory, Model};
 use serde_json::{Value, json};
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -280,40 +280,22 @@
             let Some(status) = self.status(0).await else {
                 return false;
             };
-            let needed = self.inventory.models.iter().all(|model| {
-                let adapters = model.adapters.iter().all(|adapter| {
-                    let name = format!("{}/{}@{}", model.name, adapter.name, adapter.version);
-                    is_resident(&status, &name)
-                });
-                adapters && is_resident(&status, &format!("{}@{}", model.name, model.version))
-            });
-            needed && self.plan.vms == live_vms(&status)
+            let mut artifacts = self.inventory.models.iter().flat_map(artifacts_of);
+            artifacts.all(|artifact| is_resident(&status, &artifact))
+                && self.plan.vms == live_vms(&status)
         })
         .await;
     }
 
-    /// Waits until each model is resident on two runners.
+    /// Waits until each model and each adapter is resident on two runners, and no order is open.
     pub async fn wait_spread(&self, limit: Duration) {
         self.wait_for("every model has two copies", limit, async || {
             let Some(status) = self.status(0).await else {
                 return false;
             };
-            let models = status["models"].as_array();
-            models.into_iter().flatten().all(|model| {
-                model["resident_on"]
-                    .as_array()
-                    .is_some_and(|on| on.len() >= 2)
-            }) && status["runners"]
-                .as_array()
-                .into_iter()
-                .flatten()
-                .all(|runner| {
-                    let copies = runner["copies"].as_array();
-                    copies
-                        .into_iter()
-                        .flatten()
-                        .all(|copy| copy["state"] == "resident")
-                })
+            let mut artifacts = self.inventory.models.iter().flat_map(artifacts_of);
+            artifacts.all(|artifact| resident_copies(&status, &artifact) >= 2)
+                && copies(&status).all(|copy| copy["state"] == "resident")
         })
         .await;
     }
@@ -593,14 +575,30 @@
 
 /// Whether any runner's book in a status holds the artifact as resident.
 pub fn is_resident(status: &Value, artifact: &str) -> bool {
-    let runners = status["runners"].as_array();
-    runners.into_iter().flatten().any(|runner| {
-        let copies = runner["copies"].as_array();
-        copies
-            .into_iter()
-            .flatten()
-            .any(|copy| copy["artifact"] == artifact && copy["state"] == "resident")
-    })
+    resident_copies(status, artifact) > 0
+}
+
+/// How many runners' books in a status hold the artifact as resident.
+fn resident_copies(status: &Value, artifact: &str) -> usize {
+    copies(status)
+        .filter(|copy| copy["artifact"] == artifact && copy["state"] == "resident")
+        .count()
+}
+
+/// All copies in the runners' books of a status.
+fn copies(status: &Value) -> impl Iterator<Item = &Value> {
+    let runners = status["runners"].as_array().into_iter().flatten();
+    runners.flat_map(|runner| runner["copies"].as_array().into_iter().flatten())
+}
+
+/// A model and its adapters, by the names that a status gives them.
+fn artifacts_of(model: &Model) -> impl Iterator<Item = String> {
+    let own = format!("{}@{}", model.name, model.version);
+    let adapters = model
+        .adapters
+        .iter()
+        .map(|adapter| format!("{}/{}@{}", model.name, adapter.name, adapter.version));
+    std::iter::once(own).chain(adapters)
 }
 
 /// The folder of this build's programs.
