24 VMs are members of the log's group, however many there are

Load answered: a fleet of tens to hundreds of VMs, each renewing its membership every 0.8 s for a tenth of a call, and reading the list of owners at each change of the group.

Now the first 24 VMs in an order by chance that all agree on are members, the holder, whoever has just started, and all while nobody gives orders. 24 is twice the partitions, so that the list stays longer than it can show with a zone or two gone, which is how a VM that starts knows that it is not whole.

Weighed: a longer time between renewals with a longer membership (at 2 s and 6 s as many calls at 67 VMs, four times as many at 410, and 6 s without orders where the holder dies with others of its zone); nobody but holders (a VM that starts would find nobody).

--- a/src/gateway/leading.rs
+++ b/src/gateway/leading.rs
@@ -93,10 +93,14 @@
         MEMBER_TTL.max(self.state.settings.bounds.min_member_ttl)
     }
 
-    /// Stays a member of the group until the process ends.
+    /// Stays a member of the group while one is wanted, until the process ends.
     pub(crate) async fn keep_membership(self: Rc<Self>) {
         while !self.state.shutdown.is_leaving() {
             let asked_at = Instant::now();
+            if !self.is_wanted(asked_at) {
+                compio::time::sleep(TICK).await;
+                continue;
+            }
             let generation = self.membership.get().generation;
             match self.store.join(&self.member, self.ttl(), generation).await {
                 Ok(membership) => self.take_membership(membership, asked_at).await,
@@ -106,6 +110,15 @@
         }
     }
 
+    /// Whether this VM has to be a member: some VMs are enough to lead and to be found by those that
+    /// start, and each renewal costs. While nobody gives orders all are members, so that one of them
+    /// claims whichever are cut off from the log.
+    fn is_wanted(&self, now: Instant) -> bool {
+        let peers = &self.state.peers;
+        let has_holder = self.ordering.is_holder() || peers.highest_fence().is_some();
+        !has_holder || self.ordering.is_holder() || peers.is_member_wanted(now)
+    }
+
     async fn take_membership(&self, membership: Membership, asked_at: Instant) {
         let before = self.membership.replace(membership);
         self.renewed_at.set(Some(asked_at));
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,6 +20,9 @@
 
 /// After so long without a message what a peer told counts no more, where it speaks often.
 pub(super) const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// VMs that are members of the log's group, at least: twice as many as it deals partitions to, so that
+/// with a zone or two gone its list of owners still is not taken for a whole fleet.
+pub(super) const MEMBERS: usize = 24;
 /// Microseconds in a millisecond.
 pub(super) const MICROS_PER_MILLI: f64 = 1_000.0;
 
@@ -133,6 +136,13 @@
         self.most_vms(now).unwrap_or_else(known)
     }
 
+    /// Whether this VM is to be a member of the log's group: one of the first [`MEMBERS`] in an
+    /// order that all VMs agree on, or one that may know too few others to tell.
+    pub(crate) fn is_member_wanted(&self, now: Instant) -> bool {
+        let view = self.view.borrow();
+        !view.is_settled(now) || view.rank(self.own) < MEMBERS
+    }
+
     /// How many VMs of `zone` come before this one by address.
     pub(crate) fn rank_in(&self, zone: &Name) -> usize {
         let view = self.view.borrow();
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -66,9 +66,8 @@
 impl View {
     /// A view without any VM, of the VM at `own`.
     pub(crate) fn new(own: SocketAddr, now: Instant) -> Self {
-        let seed = xxh3_64(own.to_string().as_bytes());
         Self {
-            random: SmallRng::seed_from_u64(seed),
+            random: SmallRng::seed_from_u64(place(own)),
             started_at: now,
             known: BTreeMap::new(),
             lost: BTreeMap::new(),
@@ -165,6 +164,14 @@
         self.known.len() + 1
     }
 
+    /// How many VMs come before the one at `own`, in an order that is the same at each VM and that no
+    /// zone comes first in.
+    pub(crate) fn rank(&self, own: SocketAddr) -> usize {
+        let own = place(own);
+        let places = self.known.keys().map(|address| place(*address));
+        places.filter(|other| *other < own).count()
+    }
+
     /// How many VMs there were at most at any time, this one included.
     pub(crate) fn most_vms(&self) -> usize {
         self.most_seen + 1
@@ -197,6 +204,11 @@
     }
 }
 
+/// The place of a VM in an order by chance.
+fn place(address: SocketAddr) -> u64 {
+    xxh3_64(address.to_string().as_bytes())
+}
+
 fn pick<'a>(
     mut addresses: impl Iterator<Item = &'a SocketAddr>,
     count: usize,
