A request counts as load at other VMs from its prompt on

Load answered: runners that are nearly full before tens of VMs.

Messages about prompts go to the own zone within milliseconds (up to 28 VMs a zone). Their receivers now count the requests as well, until the sender tells its whole load again.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -298,7 +298,10 @@
     pub(crate) async fn send_prompts(self: Rc<Self>) {
         loop {
             let sent = self.state.peers.prompts_wait();
-            let prompts = self.state.peers.take_prompts(MAX_PROMPTS, Instant::now());
+            let prompts = self
+                .state
+                .peers
+                .take_untold_prompts(MAX_PROMPTS, Instant::now());
             if prompts.is_empty() {
                 sent.await;
                 continue;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -282,7 +282,7 @@
 
     /// Takes prompts that peers are yet to be told of, `limit` at most; those that have been read
     /// by now would only make their runners look busy.
-    pub(super) fn take_prompts(&self, limit: usize, now: Instant) -> Vec<SentPrompt> {
+    pub(super) fn take_untold_prompts(&self, limit: usize, now: Instant) -> Vec<SentPrompt> {
         let mut prompts = self.prompts.borrow_mut();
         prompts.retain(|(prompt, at)| {
             let read_time = Duration::from_micros(u64::from(prompt.read_us));
@@ -293,6 +293,18 @@
         taken.map(|(prompt, _)| prompt).collect()
     }
 
+    /// Counts requests that a peer has just sent, until it tells its whole load again.
+    pub(super) fn take_prompts(&self, from: SocketAddr, prompts: &[SentPrompt]) {
+        let mut heard = self.heard.borrow_mut();
+        let Some(peer) = heard.get_mut(&from) else {
+            return;
+        };
+        for prompt in prompts {
+            let of_server = peer.loads.entry(prompt.server.as_str().into()).or_default();
+            of_server.push((Name::new(), 1));
+        }
+    }
+
     /// Waits for a prompt to tell of.
     pub(super) fn prompts_wait(&self) -> impl Future<Output = ()> + use<> {
         self.has_prompts.wait()
--- a/src/gateway/receipt.rs
+++ b/src/gateway/receipt.rs
@@ -54,7 +54,7 @@
             self.state.take_directory_news(news, now);
         }
         self.take_holdings(&digest, now);
-        self.take_prompts(&digest, now);
+        self.take_prompts(sender, &digest, now);
         self.take_tally(sender, &digest, now);
         if digest.has_loads {
             self.state.peers.take_loads(sender, &digest);
@@ -83,7 +83,8 @@
         }
     }
 
-    fn take_prompts(&self, digest: &Digest, now: Instant) {
+    fn take_prompts(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
+        self.state.peers.take_prompts(sender, &digest.prompts);
         for prompt in &digest.prompts {
             if let Some(server) = self.state.fleet.server(&prompt.server) {
                 let read_ms = f64::from(prompt.read_us) / MICROS_PER_MILLI;
--- a/src/gateway/tests/loads.rs
+++ b/src/gateway/tests/loads.rs
@@ -1,6 +1,6 @@
 //! Every VM knows the load that all others together put on a server, at any size of the fleet.
 
-use crate::gateway::digest::{Digest, ServerRequests, ToldZoneLoads, zones_of};
+use crate::gateway::digest::{Digest, SentPrompt, ServerRequests, ToldZoneLoads, zones_of};
 use crate::gateway::gossip::INTERVAL;
 use crate::gateway::peers::Peers;
 use crate::gateway::targets::Targets;
@@ -234,6 +234,33 @@
     assert!(vm.peers.in_flight(&server(0)) < before);
 }
 
+#[test]
+fn a_request_counts_as_load_from_its_prompt_on() {
+    let now = Instant::now();
+    let peers = Peers::new(address(1), now);
+    let prompt = SentPrompt {
+        server: server(0).to_string(),
+        read_us: 10_000,
+    };
+    peers.take_prompts(address(2), &[prompt.clone()]);
+    assert_eq!(peers.in_flight(&server(0)), 0, "its sender is not known");
+    let digest = Digest {
+        availability_zone: "z1".to_owned(),
+        loads: loads_of(&[3]),
+        ..Digest::default()
+    };
+    peers.take(address(2), &digest, now);
+    peers.take_prompts(address(2), &[prompt]);
+    assert_eq!(peers.in_flight(&server(0)), 4);
+    assert_eq!(peers.in_flight_of(&"z1".into())[&server(0)], 4);
+    peers.take(address(2), &digest, now);
+    assert_eq!(
+        peers.in_flight(&server(0)),
+        3,
+        "a load that is told holds all"
+    );
+}
+
 #[test]
 fn what_a_vm_tells_of_itself_is_not_added_to_the_sum_of_its_zone() {
     let now = Instant::now();
