--- a/src/gateway/leading.rs
+++ b/src/gateway/leading.rs
@@ -115,8 +115,8 @@
     /// claims whichever are cut off from the log.
     fn is_wanted(&self, now: Instant) -> bool {
         let peers = &self.state.peers;
-        let has_holder = self.ordering.is_holder() || peers.highest_fence().is_some();
-        !has_holder || self.ordering.is_holder() || peers.is_member_wanted(now)
+        let has_other_holder = peers.highest_fence().is_some();
+        self.ordering.is_holder() || !has_other_holder || peers.is_member_wanted(now)
     }
 
     async fn take_membership(&self, membership: Membership, asked_at: Instant) {
