--- a/src/gateway/tests/loads.rs
+++ b/src/gateway/tests/loads.rs
@@ -238,11 +238,11 @@
 fn a_request_counts_as_load_from_its_prompt_on() {
     let now = Instant::now();
     let peers = Peers::new(address(1), now);
-    let prompt = SentPrompt {
+    let prompts = [SentPrompt {
         server: server(0).to_string(),
         read_us: 10_000,
-    };
-    peers.take_prompts(address(2), &[prompt.clone()]);
+    }];
+    peers.take_prompts(address(2), &prompts);
     assert_eq!(peers.in_flight(&server(0)), 0, "its sender is not known");
     let digest = Digest {
         availability_zone: "z1".to_owned(),
@@ -250,7 +250,7 @@
         ..Digest::default()
     };
     peers.take(address(2), &digest, now);
-    peers.take_prompts(address(2), &[prompt]);
+    peers.take_prompts(address(2), &prompts);
     assert_eq!(peers.in_flight(&server(0)), 4);
     assert_eq!(peers.in_flight_of(&"z1".into())[&server(0)], 4);
     peers.take(address(2), &digest, now);
--- a/src/gateway/tests/members.rs
+++ b/src/gateway/tests/members.rs
@@ -70,7 +70,7 @@
     let now = Instant::now();
     let fleet = fleet(76, now, now + LATER);
     let before = members(&fleet, now + LATER);
-    let is_alive = |index: usize| index % ZONES > 0;
+    let is_alive = |index: usize| !index.is_multiple_of(ZONES);
     // A zone falls silent; the others go on hearing each other.
     let mut later = now + LATER;
     while later < now + LATER + SEEN_LIMIT + TURN {
