--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -10,6 +10,7 @@
 use crate::gateway::state::State;
 use crate::gateway::targets::Targets;
 use crate::gateway::telling::Told;
+use crate::gateway::zone_loads::ZoneTelling;
 use compio::BufResult;
 use compio::net::UdpSocket;
 use prost::Message;
@@ -34,10 +35,6 @@
 const MAX_DEMANDS: usize = 35;
 /// Prompts that one message tells of at most, some 30 bytes each: they fit one datagram.
 const MAX_PROMPTS: usize = 40;
-/// VMs that a message to the own zone tells of, 25 bytes each: they fit one datagram.
-/// With 410 VMs and a tenth of the messages lost the oldest sign of life in any view was 2.8 s old;
-/// after 4 s a VM counts as gone (`tests/views.rs`).
-pub(super) const VMS_A_MESSAGE: usize = 40;
 /// VMs that one message tells of where all are asked for, 25 bytes each: they fit one datagram.
 const MAX_VMS: usize = 45;
 /// The shortest time between two answers with all VMs: those of the members that the log lists
@@ -53,6 +50,8 @@
     pub(super) boot: u64,
     /// What peers were told that runners hold.
     pub(super) told: RefCell<HashMap<Incarnation, Told>>,
+    /// What other zones are told of this one's load.
+    pub(super) zone_telling: RefCell<ZoneTelling>,
     /// Counts the tellings of the demand.
     demand_turn: Cell<u32>,
     /// Counts the turns, for the part of the VMs that is spoken to.
@@ -75,6 +74,7 @@
             socket,
             boot,
             told: RefCell::default(),
+            zone_telling: RefCell::default(),
             demand_turn: Cell::new(0),
             // Others begin elsewhere, so that a VM hears of another zone in each turn.
             turn: Cell::new(usize::from(rand::random::<u16>())),
@@ -138,7 +138,7 @@
             };
             self.send_to(&ask, &[asked]).await;
         }
-        let sample = self.state.peers.sample(VMS_A_MESSAGE);
+        let sample = self.state.peers.sample(targets.vms_a_message());
         let turn = self.turn.get();
         self.turn.set(turn.wrapping_add(1));
         let next_in = INTERVAL * targets.near_turns() as u32;
@@ -174,7 +174,7 @@
         };
         if far_turns > 1 {
             to_far.loads.clear();
-            to_far.zone_loads = Some(self.zone_loads(turn));
+            to_far.zone_loads = Some(self.zone_loads(targets, turn));
             if turn.is_multiple_of(far_turns) {
                 self.send_loads().await;
             }
@@ -298,7 +298,10 @@
     pub(crate) async fn send_prompts(self: Rc<Self>) {
         loop {
             let sent = self.state.peers.prompts_wait();
-            let prompts = self.state.peers.take_prompts(MAX_PROMPTS, Instant::now());
+            let prompts = self
+                .state
+                .peers
+                .take_untold_prompts(MAX_PROMPTS, Instant::now());
             if prompts.is_empty() {
                 sent.await;
                 continue;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,6 +20,9 @@
 
 /// After so long without a message what a peer told counts no more, where it speaks often.
 pub(super) const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// VMs that are members of the log's group, at least: twice as many as it deals partitions to, so that
+/// with a zone or two gone its list of owners still is not taken for a whole fleet.
+pub(super) const MEMBERS: usize = 24;
 /// Microseconds in a millisecond.
 pub(super) const MICROS_PER_MILLI: f64 = 1_000.0;
 
@@ -133,6 +136,13 @@
         self.most_vms(now).unwrap_or_else(known)
     }
 
+    /// Whether this VM is to be a member of the log's group: one of the first [`MEMBERS`] in an
+    /// order that all VMs agree on, or one that may know too few others to tell.
+    pub(crate) fn is_member_wanted(&self, now: Instant) -> bool {
+        let view = self.view.borrow();
+        !view.is_settled(now) || view.rank(self.own) < MEMBERS
+    }
+
     /// How many VMs of `zone` come before this one by address.
     pub(crate) fn rank_in(&self, zone: &Name) -> usize {
         let view = self.view.borrow();
@@ -272,7 +282,7 @@
 
     /// Takes prompts that peers are yet to be told of, `limit` at most; those that have been read
     /// by now would only make their runners look busy.
-    pub(super) fn take_prompts(&self, limit: usize, now: Instant) -> Vec<SentPrompt> {
+    pub(super) fn take_untold_prompts(&self, limit: usize, now: Instant) -> Vec<SentPrompt> {
         let mut prompts = self.prompts.borrow_mut();
         prompts.retain(|(prompt, at)| {
             let read_time = Duration::from_micros(u64::from(prompt.read_us));
@@ -283,6 +293,18 @@
         taken.map(|(prompt, _)| prompt).collect()
     }
 
+    /// Counts requests that a peer has just sent, until it tells its whole load again.
+    pub(super) fn take_prompts(&self, from: SocketAddr, prompts: &[SentPrompt]) {
+        let mut heard = self.heard.borrow_mut();
+        let Some(peer) = heard.get_mut(&from) else {
+            return;
+        };
+        for prompt in prompts {
+            let of_server = peer.loads.entry(prompt.server.as_str().into()).or_default();
+            of_server.push((Name::new(), 1));
+        }
+    }
+
     /// Waits for a prompt to tell of.
     pub(super) fn prompts_wait(&self) -> impl Future<Output = ()> + use<> {
         self.has_prompts.wait()
