--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -2,14 +2,15 @@
 
 use crate::journal;
 use crate::platform::PlatformState;
+use crate::process::{Process, product_binary, workbench_binary};
 use crate::shape::Shape;
+use crate::status::{artifacts_of, copies, is_resident, live_vms, resident_copies};
 use crate::web;
-use rattanjunction::{Inventory, Model};
+use rattanjunction::Inventory;
 use serde_json::{Value, json};
-use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 /// The time between two looks at a condition.
@@ -36,60 +37,6 @@
         .block_on(future)
 }
 
-/// A process started by the workbench, killed at the end.
-#[derive(Debug)]
-pub struct Process {
-    child: Child,
-}
-
-impl Process {
-    pub(crate) fn start(mut command: Command, output: &Path) -> Self {
-        let file = File::options()
-            .append(true)
-            .create(true)
-            .open(output)
-            .expect("the site's folder takes files");
-        let child = command
-            .stdin(Stdio::null())
-            .stdout(file.try_clone().expect("a file can be shared"))
-            .stderr(file)
-            .spawn()
-            .unwrap_or_else(|error| panic!("{command:?}: {error}"));
-        Self { child }
-    }
-
-    /// Sends a signal.
-    pub fn signal(&self, signal: nix::sys::signal::Signal) {
-        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
-        // A process that has ended takes no signal.
-        let _ = nix::sys::signal::kill(pid, signal);
-    }
-
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        // A process that has ended cannot be killed.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// The process's id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.signal(nix::sys::signal::Signal::SIGCONT);
-        self.kill();
-    }
-}
-
 /// How to start a site.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -564,60 +511,3 @@
         .args(["--state", &state]);
     Process::start(command, &folder.join("platform.log"))
 }
-
-fn live_vms(status: &Value) -> usize {
-    let vms = status["vms"].as_array();
-    vms.into_iter()
-        .flatten()
-        .filter(|vm| vm["alive"] == true)
-        .count()
-}
-
-/// Whether any runner's book in a status holds the artifact as resident.
-pub fn is_resident(status: &Value, artifact: &str) -> bool {
-    resident_copies(status, artifact) > 0
-}
-
-/// How many runners' books in a status hold the artifact as resident.
-fn resident_copies(status: &Value, artifact: &str) -> usize {
-    copies(status)
-        .filter(|copy| copy["artifact"] == artifact && copy["state"] == "resident")
-        .count()
-}
-
-/// All copies in the runners' books of a status.
-fn copies(status: &Value) -> impl Iterator<Item = &Value> {
-    let runners = status["runners"].as_array().into_iter().flatten();
-    runners.flat_map(|runner| runner["copies"].as_array().into_iter().flatten())
-}
-
-/// A model and its adapters, by the names that a status gives them.
-fn artifacts_of(model: &Model) -> impl Iterator<Item = String> {
-    let own = format!("{}@{}", model.name, model.version);
-    let adapters = model
-        .adapters
-        .iter()
-        .map(|adapter| format!("{}/{}@{}", model.name, adapter.name, adapter.version));
-    std::iter::once(own).chain(adapters)
-}
-
-/// The folder of this build's programs.
-fn build_folder() -> PathBuf {
-    let own = std::env::current_exe().expect("this program has a path");
-    let folder = own.parent().expect("a program lies in a folder");
-    // Tests lie one folder below the programs.
-    if folder.ends_with("deps") {
-        folder.parent().expect("deps lies in a folder").to_owned()
-    } else {
-        folder.to_owned()
-    }
-}
-
-fn workbench_binary() -> PathBuf {
-    build_folder().join("workbench")
-}
-
-/// The product's program of this build.
-pub fn product_binary() -> PathBuf {
-    build_folder().join("rattanjunction")
-}
--- /dev/null
+++ b/workbench/src/process.rs
@@ -0,0 +1,81 @@
+//! Processes that the workbench starts, and the programs that they run.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// A process started by the workbench, killed at the end.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    pub(crate) fn start(mut command: Command, output: &Path) -> Self {
+        let file = File::options()
+            .append(true)
+            .create(true)
+            .open(output)
+            .expect("the site's folder takes files");
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().expect("a file can be shared"))
+            .stderr(file)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{command:?}: {error}"));
+        Self { child }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: nix::sys::signal::Signal) {
+        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
+        // A process that has ended takes no signal.
+        let _ = nix::sys::signal::kill(pid, signal);
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        // A process that has ended cannot be killed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.signal(nix::sys::signal::Signal::SIGCONT);
+        self.kill();
+    }
+}
+
+/// The folder of this build's programs.
+fn build_folder() -> PathBuf {
+    let own = std::env::current_exe().expect("this program has a path");
+    let folder = own.parent().expect("a program lies in a folder");
+    // Tests lie one folder below the programs.
+    if folder.ends_with("deps") {
+        folder.parent().expect("deps lies in a folder").to_owned()
+    } else {
+        folder.to_owned()
+    }
+}
+
+/// The workbench's own program of this build.
+pub(crate) fn workbench_binary() -> PathBuf {
+    build_folder().join("workbench")
+}
+
+/// The product's program of this build.
+pub fn product_binary() -> PathBuf {
+    build_folder().join("rattanjunction")
+}
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -9,7 +9,8 @@
 pub use server::{Act, Call, Holds, Seen, ServerStandIn, signed};
 pub use store::{StoreFaults, StoreStandIn};
 
-use crate::cluster::{Cluster, Process, product_binary};
+use crate::cluster::Cluster;
+use crate::process::{Process, product_binary};
 use serde_json::{Value, json};
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
--- a/workbench/tests/memory.rs
+++ b/workbench/tests/memory.rs
@@ -12,9 +12,10 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
-use workbench::cluster::{Cluster, PROXY_PORT, Plan, block_on, is_resident};
+use workbench::cluster::{Cluster, PROXY_PORT, Plan, block_on};
 use workbench::proxy::{Faults, Proxy};
 use workbench::shape::Shape;
+use workbench::status::is_resident;
 use workbench::web;
 
 const LIMIT: Duration = Duration::from_secs(30);
--- a/workbench/tests/operators.rs
+++ b/workbench/tests/operators.rs
@@ -7,7 +7,8 @@
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 use workbench::asker::{Asker, Question, call};
-use workbench::cluster::{Cluster, Plan, block_on, product_binary};
+use workbench::cluster::{Cluster, Plan, block_on};
+use workbench::process::product_binary;
 use workbench::shape::Shape;
 
 const LIMIT: Duration = Duration::from_secs(30);
--- a/workbench/tests/reachability.rs
+++ b/workbench/tests/reachability.rs
@@ -13,8 +13,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use workbench::asker::{Asker, End, Question};
-use workbench::cluster::{Cluster, Plan, block_on, is_resident};
+use workbench::cluster::{Cluster, Plan, block_on};
 use workbench::shape::Shape;
+use workbench::status::is_resident;
 use workbench::web;
 
 const LIMIT: Duration = Duration::from_secs(30);
--- a/workbench/tests/shutdown.rs
+++ b/workbench/tests/shutdown.rs
@@ -7,7 +7,8 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 use workbench::asker::{Asker, End, Outcome, Question};
-use workbench::cluster::{Cluster, Plan, Process, block_on};
+use workbench::cluster::{Cluster, Plan, block_on};
+use workbench::process::Process;
 use workbench::shape::Shape;
 
 const LIMIT: Duration = Duration::from_secs(30);
