--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! processes of the shipped binary before them.
 
 mod caller;
+pub mod events;
 mod server;
 mod store;
 
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -56,6 +56,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Resets the connection: what the other end has not read yet may be lost.
+    Reset,
 }
 
 /// What happened at a server.
@@ -287,6 +289,11 @@
                     Act::Write(bytes) => stream.write_all(bytes).await.0.is_ok(),
                     Act::Wait(time) => self.wait(&mut stream, &mut read, time).await,
                     Act::Close => false,
+                    Act::Reset => {
+                        // With nothing to linger for, closing it sends a reset.
+                        let _ = stream.set_zero_linger();
+                        false
+                    }
                 };
                 if !goes_on || self.is_dead.get() {
                     let id = call.header("x-attempt-id").to_owned();
--- a/workbench/tests/site_path.rs
+++ b/workbench/tests/site_path.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
+use workbench::site::events::{end, events, text};
 use workbench::site::{
     Act, Ask, Call, Caller, Seen, Site, StoreFaults, engine, plain, route, signed,
 };
@@ -59,37 +60,6 @@
     site
 }
 
-/// Events from `first` on, each after a pause; `count` in all.
-fn events(call: &Call, first: u64, count: u64, pause_ms: u64) -> Vec<Act> {
-    let id = call.header("x-attempt-id");
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: sig\r\n\
-         X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
-    );
-    let mut acts = vec![Act::Write(head.into_bytes())];
-    for number in first..first + count {
-        let event = format!("id: {number}\ndata: word{number}\n\n");
-        acts.push(Act::Write(chunk(&event)));
-        acts.push(Act::Wait(Duration::from_millis(pause_ms)));
-    }
-    acts
-}
-
-fn chunk(text: &str) -> Vec<u8> {
-    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
-}
-
-fn end() -> Act {
-    Act::Write(b"0\r\n\r\n".to_vec())
-}
-
-fn text(first: u64, count: u64) -> String {
-    (first..first + count)
-        .map(|number| format!("id: {number}\ndata: word{number}\n\n"))
-        .collect()
-}
-
 #[googletest::test]
 fn requests_and_answers_pass_whole_in_both_framings() {
     block_on(async {
