Log and count the rate limits that servers state

Callers saw nothing of it yet: servers that state a limit got as many requests as before, and no log line or metric told whether a VM knew the limit, so that a limit that nobody reads and one that each VM keeps for itself looked the same. Responses that state a limit are now logged when it changes, and a gauge counts the servers that have one. Routing is unchanged.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -159,6 +159,13 @@
 }
 
 impl Exchange {
+    /// Whether the response names another server than the one that the request was sent to: one
+    /// that took over its address.
+    pub(crate) fn is_from_other_server(&self) -> bool {
+        let answered = self.reply.server.as_ref();
+        answered.is_some_and(|id| *id != self.server.id)
+    }
+
     fn new<P: Protocol>(
         server: &Rc<Server>,
         connection: Connection,
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -46,6 +46,8 @@
     pub(crate) weights_version: Option<u64>,
     /// The server's idle timeout for the connection, if the response gives one.
     pub(crate) keep_alive: Option<Duration>,
+    /// The requests per second that the server accepts from all VMs together, if it limits them.
+    pub(crate) rate_limit_per_s: Option<f64>,
 }
 
 /// An error response that the gateway itself sends to a caller.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -64,6 +64,7 @@
     ),
     describe("configuration_version", "the configuration in force"),
     describe("servers", "backend servers in the directory"),
+    describe("limited_servers", "backend servers that state a rate limit"),
     describe("vms", "VMs known, this one included"),
     describe("is_leading", "1 while this VM gives orders"),
     describe("open_connections", "callers' connections"),
@@ -124,6 +125,7 @@
     pub(crate) orders: Family<CallLabels, Counter>,
     pub(crate) configuration_version: Gauge,
     pub(crate) servers: Gauge,
+    pub(crate) limited_servers: Gauge,
     pub(crate) vms: Gauge,
     pub(crate) is_leading: Gauge,
     pub(crate) open_connections: Gauge,
@@ -156,6 +158,7 @@
             orders: Family::default(),
             configuration_version: Gauge::default(),
             servers: Gauge::default(),
+            limited_servers: Gauge::default(),
             vms: Gauge::default(),
             is_leading: Gauge::default(),
             open_connections: Gauge::default(),
@@ -182,6 +185,7 @@
         self.register("orders_given", self.orders.clone());
         self.register("configuration_version", self.configuration_version.clone());
         self.register("servers", self.servers.clone());
+        self.register("limited_servers", self.limited_servers.clone());
         self.register("vms", self.vms.clone());
         self.register("is_leading", self.is_leading.clone());
         self.register("open_connections", self.open_connections.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 mod routing;
 mod runner_state;
 mod server;
+mod server_limits;
 mod settings;
 mod speeds;
 mod spread;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -406,6 +406,11 @@
             .is_some_and(|id| *id != call.request.id);
         let is_refused =
             exchange.reply.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST;
+        let is_valid = !status.is_success() || exchange.reply.is_signed;
+        if is_valid && !is_other && !exchange.is_from_other_server() {
+            self.state
+                .note_server_statements(&exchange.reply, &server, now);
+        }
         if is_refused && !is_other {
             self.state.metrics.note_attempt("refused");
             self.note_refused(call, &exchange, now);
@@ -416,7 +421,7 @@
             return Err(None);
         }
         call.runs += 1;
-        if is_other || (status.is_success() && !exchange.reply.is_signed) {
+        if is_other || !is_valid {
             warn!(
                 request = %call.request.id,
                 server = %server.id,
@@ -449,8 +454,7 @@
         if status != StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        let answered = exchange.reply.server.as_ref();
-        if answered.is_some_and(|id| *id != server.id) {
+        if exchange.is_from_other_server() {
             self.state.fleet.mark_removed(&server.id, now);
         } else if let Some(weights) = call.weights() {
             server.note_missing(weights, now);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -107,7 +107,10 @@
             compio::time::sleep(CLEANUP_INTERVAL).await;
             let fleet = &cleanup_relay.state.fleet;
             let is_listed = |run: &Incarnation| fleet.run(run).is_some();
-            cleanup_relay.pool.remove_stale(is_listed, Instant::now());
+            let now = Instant::now();
+            cleanup_relay.pool.remove_stale(is_listed, now);
+            let mut limits = cleanup_relay.state.server_limits.borrow_mut();
+            limits.remove_unlisted(is_listed, now);
         }
     })
     .detach();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,12 +5,13 @@
 use crate::gateway::crash_suspects::CrashSuspects;
 use crate::gateway::demand::Demand;
 use crate::gateway::directory_updates::{Assembly, DirectoryUpdate};
-use crate::gateway::fleet::{EntryChange, Fleet, Holding, Incarnation};
+use crate::gateway::fleet::{EntryChange, Fleet, Holding, Incarnation, Server};
 use crate::gateway::log_follower::{FollowerState, Readings, follows_closely};
 use crate::gateway::peers::{DemandRate, Peers, UpdateScope};
+use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::speeds::Speeds;
 use crate::gateway::{
-    Changes, Configuration, Generation, Metrics, ServerChange, Settings, Weights,
+    Changes, Configuration, Generation, Metrics, Reply, ServerChange, Settings, Weights,
 };
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
@@ -48,6 +49,8 @@
     pub(crate) speeds: Speeds,
     /// The quota usage of organisations, at this VM and at others.
     pub(crate) ledger: RefCell<Ledger>,
+    /// The rate limits that backend servers state.
+    pub(crate) server_limits: RefCell<ServerLimits>,
     /// The number of requests that wait for weights to be loaded.
     waiting: RefCell<HashMap<Weights, u32>>,
     /// What each runner holds, while this VM is the leader; advertised to all other VMs.
@@ -95,6 +98,7 @@
             demand: Demand::default(),
             speeds: Speeds::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
+            server_limits: RefCell::default(),
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
             fence: Cell::new(0),
@@ -150,6 +154,8 @@
         metrics.configuration_version.set(version as i64);
         metrics.servers.set(self.fleet.servers().len() as i64);
         metrics.vms.set(self.peers.vms() as i64);
+        let limited_servers = self.server_limits.borrow().limited_servers();
+        metrics.limited_servers.set(limited_servers as i64);
         metrics.open_connections.set(self.shutdown.open() as i64);
         metrics.to_text()
     }
@@ -254,6 +260,21 @@
         }
     }
 
+    /// Records what a server's response states about the server itself.
+    pub(crate) fn note_server_statements(&self, reply: &Reply, server: &Server, now: Instant) {
+        let run = server.incarnation();
+        let mut limits = self.server_limits.borrow_mut();
+        if !limits.record_response(&run, reply.rate_limit_per_s, now) {
+            return;
+        }
+        match reply.rate_limit_per_s {
+            Some(rate_per_s) => {
+                info!(server = %server.id, rate_per_s, "server stated a rate limit");
+            }
+            None => info!(server = %server.id, "server lifted its rate limit"),
+        }
+    }
+
     /// Returns the number of VMs in the local zone with a lower address than this one.
     pub(crate) fn zone_rank(&self) -> usize {
         self.peers.rank_in(&self.settings.availability_zone)
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -10,6 +10,7 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request, Response, Uri};
 use std::time::Duration;
+use tracing::warn;
 
 /// The id of one attempt of a caller to send a request.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-attempt-id");
@@ -33,6 +34,8 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 /// The id of the server process that responds.
 const SERVER_ID: HeaderName = HeaderName::from_static("x-instance-id");
+/// The requests per second that the server accepts from all VMs together.
+const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// The version of the weights that the server used.
 const WEIGHTS_VERSION: HeaderName = HeaderName::from_static("x-weight-versions");
 
@@ -131,6 +134,17 @@
     Some(ApiKey::new(key.as_bytes()))
 }
 
+/// Parses the rate limit that a server states, in requests per second.
+fn rate_limit_of(headers: &HeaderMap) -> Option<f64> {
+    let value = headers.get(&RATE_LIMIT)?;
+    let rate_per_s = header_number(headers, &RATE_LIMIT);
+    let valid = rate_per_s.filter(|rate_per_s: &f64| rate_per_s.is_finite() && *rate_per_s >= 0.0);
+    if valid.is_none() {
+        warn!(?value, "server's rate limit unreadable");
+    }
+    valid
+}
+
 /// Parses the timeout of a `Keep-Alive` header.
 fn keep_alive_of(headers: &HeaderMap) -> Option<Duration> {
     let value = header_text(headers, &HeaderName::from_static("keep-alive"))?;
@@ -209,6 +223,7 @@
             is_signed: headers.contains_key(&SIGNATURE),
             weights_version: header_number(headers, &WEIGHTS_VERSION),
             keep_alive: keep_alive_of(headers),
+            rate_limit_per_s: rate_limit_of(headers),
         }
     }
 
