Failing tests: the rate limit of a server over six VMs

The server stand-in adds headers to all its answers and records when requests arrive; callers send at a steady rate.

--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -3,10 +3,12 @@
 
 mod caller;
 pub mod events;
+mod load;
 mod server;
 mod store;
 
 pub use caller::{Answer, Caller, CallerRequest};
+pub use load::send_steadily;
 pub use server::{
     LoadedModels, ReceivedRequest, ScriptStep, ServerEvent, ServerStandIn, signed_answer,
 };
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{Either, select};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -94,6 +94,10 @@
     /// The script for all other requests.
     script: RefCell<Option<Script>>,
     seen: RefCell<Vec<ServerEvent>>,
+    /// Headers that all answers carry, by name.
+    headers: RefCell<BTreeMap<&'static str, String>>,
+    /// When each request arrived, those of the control interface aside.
+    arrivals: RefCell<Vec<Instant>>,
     connections: Cell<u64>,
     overruns: Cell<u64>,
     is_dead: Cell<bool>,
@@ -148,6 +152,8 @@
             next_scripts: RefCell::default(),
             script: RefCell::default(),
             seen: RefCell::default(),
+            headers: RefCell::default(),
+            arrivals: RefCell::default(),
             connections: Cell::new(0),
             overruns: Cell::new(0),
             is_dead: Cell::new(false),
@@ -193,6 +199,32 @@
         *self.script.borrow_mut() = Some(Box::new(script));
     }
 
+    /// Adds a header to all answers from now on, or replaces its value; `None` removes it.
+    pub fn set_header(&self, name: &'static str, value: Option<&str>) {
+        let mut headers = self.headers.borrow_mut();
+        match value {
+            Some(value) => headers.insert(name, value.to_owned()),
+            None => headers.remove(name),
+        };
+    }
+
+    /// When each request arrived, those of the control interface aside.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.borrow().clone()
+    }
+
+    /// The largest number of requests that arrived within any time of length `window` after
+    /// `begin`.
+    pub fn max_arrivals_within(&self, window: Duration, begin: Instant) -> usize {
+        let mut arrivals = self.arrivals();
+        arrivals.retain(|at| *at >= begin);
+        let counts = arrivals.iter().enumerate().map(|(index, first)| {
+            let later = arrivals[index..].iter();
+            later.take_while(|at| **at - *first <= window).count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
     /// Simulates a restart under the same id: nothing is loaded, and the order count and the fence
     /// start from zero.
     pub fn restart(&self) {
@@ -290,7 +322,9 @@
         let _ = stream.set_nodelay(true);
         let mut read = Vec::new();
         while let Some(request) = self.read_request(&mut stream, &mut read).await {
-            for step in self.answer(&request) {
+            let mut steps = self.answer(&request);
+            self.add_headers(&mut steps);
+            for step in steps {
                 let is_open = match step {
                     ScriptStep::Write(bytes) => stream.write_all(bytes).await.0.is_ok(),
                     ScriptStep::Wait(time) => self.wait(&mut stream, &mut read, time).await,
@@ -310,6 +344,22 @@
         }
     }
 
+    /// Adds the headers that all answers carry, if the steps begin with an answer's head.
+    fn add_headers(&self, steps: &mut [ScriptStep]) {
+        let Some(ScriptStep::Write(bytes)) = steps.first_mut() else {
+            return;
+        };
+        let status_line = bytes.windows(2).position(|end| end == b"\r\n");
+        let Some(end) = status_line.filter(|_| bytes.starts_with(b"HTTP/1.1 ")) else {
+            return;
+        };
+        let headers = self.headers.borrow();
+        let lines = headers
+            .iter()
+            .flat_map(|(name, value)| format!("{name}: {value}\r\n").into_bytes());
+        bytes.splice(end + 2..end + 2, lines);
+    }
+
     /// Waits while keeping what the client sends; false if the client disconnected.
     async fn wait(&self, stream: &mut TcpStream, read: &mut Vec<u8>, time: Duration) -> bool {
         let until = Instant::now() + time;
@@ -359,6 +409,7 @@
             "/-/order" => return self.handle_order(request),
             _ => {}
         }
+        self.arrivals.borrow_mut().push(Instant::now());
         let expected = request.header("x-expect-instance");
         let (model, adapter) = match request.header("x-model").split_once('/') {
             Some((model, adapter)) => (model, Some(adapter)),
