Quota ledger charges named accounts

The ledger took organisations; it now takes a name and a charge, so that other shared limits can use it. It reports whether the VMs that report can ever grant an amount at once, and forgets accounts that are no longer reported. No change for organisations; the quota tests pass.

--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -9,7 +9,7 @@
 use crate::callers::peer_usage::PeerUsage;
 use crate::callers::quota_estimate::QuotaEstimate;
 use crate::callers::usage::{Usage, UsageHistory};
-use crate::callers::{Organisation, Quota, QuotaBounds, UsageReport};
+use crate::callers::{Charge, Quota, QuotaBounds, UsageReport};
 use crate::inventory::Name;
 use crate::short_id::short_id;
 use std::collections::HashMap;
@@ -19,25 +19,33 @@
 /// The age of reported figures when a report is received: the delay of messages on a loaded link,
 /// and the age of the sender's own view of its zone.
 const MIN_LAG: Duration = Duration::from_millis(600);
-/// The time beyond the window for which an organisation without recent requests is still reported,
-/// so that other VMs do not continue to count the amounts that they received last.
+/// The time beyond the window for which an account without recent requests is still reported, so
+/// that other VMs do not continue to count the amounts that they received last.
 const REPORT_IDLE_FOR: Duration = Duration::from_millis(5_000);
 /// The time for which a zone's report is not replaced by one that covers fewer VMs.
 const WIDEST_REPORT_HOLD: Duration = Duration::from_millis(500);
 
-/// The amounts that this VM granted to one organisation.
+/// The amounts that this VM granted under one quota.
 #[derive(Debug)]
 struct Account {
     quota: Quota,
-    /// The time of the organisation's last request, granted or not.
+    /// The time of the last request, granted or not.
     last_request_at: Instant,
     history: UsageHistory,
 }
 
+impl Account {
+    /// Whether the account is still reported to other VMs.
+    fn is_recent(&self, window: Duration, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.last_request_at);
+        age < window + REPORT_IDLE_FOR
+    }
+}
+
 /// A granted amount, kept so that it can be refunded.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct GrantRecord {
-    organisation: Name,
+    account: Name,
     amount: f64,
     granted_at: Instant,
 }
@@ -53,6 +61,9 @@
     pub(crate) requested_per_s: f64,
     /// The share of the fleet's VMs that report, this VM included.
     pub(crate) reporting_share: f64,
+    /// Whether the VMs that report can ever grant the amount: their part of the quota allows as
+    /// much at once.
+    pub(crate) is_attainable: bool,
 }
 
 /// The refusal of a request that exceeds its organisation's quota.
@@ -88,32 +99,28 @@
         }
     }
 
-    /// Grants a request, or refuses it with the time after which to retry; `None` if the
-    /// organisation has no quota. `vms` is the number of VMs in the fleet, whether they report or
-    /// not; `draw`, a random number from 0 to 1, selects the requests that are granted while demand
-    /// exceeds the quota.
+    /// Grants a charge to an account, or refuses it with the time after which to
+    /// retry. `vms` is the number of VMs in the fleet, whether they report or not; `draw`, a random
+    /// number from 0 to 1, selects the requests that are granted while demand exceeds the quota.
     ///
     /// # Errors
     ///
     /// Fails if the quota is exhausted.
     pub(crate) fn try_grant(
         &mut self,
-        organisation: &Organisation,
-        tokens: Option<f64>,
+        name: &Name,
+        charge: Charge,
         vms: usize,
         draw: f64,
         now: Instant,
-    ) -> Result<Option<GrantRecord>, OverQuota> {
-        let Some(quota) = organisation.quota else {
-            return Ok(None);
-        };
-        let amount = quota.amount(tokens);
+    ) -> Result<GrantRecord, OverQuota> {
+        let Charge { quota, amount } = charge;
         let window = self.bounds.window;
-        let account = self.account(&organisation.name, quota, now);
+        let account = self.account(name, quota, now);
         account.last_request_at = now;
         account.history.record_request(amount, now);
         let mut usage = account.history.usage(window, now);
-        self.add_peer_usage(&mut usage, short_id(&organisation.name), now);
+        self.add_peer_usage(&mut usage, short_id(name), now);
         let (reporting_vms, coverage) = self.reporting_vms(now);
         let estimate = QuotaEstimate {
             quota,
@@ -132,30 +139,41 @@
                     remaining: estimate.remaining(),
                     requested_per_s: estimate.requested_per_s(),
                     reporting_share: estimate.reporting_share,
+                    is_attainable: amount <= estimate.at_once(),
                 },
             });
         }
-        let account = self.account(&organisation.name, quota, now);
+        Ok(self.record_grant(name, charge, now))
+    }
+
+    /// Records a charge as granted, whether its quota allows it or not.
+    pub(crate) fn record_grant(
+        &mut self,
+        name: &Name,
+        Charge { quota, amount }: Charge,
+        now: Instant,
+    ) -> GrantRecord {
+        let account = self.account(name, quota, now);
         account.history.record_grant(amount, now);
-        Ok(Some(GrantRecord {
-            organisation: organisation.name.clone(),
+        GrantRecord {
+            account: name.clone(),
             amount,
             granted_at: now,
-        }))
+        }
     }
 
     /// Refunds the grant of a request that did not run.
     pub(crate) fn refund(&mut self, grant: &GrantRecord) {
-        if let Some(account) = self.accounts.get_mut(&grant.organisation) {
+        if let Some(account) = self.accounts.get_mut(&grant.account) {
             account.history.refund(grant.amount, grant.granted_at);
         }
     }
 
-    /// Returns the account of an organisation; rescales it if the quota changed.
-    fn account(&mut self, organisation: &Name, quota: Quota, now: Instant) -> &mut Account {
+    /// Returns the account with a name; rescales it if the quota changed.
+    fn account(&mut self, name: &Name, quota: Quota, now: Instant) -> &mut Account {
         let account = self
             .accounts
-            .entry(organisation.clone())
+            .entry(name.clone())
             .or_insert_with(|| Account {
                 quota,
                 last_request_at: now,
@@ -221,10 +239,7 @@
         let window = self.bounds.window;
         let recorded_vms = self.vm_coverage(now);
         let accounts = self.accounts.iter_mut();
-        let reported = accounts.filter(|(_, account)| {
-            let age = now.saturating_duration_since(account.last_request_at);
-            age < window + REPORT_IDLE_FOR
-        });
+        let reported = accounts.filter(|(_, account)| account.is_recent(window, now));
         let usages = reported.map(|(name, it)| (short_id(name), it.history.usage(window, now)));
         UsageReport {
             vms: 1,
@@ -285,9 +300,11 @@
         }
     }
 
-    /// Drops reports that no longer count.
+    /// Drops reports that no longer count, and accounts without recent requests.
     pub(crate) fn prune_expired(&mut self, now: Instant) {
         let window = self.bounds.window;
+        self.accounts
+            .retain(|_, account| account.is_recent(window, now));
         self.local_vms.retain(|_, peer| peer.prune(window, now));
         self.remote_zones.retain(|_, peer| peer.prune(window, now));
     }
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -18,6 +18,6 @@
 pub(crate) use ledger::{GrantRecord, Ledger, OverQuota};
 pub(crate) use organisation::Organisation;
 pub(crate) use organisation_index::ApiKeyIndex;
-pub(crate) use quota::{Measure, Quota, QuotaBounds};
+pub(crate) use quota::{Charge, Measure, Quota, QuotaBounds};
 pub(crate) use usage::{SPAN_COUNT, Usage};
 pub(crate) use usage_report::UsageReport;
--- a/src/callers/quota.rs
+++ b/src/callers/quota.rs
@@ -26,12 +26,25 @@
     pub(crate) burst: f64,
 }
 
+/// An amount that is charged against a quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Charge {
+    /// The quota that limits the amount.
+    pub(crate) quota: Quota,
+    /// The amount, in the unit of the quota.
+    pub(crate) amount: f64,
+}
+
 impl Quota {
-    /// Returns the amount charged for a request that declares `tokens`, or none.
-    pub(crate) fn amount(&self, tokens: Option<f64>) -> f64 {
-        match self.measure {
+    /// Returns the charge for a request that declares `tokens`, or none.
+    pub(crate) fn charge(self, tokens: Option<f64>) -> Charge {
+        let amount = match self.measure {
             Measure::Requests => 1.0,
             Measure::Tokens { default_tokens } => tokens.unwrap_or(default_tokens),
+        };
+        Charge {
+            quota: self,
+            amount,
         }
     }
 }
--- a/src/callers/quota_estimate.rs
+++ b/src/callers/quota_estimate.rs
@@ -63,11 +63,16 @@
         (whole + self.quota.burst * self.reporting_share) * (1.0 - self.coverage)
     }
 
+    /// Returns the amount that the VMs that report may grant at once.
+    pub(super) fn at_once(&self) -> f64 {
+        let burst = self.quota.burst * self.reporting_share;
+        burst + GRANTABLE_MARGIN_SHARE * self.usable_margin()
+    }
+
     /// Returns the remaining quota of the VMs that report: the minimum over all spans, and at most
     /// the amount that may be granted at once.
     pub(super) fn remaining(&self) -> f64 {
-        let burst = self.quota.burst * self.reporting_share;
-        let at_once = burst + GRANTABLE_MARGIN_SHARE * self.usable_margin();
+        let at_once = self.at_once();
         let spans = spans(self.window).map(|span| span.as_secs_f64());
         let mut granted = self.usage.granted;
         granted[SPAN_COUNT - 1] += self.unrecorded();
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -34,14 +34,18 @@
         let Some(organisation) = organisation else {
             return Ok(None);
         };
+        let name = &organisation.name;
+        let Some(quota) = organisation.quota else {
+            state.metrics.note_organisation(name, "granted");
+            return Ok(None);
+        };
         let vms = state.peers.fleet_size(now);
-        let tokens = request.token_count();
+        let charge = quota.charge(request.token_count());
         let mut ledger = state.ledger.borrow_mut();
-        match ledger.try_grant(organisation, tokens, vms, rand::random(), now) {
+        match ledger.try_grant(name, charge, vms, rand::random(), now) {
             Ok(record) => {
-                let metrics = &state.metrics;
-                metrics.note_organisation(&organisation.name, "granted");
-                Ok(record.map(|record| Self {
+                state.metrics.note_organisation(name, "granted");
+                Ok(Some(Self {
                     state: state.clone(),
                     record,
                     may_have_run: false,
--- a/src/gateway/tests/quota_play.rs
+++ b/src/gateway/tests/quota_play.rs
@@ -1,7 +1,7 @@
 //! A simulation of one organisation's requests against its quota, on VMs whose messages are
 //! delayed, lost or blocked by a network partition.
 
-use crate::callers::{Measure, Organisation, Quota, QuotaBounds};
+use crate::callers::{Measure, Quota, QuotaBounds};
 use crate::gateway::tests::quota_ways::{QuotaScheme, TokenBucket};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -66,17 +66,13 @@
         current.map_or(0.0, |(_, factor)| *factor)
     }
 
-    pub(super) fn organisation(&self) -> Organisation {
-        Organisation {
-            name: "north".into(),
-            priority: None,
-            quota: Some(Quota {
-                measure: Measure::Tokens {
-                    default_tokens: 200.0,
-                },
-                rate_per_s: self.rate_per_s,
-                burst: self.rate_per_s,
-            }),
+    pub(super) fn quota(&self) -> Quota {
+        Quota {
+            measure: Measure::Tokens {
+                default_tokens: 200.0,
+            },
+            rate_per_s: self.rate_per_s,
+            burst: self.rate_per_s,
         }
     }
 
--- a/src/gateway/tests/quota_ways.rs
+++ b/src/gateway/tests/quota_ways.rs
@@ -1,6 +1,6 @@
 //! Schemes for enforcing a quota on many VMs: the one in production, and others to compare it with.
 
-use crate::callers::{Ledger, Organisation, UsageReport};
+use crate::callers::{Ledger, Quota, UsageReport};
 use crate::gateway::gossip_targets::Targets;
 use crate::gateway::tests::quota_play::{BOUNDS, Scenario};
 use crate::inventory::Name;
@@ -84,7 +84,7 @@
 /// Each VM admits requests by the grants that the others report in gossip messages, as in
 /// production.
 pub(super) struct GossipedReports {
-    organisation: Organisation,
+    quota: Quota,
     ledgers: Vec<Ledger>,
     targets: Vec<Targets>,
     index: BTreeMap<SocketAddr, usize>,
@@ -107,7 +107,7 @@
             targets
         });
         Self {
-            organisation: scenario.organisation(),
+            quota: scenario.quota(),
             ledgers: (0..scenario.vms)
                 .map(|_| Ledger::new(BOUNDS, now))
                 .collect(),
@@ -159,7 +159,8 @@
 
     fn request(&mut self, vm: usize, amount: f64, draw: f64, now: Instant) -> bool {
         let vms = self.ledgers.len();
-        let outcome = self.ledgers[vm].try_grant(&self.organisation, Some(amount), vms, draw, now);
+        let charge = self.quota.charge(Some(amount));
+        let outcome = self.ledgers[vm].try_grant(&"north".into(), charge, vms, draw, now);
         outcome.is_ok()
     }
 }
--- a/src/gateway/tests/quotas.rs
+++ b/src/gateway/tests/quotas.rs
@@ -115,7 +115,7 @@
         rate_per_s: 1_000.0,
         ..Scenario::steady(1)
     };
-    let organisation = scenario.organisation();
+    let quota = scenario.quota();
     let bounds = QuotaBounds {
         slack: 0.0,
         overage: 0.0,
@@ -126,8 +126,8 @@
     // does.
     let now = now + BOUNDS.window;
     let take = |ledger: &mut Ledger| -> Option<GrantRecord> {
-        let taken = ledger.try_grant(&organisation, Some(900.0), 1, 0.0, now);
-        taken.ok().flatten()
+        let charge = quota.charge(Some(900.0));
+        ledger.try_grant(&"north".into(), charge, 1, 0.0, now).ok()
     };
     let granted = take(&mut ledger).expect("the request is within the quota");
     assert_eq!(take(&mut ledger), None);
@@ -138,12 +138,13 @@
 #[test]
 fn a_lowered_quota_applies_at_once_and_is_available_from_the_change_on() {
     let mut now = Instant::now();
-    let high = Scenario::steady(1).organisation();
+    let name = "north".into();
+    let high = Scenario::steady(1).quota();
     let low = Scenario {
         rate_per_s: 5_000.0,
         ..Scenario::steady(1)
     }
-    .organisation();
+    .quota();
     let bounds = QuotaBounds {
         slack: 0.0,
         overage: 0.0,
@@ -152,13 +153,15 @@
     let mut ledger = Ledger::new(bounds, now);
     for _ in 0..400 {
         now += STEP;
-        let taken = ledger.try_grant(&high, Some(1_500.0), 1, 0.0, now);
+        let charge = high.charge(Some(1_500.0));
+        let taken = ledger.try_grant(&name, charge, 1, 0.0, now);
         assert!(taken.is_ok());
     }
     let mut granted = 0.0;
     for _ in 0..400 {
         now += STEP;
-        if ledger.try_grant(&low, Some(1_000.0), 1, 0.0, now).is_ok() {
+        let charge = low.charge(Some(1_000.0));
+        if ledger.try_grant(&name, charge, 1, 0.0, now).is_ok() {
             granted += 1_000.0;
         }
     }
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -312,13 +312,13 @@
     let quota = north.quota.expect("north has a quota");
     assert_eq!((quota.rate_per_s, quota.burst), (1_900.0, 950.5));
     assert_eq!(
-        (quota.amount(None), quota.amount(Some(980.0))),
+        (quota.charge(None).amount, quota.charge(Some(980.0)).amount),
         (200.0, 980.0)
     );
     let south = owner_of(b"b").expect("the key belongs to south");
     assert_eq!(south.priority, None);
     let quota = south.quota.expect("south has a quota");
-    assert_eq!(quota.amount(Some(980.0)), 1.0);
+    assert_eq!(quota.charge(Some(980.0)).amount, 1.0);
 }
 
 #[test]
