A VM that has seen few of the listed members does not know the fleet's size

What would go wrong: a VM that starts while it hears none of the others, or reads a list of 12 members in a fleet of 300 and hears few of them, took the VMs that it knew for all after three seconds. Its part of the retry slack, and of a server's rate limit, was then up to the whole.

Cause: what is divided by the number of VMs took that number from the view even where the list of members showed that the view was too small, or had not been read.

Change: the size is unknown, and the VM takes no part of either, until the list is complete or the VM has seen half as many VMs as it lists; once seen, VMs count also while this one is cut off. The test failed before with a size of 1.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -26,6 +26,8 @@
 /// that after the loss of a zone or two its list of partition owners is still full. A shorter list
 /// is taken for the whole fleet.
 pub(super) const GROUP_MEMBERS: usize = 24;
+/// A VM that has seen fewer VMs than the listed members divided by this has not found the fleet.
+const MIN_SEEN_MEMBERS_DIVISOR: usize = 2;
 /// Microseconds in a millisecond.
 pub(super) const MICROS_PER_MILLI: f64 = 1_000.0;
 
@@ -131,13 +133,20 @@
         self.view.borrow().vms()
     }
 
-    /// The largest number of VMs seen at once, including this one. `None` while this VM has just
-    /// started and may know too few, since the log lists only some members of a large group.
+    /// The largest number of VMs seen at once, including this one. `None` while this VM may know too
+    /// few, since the log lists only some members of a large group: when it has just started, and
+    /// as long as it has seen few of the listed members.
     pub(crate) fn peak_vms(&self, now: Instant) -> Option<usize> {
         let view = self.view.borrow();
-        let listed = self.members.borrow().len() + 1;
-        let is_known = self.has_all_members.get() || view.is_discovery_over(now);
-        is_known.then(|| view.peak_vms().max(listed))
+        let listed = self.members.borrow().len();
+        let seen = view.peak_vms() - 1;
+        let has_found_fleet = match self.has_read_members.get() {
+            true => seen * MIN_SEEN_MEMBERS_DIVISOR >= listed,
+            false => seen > 0,
+        };
+        let is_known =
+            self.has_all_members.get() || (view.is_discovery_over(now) && has_found_fleet);
+        is_known.then(|| view.peak_vms().max(listed + 1))
     }
 
     /// The number of VMs that a fleet-wide limit is divided by: the largest number seen at once, or
--- a/src/gateway/tests/members.rs
+++ b/src/gateway/tests/members.rs
@@ -87,3 +87,30 @@
         "as many as the log assigns partitions to"
     );
 }
+
+#[test]
+fn a_vm_that_hears_few_of_the_listed_members_does_not_know_the_size_of_the_fleet() {
+    let now = Instant::now();
+    let later = now + LATER;
+    let alone = Peers::new(address(0), now);
+    assert_eq!(
+        alone.peak_vms(later),
+        None,
+        "the list of members was not read"
+    );
+    alone.set_members((1..12).map(address).collect(), false);
+    assert_eq!(
+        alone.peak_vms(later),
+        None,
+        "11 of 300 VMs are listed and none is heard"
+    );
+    let fleet = fleet(300, now, later);
+    fleet[0].set_members((1..12).map(address).collect(), false);
+    assert_eq!(fleet[0].peak_vms(later), Some(300));
+    // It still does once it is cut off.
+    receive_sightings(&fleet[..1], 0..1, later + LIVENESS_TIMEOUT);
+    assert_eq!(fleet[0].peak_vms(later + LIVENESS_TIMEOUT), Some(300));
+    let only = Peers::new(address(0), now);
+    only.set_members(Vec::new(), true);
+    assert_eq!(only.peak_vms(now), Some(1));
+}
