Log that a server says that it leaves

The logs could not tell whether a VM had read that a server leaves. The first response that says so is now logged, once for each run of a server, also where it is a runner's report to the leader. Routing is unchanged.

--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -48,6 +48,8 @@
     pub(crate) keep_alive: Option<Duration>,
     /// The requests per second that the server accepts from all VMs together, if it limits them.
     pub(crate) rate_limit_per_s: Option<f64>,
+    /// Whether the server is about to leave and accepts no new requests.
+    pub(crate) is_leaving: bool,
 }
 
 /// An error response that the gateway itself sends to a caller.
@@ -258,6 +260,8 @@
     pub(crate) started_ms: u64,
     /// Adapters that are on their way to the runner and not loaded yet.
     pub(crate) loading_adapters: Vec<Weights>,
+    /// Whether the runner is about to leave and accepts no new requests.
+    pub(crate) is_leaving: bool,
 }
 
 /// The control interface of model runners.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -119,6 +119,8 @@
     backoff_until: Cell<Option<Instant>>,
     /// When the server's entry was removed from the directory.
     removed_at: Cell<Option<Instant>>,
+    /// When this VM learned that the server is about to leave, if it is. It never takes that back.
+    leaving_since: Cell<Option<Instant>>,
     /// Weights that the server reported as missing, and until when they are assumed to be.
     missing_weights: RefCell<Vec<(Weights, Instant)>>,
     /// When the leader last advertised the server's holdings, and which.
@@ -156,6 +158,7 @@
             failures: Cell::new(0),
             backoff_until: Cell::new(None),
             removed_at: Cell::new(None),
+            leaving_since: Cell::new(None),
             missing_weights: RefCell::default(),
             leader_view: RefCell::new(None),
         }
@@ -184,6 +187,15 @@
         self.removed_at.get().is_some()
     }
 
+    /// Records that the server is about to leave; returns whether that was not known.
+    pub(crate) fn note_leaving(&self, now: Instant) -> bool {
+        let is_new = self.leaving_since.get().is_none();
+        if is_new {
+            self.leaving_since.set(Some(now));
+        }
+        is_new
+    }
+
     /// Whether a connection to the server failed recently, so that other servers are preferred.
     pub(crate) fn is_in_backoff(&self, now: Instant) -> bool {
         self.backoff_until.get().is_some_and(|until| now < until)
--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -192,6 +192,9 @@
             tracked.report = None;
             return None;
         }
+        if report.is_leaving {
+            self.state.note_leaving(server, Instant::now());
+        }
         // The report predates an order that the runner has accepted since.
         let known = tracked.report.as_ref().map_or(0, |known| known.orders);
         if report.orders < known {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -269,6 +269,16 @@
         if limits.record_response(&run, rate_per_s, now) {
             self.log_rate_limit(&server.id, rate_per_s);
         }
+        if reply.is_leaving {
+            self.note_leaving(server, now);
+        }
+    }
+
+    /// Records that a server is about to leave, as one of its responses states.
+    pub(crate) fn note_leaving(&self, server: &Server, now: Instant) {
+        if server.note_leaving(now) {
+            info!(server = %server.id, "server is leaving");
+        }
     }
 
     /// Applies what another VM sent of the rate limit of a server.
--- a/src/gateway/tests/order_dispatch.rs
+++ b/src/gateway/tests/order_dispatch.rs
@@ -71,6 +71,7 @@
             orders: self.orders,
             started_ms: 1,
             loading_adapters: Vec::new(),
+            is_leaving: false,
         };
         self.history.push((at, report));
     }
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -6,8 +6,10 @@
 use crate::inventory::Name;
 use crate::platform::entries::{WireHolding, holdings, parse_start};
 use crate::platform::object::Object;
+use crate::platform::requests::is_leaving;
 use bytes::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::response;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -73,6 +75,7 @@
 pub(super) fn decode_report(body: &[u8]) -> Result<RunnerReport, serde_json::Error> {
     let Object(wire) = serde_json::from_slice::<Object<WireReport>>(body)?;
     Ok(RunnerReport {
+        is_leaving: false,
         holdings: holdings(wire.models),
         is_busy: wire.busy,
         orders: wire.sequence,
@@ -89,15 +92,15 @@
 async fn call(
     address: SocketAddr,
     request: Request<Body>,
-) -> Result<(StatusCode, Bytes), SendError> {
+) -> Result<(response::Parts, Bytes), SendError> {
     let exchange = async {
         let mut connection =
             Connection::open_abort_on_drop(address, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await?;
         let response = connection.send(request).await?;
-        let status = response.status();
-        let body = read_body(response.into_body(), MAX_REPORT_BYTES).await;
+        let (head, body) = response.into_parts();
+        let body = read_body(body, MAX_REPORT_BYTES).await;
         let body = body.map_err(|_error| SendError::MaybeSent)?;
-        Ok((status, body))
+        Ok((head, body))
     };
     compio::time::timeout(CONNECT_TIMEOUT + RESPONSE_TIMEOUT, exchange)
         .await
@@ -115,19 +118,22 @@
             .header(EXPECT_SERVER, server)
             .body(Body::empty())
             .ok()?;
-        let (status, body) = match call(address, request).await {
+        let (head, body) = match call(address, request).await {
             Ok(answer) => answer,
             Err(error) => {
                 tracing::info!(server, %address, ?error, "runner's report not read");
                 return None;
             }
         };
-        if status != StatusCode::OK {
-            tracing::info!(server, %address, %status, "runner refused its report");
+        if head.status != StatusCode::OK {
+            tracing::info!(server, %address, status = %head.status, "runner refused its report");
             return None;
         }
         match decode_report(&body) {
-            Ok(report) => Some(report),
+            Ok(report) => Some(RunnerReport {
+                is_leaving: is_leaving(&head.headers),
+                ..report
+            }),
             Err(error) => {
                 tracing::warn!(%address, %error, "runner's report unreadable");
                 None
@@ -157,14 +163,12 @@
         let Ok(request) = request else {
             return OrderOutcome::Invalid;
         };
-        match call(address, request).await {
-            Ok((StatusCode::ACCEPTED, _)) => OrderOutcome::Accepted,
-            Ok((StatusCode::OK, _)) => OrderOutcome::Held,
-            Ok((StatusCode::CONFLICT, _)) => OrderOutcome::Busy,
-            Ok((StatusCode::PRECONDITION_FAILED, _)) => OrderOutcome::Fenced,
-            Ok((StatusCode::BAD_REQUEST | StatusCode::MISDIRECTED_REQUEST, _)) => {
-                OrderOutcome::Invalid
-            }
+        match call(address, request).await.map(|(head, _)| head.status) {
+            Ok(StatusCode::ACCEPTED) => OrderOutcome::Accepted,
+            Ok(StatusCode::OK) => OrderOutcome::Held,
+            Ok(StatusCode::CONFLICT) => OrderOutcome::Busy,
+            Ok(StatusCode::PRECONDITION_FAILED) => OrderOutcome::Fenced,
+            Ok(StatusCode::BAD_REQUEST | StatusCode::MISDIRECTED_REQUEST) => OrderOutcome::Invalid,
             Ok(_) | Err(SendError::MaybeSent) => OrderOutcome::Unanswered,
             Err(SendError::NotSent) => OrderOutcome::NotSent,
         }
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -36,6 +36,8 @@
 const SERVER_ID: HeaderName = HeaderName::from_static("x-instance-id");
 /// The requests per second that the server accepts from all VMs together.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Present if the server is about to leave and accepts no new requests.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// The version of the weights that the server used.
 const WEIGHTS_VERSION: HeaderName = HeaderName::from_static("x-weight-versions");
 
@@ -145,6 +147,11 @@
     valid
 }
 
+/// Whether the headers of a server's response say that the server is about to leave.
+pub(super) fn is_leaving(headers: &HeaderMap) -> bool {
+    header_text(headers, &LEAVING) == Some("1")
+}
+
 /// Parses the timeout of a `Keep-Alive` header.
 fn keep_alive_of(headers: &HeaderMap) -> Option<Duration> {
     let value = header_text(headers, &HeaderName::from_static("keep-alive"))?;
@@ -224,6 +231,7 @@
             weights_version: header_number(headers, &WEIGHTS_VERSION),
             keep_alive: keep_alive_of(headers),
             rate_limit_per_s: rate_limit_of(headers),
+            is_leaving: is_leaving(headers),
         }
     }
 
