Failing tests: requests to servers that say that they leave

A server that says in its answers that it leaves, while its directory entry says ready, goes on getting half of the requests: while the store is down, after its entry has lapsed and come back, from VMs that it has not answered, and as a runner whose model another one holds too.

--- /dev/null
+++ b/workbench/tests/site_notices.rs
@@ -0,0 +1,120 @@
+//! On the platform: what servers say of themselves in their answers is respected.
+
+use googletest::prelude::*;
+use serde_json::json;
+use std::time::{Duration, Instant};
+use workbench::cluster::block_on;
+use workbench::site::events::remaining_events;
+use workbench::site::{
+    Answer, CallerRequest, Site, StoreFaults, plain, route, runner_service, send_steadily,
+};
+
+/// The header of a server that is about to leave.
+const LEAVING: &str = "Server-Leaving";
+/// How long it may take until a VM respects what a server said; half of what is allowed.
+const RESPECTED_WITHIN: Duration = Duration::from_millis(1_000);
+/// How long other VMs may take to learn of it.
+const KNOWN_WITHIN: Duration = Duration::from_millis(1_500);
+
+async fn plain_site(servers: usize, vms: usize) -> Site {
+    let mut site = Site::start(vec![("books", vec![]); servers]).await;
+    site.configure(
+        json!([route("/", "safe", "books")]),
+        json!([plain("books")]),
+    );
+    site.start_vms(vms);
+    site.wait_ready().await;
+    site
+}
+
+async fn send(site: &Site, vms: &[usize], duration: Duration) -> Vec<Answer> {
+    send_steadily(site, vms, 40.0, duration, || CallerRequest::get("/books")).await
+}
+
+fn expect_all_served(answers: &[Answer]) {
+    let served = answers.iter().filter(|answer| answer.status == Some(200));
+    expect_that!(served.count(), eq(answers.len()));
+}
+
+/// The requests that reached a server after a point in time.
+fn arrivals_after(site: &Site, server: usize, begin: Instant) -> usize {
+    let arrivals = site.servers[server].arrivals();
+    arrivals.iter().filter(|at| **at > begin).count()
+}
+
+#[googletest::test]
+fn a_server_that_says_it_leaves_gets_no_more_requests_while_the_store_is_down() {
+    block_on(async {
+        let site = plain_site(2, 1).await;
+        site.store.set(StoreFaults {
+            is_down: true,
+            ..StoreFaults::default()
+        });
+        site.servers[0].set_header(LEAVING, Some("1"));
+        expect_all_served(&send(&site, &[0], RESPECTED_WITHIN).await);
+        let begin = Instant::now();
+        expect_that!(site.servers[0].arrivals(), not(is_empty()));
+        expect_all_served(&send(&site, &[0], Duration::from_secs(4)).await);
+        expect_that!(arrivals_after(&site, 0, begin), eq(0));
+    });
+}
+
+#[googletest::test]
+fn a_leaving_server_whose_entry_lapses_and_comes_back_gets_no_more_requests() {
+    block_on(async {
+        let site = plain_site(2, 1).await;
+        site.servers[0].set_header(LEAVING, Some("1"));
+        expect_all_served(&send(&site, &[0], RESPECTED_WITHIN).await);
+        site.remove(&site.servers[0]);
+        site.wait("the server is gone", async || {
+            site.metric(0, "servers").await == Some(1.0)
+        })
+        .await;
+        site.put_entry(&site.servers[0], "ready");
+        site.wait("the server is listed", async || {
+            site.metric(0, "servers").await == Some(2.0)
+        })
+        .await;
+        let begin = Instant::now();
+        expect_all_served(&send(&site, &[0], Duration::from_secs(2)).await);
+        expect_that!(arrivals_after(&site, 0, begin), eq(0));
+    });
+}
+
+#[googletest::test]
+fn vms_that_a_leaving_server_has_not_answered_learn_of_it_from_others() {
+    block_on(async {
+        let site = plain_site(2, 3).await;
+        site.servers[0].set_header(LEAVING, Some("1"));
+        expect_all_served(&send(&site, &[0], KNOWN_WITHIN).await);
+        let begin = Instant::now();
+        expect_all_served(&send(&site, &[1, 2], Duration::from_secs(2)).await);
+        expect_that!(arrivals_after(&site, 0, begin), eq(0));
+    });
+}
+
+#[googletest::test]
+fn a_model_of_a_leaving_runner_is_loaded_on_another_one() {
+    block_on(async {
+        let holdings = vec![("llm", vec![("m0", vec![])]), ("llm", vec![])];
+        let mut site = Site::start(holdings).await;
+        site.configure(
+            json!([route("/s/", "streaming", "llm")]),
+            json!([runner_service("llm", &[("m0", 0)])]),
+        );
+        for server in &site.servers {
+            server.script(|request| remaining_events(request, 3, 5));
+        }
+        site.start_vms(2);
+        site.wait_ready().await;
+        site.servers[0].set_header(LEAVING, Some("1"));
+        let vms = [0, 1];
+        let request = || CallerRequest::model("/s/x", "m0");
+        send_steadily(&site, &vms, 10.0, Duration::from_secs(4), request).await;
+        expect_that!(site.servers[1].holds("m0", None), eq(true));
+        let begin = Instant::now();
+        let answers = send_steadily(&site, &vms, 10.0, Duration::from_secs(2), request).await;
+        expect_all_served(&answers);
+        expect_that!(arrivals_after(&site, 0, begin), eq(0));
+    });
+}
