A server that says that it leaves gets no more requests (DRAIN)

Cause: only the directory told VMs that a server leaves. The store took no writes from 37 to 47 s, so that the entry said ready for ten seconds more, while each answer said that the server leaves.

Evidence: requests per second at the server did not fall after the first such answer, at any of the nine VMs.

Change: a response that says so, also a runner's report to the leader, takes the server out of routing and placement for the rest of its run. VMs pass it on in gossip. What a VM knows of a run is kept when its entry lapses and comes back; before, the entry brought a server without any history. Where no other server can take a request, the leaving one is used for half of the drain time.

Why it holds: the mark depends on neither the store nor the directory and is never taken back for that run.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -20,9 +20,9 @@
 /// leader sends them at each change and again every few seconds.
 const LEADER_VIEW_MAX_AGE: Duration = Duration::from_millis(6_000);
 
-/// Maximum number of removed servers whose last run is remembered, so that entries of earlier runs
-/// are ignored. Such entries stay in the log for minutes.
-const MAX_ENDED_RUNS: usize = 10_000;
+/// Maximum number of removed servers whose last run is remembered. Entries of earlier runs stay in
+/// the log for minutes.
+const MAX_REMOVED_RUNS: usize = 10_000;
 
 /// The state that a backend server announces in its directory entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -164,6 +164,11 @@
         }
     }
 
+    /// Whether the entry belongs to this run of the server.
+    fn is_run_of(&self, entry: &Entry) -> bool {
+        self.started_ms == entry.started_ms && self.address == entry.address
+    }
+
     /// Returns the identifier of this run.
     pub(crate) fn incarnation(&self) -> Incarnation {
         Incarnation {
@@ -177,8 +182,26 @@
         read(&self.entry.borrow())
     }
 
-    /// Whether the directory lists the server as accepting new requests.
-    pub(crate) fn is_listed_ready(&self) -> bool {
+    /// Whether the server accepts new requests: the directory lists it as ready, and the server has
+    /// not said that it leaves.
+    pub(crate) fn accepts_requests(&self) -> bool {
+        self.is_listed_ready() && self.leaving_since.get().is_none()
+    }
+
+    /// Whether the directory lists the server as ready although it has said that it leaves, less
+    /// than `grace` ago.
+    pub(crate) fn has_begun_leaving(&self, grace: Duration, now: Instant) -> bool {
+        let leaving_since = self.leaving_since.get();
+        let is_recent = |since| now.saturating_duration_since(since) < grace;
+        self.is_listed_ready() && leaving_since.is_some_and(is_recent)
+    }
+
+    /// Returns when this VM learned that the server is about to leave, if it is.
+    pub(crate) fn leaving_since(&self) -> Option<Instant> {
+        self.leaving_since.get()
+    }
+
+    fn is_listed_ready(&self) -> bool {
         self.removed_at.get().is_none() && self.entry.borrow().state == ServerState::Ready
     }
 
@@ -313,9 +336,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
     servers: RefCell<HashMap<Name, Rc<Server>>>,
-    /// The start time of the last run of each removed server: entries of earlier runs may still
-    /// arrive.
-    ended_runs: RefCell<HashMap<Name, u64>>,
+    /// The last run of each removed server: entries of earlier runs may still arrive, and an entry
+    /// of this run may come back. What this VM knows of the run then still holds.
+    removed_runs: RefCell<HashMap<Name, Rc<Server>>>,
 }
 
 impl Fleet {
@@ -325,18 +348,24 @@
     /// holdings are kept. Entries that are older than the current one are ignored.
     pub(crate) fn apply_entry(&self, entry: Entry) -> EntryChange {
         let mut servers = self.servers.borrow_mut();
-        let last_started_ms = self.ended_runs.borrow_mut().remove(&entry.id);
-        if let Some(last) = last_started_ms.filter(|last| *last > entry.started_ms) {
-            self.ended_runs.borrow_mut().insert(entry.id, last);
-            return EntryChange::Renewed;
+        let removed = self.removed_runs.borrow_mut().remove(&entry.id);
+        if let Some(removed) = removed {
+            if removed.started_ms > entry.started_ms {
+                self.removed_runs.borrow_mut().insert(entry.id, removed);
+                return EntryChange::Renewed;
+            }
+            if removed.is_run_of(&entry) {
+                removed.removed_at.set(None);
+                removed.entry.replace(entry);
+                servers.insert(removed.id.clone(), removed);
+                return EntryChange::AvailabilityChanged;
+            }
         }
         let current = servers.get(&entry.id);
         if current.is_some_and(|server| !entry.is_newer_than(&server.entry.borrow())) {
             return EntryChange::Renewed;
         }
-        let same_run = current.filter(|server| {
-            server.started_ms == entry.started_ms && server.address == entry.address
-        });
+        let same_run = current.filter(|server| server.is_run_of(&entry));
         if let Some(server) = same_run {
             let was_removed = server.removed_at.take().is_some();
             let before = server.entry.replace(entry.clone());
@@ -363,9 +392,9 @@
     /// Removes servers whose entry was removed at least `grace` ago; returns their ids.
     pub(crate) fn purge_removed(&self, grace: Duration, now: Instant) -> Vec<Name> {
         let mut gone = Vec::new();
-        let mut ended_runs = self.ended_runs.borrow_mut();
-        if ended_runs.len() >= MAX_ENDED_RUNS {
-            ended_runs.clear();
+        let mut removed_runs = self.removed_runs.borrow_mut();
+        if removed_runs.len() >= MAX_REMOVED_RUNS {
+            removed_runs.clear();
         }
         self.servers.borrow_mut().retain(|id, server| {
             let is_gone = server
@@ -374,7 +403,7 @@
                 .is_some_and(|at| now.duration_since(at) >= grace);
             if is_gone {
                 gone.push(id.clone());
-                ended_runs.insert(id.clone(), server.started_ms);
+                removed_runs.insert(id.clone(), server.clone());
             }
             !is_gone
         });
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::{SPAN_COUNT, Usage, UsageReport};
 use crate::gateway::directory_updates::DirectoryUpdate;
-use crate::gateway::fleet::Incarnation;
+use crate::gateway::fleet::{Incarnation, Server};
 use crate::gateway::server_limits::LimitStatement;
 use crate::gateway::view::Sighting;
 use crate::inventory::Name;
@@ -90,6 +90,9 @@
     /// messages to remote zones, by the whole zone of the sender.
     #[prost(message, optional, tag = "22")]
     pub(super) server_limits: Option<ServerLimitsPart>,
+    /// Servers that have said that they are about to leave.
+    #[prost(message, repeated, tag = "23")]
+    pub(super) leaving: Vec<ServerRun>,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
@@ -297,6 +300,32 @@
     }
 }
 
+/// One run of a server's process.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct ServerRun {
+    #[prost(string, tag = "1")]
+    server: String,
+    /// When the process started, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    started_ms: u64,
+}
+
+impl ServerRun {
+    pub(super) fn of(server: &Server) -> Self {
+        Self {
+            server: server.id.to_string(),
+            started_ms: server.started_ms,
+        }
+    }
+
+    pub(super) fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.server.as_str().into(),
+            started_ms: self.started_ms,
+        }
+    }
+}
+
 /// A part of what one VM knows of the rate limits of servers.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct ServerLimitsPart {
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -58,6 +58,11 @@
                 );
             }
         }
+        for run in &digest.leaving {
+            if let Some(server) = self.state.fleet.run(&run.incarnation()) {
+                self.state.note_leaving(&server, now);
+            }
+        }
         if let Some(update) = digest.directory.clone() {
             self.state.apply_directory_update(update, now);
         }
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -3,11 +3,11 @@
 
 use crate::callers::{Ledger, UsageReport};
 use crate::gateway::directory_updates::encode_holding;
-use crate::gateway::fleet::{Holding, Incarnation};
+use crate::gateway::fleet::{Holding, Incarnation, Server};
 use crate::gateway::gossip::{Gossip, INTERVAL};
 use crate::gateway::gossip_message::{
-    Digest, FollowedLog, ServerHoldings, ServerLimitsPart, ServerRequests, UsageReportPart,
-    WeightsDemand, ZoneLoadSums,
+    Digest, FollowedLog, ServerHoldings, ServerLimitsPart, ServerRequests, ServerRun,
+    UsageReportPart, WeightsDemand, ZoneLoadSums,
 };
 use crate::gateway::gossip_targets::Targets;
 use crate::gateway::log_follower::Reading;
@@ -15,6 +15,7 @@
 use crate::short_id::short_id;
 use prost::Message;
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// How long every round repeats a change in what a runner holds: for three rounds, since a message
@@ -23,6 +24,10 @@
 /// The interval at which the holdings of a runner are sent again while the directory lists other
 /// holdings, for VMs that missed the change or have started since.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(2_500);
+/// How long messages say that a server leaves, from when this VM learned of it.
+const LEAVING_SENT_FOR: Duration = Duration::from_millis(5_000);
+/// The maximum number of leaving servers in one message. Each takes some 25 bytes.
+const MAX_LEAVING_PER_MESSAGE: usize = 12;
 /// The size of a message, in bytes, that fits one datagram on any network path.
 const MAX_MESSAGE_BYTES: usize = 1_300;
 
@@ -154,10 +159,27 @@
             loads: self.loads(),
             fence: state.fence.get(),
             crashes: state.peers.crashes(),
+            leaving: self.leaving_servers(),
             ..Digest::default()
         }
     }
 
+    /// The servers that have recently said that they leave, the latest first.
+    fn leaving_servers(&self) -> Vec<ServerRun> {
+        let now = Instant::now();
+        let servers = self.state.fleet.servers();
+        let mut leaving: Vec<(Duration, &Rc<Server>)> = servers
+            .iter()
+            .filter_map(|server| {
+                let age = now.saturating_duration_since(server.leaving_since()?);
+                (age < LEAVING_SENT_FOR).then_some((age, server))
+            })
+            .collect();
+        leaving.sort_by_key(|(age, _)| *age);
+        let latest = leaving.into_iter().take(MAX_LEAVING_PER_MESSAGE);
+        latest.map(|(_, server)| ServerRun::of(server)).collect()
+    }
+
     /// The requests that this VM has in flight, by server and model.
     pub(super) fn loads(&self) -> Vec<ServerRequests> {
         let servers = self.state.fleet.servers();
--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -231,7 +231,7 @@
         let servers = self.state.fleet.of_service(service);
         let mut views: Vec<RunnerView> = servers
             .iter()
-            .filter(|server| server.is_listed_ready())
+            .filter(|server| server.accepts_requests())
             .filter_map(|server| {
                 tracked
                     .get(&server.incarnation())?
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -20,6 +20,10 @@
 /// what servers have loaded triggers a check at once.
 const MODEL_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The part of the drain time in which a server that said that it leaves is still used where no other
+/// can serve the request.
+const LEAVING_USE_SHARE: f64 = 0.5;
+
 /// The selected server with the load figures that it was selected by.
 #[derive(Clone)]
 struct Choice {
@@ -224,17 +228,24 @@
         waiting as f64 > capacity
     }
 
-    /// The servers that are ready and, for a generation request, have the weights loaded.
+    /// The servers that accept requests and, for a generation request, have the weights loaded. If
+    /// there are none, those that have only just said that they leave: they still serve for a while.
     fn eligible_servers(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
         let weights = call.weights();
-        let mut servers = self.state.fleet.of_service(&call.service);
-        servers.retain(|server| {
-            server.is_listed_ready()
-                && weights
-                    .as_ref()
-                    .is_none_or(|weights| server.holds(weights, now))
-        });
-        servers
+        let holds = |server: &Server| {
+            let weights = weights.as_ref();
+            weights.is_none_or(|weights| server.holds(weights, now))
+        };
+        let servers = self.state.fleet.of_service(&call.service);
+        let accepting = servers.iter().filter(|it| it.accepts_requests());
+        let eligible: Vec<Rc<Server>> = accepting.filter(|it| holds(it)).cloned().collect();
+        if !eligible.is_empty() {
+            return eligible;
+        }
+        let grace = self.state.settings.bounds.drain.mul_f64(LEAVING_USE_SHARE);
+        let leaving = servers.into_iter();
+        let leaving = leaving.filter(|it| it.has_begun_leaving(grace, now));
+        leaving.filter(|it| holds(it)).collect()
     }
 
     /// Picks the best candidate among servers, by load and penalties.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -274,10 +274,12 @@
         }
     }
 
-    /// Records that a server is about to leave, as one of its responses states.
+    /// Records that a server is about to leave, as one of its responses to this VM or another one
+    /// states.
     pub(crate) fn note_leaving(&self, server: &Server, now: Instant) {
         if server.note_leaving(now) {
             info!(server = %server.id, "server is leaving");
+            self.changed.notify();
         }
     }
 
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -256,20 +256,46 @@
     );
     let server = fleet.server("i").expect("the entry was just added");
     fleet.mark_removed("i", now);
-    assert!(!server.is_listed_ready());
+    assert!(!server.accepts_requests());
     assert!(
         fleet
             .purge_removed(limit, now + Duration::from_secs(1))
             .is_empty()
     );
     fleet.apply_entry(entry("i", ServerState::Ready));
-    assert!(server.is_listed_ready());
+    assert!(server.accepts_requests());
     fleet.mark_removed("i", now);
     let gone = fleet.purge_removed(limit, now + Duration::from_secs(3));
     assert_eq!(gone, ["i"]);
     assert!(fleet.server("i").is_none());
 }
 
+#[test]
+fn a_run_whose_entry_comes_back_after_its_removal_is_still_leaving() {
+    let fleet = Fleet::default();
+    let now = Instant::now();
+    fleet.apply_entry(entry("i", ServerState::Ready));
+    let server = fleet.server("i").expect("the entry was just added");
+    assert!(server.note_leaving(now));
+    assert!(!server.note_leaving(now));
+    fleet.mark_removed("i", now);
+    fleet.purge_removed(Duration::ZERO, now);
+    let change = fleet.apply_entry(entry("i", ServerState::Ready));
+    assert_eq!(change, EntryChange::AvailabilityChanged);
+    let server = fleet.server("i").expect("the entry is back");
+    assert!(!server.accepts_requests());
+    let grace = Duration::from_secs(1);
+    assert!(server.has_begun_leaving(grace, now));
+    assert!(!server.has_begun_leaving(grace, now + grace));
+    // Another run under the id knows nothing of it.
+    fleet.apply_entry(Entry {
+        started_ms: 9_000,
+        ..entry("i", ServerState::Ready)
+    });
+    let server = fleet.server("i").expect("the entry is newer");
+    assert!(server.accepts_requests());
+}
+
 #[test]
 fn weights_reported_missing_are_not_requested_from_a_server_for_a_while() {
     let fleet = Fleet::default();
@@ -393,7 +419,7 @@
         };
         assert_eq!(fleet.apply_entry(outdated), EntryChange::Renewed);
         let server = fleet.server("i").expect("the server is listed");
-        assert!(!server.is_listed_ready());
+        assert!(!server.accepts_requests());
     }
     fleet.mark_removed("i", now);
     fleet.purge_removed(Duration::ZERO, now);
