Log the pause that a server asks for when it turns a request away

The line of a request that a server refused had only the status, so that no log told what the server had asked for. It now has the pause as well. Routing is unchanged.

--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -50,6 +50,9 @@
     pub(crate) rate_limit_per_s: Option<f64>,
     /// Whether the server is about to leave and accepts no new requests.
     pub(crate) is_leaving: bool,
+    /// How long the server wants no requests from this VM, if it turned the request away and asks
+    /// for a pause.
+    pub(crate) pause: Option<Duration>,
 }
 
 /// An error response that the gateway itself sends to a caller.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -447,6 +447,7 @@
             request = %call.request.id,
             server = %server.id,
             status = status.as_u16(),
+            pause_ms = exchange.reply.pause.map(|pause| pause.as_millis() as u64),
             "server refused"
         );
         call.note_running(false);
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -8,7 +8,7 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
-use hyper::{HeaderMap, Request, Response, Uri};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use std::time::Duration;
 use tracing::warn;
 
@@ -49,6 +49,12 @@
 /// The greatest priority value that runners accept, which is the least urgent.
 const MAX_PRIORITY: u32 = 9;
 
+/// The statuses with which a server turns a request away and may ask for a pause.
+const TURNED_AWAY: [StatusCode; 2] = [
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+];
+
 /// Headers that apply to one connection only and are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 10] = [
     header::CONNECTION,
@@ -147,6 +153,20 @@
     valid
 }
 
+/// Parses the time for which a server that turned a request away wants no more of them, in seconds.
+fn pause_of(head: &response::Parts) -> Option<Duration> {
+    if !TURNED_AWAY.contains(&head.status) {
+        return None;
+    }
+    let value = head.headers.get(header::RETRY_AFTER)?;
+    let seconds: Option<f64> = header_number(&head.headers, &header::RETRY_AFTER);
+    let pause = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    if pause.is_none() {
+        warn!(?value, "server's pause unreadable");
+    }
+    pause
+}
+
 /// Whether the headers of a server's response say that the server is about to leave.
 pub(super) fn is_leaving(headers: &HeaderMap) -> bool {
     header_text(headers, &LEAVING) == Some("1")
@@ -232,6 +252,7 @@
             keep_alive: keep_alive_of(headers),
             rate_limit_per_s: rate_limit_of(headers),
             is_leaving: is_leaving(headers),
+            pause: pause_of(head),
         }
     }
 
