Failing tests: requests to servers that asked for a pause

A server that turns requests away with Retry-After: 3 gets 40 requests from two VMs in that time, while another one has room, and 91 from one VM where it is the only one; two a VM are allowed. A generation whose runner pauses for 0.3 s is refused, though it may wait longer.

--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -96,6 +96,8 @@
     seen: RefCell<Vec<ServerEvent>>,
     /// Headers that all answers carry, by name.
     headers: RefCell<BTreeMap<&'static str, String>>,
+    /// If set, all requests are turned away with this value of `Retry-After`.
+    pause: RefCell<Option<String>>,
     /// When each request arrived, those of the control interface aside.
     arrivals: RefCell<Vec<Instant>>,
     connections: Cell<u64>,
@@ -153,6 +155,7 @@
             script: RefCell::default(),
             seen: RefCell::default(),
             headers: RefCell::default(),
+            pause: RefCell::default(),
             arrivals: RefCell::default(),
             connections: Cell::new(0),
             overruns: Cell::new(0),
@@ -208,6 +211,11 @@
         };
     }
 
+    /// Turns all requests away with this value of `Retry-After` from now on; `None` ends that.
+    pub fn turn_away(&self, retry_after: Option<&str>) {
+        *self.pause.borrow_mut() = retry_after.map(str::to_owned);
+    }
+
     /// When each request arrived, those of the control interface aside.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.arrivals.borrow().clone()
@@ -410,6 +418,11 @@
             _ => {}
         }
         self.arrivals.borrow_mut().push(Instant::now());
+        if let Some(retry_after) = &*self.pause.borrow() {
+            self.record(ServerEvent::Refused(request.clone()));
+            let headers = format!("X-Not-Executed: 1\r\nRetry-After: {retry_after}\r\n");
+            return unsigned_answer(503, &headers, "");
+        }
         let expected = request.header("x-expect-instance");
         let (model, adapter) = match request.header("x-model").split_once('/') {
             Some((model, adapter)) => (model, Some(adapter)),
--- a/workbench/tests/site_notices.rs
+++ b/workbench/tests/site_notices.rs
@@ -1,5 +1,6 @@
 //! On the platform: what servers say of themselves in their answers is respected.
 
+use futures_util::future::join;
 use googletest::prelude::*;
 use serde_json::json;
 use std::time::{Duration, Instant};
@@ -118,3 +119,79 @@
         expect_that!(arrivals_after(&site, 0, begin), eq(0));
     });
 }
+
+/// The pause that a server asks for, and from when on it is counted.
+const PAUSE: Duration = Duration::from_secs(3);
+const PAUSE_RESPECTED_WITHIN: Duration = Duration::from_millis(500);
+/// The requests that may still reach a server from one VM in the pause that it asked for.
+const ALLOWED_IN_PAUSE: usize = 2;
+
+/// The requests that reached a server from when it was to be left alone until its pause ended.
+fn arrivals_in_pause(site: &Site, server: usize) -> usize {
+    let arrivals = site.servers[server].arrivals();
+    let first = *arrivals.first().expect("a request was turned away");
+    let in_pause = |at: &&Instant| {
+        let after = **at - first;
+        after > PAUSE_RESPECTED_WITHIN && after < PAUSE
+    };
+    arrivals.iter().filter(in_pause).count()
+}
+
+#[googletest::test]
+fn a_server_that_asks_for_a_pause_is_left_alone_while_others_serve() {
+    block_on(async {
+        let site = plain_site(2, 2).await;
+        site.servers[0].turn_away(Some("3"));
+        expect_all_served(&send(&site, &[0, 1], PAUSE).await);
+        expect_that!(arrivals_in_pause(&site, 0), le(2 * ALLOWED_IN_PAUSE));
+    });
+}
+
+#[googletest::test]
+fn requests_are_refused_at_once_while_the_only_server_pauses() {
+    block_on(async {
+        let site = plain_site(1, 1).await;
+        site.servers[0].turn_away(Some("3"));
+        for answer in send(&site, &[0], PAUSE - PAUSE_RESPECTED_WITHIN).await {
+            expect_that!(answer.status, some(eq(503)));
+            expect_that!(answer.duration, lt(Duration::from_millis(500)));
+            let retry_after_s = answer.header("retry-after").parse::<f64>();
+            expect_that!(retry_after_s, ok(all!(gt(&0.0), lt(&4.0))));
+        }
+        expect_that!(arrivals_in_pause(&site, 0), le(ALLOWED_IN_PAUSE));
+        site.servers[0].turn_away(None);
+        compio::time::sleep(PAUSE_RESPECTED_WITHIN * 2).await;
+        expect_all_served(&send(&site, &[0], Duration::from_secs(1)).await);
+    });
+}
+
+#[googletest::test]
+fn a_generation_waits_for_the_end_of_a_short_pause() {
+    block_on(async {
+        let mut site = Site::start(vec![("llm", vec![("m0", vec![])])]).await;
+        let mut patient = route("/s/", "streaming", "llm");
+        patient["target_latency_ms"] = json!(1_000);
+        site.configure(
+            json!([patient]),
+            json!([runner_service("llm", &[("m0", 0)])]),
+        );
+        site.servers[0].script(|request| remaining_events(request, 3, 5));
+        site.start_vms(1);
+        site.wait_ready().await;
+        let vms = [0];
+        let request = || CallerRequest::model("/s/x", "m0");
+        let second = Duration::from_secs(1);
+        expect_all_served(&send_steadily(&site, &vms, 5.0, second, request).await);
+        site.servers[0].turn_away(Some("0.3"));
+        let one = Duration::from_millis(200);
+        let answers = async {
+            let answers = send_steadily(&site, &vms, 5.0, one, request).await;
+            expect_all_served(&answers);
+        };
+        let end_of_pause = async {
+            compio::time::sleep(Duration::from_millis(200)).await;
+            site.servers[0].turn_away(None);
+        };
+        join(answers, end_of_pause).await;
+    });
+}
