--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -18,6 +18,8 @@
 const QUOTA_RETRY_SPREAD: Duration = Duration::from_millis(1_000);
 /// Longest retry time after a refusal because of a quota.
 const MAX_QUOTA_RETRY: Duration = Duration::from_secs(60);
+/// Time over which retries are spread for requests refused together because servers pause.
+const PAUSE_RETRY_SPREAD: Duration = Duration::from_millis(500);
 /// Retry time of a request that crashes servers.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -44,6 +46,8 @@
     Full,
     /// The rate limits of all servers that can handle the request are used up.
     RateLimited,
+    /// All servers that can handle the request want none from this VM for this time.
+    Paused(Duration),
     /// The request was sent, and its outcome is unknown.
     Unknown,
     /// The deadline passed after the request was sent.
@@ -68,6 +72,7 @@
             Self::NoServer => "no_server",
             Self::Full => "full",
             Self::RateLimited => "rate_limited",
+            Self::Paused(_) => "paused",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
             Self::Late => "late",
@@ -91,6 +96,10 @@
                 let share = rand::random_range(MIN_RETRY_SHARE..MAX_RETRY_SHARE);
                 (503, Some(time_left.mul_f64(share)))
             }
+            Self::Paused(left) => {
+                let spread = PAUSE_RETRY_SPREAD.mul_f64(rand::random());
+                (503, Some(left.saturating_add(spread)))
+            }
             Self::Unknown => (502, None),
             Self::TimedOut => (504, None),
             Self::Late => (503, None),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -20,6 +20,9 @@
 /// leader sends them at each change and again every few seconds.
 const LEADER_VIEW_MAX_AGE: Duration = Duration::from_millis(6_000);
 
+/// The longest pause that a server may ask for.
+const MAX_PAUSE: Duration = Duration::from_secs(3_600);
+
 /// Maximum number of removed servers whose last run is remembered. Entries of earlier runs stay in
 /// the log for minutes.
 const MAX_REMOVED_RUNS: usize = 10_000;
@@ -121,6 +124,8 @@
     removed_at: Cell<Option<Instant>>,
     /// When this VM learned that the server is about to leave, if it is. It never takes that back.
     leaving_since: Cell<Option<Instant>>,
+    /// Until when the server wants no requests from this VM.
+    paused_until: Cell<Option<Instant>>,
     /// Weights that the server reported as missing, and until when they are assumed to be.
     missing_weights: RefCell<Vec<(Weights, Instant)>>,
     /// When the leader last advertised the server's holdings, and which.
@@ -159,6 +164,7 @@
             backoff_until: Cell::new(None),
             removed_at: Cell::new(None),
             leaving_since: Cell::new(None),
+            paused_until: Cell::new(None),
             missing_weights: RefCell::default(),
             leader_view: RefCell::new(None),
         }
@@ -210,6 +216,19 @@
         self.removed_at.get().is_some()
     }
 
+    /// Records that the server wants no requests from this VM for a time. An earlier pause that ends
+    /// later still holds.
+    pub(crate) fn note_pause(&self, pause: Duration, now: Instant) {
+        let until = now + pause.min(MAX_PAUSE);
+        self.paused_until
+            .set(self.paused_until.get().max(Some(until)));
+    }
+
+    /// Returns until when the server wants no requests from this VM; `None` if it takes them now.
+    pub(crate) fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.get().filter(|until| now < *until)
+    }
+
     /// Records that the server is about to leave; returns whether that was not known.
     pub(crate) fn note_leaving(&self, now: Instant) -> bool {
         let is_new = self.leaving_since.get().is_none();
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -63,6 +63,8 @@
     Full,
     /// The rate limits of all servers that can serve the request allow none now.
     RateLimited,
+    /// All servers that can serve the request want none from this VM until then.
+    Paused(Instant),
     /// The server has other prompts to prefill, or requests ahead in the queue wait for it.
     Prefilling(Choice),
 }
@@ -118,7 +120,7 @@
             let left = limit.saturating_duration_since(Instant::now());
             // A VM that is shutting down holds no requests that another VM can serve.
             let is_leaving = self.state.shutdown.is_leaving();
-            if left.is_zero() || is_leaving || self.exceeds_capacity(call, &obstacle) {
+            if left.is_zero() || is_leaving || self.outlasts_hold(call, &obstacle) {
                 return self.resolve(obstacle, call);
             }
             if let Some(weights) = call.weights() {
@@ -149,6 +151,10 @@
             }
             _ if call.runs > 0 => Err(Failure::Unknown),
             Obstacle::NoServer => Err(Failure::NoServer),
+            Obstacle::Paused(until) => {
+                let left = until.saturating_duration_since(Instant::now());
+                Err(Failure::Paused(left))
+            }
             Obstacle::Full => Err(Failure::Full),
             Obstacle::Prefilling(_) | Obstacle::RateLimited => Err(Failure::RateLimited),
         }
@@ -163,16 +169,22 @@
     ) -> Result<Rc<Server>, Obstacle> {
         let now = Instant::now();
         let mut servers = self.eligible_servers(call, now);
-        let mut no_choice = Obstacle::NoServer;
+        let mut is_rate_limited = false;
         loop {
-            let choice = self.pick(call, &servers, now).ok_or(no_choice)?;
+            let Some(choice) = self.pick(call, &servers, now) else {
+                return Err(match self.earliest_pause_end(call, now) {
+                    _ if is_rate_limited => Obstacle::RateLimited,
+                    Some(until) => Obstacle::Paused(until),
+                    None => Obstacle::NoServer,
+                });
+            };
             self.check_readiness(call, &choice, queued)?;
             if self.state.take_rate_limit(&choice.server, now) {
                 choice.log(call);
                 return Ok(choice.server);
             }
             servers.retain(|server| server.id != choice.server.id);
-            no_choice = Obstacle::RateLimited;
+            is_rate_limited = true;
         }
     }
 
@@ -207,8 +219,12 @@
         Ok(())
     }
 
-    /// Whether more requests wait for the servers than these can start until the hold ends.
-    fn exceeds_capacity(&self, call: &Call, obstacle: &Obstacle) -> bool {
+    /// Whether the obstacle is known to last until the hold ends: the servers pause for longer, or more
+    /// requests wait for them than they can start until then.
+    fn outlasts_hold(&self, call: &Call, obstacle: &Obstacle) -> bool {
+        if let Obstacle::Paused(until) = obstacle {
+            return *until >= obstacle.hold_limit(call);
+        }
         let Some(weights) = call.weights() else {
             return false;
         };
@@ -221,31 +237,44 @@
         let capacity_per_s: f64 = match obstacle {
             Obstacle::Full => servers.iter().map(starts_per_s).sum(),
             Obstacle::RateLimited => rate_limits().flatten().sum(),
-            Obstacle::NoServer | Obstacle::Prefilling(_) => return false,
+            Obstacle::NoServer | Obstacle::Paused(_) | Obstacle::Prefilling(_) => return false,
         };
         let capacity = capacity_per_s * call.hold_time().as_secs_f64();
         let waiting = self.wait_queues.count(&weights) * self.state.peers.vms();
         waiting as f64 > capacity
     }
 
-    /// The servers that accept requests and, for a generation request, have the weights loaded. If
-    /// there are none, those that have only just said that they leave: they still serve for a while.
+    /// The servers that accept requests from this VM and, for a generation request, have the weights
+    /// loaded. If there are none, those that have only just said that they leave: they still serve
+    /// for a while.
     fn eligible_servers(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
-        let weights = call.weights();
-        let holds = |server: &Server| {
-            let weights = weights.as_ref();
-            weights.is_none_or(|weights| server.holds(weights, now))
-        };
-        let servers = self.state.fleet.of_service(&call.service);
-        let accepting = servers.iter().filter(|it| it.accepts_requests());
-        let eligible: Vec<Rc<Server>> = accepting.filter(|it| holds(it)).cloned().collect();
-        if !eligible.is_empty() {
-            return eligible;
-        }
+        let mut servers = self.capable_servers(call, now);
+        servers.retain(|server| server.paused_until(now).is_none());
+        let has_accepting = servers.iter().any(|server| server.accepts_requests());
         let grace = self.state.settings.bounds.drain.mul_f64(LEAVING_USE_SHARE);
-        let leaving = servers.into_iter();
-        let leaving = leaving.filter(|it| it.has_begun_leaving(grace, now));
-        leaving.filter(|it| holds(it)).collect()
+        servers.retain(|server| match has_accepting {
+            true => server.accepts_requests(),
+            false => server.has_begun_leaving(grace, now),
+        });
+        servers
+    }
+
+    /// The servers that have what the request needs, whether they accept requests or not.
+    fn capable_servers(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
+        let mut servers = self.state.fleet.of_service(&call.service);
+        if let Some(weights) = call.weights() {
+            servers.retain(|server| server.holds(&weights, now));
+        }
+        servers
+    }
+
+    /// When the first server that could serve the request takes requests from this VM again; `None`
+    /// if none of them has asked for a pause.
+    fn earliest_pause_end(&self, call: &Call, now: Instant) -> Option<Instant> {
+        let mut servers = self.capable_servers(call, now);
+        servers.retain(|server| server.accepts_requests());
+        let ends = servers.iter().filter_map(|server| server.paused_until(now));
+        ends.min()
     }
 
     /// Picks the best candidate among servers, by load and penalties.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -272,6 +272,9 @@
         if reply.is_leaving {
             self.note_leaving(server, now);
         }
+        if let Some(pause) = reply.pause {
+            server.note_pause(pause, now);
+        }
     }
 
     /// Records that a server is about to leave, as one of its responses to this VM or another one
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -296,6 +296,26 @@
     assert!(server.accepts_requests());
 }
 
+#[test]
+fn the_pause_that_a_server_asked_for_is_not_shortened_by_a_later_answer_or_an_absent_entry() {
+    let fleet = Fleet::default();
+    let now = Instant::now();
+    fleet.apply_entry(entry("i", ServerState::Ready));
+    let server = fleet.server("i").expect("the entry was just added");
+    server.note_pause(Duration::from_secs(3), now);
+    server.note_pause(Duration::from_secs(1), now);
+    let until = now + Duration::from_secs(3);
+    assert_eq!(server.paused_until(now), Some(until));
+    fleet.mark_removed("i", now);
+    fleet.purge_removed(Duration::ZERO, now);
+    fleet.apply_entry(entry("i", ServerState::Ready));
+    let server = fleet.server("i").expect("the entry is back");
+    assert_eq!(server.paused_until(now), Some(until));
+    assert_eq!(server.paused_until(until), None);
+    server.note_pause(Duration::MAX, now);
+    assert!(server.paused_until(until).is_some());
+}
+
 #[test]
 fn weights_reported_missing_are_not_requested_from_a_server_for_a_while() {
     let fleet = Fleet::default();
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,13 +1,13 @@
 //! Tests that the platform's formats are read correctly and that invalid input is reported.
 
 use crate::callers::ApiKey;
-use crate::gateway::{Changes, Protocol, RouteKind, SendOptions, ServerChange};
+use crate::gateway::{Changes, Protocol, Reply, RouteKind, SendOptions, ServerChange};
 use crate::platform::PlatformProtocol;
 use crate::platform::directory::server_changes;
 use crate::platform::settings::parse_settings;
 use crate::platform::store::KeyedRecord;
 use crate::platform::{configuration, entries, orders};
-use hyper::Request;
+use hyper::{Request, Response};
 use proptest::prelude::*;
 use serde_json::{Value, json};
 use std::cell::Cell;
@@ -335,3 +335,37 @@
     let configuration = configuration::decode(&text).expect("the configuration is valid");
     assert!(configuration.organisations.is_none());
 }
+
+/// Parses the head of a server's response.
+fn reply_of(status: u16, headers: &[(&str, &str)]) -> Reply {
+    let mut builder = Response::builder().status(status);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let (head, ()) = builder
+        .body(())
+        .expect("the headers are valid")
+        .into_parts();
+    PlatformProtocol::read_reply(&head)
+}
+
+#[test]
+fn what_servers_state_of_themselves_is_read_and_invalid_values_ignored() {
+    let rate = |value| reply_of(200, &[("Server-Limit", value)]).rate_limit_per_s;
+    assert_eq!(rate("4.6"), Some(4.6));
+    assert_eq!(rate("0"), Some(0.0));
+    for invalid in ["-1", "many", "inf", "NaN", ""] {
+        assert_eq!(rate(invalid), None, "{invalid}");
+    }
+    let is_leaving = |value| reply_of(200, &[("Server-Leaving", value)]).is_leaving;
+    assert!(is_leaving("1"));
+    assert!(!is_leaving("0"));
+    assert!(!reply_of(200, &[]).is_leaving);
+    let pause = |status, value| reply_of(status, &[("Retry-After", value)]).pause;
+    assert_eq!(pause(503, "3"), Some(Duration::from_secs(3)));
+    assert_eq!(pause(429, "0.25"), Some(Duration::from_millis(250)));
+    assert_eq!(pause(200, "3"), None);
+    for invalid in ["-1", "soon", "1e300", "NaN"] {
+        assert_eq!(pause(503, invalid), None, "{invalid}");
+    }
+}
