Soak of what servers state of themselves: limits, pauses and departures

Callers on kept connections, while rate limits, pauses, departures, lapsing entries, outages of the store, configurations, kills, stops, freezes and reloads of VMs are drawn from a seed and overlap. From the servers' arrivals it checks the three rules, and that undisturbed VMs serve 98 in 100 of their callers, since two servers always have room.

--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -16,6 +16,7 @@
 use workbench::platform::{Platform, PlatformState};
 use workbench::report::{self, PolicyReport};
 use workbench::service::PlainStandIn;
+use workbench::site;
 use workbench::soak;
 
 fn command() -> Command {
@@ -101,6 +102,16 @@
                 .arg(number("seed", "1"))
                 .arg(number("seconds", "30")),
         )
+        .subcommand(
+            Command::new("site-soak")
+                .about(
+                    "Draw limits, pauses and departures of servers and faults of VMs from a seed, \
+                     and check that what servers state is respected",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("vms", "4"))
+                .arg(number("seconds", "30")),
+        )
         .subcommand(
             Command::new("calls")
                 .about("Measure what non-idempotent calls cost")
@@ -224,10 +235,15 @@
         Some(("soak", matches)) => {
             let seconds = Duration::from_secs(get(matches, "seconds"));
             let findings = soak::run(get(matches, "seed"), seconds).await;
-            findings
-                .iter()
-                .for_each(|finding| println!("broken: {finding}"));
-            if !findings.is_empty() {
+            if !report_findings(&findings) {
+                return ExitCode::FAILURE;
+            }
+        }
+        Some(("site-soak", matches)) => {
+            let vms = get::<u64>(matches, "vms") as usize;
+            let seconds = Duration::from_secs(get(matches, "seconds"));
+            let findings = site::soak::run(get(matches, "seed"), vms, seconds).await;
+            if !report_findings(&findings) {
                 return ExitCode::FAILURE;
             }
         }
@@ -364,3 +380,11 @@
     let service = PlainStandIn::new(&name, delay, journal.map(PathBuf::as_path));
     Rc::new(service).serve(get(matches, "address")).await;
 }
+
+/// Prints what a soak found; returns whether it found nothing.
+fn report_findings(findings: &[String]) -> bool {
+    for finding in findings {
+        println!("broken: {finding}");
+    }
+    findings.is_empty()
+}
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -5,12 +5,13 @@
 pub mod events;
 mod load;
 mod server;
+pub mod soak;
 mod store;
 
 pub use caller::{Answer, Caller, CallerRequest};
 pub use load::send_steadily;
 pub use server::{
-    LoadedModels, ReceivedRequest, ScriptStep, ServerEvent, ServerStandIn, signed_answer,
+    Arrival, LoadedModels, ReceivedRequest, ScriptStep, ServerEvent, ServerStandIn, signed_answer,
 };
 pub use store::{StoreFaults, StoreStandIn};
 
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -73,6 +73,19 @@
     Order(Value, u16),
 }
 
+/// The arrival of a request, and what the answer to it stated of the server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request's id.
+    pub id: String,
+    /// When it arrived.
+    pub at: Instant,
+    /// The headers that all answers carried.
+    pub headers: BTreeMap<&'static str, String>,
+    /// The pause that the server asked for when it turned the request away.
+    pub pause: Option<String>,
+}
+
 /// Computes the answer to a request.
 type Script = Box<dyn Fn(&ReceivedRequest) -> Vec<ScriptStep>>;
 
@@ -98,8 +111,8 @@
     headers: RefCell<BTreeMap<&'static str, String>>,
     /// If set, all requests are turned away with this value of `Retry-After`.
     pause: RefCell<Option<String>>,
-    /// When each request arrived, those of the control interface aside.
-    arrivals: RefCell<Vec<Instant>>,
+    /// The requests that arrived, those of the control interface aside.
+    arrivals: RefCell<Vec<Arrival>>,
     connections: Cell<u64>,
     overruns: Cell<u64>,
     is_dead: Cell<bool>,
@@ -218,6 +231,12 @@
 
     /// When each request arrived, those of the control interface aside.
     pub fn arrivals(&self) -> Vec<Instant> {
+        let arrivals = self.arrivals.borrow();
+        arrivals.iter().map(|arrival| arrival.at).collect()
+    }
+
+    /// The requests that arrived, those of the control interface aside.
+    pub fn arrival_log(&self) -> Vec<Arrival> {
         self.arrivals.borrow().clone()
     }
 
@@ -252,6 +271,16 @@
         self.is_dead.set(true);
     }
 
+    /// Whether the server has closed all connections and accepts no more.
+    pub fn is_dead(&self) -> bool {
+        self.is_dead.get()
+    }
+
+    /// Whether the server answers requests and states nothing of itself.
+    pub fn is_plain(&self) -> bool {
+        !self.is_dead() && self.headers.borrow().is_empty() && self.pause.borrow().is_none()
+    }
+
     /// The events recorded so far.
     pub fn seen(&self) -> Vec<ServerEvent> {
         self.seen.borrow().clone()
@@ -417,7 +446,12 @@
             "/-/order" => return self.handle_order(request),
             _ => {}
         }
-        self.arrivals.borrow_mut().push(Instant::now());
+        self.arrivals.borrow_mut().push(Arrival {
+            id: request.header("x-attempt-id").to_owned(),
+            at: Instant::now(),
+            headers: self.headers.borrow().clone(),
+            pause: self.pause.borrow().clone(),
+        });
         if let Some(retry_after) = &*self.pause.borrow() {
             self.record(ServerEvent::Refused(request.clone()));
             let headers = format!("X-Not-Executed: 1\r\nRetry-After: {retry_after}\r\n");
