--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 /// Latest retry time, as a share of the caller's remaining time, when a request is refused because
-/// all servers are full or at their rate limits, none has a copy, or this VM has no configuration yet.
+/// all servers are full or at their rate limits, none has a copy, or this VM has no configuration
+/// yet.
 ///
 /// Callers wait for at most a third of that time, and most of them retry once. The retry should be
 /// as late as possible: making room for another copy and loading it takes seconds, and a VM that
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -47,8 +47,8 @@
 
 /// What a VM or a zone used of shared limits, in parts that fit one message each.
 struct SharedUsage {
-    usage: Vec<UsageReportPart>,
-    limits: Vec<ServerLimitsPart>,
+    quotas: Vec<UsageReportPart>,
+    server_limits: Vec<ServerLimitsPart>,
 }
 
 /// Gossip endpoint of this VM: the UDP socket and the state of the messages sent through it.
@@ -158,8 +158,8 @@
         let local_digest = Digest {
             vms: zones_of(&sample, now),
             next_in_ms: next_in.as_millis() as u32,
-            usage_report: own_reports.usage.first().cloned(),
-            server_limits: own_reports.limits.first().cloned(),
+            usage_report: own_reports.quotas.first().cloned(),
+            server_limits: own_reports.server_limits.first().cloned(),
             ..digest.clone()
         };
         // The rest of the zone relies on the VM that follows the log, so it sends to all of them.
@@ -199,8 +199,8 @@
     /// Sends the digest, the zone's usage reports and the holdings to VMs in other zones.
     async fn send_remote(&self, mut digest: Digest, holdings: &[Digest], targets: &[SocketAddr]) {
         let zone_reports = self.shared_usage(|ledger| ledger.zone_report(Instant::now()));
-        digest.usage_report = zone_reports.usage.first().cloned();
-        digest.server_limits = zone_reports.limits.first().cloned();
+        digest.usage_report = zone_reports.quotas.first().cloned();
+        digest.server_limits = zone_reports.server_limits.first().cloned();
         self.send_to(&digest, targets).await;
         self.send_further_parts(&zone_reports, INTERVAL, targets)
             .await;
@@ -213,8 +213,8 @@
     /// the report from either ledger.
     fn shared_usage(&self, report: impl Fn(&mut Ledger) -> UsageReport) -> SharedUsage {
         SharedUsage {
-            usage: self.usage_reports(&report),
-            limits: self.server_limits_parts(&report),
+            quotas: self.usage_reports(&report),
+            server_limits: self.server_limits_parts(&report),
         }
     }
 
@@ -232,14 +232,14 @@
             next_in_ms: next_in.as_millis() as u32,
             ..Digest::default()
         };
-        for report in reports.usage.iter().skip(1) {
+        for report in reports.quotas.iter().skip(1) {
             let message = Digest {
                 usage_report: Some(report.clone()),
                 ..message.clone()
             };
             self.send_to(&message, targets).await;
         }
-        for part in reports.limits.iter().skip(1) {
+        for part in reports.server_limits.iter().skip(1) {
             let message = Digest {
                 server_limits: Some(part.clone()),
                 ..message.clone()
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -85,7 +85,7 @@
     fn apply_shared_usage(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
         if let Some(part) = &digest.usage_report {
             let mut ledger = self.state.ledger.borrow_mut();
-            self.apply_usage_report(&mut ledger, part, (sender, digest), now);
+            self.apply_usage_report(&mut ledger, part, sender, digest, now);
         }
         let Some(part) = &digest.server_limits else {
             return;
@@ -95,7 +95,7 @@
         }
         if let Some(usage) = &part.usage {
             let mut limits = self.state.server_limits.borrow_mut();
-            self.apply_usage_report(limits.ledger(), usage, (sender, digest), now);
+            self.apply_usage_report(limits.ledger(), usage, sender, digest, now);
         }
     }
 
@@ -104,7 +104,8 @@
         &self,
         ledger: &mut Ledger,
         part: &UsageReportPart,
-        (sender, digest): (SocketAddr, &Digest),
+        sender: SocketAddr,
+        digest: &Digest,
         now: Instant,
     ) {
         let zone = digest.availability_zone.as_str();
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -219,8 +219,8 @@
         Ok(())
     }
 
-    /// Whether the obstacle is known to last until the hold ends: the servers pause for longer, or more
-    /// requests wait for them than they can start until then.
+    /// Whether the obstacle is known to last until the hold ends: the servers pause for longer, or
+    /// more requests wait for them than they can start until then.
     fn outlasts_hold(&self, call: &Call, obstacle: &Obstacle) -> bool {
         if let Obstacle::Paused(until) = obstacle {
             return *until >= obstacle.hold_limit(call);
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -76,7 +76,7 @@
         rate_per_s: Option<f64>,
         now: Instant,
     ) -> bool {
-        if rate_per_s.is_none() && !self.statements.contains_key(server) {
+        if rate_per_s.is_none() && self.rate_per_s(server).is_none() {
             return false;
         }
         self.replace_statement(server, rate_per_s, now)
--- a/src/gateway/tests/server_limits.rs
+++ b/src/gateway/tests/server_limits.rs
@@ -153,3 +153,14 @@
     limits.prune_expired(|_| false, now + Duration::from_secs(90));
     assert_eq!(limits.rate_per_s(&server(1)), None);
 }
+
+#[test]
+fn the_end_of_a_limit_is_not_sent_to_other_vms_forever() {
+    let now = Instant::now();
+    let mut limits = ServerLimits::new(now);
+    limits.record_response(&server(1), Some(5.0), now);
+    for round in 1..100 {
+        limits.record_response(&server(1), None, now + ROUND * round);
+    }
+    assert!(limits.statements(now + ROUND * 100).is_empty());
+}
