--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -13,7 +13,7 @@
 pub use server::{
     Arrival, LoadedModels, ReceivedRequest, ScriptStep, ServerEvent, ServerStandIn, signed_answer,
 };
-pub use store::{StoreFaults, StoreStandIn};
+pub use store::{StoreCopy, StoreFaults, StoreStandIn};
 
 use crate::cluster::Cluster;
 use crate::process::{Process, product_binary};
--- a/workbench/src/site/store.rs
+++ b/workbench/src/site/store.rs
@@ -35,14 +35,21 @@
     pub hides_owners: bool,
 }
 
-#[derive(Debug, Default)]
+/// What a store can come back with: its topics and groups at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
+    topics: HashMap<String, Topic>,
+    groups: HashMap<String, Group>,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Topic {
     /// The offset of the first record that compaction has left readable.
     first_offset: u64,
     records: Vec<Bytes>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Group {
     /// Incremented whenever a member joins, leaves or expires.
     generation: u64,
@@ -71,6 +78,8 @@
     topics: RefCell<HashMap<String, Topic>>,
     groups: RefCell<HashMap<String, Group>>,
     faults: Cell<StoreFaults>,
+    /// How often the store has come back from a copy.
+    era: Cell<u64>,
     calls: RefCell<HashMap<String, u64>>,
 }
 
@@ -110,6 +119,22 @@
         }
     }
 
+    /// Copies everything that the store holds now.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            topics: self.topics.borrow().clone(),
+            groups: self.groups.borrow().clone(),
+        }
+    }
+
+    /// Goes on from an older copy: what was written since is lost, its offsets are given out again,
+    /// and the next era begins.
+    pub fn come_back_from(&self, copy: StoreCopy) {
+        *self.topics.borrow_mut() = copy.topics;
+        *self.groups.borrow_mut() = copy.groups;
+        self.era.set(self.era.get() + 1);
+    }
+
     /// The number of calls to a path so far.
     pub fn calls(&self, path: &str) -> u64 {
         self.calls.borrow().get(path).copied().unwrap_or(0)
@@ -128,7 +153,15 @@
         records.len() as u64 - 1
     }
 
+    /// Answers a call; the answer names the era in which the call arrived.
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let era = self.era.get();
+        let mut answer = self.answer(request).await;
+        answer.headers_mut().insert("store-era", era.into());
+        answer
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         *self.calls.borrow_mut().entry(path.clone()).or_default() += 1;
         if self.faults.get().is_silent {
@@ -193,15 +226,15 @@
             if self.faults.get().is_down {
                 return http_json::status(StatusCode::SERVICE_UNAVAILABLE);
             }
-            let (first, records) = {
+            let (first, end, records) = {
                 let topics = self.topics.borrow();
                 let topic = topics.get(&topic);
                 let first = topic.map_or(0, |topic| topic.first_offset);
                 let records = topic.map_or(&[][..], |topic| &topic.records);
                 let skip = (from as usize).min(records.len());
-                (first, records[skip..].to_vec())
+                (first, records.len() as u64, records[skip..].to_vec())
             };
-            if from < first {
+            if from < first || from > end {
                 let gone = json!({"first": first});
                 return rattanjunction::json_response(StatusCode::GONE, &gone);
             }
