A VM that read no list of members and sees nobody still makes refusals good

The VM had not read the list of members, and the change that made the fleet's size unknown there took its part of the retry slack away as well, so that a refusal by one server was not made good by another. The size now counts as before for retries; for the rate limits of servers, where a VM that takes itself for the whole fleet would send all that the server allows to all, it stays unknown.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -139,16 +139,24 @@
     pub(crate) fn peak_vms(&self, now: Instant) -> Option<usize> {
         let view = self.view.borrow();
         let listed = self.members.borrow().len();
-        let seen = view.peak_vms() - 1;
-        let has_found_fleet = match self.has_read_members.get() {
-            true => seen * MIN_SEEN_MEMBERS_DIVISOR >= listed,
-            false => seen > 0,
-        };
+        let has_found_fleet = self.seen_vms() * MIN_SEEN_MEMBERS_DIVISOR >= listed;
         let is_known =
             self.has_all_members.get() || (view.is_discovery_over(now) && has_found_fleet);
         is_known.then(|| view.peak_vms().max(listed + 1))
     }
 
+    /// The same as [`Self::peak_vms`], but `None` also if this VM could neither read the list of
+    /// members nor see another VM: it is not necessarily the only one.
+    pub(crate) fn confirmed_peak_vms(&self, now: Instant) -> Option<usize> {
+        let is_confirmed = self.has_read_members.get() || self.seen_vms() > 0;
+        self.peak_vms(now).filter(|_| is_confirmed)
+    }
+
+    /// The largest number of other VMs seen at once.
+    fn seen_vms(&self) -> usize {
+        self.view.borrow().peak_vms() - 1
+    }
+
     /// The number of VMs that a fleet-wide limit is divided by: the largest number seen at once, or
     /// the number known so far. VMs that are out of reach may still grant their share.
     pub(crate) fn fleet_size(&self, now: Instant) -> usize {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -306,7 +306,7 @@
     /// Returns whether the rate limit of a server, if it has one, allows another request of this VM,
     /// and counts the request as sent if so.
     pub(crate) fn take_rate_limit(&self, server: &Server, now: Instant) -> bool {
-        let vms = self.peers.peak_vms(now);
+        let vms = self.peers.confirmed_peak_vms(now);
         let mut limits = self.server_limits.borrow_mut();
         limits.try_send(&server.incarnation(), vms, rand::random(), now)
     }
--- a/src/gateway/tests/members.rs
+++ b/src/gateway/tests/members.rs
@@ -93,8 +93,9 @@
     let now = Instant::now();
     let later = now + LATER;
     let alone = Peers::new(address(0), now);
+    assert_eq!(alone.peak_vms(later), Some(1));
     assert_eq!(
-        alone.peak_vms(later),
+        alone.confirmed_peak_vms(later),
         None,
         "the list of members was not read"
     );
@@ -106,11 +107,11 @@
     );
     let fleet = fleet(300, now, later);
     fleet[0].set_members((1..12).map(address).collect(), false);
-    assert_eq!(fleet[0].peak_vms(later), Some(300));
+    assert_eq!(fleet[0].confirmed_peak_vms(later), Some(300));
     // It still does once it is cut off.
     receive_sightings(&fleet[..1], 0..1, later + LIVENESS_TIMEOUT);
     assert_eq!(fleet[0].peak_vms(later + LIVENESS_TIMEOUT), Some(300));
     let only = Peers::new(address(0), now);
     only.set_members(Vec::new(), true);
-    assert_eq!(only.peak_vms(now), Some(1));
+    assert_eq!(only.confirmed_peak_vms(now), Some(1));
 }
