--- a/src/gateway/tests/quota_ways.rs
+++ b/src/gateway/tests/quota_ways.rs
@@ -83,54 +83,69 @@
     Name::from(["a", "b", "c"][zone(vm)])
 }
 
-/// The recipients of each VM's gossip messages.
-fn all_targets(vms: usize) -> Vec<Targets> {
-    let targets = (0..vms).map(|vm| {
-        let mut targets = Targets::default();
-        for other in (0..vms).filter(|other| *other != vm) {
-            if zone(other) == zone(vm) {
-                targets.local.push(address(other));
-            } else {
-                let of_zone = targets.remote.entry(zone_name(other)).or_default();
-                of_zone.push(address(other));
+/// A usage report, and whether it is that of a single VM for its own zone.
+type Report = (UsageReport, bool);
+
+/// Sends usage reports between VMs as the serving role does.
+struct ReportNetwork {
+    /// The recipients of each VM's messages.
+    targets: Vec<Targets>,
+    index: BTreeMap<SocketAddr, usize>,
+}
+
+impl ReportNetwork {
+    fn new(vms: usize) -> Self {
+        let targets = (0..vms).map(|vm| {
+            let mut targets = Targets::default();
+            for other in (0..vms).filter(|other| *other != vm) {
+                if zone(other) == zone(vm) {
+                    targets.local.push(address(other));
+                } else {
+                    let of_zone = targets.remote.entry(zone_name(other)).or_default();
+                    of_zone.push(address(other));
+                }
             }
+            targets
+        });
+        Self {
+            targets: targets.collect(),
+            index: (0..vms).map(|vm| (address(vm), vm)).collect(),
         }
-        targets
-    });
-    targets.collect()
-}
+    }
 
-/// The usage reports of one round: recipients, reports, whether each is that of a single VM for its
-/// own zone, and sizes in bytes.
-fn report_messages(
-    targets: &Targets,
-    round: usize,
-    vm_report: &UsageReport,
-    zone_report: &UsageReport,
-) -> impl Iterator<Item = (SocketAddr, (UsageReport, bool), usize)> {
-    let local = targets.local_part(round).into_iter();
-    let local = local.map(|to| (to, (vm_report.clone(), true)));
-    let remote = targets.remote_part(round).flat_map(|(_, vms)| vms);
-    let remote = remote.map(|to| (to, (zone_report.clone(), false)));
-    let bytes = |report: &UsageReport| 6 + 25 * report.usages.len();
-    local.chain(remote).map(move |(to, message)| {
-        let size = bytes(&message.0);
-        (to, message, size)
-    })
-}
+    /// The messages of one VM's round: recipients, reports and sizes in bytes.
+    fn round(
+        &self,
+        ledger: &mut Ledger,
+        vm: usize,
+        round: usize,
+        now: Instant,
+    ) -> Vec<(usize, Report, usize)> {
+        let vm_report = ledger.vm_report(now);
+        let zone_report = ledger.zone_report(now);
+        ledger.prune_expired(now);
+        let targets = &self.targets[vm];
+        let local = targets.local_part(round).into_iter();
+        let local = local.map(|to| (to, (vm_report.clone(), true)));
+        let remote = targets.remote_part(round).flat_map(|(_, vms)| vms);
+        let remote = remote.map(|to| (to, (zone_report.clone(), false)));
+        let bytes = |report: &UsageReport| 6 + 25 * report.usages.len();
+        let messages = local.chain(remote).map(|(to, message)| {
+            let size = bytes(&message.0);
+            (self.index[&to], message, size)
+        });
+        messages.collect()
+    }
 
-/// Applies a usage report that `from` sent.
-fn apply_report(
-    ledger: &mut Ledger,
-    (report, is_local): (UsageReport, bool),
-    (from, targets): (usize, &Targets),
-    now: Instant,
-) {
-    if is_local {
-        let next_in = Duration::from_millis(200) * targets.local_rounds() as u32;
-        ledger.apply_vm_report(address(from), report, next_in, now);
-    } else {
-        ledger.apply_zone_report(&zone_name(from), report, now);
+    /// Applies a report that `from` sent.
+    fn receive(&self, ledger: &mut Ledger, from: usize, (report, is_local): Report, now: Instant) {
+        if is_local {
+            let rounds = self.targets[from].local_rounds() as u32;
+            let next_in = Duration::from_millis(200) * rounds;
+            ledger.apply_vm_report(address(from), report, next_in, now);
+        } else {
+            ledger.apply_zone_report(&zone_name(from), report, now);
+        }
     }
 }
 
@@ -138,12 +153,11 @@
 pub(super) struct SharedServerLimit {
     server: Incarnation,
     limits: Vec<ServerLimits>,
-    targets: Vec<Targets>,
-    index: BTreeMap<SocketAddr, usize>,
+    network: ReportNetwork,
 }
 
 impl QuotaScheme for SharedServerLimit {
-    type Message = (UsageReport, bool);
+    type Message = Report;
 
     fn new(scenario: &Scenario, now: Instant) -> Self {
         let server = Incarnation {
@@ -158,8 +172,7 @@
         Self {
             limits: limits.collect(),
             server,
-            targets: all_targets(scenario.vms),
-            index: (0..scenario.vms).map(|vm| (address(vm), vm)).collect(),
+            network: ReportNetwork::new(scenario.vms),
         }
     }
 
@@ -170,12 +183,7 @@
         now: Instant,
     ) -> Vec<(usize, Self::Message, usize)> {
         let ledger = self.limits[vm].ledger();
-        let vm_report = ledger.vm_report(now);
-        let zone_report = ledger.zone_report(now);
-        ledger.prune_expired(now);
-        report_messages(&self.targets[vm], round, &vm_report, &zone_report)
-            .map(|(to, message, bytes)| (self.index[&to], message, bytes))
-            .collect()
+        self.network.round(ledger, vm, round, now)
     }
 
     fn receive(
@@ -185,8 +193,8 @@
         message: Self::Message,
         now: Instant,
     ) -> Option<Self::Message> {
-        let targets = &self.targets[from];
-        apply_report(self.limits[vm].ledger(), message, (from, targets), now);
+        let ledger = self.limits[vm].ledger();
+        self.network.receive(ledger, from, message, now);
         None
     }
 
@@ -201,12 +209,11 @@
 pub(super) struct GossipedReports {
     quota: Quota,
     ledgers: Vec<Ledger>,
-    targets: Vec<Targets>,
-    index: BTreeMap<SocketAddr, usize>,
+    network: ReportNetwork,
 }
 
 impl QuotaScheme for GossipedReports {
-    type Message = (UsageReport, bool);
+    type Message = Report;
 
     fn new(scenario: &Scenario, now: Instant) -> Self {
         Self {
@@ -214,8 +221,7 @@
             ledgers: (0..scenario.vms)
                 .map(|_| Ledger::new(scenario.bounds, now))
                 .collect(),
-            targets: all_targets(scenario.vms),
-            index: (0..scenario.vms).map(|vm| (address(vm), vm)).collect(),
+            network: ReportNetwork::new(scenario.vms),
         }
     }
 
@@ -226,12 +232,7 @@
         now: Instant,
     ) -> Vec<(usize, Self::Message, usize)> {
         let ledger = &mut self.ledgers[vm];
-        let vm_report = ledger.vm_report(now);
-        let zone_report = ledger.zone_report(now);
-        ledger.prune_expired(now);
-        report_messages(&self.targets[vm], round, &vm_report, &zone_report)
-            .map(|(to, message, bytes)| (self.index[&to], message, bytes))
-            .collect()
+        self.network.round(ledger, vm, round, now)
     }
 
     fn receive(
@@ -241,8 +242,8 @@
         message: Self::Message,
         now: Instant,
     ) -> Option<Self::Message> {
-        let targets = &self.targets[from];
-        apply_report(&mut self.ledgers[vm], message, (from, targets), now);
+        let ledger = &mut self.ledgers[vm];
+        self.network.receive(ledger, from, message, now);
         None
     }
 
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -82,6 +82,19 @@
         site
     }
 
+    /// Starts a site of plain servers of the service `books` behind one route for all paths, and
+    /// waits until its VMs are ready.
+    pub async fn start_plain(servers: usize, vms: usize) -> Self {
+        let mut site = Self::start(vec![("books", vec![]); servers]).await;
+        site.configure(
+            json!([route("/", "safe", "books")]),
+            json!([plain("books")]),
+        );
+        site.start_vms(vms);
+        site.wait_ready().await;
+        site
+    }
+
     /// Starts one more backend server and adds it to the directory.
     pub async fn add_server(&mut self, service: &str, holds: LoadedModels) -> Rc<ServerStandIn> {
         let index = self.servers.len();
--- a/workbench/src/site/soak.rs
+++ b/workbench/src/site/soak.rs
@@ -140,10 +140,7 @@
 
 /// Runs the soak on `vms` VMs; returns the rules that were broken.
 pub async fn run(seed: u64, vms: usize, duration: Duration) -> Vec<String> {
-    let mut site = Site::start(vec![("books", vec![]); SERVERS]).await;
-    configure(&mut site);
-    site.start_vms(vms);
-    site.wait_ready().await;
+    let mut site = Site::start_plain(SERVERS, vms).await;
     let seen = Rc::new(Seen::default());
     let callers = (0..vms * CALLERS_PER_VM).map(|index| {
         let vm = index % vms;
--- a/workbench/tests/site_limits.rs
+++ b/workbench/tests/site_limits.rs
@@ -1,10 +1,9 @@
 //! On the platform: the rate limits that servers state hold over all VMs together.
 
 use googletest::prelude::*;
-use serde_json::json;
 use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
-use workbench::site::{Answer, CallerRequest, Site, plain, route, send_steadily};
+use workbench::site::{Answer, CallerRequest, Site, send_steadily};
 
 /// The header in which a server states its limit.
 const RATE_LIMIT: &str = "Server-Limit";
@@ -18,17 +17,6 @@
     (rate_per_s * WINDOW.as_secs_f64() * 1.5) as usize + 5
 }
 
-async fn plain_site(servers: usize, vms: usize) -> Site {
-    let mut site = Site::start(vec![("books", vec![]); servers]).await;
-    site.configure(
-        json!([route("/", "safe", "books")]),
-        json!([plain("books")]),
-    );
-    site.start_vms(vms);
-    site.wait_ready().await;
-    site
-}
-
 async fn send(site: &Site, requests_per_s: f64, duration: Duration) -> Vec<Answer> {
     let vms: Vec<usize> = (0..site.vms.len()).collect();
     let request = || CallerRequest::get("/books");
@@ -43,7 +31,7 @@
 #[googletest::test]
 fn a_servers_rate_limit_holds_over_all_vms_while_other_servers_take_the_rest() {
     block_on(async {
-        let site = plain_site(3, 6).await;
+        let site = Site::start_plain(3, 6).await;
         send(&site, 60.0, Duration::from_secs(1)).await;
         site.servers[0].set_header(RATE_LIMIT, Some("3"));
         let stated_at = Instant::now();
@@ -59,7 +47,7 @@
 #[googletest::test]
 fn requests_beyond_the_limit_of_the_only_server_are_refused_at_once() {
     block_on(async {
-        let site = plain_site(1, 6).await;
+        let site = Site::start_plain(1, 6).await;
         site.servers[0].set_header(RATE_LIMIT, Some("4.5"));
         send(&site, 10.0, Duration::from_secs(2)).await;
         let begin = Instant::now();
@@ -79,7 +67,7 @@
 #[googletest::test]
 fn requests_within_the_limit_of_the_only_server_are_served() {
     block_on(async {
-        let site = plain_site(1, 6).await;
+        let site = Site::start_plain(1, 6).await;
         site.servers[0].set_header(RATE_LIMIT, Some("8"));
         send(&site, 4.0, Duration::from_secs(3)).await;
         let answers = send(&site, 4.0, Duration::from_secs(8)).await;
@@ -91,7 +79,7 @@
 #[googletest::test]
 fn a_server_that_lifts_its_rate_limit_gets_all_requests_again() {
     block_on(async {
-        let site = plain_site(1, 6).await;
+        let site = Site::start_plain(1, 6).await;
         site.servers[0].set_header(RATE_LIMIT, Some("3"));
         send(&site, 30.0, Duration::from_secs(4)).await;
         site.servers[0].set_header(RATE_LIMIT, None);
--- a/workbench/tests/site_notices.rs
+++ b/workbench/tests/site_notices.rs
@@ -7,7 +7,7 @@
 use workbench::cluster::block_on;
 use workbench::site::events::remaining_events;
 use workbench::site::{
-    Answer, CallerRequest, Site, StoreFaults, plain, route, runner_service, send_steadily,
+    Answer, CallerRequest, Site, StoreFaults, route, runner_service, send_steadily,
 };
 
 /// The header of a server that is about to leave.
@@ -17,17 +17,6 @@
 /// How long other VMs may take to learn of it.
 const KNOWN_WITHIN: Duration = Duration::from_millis(1_500);
 
-async fn plain_site(servers: usize, vms: usize) -> Site {
-    let mut site = Site::start(vec![("books", vec![]); servers]).await;
-    site.configure(
-        json!([route("/", "safe", "books")]),
-        json!([plain("books")]),
-    );
-    site.start_vms(vms);
-    site.wait_ready().await;
-    site
-}
-
 async fn send(site: &Site, vms: &[usize], duration: Duration) -> Vec<Answer> {
     send_steadily(site, vms, 40.0, duration, || CallerRequest::get("/books")).await
 }
@@ -46,7 +35,7 @@
 #[googletest::test]
 fn a_server_that_says_it_leaves_gets_no_more_requests_while_the_store_is_down() {
     block_on(async {
-        let site = plain_site(2, 1).await;
+        let site = Site::start_plain(2, 1).await;
         site.store.set(StoreFaults {
             is_down: true,
             ..StoreFaults::default()
@@ -63,7 +52,7 @@
 #[googletest::test]
 fn a_leaving_server_whose_entry_lapses_and_comes_back_gets_no_more_requests() {
     block_on(async {
-        let site = plain_site(2, 1).await;
+        let site = Site::start_plain(2, 1).await;
         site.servers[0].set_header(LEAVING, Some("1"));
         expect_all_served(&send(&site, &[0], RESPECTED_WITHIN).await);
         site.remove(&site.servers[0]);
@@ -85,7 +74,7 @@
 #[googletest::test]
 fn vms_that_a_leaving_server_has_not_answered_learn_of_it_from_others() {
     block_on(async {
-        let site = plain_site(2, 3).await;
+        let site = Site::start_plain(2, 3).await;
         site.servers[0].set_header(LEAVING, Some("1"));
         expect_all_served(&send(&site, &[0], KNOWN_WITHIN).await);
         let begin = Instant::now();
@@ -140,7 +129,7 @@
 #[googletest::test]
 fn a_server_that_asks_for_a_pause_is_left_alone_while_others_serve() {
     block_on(async {
-        let site = plain_site(2, 2).await;
+        let site = Site::start_plain(2, 2).await;
         site.servers[0].turn_away(Some("3"));
         expect_all_served(&send(&site, &[0, 1], PAUSE).await);
         expect_that!(arrivals_in_pause(&site, 0), le(2 * ALLOWED_IN_PAUSE));
@@ -150,7 +139,7 @@
 #[googletest::test]
 fn requests_are_refused_at_once_while_the_only_server_pauses() {
     block_on(async {
-        let site = plain_site(1, 1).await;
+        let site = Site::start_plain(1, 1).await;
         site.servers[0].turn_away(Some("3"));
         for answer in send(&site, &[0], PAUSE - PAUSE_RESPECTED_WITHIN).await {
             expect_that!(answer.status, some(eq(503)));
