VMs obtain the directory and the configuration from each other

What callers saw: at 300 VMs a VM answered 404 for a new route 5 s after the acknowledgement; at 984 VMs more than half of the VMs never became ready.

Cause: while no VM of a zone advertised a current read, every VM of the zone read the log, a starting one the whole of it. At 300 VMs with 3,000 servers all reads then went unanswered, since they share one rate, so that no VM had a current read to advertise, and all read again.

Change: a VM that lacks something asks a VM of its zone that has it; a VM sends to two at a time and names its receivers to the others (SyncServer, SyncClient, TransferSlots, PeerSearch). The log is read by the VM that follows it for the zone, by the leader, and in turns by rank while no VM of the zone has a current read (ReadTurn). A change that a VM missed comes from the history of another one. The lines about discovered and lost VMs and listed servers are bounded.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -5,7 +5,9 @@
 use crate::gateway::fleet::holds;
 use crate::gateway::{Holding, Weights};
 use crate::inventory::Name;
+use bytes::Bytes;
 use std::collections::HashMap;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +24,31 @@
     pub(crate) limits: Limits,
     /// The organisations whose requests are accepted; `None` if requests need no API key.
     pub(crate) organisations: Option<Rc<ApiKeyIndex>>,
+    /// The text that the configuration was decoded from, passed on to other VMs.
+    pub(crate) document: Document,
+}
+
+/// The text of a configuration as the operator published it. It may contain API keys, so that its
+/// `Debug` output leaves it out.
+#[derive(Clone, Default)]
+pub(crate) struct Document(Bytes);
+
+impl Document {
+    /// Copies a text.
+    pub(crate) fn copy_of(text: &[u8]) -> Self {
+        Self(Bytes::copy_from_slice(text))
+    }
+
+    /// Returns the text.
+    pub(crate) fn bytes(&self) -> Bytes {
+        self.0.clone()
+    }
+}
+
+impl fmt::Debug for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Document({} bytes)", self.0.len())
+    }
 }
 
 /// The services and rules for requests with one host and path prefix.
@@ -176,9 +203,16 @@
             services,
             limits,
             organisations: None,
+            document: Document::default(),
         }
     }
 
+    /// Adds the text that the configuration was decoded from.
+    pub(crate) fn with_document(mut self, document: Document) -> Self {
+        self.document = document;
+        self
+    }
+
     /// Adds the organisations whose requests are accepted.
     pub(crate) fn with_organisations(mut self, organisations: ApiKeyIndex) -> Self {
         self.organisations = Some(Rc::new(organisations));
--- a/src/gateway/directory_updates.rs
+++ b/src/gateway/directory_updates.rs
@@ -72,7 +72,7 @@
 }
 
 impl ServerUpdate {
-    fn from_change(change: &ServerChange) -> Self {
+    pub(super) fn from_change(change: &ServerChange) -> Self {
         let strings = |names: &[Name]| names.iter().map(Name::to_string).collect();
         match change {
             ServerChange::Removed(id) => Self {
@@ -98,7 +98,7 @@
     }
 
     /// Decodes the change; `None` if its address cannot be parsed.
-    fn into_change(self) -> Option<ServerChange> {
+    pub(super) fn into_change(self) -> Option<ServerChange> {
         let names = |names: Vec<String>| names.into_iter().map(Name::from).collect();
         let id = Name::from(self.id);
         if self.is_gone {
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -120,6 +120,13 @@
     /// Reads the latest configuration.
     fn newest(&self) -> impl Future<Output = Result<Changes<Configuration>, StoreError>>;
 
+    /// Decodes a configuration that another VM read.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`StoreError::Garbled`] if it is not a valid configuration.
+    fn decode(&self, document: &[u8]) -> Result<Configuration, StoreError>;
+
     /// Reads configurations from an offset on; waits up to `wait` for one to be written.
     fn changes(
         &self,
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -93,6 +93,9 @@
     /// Servers that have said that they are about to leave.
     #[prost(message, repeated, tag = "23")]
     pub(super) leaving: Vec<ServerRun>,
+    /// Whether the sender has the directory and the configuration.
+    #[prost(bool, tag = "24")]
+    pub(super) has_state: bool,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -157,6 +157,7 @@
             next_in_ms: INTERVAL.as_millis() as u32,
             followed_log: self.followed_log(),
             loads: self.loads(),
+            has_state: state.has_state(),
             fence: state.fence.get(),
             crashes: state.peers.crashes(),
             leaving: self.leaving_servers(),
--- a/src/gateway/log_follower.rs
+++ b/src/gateway/log_follower.rs
@@ -8,6 +8,7 @@
 //! all of them follow the log closely: a follower that hangs or is cut off from the log delays the
 //! others by at most [`FRESH_FOR`].
 
+use crate::gateway::sync_message::Part;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -49,6 +50,14 @@
 }
 
 impl Readings {
+    /// The last read of one part.
+    pub(crate) fn of(&self, part: Part) -> Reading {
+        match part {
+            Part::Directory => self.directory,
+            Part::Configuration => self.configuration,
+        }
+    }
+
     /// Whether both reads are recent enough to count as the current state of the log.
     pub(crate) fn is_fresh(&self, now: Instant) -> bool {
         self.directory.is_fresh(now) && self.configuration.is_fresh(now)
@@ -82,6 +91,14 @@
         }
     }
 
+    /// The last read of one part; `None` until it was read.
+    pub(crate) fn last_read(&self, part: Part) -> Option<Reading> {
+        match part {
+            Part::Directory => self.directory.get(),
+            Part::Configuration => self.configuration.get(),
+        }
+    }
+
     /// Whether the log failed recently, so that entries may lapse although their servers are alive.
     pub(crate) fn was_recently_disrupted(&self, now: Instant) -> bool {
         let disrupted_at = self.disrupted_at.get();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod call;
 mod caller_request;
+mod change_history;
 mod choose;
 mod configuration;
 mod crash_suspects;
@@ -27,6 +28,7 @@
 mod grant;
 mod hold_time;
 mod journal;
+mod line_budget;
 mod line_fit;
 mod load_limit;
 mod log_follower;
@@ -34,8 +36,10 @@
 mod order_dispatch;
 mod order_queue;
 mod peer;
+mod peer_search;
 mod peers;
 mod planning;
+mod read_turn;
 mod relay;
 mod routing;
 mod runner_state;
@@ -47,8 +51,12 @@
 mod state;
 mod streaming;
 mod swaps;
+mod sync_client;
+mod sync_message;
+mod sync_server;
 #[cfg(test)]
 mod tests;
+mod transfer_slots;
 mod view;
 mod wait_queue;
 mod watch;
@@ -56,7 +64,7 @@
 
 pub(crate) use caller_request::{CallerRequest, Generation};
 pub(crate) use configuration::{
-    Configuration, Engine, Limits, Model, Route, RouteKind, Service, Target,
+    Configuration, Document, Engine, Limits, Model, Route, RouteKind, Service, Target,
 };
 pub(crate) use external::{
     Changes, ConfigSource, Directory, Group, LeadershipClaims, Malformed, Members, Membership,
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -22,6 +22,8 @@
     pub(super) availability_zone: Name,
     /// The log positions of the peer, if it follows the log closely.
     pub(super) readings: Option<Readings>,
+    /// Whether the peer has the directory and the configuration.
+    pub(super) has_state: bool,
     /// The fence that the peer leads with; 0 if it is not the leader.
     pub(super) fence: u64,
     /// Requests in flight by server, as pairs of model and count.
@@ -44,6 +46,7 @@
             readings: digest
                 .followed_log
                 .map(|followed_log| read_followed_log(followed_log, now)),
+            has_state: digest.has_state,
             fence: digest.fence,
             loads: read_loads(digest),
             demands: Vec::new(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 use crate::gateway::fleet::Holding;
 use crate::gateway::gossip_message::{CrashReport, Digest, SentPrompt, sightings_of};
 use crate::gateway::gossip_targets::Targets;
+use crate::gateway::line_budget::LineBudget;
 use crate::gateway::log_follower::Readings;
 use crate::gateway::peer::{PeerState, read_demands, read_loads};
 use crate::gateway::view::{Sighting, View};
@@ -89,6 +90,10 @@
     /// Prompts that have yet to be reported to peers, and when each was sent to its runner.
     prompts: RefCell<Vec<(SentPrompt, Instant)>>,
     prompt_signal: Signal,
+    /// Bounds the log lines about discovered VMs.
+    discovered: RefCell<LineBudget>,
+    /// Bounds the log lines about lost VMs.
+    lost: RefCell<LineBudget>,
 }
 
 impl Peers {
@@ -110,6 +115,8 @@
             pending_updates: RefCell::default(),
             prompts: RefCell::default(),
             prompt_signal: Signal::default(),
+            discovered: RefCell::default(),
+            lost: RefCell::default(),
         }
     }
 
@@ -367,7 +374,15 @@
     fn record_sighting(&self, sighting: Sighting, now: Instant) {
         let address = sighting.address;
         if address != self.own && self.view.borrow_mut().record_sighting(sighting, now) {
-            info!(peer = %address, "peer discovered");
+            self.note_discovered(address, now);
+        }
+    }
+
+    /// Logs a discovered VM, or counts it if many are discovered at about the same time.
+    fn note_discovered(&self, address: SocketAddr, now: Instant) {
+        let mut discovered = self.discovered.borrow_mut();
+        if discovered.take_line(now) {
+            info!(peer = %address, unlogged = discovered.take_unlogged(), "peer discovered");
         }
     }
 
@@ -447,6 +462,40 @@
             .collect()
     }
 
+    /// Picks a VM of a zone that has the directory and the configuration. `draw` is a random number
+    /// from 0 to 1.
+    pub(crate) fn random_peer_with_state(&self, zone: &Name, draw: f64) -> Option<SocketAddr> {
+        let peer_states = self.peer_states.borrow();
+        let with_state = peer_states
+            .iter()
+            .filter(|(_, peer)| peer.has_state && peer.availability_zone == *zone);
+        pick(with_state.map(|(address, _)| *address), draw)
+    }
+
+    /// Picks a VM of a zone. `draw` is a random number from 0 to 1.
+    pub(crate) fn random_peer(&self, zone: &Name, draw: f64) -> Option<SocketAddr> {
+        let view = self.view.borrow();
+        let of_zone = view.all().filter(|vm| vm.availability_zone == *zone);
+        pick(of_zone.map(|vm| vm.address), draw)
+    }
+
+    /// The number of other VMs known in a zone.
+    pub(crate) fn vms_in(&self, zone: &Name) -> usize {
+        let view = self.view.borrow();
+        let of_zone = view.all().filter(|vm| vm.availability_zone == *zone);
+        of_zone.count()
+    }
+
+    /// Whether the log lists the whole fleet, as it does while there are few VMs.
+    pub(crate) fn has_all_members(&self) -> bool {
+        self.has_all_members.get()
+    }
+
+    /// Time since this VM started.
+    pub(crate) fn uptime(&self, now: Instant) -> Duration {
+        self.view.borrow().uptime(now)
+    }
+
     /// Whether load reports from remote zones can be several rounds old, because the fleet is too
     /// large to send to every remote VM in each round.
     pub(crate) fn is_remote_load_stale(&self) -> bool {
@@ -488,9 +537,17 @@
     /// crash reports that have been repeated for long enough.
     pub(super) fn forget_silent(&self, now: Instant) {
         for gone in self.view.borrow_mut().forget_silent(now) {
-            let silent = now.saturating_duration_since(gone.seen_at);
-            let silent_ms = silent.as_millis() as u64;
-            warn!(peer = %gone.address, zone = %gone.availability_zone, silent_ms, "peer lost");
+            let mut lost = self.lost.borrow_mut();
+            if lost.take_line(now) {
+                let silent = now.saturating_duration_since(gone.seen_at);
+                warn!(
+                    peer = %gone.address,
+                    zone = %gone.availability_zone,
+                    silent_ms = silent.as_millis() as u64,
+                    unlogged = lost.take_unlogged(),
+                    "peer lost"
+                );
+            }
         }
         self.peer_states.borrow_mut().retain(|address, peer| {
             let is_current = now.saturating_duration_since(peer.received_at) < peer.state_ttl;
@@ -505,6 +562,13 @@
     }
 }
 
+/// Picks one of some addresses by `draw`, a random number from 0 to 1.
+fn pick(addresses: impl Iterator<Item = SocketAddr>, draw: f64) -> Option<SocketAddr> {
+    let addresses: Vec<SocketAddr> = addresses.collect();
+    let index = (draw * addresses.len() as f64) as usize;
+    addresses.get(index).copied()
+}
+
 /// Builds a [`Holding`] from its parts.
 pub(crate) fn holding(model: &str, version: u64, adapters: &[String]) -> Holding {
     Holding {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -7,6 +7,7 @@
 use crate::gateway::journal::BufferedLog;
 use crate::gateway::relay::Relay;
 use crate::gateway::state::State;
+use crate::gateway::sync_server::SyncServer;
 use crate::gateway::watch::LogWatcher;
 use crate::gateway::{
     ConfigSource, Directory, Group, LeadershipClaims, Metrics, Protocol, RunnerControl, Settings,
@@ -72,6 +73,14 @@
     let settings = &state.settings;
     info!(vm = %settings.vm, zone = %settings.availability_zone, callers = %settings.caller_address, "started");
 
+    let sync = SyncServer::new(state.clone());
+    let listener = bind(settings.peer_address).await?;
+    // Transfers between VMs do not count as open work: a VM that leaves does not wait for them.
+    let never_closed = Rc::default();
+    compio::runtime::spawn(http::serve(listener, never_closed, move |request| {
+        sync.clone().handle(request)
+    }))
+    .detach();
     let watch = LogWatcher::new(state.clone(), store.clone());
     compio::runtime::spawn(watch.clone().follow_configuration()).detach();
     compio::runtime::spawn(watch.follow_directory()).detach();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,14 +2,17 @@
 
 use crate::callers::Ledger;
 use crate::gateway::call::Cost;
+use crate::gateway::change_history::ChangeHistory;
 use crate::gateway::crash_suspects::CrashSuspects;
 use crate::gateway::demand::Demand;
 use crate::gateway::directory_updates::{Assembly, DirectoryUpdate};
 use crate::gateway::fleet::{EntryChange, Fleet, Holding, Incarnation, Server};
-use crate::gateway::log_follower::{FollowerState, Readings, follows_closely};
+use crate::gateway::log_follower::{FollowerState, Reading, Readings, follows_closely};
 use crate::gateway::peers::{DemandRate, Peers, UpdateScope};
+use crate::gateway::read_turn::ReadTurn;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
 use crate::gateway::speeds::Speeds;
+use crate::gateway::sync_message::Part;
 use crate::gateway::{
     Changes, Configuration, Generation, Metrics, Reply, ServerChange, Settings, Weights,
 };
@@ -18,6 +21,7 @@
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{debug, info};
@@ -26,6 +30,9 @@
 /// shortly before: the server may be alive and add its entry again.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Maximum number of log lines about listed servers for one set of changes.
+const MAX_LISTED_LINES: usize = 16;
+
 /// The state that all tasks of the process share.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -42,6 +49,8 @@
     pub(crate) peers: Peers,
     /// How far this VM has read the log.
     pub(crate) following: FollowerState,
+    /// The recent changes of the directory, for VMs that missed them.
+    pub(super) history: RefCell<ChangeHistory>,
     /// Requests that were in flight when servers crashed.
     pub(crate) suspects: CrashSuspects,
     /// The demand for weights by the requests that this VM receives.
@@ -95,6 +104,7 @@
             is_directory_known: Cell::new(false),
             peers: Peers::new(settings.peer_address, Instant::now()),
             following: FollowerState::default(),
+            history: RefCell::default(),
             suspects: CrashSuspects::default(),
             demand: Demand::default(),
             speeds: Speeds::default(),
@@ -188,6 +198,56 @@
             })
     }
 
+    /// Returns the address of a VM of the zone whose current read of the log is ahead of `from`.
+    pub(crate) fn peer_ahead(&self, part: Part, from: u64, now: Instant) -> Option<SocketAddr> {
+        let advertised = self.peers.readings(&self.settings.availability_zone);
+        let fresh = advertised.into_iter().filter(|(_, it)| it.is_fresh(now));
+        let newest = fresh.max_by_key(|(_, readings)| readings.of(part).last_change)?;
+        (newest.1.of(part).last_change > from).then_some(newest.0)
+    }
+
+    /// Whether this VM has the directory and the configuration.
+    pub(crate) fn has_state(&self) -> bool {
+        self.is_directory_known.get() && self.configuration.borrow().is_some()
+    }
+
+    /// Returns the offset in the log up to which this VM has a part of the state.
+    pub(super) fn synced_to(&self, part: Part) -> Option<u64> {
+        let known = match part {
+            Part::Directory => self.is_directory_known.get(),
+            Part::Configuration => self.configuration.borrow().is_some(),
+        };
+        let end = match part {
+            Part::Directory => self.following.directory_end.get(),
+            Part::Configuration => self.following.configuration.get().map(|it| it.last_change),
+        };
+        end.filter(|_| known)
+    }
+
+    /// Returns when this VM last knew that the log contained nothing newer than its copy: at its own
+    /// read, or at one that another VM of the zone advertised.
+    pub(super) fn confirmed_at(&self, part: Part, now: Instant) -> Option<Instant> {
+        let end = self.synced_to(part)?;
+        let own: Reading = self.following.last_read(part)?;
+        let advertised = self.peers.readings(&self.settings.availability_zone);
+        let advertised = advertised
+            .into_iter()
+            .map(|(_, readings)| readings.of(part))
+            .filter(|reading| reading.is_fresh(now) && reading.last_change <= end);
+        let latest = advertised.map(|reading| reading.at).max();
+        Some(latest.map_or(own.at, |at| at.max(own.at)))
+    }
+
+    /// What decides on when this VM may read the log while no VM of its zone advertises a read.
+    pub(crate) fn read_turn(&self, failures: u32, now: Instant) -> ReadTurn {
+        ReadTurn {
+            rank: self.zone_rank(),
+            is_fleet_small: self.peers.has_all_members(),
+            uptime: self.peers.uptime(now),
+            failures,
+        }
+    }
+
     /// Applies a directory update sent by the VM that follows the directory for this one.
     pub(super) fn apply_directory_update(&self, update: DirectoryUpdate, now: Instant) {
         let was_log_unavailable = update.was_log_unavailable;
@@ -206,27 +266,34 @@
             "directory update applied"
         );
         let next = changes.next_offset;
-        self.apply_directory_changes(changes, now);
+        self.apply_directory_changes(changes, end, now);
         self.following.note_received_update(next);
         self.purge_removed(now);
     }
 
-    /// Applies changes of the directory. Returns the changes to send to other VMs, and whether
-    /// servers were added or removed or changed their state.
+    /// Applies changes of the directory since offset `from`, or the whole directory if that is
+    /// `None`. Returns the changes to send to other VMs, and whether servers were added or removed
+    /// or changed their state.
     pub(super) fn apply_directory_changes(
         &self,
         changes: Changes<ServerChange>,
+        from: Option<u64>,
         now: Instant,
     ) -> (Vec<ServerChange>, bool) {
+        let next = changes.next_offset;
         let mut has_availability_change = false;
         let mut to_send = Vec::new();
+        let mut listed: Vec<Name> = Vec::new();
         for change in changes.items {
             match change {
                 ServerChange::Upserted(entry) => {
                     let entry_change = self.fleet.apply_entry(entry.clone());
                     if entry_change == EntryChange::AvailabilityChanged {
                         has_availability_change = true;
-                        info!(server = %entry.id, state = ?entry.state, "server listed");
+                        if listed.len() < MAX_LISTED_LINES {
+                            info!(server = %entry.id, state = ?entry.state, "server listed");
+                        }
+                        listed.push(entry.id.clone());
                     }
                     if entry_change > EntryChange::Renewed {
                         to_send.push(ServerChange::Upserted(entry));
@@ -241,6 +308,14 @@
                 }
             }
         }
+        if listed.len() > MAX_LISTED_LINES {
+            info!(servers = listed.len(), next, "further servers listed");
+        }
+        let mut history = self.history.borrow_mut();
+        match from {
+            Some(from) => history.push(from, next, to_send.clone()),
+            None => history.restart(next),
+        }
         self.is_directory_known.set(true);
         self.changed.notify();
         (to_send, has_availability_change)
--- /dev/null
+++ b/src/gateway/sync_client.rs
@@ -0,0 +1,107 @@
+//! Obtains the directory and the configuration from other VMs.
+
+use crate::client::{Connection, SendError};
+use crate::gateway::peer_search::PeerSearch;
+use crate::gateway::state::State;
+use crate::gateway::sync_message::{Part, SyncReply, SyncRequest};
+use crate::gateway::sync_server::SENDER_HEADER;
+use crate::http::{Body, read_body};
+use hyper::Request;
+use hyper::header::{self, HeaderValue};
+use prost::Message;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tracing::{debug, warn};
+
+/// How long another VM may take to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long sent bytes may stay unacknowledged.
+const UNACKED_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long one transfer may take. A whole directory of some thousand servers takes about a second
+/// over a link of 20 Mbit/s that two transfers share.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// How long to look for a VM that sends the part.
+const SEARCH_TIME: Duration = Duration::from_millis(4_000);
+/// Largest accepted reply, in bytes.
+const MAX_REPLY_BYTES: usize = 32 * 1024 * 1024;
+
+/// Requests parts of the state from other VMs.
+#[derive(Debug)]
+pub(crate) struct SyncClient {
+    state: Rc<State>,
+}
+
+impl SyncClient {
+    /// Creates a client for the VM with this state.
+    pub(crate) fn new(state: Rc<State>) -> Self {
+        Self { state }
+    }
+
+    /// Requests what is newer than `from` in a part, or the whole part, from `first` or from VMs to
+    /// which it refers. Returns `None` if none of them sends it in time.
+    pub(super) async fn fetch(
+        &self,
+        part: Part,
+        from: Option<u64>,
+        first: SocketAddr,
+    ) -> Option<SyncReply> {
+        let began = Instant::now();
+        let mut search = PeerSearch::new(first);
+        while began.elapsed() < SEARCH_TIME {
+            let peer = search.next(rand::random())?;
+            match self.request(part, from, peer).await {
+                Ok(reply) if reply.has_part => return Some(reply),
+                Ok(reply) if reply.is_busy => {
+                    let own = self.state.settings.peer_address;
+                    let referrals = reply.referrals.iter().filter_map(|it| it.parse().ok());
+                    search.note_busy(referrals.filter(|it| *it != own));
+                }
+                Ok(_) => search.note_lacking(peer),
+                Err(error) => {
+                    debug!(%peer, part = part.name(), ?error, "state not received");
+                    search.note_unreachable(peer);
+                }
+            }
+            compio::time::sleep(PeerSearch::pause(rand::random())).await;
+        }
+        None
+    }
+
+    async fn request(
+        &self,
+        part: Part,
+        from: Option<u64>,
+        peer: SocketAddr,
+    ) -> Result<SyncReply, SendError> {
+        let exchange = async {
+            let mut connection =
+                Connection::open_abort_on_drop(peer, CONNECT_TIMEOUT, UNACKED_LIMIT).await?;
+            let request = SyncRequest {
+                part: part.into(),
+                from,
+            };
+            let request = Request::post("/sync")
+                .header(header::HOST, address_header(peer))
+                .header(
+                    SENDER_HEADER,
+                    address_header(self.state.settings.peer_address),
+                )
+                .body(Body::full(request.encode_to_vec()))
+                .expect("the parts are valid");
+            let response = connection.send(request).await?;
+            let body = read_body(response.into_body(), MAX_REPLY_BYTES).await;
+            let body = body.map_err(|_error| SendError::MaybeSent)?;
+            SyncReply::decode(body).map_err(|error| {
+                warn!(%peer, %error, "reply of another VM unreadable");
+                SendError::MaybeSent
+            })
+        };
+        let exchange = compio::time::timeout(TRANSFER_TIMEOUT, exchange);
+        exchange.await.unwrap_or(Err(SendError::MaybeSent))
+    }
+}
+
+fn address_header(address: SocketAddr) -> HeaderValue {
+    HeaderValue::from_str(&address.to_string()).expect("an address is a header value")
+}
--- /dev/null
+++ b/src/gateway/sync_server.rs
@@ -0,0 +1,191 @@
+//! Sends the directory and the configuration to other VMs, so that they need not read the log.
+
+use crate::gateway::directory_updates::ServerUpdate;
+use crate::gateway::state::State;
+use crate::gateway::sync_message::{Part, SyncReply, SyncRequest};
+use crate::gateway::transfer_slots::TransferSlots;
+use crate::gateway::{Changes, ServerChange};
+use crate::http::{Body, read_body};
+use bytes::Bytes;
+use futures_util::SinkExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use prost::Message;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tracing::{debug, warn};
+
+/// How long the encoded directory is sent again although it has changed since. Its receivers then
+/// ask for the changes.
+const ENCODED_TTL: Duration = Duration::from_millis(1_000);
+/// Size of the chunks in which a reply is written.
+const CHUNK_BYTES: usize = 32 * 1024;
+/// Largest accepted request, in bytes.
+const MAX_REQUEST_BYTES: usize = 1_024;
+/// The header that holds the address at which the sender of a request receives messages.
+pub(super) const SENDER_HEADER: &str = "x-sender";
+
+/// The whole directory as it is sent.
+#[derive(Debug)]
+struct EncodedDirectory {
+    reply: Bytes,
+    at: Instant,
+}
+
+/// Counts a transfer as open until dropped.
+#[derive(Debug)]
+struct TransferGuard(Rc<SyncServer>);
+
+impl Drop for TransferGuard {
+    fn drop(&mut self) {
+        self.0.slots.borrow_mut().release();
+    }
+}
+
+/// Answers the requests of other VMs for the directory and the configuration.
+#[derive(Debug)]
+pub(crate) struct SyncServer {
+    state: Rc<State>,
+    slots: RefCell<TransferSlots>,
+    encoded: RefCell<Option<EncodedDirectory>>,
+}
+
+impl SyncServer {
+    /// Creates a server that sends what `state` contains.
+    pub(crate) fn new(state: Rc<State>) -> Rc<Self> {
+        Rc::new(Self {
+            state,
+            slots: RefCell::default(),
+            encoded: RefCell::new(None),
+        })
+    }
+
+    /// Answers one request.
+    pub(crate) async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let sender = request.headers().get(SENDER_HEADER);
+        let sender = sender.and_then(|it| it.to_str().ok()?.parse::<SocketAddr>().ok());
+        let body = read_body(request.into_body(), MAX_REQUEST_BYTES).await;
+        let request = body.ok().and_then(|body| SyncRequest::decode(body).ok());
+        let (Some(sender), Some(request)) = (sender, request) else {
+            warn!("request of another VM unreadable");
+            let mut response = Response::new(Body::empty());
+            *response.status_mut() = StatusCode::BAD_REQUEST;
+            return response;
+        };
+        let part = request.part();
+        let now = Instant::now();
+        let slot = self.slots.borrow_mut().take(part, sender, now);
+        let reply = match slot.map(|()| TransferGuard(self.clone())) {
+            Err(referrals) => SyncReply {
+                is_busy: true,
+                referrals: referrals.iter().map(SocketAddr::to_string).collect(),
+                ..SyncReply::default()
+            },
+            Ok(guard) => match self.encode_part(part, request.from, now) {
+                Some(reply) => {
+                    debug!(peer = %sender, part = part.name(), bytes = reply.len(), "state sent");
+                    let mut slots = self.slots.borrow_mut();
+                    slots.note_receiver(part, sender, now);
+                    return Response::new(send_chunks(reply, guard));
+                }
+                None => SyncReply::default(),
+            },
+        };
+        Response::new(Body::full(reply.encode_to_vec()))
+    }
+
+    /// Encodes the reply with a part; `None` if this VM has nothing that is newer than `from`.
+    fn encode_part(&self, part: Part, from: Option<u64>, now: Instant) -> Option<Bytes> {
+        let end = self.state.synced_to(part)?;
+        if from.is_some_and(|from| from >= end) {
+            return None;
+        }
+        match part {
+            Part::Configuration => {
+                let configuration = self.state.configuration()?;
+                let reply = SyncReply {
+                    document: configuration.document.bytes(),
+                    ..self.reply(part, end, now)?
+                };
+                Some(reply.encode_to_vec().into())
+            }
+            Part::Directory => {
+                let since = from.and_then(|from| self.state.history.borrow().since(from));
+                match since {
+                    Some(changes) => Some(self.encode_directory(&changes, false, now)?),
+                    None => self.encode_whole_directory(end, now),
+                }
+            }
+        }
+    }
+
+    /// Encodes the whole directory, or returns a copy that was encoded a moment ago.
+    fn encode_whole_directory(&self, end: u64, now: Instant) -> Option<Bytes> {
+        let mut encoded = self.encoded.borrow_mut();
+        let recent = encoded
+            .as_ref()
+            .filter(|it| now.saturating_duration_since(it.at) < ENCODED_TTL);
+        if let Some(recent) = recent {
+            return Some(recent.reply.clone());
+        }
+        let servers = self.state.fleet.servers().into_iter();
+        let listed = servers.filter(|server| !server.is_marked_removed());
+        let entries =
+            listed.map(|server| server.with_entry(|it| ServerChange::Upserted(it.clone())));
+        let changes = Changes {
+            items: entries.collect(),
+            next_offset: end,
+        };
+        let reply = self.encode_directory(&changes, true, now)?;
+        *encoded = Some(EncodedDirectory {
+            reply: reply.clone(),
+            at: now,
+        });
+        Some(reply)
+    }
+
+    fn encode_directory(
+        &self,
+        changes: &Changes<ServerChange>,
+        is_whole: bool,
+        now: Instant,
+    ) -> Option<Bytes> {
+        let items = changes.items.iter();
+        let reply = SyncReply {
+            is_whole,
+            changes: items.map(ServerUpdate::from_change).collect(),
+            ..self.reply(Part::Directory, changes.next_offset, now)?
+        };
+        Some(reply.encode_to_vec().into())
+    }
+
+    fn reply(&self, part: Part, next: u64, now: Instant) -> Option<SyncReply> {
+        let confirmed_at = self.state.confirmed_at(part, now)?;
+        let age = now.saturating_duration_since(confirmed_at);
+        Some(SyncReply {
+            has_part: true,
+            next,
+            confirmed_age_ms: age.as_millis() as u64,
+            ..SyncReply::default()
+        })
+    }
+}
+
+/// Sends a reply in chunks. The transfer counts as open until the last one is taken.
+fn send_chunks(mut reply: Bytes, guard: TransferGuard) -> Body {
+    let (mut sender, body) = Body::channel(1);
+    compio::runtime::spawn(async move {
+        let _guard = guard;
+        while !reply.is_empty() {
+            let chunk = reply.split_to(reply.len().min(CHUNK_BYTES));
+            if sender.send(Ok(chunk)).await.is_err() {
+                debug!("receiver of state disconnected");
+                return;
+            }
+        }
+    })
+    .detach();
+    body
+}
--- a/src/gateway/tests/directory_updates.rs
+++ b/src/gateway/tests/directory_updates.rs
@@ -110,7 +110,7 @@
         next_offset: 0,
     };
     state
-        .apply_directory_changes(changes, Instant::now())
+        .apply_directory_changes(changes, None, Instant::now())
         .0
         .len()
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the serving role that need no network.
 
 mod brief;
+mod change_history;
 mod decisions;
 mod directory_updates;
 mod gossip_sender;
@@ -16,6 +17,7 @@
 mod server_limits;
 mod speeds;
 mod spreading;
+mod starts;
 mod swaps;
 mod views;
 mod waiting;
--- a/src/gateway/tests/order_dispatch.rs
+++ b/src/gateway/tests/order_dispatch.rs
@@ -180,7 +180,7 @@
         items: vec![change],
         next_offset: 0,
     };
-    state.apply_directory_changes(changes, Instant::now());
+    state.apply_directory_changes(changes, None, Instant::now());
 }
 
 /// Returns a leader with one listed runner.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -188,9 +188,14 @@
         self.peak_known + 1
     }
 
+    /// Time since this VM started.
+    pub(crate) fn uptime(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started_at)
+    }
+
     /// Whether enough time has passed since the start to find all other VMs.
     pub(crate) fn is_discovery_over(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.started_at) >= DISCOVERY_TIME
+        self.uptime(now) >= DISCOVERY_TIME
     }
 
     /// Whether to request the full view of another VM now. If so, the request is recorded as sent.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,12 +1,16 @@
 //! Follows the configuration and the directory of backend servers in the log.
 
-use crate::gateway::directory_updates::update_messages;
+use crate::gateway::directory_updates::{ServerUpdate, update_messages};
 use crate::gateway::log_follower::{Reading, Readings};
 use crate::gateway::peers::UpdateScope;
 use crate::gateway::state::State;
-use crate::gateway::{Changes, ConfigSource, Directory, ServerChange, StoreError};
+use crate::gateway::sync_client::SyncClient;
+use crate::gateway::sync_message::{Part, SyncReply};
+use crate::gateway::{Changes, ConfigSource, Configuration, Directory, ServerChange, StoreError};
 use crate::inventory::Name;
+use std::cell::Cell;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -22,8 +26,11 @@
 /// Time between two reads of the directory: a quarter of the time within which a leaving server has
 /// to stop receiving requests.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(500);
-/// Time between two reads while another VM of the zone follows the log and advertises changes.
+/// Time between two reads while another VM of the zone follows the log and advertises changes, at
+/// least. In a large zone it is longer, so that the zone makes a few such reads per minute.
 const BACKGROUND_INTERVAL: Duration = Duration::from_secs(60);
+/// Time between two of these reads in the whole zone.
+const ZONE_BACKGROUND_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two reads while the log returns less than another VM has advertised.
 const BEHIND_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time between two checks for advertised changes: half of the time between two gossip messages.
@@ -45,39 +52,75 @@
 /// Maximum time for which the other VMs of the zone wait before they read the log themselves.
 const MAX_OTHERS_PAUSE: Duration = Duration::from_millis(4_000);
 
+/// Time over which the VMs of a zone spread their requests for the same change, for each VM.
+const SYNC_SPREAD_PER_VM: Duration = Duration::from_millis(2);
+/// Maximum time since the sender of a part knew it to be current. A VM that starts does not take an
+/// older one, unless it cannot read the log either.
+const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2_000);
+/// Number of failed requests to other VMs after which a VM reads the log.
+const MAX_SYNC_FAILURES: u32 = 3;
+
+/// Where a VM obtains what it lacks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    /// The log.
+    Log,
+    /// Another VM.
+    Peer(SocketAddr),
+}
+
 /// Keeps the state of this VM up to date with the log.
 pub(crate) struct LogWatcher<S> {
     state: Rc<State>,
     store: Rc<S>,
+    sync: SyncClient,
+}
+
+/// What follows one part of the state: failures in a row since the part was last obtained.
+#[derive(Debug, Default)]
+struct Attempts {
+    /// Failed reads of the log.
+    log: u32,
+    /// Failed requests to other VMs.
+    sync: Cell<u32>,
+    /// Since when this VM waits for its turn to read the log.
+    waiting_since: Cell<Option<Instant>>,
 }
 
 impl<S: ConfigSource + Directory> LogWatcher<S> {
     /// Creates a watcher that reads from `store`.
     pub(crate) fn new(state: Rc<State>, store: Rc<S>) -> Rc<Self> {
-        Rc::new(Self { state, store })
+        Rc::new(Self {
+            sync: SyncClient::new(state.clone()),
+            state,
+            store,
+        })
     }
 
     /// Follows the configuration until the process ends.
     pub(crate) async fn follow_configuration(self: Rc<Self>) {
         let mut next = None;
-        let mut failures = 0;
+        let mut attempts = Attempts::default();
         loop {
             let read_at = Instant::now();
-            let read = match next {
-                None => self.store.newest().await,
-                Some(from) => {
-                    let advertised = self.state.advertised_readings(read_at);
-                    let wait = advertised.map_or(CONFIGURATION_WAIT, |_| Duration::ZERO);
-                    self.store.changes(from, wait).await
+            let source = self.choose_source(Part::Configuration, next, &attempts);
+            let read = match source.await {
+                Source::Peer(peer) => {
+                    let synced = self.sync_part(Part::Configuration, next, peer, &attempts);
+                    let Some(synced) = synced.await else {
+                        continue;
+                    };
+                    self.decode_synced(&synced)
                 }
+                Source::Log => self.read_configuration(next, read_at).await,
             };
             match read {
-                Ok(changes) => {
-                    failures = 0;
+                Ok((changes, read_at_log)) => {
+                    attempts = Attempts::default();
                     next = Some(changes.next_offset);
                     let reading = Reading {
                         last_change: changes.next_offset,
-                        at: Instant::now(),
+                        at: read_at_log,
                     };
                     let following = &self.state.following;
                     let before = following.configuration.replace(Some(reading));
@@ -97,55 +140,233 @@
                 }
                 Err(StoreError::Compacted) => {
                     next = None;
-                    self.wait_before_full_read("configuration", failures).await;
+                    self.wait_before_full_read("configuration", attempts.log)
+                        .await;
                 }
                 Err(error) => {
-                    self.report_failure("configuration", error, failures);
-                    failures += 1;
-                    self.wait_before_retry(failures).await;
+                    self.report_failure("configuration", error, attempts.log);
+                    attempts.log += 1;
+                    self.wait_before_retry(attempts.log).await;
                 }
             }
         }
     }
 
+    /// Reads the configuration from the log; returns it with the time of the read.
+    async fn read_configuration(
+        &self,
+        from: Option<u64>,
+        now: Instant,
+    ) -> Result<(Changes<Configuration>, Instant), StoreError> {
+        let changes = match from {
+            None => self.store.newest().await?,
+            Some(from) => {
+                let advertised = self.state.advertised_readings(now);
+                let wait = advertised.map_or(CONFIGURATION_WAIT, |_| Duration::ZERO);
+                self.store.changes(from, wait).await?
+            }
+        };
+        Ok((changes, Instant::now()))
+    }
+
+    /// Decodes a configuration that another VM sent.
+    fn decode_synced(
+        &self,
+        synced: &SyncReply,
+    ) -> Result<(Changes<Configuration>, Instant), StoreError> {
+        let changes = Changes {
+            items: vec![self.store.decode(&synced.document)?],
+            next_offset: synced.next,
+        };
+        Ok((changes, confirmed_at(synced)))
+    }
+
     /// Follows the directory until the process ends.
     pub(crate) async fn follow_directory(self: Rc<Self>) {
         let following = &self.state.following;
-        let mut failures = 0;
+        let mut attempts = Attempts::default();
         loop {
             let read_at = Instant::now();
             let from = following.directory_end.get();
-            let read = match from {
-                None => self.store.entries().await,
-                Some(from) => self.store.changes_since(from).await,
+            let source = self.choose_source(Part::Directory, from, &attempts);
+            let source = source.await;
+            let read = match source {
+                Source::Peer(peer) => {
+                    let synced = self.sync_part(Part::Directory, from, peer, &attempts);
+                    let Some(synced) = synced.await else {
+                        continue;
+                    };
+                    let since = from.filter(|_| !synced.is_whole);
+                    decode_directory(synced).map(|(changes, at)| (changes, since, at))
+                }
+                Source::Log => self.read_directory(from).await,
             };
             match read {
                 // An update forwarded by another VM arrived in the meantime and is newer.
                 Ok(_) if following.directory_end.get() != from => {}
-                Ok(changes) => {
-                    if failures > 0 {
-                        info!(failures, "directory regained");
+                Ok((changes, since, at)) => {
+                    if attempts.log > 0 {
+                        info!(failures = attempts.log, "directory regained");
                     }
-                    failures = 0;
-                    self.apply_read(changes, from);
+                    attempts = Attempts::default();
+                    self.apply_read(changes, since, at);
                     self.wait_for_next_directory_read(read_at).await;
                 }
                 Err(StoreError::Compacted) => {
                     following.directory_end.set(None);
                     following.disrupted_at.set(Some(Instant::now()));
-                    self.wait_before_full_read("directory", failures).await;
+                    self.wait_before_full_read("directory", attempts.log).await;
                 }
                 Err(error) => {
                     following.disrupted_at.set(Some(Instant::now()));
-                    self.report_failure("directory", error, failures);
-                    failures += 1;
-                    self.wait_before_retry(failures).await;
+                    self.report_failure("directory", error, attempts.log);
+                    attempts.log += 1;
+                    self.wait_before_retry(attempts.log).await;
                 }
             }
             self.state.purge_removed(Instant::now());
         }
     }
 
+    /// Reads the directory from the log; returns the changes, the offset from which they were read
+    /// and the time of the read.
+    async fn read_directory(&self, from: Option<u64>) -> Result<DirectoryRead, StoreError> {
+        let changes = match from {
+            None => self.store.entries().await?,
+            Some(from) => self.store.changes_since(from).await?,
+        };
+        Ok((changes, from, Instant::now()))
+    }
+
+    /// Selects where to obtain what is newer than `from`, or the whole part if that is `None`.
+    /// Without another VM that has it, waits for the turn of this VM to read the log.
+    async fn choose_source(&self, part: Part, from: Option<u64>, attempts: &Attempts) -> Source {
+        loop {
+            let now = Instant::now();
+            let source = match from {
+                None => self.whole_source(part, attempts, now),
+                Some(from) => self.update_source(part, from, attempts, now),
+            };
+            match source {
+                Some(source) => {
+                    if source != Source::Log && attempts.sync.get() >= MAX_SYNC_FAILURES {
+                        attempts.sync.set(0);
+                    }
+                    return source;
+                }
+                None => compio::time::sleep(UPDATE_POLL).await,
+            }
+        }
+    }
+
+    /// Where to obtain a whole part now; `None` while this VM waits for its turn to read the log.
+    fn whole_source(&self, part: Part, attempts: &Attempts, now: Instant) -> Option<Source> {
+        let state = &self.state;
+        let is_followed = state.advertised_readings(now).is_some();
+        let own_read = state.following.last_read(part);
+        let is_follower = !is_followed && own_read.is_some_and(|own| own.is_fresh(now));
+        if state.fence.get() > 0 || is_follower {
+            return Some(Source::Log);
+        }
+        let zone = &state.settings.availability_zone;
+        let may_sync = attempts.sync.get() < MAX_SYNC_FAILURES;
+        let with_state = state.peers.random_peer_with_state(zone, rand::random());
+        if let Some(peer) = with_state.filter(|_| may_sync) {
+            return Some(Source::Peer(peer));
+        }
+        if self.is_turn(attempts, now) {
+            return Some(Source::Log);
+        }
+        // In a large fleet most VMs are heard rarely, so any of them may have the state.
+        let peer = match state.peers.has_all_members() {
+            true => None,
+            false => state.peers.random_peer(zone, rand::random()),
+        };
+        peer.map(Source::Peer)
+    }
+
+    /// Where to obtain the changes of a part since `from` now; `None` while this VM waits for its
+    /// turn to read the log.
+    fn update_source(
+        &self,
+        part: Part,
+        from: u64,
+        attempts: &Attempts,
+        now: Instant,
+    ) -> Option<Source> {
+        let state = &self.state;
+        if state.fence.get() > 0 {
+            return Some(Source::Log);
+        }
+        let may_sync = attempts.sync.get() < MAX_SYNC_FAILURES;
+        let peer = || state.peer_ahead(part, from, now).filter(|_| may_sync);
+        if state.advertised_readings(now).is_some() {
+            // Without a VM that is ahead this is one of the rare reads.
+            return Some(peer().map_or(Source::Log, Source::Peer));
+        }
+        let own_read = state.following.last_read(part);
+        if own_read.is_some_and(|own| own.is_fresh(now)) || self.is_turn(attempts, now) {
+            return Some(Source::Log);
+        }
+        match attempts.log {
+            0 => None,
+            // The log is out of reach of this VM, but not of the other one.
+            _ => peer().map(Source::Peer),
+        }
+    }
+
+    /// Whether this VM has waited long enough for another VM to read the log.
+    fn is_turn(&self, attempts: &Attempts, now: Instant) -> bool {
+        let waiting_since = attempts.waiting_since.get().unwrap_or(now);
+        attempts.waiting_since.set(Some(waiting_since));
+        let waited = now.saturating_duration_since(waiting_since);
+        waited >= self.state.read_turn(attempts.log, now).delay()
+    }
+
+    /// Requests a part from another VM, or from those to which it refers.
+    async fn sync_part(
+        &self,
+        part: Part,
+        from: Option<u64>,
+        peer: SocketAddr,
+        attempts: &Attempts,
+    ) -> Option<SyncReply> {
+        let began = Instant::now();
+        if from.is_some() {
+            let vms = self
+                .state
+                .peers
+                .vms_in(&self.state.settings.availability_zone);
+            let spread = SYNC_SPREAD_PER_VM * vms as u32;
+            compio::time::sleep(spread.mul_f64(rand::random())).await;
+        }
+        let synced = self.sync.fetch(part, from, peer).await;
+        let max_age = match attempts.log {
+            0 => MAX_CONFIRMED_AGE,
+            _ => Duration::MAX,
+        };
+        let is_current = |reply: &SyncReply| {
+            from.is_some() || Duration::from_millis(reply.confirmed_age_ms) < max_age
+        };
+        let synced = synced.filter(is_current);
+        match &synced {
+            Some(reply) => info!(
+                part = part.name(),
+                %peer,
+                from,
+                next = reply.next,
+                age_ms = reply.confirmed_age_ms,
+                took_ms = began.elapsed().as_millis() as u64,
+                "state received"
+            ),
+            None => {
+                attempts.sync.set(attempts.sync.get() + 1);
+                compio::time::sleep(UPDATE_POLL).await;
+            }
+        }
+        synced
+    }
+
     /// Waits until the directory has to be read again. While another VM follows the log for this
     /// one, that is once it advertises changes which this VM did not receive.
     async fn wait_for_next_directory_read(&self, read_at: Instant) {
@@ -155,9 +376,12 @@
             let has_missed = end.is_none_or(|end| advertised.directory.last_change > end);
             if !has_missed {
                 // No change that matters precedes the offset up to which the other VM has read.
-                following
-                    .directory_end
-                    .set(end.max(Some(advertised.directory_end)));
+                let end = end.max(Some(advertised.directory_end));
+                following.directory_end.set(end);
+                self.state
+                    .history
+                    .borrow_mut()
+                    .extend_to(advertised.directory_end);
             }
             has_missed
         };
@@ -178,7 +402,12 @@
         let is_behind = advertised.is_some_and(&has_update);
         let interval = if is_behind { BEHIND_INTERVAL } else { interval };
         compio::time::sleep_until(read_at + interval).await;
-        while read_at.elapsed() < BACKGROUND_INTERVAL {
+        let vms = self
+            .state
+            .peers
+            .vms_in(&self.state.settings.availability_zone);
+        let background_interval = BACKGROUND_INTERVAL.max(ZONE_BACKGROUND_INTERVAL * vms as u32);
+        while read_at.elapsed() < background_interval {
             self.state.purge_removed(Instant::now());
             match self.state.advertised_readings(Instant::now()) {
                 Some(reads) if !has_update(reads) => compio::time::sleep(UPDATE_POLL).await,
@@ -188,14 +417,16 @@
     }
 
     /// Applies a read of the directory that started at offset `from`, or a full read if that is
-    /// `None`. If this VM follows the log for its zone, forwards the relevant changes.
-    fn apply_read(&self, mut changes: Changes<ServerChange>, from: Option<u64>) {
+    /// `None`, and was current `at` a time. If this VM follows the log for its zone, forwards the
+    /// relevant changes.
+    fn apply_read(&self, mut changes: Changes<ServerChange>, from: Option<u64>, at: Instant) {
         let now = Instant::now();
         let next = changes.next_offset;
         if from.is_none() {
             changes.items.extend(self.removed_servers(&changes.items));
         }
-        let (relevant, has_availability_change) = self.state.apply_directory_changes(changes, now);
+        let (relevant, has_availability_change) =
+            self.state.apply_directory_changes(changes, from, now);
         let following = &self.state.following;
         following.directory_end.set(Some(next));
         let before = following.directory.get();
@@ -203,10 +434,7 @@
             Some(before) if relevant.is_empty() => before.last_change,
             _ => next,
         };
-        following.directory.set(Some(Reading {
-            last_change,
-            at: now,
-        }));
+        following.directory.set(Some(Reading { last_change, at }));
         if !self.state.follows_closely(now) {
             following.sent_to.set(None);
             return;
@@ -278,6 +506,28 @@
     }
 }
 
+/// Directory changes, the offset from which they were read, and the time at which they were current.
+type DirectoryRead = (Changes<ServerChange>, Option<u64>, Instant);
+
+/// Returns the time at which a part that another VM sent was current.
+fn confirmed_at(synced: &SyncReply) -> Instant {
+    let now = Instant::now();
+    let age = Duration::from_millis(synced.confirmed_age_ms);
+    now.checked_sub(age).unwrap_or(now)
+}
+
+/// Decodes directory changes that another VM sent.
+fn decode_directory(synced: SyncReply) -> Result<(Changes<ServerChange>, Instant), StoreError> {
+    let at = confirmed_at(&synced);
+    let changes = synced.changes.into_iter();
+    let items: Option<Vec<ServerChange>> = changes.map(ServerUpdate::into_change).collect();
+    let changes = Changes {
+        items: items.ok_or(StoreError::Garbled)?,
+        next_offset: synced.next,
+    };
+    Ok((changes, at))
+}
+
 /// Pause after `failures` failed reads in a row; it grows only if the VM is ready.
 pub(crate) fn retry_pause(failures: u32, is_ready: bool) -> Duration {
     if is_ready {
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,7 +1,9 @@
 //! The operator's configuration in the platform's format.
 
 use crate::callers::{ApiKey, ApiKeyIndex, Measure, Organisation, Quota};
-use crate::gateway::{Configuration, Engine, Limits, Model, Route, RouteKind, Service, Target};
+use crate::gateway::{
+    Configuration, Document, Engine, Limits, Model, Route, RouteKind, Service, Target,
+};
 use crate::inventory::Name;
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
@@ -150,7 +152,8 @@
         max_body_bytes: wire.limits.max_body_bytes,
         idle_timeout_ms: wire.limits.idle_timeout_ms,
     };
-    let configuration = Configuration::new(wire.version, routes, services, limits);
+    let configuration = Configuration::new(wire.version, routes, services, limits)
+        .with_document(Document::copy_of(value));
     let Some(organisations) = wire.tenants else {
         return Ok(configuration);
     };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -371,6 +371,10 @@
             .map(decode_configurations)
     }
 
+    fn decode(&self, document: &[u8]) -> Result<Configuration, StoreError> {
+        configuration::decode(document).map_err(warn_garbled)
+    }
+
     async fn changes(
         &self,
         from: u64,
