The leader's work is bounded: reports at a rate, plans with pauses

What grew: a new leader asked all runners for their reports at once (3,162 to 3,645 connections of the busiest VM at 300 VMs); a plan summed up requests in flight over all VMs for every model of every runner, copied the load of all runners for every swap it weighed, and weighed every model for every runner with free memory; the next one followed a tenth of a second later.

Change: reports are requested at a rate that depends on the processor time of the VM (ReportSchedule), refreshed the less often the more runners there are, and always before orders; runners without a report count by what the directory lists and get no orders; a plan is followed by a pause of four times its length; at most 100 swaps a plan, each weighed by what it changes; free memory is filled only with models whose copies are few or in use.

--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -5,6 +5,7 @@
 use crate::gateway::order_queue::OrderTarget;
 use crate::gateway::peers::{DemandRate, UpdateScope};
 use crate::gateway::planning::{PlacementPlanner, RunnerPlan, RunnerView};
+use crate::gateway::report_schedule::ReportSchedule;
 use crate::gateway::runner_state::RunnerState;
 use crate::gateway::state::State;
 use crate::gateway::{RunnerControl, RunnerReport, Weights};
@@ -15,10 +16,14 @@
 use std::time::{Duration, Instant};
 use tracing::info;
 
-/// Age from which a runner's report is requested again.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
-/// Delay before a report that did not arrive is requested again.
-const REPORT_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Age up to which an order is sent on the report of its runner.
+const MAX_ORDER_REPORT_AGE: Duration = Duration::from_secs(5);
+/// How long a new leader waits for reports before it plans on what the directory lists.
+const MAX_REPORTS_WAIT: Duration = Duration::from_millis(1_500);
+/// The share of the runners that counts as most of them.
+const MOST_RUNNERS: f64 = 0.9;
+/// The time without planning that follows a plan, as a multiple of the time that the plan took.
+const PLANNING_PAUSE_FACTOR: u32 = 4;
 /// Fence of the first leadership claim in the log.
 const FIRST_FENCE: u64 = 1;
 /// Time for which a requested model is expected to be requested again.
@@ -31,6 +36,11 @@
     pub(super) fence: Cell<Option<u64>>,
     pub(super) was_fenced: Cell<bool>,
     pub(super) runner_states: RefCell<BTreeMap<Incarnation, RunnerState>>,
+    reports: RefCell<ReportSchedule>,
+    /// When this VM became the leader.
+    started_at: Cell<Instant>,
+    /// When the next plan is due.
+    next_plan_at: Cell<Instant>,
     ceiling: LoadRateLimit,
     /// When each model was last requested.
     last_requested_at: RefCell<HashMap<Name, Instant>>,
@@ -40,7 +50,11 @@
     /// Creates a dispatcher that sends no orders until [`start`](Self::start).
     pub(crate) fn new(state: Rc<State>, runner_control: R) -> Rc<Self> {
         let ceiling = LoadRateLimit::new(state.settings.bounds.load_window);
+        let now = Instant::now();
         Rc::new(Self {
+            reports: RefCell::new(ReportSchedule::new(state.settings.cpu_cores, now)),
+            started_at: Cell::new(now),
+            next_plan_at: Cell::new(now),
             state,
             runner_control,
             fence: Cell::new(None),
@@ -68,6 +82,7 @@
             self.ceiling.note_takeover(Instant::now());
         }
         self.runner_states.borrow_mut().clear();
+        self.started_at.set(Instant::now());
         self.state.metrics.is_leading.set(1);
         self.fence.set(Some(fence));
         self.state.fence.set(fence);
@@ -88,11 +103,35 @@
         self.was_fenced.replace(false)
     }
 
-    /// Updates the state of all runners, plans, and starts the orders of the plan.
+    /// Updates the state of all runners, plans, and starts the orders of the plan. The longer a plan
+    /// takes, the rarer it is made, so that it leaves most of the processor time to other tasks.
     pub(crate) fn tick(self: &Rc<Self>) {
+        let began = Instant::now();
+        if began < self.next_plan_at.get() {
+            return;
+        }
         self.sync_runner_states();
         self.refresh_reports();
         self.advertise_holdings();
+        let knows_runners = self.knows_most_runners();
+        let is_waiting_over = self.started_at.get().elapsed() >= MAX_REPORTS_WAIT;
+        if knows_runners || is_waiting_over {
+            self.plan(knows_runners);
+        }
+        let pause = began.elapsed() * PLANNING_PAUSE_FACTOR;
+        self.next_plan_at.set(Instant::now() + pause);
+    }
+
+    /// Whether the reports of most runners were received.
+    fn knows_most_runners(&self) -> bool {
+        let tracked = self.runner_states.borrow();
+        let known = tracked.values().filter(|it| it.report.is_some()).count();
+        known as f64 >= tracked.len() as f64 * MOST_RUNNERS
+    }
+
+    /// Plans, and starts the orders of the plan. `knows_runners` tells whether the reports of most
+    /// runners were received.
+    fn plan(self: &Rc<Self>, knows_runners: bool) {
         let Some(configuration) = self.state.configuration() else {
             return;
         };
@@ -106,6 +145,7 @@
                 runners: &runners,
                 demand: &demand,
                 recently_requested: &recently_requested,
+                knows_runners,
                 cold_loads: self.ceiling.left(engine.loads_per_s, now),
             };
             for (runner, runner_plan) in planner.plan() {
@@ -143,25 +183,31 @@
         }
     }
 
-    /// Requests the reports that are old or missing.
+    /// Requests the reports that are missing or old, the oldest first, as far as the rate allows.
     fn refresh_reports(self: &Rc<Self>) {
         let now = Instant::now();
         let mut tracked = self.runner_states.borrow_mut();
-        for (run, tracked) in tracked.iter_mut() {
-            let limit = match tracked.report {
-                Some(_) if !tracked.last_report_missed => MAX_REPORT_AGE,
-                _ => REPORT_RETRY_INTERVAL,
-            };
-            let is_old = tracked
-                .report_requested_at
-                .is_none_or(|at| now.duration_since(at) >= limit);
-            if tracked.is_executing || !is_old {
-                continue;
-            }
-            let Some(server) = self.state.fleet.run(run) else {
+        let mut schedule = self.reports.borrow_mut();
+        let runners = tracked.len();
+        let is_due = |runner: &RunnerState| {
+            let is_known = runner.report.is_some() && !runner.last_report_missed;
+            let interval = schedule.interval(runners, is_known);
+            let requested_at = runner.report_requested_at;
+            !runner.is_executing && requested_at.is_none_or(|at| now.duration_since(at) >= interval)
+        };
+        let due = tracked.iter().filter(|(_, runner)| is_due(runner));
+        let mut due: Vec<(Option<Instant>, Incarnation)> = due
+            .map(|(run, runner)| (runner.report_requested_at, run.clone()))
+            .collect();
+        due.sort();
+        due.truncate(schedule.take(due.len(), now));
+        for (_, run) in due {
+            let Some(server) = self.state.fleet.run(&run) else {
                 continue;
             };
-            tracked.report_requested_at = Some(now);
+            if let Some(runner) = tracked.get_mut(&run) {
+                runner.report_requested_at = Some(now);
+            }
             let dispatcher = self.clone();
             compio::runtime::spawn(async move {
                 dispatcher.fetch_report(&server).await;
@@ -170,6 +216,22 @@
         }
     }
 
+    /// Requests the report of a runner that orders are about to be sent to, unless it is recent.
+    pub(super) async fn refresh_before_orders(&self, server: &Server) {
+        let is_recent = {
+            let tracked = self.runner_states.borrow();
+            let tracked = tracked.get(&server.incarnation());
+            tracked.is_some_and(|runner| {
+                let requested_at = runner.report_requested_at;
+                runner.report.is_some()
+                    && requested_at.is_some_and(|at| at.elapsed() < MAX_ORDER_REPORT_AGE)
+            })
+        };
+        if !is_recent {
+            self.fetch_report(server).await;
+        }
+    }
+
     /// Requests a runner's report and stores it. Returns `None` if it did not arrive or is
     /// outdated, or if the leadership changed in the meantime.
     pub(super) async fn fetch_report(&self, server: &Server) -> Option<RunnerReport> {
@@ -229,13 +291,15 @@
     fn views(&self, service: &str) -> Vec<RunnerView> {
         let tracked = self.runner_states.borrow();
         let servers = self.state.fleet.of_service(service);
+        let peers_in_flight = self.state.peers.in_flight_by_model();
         let mut views: Vec<RunnerView> = servers
             .iter()
             .filter(|server| server.accepts_requests())
             .filter_map(|server| {
-                tracked
-                    .get(&server.incarnation())?
-                    .view(server, &self.state)
+                let runner = tracked.get(&server.incarnation())?;
+                let in_flight = peers_in_flight.get(&server.id);
+                let view = runner.view(server, in_flight);
+                view.or_else(|| runner.listed_view(server))
             })
             .collect();
         views.sort_by(|left, right| left.id.cmp(&right.id));
--- a/src/gateway/order_queue.rs
+++ b/src/gateway/order_queue.rs
@@ -51,6 +51,7 @@
 
     pub(super) async fn execute_plan(&self, target: &OrderTarget, runner_plan: &RunnerPlan) {
         let server = &target.server;
+        self.refresh_before_orders(server).await;
         let unloads = runner_plan.unload.iter().map(|weights| (weights, false));
         let loads = runner_plan.load.iter().map(|weights| (weights, true));
         for (weights, is_load) in unloads.chain(loads) {
@@ -151,6 +152,7 @@
             .get_mut(&server.incarnation())
         {
             tracked.report = None;
+            tracked.last_report_missed = true;
             tracked.report_requested_at = Some(now);
         }
     }
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -73,6 +73,9 @@
     pub(crate) demand: &'a HashMap<Weights, DemandRate>,
     /// Models that were requested recently.
     pub(crate) recently_requested: &'a HashSet<Name>,
+    /// Whether the reports of most runners were received. Otherwise the adapters that runners hold
+    /// are not known, and only those that requests wait for are loaded.
+    pub(crate) knows_runners: bool,
     /// Number of loads from the weight store that may start now.
     pub(crate) cold_loads: usize,
 }
@@ -131,6 +134,9 @@
             if copies > 0 && !is_crowded {
                 continue;
             }
+            if !self.knows_runners && rate.waiting == 0 {
+                continue;
+            }
             let is_requested = rate.waiting > 0 || rate.busy_ms_per_s > 0.0;
             self.place_adapter(&wanted, copies == 0 && is_requested, &mut views, plans);
         }
--- a/src/gateway/runner_state.rs
+++ b/src/gateway/runner_state.rs
@@ -2,9 +2,9 @@
 
 use crate::gateway::fleet::{Holding, Server, holds};
 use crate::gateway::planning::RunnerView;
-use crate::gateway::state::State;
 use crate::gateway::{RunnerReport, Weights};
 use crate::inventory::Name;
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// Minimum time for which a loaded model stays: demand is counted over 1.5 s, and the demand that
@@ -47,8 +47,31 @@
         Some(usable.cloned().collect())
     }
 
-    /// Returns the state that the planner needs; `None` without a report.
-    pub(super) fn view(&self, server: &Server, state: &State) -> Option<RunnerView> {
+    /// Returns what the directory lists for a runner whose report was not received yet. Its copies
+    /// count, and it gets no orders.
+    pub(super) fn listed_view(&self, server: &Server) -> Option<RunnerView> {
+        if self.report.is_some() || self.last_report_missed {
+            return None;
+        }
+        let models = server.with_entry(|entry| {
+            let holdings = entry.holdings.iter();
+            holdings.map(|holding| holding.model.clone()).collect()
+        });
+        Some(RunnerView {
+            id: server.id.clone(),
+            models,
+            is_executing: true,
+            ..RunnerView::default()
+        })
+    }
+
+    /// Returns the state that the planner needs; `None` without a report. `peers_in_flight` are the
+    /// requests that other VMs have in flight on the runner, by model.
+    pub(super) fn view(
+        &self,
+        server: &Server,
+        peers_in_flight: Option<&HashMap<Name, u32>>,
+    ) -> Option<RunnerView> {
         let report = self.report.as_ref()?;
         let usable = self.usable()?;
         let adapters = usable.iter().flat_map(|holding| {
@@ -77,8 +100,8 @@
                     let own = server.in_flight_by_model();
                     let own = own.iter().find(|(name, _)| name == model);
                     let own = own.map_or(0, |(_, count)| *count);
-                    let all = own + state.peers.in_flight_for(&server.id, model);
-                    (model.clone(), all)
+                    let others = peers_in_flight.and_then(|it| it.get(model)).copied();
+                    (model.clone(), own + others.unwrap_or(0))
                 })
                 .collect(),
             recently_loaded: self
--- a/src/gateway/spread.rs
+++ b/src/gateway/spread.rs
@@ -139,8 +139,8 @@
 
     /// Returns the value of unloading models from a runner and loading another there.
     pub(crate) fn swap_value(&mut self, runner: usize, load: usize, unload: &[usize]) -> SwapValue {
-        let before = self.save_affected(load, unload);
         let affected = self.affected_runners(runner, load, unload);
+        let before = self.save_affected(&affected, load, unload);
         let cost_before = self.cost(&affected, load, unload);
         for model in unload {
             self.remove_copy(*model, runner);
@@ -201,13 +201,16 @@
         affected
     }
 
-    fn save_affected(&self, load: usize, unload: &[usize]) -> SavedState {
+    fn save_affected(&self, affected: &[usize], load: usize, unload: &[usize]) -> SavedState {
         let models = unload.iter().chain([&load]);
         SavedState {
             models: models
                 .map(|model| (*model, self.models[*model].copies.clone()))
                 .collect(),
-            runners: self.runners.clone(),
+            runners: affected
+                .iter()
+                .map(|runner| (*runner, self.runners[*runner]))
+                .collect(),
         }
     }
 
@@ -215,7 +218,9 @@
         for (model, copies) in saved.models {
             self.models[model].copies = copies;
         }
-        self.runners = saved.runners;
+        for (runner, load) in saved.runners {
+            self.runners[runner] = load;
+        }
     }
 
     /// Removes a model's demand from its runners.
@@ -262,7 +267,7 @@
 /// State before a swap, to restore after it has been evaluated.
 struct SavedState {
     models: Vec<(usize, Vec<(usize, f64)>)>,
-    runners: Vec<RunnerLoad>,
+    runners: Vec<(usize, RunnerLoad)>,
 }
 
 /// Returns the level to which `demand` raises the lowest loads (water filling). The loads must be
--- a/src/gateway/swaps.rs
+++ b/src/gateway/swaps.rs
@@ -42,6 +42,14 @@
 /// Maximum share of runners on which swaps may be in progress at a time, since each swap takes a
 /// copy out of service.
 const MAX_SWAPPING_SHARE: f64 = 0.75;
+/// Maximum number of swaps in one plan. The next plan, a tenth of a second later, continues with the
+/// demand as it is then.
+const MAX_SWAPS_PER_PLAN: usize = 100;
+/// Demand per copy, in runners, up to which a model with several copies gets no further one where
+/// memory is free.
+const IDLE_COPY_DEMAND: f64 = 0.05;
+/// Copies that a model gets where memory is free, whatever its demand.
+const MIN_COPIES: usize = 2;
 /// Loads from the weight store that filling free memory leaves to models that no runner holds.
 const RESERVED_COLD_LOADS: usize = 4;
 /// Maximum number of models considered for one swap, those with the highest losses first; bounds
@@ -114,8 +122,11 @@
         let runners = self.planner.runners;
         let in_progress = runners.iter().filter(|it| it.loading.is_some()).count();
         let max_swaps = (runners.len() as f64 * MAX_SWAPPING_SHARE).ceil() as usize;
+        let swaps = max_swaps
+            .saturating_sub(in_progress)
+            .min(MAX_SWAPS_PER_PLAN);
         let mut cold_loads = self.planner.cold_loads;
-        for _ in in_progress..max_swaps {
+        for _ in 0..swaps {
             let Some(swap) = self.best_swap(plans, cold_loads) else {
                 break;
             };
@@ -270,8 +281,11 @@
         Vec::new()
     }
 
-    /// Fills each runner that has free memory with the model that gains most there.
+    /// Fills each runner that has free memory with the model that gains most there, among those whose
+    /// copies are few or in use.
     fn fill_free_memory(&mut self, plans: &mut HashMap<Name, RunnerPlan>, mut cold_loads: usize) {
+        let models = 0..self.planner.engine.models.len();
+        let wanted: Vec<usize> = models.filter(|it| !self.has_idle_copies(*it)).collect();
         for runner in 0..self.planner.runners.len() {
             let view = &self.planner.runners[runner];
             if !view.is_free() || plans.contains_key(&view.id) {
@@ -279,10 +293,13 @@
             }
             let free_mb = self.planner.free_mb(view);
             let mut best: Option<Swap> = None;
-            for model in 0..self.planner.engine.models.len() {
+            for model in wanted.iter().copied() {
                 let known = self.model(model);
                 let fits = free_mb >= known.weights_mb && !view.models.contains(&known.name);
-                if !fits || (self.is_cold(model, runner) && cold_loads <= RESERVED_COLD_LOADS) {
+                if !fits
+                    || self.has_idle_copies(model)
+                    || (self.is_cold(model, runner) && cold_loads <= RESERVED_COLD_LOADS)
+                {
                     continue;
                 }
                 let swap = self.evaluate(model, runner, Vec::new());
@@ -299,6 +316,14 @@
         }
     }
 
+    /// Whether a model has copies enough for its adapters and failures, and its demand hardly uses
+    /// them.
+    fn has_idle_copies(&self, model: usize) -> bool {
+        let copies = self.spread.copy_count(model);
+        let demand_per_copy = self.spread.demand(model) / copies.max(1) as f64;
+        copies >= MIN_COPIES && !self.lacks_copies(model) && demand_per_copy < IDLE_COPY_DEMAND
+    }
+
     fn lacks_copies(&self, model: usize) -> bool {
         self.spread.copy_count(model) < self.planner.min_copies_for_adapters(self.model(model))
     }
--- a/src/gateway/sync_server.rs
+++ b/src/gateway/sync_server.rs
@@ -7,7 +7,6 @@
 use crate::gateway::{Changes, ServerChange};
 use crate::http::{Body, read_body};
 use bytes::Bytes;
-use futures_util::SinkExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prost::Message;
@@ -20,6 +19,8 @@
 /// How long the encoded directory is sent again although it has changed since. Its receivers then
 /// ask for the changes.
 const ENCODED_TTL: Duration = Duration::from_millis(1_000);
+/// How long a transfer may take.
+const TRANSFER_LIMIT: Duration = Duration::from_secs(4);
 /// Size of the chunks in which a reply is written.
 const CHUNK_BYTES: usize = 32 * 1024;
 /// Largest accepted request, in bytes.
@@ -173,17 +174,26 @@
     }
 }
 
-/// Sends a reply in chunks. The transfer counts as open until the last one is taken.
+/// Sends a reply in chunks. The transfer counts as open until the last one is taken, or for
+/// [`TRANSFER_LIMIT`]: a receiver that hangs does not keep others waiting.
 fn send_chunks(mut reply: Bytes, guard: TransferGuard) -> Body {
-    let (mut sender, body) = Body::channel(1);
+    let (mut sender, body) = Body::answer(1);
     compio::runtime::spawn(async move {
         let _guard = guard;
-        while !reply.is_empty() {
-            let chunk = reply.split_to(reply.len().min(CHUNK_BYTES));
-            if sender.send(Ok(chunk)).await.is_err() {
-                debug!("receiver of state disconnected");
-                return;
+        let transfer = async move {
+            while !reply.is_empty() {
+                let chunk = reply.split_to(reply.len().min(CHUNK_BYTES));
+                if !sender.send(chunk).await {
+                    return;
+                }
             }
+            sender.mark_complete();
+        };
+        if compio::time::timeout(TRANSFER_LIMIT, transfer)
+            .await
+            .is_err()
+        {
+            debug!("transfer of state abandoned");
         }
     })
     .detach();
--- a/src/gateway/tests/planning.rs
+++ b/src/gateway/tests/planning.rs
@@ -77,6 +77,7 @@
         demand,
         recently_requested: &HashSet::new(),
         cold_loads: 8,
+        knows_runners: true,
     };
     planner.plan()
 }
