A VM that waited for its turn reads nothing once another one has read

When the VM that follows the log for a zone is lost, the others wait for their turn; found by reading: once the first had read, each of them read as well, as if it were one of the rare reads. Selecting the source is code of its own now (SourceSelector), tested without a network in source_selector.rs; the first of its tests states the fault. A leader that has handed over stays out of the group for a lease. Settings limits.cpu_share and limits.cores are checked.

--- a/src/gateway/election.rs
+++ b/src/gateway/election.rs
@@ -120,7 +120,10 @@
     fn is_membership_needed(&self, now: Instant) -> bool {
         let peers = &self.state.peers;
         let has_other_leader = peers.highest_fence(now).is_some();
-        self.dispatcher.is_leader() || !has_other_leader || peers.should_join_group(now)
+        // A leader that has just handed over leaves the first partition to another member.
+        let has_handed_over = self.is_lease_running() && peers.should_hand_over(now);
+        let lacks_leader = !has_other_leader && !has_handed_over;
+        self.dispatcher.is_leader() || lacks_leader || peers.should_join_group(now)
     }
 
     async fn apply_membership(&self, membership: Membership, requested_at: Instant) {
@@ -267,6 +270,13 @@
         }
     }
 
+    /// Whether this VM lost or gave up leadership less than a lease ago.
+    fn is_lease_running(&self) -> bool {
+        let lease = self.state.settings.bounds.lease;
+        let lost_at = self.leadership_lost_at.get();
+        lost_at.is_some_and(|at| at.elapsed() < lease)
+    }
+
     fn step_down(&self) {
         if self.dispatcher.is_leader() {
             info!(membership = ?self.membership.get(), "orders given up");
@@ -282,12 +292,7 @@
         if self.dispatcher.take_fenced() {
             self.leadership_lost_at.set(Some(Instant::now()));
         }
-        let lease = self.state.settings.bounds.lease;
-        if self
-            .leadership_lost_at
-            .get()
-            .is_some_and(|at| at.elapsed() < lease)
-        {
+        if self.is_lease_running() {
             return None;
         }
         match self
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,13 +9,13 @@
 use crate::gateway::line_budget::LineBudget;
 use crate::gateway::log_follower::Readings;
 use crate::gateway::peer::{PeerState, read_demands, read_loads};
+use crate::gateway::peer_loads::PeerLoads;
 use crate::gateway::view::{Sighting, View};
 use crate::gateway::zone_loads::ZoneLoads;
 use crate::inventory::Name;
-use crate::short_id::short_id;
 use crate::signal::Signal;
-use std::cell::{Cell, Ref, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tracing::{debug, info, warn};
@@ -250,29 +250,7 @@
     /// The requests that all other VMs have in flight, by server. Reading it once for all servers
     /// costs about as much as for one.
     pub(crate) fn loads(&self) -> PeerLoads<'_> {
-        let peer_states = self.peer_states.borrow();
-        let zone_loads = self.zone_loads.borrow();
-        let zones: HashSet<&Name> = peer_states
-            .values()
-            .map(|peer| &peer.availability_zone)
-            .collect();
-        // The sum of a zone includes what its VMs report individually.
-        let single: HashSet<&Name> = zones
-            .into_iter()
-            .filter(|zone| !zone_loads.has_zone(zone))
-            .collect();
-        let mut of_single: HashMap<Name, u32> = HashMap::new();
-        let peers = peer_states.values();
-        for peer in peers.filter(|peer| single.contains(&peer.availability_zone)) {
-            for (server, loads) in &peer.loads {
-                let count: u32 = loads.iter().map(|(_, count)| count).sum();
-                *of_single.entry(server.clone()).or_default() += count;
-            }
-        }
-        PeerLoads {
-            of_single,
-            zone_loads,
-        }
+        PeerLoads::new(self.peer_states.borrow().values(), self.zone_loads.borrow())
     }
 
     /// The requests that the other VMs of a zone have in flight, by server.
@@ -658,22 +636,6 @@
     }
 }
 
-/// The requests that other VMs have in flight, as of the time at which they were read.
-#[derive(Debug)]
-pub(crate) struct PeerLoads<'a> {
-    /// The sums over the VMs that report individually, by server.
-    of_single: HashMap<Name, u32>,
-    zone_loads: Ref<'a, ZoneLoads>,
-}
-
-impl PeerLoads<'_> {
-    /// The requests that all other VMs have in flight at a server.
-    pub(crate) fn in_flight(&self, server: &Name) -> u32 {
-        let of_single = self.of_single.get(server).copied().unwrap_or(0);
-        of_single + self.zone_loads.in_flight(short_id(server))
-    }
-}
-
 /// Picks one of some addresses by `draw`, a random number from 0 to 1.
 fn pick(addresses: impl Iterator<Item = SocketAddr>, draw: f64) -> Option<SocketAddr> {
     let addresses: Vec<SocketAddr> = addresses.collect();
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -6,7 +6,7 @@
 use crate::gateway::choose::{Candidate, choose};
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
-use crate::gateway::peers::PeerLoads;
+use crate::gateway::peer_loads::PeerLoads;
 use crate::gateway::relay::Relay;
 use crate::gateway::wait_queue::QueuedRequest;
 use std::rc::Rc;
--- /dev/null
+++ b/src/gateway/source_selector.rs
@@ -0,0 +1,158 @@
+//! Selects where a VM obtains the directory or the configuration: from the log or from another VM.
+
+use crate::gateway::state::State;
+use crate::gateway::sync_message::Part;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time between two checks while a VM waits for its turn to read the log.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of failed requests to other VMs after which a VM may read the log.
+const MAX_SYNC_FAILURES: u32 = 3;
+
+/// Where a VM obtains what it lacks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Source {
+    /// The log.
+    Log,
+    /// Another VM.
+    Peer(SocketAddr),
+    /// Nowhere: another VM has read the log meanwhile and found nothing newer.
+    Unneeded,
+}
+
+/// Selects the source of one part of the state.
+#[derive(Debug)]
+pub(crate) struct SourceSelector {
+    state: Rc<State>,
+    part: Part,
+    /// Failed reads of the log in a row.
+    log_failures: Cell<u32>,
+    /// Failed requests to other VMs in a row.
+    sync_failures: Cell<u32>,
+    /// Since when this VM waits for its turn to read the log.
+    waiting_since: Cell<Option<Instant>>,
+}
+
+impl SourceSelector {
+    /// Creates a selector for a part that this VM does not have yet.
+    pub(crate) fn new(state: Rc<State>, part: Part) -> Self {
+        Self {
+            state,
+            part,
+            log_failures: Cell::new(0),
+            sync_failures: Cell::new(0),
+            waiting_since: Cell::new(None),
+        }
+    }
+
+    /// The number of failed reads of the log in a row.
+    pub(crate) fn log_failures(&self) -> u32 {
+        self.log_failures.get()
+    }
+
+    /// Records that the part was obtained.
+    pub(crate) fn note_success(&self) {
+        self.log_failures.set(0);
+        self.sync_failures.set(0);
+        self.waiting_since.set(None);
+    }
+
+    /// Records a failed read of the log; returns the number of failures in a row.
+    pub(crate) fn note_log_failure(&self) -> u32 {
+        self.log_failures.set(self.log_failures.get() + 1);
+        self.log_failures.get()
+    }
+
+    /// Records that another VM did not send the part.
+    pub(crate) fn note_sync_failure(&self) {
+        self.sync_failures.set(self.sync_failures.get() + 1);
+    }
+
+    /// Selects where to obtain what is newer than `from`, or the whole part if that is `None`; waits
+    /// for the turn of this VM to read the log if no other VM has the part.
+    pub(crate) async fn select(&self, from: Option<u64>) -> Source {
+        if from.is_some() {
+            self.waiting_since.set(None);
+        }
+        loop {
+            if let Some(source) = self.select_now(from, Instant::now()) {
+                if source != Source::Log && self.sync_failures.get() >= MAX_SYNC_FAILURES {
+                    self.sync_failures.set(0);
+                }
+                return source;
+            }
+            compio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// The source at this time; `None` while this VM waits for its turn.
+    pub(crate) fn select_now(&self, from: Option<u64>, now: Instant) -> Option<Source> {
+        let is_leader = self.state.fence.get() > 0;
+        match from {
+            _ if is_leader => Some(Source::Log),
+            None => self.whole_source(now),
+            Some(from) => self.update_source(from, now),
+        }
+    }
+
+    fn whole_source(&self, now: Instant) -> Option<Source> {
+        if self.is_follower(now) {
+            return Some(Source::Log);
+        }
+        let peers = &self.state.peers;
+        let zone = &self.state.settings.availability_zone;
+        let may_sync = self.sync_failures.get() < MAX_SYNC_FAILURES;
+        let with_state = peers.random_peer_with_state(zone, rand::random());
+        if let Some(peer) = with_state.filter(|_| may_sync) {
+            return Some(Source::Peer(peer));
+        }
+        if self.is_turn(now) {
+            return Some(Source::Log);
+        }
+        // In a large fleet most VMs are heard rarely, so any of them may have the state.
+        let peer = match peers.has_all_members() {
+            true => None,
+            false => peers.random_peer(zone, rand::random()),
+        };
+        peer.map(Source::Peer)
+    }
+
+    fn update_source(&self, from: u64, now: Instant) -> Option<Source> {
+        let may_sync = self.sync_failures.get() < MAX_SYNC_FAILURES;
+        let ahead = self.state.peer_ahead(self.part, from, now);
+        let ahead = ahead.filter(|_| may_sync).map(Source::Peer);
+        if self.state.advertised_readings(now).is_some() {
+            let was_waiting = self.waiting_since.get().is_some();
+            // Otherwise this is one of the rare reads.
+            let otherwise = if was_waiting {
+                Source::Unneeded
+            } else {
+                Source::Log
+            };
+            return Some(ahead.unwrap_or(otherwise));
+        }
+        if self.is_follower(now) || self.is_turn(now) {
+            return Some(Source::Log);
+        }
+        // The log may be out of reach of this VM, but not of the other one.
+        ahead.filter(|_| self.log_failures.get() > 0)
+    }
+
+    /// Whether this VM follows the log for its zone now.
+    fn is_follower(&self, now: Instant) -> bool {
+        let own_read = self.state.following.last_read(self.part);
+        self.state.advertised_readings(now).is_none()
+            && own_read.is_some_and(|own| own.is_fresh(now))
+    }
+
+    /// Whether this VM has waited long enough for another VM to read the log.
+    fn is_turn(&self, now: Instant) -> bool {
+        let waiting_since = self.waiting_since.get().unwrap_or(now);
+        self.waiting_since.set(Some(waiting_since));
+        let waited = now.saturating_duration_since(waiting_since);
+        waited >= self.state.read_turn(self.log_failures.get(), now).delay()
+    }
+}
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -16,6 +16,7 @@
 mod quota_ways;
 mod quotas;
 mod server_limits;
+mod source_selector;
 mod speeds;
 mod spreading;
 mod starts;
--- /dev/null
+++ b/src/gateway/tests/source_selector.rs
@@ -0,0 +1,134 @@
+//! From where VMs obtain what they lack, depending on what other VMs of the zone advertise.
+
+use crate::gateway::gossip_message::{Digest, FollowedLog};
+use crate::gateway::log_follower::{FRESH_FOR, Reading};
+use crate::gateway::source_selector::{Source, SourceSelector};
+use crate::gateway::state::State;
+use crate::gateway::sync_message::Part;
+use crate::gateway::tests::{address, state};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const STEP: Duration = Duration::from_millis(100);
+/// Offset up to which the VM has the directory.
+const OWN_END: u64 = 70;
+
+/// A VM with an address after those of all that [`follower`] returns.
+fn vm_state() -> Rc<State> {
+    let mut state = state();
+    state.settings.peer_address = address(500);
+    Rc::new(state)
+}
+
+fn follower(index: usize) -> SocketAddr {
+    address(index)
+}
+
+/// Delivers the message of a VM of the zone that read the log up to `end` at this time.
+fn receive_reading(state: &State, vm: usize, end: u64, now: Instant) {
+    let digest = Digest {
+        availability_zone: state.settings.availability_zone.to_string(),
+        next_in_ms: 200,
+        has_state: true,
+        followed_log: Some(FollowedLog {
+            directory_changed_to: end,
+            directory_end: end,
+            directory_age_ms: 0,
+            configuration_changed_to: 1,
+            configuration_age_ms: 0,
+        }),
+        ..Digest::default()
+    };
+    state.peers.apply_digest(follower(vm), &digest, now);
+}
+
+fn has_directory(state: &State, at: Instant) {
+    state.following.directory_end.set(Some(OWN_END));
+    state.following.directory.set(Some(Reading {
+        last_change: OWN_END,
+        at,
+    }));
+    state.is_directory_known.set(true);
+}
+
+#[test]
+fn a_vm_that_waited_for_its_turn_reads_nothing_once_another_one_has_read() {
+    let start = Instant::now();
+    let state = vm_state();
+    has_directory(&state, start);
+    for vm in 0..20 {
+        receive_reading(&state, vm, OWN_END, start);
+    }
+    // Nobody has read for a while: this VM is the last in order.
+    let later = start + FRESH_FOR;
+    let selector = SourceSelector::new(state.clone(), Part::Directory);
+    assert_eq!(selector.select_now(Some(OWN_END), later), None);
+    assert_eq!(selector.select_now(Some(OWN_END), later + STEP), None);
+    receive_reading(&state, 3, OWN_END, later + STEP);
+    let selected = selector.select_now(Some(OWN_END), later + STEP);
+    assert_eq!(selected, Some(Source::Unneeded));
+}
+
+#[test]
+fn a_vm_that_waited_asks_the_one_that_found_changes() {
+    let start = Instant::now();
+    let state = vm_state();
+    has_directory(&state, start);
+    receive_reading(&state, 3, OWN_END, start);
+    let later = start + FRESH_FOR;
+    let selector = SourceSelector::new(state.clone(), Part::Directory);
+    assert_eq!(selector.select_now(Some(OWN_END), later), None);
+    receive_reading(&state, 3, OWN_END + 5, later);
+    let selected = selector.select_now(Some(OWN_END), later);
+    assert_eq!(selected, Some(Source::Peer(follower(3))));
+}
+
+#[test]
+fn a_vm_whose_turn_has_come_reads_the_log() {
+    let start = Instant::now();
+    let state = vm_state();
+    has_directory(&state, start);
+    receive_reading(&state, 3, OWN_END, start);
+    let selector = SourceSelector::new(state.clone(), Part::Directory);
+    let mut now = start + FRESH_FOR;
+    let mut waited = 0;
+    while selector.select_now(Some(OWN_END), now).is_none() {
+        now += STEP;
+        waited += 1;
+        assert!(waited < 30, "one VM precedes this one");
+    }
+    assert!(waited > 0);
+    assert_eq!(selector.select_now(Some(OWN_END), now), Some(Source::Log));
+}
+
+#[test]
+fn a_vm_that_cannot_read_the_log_asks_any_vm_that_is_ahead() {
+    let now = Instant::now();
+    let mut state = state();
+    state.settings.peer_address = address(0);
+    let state = Rc::new(state);
+    has_directory(&state, now - FRESH_FOR);
+    receive_reading(&state, 9, OWN_END + 5, now);
+    let selector = SourceSelector::new(state, Part::Directory);
+    // As the first of the zone it would follow the log, but its reads fail.
+    selector.note_log_failure();
+    let selected = selector.select_now(Some(OWN_END), now);
+    assert_eq!(selected, Some(Source::Peer(follower(9))));
+}
+
+#[test]
+fn a_vm_without_the_directory_asks_one_that_has_it_and_reads_the_log_if_that_fails() {
+    let now = Instant::now();
+    let state = vm_state();
+    receive_reading(&state, 3, OWN_END, now);
+    let selector = SourceSelector::new(state, Part::Directory);
+    let expected = Some(Source::Peer(follower(3)));
+    assert_eq!(selector.select_now(None, now), expected);
+    for _ in 0..3 {
+        selector.note_sync_failure();
+    }
+    selector.select_now(None, now);
+    let selected = selector.select_now(None, now + Duration::from_secs(10));
+    assert_eq!(selected, Some(Source::Log));
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -3,12 +3,12 @@
 use crate::gateway::directory_updates::{ServerUpdate, update_messages};
 use crate::gateway::log_follower::{Reading, Readings};
 use crate::gateway::peers::UpdateScope;
+use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
 use crate::gateway::sync_client::SyncClient;
 use crate::gateway::sync_message::{Part, SyncReply};
 use crate::gateway::{Changes, ConfigSource, Configuration, Directory, ServerChange, StoreError};
 use crate::inventory::Name;
-use std::cell::Cell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,18 +57,6 @@
 /// Maximum time since the sender of a part knew it to be current. A VM that starts does not take an
 /// older one, unless it cannot read the log either.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2_000);
-/// Number of failed requests to other VMs after which a VM reads the log.
-const MAX_SYNC_FAILURES: u32 = 3;
-
-/// Where a VM obtains what it lacks.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Source {
-    /// The log.
-    Log,
-    /// Another VM.
-    Peer(SocketAddr),
-}
-
 /// Keeps the state of this VM up to date with the log.
 pub(crate) struct LogWatcher<S> {
     state: Rc<State>,
@@ -76,17 +64,6 @@
     sync: SyncClient,
 }
 
-/// What follows one part of the state: failures in a row since the part was last obtained.
-#[derive(Debug, Default)]
-struct Attempts {
-    /// Failed reads of the log.
-    log: u32,
-    /// Failed requests to other VMs.
-    sync: Cell<u32>,
-    /// Since when this VM waits for its turn to read the log.
-    waiting_since: Cell<Option<Instant>>,
-}
-
 impl<S: ConfigSource + Directory> LogWatcher<S> {
     /// Creates a watcher that reads from `store`.
     pub(crate) fn new(state: Rc<State>, store: Rc<S>) -> Rc<Self> {
@@ -100,23 +77,26 @@
     /// Follows the configuration until the process ends.
     pub(crate) async fn follow_configuration(self: Rc<Self>) {
         let mut next = None;
-        let mut attempts = Attempts::default();
+        let selector = SourceSelector::new(self.state.clone(), Part::Configuration);
         loop {
             let read_at = Instant::now();
-            let source = self.choose_source(Part::Configuration, next, &attempts);
-            let read = match source.await {
+            let read = match selector.select(next).await {
                 Source::Peer(peer) => {
-                    let synced = self.sync_part(Part::Configuration, next, peer, &attempts);
+                    let synced = self.sync_part(Part::Configuration, next, peer, &selector);
                     let Some(synced) = synced.await else {
                         continue;
                     };
                     self.decode_synced(&synced)
                 }
+                Source::Unneeded => {
+                    self.wait_for_next_configuration_read(read_at).await;
+                    continue;
+                }
                 Source::Log => self.read_configuration(next, read_at).await,
             };
             match read {
                 Ok((changes, read_at_log)) => {
-                    attempts = Attempts::default();
+                    selector.note_success();
                     next = Some(changes.next_offset);
                     let reading = Reading {
                         last_change: changes.next_offset,
@@ -132,21 +112,16 @@
                     if is_change && self.state.follows_closely(reading.at) {
                         self.state.peers.trigger_update(UpdateScope::Zone);
                     }
-                    let has_update = |advertised: Readings| {
-                        advertised.configuration.last_change > reading.last_change
-                    };
-                    self.wait_for_next_read(read_at, CONFIGURATION_INTERVAL, has_update)
-                        .await;
+                    self.wait_for_next_configuration_read(read_at).await;
                 }
                 Err(StoreError::Compacted) => {
                     next = None;
-                    self.wait_before_full_read("configuration", attempts.log)
+                    self.wait_before_full_read("configuration", selector.log_failures())
                         .await;
                 }
                 Err(error) => {
-                    self.report_failure("configuration", error, attempts.log);
-                    attempts.log += 1;
-                    self.wait_before_retry(attempts.log).await;
+                    self.report_failure("configuration", error, selector.log_failures());
+                    self.wait_before_retry(selector.note_log_failure()).await;
                 }
             }
         }
@@ -184,15 +159,17 @@
     /// Follows the directory until the process ends.
     pub(crate) async fn follow_directory(self: Rc<Self>) {
         let following = &self.state.following;
-        let mut attempts = Attempts::default();
+        let selector = SourceSelector::new(self.state.clone(), Part::Directory);
         loop {
             let read_at = Instant::now();
             let from = following.directory_end.get();
-            let source = self.choose_source(Part::Directory, from, &attempts);
-            let source = source.await;
-            let read = match source {
+            let read = match selector.select(from).await {
+                Source::Unneeded => {
+                    self.wait_for_next_directory_read(read_at).await;
+                    continue;
+                }
                 Source::Peer(peer) => {
-                    let synced = self.sync_part(Part::Directory, from, peer, &attempts);
+                    let synced = self.sync_part(Part::Directory, from, peer, &selector);
                     let Some(synced) = synced.await else {
                         continue;
                     };
@@ -205,23 +182,23 @@
                 // An update forwarded by another VM arrived in the meantime and is newer.
                 Ok(_) if following.directory_end.get() != from => {}
                 Ok((changes, since, at)) => {
-                    if attempts.log > 0 {
-                        info!(failures = attempts.log, "directory regained");
+                    if selector.log_failures() > 0 {
+                        info!(failures = selector.log_failures(), "directory regained");
                     }
-                    attempts = Attempts::default();
+                    selector.note_success();
                     self.apply_read(changes, since, at);
                     self.wait_for_next_directory_read(read_at).await;
                 }
                 Err(StoreError::Compacted) => {
                     following.directory_end.set(None);
                     following.disrupted_at.set(Some(Instant::now()));
-                    self.wait_before_full_read("directory", attempts.log).await;
+                    self.wait_before_full_read("directory", selector.log_failures())
+                        .await;
                 }
                 Err(error) => {
                     following.disrupted_at.set(Some(Instant::now()));
-                    self.report_failure("directory", error, attempts.log);
-                    attempts.log += 1;
-                    self.wait_before_retry(attempts.log).await;
+                    self.report_failure("directory", error, selector.log_failures());
+                    self.wait_before_retry(selector.note_log_failure()).await;
                 }
             }
             self.state.purge_removed(Instant::now());
@@ -238,98 +215,13 @@
         Ok((changes, from, Instant::now()))
     }
 
-    /// Selects where to obtain what is newer than `from`, or the whole part if that is `None`.
-    /// Without another VM that has it, waits for the turn of this VM to read the log.
-    async fn choose_source(&self, part: Part, from: Option<u64>, attempts: &Attempts) -> Source {
-        loop {
-            let now = Instant::now();
-            let source = match from {
-                None => self.whole_source(part, attempts, now),
-                Some(from) => self.update_source(part, from, attempts, now),
-            };
-            match source {
-                Some(source) => {
-                    if source != Source::Log && attempts.sync.get() >= MAX_SYNC_FAILURES {
-                        attempts.sync.set(0);
-                    }
-                    return source;
-                }
-                None => compio::time::sleep(UPDATE_POLL).await,
-            }
-        }
-    }
-
-    /// Where to obtain a whole part now; `None` while this VM waits for its turn to read the log.
-    fn whole_source(&self, part: Part, attempts: &Attempts, now: Instant) -> Option<Source> {
-        let state = &self.state;
-        let is_followed = state.advertised_readings(now).is_some();
-        let own_read = state.following.last_read(part);
-        let is_follower = !is_followed && own_read.is_some_and(|own| own.is_fresh(now));
-        if state.fence.get() > 0 || is_follower {
-            return Some(Source::Log);
-        }
-        let zone = &state.settings.availability_zone;
-        let may_sync = attempts.sync.get() < MAX_SYNC_FAILURES;
-        let with_state = state.peers.random_peer_with_state(zone, rand::random());
-        if let Some(peer) = with_state.filter(|_| may_sync) {
-            return Some(Source::Peer(peer));
-        }
-        if self.is_turn(attempts, now) {
-            return Some(Source::Log);
-        }
-        // In a large fleet most VMs are heard rarely, so any of them may have the state.
-        let peer = match state.peers.has_all_members() {
-            true => None,
-            false => state.peers.random_peer(zone, rand::random()),
-        };
-        peer.map(Source::Peer)
-    }
-
-    /// Where to obtain the changes of a part since `from` now; `None` while this VM waits for its
-    /// turn to read the log.
-    fn update_source(
-        &self,
-        part: Part,
-        from: u64,
-        attempts: &Attempts,
-        now: Instant,
-    ) -> Option<Source> {
-        let state = &self.state;
-        if state.fence.get() > 0 {
-            return Some(Source::Log);
-        }
-        let may_sync = attempts.sync.get() < MAX_SYNC_FAILURES;
-        let peer = || state.peer_ahead(part, from, now).filter(|_| may_sync);
-        if state.advertised_readings(now).is_some() {
-            // Without a VM that is ahead this is one of the rare reads.
-            return Some(peer().map_or(Source::Log, Source::Peer));
-        }
-        let own_read = state.following.last_read(part);
-        if own_read.is_some_and(|own| own.is_fresh(now)) || self.is_turn(attempts, now) {
-            return Some(Source::Log);
-        }
-        match attempts.log {
-            0 => None,
-            // The log is out of reach of this VM, but not of the other one.
-            _ => peer().map(Source::Peer),
-        }
-    }
-
-    /// Whether this VM has waited long enough for another VM to read the log.
-    fn is_turn(&self, attempts: &Attempts, now: Instant) -> bool {
-        let waiting_since = attempts.waiting_since.get().unwrap_or(now);
-        attempts.waiting_since.set(Some(waiting_since));
-        let waited = now.saturating_duration_since(waiting_since);
-        waited >= self.state.read_turn(attempts.log, now).delay()
-    }
-
     /// Requests a part from another VM, or from those to which it refers.
     async fn sync_part(
         &self,
         part: Part,
         from: Option<u64>,
         peer: SocketAddr,
-        attempts: &Attempts,
+        selector: &SourceSelector,
     ) -> Option<SyncReply> {
         let began = Instant::now();
         if from.is_some() {
@@ -341,7 +233,7 @@
             compio::time::sleep(spread.mul_f64(rand::random())).await;
         }
         let synced = self.sync.fetch(part, from, peer).await;
-        let max_age = match attempts.log {
+        let max_age = match selector.log_failures() {
             0 => MAX_CONFIRMED_AGE,
             _ => Duration::MAX,
         };
@@ -360,13 +252,23 @@
                 "state received"
             ),
             None => {
-                attempts.sync.set(attempts.sync.get() + 1);
+                selector.note_sync_failure();
                 compio::time::sleep(UPDATE_POLL).await;
             }
         }
         synced
     }
 
+    /// Waits until the configuration has to be read again.
+    async fn wait_for_next_configuration_read(&self, read_at: Instant) {
+        let own = self.state.following.configuration.get();
+        let has_update = |advertised: Readings| {
+            own.is_none_or(|own| advertised.configuration.last_change > own.last_change)
+        };
+        self.wait_for_next_read(read_at, CONFIGURATION_INTERVAL, has_update)
+            .await;
+    }
+
     /// Waits until the directory has to be read again. While another VM follows the log for this
     /// one, that is once it advertises changes which this VM did not receive.
     async fn wait_for_next_directory_read(&self, read_at: Instant) {
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -42,6 +42,10 @@
     assert_eq!(settings.peer_address.to_string(), "10.1.0.38:7380");
     assert_eq!(settings.bounds.grace, Duration::from_secs(8));
     assert_eq!(settings.log_address.to_string(), "10.200.1.7:8142");
+    assert_eq!(settings.cpu_cores, 1.0, "the limits are missing");
+    let limits = "[limits]\ncpu_share = 0.25\ncores = 2\n[bounds]";
+    let settings = parse_settings(&SETTINGS.replace("[bounds]", limits));
+    assert_eq!(settings.expect("the settings are valid").cpu_cores, 0.5);
 }
 
 #[test]
@@ -49,10 +53,17 @@
     let broken = SETTINGS
         .replace("grace_s = 8", "grace_s = -8")
         .replace("budget_ratio = 0.2", "budget_ratio = \"much\"")
-        .replace("front = \"10.1.0.38:8149\"", "front = \"nowhere\"");
+        .replace("front = \"10.1.0.38:8149\"", "front = \"nowhere\"")
+        .replace("[bounds]", "[limits]\ncpu_share = 0\n[bounds]");
     let report = parse_settings(&broken).expect_err("the settings are invalid");
     let text = format!("{report:?}");
-    for field in ["bounds.grace_s", "bounds.budget_ratio", "listen.front"] {
+    let fields = [
+        "bounds.grace_s",
+        "bounds.budget_ratio",
+        "limits.cpu_share",
+        "listen.front",
+    ];
+    for field in fields {
         assert!(text.contains(field), "{field} in {text}");
     }
 }
