Silent runners do not keep a leader from planning; the member list is read at a bounded rate

Both found by reading: a tenth of the runners without a report made the leader load only adapters that requests wait for, for as long as they were listed; when the leader was lost all VMs became members and each read the list of members, 984 calls. A runner that did not answer counts as known; a VM reads the list the more seldom the more VMs there are, ten reads a second in all.

--- a/src/gateway/election.rs
+++ b/src/gateway/election.rs
@@ -28,6 +28,9 @@
 /// every VM read it at each change, the reads made up half of all calls to the log during rolling
 /// restarts of large fleets.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(10);
+/// Minimum interval between these reads in the whole fleet, which bounds their rate: while there is
+/// no leader, all VMs are members.
+const FLEET_MEMBERS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a silent member is removed: three renewals.
 const MEMBER_TTL: Duration = Duration::from_millis(2_400);
 /// Interval at which leadership is checked and orders are planned.
@@ -141,7 +144,8 @@
             self.has_group_changed.set(true);
         }
         let read_at = self.members_read_at.get();
-        let is_due = read_at.is_none_or(|at| at.elapsed() >= MEMBERS_INTERVAL);
+        let interval = members_interval(self.state.peers.vms());
+        let is_due = read_at.is_none_or(|at| at.elapsed() >= interval);
         if !self.has_group_changed.get() || !is_due {
             return;
         }
@@ -316,3 +320,8 @@
         }
     }
 }
+
+/// Interval between two reads of the member list by one of `vms` VMs.
+pub(super) fn members_interval(vms: usize) -> Duration {
+    MEMBERS_INTERVAL.max(FLEET_MEMBERS_INTERVAL * vms as u32)
+}
--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -122,11 +122,13 @@
         self.next_plan_at.set(Instant::now() + pause);
     }
 
-    /// Whether the reports of most runners were received.
-    fn knows_most_runners(&self) -> bool {
+    /// Whether most runners have reported what they hold, not counting those that did not answer.
+    pub(super) fn knows_most_runners(&self) -> bool {
         let tracked = self.runner_states.borrow();
+        let is_silent = |runner: &RunnerState| runner.report.is_none() && runner.last_report_missed;
+        let answering = tracked.values().filter(|it| !is_silent(it)).count();
         let known = tracked.values().filter(|it| it.report.is_some()).count();
-        known as f64 >= tracked.len() as f64 * MOST_RUNNERS
+        known as f64 >= answering as f64 * MOST_RUNNERS
     }
 
     /// Plans, and starts the orders of the plan. `knows_runners` tells whether the reports of most
--- a/src/gateway/tests/members.rs
+++ b/src/gateway/tests/members.rs
@@ -1,5 +1,6 @@
 //! Which VMs are members of the log's group, for fleets of different sizes.
 
+use crate::gateway::election::members_interval;
 use crate::gateway::gossip_message::{Digest, zones_of};
 use crate::gateway::peers::{MEMBERS_PER_PARTITION, Peers};
 use crate::gateway::tests::address;
@@ -164,6 +165,14 @@
     );
 }
 
+#[test]
+fn the_rate_at_which_a_fleet_reads_the_list_of_members_is_bounded() {
+    for vms in [3, 76, 984, 2_000] {
+        let reads_per_s = vms as f64 / members_interval(vms).as_secs_f64();
+        assert!(reads_per_s <= 10.0, "{vms} VMs: {reads_per_s}");
+    }
+}
+
 #[test]
 fn a_vm_that_has_just_started_is_a_member() {
     let now = Instant::now();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -51,12 +51,12 @@
 const MAX_RETRYING_VMS: usize = 3;
 /// Maximum time for which the other VMs of the zone wait before they read the log themselves.
 const MAX_OTHERS_PAUSE: Duration = Duration::from_millis(4_000);
-
 /// Time over which the VMs of a zone spread their requests for the same change, for each VM.
 const SYNC_SPREAD_PER_VM: Duration = Duration::from_millis(2);
 /// Maximum time since the sender of a part knew it to be current. A VM that starts does not take an
 /// older one, unless it cannot read the log either.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2_000);
+
 /// Keeps the state of this VM up to date with the log.
 pub(crate) struct LogWatcher<S> {
     state: Rc<State>,
