--- a/src/gateway/swaps.rs
+++ b/src/gateway/swaps.rs
@@ -281,11 +281,12 @@
         Vec::new()
     }
 
-    /// Fills each runner that has free memory with the model that gains most there, among those whose
-    /// copies are few or in use.
+    /// Fills each runner that has free memory with the model that gains most there. A runner that
+    /// already holds models gets only those whose copies are few or in use.
     fn fill_free_memory(&mut self, plans: &mut HashMap<Name, RunnerPlan>, mut cold_loads: usize) {
-        let models = 0..self.planner.engine.models.len();
-        let wanted: Vec<usize> = models.filter(|it| !self.has_idle_copies(*it)).collect();
+        let all: Vec<usize> = (0..self.planner.engine.models.len()).collect();
+        let mut wanted = all.clone();
+        wanted.retain(|model| !self.has_idle_copies(*model));
         for runner in 0..self.planner.runners.len() {
             let view = &self.planner.runners[runner];
             if !view.is_free() || plans.contains_key(&view.id) {
@@ -293,11 +294,13 @@
             }
             let free_mb = self.planner.free_mb(view);
             let mut best: Option<Swap> = None;
-            for model in wanted.iter().copied() {
+            let is_empty = view.models.is_empty();
+            let candidates = if is_empty { &all } else { &wanted };
+            for model in candidates.iter().copied() {
                 let known = self.model(model);
                 let fits = free_mb >= known.weights_mb && !view.models.contains(&known.name);
                 if !fits
-                    || self.has_idle_copies(model)
+                    || (!is_empty && self.has_idle_copies(model))
                     || (self.is_cold(model, runner) && cold_loads <= RESERVED_COLD_LOADS)
                 {
                     continue;
