--- a/src/gateway/source_selector.rs
+++ b/src/gateway/source_selector.rs
@@ -34,6 +34,8 @@
     sync_failures: Cell<u32>,
     /// Since when this VM waits for its turn to read the log.
     waiting_since: Cell<Option<Instant>>,
+    /// Whether the log has just answered that the records to read next were dropped.
+    is_compacted: Cell<bool>,
 }
 
 impl SourceSelector {
@@ -45,9 +47,16 @@
             log_failures: Cell::new(0),
             sync_failures: Cell::new(0),
             waiting_since: Cell::new(None),
+            is_compacted: Cell::new(false),
         }
     }
 
+    /// Records that the log dropped the records that this VM was to read next. The log is available
+    /// then, and it was this VM's turn, so it reads on there.
+    pub(crate) fn note_compacted(&self) {
+        self.is_compacted.set(true);
+    }
+
     /// The number of failed reads of the log in a row.
     pub(crate) fn log_failures(&self) -> u32 {
         self.log_failures.get()
@@ -99,7 +108,7 @@
     }
 
     fn whole_source(&self, now: Instant) -> Option<Source> {
-        if self.is_follower(now) {
+        if self.is_compacted.take() || self.is_follower(now) {
             return Some(Source::Log);
         }
         let peers = &self.state.peers;
--- a/src/gateway/tests/source_selector.rs
+++ b/src/gateway/tests/source_selector.rs
@@ -128,3 +128,16 @@
     let selected = selector.select_now(None, now + Duration::from_secs(10));
     assert_eq!(selected, Some(Source::Log));
 }
+
+#[test]
+fn a_vm_whose_next_records_were_dropped_reads_the_log_rather_than_ask_others() {
+    let now = Instant::now();
+    let state = vm_state();
+    receive_reading(&state, 3, OWN_END, now);
+    let selector = SourceSelector::new(state, Part::Directory);
+    selector.note_compacted();
+    assert_eq!(selector.select_now(None, now), Some(Source::Log));
+    // If that fails, it asks them.
+    let expected = Some(Source::Peer(follower(3)));
+    assert_eq!(selector.select_now(None, now), expected);
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -115,6 +115,7 @@
                     self.wait_for_next_configuration_read(read_at).await;
                 }
                 Err(StoreError::Compacted) => {
+                    selector.note_compacted();
                     next = None;
                     self.wait_before_full_read("configuration", selector.log_failures())
                         .await;
@@ -190,6 +191,7 @@
                     self.wait_for_next_directory_read(read_at).await;
                 }
                 Err(StoreError::Compacted) => {
+                    selector.note_compacted();
                     following.directory_end.set(None);
                     following.disrupted_at.set(Some(Instant::now()));
                     self.wait_before_full_read("directory", selector.log_failures())
