--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -1,7 +1,7 @@
 //! Measures the demand for each model as exponentially decaying rates.
 
 use crate::gateway::Weights;
-use crate::gateway::peers::DemandRate;
+use crate::gateway::demand_rate::DemandRate;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
--- a/src/gateway/directory_updates.rs
+++ b/src/gateway/directory_updates.rs
@@ -5,9 +5,9 @@
 //! has not reached the start of the range missed earlier changes and reads the log itself. Entries
 //! that servers only renewed are left out.
 
+use crate::gateway::fleet::holding;
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::gossip_message::ModelHolding;
-use crate::gateway::peers::holding;
 use crate::gateway::{Changes, ServerChange};
 use crate::inventory::Name;
 use prost::Message;
--- a/src/gateway/election.rs
+++ b/src/gateway/election.rs
@@ -195,7 +195,7 @@
                 Some(_) if !self.may_continue() || is_superseded => self.step_down(),
                 Some(_) if self.state.peers.should_hand_over(Instant::now()) => {
                     self.step_down();
-                    self.state.peers.trigger_update_to_all();
+                    self.state.peers.outbox.trigger_update_to_all();
                     self.leave_group().await;
                 }
                 Some(fence) => {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -454,3 +454,12 @@
         self.servers.borrow().values().cloned().collect()
     }
 }
+
+/// Builds a [`Holding`] from the parts that messages carry.
+pub(crate) fn holding(model: &str, version: u64, adapters: &[String]) -> Holding {
+    Holding {
+        model: model.into(),
+        version,
+        adapters: adapters.iter().map(|name| name.as_str().into()).collect(),
+    }
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,10 +6,11 @@
 
 use crate::callers::{Ledger, UsageReport};
 use crate::gateway::fleet::Incarnation;
-use crate::gateway::gossip_message::{Digest, ServerLimitsPart, UsageReportPart, zones_of};
+use crate::gateway::gossip_message::{Digest, ServerLimitsPart, UsageReportPart};
 use crate::gateway::gossip_sender::AdvertisedHoldings;
 use crate::gateway::gossip_targets::Targets;
-use crate::gateway::peers::UpdateScope;
+use crate::gateway::outbox::UpdateScope;
+use crate::gateway::sighting_message::zones_of;
 use crate::gateway::state::State;
 use crate::gateway::zone_loads::ZoneLoadSampler;
 use compio::BufResult;
@@ -100,10 +101,10 @@
         let mut next_round = Instant::now();
         let mut next_probe = next_round + PROBE_INTERVAL;
         loop {
-            let urgent = self.state.peers.wait_for_update();
+            let urgent = self.state.peers.outbox.wait_for_update();
             let now = Instant::now();
             let targets = self.state.peers.targets(zone);
-            let urgency = self.state.peers.take_update_scope();
+            let urgency = self.state.peers.outbox.take_update_scope();
             // In a large fleet, holdings are spread over several rounds: sending each change to all
             // VMs at once exceeds the bandwidth of a small VM.
             let is_all = match urgency {
@@ -296,7 +297,7 @@
 
     /// Sends pending directory updates to the local zone.
     async fn send_directory_updates(&self, targets: &[SocketAddr]) {
-        for update in self.state.peers.take_directory_updates() {
+        for update in self.state.peers.outbox.take_directory_updates() {
             let message = Digest {
                 boot: self.boot,
                 is_partial: true,
@@ -383,10 +384,11 @@
     /// reporting each to all VMs would make up most of the traffic.
     pub(crate) async fn send_prompts(self: Rc<Self>) {
         loop {
-            let prompt_added = self.state.peers.wait_for_prompts();
+            let prompt_added = self.state.peers.outbox.wait_for_prompts();
             let prompts = self
                 .state
                 .peers
+                .outbox
                 .take_unsent_prompts(MAX_PROMPTS, Instant::now());
             if prompts.is_empty() {
                 prompt_added.await;
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -3,9 +3,10 @@
 
 use crate::callers::Ledger;
 use crate::gateway::fleet::Incarnation;
+use crate::gateway::fleet::holding;
 use crate::gateway::gossip::Gossip;
 use crate::gateway::gossip_message::{Digest, UsageReportPart};
-use crate::gateway::peers::{MICROS_PER_MILLI, holding};
+use crate::gateway::peers::MICROS_PER_MILLI;
 use compio::BufResult;
 use prost::Message;
 use std::net::SocketAddr;
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -179,7 +179,7 @@
             cpu_percent: u32::from(state.peers.own_cpu_percent()),
             fence: state.fence.get(),
             leader: state.peers.leader_seen(Instant::now()),
-            crashes: state.peers.crashes(),
+            crashes: state.peers.outbox.crashes(),
             leaving: self.leaving_servers(),
             ..Digest::default()
         }
--- /dev/null
+++ b/src/gateway/group_members.rs
@@ -0,0 +1,41 @@
+//! The members of the group that the log lists.
+
+use std::net::SocketAddr;
+
+/// How many VMs stay members of the log's group for each partition that the log assigns to them.
+/// With more than one, its list of partition owners is still full after the loss of a zone or two.
+/// A shorter list is taken for the whole fleet.
+pub(super) const MEMBERS_PER_PARTITION: usize = 2;
+/// The number of partitions until the list was read: as many as any deployment has.
+const DEFAULT_PARTITIONS: usize = 24;
+
+/// The members that the log listed when the list was last read, without this VM. In a large fleet
+/// these are only some of the VMs.
+#[derive(Clone, Debug)]
+pub(super) struct GroupMembers {
+    pub(super) listed: Vec<SocketAddr>,
+    /// Whether the list was read since the start.
+    pub(super) was_read: bool,
+    /// Whether all members were listed.
+    pub(super) is_complete: bool,
+    /// The number of partitions that the log assigns to members.
+    pub(super) partitions: usize,
+}
+
+impl GroupMembers {
+    /// The number of VMs that stay members.
+    pub(super) fn max_members(&self) -> usize {
+        self.partitions * MEMBERS_PER_PARTITION
+    }
+}
+
+impl Default for GroupMembers {
+    fn default() -> Self {
+        Self {
+            listed: Vec::new(),
+            was_read: false,
+            is_complete: false,
+            partitions: DEFAULT_PARTITIONS,
+        }
+    }
+}
--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -1,9 +1,10 @@
 //! Sends the leader's orders to model runners and tracks the state of these runners.
 
+use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::fleet::{Incarnation, Server};
 use crate::gateway::load_limit::LoadRateLimit;
 use crate::gateway::order_queue::OrderTarget;
-use crate::gateway::peers::{DemandRate, UpdateScope};
+use crate::gateway::outbox::UpdateScope;
 use crate::gateway::planning::{PlacementPlanner, RunnerPlan, RunnerView};
 use crate::gateway::report_schedule::ReportSchedule;
 use crate::gateway::runner_state::RunnerState;
@@ -86,7 +87,7 @@
         self.state.metrics.is_leading.set(1);
         self.fence.set(Some(fence));
         self.state.fence.set(fence);
-        self.state.peers.trigger_update_to_all();
+        self.state.peers.outbox.trigger_update_to_all();
     }
 
     /// Stops sending orders.
@@ -286,7 +287,10 @@
         if has_changed {
             *self.state.leader_view.borrow_mut() = view;
             self.state.changed.notify();
-            self.state.peers.trigger_update(UpdateScope::Holdings);
+            self.state
+                .peers
+                .outbox
+                .trigger_update(UpdateScope::Holdings);
         }
     }
 
--- /dev/null
+++ b/src/gateway/outbox.rs
@@ -0,0 +1,128 @@
+//! What a VM has yet to send to its peers, and the signals that it is there.
+
+use crate::gateway::directory_updates::DirectoryUpdate;
+use crate::gateway::gossip_message::{CrashReport, SentPrompt};
+use crate::gateway::peers::{MICROS_PER_MILLI, MIN_STATE_TTL};
+use crate::inventory::Name;
+use crate::signal::Signal;
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+/// The VMs that are sent a change before the next regular round; a later variant covers more.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum UpdateScope {
+    /// No VM.
+    #[default]
+    None,
+    /// The leader.
+    Leader,
+    /// All VMs of the local zone.
+    Zone,
+    /// All VMs, of a change in what runners have loaded. In a large fleet this waits for the
+    /// regular rounds.
+    Holdings,
+    /// All VMs.
+    All,
+}
+
+/// What has yet to be sent to peers.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    /// The scope of the triggered message that has yet to be sent.
+    update_scope: Cell<UpdateScope>,
+    update_signal: Signal,
+    /// Recent crash reports, and when each was made.
+    crashes: RefCell<Vec<(CrashReport, Instant)>>,
+    /// Directory changes that have yet to be sent to the local zone.
+    pending_updates: RefCell<Vec<DirectoryUpdate>>,
+    /// Prompts that have yet to be reported to peers, and when each was sent to its runner.
+    prompts: RefCell<Vec<(SentPrompt, Instant)>>,
+    prompt_signal: Signal,
+}
+
+impl Outbox {
+    /// Triggers a message to all peers before the next regular round.
+    pub(crate) fn trigger_update_to_all(&self) {
+        self.trigger_update(UpdateScope::All);
+    }
+
+    /// Triggers a message to the peers in `scope` before the next regular round. The widest scope
+    /// requested since the last message wins.
+    pub(crate) fn trigger_update(&self, scope: UpdateScope) {
+        self.update_scope.set(self.update_scope.get().max(scope));
+        self.update_signal.notify();
+    }
+
+    /// Returns and resets the scope of the triggered message.
+    pub(super) fn take_update_scope(&self) -> UpdateScope {
+        self.update_scope.take()
+    }
+
+    /// Queues directory changes to be sent to the local zone, and triggers the message.
+    pub(super) fn queue_directory_updates(&self, updates: Vec<DirectoryUpdate>) {
+        self.pending_updates.borrow_mut().extend(updates);
+        self.trigger_update(UpdateScope::Zone);
+    }
+
+    /// Returns and clears the queued directory changes.
+    pub(super) fn take_directory_updates(&self) -> Vec<DirectoryUpdate> {
+        self.pending_updates.take()
+    }
+
+    /// Reports to all peers that a runner crashed with a request in flight.
+    pub(crate) fn report_crash(&self, fingerprint: u64, crashes: u32, now: Instant) {
+        let crash = CrashReport {
+            fingerprint,
+            crashes,
+        };
+        self.crashes.borrow_mut().push((crash, now));
+        self.trigger_update_to_all();
+    }
+
+    /// Reports to peers that a prompt is being sent to a runner, which takes `prefill_ms` to
+    /// prefill it.
+    pub(crate) fn report_prompt(&self, server: &Name, prefill_ms: f64, now: Instant) {
+        let prompt = SentPrompt {
+            server: server.to_string(),
+            prefill_us: (prefill_ms * MICROS_PER_MILLI) as u32,
+        };
+        self.prompts.borrow_mut().push((prompt, now));
+        self.prompt_signal.notify();
+    }
+
+    /// Returns and removes up to `limit` prompts to report to peers. Prompts whose prefill has
+    /// ended by now are dropped: reporting them would make their runners appear busier than they
+    /// are.
+    pub(super) fn take_unsent_prompts(&self, limit: usize, now: Instant) -> Vec<SentPrompt> {
+        let mut prompts = self.prompts.borrow_mut();
+        prompts.retain(|(prompt, at)| {
+            let prefill_time = Duration::from_micros(u64::from(prompt.prefill_us));
+            now.saturating_duration_since(*at) < prefill_time
+        });
+        let count = prompts.len().min(limit);
+        let taken = prompts.drain(..count);
+        taken.map(|(prompt, _)| prompt).collect()
+    }
+
+    /// Waits for a prompt to report.
+    pub(super) fn wait_for_prompts(&self) -> impl Future<Output = ()> + use<> {
+        self.prompt_signal.wait()
+    }
+
+    /// Waits for [`Outbox::trigger_update`].
+    pub(super) fn wait_for_update(&self) -> impl Future<Output = ()> + use<> {
+        self.update_signal.wait()
+    }
+
+    /// The recent crash reports, which every digest repeats.
+    pub(super) fn crashes(&self) -> Vec<CrashReport> {
+        let crashes = self.crashes.borrow();
+        crashes.iter().map(|(crash, _)| *crash).collect()
+    }
+
+    /// Forgets crash reports that have been repeated for long enough.
+    pub(super) fn forget_old_crashes(&self, now: Instant) {
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.retain(|(_, at)| now.duration_since(*at) < MIN_STATE_TTL);
+    }
+}
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -1,9 +1,10 @@
 //! The last state received from one peer, decoded from its messages.
 
 use crate::gateway::Weights;
+use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::gossip_message::{Digest, FollowedLog};
 use crate::gateway::log_follower::{Reading, Readings};
-use crate::gateway::peers::{DemandRate, MICROS_PER_MILLI, MIN_STATE_TTL};
+use crate::gateway::peers::{MICROS_PER_MILLI, MIN_STATE_TTL};
 use crate::inventory::Name;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
--- a/src/gateway/peer_loads.rs
+++ b/src/gateway/peer_loads.rs
@@ -27,15 +27,9 @@
             .into_iter()
             .filter(|zone| !zone_loads.has_zone(zone))
             .collect();
-        let mut of_single: HashMap<Name, u32> = HashMap::new();
-        for peer in peers.filter(|peer| single.contains(&peer.availability_zone)) {
-            for (server, loads) in &peer.loads {
-                let count: u32 = loads.iter().map(|(_, count)| count).sum();
-                *of_single.entry(server.clone()).or_default() += count;
-            }
-        }
+        let of_single = peers.filter(|peer| single.contains(&peer.availability_zone));
         Self {
-            of_single,
+            of_single: sum_by_server(of_single),
             zone_loads,
         }
     }
@@ -46,3 +40,13 @@
         of_single + self.zone_loads.in_flight(short_id(server))
     }
 }
+
+/// Sums up the requests that some VMs reported individually, by server.
+pub(super) fn sum_by_server<'p>(peers: impl Iterator<Item = &'p PeerState>) -> HashMap<Name, u32> {
+    let mut sums: HashMap<Name, u32> = HashMap::new();
+    for (server, loads) in peers.flat_map(|peer| &peer.loads) {
+        let count: u32 = loads.iter().map(|(_, count)| count).sum();
+        *sums.entry(server.clone()).or_default() += count;
+    }
+    sums
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,19 +1,20 @@
 //! The other VMs of the fleet, and what they last reported: load, demand and leadership.
 
 use crate::gateway::Weights;
-use crate::gateway::directory_updates::DirectoryUpdate;
-use crate::gateway::fleet::Holding;
-use crate::gateway::gossip_message::{CrashReport, Digest, LeaderSeen, SentPrompt, sightings_of};
+use crate::gateway::demand_rate::DemandRate;
+use crate::gateway::gossip_message::{Digest, SentPrompt};
 use crate::gateway::gossip_targets::Targets;
+use crate::gateway::group_members::GroupMembers;
 use crate::gateway::leader_view::{LeaderSighting, LeaderView};
 use crate::gateway::line_budget::LineBudget;
 use crate::gateway::log_follower::Readings;
+use crate::gateway::outbox::Outbox;
 use crate::gateway::peer::{PeerState, read_demands, read_loads};
-use crate::gateway::peer_loads::PeerLoads;
+use crate::gateway::peer_loads::{PeerLoads, sum_by_server};
+use crate::gateway::sighting_message::{LeaderSeen, sightings_of};
 use crate::gateway::view::{Sighting, View};
 use crate::gateway::zone_loads::ZoneLoads;
 use crate::inventory::Name;
-use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -24,50 +25,16 @@
 /// announces a longer interval, and its state is kept longer. Crash reports are repeated for as
 /// long.
 pub(super) const MIN_STATE_TTL: Duration = Duration::from_millis(1_500);
-/// How many VMs stay members of the log's group for each partition that the log assigns to them.
-/// With more than one, its list of partition owners is still full after the loss of a zone or two.
-/// A shorter list is taken for the whole fleet.
-pub(super) const MEMBERS_PER_PARTITION: usize = 2;
 /// The time after its start from which a leader hands over to VMs with more processor time. By then
 /// the VMs that do not belong in the group are no longer members.
 const MIN_HANDOVER_UPTIME: Duration = Duration::from_millis(7_000);
 /// The number of VMs with more processor time that a leader hands over to.
 const MIN_SUCCESSORS: usize = 3;
-/// The number of partitions until the list was read: as many as any deployment has.
-const DEFAULT_PARTITIONS: usize = 24;
 /// A VM that has seen fewer VMs than the listed members divided by this has not found the fleet.
 const MIN_SEEN_MEMBERS_DIVISOR: usize = 2;
 /// Microseconds in a millisecond.
 pub(super) const MICROS_PER_MILLI: f64 = 1_000.0;
 
-/// The demand for a model or an adapter.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct DemandRate {
-    /// The runner time that it takes, in milliseconds per second.
-    pub(crate) busy_ms_per_s: f64,
-    /// Requests per second.
-    pub(crate) requests_per_s: f64,
-    /// Requests that wait for a runner with the weights loaded.
-    pub(crate) waiting: u32,
-}
-
-/// The VMs that are sent a change before the next regular round; a later variant covers more.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum UpdateScope {
-    /// No VM.
-    #[default]
-    None,
-    /// The leader.
-    Leader,
-    /// All VMs of the local zone.
-    Zone,
-    /// All VMs, of a change in what runners have loaded. In a large fleet this waits for the
-    /// regular rounds.
-    Holdings,
-    /// All VMs.
-    All,
-}
-
 /// The other VMs that are known, and the last state received from each.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -78,27 +45,13 @@
     peer_states: RefCell<HashMap<SocketAddr, PeerState>>,
     /// The load of remote zones, reported as sums in a large fleet.
     zone_loads: RefCell<ZoneLoads>,
-    /// Members of the group that the log lists. In a large fleet these are only some of the VMs.
-    members: RefCell<Vec<SocketAddr>>,
-    /// Whether the list of members was read since the start.
-    has_read_members: Cell<bool>,
-    /// The number of partitions that the log assigns to members.
-    partitions: Cell<usize>,
-    /// Whether the list was complete when last read.
-    has_all_members: Cell<bool>,
+    /// The members of the group that the log lists.
+    group: RefCell<GroupMembers>,
     leader: RefCell<LeaderView>,
     /// Whether it takes several rounds to send to every VM in a remote zone.
     is_remote_load_stale: Cell<bool>,
-    /// The scope of the triggered message that has yet to be sent.
-    update_scope: Cell<UpdateScope>,
-    update_signal: Signal,
-    /// Recent crash reports, and when each was made.
-    crashes: RefCell<Vec<(CrashReport, Instant)>>,
-    /// Directory changes that have yet to be sent to the local zone.
-    pending_updates: RefCell<Vec<DirectoryUpdate>>,
-    /// Prompts that have yet to be reported to peers, and when each was sent to its runner.
-    prompts: RefCell<Vec<(SentPrompt, Instant)>>,
-    prompt_signal: Signal,
+    /// What this VM has yet to send to its peers.
+    pub(crate) outbox: Outbox,
     /// Bounds the log lines about discovered VMs.
     discovered: RefCell<LineBudget>,
     /// Bounds the log lines about lost VMs.
@@ -113,18 +66,10 @@
             view: RefCell::new(View::new(own, now)),
             peer_states: RefCell::default(),
             zone_loads: RefCell::default(),
-            members: RefCell::default(),
-            has_read_members: Cell::default(),
-            partitions: Cell::new(DEFAULT_PARTITIONS),
-            has_all_members: Cell::default(),
+            group: RefCell::default(),
             leader: RefCell::default(),
             is_remote_load_stale: Cell::default(),
-            update_scope: Cell::default(),
-            update_signal: Signal::default(),
-            crashes: RefCell::default(),
-            pending_updates: RefCell::default(),
-            prompts: RefCell::default(),
-            prompt_signal: Signal::default(),
+            outbox: Outbox::default(),
             discovered: RefCell::default(),
             lost: RefCell::default(),
         }
@@ -148,23 +93,25 @@
         let view = self.view.borrow();
         view.uptime(now) >= MIN_HANDOVER_UPTIME
             && view.vms_with_more_cpu() >= MIN_SUCCESSORS
-            && view.rank(self.own) >= self.partitions.get() * MEMBERS_PER_PARTITION
+            && view.rank(self.own) >= self.group.borrow().max_members()
     }
 
     /// Replaces the members of the group that the log lists, without this VM. `is_all` is true if
     /// the list is complete, and `partitions` is the number of members that it can contain.
     pub(crate) fn set_members(&self, members: Vec<SocketAddr>, is_all: bool, partitions: usize) {
-        self.partitions.set(partitions);
-        *self.members.borrow_mut() = members;
-        self.has_read_members.set(true);
-        self.has_all_members.set(is_all);
+        *self.group.borrow_mut() = GroupMembers {
+            listed: members,
+            was_read: true,
+            is_complete: is_all,
+            partitions,
+        };
     }
 
     /// Whether this VM has had the chance to find the others: the list of members was read, or the
     /// discovery time has passed. Until then it has no share of the retry slack, so that it can
     /// retry few refused requests.
     pub(crate) fn is_discovery_done(&self, now: Instant) -> bool {
-        self.has_read_members.get() || self.view.borrow().is_discovery_over(now)
+        self.group.borrow().was_read || self.view.borrow().is_discovery_over(now)
     }
 
     /// The number of VMs that are known, including this one.
@@ -177,17 +124,17 @@
     /// as long as it has seen few of the listed members.
     pub(crate) fn peak_vms(&self, now: Instant) -> Option<usize> {
         let view = self.view.borrow();
-        let listed = self.members.borrow().len();
+        let listed = self.group.borrow().listed.len();
         let has_found_fleet = self.seen_vms() * MIN_SEEN_MEMBERS_DIVISOR >= listed;
         let is_known =
-            self.has_all_members.get() || (view.is_discovery_over(now) && has_found_fleet);
+            self.group.borrow().is_complete || (view.is_discovery_over(now) && has_found_fleet);
         is_known.then(|| view.peak_vms().max(listed + 1))
     }
 
     /// The same as [`Self::peak_vms`], but `None` also if this VM could neither read the list of
     /// members nor see another VM: it is not necessarily the only one.
     pub(crate) fn confirmed_peak_vms(&self, now: Instant) -> Option<usize> {
-        let is_confirmed = self.has_read_members.get() || self.seen_vms() > 0;
+        let is_confirmed = self.group.borrow().was_read || self.seen_vms() > 0;
         self.peak_vms(now).filter(|_| is_confirmed)
     }
 
@@ -204,12 +151,11 @@
     }
 
     /// Whether this VM belongs in the log's group: it is among the first VMs in an order that all
-    /// agree on, [`MEMBERS_PER_PARTITION`] for each partition, or has just started and may know too
+    /// agree on, as many as [`GroupMembers::max_members`], or has just started and may know too
     /// few VMs to determine its rank.
     pub(crate) fn should_join_group(&self, now: Instant) -> bool {
         let view = self.view.borrow();
-        !view.is_discovery_over(now)
-            || view.rank(self.own) < self.partitions.get() * MEMBERS_PER_PARTITION
+        !view.is_discovery_over(now) || view.rank(self.own) < self.group.borrow().max_members()
     }
 
     /// The number of VMs in `zone` with a lower address than this one.
@@ -237,7 +183,7 @@
             return None;
         }
         let draw = rand::random();
-        let members = self.members.borrow();
+        let members = &self.group.borrow().listed;
         let member = members.get((draw * members.len() as f64) as usize);
         view.random_known_vm(draw).or(member.copied())
     }
@@ -256,15 +202,8 @@
     /// The requests that the other VMs of a zone have in flight, by server.
     pub(super) fn zone_in_flight(&self, zone: &Name) -> HashMap<Name, u32> {
         let peer_states = self.peer_states.borrow();
-        let mut sums: HashMap<Name, u32> = HashMap::new();
-        let peers = peer_states
-            .values()
-            .filter(|peer| peer.availability_zone == *zone);
-        for (server, loads) in peers.flat_map(|peer| &peer.loads) {
-            let count: u32 = loads.iter().map(|(_, count)| count).sum();
-            *sums.entry(server.clone()).or_default() += count;
-        }
-        sums
+        let of_zone = |peer: &&PeerState| peer.availability_zone == *zone;
+        sum_by_server(peer_states.values().filter(of_zone))
     }
 
     /// The requests that all other VMs have in flight, by server and model.
@@ -311,69 +250,6 @@
             .collect()
     }
 
-    /// Triggers a message to all peers before the next regular round.
-    pub(crate) fn trigger_update_to_all(&self) {
-        self.trigger_update(UpdateScope::All);
-    }
-
-    /// Triggers a message to the peers in `scope` before the next regular round. The widest scope
-    /// requested since the last message wins.
-    pub(crate) fn trigger_update(&self, scope: UpdateScope) {
-        self.update_scope.set(self.update_scope.get().max(scope));
-        self.update_signal.notify();
-    }
-
-    /// Returns and resets the scope of the triggered message.
-    pub(super) fn take_update_scope(&self) -> UpdateScope {
-        self.update_scope.take()
-    }
-
-    /// Queues directory changes to be sent to the local zone, and triggers the message.
-    pub(super) fn queue_directory_updates(&self, updates: Vec<DirectoryUpdate>) {
-        self.pending_updates.borrow_mut().extend(updates);
-        self.trigger_update(UpdateScope::Zone);
-    }
-
-    /// Returns and clears the queued directory changes.
-    pub(super) fn take_directory_updates(&self) -> Vec<DirectoryUpdate> {
-        self.pending_updates.take()
-    }
-
-    /// Reports to all peers that a runner crashed with a request in flight.
-    pub(crate) fn report_crash(&self, fingerprint: u64, crashes: u32, now: Instant) {
-        let crash = CrashReport {
-            fingerprint,
-            crashes,
-        };
-        self.crashes.borrow_mut().push((crash, now));
-        self.trigger_update_to_all();
-    }
-
-    /// Reports to peers that a prompt is being sent to a runner, which takes `prefill_ms` to
-    /// prefill it.
-    pub(crate) fn report_prompt(&self, server: &Name, prefill_ms: f64, now: Instant) {
-        let prompt = SentPrompt {
-            server: server.to_string(),
-            prefill_us: (prefill_ms * MICROS_PER_MILLI) as u32,
-        };
-        self.prompts.borrow_mut().push((prompt, now));
-        self.prompt_signal.notify();
-    }
-
-    /// Returns and removes up to `limit` prompts to report to peers. Prompts whose prefill has
-    /// ended by now are dropped: reporting them would make their runners appear busier than they
-    /// are.
-    pub(super) fn take_unsent_prompts(&self, limit: usize, now: Instant) -> Vec<SentPrompt> {
-        let mut prompts = self.prompts.borrow_mut();
-        prompts.retain(|(prompt, at)| {
-            let prefill_time = Duration::from_micros(u64::from(prompt.prefill_us));
-            now.saturating_duration_since(*at) < prefill_time
-        });
-        let count = prompts.len().min(limit);
-        let taken = prompts.drain(..count);
-        taken.map(|(prompt, _)| prompt).collect()
-    }
-
     /// Adds requests that a peer has just sent to its load, until it reports its full load again.
     /// Reports of unknown peers are ignored.
     pub(super) fn apply_prompts(&self, from: SocketAddr, prompts: &[SentPrompt]) {
@@ -387,22 +263,6 @@
         }
     }
 
-    /// Waits for a prompt to report.
-    pub(super) fn wait_for_prompts(&self) -> impl Future<Output = ()> + use<> {
-        self.prompt_signal.wait()
-    }
-
-    /// Waits for [`Peers::trigger_update`].
-    pub(super) fn wait_for_update(&self) -> impl Future<Output = ()> + use<> {
-        self.update_signal.wait()
-    }
-
-    /// The recent crash reports, which every digest repeats.
-    pub(super) fn crashes(&self) -> Vec<CrashReport> {
-        let crashes = self.crashes.borrow();
-        crashes.iter().map(|(crash, _)| *crash).collect()
-    }
-
     /// Merges the VMs listed in a message into the view.
     pub(super) fn merge_sightings(&self, digest: &Digest, now: Instant) {
         for sighting in sightings_of(&digest.vms, now) {
@@ -541,7 +401,7 @@
 
     /// Whether the log lists the whole fleet, as it does while there are few VMs.
     pub(crate) fn has_all_members(&self) -> bool {
-        self.has_all_members.get()
+        self.group.borrow().is_complete
     }
 
     /// Time since this VM started.
@@ -559,8 +419,8 @@
     /// zones, and the members of the group whose zone is not known yet.
     pub(super) fn targets(&self, zone: &Name) -> Targets {
         let view = self.view.borrow();
-        let members = self.members.borrow();
-        let unknown = members.iter().filter(|it| view.get(it).is_none());
+        let group = self.group.borrow();
+        let unknown = group.listed.iter().filter(|it| view.get(it).is_none());
         let mut targets = Targets {
             local: unknown.copied().collect(),
             ..Targets::default()
@@ -631,8 +491,7 @@
             is_current
         });
         self.zone_loads.borrow_mut().expire(now);
-        let mut crashes = self.crashes.borrow_mut();
-        crashes.retain(|(_, at)| now.duration_since(*at) < MIN_STATE_TTL);
+        self.outbox.forget_old_crashes(now);
     }
 }
 
@@ -642,12 +501,3 @@
     let index = (draw * addresses.len() as f64) as usize;
     addresses.get(index).copied()
 }
-
-/// Builds a [`Holding`] from its parts.
-pub(crate) fn holding(model: &str, version: u64, adapters: &[String]) -> Holding {
-    Holding {
-        model: model.into(),
-        version,
-        adapters: adapters.iter().map(|name| name.as_str().into()).collect(),
-    }
-}
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -1,7 +1,7 @@
 //! Plans which runner loads and unloads which models and adapters: models with [`SwapPlanner`],
 //! then adapters.
 
-use crate::gateway::peers::DemandRate;
+use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::swaps::SwapPlanner;
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -251,7 +251,7 @@
             if is_refused(server.address).await {
                 let crashes = state.suspects.record_crash(fingerprint, now);
                 warn!(request = %id, server = %server.id, fingerprint, crashes, "server crashed");
-                state.peers.report_crash(fingerprint, crashes, now);
+                state.peers.outbox.report_crash(fingerprint, crashes, now);
             }
         })
         .detach();
@@ -385,7 +385,9 @@
         if call.request.generation.is_some() {
             server.backlog.note(call.cost.prefill_ms, now);
             let peers = &self.state.peers;
-            peers.report_prompt(&server.id, call.cost.prefill_ms, now);
+            peers
+                .outbox
+                .report_prompt(&server.id, call.cost.prefill_ms, now);
         }
     }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -100,7 +100,7 @@
     let stopped_at = Instant::now();
     info!("stopping");
     state.shutdown.leave();
-    state.peers.trigger_update_to_all();
+    state.peers.outbox.trigger_update_to_all();
     election.leave().await;
     drain(&state, stopped_at).await;
     info!(open = state.shutdown.open(), "stopped");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,10 +5,12 @@
 use crate::gateway::change_history::ChangeHistory;
 use crate::gateway::crash_suspects::CrashSuspects;
 use crate::gateway::demand::Demand;
+use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::directory_updates::{Assembly, DirectoryUpdate};
 use crate::gateway::fleet::{EntryChange, Fleet, Holding, Incarnation, Server};
 use crate::gateway::log_follower::{FollowerState, Reading, Readings, follows_closely};
-use crate::gateway::peers::{DemandRate, Peers, UpdateScope};
+use crate::gateway::outbox::UpdateScope;
+use crate::gateway::peers::Peers;
 use crate::gateway::read_turn::ReadTurn;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
 use crate::gateway::speeds::Speeds;
@@ -412,7 +414,7 @@
     pub(crate) fn count_waiting(self: &Rc<Self>, weights: &Weights) -> WaitingGuard {
         let mut waiting = self.waiting.borrow_mut();
         *waiting.entry(weights.clone()).or_default() += 1;
-        self.peers.trigger_update(UpdateScope::Leader);
+        self.peers.outbox.trigger_update(UpdateScope::Leader);
         WaitingGuard {
             state: self.clone(),
             weights: weights.clone(),
--- a/src/gateway/tests/directory_updates.rs
+++ b/src/gateway/tests/directory_updates.rs
@@ -95,12 +95,14 @@
 fn a_prompt_that_has_been_prefilled_is_not_reported_any_more() {
     let now = Instant::now();
     let peers = Peers::new("10.1.0.1:7380".parse().expect("an address"), now);
-    peers.report_prompt(&"i-1".into(), 18.0, now);
-    peers.report_prompt(&"i-2".into(), 50.0, now);
-    let reported = peers.take_unsent_prompts(9, now + Duration::from_millis(30));
+    peers.outbox.report_prompt(&"i-1".into(), 18.0, now);
+    peers.outbox.report_prompt(&"i-2".into(), 50.0, now);
+    let reported = peers
+        .outbox
+        .take_unsent_prompts(9, now + Duration::from_millis(30));
     let servers: Vec<&str> = reported.iter().map(|it| it.server.as_str()).collect();
     assert_eq!(servers, ["i-2"]);
-    assert!(peers.take_unsent_prompts(9, now).is_empty());
+    assert!(peers.outbox.take_unsent_prompts(9, now).is_empty());
 }
 
 /// Applies changes and returns how many of them are forwarded to the zone.
--- a/src/gateway/tests/loads.rs
+++ b/src/gateway/tests/loads.rs
@@ -1,9 +1,10 @@
 //! Every VM knows the total load of all other VMs on a server, for fleets of different sizes.
 
 use crate::gateway::gossip::INTERVAL;
-use crate::gateway::gossip_message::{Digest, SentPrompt, ServerRequests, ZoneLoadSums, zones_of};
+use crate::gateway::gossip_message::{Digest, SentPrompt, ServerRequests, ZoneLoadSums};
 use crate::gateway::gossip_targets::Targets;
 use crate::gateway::peers::Peers;
+use crate::gateway::sighting_message::zones_of;
 use crate::gateway::tests::{address, index};
 use crate::gateway::view::Sighting;
 use crate::gateway::zone_loads::ZoneLoadSampler;
--- a/src/gateway/tests/members.rs
+++ b/src/gateway/tests/members.rs
@@ -1,8 +1,10 @@
 //! Which VMs are members of the log's group, for fleets of different sizes.
 
 use crate::gateway::election::members_interval;
-use crate::gateway::gossip_message::{Digest, zones_of};
-use crate::gateway::peers::{MEMBERS_PER_PARTITION, Peers};
+use crate::gateway::gossip_message::Digest;
+use crate::gateway::group_members::MEMBERS_PER_PARTITION;
+use crate::gateway::peers::Peers;
+use crate::gateway::sighting_message::zones_of;
 use crate::gateway::tests::address;
 use crate::gateway::view::{LIVENESS_TIMEOUT, Sighting};
 use std::time::{Duration, Instant};
--- a/src/gateway/tests/planning.rs
+++ b/src/gateway/tests/planning.rs
@@ -1,6 +1,6 @@
 //! Plans always fit the memory and adapter slots of a runner, and follow the demand.
 
-use crate::gateway::peers::DemandRate;
+use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::planning::{PlacementPlanner, RunnerPlan, RunnerView};
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
--- a/src/gateway/tests/starts.rs
+++ b/src/gateway/tests/starts.rs
@@ -211,40 +211,32 @@
     }
 }
 
+/// Starts `count` VMs at once, of which `with_state` already have the state, and checks that all
+/// have it soon; returns the number of reads of the log.
+fn log_reads(count: usize, with_state: usize) -> usize {
+    let mut start = Start::new(count, with_state);
+    let took = start.run();
+    println!(
+        "{count} VMs, {with_state} with the state: all have it after {took:?}, {} log reads",
+        start.log_reads
+    );
+    assert!(took <= READY_WITHIN, "{count} VMs: {took:?}");
+    start.log_reads
+}
+
 #[test]
 fn all_vms_that_start_at_once_have_the_state_soon_with_few_reads_of_the_log() {
     for count in [30, 300, 1_000, 2_000] {
-        let mut start = Start::new(count, 0);
-        let took = start.run();
-        println!(
-            "{count} VMs: all have the state after {took:?}, {} log reads",
-            start.log_reads
-        );
-        assert!(took <= READY_WITHIN, "{count} VMs: {took:?}");
         // Some VMs of each zone read before the first one is known to have the state.
-        assert!(
-            start.log_reads <= 20 * ZONES,
-            "{count} VMs: {} reads",
-            start.log_reads
-        );
+        let reads = log_reads(count, 0);
+        assert!(reads <= 20 * ZONES, "{count} VMs: {reads} reads");
     }
 }
 
 #[test]
 fn vms_that_start_while_others_have_the_state_do_not_read_the_log() {
     for (count, with_state) in [(30, 15), (300, 30), (1_000, 450), (2_000, 20)] {
-        let mut start = Start::new(count, with_state);
-        let took = start.run();
-        println!(
-            "{count} VMs, {with_state} with the state: {took:?}, {} log reads",
-            start.log_reads
-        );
-        assert!(took <= READY_WITHIN, "{count} VMs: {took:?}");
-        assert!(
-            start.log_reads <= 20 * ZONES,
-            "{count} VMs: {} reads",
-            start.log_reads
-        );
+        assert_eq!(log_reads(count, with_state), 0, "{count} VMs");
     }
 }
 
--- a/src/gateway/tests/views.rs
+++ b/src/gateway/tests/views.rs
@@ -3,8 +3,9 @@
 
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::gossip::INTERVAL;
-use crate::gateway::gossip_message::{Digest, zones_of};
+use crate::gateway::gossip_message::Digest;
 use crate::gateway::peers::{MIN_STATE_TTL, Peers};
+use crate::gateway::sighting_message::zones_of;
 use crate::gateway::tests::{address, index};
 use crate::gateway::view::{LIVENESS_TIMEOUT, Sighting, View};
 use crate::inventory::Name;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::directory_updates::{ServerUpdate, update_messages};
 use crate::gateway::log_follower::{Reading, Readings};
-use crate::gateway::peers::UpdateScope;
+use crate::gateway::outbox::UpdateScope;
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
 use crate::gateway::sync_client::SyncClient;
@@ -110,7 +110,7 @@
                     let is_change =
                         before.is_some_and(|before| before.last_change < reading.last_change);
                     if is_change && self.state.follows_closely(reading.at) {
-                        self.state.peers.trigger_update(UpdateScope::Zone);
+                        self.state.peers.outbox.trigger_update(UpdateScope::Zone);
                     }
                     self.wait_for_next_configuration_read(read_at).await;
                 }
@@ -361,6 +361,7 @@
         );
         self.state
             .peers
+            .outbox
             .queue_directory_updates(messages.unwrap_or_default());
     }
 
--- a/workbench/tests/site_sync.rs
+++ b/workbench/tests/site_sync.rs
@@ -22,21 +22,13 @@
 /// VMs that follow it: one for the zone, and the leader.
 const FOLLOWERS: f64 = 2.0;
 
-async fn start(vms: usize) -> Site {
-    let mut site = Site::start(vec![("books", vec![]); 2]).await;
-    site.configure(
-        json!([route("/", "safe", "books")]),
-        json!([plain("books")]),
-    );
-    site.start_vms(vms);
-    site.wait_ready().await;
-    site
-}
+/// Plain servers of the site.
+const SERVERS: usize = 2;
 
 #[googletest::test]
 fn few_vms_of_a_fleet_that_starts_at_once_read_the_whole_log() {
     block_on(async {
-        let site = start(VMS).await;
+        let site = Site::start_plain(SERVERS, VMS).await;
         let reads = site.store.calls("/-/log-newest");
         expect_that!(reads, le(PARTS * MAX_FIRST_READERS), "{VMS} VMs");
     });
@@ -45,7 +37,7 @@
 #[googletest::test]
 fn a_change_of_the_configuration_is_read_by_few_vms_and_reaches_all() {
     block_on(async {
-        let mut site = start(VMS).await;
+        let mut site = Site::start_plain(SERVERS, VMS).await;
         compio::time::sleep(CALM).await;
         let reads = site.store.calls("/-/log-read");
         let began = Instant::now();
@@ -78,7 +70,7 @@
 #[googletest::test]
 fn a_vm_that_starts_while_the_store_is_away_obtains_its_state_from_others() {
     block_on(async {
-        let mut site = start(3).await;
+        let mut site = Site::start_plain(SERVERS, 3).await;
         compio::time::sleep(CALM).await;
         site.store.set(StoreFaults {
             is_down: true,
