Logs and a metric say how long a VM did not know whether its state is current

The incident's hypotheses differ in what a VM waited on: its turn, another VM, the log, or a pause after a failure. `state confirmed late` has the four, and configuration_unconfirmed_seconds the time as it grows. No decision changes.

--- a/src/gateway/log_follower.rs
+++ b/src/gateway/log_follower.rs
@@ -75,6 +75,10 @@
     pub(crate) directory_end: Cell<Option<u64>>,
     /// Offset up to which directory changes were sent to the zone.
     pub(crate) sent_to: Cell<Option<u64>>,
+    /// When the directory was last known to be current.
+    pub(crate) directory_confirmed_at: Cell<Option<Instant>>,
+    /// When the configuration was last known to be current.
+    pub(crate) configuration_confirmed_at: Cell<Option<Instant>>,
     /// Time of the last failure to read the directory, here or at the VM that forwarded an update.
     pub(crate) disrupted_at: Cell<Option<Instant>>,
 }
@@ -99,6 +103,17 @@
         }
     }
 
+    /// Records that a part was current at a time; returns the latest such time.
+    pub(crate) fn confirm(&self, part: Part, at: Instant) -> Instant {
+        let confirmed_at = match part {
+            Part::Directory => &self.directory_confirmed_at,
+            Part::Configuration => &self.configuration_confirmed_at,
+        };
+        let latest = confirmed_at.get().map_or(at, |before| before.max(at));
+        confirmed_at.set(Some(latest));
+        latest
+    }
+
     /// Whether the log failed recently, so that entries may lapse although their servers are alive.
     pub(crate) fn was_recently_disrupted(&self, now: Instant) -> bool {
         let disrupted_at = self.disrupted_at.get();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 /// The name and help text of one metric, as documented in docs/METRICS.md.
@@ -63,6 +64,10 @@
         "orders to runners, by operation and outcome",
     ),
     describe("configuration_version", "the configuration in force"),
+    describe(
+        "configuration_unconfirmed_seconds",
+        "time since the configuration was last known to be the newest",
+    ),
     describe("servers", "backend servers in the directory"),
     describe("limited_servers", "backend servers that state a rate limit"),
     describe("vms", "VMs known, this one included"),
@@ -124,6 +129,8 @@
     pub(crate) store_call: Histogram,
     pub(crate) orders: Family<CallLabels, Counter>,
     pub(crate) configuration_version: Gauge,
+    /// Time since the configuration was last known to be current, in seconds.
+    pub(crate) configuration_unconfirmed: Gauge<f64, AtomicU64>,
     pub(crate) servers: Gauge,
     pub(crate) limited_servers: Gauge,
     pub(crate) vms: Gauge,
@@ -157,6 +164,7 @@
             store_call: duration_histogram(),
             orders: Family::default(),
             configuration_version: Gauge::default(),
+            configuration_unconfirmed: Gauge::default(),
             servers: Gauge::default(),
             limited_servers: Gauge::default(),
             vms: Gauge::default(),
@@ -184,6 +192,10 @@
         self.register("store_call_seconds", self.store_call.clone());
         self.register("orders_given", self.orders.clone());
         self.register("configuration_version", self.configuration_version.clone());
+        self.register(
+            "configuration_unconfirmed_seconds",
+            self.configuration_unconfirmed.clone(),
+        );
         self.register("servers", self.servers.clone());
         self.register("limited_servers", self.limited_servers.clone());
         self.register("vms", self.vms.clone());
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -170,6 +170,11 @@
         metrics.vms.set(self.peers.vms() as i64);
         let limited_servers = self.server_limits.borrow().limited_servers();
         metrics.limited_servers.set(limited_servers as i64);
+        let unconfirmed = self.unconfirmed_time(Part::Configuration, Instant::now());
+        let unconfirmed = unconfirmed.unwrap_or_default();
+        metrics
+            .configuration_unconfirmed
+            .set(unconfirmed.as_secs_f64());
         metrics.open_connections.set(self.shutdown.open() as i64);
         metrics.to_text()
     }
@@ -238,7 +243,14 @@
             .map(|(_, readings)| readings.of(part))
             .filter(|reading| reading.is_fresh(now) && reading.last_change <= end);
         let latest = advertised.map(|reading| reading.at).max();
-        Some(latest.map_or(own.at, |at| at.max(own.at)))
+        let confirmed_at = latest.map_or(own.at, |at| at.max(own.at));
+        Some(self.following.confirm(part, confirmed_at))
+    }
+
+    /// Returns the time since this VM last knew that its copy of a part was current.
+    pub(super) fn unconfirmed_time(&self, part: Part, now: Instant) -> Option<Duration> {
+        let confirmed_at = self.confirmed_at(part, now)?;
+        Some(now.saturating_duration_since(confirmed_at))
     }
 
     /// What decides on when this VM may read the log while no VM of its zone advertises a read.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -3,6 +3,7 @@
 use crate::gateway::directory_updates::{ServerUpdate, update_messages};
 use crate::gateway::log_follower::{Reading, Readings};
 use crate::gateway::outbox::UpdateScope;
+use crate::gateway::read_delays::{ReadDelays, ReadStep};
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
 use crate::gateway::sync_client::SyncClient;
@@ -56,6 +57,8 @@
 /// Maximum time since the sender of a part knew it to be current. A VM that starts does not take an
 /// older one, unless it cannot read the log either.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2_000);
+/// Time without knowing that a part is current from which that is logged.
+const LATE_CONFIRMATION: Duration = Duration::from_millis(1_500);
 
 /// Keeps the state of this VM up to date with the log.
 pub(crate) struct LogWatcher<S> {
@@ -77,26 +80,38 @@
     /// Follows the configuration until the process ends.
     pub(crate) async fn follow_configuration(self: Rc<Self>) {
         let mut next = None;
+        let mut delays = ReadDelays::default();
         let selector = SourceSelector::new(self.state.clone(), Part::Configuration);
         loop {
             let read_at = Instant::now();
-            let read = match selector.select(next).await {
+            let source = selector.select(next).await;
+            delays.add(ReadStep::Turn, read_at);
+            let began = Instant::now();
+            let read = match source {
                 Source::Peer(peer) => {
                     let synced = self.sync_part(Part::Configuration, next, peer, &selector);
-                    let Some(synced) = synced.await else {
+                    let synced = synced.await;
+                    delays.add(ReadStep::Peer, began);
+                    let Some(synced) = synced else {
                         continue;
                     };
                     self.decode_synced(&synced)
                 }
                 Source::Unneeded => {
                     self.wait_for_next_configuration_read(read_at).await;
+                    delays = ReadDelays::default();
                     continue;
                 }
-                Source::Log => self.read_configuration(next, read_at).await,
+                Source::Log => {
+                    let read = self.read_configuration(next, read_at).await;
+                    delays.add(ReadStep::Log, began);
+                    read
+                }
             };
             match read {
                 Ok((changes, read_at_log)) => {
                     selector.note_success();
+                    self.report_late_confirmation(Part::Configuration, delays);
                     next = Some(changes.next_offset);
                     let reading = Reading {
                         last_change: changes.next_offset,
@@ -113,6 +128,7 @@
                         self.state.peers.outbox.trigger_update(UpdateScope::Zone);
                     }
                     self.wait_for_next_configuration_read(read_at).await;
+                    delays = ReadDelays::default();
                 }
                 Err(StoreError::Compacted) => {
                     selector.note_compacted();
@@ -121,8 +137,10 @@
                         .await;
                 }
                 Err(error) => {
+                    let failed_at = Instant::now();
                     self.report_failure("configuration", error, selector.log_failures());
                     self.wait_before_retry(selector.note_log_failure()).await;
+                    delays.add(ReadStep::Pause, failed_at);
                 }
             }
         }
@@ -160,24 +178,35 @@
     /// Follows the directory until the process ends.
     pub(crate) async fn follow_directory(self: Rc<Self>) {
         let following = &self.state.following;
+        let mut delays = ReadDelays::default();
         let selector = SourceSelector::new(self.state.clone(), Part::Directory);
         loop {
             let read_at = Instant::now();
             let from = following.directory_end.get();
-            let read = match selector.select(from).await {
+            let source = selector.select(from).await;
+            delays.add(ReadStep::Turn, read_at);
+            let began = Instant::now();
+            let read = match source {
                 Source::Unneeded => {
                     self.wait_for_next_directory_read(read_at).await;
+                    delays = ReadDelays::default();
                     continue;
                 }
                 Source::Peer(peer) => {
                     let synced = self.sync_part(Part::Directory, from, peer, &selector);
-                    let Some(synced) = synced.await else {
+                    let synced = synced.await;
+                    delays.add(ReadStep::Peer, began);
+                    let Some(synced) = synced else {
                         continue;
                     };
                     let since = from.filter(|_| !synced.is_whole);
                     decode_directory(synced).map(|(changes, at)| (changes, since, at))
                 }
-                Source::Log => self.read_directory(from).await,
+                Source::Log => {
+                    let read = self.read_directory(from).await;
+                    delays.add(ReadStep::Log, began);
+                    read
+                }
             };
             match read {
                 // An update forwarded by another VM arrived in the meantime and is newer.
@@ -187,8 +216,10 @@
                         info!(failures = selector.log_failures(), "directory regained");
                     }
                     selector.note_success();
+                    self.report_late_confirmation(Part::Directory, delays);
                     self.apply_read(changes, since, at);
                     self.wait_for_next_directory_read(read_at).await;
+                    delays = ReadDelays::default();
                 }
                 Err(StoreError::Compacted) => {
                     selector.note_compacted();
@@ -198,9 +229,11 @@
                         .await;
                 }
                 Err(error) => {
-                    following.disrupted_at.set(Some(Instant::now()));
+                    let failed_at = Instant::now();
+                    following.disrupted_at.set(Some(failed_at));
                     self.report_failure("directory", error, selector.log_failures());
                     self.wait_before_retry(selector.note_log_failure()).await;
+                    delays.add(ReadStep::Pause, failed_at);
                 }
             }
             self.state.purge_removed(Instant::now());
@@ -267,7 +300,8 @@
         let has_update = |advertised: Readings| {
             own.is_none_or(|own| advertised.configuration.last_change > own.last_change)
         };
-        self.wait_for_next_read(read_at, CONFIGURATION_INTERVAL, has_update)
+        let part = Part::Configuration;
+        self.wait_for_next_read(part, read_at, CONFIGURATION_INTERVAL, has_update)
             .await;
     }
 
@@ -289,7 +323,8 @@
             }
             has_missed
         };
-        self.wait_for_next_read(read_at, DIRECTORY_INTERVAL, has_update)
+        let part = Part::Directory;
+        self.wait_for_next_read(part, read_at, DIRECTORY_INTERVAL, has_update)
             .await;
     }
 
@@ -297,6 +332,7 @@
     /// log for this one, until it advertises changes or [`BACKGROUND_INTERVAL`] has passed.
     async fn wait_for_next_read(
         &self,
+        part: Part,
         read_at: Instant,
         interval: Duration,
         has_update: impl Fn(Readings) -> bool,
@@ -312,8 +348,11 @@
             .vms_in(&self.state.settings.availability_zone);
         let background_interval = BACKGROUND_INTERVAL.max(ZONE_BACKGROUND_INTERVAL * vms as u32);
         while read_at.elapsed() < background_interval {
-            self.state.purge_removed(Instant::now());
-            match self.state.advertised_readings(Instant::now()) {
+            let now = Instant::now();
+            self.state.purge_removed(now);
+            // Advertised reads confirm the part as long as they are fresh.
+            self.state.confirmed_at(part, now);
+            match self.state.advertised_readings(now) {
                 Some(reads) if !has_update(reads) => compio::time::sleep(UPDATE_POLL).await,
                 _ => return,
             }
@@ -404,6 +443,23 @@
         }
     }
 
+    /// Logs that a part, which was just obtained, was not known to be current for long.
+    fn report_late_confirmation(&self, part: Part, delays: ReadDelays) {
+        let unconfirmed = self.state.unconfirmed_time(part, Instant::now());
+        let Some(unconfirmed) = unconfirmed.filter(|it| *it >= LATE_CONFIRMATION) else {
+            return;
+        };
+        warn!(
+            part = part.name(),
+            unconfirmed_ms = unconfirmed.as_millis() as u64,
+            turn_ms = delays.turn.as_millis() as u64,
+            peer_ms = delays.peer.as_millis() as u64,
+            log_ms = delays.log.as_millis() as u64,
+            pause_ms = delays.pause.as_millis() as u64,
+            "state confirmed late"
+        );
+    }
+
     fn report_failure(&self, what: &'static str, error: StoreError, failures: u32) {
         if failures == 0 {
             warn!(what, ?error, "log not read");
