Failing tests of a change that is in force too late while VMs stand still (CONFIG)

Three ways to the users' symptom, each by real processes: the first three VMs of a zone stand still as a silent store answers again (in force after 4.06 s, 3 s allowed); the VM that advertised a change stands still (3.3 s, 2 s allowed); most VMs of a zone do (2.3 s).

--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -169,6 +169,7 @@
 [bounds]
 stable_window_ms = 3000
 drain_ms = 2000
+config_apply_ms = 2000
 grace_s = 6
 budget_ratio = 0.2
 budget_window_s = 10
--- /dev/null
+++ b/workbench/tests/site_configuration.rs
@@ -0,0 +1,115 @@
+//! On the platform: how soon a change of the configuration is in force while VMs stand still.
+
+use googletest::prelude::*;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+use workbench::cluster::block_on;
+use workbench::site::{Site, StoreFaults, plain, route};
+
+/// The time in which a change has to be in force, as in the settings of the VMs.
+const CONFIGURATION_LIMIT: Duration = Duration::from_millis(2_000);
+/// The time after an outage of the store in which a change made at its end has to be in force.
+const RETURN_LIMIT: Duration = Duration::from_millis(3_000);
+/// Time in which VMs find each other and agree on the one that follows the log.
+const CALM: Duration = Duration::from_secs(5);
+
+fn publish(site: &mut Site) {
+    site.configure(
+        json!([route("/", "safe", "books")]),
+        json!([plain("books")]),
+    );
+}
+
+async fn version(site: &Site, vm: usize) -> f64 {
+    let version = site.metric(vm, "configuration_version").await;
+    version.expect("a configuration is in force")
+}
+
+/// Waits until a newer configuration than `before` is in force at these VMs.
+async fn wait_for_change(site: &Site, vms: &[usize], before: f64) {
+    site.wait("the change is in force", async || {
+        for vm in vms {
+            if version(site, *vm).await <= before {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+}
+
+/// Stops the first VMs of the zone and the leader; returns the others.
+async fn stop_first(site: &Site, count: usize) -> Vec<usize> {
+    let mut stopped: BTreeSet<usize> = (0..count).collect();
+    for vm in 0..site.vms.len() {
+        if site.metric(vm, "is_leading").await == Some(1.0) {
+            stopped.insert(vm);
+        }
+    }
+    for vm in &stopped {
+        site.vms[*vm].signal(Signal::SIGSTOP);
+    }
+    let all = 0..site.vms.len();
+    all.filter(|vm| !stopped.contains(vm)).collect()
+}
+
+#[googletest::test]
+fn a_change_is_in_force_in_time_although_the_vm_that_advertised_it_stands_still() {
+    block_on(async {
+        let mut site = Site::start_plain(1, 8).await;
+        let others: Vec<usize> = (1..8).collect();
+        for _ in 0..3 {
+            compio::time::sleep(CALM).await;
+            let before = version(&site, 1).await;
+            let published_at = Instant::now();
+            publish(&mut site);
+            // It has read the change by then, and most others have not yet asked for it.
+            compio::time::sleep(Duration::from_millis(30)).await;
+            site.vms[0].signal(Signal::SIGSTOP);
+            wait_for_change(&site, &others, before).await;
+            expect_that!(published_at.elapsed(), lt(CONFIGURATION_LIMIT));
+            site.vms[0].signal(Signal::SIGCONT);
+        }
+    });
+}
+
+#[googletest::test]
+fn a_change_is_in_force_in_time_although_most_vms_of_the_zone_stand_still() {
+    block_on(async {
+        let mut site = Site::start_plain(1, 16).await;
+        compio::time::sleep(CALM).await;
+        let before = version(&site, 15).await;
+        let others = stop_first(&site, 12).await;
+        let published_at = Instant::now();
+        publish(&mut site);
+        wait_for_change(&site, &others, before).await;
+        expect_that!(published_at.elapsed(), lt(CONFIGURATION_LIMIT));
+    });
+}
+
+#[googletest::test]
+fn a_change_at_the_return_of_the_store_is_in_force_in_time_although_the_first_vms_stand_still() {
+    block_on(async {
+        let mut site = Site::start_plain(1, 8).await;
+        compio::time::sleep(CALM).await;
+        let before = version(&site, 7).await;
+        site.store.set(StoreFaults {
+            is_silent: true,
+            ..StoreFaults::default()
+        });
+        // One read of each VM has failed by then.
+        compio::time::sleep(Duration::from_millis(1_500)).await;
+        let others = stop_first(&site, 3).await;
+        // No VM of the zone becomes the leader, which would read at once.
+        site.store.set(StoreFaults {
+            refuses_joins: true,
+            ..StoreFaults::default()
+        });
+        let returned_at = Instant::now();
+        publish(&mut site);
+        wait_for_change(&site, &others, before).await;
+        expect_that!(returned_at.elapsed(), lt(RETURN_LIMIT));
+    });
+}
