A VM reads the log before a change could take effect too late, whatever it waits for

The bound of the deployment (`config_apply_ms`; `drain_ms` for the directory) now counts from the time at which the VM last knew its state to be current: after 0.6 to 0.8 of it, in the order of the turns, the VM reads the log itself.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Bounds {
     /// The time from SIGTERM until the process is killed.
     pub(crate) grace: Duration,
+    /// The longest time from the acknowledgement of a configuration until it has to be in force.
+    pub(crate) configuration_delay: Duration,
     /// How long a backend server continues to serve requests after it has announced that it leaves.
     pub(crate) drain: Duration,
     /// Retries allowed per request, over all VMs.
--- a/src/gateway/source_selector.rs
+++ b/src/gateway/source_selector.rs
@@ -108,7 +108,8 @@
     }
 
     fn whole_source(&self, now: Instant) -> Option<Source> {
-        if self.is_compacted.take() || self.is_follower(now) {
+        let is_overdue = self.is_overdue(now) && self.log_failures.get() == 0;
+        if self.is_compacted.take() || self.is_follower(now) || is_overdue {
             return Some(Source::Log);
         }
         let peers = &self.state.peers;
@@ -133,6 +134,11 @@
         let may_sync = self.sync_failures.get() < MAX_SYNC_FAILURES;
         let ahead = self.state.peer_ahead(self.part, from, now);
         let ahead = ahead.filter(|_| may_sync).map(Source::Peer);
+        // The log may be out of reach of this VM, but not of the other one.
+        let has_alternative = ahead.is_some() && self.log_failures.get() > 0;
+        if self.is_overdue(now) && !has_alternative {
+            return Some(Source::Log);
+        }
         if self.state.advertised_readings(now).is_some() {
             let was_waiting = self.waiting_since.get().is_some();
             // Otherwise this is one of the rare reads.
@@ -146,8 +152,13 @@
         if self.is_follower(now) || self.is_turn(now) {
             return Some(Source::Log);
         }
-        // The log may be out of reach of this VM, but not of the other one.
-        ahead.filter(|_| self.log_failures.get() > 0)
+        ahead.filter(|_| has_alternative)
+    }
+
+    /// Whether this VM no longer waits for others, since a change could take effect too late.
+    fn is_overdue(&self, now: Instant) -> bool {
+        let deadline = self.state.read_deadline(self.part, now);
+        deadline.is_some_and(|deadline| now >= deadline)
     }
 
     /// Whether this VM follows the log for its zone now.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use crate::gateway::log_follower::{FollowerState, Reading, Readings, follows_closely};
 use crate::gateway::outbox::UpdateScope;
 use crate::gateway::peers::Peers;
+use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
 use crate::gateway::speeds::Speeds;
@@ -253,6 +254,22 @@
         Some(now.saturating_duration_since(confirmed_at))
     }
 
+    /// Returns when this VM has to read a part from the log, whatever other VMs do; `None` while it
+    /// does not have the part.
+    pub(super) fn read_deadline(&self, part: Part, now: Instant) -> Option<Instant> {
+        let confirmed_at = self.confirmed_at(part, now)?;
+        let bounds = &self.settings.bounds;
+        let deadline = ReadDeadline {
+            max_delay: match part {
+                Part::Directory => bounds.drain,
+                Part::Configuration => bounds.configuration_delay,
+            },
+            rank: self.zone_rank(),
+            vms: self.peers.vms_in(&self.settings.availability_zone) + 1,
+        };
+        Some(confirmed_at + deadline.delay())
+    }
+
     /// What decides on when this VM may read the log while no VM of its zone advertises a read.
     pub(crate) fn read_turn(&self, failures: u32, now: Instant) -> ReadTurn {
         ReadTurn {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -50,7 +50,8 @@
         bounds: Bounds {
             quota: crate::callers::QuotaBounds::default(),
             grace: Duration::ZERO,
-            drain: Duration::ZERO,
+            drain: Duration::from_millis(3_000),
+            configuration_delay: Duration::from_millis(3_000),
             retry_ratio: 0.0,
             retry_window: Duration::ZERO,
             retry_slack: 0.0,
--- a/src/gateway/tests/source_selector.rs
+++ b/src/gateway/tests/source_selector.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::gossip_message::{Digest, FollowedLog};
 use crate::gateway::log_follower::{FRESH_FOR, Reading};
+use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
 use crate::gateway::sync_message::Part;
@@ -141,3 +142,52 @@
     let expected = Some(Source::Peer(follower(3)));
     assert_eq!(selector.select_now(None, now), expected);
 }
+
+#[test]
+fn a_vm_reads_the_log_in_time_however_many_vms_that_come_first_are_gone() {
+    for vms in [1, 6, 67, 200, 1_000] {
+        let start = Instant::now();
+        let state = vm_state();
+        has_directory(&state, start);
+        for vm in 0..vms {
+            receive_reading(&state, vm, OWN_END, start);
+        }
+        let selector = SourceSelector::new(state.clone(), Part::Directory);
+        let mut now = start;
+        while selector.select_now(Some(OWN_END), now + FRESH_FOR) != Some(Source::Log) {
+            now += STEP / 10;
+        }
+        let left = (start + state.settings.bounds.drain).checked_duration_since(now + FRESH_FOR);
+        // Time for a read, and for one more if that fails.
+        assert!(
+            left >= Some(Duration::from_millis(500)),
+            "{vms} VMs: {left:?}"
+        );
+    }
+}
+
+#[test]
+fn vms_of_a_zone_do_not_all_reach_their_deadlines_at_once() {
+    let deadlines = (0..200).map(|rank| ReadDeadline {
+        max_delay: Duration::from_millis(2_000),
+        rank,
+        vms: 200,
+    });
+    let mut delays: Vec<Duration> = deadlines.map(|it| it.delay()).collect();
+    delays.dedup();
+    assert_eq!(delays.len(), 200);
+    assert!(delays[0] >= FRESH_FOR && delays[199] <= Duration::from_millis(1_600));
+}
+
+#[test]
+fn a_vm_that_cannot_read_the_log_in_time_still_asks_one_that_is_ahead() {
+    let now = Instant::now();
+    let state = Rc::new(state_at(address(5)));
+    has_directory(&state, now - Duration::from_secs(10));
+    receive_reading(&state, 9, OWN_END + 5, now);
+    let selector = SourceSelector::new(state, Part::Directory);
+    assert_eq!(selector.select_now(Some(OWN_END), now), Some(Source::Log));
+    selector.note_log_failure();
+    let selected = selector.select_now(Some(OWN_END), now);
+    assert_eq!(selected, Some(Source::Peer(follower(9))));
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -52,6 +52,8 @@
 const MAX_RETRYING_VMS: usize = 3;
 /// Maximum time for which the other VMs of the zone wait before they read the log themselves.
 const MAX_OTHERS_PAUSE: Duration = Duration::from_millis(4_000);
+/// Least time in which another VM may send a change.
+const MIN_SYNC_TIME: Duration = Duration::from_millis(500);
 /// Time over which the VMs of a zone spread their requests for the same change, for each VM.
 const SYNC_SPREAD_PER_VM: Duration = Duration::from_millis(2);
 /// Maximum time since the sender of a part knew it to be current. A VM that starts does not take an
@@ -259,15 +261,10 @@
         selector: &SourceSelector,
     ) -> Option<SyncReply> {
         let began = Instant::now();
-        if from.is_some() {
-            let vms = self
-                .state
-                .peers
-                .vms_in(&self.state.settings.availability_zone);
-            let spread = SYNC_SPREAD_PER_VM * vms as u32;
-            compio::time::sleep(spread.mul_f64(rand::random())).await;
-        }
-        let synced = self.sync.fetch(part, from, peer).await;
+        let synced = match from {
+            None => self.sync.fetch(part, from, peer).await,
+            Some(_) => self.sync_change(part, from, peer).await,
+        };
         let max_age = match selector.log_failures() {
             0 => MAX_CONFIRMED_AGE,
             _ => Duration::MAX,
@@ -294,6 +291,31 @@
         synced
     }
 
+    /// Requests a change from another VM, until this VM has to read it from the log.
+    async fn sync_change(
+        &self,
+        part: Part,
+        from: Option<u64>,
+        peer: SocketAddr,
+    ) -> Option<SyncReply> {
+        let now = Instant::now();
+        let deadline = self.state.read_deadline(part, now);
+        let left = deadline.map(|deadline| deadline.saturating_duration_since(now));
+        let limit = left.unwrap_or_default().max(MIN_SYNC_TIME);
+        let fetch = async {
+            let spread = SYNC_SPREAD_PER_VM * self.zone_vms() as u32;
+            compio::time::sleep(spread.mul_f64(rand::random())).await;
+            self.sync.fetch(part, from, peer).await
+        };
+        compio::time::timeout(limit, fetch).await.ok().flatten()
+    }
+
+    /// The number of other VMs known in the zone.
+    fn zone_vms(&self) -> usize {
+        let zone = &self.state.settings.availability_zone;
+        self.state.peers.vms_in(zone)
+    }
+
     /// Waits until the configuration has to be read again.
     async fn wait_for_next_configuration_read(&self, read_at: Instant) {
         let own = self.state.following.configuration.get();
@@ -342,11 +364,8 @@
         let is_behind = advertised.is_some_and(&has_update);
         let interval = if is_behind { BEHIND_INTERVAL } else { interval };
         compio::time::sleep_until(read_at + interval).await;
-        let vms = self
-            .state
-            .peers
-            .vms_in(&self.state.settings.availability_zone);
-        let background_interval = BACKGROUND_INTERVAL.max(ZONE_BACKGROUND_INTERVAL * vms as u32);
+        let zone_interval = ZONE_BACKGROUND_INTERVAL * self.zone_vms() as u32;
+        let background_interval = BACKGROUND_INTERVAL.max(zone_interval);
         while read_at.elapsed() < background_interval {
             let now = Instant::now();
             self.state.purge_removed(now);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -62,6 +62,7 @@
 struct FileBounds {
     grace_s: f64,
     drain_ms: u64,
+    config_apply_ms: u64,
     budget_ratio: f64,
     budget_window_s: f64,
     budget_slack: f64,
@@ -123,6 +124,7 @@
         bounds: Bounds {
             grace: Duration::from_secs_f64(bounds.grace_s),
             drain: Duration::from_millis(bounds.drain_ms),
+            configuration_delay: Duration::from_millis(bounds.config_apply_ms),
             retry_ratio: bounds.budget_ratio,
             retry_window: Duration::from_secs_f64(bounds.budget_window_s),
             retry_slack: bounds.budget_slack,
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -24,6 +24,7 @@
 ready_addr = "10.1.0.38:8141"
 [bounds]
 drain_ms = 2000
+config_apply_ms = 2000
 grace_s = 8
 budget_ratio = 0.2
 budget_window_s = 10
