VMs spread their reads after a failure, so that no gone VM is waited for (CONFIG)

Callers saw a route handled as an older version says, after a newer one had been confirmed. After a failed read all VMs of a zone but the first three waited up to 4 s for those three. If these stand still as the store returns, nobody of the zone reads until then. The others now wait a random time, at most 0.2 s for each VM of the zone, so that whoever is left reads soon and advertises it; a zone makes five to ten such reads a second.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -50,8 +50,9 @@
 /// Number of VMs in a zone that keep reading while no VM of the zone can read the log. More than
 /// one is needed since a single VM may itself be cut off; not all, since each read has a cost.
 const MAX_RETRYING_VMS: usize = 3;
-/// Maximum time for which the other VMs of the zone wait before they read the log themselves.
-const MAX_OTHERS_PAUSE: Duration = Duration::from_millis(4_000);
+/// Time over which the other VMs of the zone spread their reads, for each VM. Whichever of them are
+/// gone, the rest of the zone reads soon after the log is available again.
+const OTHERS_SPREAD_PER_VM: Duration = Duration::from_millis(200);
 /// Least time in which another VM may send a change.
 const MIN_SYNC_TIME: Duration = Duration::from_millis(500);
 /// Time over which the VMs of a zone spread their requests for the same change, for each VM.
@@ -448,13 +449,18 @@
 
     /// Waits after a failed read. While no VM of the zone can read the log, only the leader and the
     /// first [`MAX_RETRYING_VMS`] VMs of the zone by address retry after the usual pause. The
-    /// others wait until one of those advertises a read, for at most [`MAX_OTHERS_PAUSE`].
+    /// others wait until some VM advertises a read, for at most a random time.
     async fn wait_before_retry(&self, failures: u32) {
-        let failed_at = Instant::now();
         compio::time::sleep(retry_pause(failures, self.state.is_ready())).await;
-        let waits_for_others =
-            || self.state.fence.get() == 0 && self.state.zone_rank() >= MAX_RETRYING_VMS;
-        while waits_for_others() && failed_at.elapsed() < MAX_OTHERS_PAUSE {
+        let paused_at = Instant::now();
+        let share: f64 = rand::random();
+        let waits_for_others = || {
+            let spread = OTHERS_SPREAD_PER_VM * self.zone_vms() as u32;
+            self.state.fence.get() == 0
+                && self.state.zone_rank() >= MAX_RETRYING_VMS
+                && paused_at.elapsed() < spread.mul_f64(share)
+        };
+        while waits_for_others() {
             if self.state.advertised_readings(Instant::now()).is_some() {
                 return;
             }
