Logs and a metric say when a VM reaches no server at all

`no server reached`, `servers reached again` and is_cut_off say it, decided from the connections that requests open. No request is treated otherwise for it yet.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,13 +2,13 @@
 
 use crate::client::{Connection, SendError};
 use crate::gateway::fleet::{InFlightGuard, Incarnation, Server};
+use crate::gateway::state::State;
 use crate::gateway::{Protocol, Reply};
 use crate::http::Body;
 use crate::inventory::Name;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response};
-use prometheus_client::metrics::counter::Counter;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -51,15 +51,15 @@
 /// The pool of this VM's idle connections to backend servers.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
-    opened: Counter,
+    state: Rc<State>,
     idle: RefCell<HashMap<Incarnation, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool; `opened` counts the connections that it opens.
-    pub(crate) fn new(opened: Counter) -> Self {
+    /// Creates an empty pool; `state` learns which servers it reaches.
+    pub(crate) fn new(state: Rc<State>) -> Self {
         Self {
-            opened,
+            state,
             idle: RefCell::default(),
         }
     }
@@ -153,8 +153,15 @@
     }
 
     async fn open(&self, server: &Server) -> Result<Connection, SendError> {
-        self.opened.inc();
-        Connection::open_abort_on_drop(server.address, CONNECT_TIMEOUT, UNACKED_LIMIT).await
+        self.state.metrics.connections_opened.inc();
+        let begun_at = Instant::now();
+        let opened =
+            Connection::open_abort_on_drop(server.address, CONNECT_TIMEOUT, UNACKED_LIMIT).await;
+        match &opened {
+            Ok(_) => self.state.record_server_reached(Instant::now()),
+            Err(_) => self.state.record_server_unreached(server, begun_at),
+        }
+        opened
     }
 }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -2,9 +2,10 @@
 
 use crate::gateway::Weights;
 use crate::gateway::backlog::Backlog;
+use crate::gateway::reachability::ListedServers;
 use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -449,6 +450,19 @@
         of_service.cloned().collect()
     }
 
+    /// Returns how many servers are listed, and in how many zones.
+    pub(crate) fn listed_servers(&self) -> ListedServers {
+        let servers = self.servers.borrow();
+        let listed = servers.values().filter(|it| !it.is_marked_removed());
+        let zones: Vec<Name> = listed
+            .map(|it| it.entry.borrow().availability_zone.clone())
+            .collect();
+        ListedServers {
+            servers: zones.len(),
+            zones: zones.iter().collect::<HashSet<_>>().len(),
+        }
+    }
+
     /// Returns all servers.
     pub(crate) fn servers(&self) -> Vec<Rc<Server>> {
         self.servers.borrow().values().cloned().collect()
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -68,6 +68,7 @@
         "configuration_unconfirmed_seconds",
         "time since the configuration was last known to be the newest",
     ),
+    describe("is_cut_off", "1 while this VM reaches no backend server"),
     describe("servers", "backend servers in the directory"),
     describe("limited_servers", "backend servers that state a rate limit"),
     describe("vms", "VMs known, this one included"),
@@ -129,6 +130,8 @@
     pub(crate) store_call: Histogram,
     pub(crate) orders: Family<CallLabels, Counter>,
     pub(crate) configuration_version: Gauge,
+    /// 1 while this VM reaches no backend server.
+    pub(crate) is_cut_off: Gauge,
     /// Time since the configuration was last known to be current, in seconds.
     pub(crate) configuration_unconfirmed: Gauge<f64, AtomicU64>,
     pub(crate) servers: Gauge,
@@ -164,6 +167,7 @@
             store_call: duration_histogram(),
             orders: Family::default(),
             configuration_version: Gauge::default(),
+            is_cut_off: Gauge::default(),
             configuration_unconfirmed: Gauge::default(),
             servers: Gauge::default(),
             limited_servers: Gauge::default(),
@@ -192,6 +196,7 @@
         self.register("store_call_seconds", self.store_call.clone());
         self.register("orders_given", self.orders.clone());
         self.register("configuration_version", self.configuration_version.clone());
+        self.register("is_cut_off", self.is_cut_off.clone());
         self.register(
             "configuration_unconfirmed_seconds",
             self.configuration_unconfirmed.clone(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod peer_search;
 mod peers;
 mod planning;
+mod reachability;
 mod read_deadline;
 mod read_delays;
 mod read_turn;
--- /dev/null
+++ b/src/gateway/reachability.rs
@@ -0,0 +1,82 @@
+//! Decides whether this VM can open connections to backend servers at all.
+//!
+//! A VM may be cut off from all backend servers while callers, the log and the other VMs still reach
+//! it. Each failed connection alone looks like the failure of one server, and several like that of
+//! a zone. The VM counts as cut off once connections to servers of several zones have failed and
+//! none that was begun since has opened.
+
+use crate::inventory::Name;
+use std::collections::HashMap;
+use std::time::Instant;
+
+/// The number of different servers that must have failed, unless fewer are listed.
+const MIN_FAILED_SERVERS: usize = 3;
+/// The number of different zones that they must be in, unless the servers are in one.
+const MIN_FAILED_ZONES: usize = 2;
+
+/// The listed servers, as far as they matter for the decision.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct ListedServers {
+    /// The number of servers.
+    pub(crate) servers: usize,
+    /// The number of availability zones that they are in.
+    pub(crate) zones: usize,
+}
+
+/// A change in what this VM reaches.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ReachabilityChange {
+    /// No server is reached any more.
+    Lost,
+    /// Servers are reached again; holds when they were lost.
+    Regained(Instant),
+}
+
+/// The outcomes of connections to backend servers since one last opened.
+#[derive(Debug, Default)]
+pub(crate) struct Reachability {
+    /// When the last connection opened.
+    opened_at: Option<Instant>,
+    /// The zones of the servers that were not reached since, by server.
+    failed: HashMap<Name, Name>,
+    lost_at: Option<Instant>,
+}
+
+impl Reachability {
+    /// Whether this VM reaches no server.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
+    /// Records that a connection opened.
+    pub(crate) fn record_opened(&mut self, now: Instant) -> Option<ReachabilityChange> {
+        self.opened_at = Some(now);
+        self.failed.clear();
+        self.lost_at.take().map(ReachabilityChange::Regained)
+    }
+
+    /// Records that a connection to a server in `zone`, begun at a time, did not open.
+    pub(crate) fn record_failed(
+        &mut self,
+        server: &Name,
+        zone: &Name,
+        begun_at: Instant,
+        listed: ListedServers,
+        now: Instant,
+    ) -> Option<ReachabilityChange> {
+        if self.opened_at.is_some_and(|opened_at| opened_at > begun_at) {
+            return None;
+        }
+        self.failed.insert(server.clone(), zone.clone());
+        let mut zones: Vec<&Name> = self.failed.values().collect();
+        zones.sort();
+        zones.dedup();
+        let is_lost = self.failed.len() >= MIN_FAILED_SERVERS.min(listed.servers)
+            && zones.len() >= MIN_FAILED_ZONES.min(listed.zones);
+        if self.is_lost() || !is_lost {
+            return None;
+        }
+        self.lost_at = Some(now);
+        Some(ReachabilityChange::Lost)
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -56,7 +56,7 @@
             window: bounds.retry_window,
         });
         Self {
-            pool: ConnectionPool::new(state.metrics.connections_opened.clone()),
+            pool: ConnectionPool::new(state.clone()),
             wait_queues: Rc::default(),
             state,
             budget,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use crate::gateway::log_follower::{FollowerState, Reading, Readings, follows_closely};
 use crate::gateway::outbox::UpdateScope;
 use crate::gateway::peers::Peers;
+use crate::gateway::reachability::{Reachability, ReachabilityChange};
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
@@ -27,7 +28,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 /// How long a server is kept after its directory entry was removed, if the log was unavailable
 /// shortly before: the server may be alive and add its entry again.
@@ -64,6 +65,8 @@
     pub(crate) ledger: RefCell<Ledger>,
     /// The rate limits that backend servers state.
     pub(crate) server_limits: RefCell<ServerLimits>,
+    /// Whether this VM can open connections to backend servers.
+    reachability: RefCell<Reachability>,
     /// The number of requests that wait for weights to be loaded.
     waiting: RefCell<HashMap<Weights, u32>>,
     /// What each runner holds, while this VM is the leader; advertised to all other VMs.
@@ -114,6 +117,7 @@
             speeds: Speeds::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
             server_limits: RefCell::new(ServerLimits::new(Instant::now())),
+            reachability: RefCell::default(),
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
             fence: Cell::new(0),
@@ -171,6 +175,7 @@
         metrics.vms.set(self.peers.vms() as i64);
         let limited_servers = self.server_limits.borrow().limited_servers();
         metrics.limited_servers.set(limited_servers as i64);
+        metrics.is_cut_off.set(i64::from(self.is_cut_off()));
         let unconfirmed = self.unconfirmed_time(Part::Configuration, Instant::now());
         let unconfirmed = unconfirmed.unwrap_or_default();
         metrics
@@ -425,6 +430,41 @@
             .rate_per_s(&server.incarnation())
     }
 
+    /// Records that a connection to a backend server opened.
+    pub(crate) fn record_server_reached(&self, now: Instant) {
+        let change = self.reachability.borrow_mut().record_opened(now);
+        self.note_reachability(change, now);
+    }
+
+    /// Records that a connection to a backend server, begun at a time, did not open.
+    pub(crate) fn record_server_unreached(&self, server: &Server, begun_at: Instant) {
+        let now = Instant::now();
+        let zone = server.with_entry(|entry| entry.availability_zone.clone());
+        let listed = self.fleet.listed_servers();
+        let mut reachability = self.reachability.borrow_mut();
+        let change = reachability.record_failed(&server.id, &zone, begun_at, listed, now);
+        drop(reachability);
+        self.note_reachability(change, now);
+    }
+
+    /// Whether this VM reaches no backend server.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.reachability.borrow().is_lost()
+    }
+
+    fn note_reachability(&self, change: Option<ReachabilityChange>, now: Instant) {
+        match change {
+            Some(ReachabilityChange::Lost) => warn!("no server reached"),
+            Some(ReachabilityChange::Regained(lost_at)) => {
+                let lost_ms = now.saturating_duration_since(lost_at).as_millis() as u64;
+                info!(lost_ms, "servers reached again");
+            }
+            None => return,
+        }
+        // Requests may wait for a server.
+        self.changed.notify();
+    }
+
     /// Returns the number of VMs in the local zone with a lower address than this one.
     pub(crate) fn zone_rank(&self) -> usize {
         self.peers.rank_in(&self.settings.availability_zone)
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -15,6 +15,7 @@
 mod quota_play;
 mod quota_ways;
 mod quotas;
+mod reachability;
 mod server_limits;
 mod source_selector;
 mod speeds;
--- /dev/null
+++ b/src/gateway/tests/reachability.rs
@@ -0,0 +1,76 @@
+//! When a VM counts as cut off from all backend servers.
+
+use crate::gateway::reachability::{ListedServers, Reachability, ReachabilityChange};
+use crate::inventory::Name;
+use std::time::{Duration, Instant};
+
+const LISTED: ListedServers = ListedServers {
+    servers: 12,
+    zones: 3,
+};
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+fn fail(
+    reachability: &mut Reachability,
+    server: &str,
+    zone: &str,
+    begun_at: Instant,
+) -> Option<ReachabilityChange> {
+    let (server, zone) = (Name::from(server), Name::from(zone));
+    reachability.record_failed(&server, &zone, begun_at, LISTED, begun_at + TIMEOUT)
+}
+
+#[test]
+fn servers_of_several_zones_that_are_not_reached_mean_that_the_vm_is_cut_off() {
+    let start = Instant::now();
+    let mut reachability = Reachability::default();
+    reachability.record_opened(start);
+    assert_eq!(fail(&mut reachability, "s1", "a", start), None);
+    assert_eq!(fail(&mut reachability, "s2", "b", start), None);
+    let change = fail(&mut reachability, "s3", "b", start);
+    assert_eq!(change, Some(ReachabilityChange::Lost));
+    assert!(reachability.is_lost());
+    let regained = reachability.record_opened(start + 2 * TIMEOUT);
+    assert_eq!(
+        regained,
+        Some(ReachabilityChange::Regained(start + TIMEOUT))
+    );
+    assert!(!reachability.is_lost());
+}
+
+#[test]
+fn one_dead_server_or_zone_is_not_taken_for_a_cut_off_vm() {
+    let start = Instant::now();
+    let mut reachability = Reachability::default();
+    for _ in 0..10 {
+        assert_eq!(fail(&mut reachability, "s1", "a", start), None);
+    }
+    for server in ["s2", "s3", "s4", "s5"] {
+        assert_eq!(fail(&mut reachability, server, "a", start), None);
+    }
+    assert!(!reachability.is_lost());
+}
+
+#[test]
+fn failures_of_connections_begun_before_one_opened_do_not_count() {
+    let start = Instant::now();
+    let mut reachability = Reachability::default();
+    reachability.record_opened(start + TIMEOUT / 2);
+    for (server, zone) in [("s1", "a"), ("s2", "b"), ("s3", "c")] {
+        assert_eq!(fail(&mut reachability, server, zone, start), None);
+    }
+    assert!(!reachability.is_lost());
+}
+
+#[test]
+fn a_vm_with_a_single_server_is_cut_off_if_that_one_is_not_reached() {
+    let start = Instant::now();
+    let listed = ListedServers {
+        servers: 1,
+        zones: 1,
+    };
+    let mut reachability = Reachability::default();
+    let (server, zone) = (Name::from("s1"), Name::from("a"));
+    let change = reachability.record_failed(&server, &zone, start, listed, start + TIMEOUT);
+    assert_eq!(change, Some(ReachabilityChange::Lost));
+}
