--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -49,6 +49,7 @@
     captured: Cell<u64>,
     delivered: Cell<u64>,
     releases: Cell<u64>,
+    is_closed: Cell<bool>,
 }
 
 /// Which way a connection's bytes go.
@@ -77,6 +78,7 @@
             captured: Cell::new(0),
             delivered: Cell::new(0),
             releases: Cell::new(0),
+            is_closed: Cell::new(false),
         });
         compio::runtime::spawn(proxy.clone().accept(listener)).detach();
         proxy
@@ -97,6 +99,11 @@
         self.silences.set(self.silences.get() + 1);
     }
 
+    /// Stops listening, so that new connections are refused; present ones go on.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+    }
+
     /// The number of connections accepted so far.
     pub fn accepted(&self) -> u64 {
         self.accepted.get()
@@ -127,8 +134,9 @@
     }
 
     async fn accept(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((near, _)) = listener.accept().await else {
+        while !self.is_closed.get() {
+            let accepted = compio::time::timeout(HOLD_POLL, listener.accept()).await;
+            let Ok(Ok((near, _))) = accepted else {
                 continue;
             };
             self.accepted.set(self.accepted.get() + 1);
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -1,6 +1,7 @@
 //! A small platform for tests: stand-ins for its store and backend servers, with settings files
 //! and real processes of the shipped binary as VMs.
 
+mod black_hole;
 mod caller;
 pub mod events;
 mod load;
@@ -8,6 +9,7 @@
 pub mod soak;
 mod store;
 
+pub use black_hole::BlackHole;
 pub use caller::{Answer, Caller, CallerRequest};
 pub use load::send_steadily;
 pub use server::{
@@ -18,6 +20,7 @@
 use crate::cluster::Cluster;
 use crate::process::{Process, product_binary};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Command;
@@ -26,8 +29,12 @@
 
 /// The port of the store.
 const STORE_PORT: u16 = 22_000;
+/// The port of the store for VMs with paths of their own to the servers.
+const PATHS_STORE_PORT: u16 = STORE_PORT + 1;
 /// The first port of the backend servers.
 const SERVER_PORT: u16 = 22_100;
+/// How far the ports of the paths to the servers lie above those of the servers.
+const PATH_PORT_OFFSET: u16 = 100;
 /// The first port of the VMs; each VM uses a range of ten.
 const VM_PORT: u16 = 22_300;
 /// How long [`Site::wait`] waits for a condition before the test fails.
@@ -54,6 +61,9 @@
     pub retry_slack: u32,
     /// The organisations of the next configuration; with `None`, requests need no key.
     pub organisations: Option<Value>,
+    /// The VMs that reach the servers by paths of their own, which a test can cut. They are in a zone
+    /// of their own, since VMs of a zone send each other the directory.
+    pub vms_with_paths: BTreeSet<usize>,
     folder: PathBuf,
     version: u64,
 }
@@ -65,6 +75,8 @@
         let folder = std::env::temp_dir().join(format!("site-{}-{ip}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
         let store = StoreStandIn::start(SocketAddr::new(ip, STORE_PORT)).await;
+        let paths_address = SocketAddr::new(ip, PATHS_STORE_PORT);
+        store.serve_paths(paths_address, PATH_PORT_OFFSET).await;
         let mut site = Self {
             store,
             servers: Vec::new(),
@@ -73,6 +85,7 @@
             is_fenced: false,
             retry_slack: 58,
             organisations: None,
+            vms_with_paths: BTreeSet::new(),
             folder,
             version: 0,
         };
@@ -105,6 +118,11 @@
         server
     }
 
+    /// The address of the path to a server, for VMs with paths of their own.
+    pub fn path_address(&self, server: usize) -> SocketAddr {
+        SocketAddr::new(self.ip, SERVER_PORT + server as u16 + PATH_PORT_OFFSET)
+    }
+
     /// Writes the directory entry of a server with the given state.
     pub fn put_entry(&self, server: &ServerStandIn, state: &str) {
         let entry = server.entry(state);
@@ -153,11 +171,15 @@
     fn spawn_vm(&self, index: usize) -> Process {
         let port = VM_PORT + 10 * index as u16;
         let at = |offset: u16| SocketAddr::new(self.ip, port + offset);
+        let (zone, store_port) = match self.vms_with_paths.contains(&index) {
+            true => ("b", PATHS_STORE_PORT),
+            false => ("a", STORE_PORT),
+        };
         let settings = format!(
             r#"node_name = "vm-{index}"
 role = "front"
 ip = "{ip}"
-zone = "a"
+zone = "{zone}"
 region = "r"
 internal_ports = [{first}, {last}]
 a_field_of_later = true
@@ -193,7 +215,7 @@
             last = port + 9,
             front = at(0),
             ready = at(1),
-            store = SocketAddr::new(self.ip, STORE_PORT),
+            store = SocketAddr::new(self.ip, store_port),
         );
         let path = self.folder.join(format!("vm-{index}.toml"));
         std::fs::write(&path, settings).expect("the folder takes files");
--- a/workbench/src/site/store.rs
+++ b/workbench/src/site/store.rs
@@ -90,12 +90,23 @@
         let listener = listen(address).await.expect("the address is free");
         let served = store.clone();
         compio::runtime::spawn(serve_http(listener, Rc::default(), move |request| {
-            served.clone().handle(request)
+            served.clone().handle(request, 0)
         }))
         .detach();
         store
     }
 
+    /// Serves the same log at another address, where each server's entry names an address whose port
+    /// is higher by `port_offset`.
+    pub(super) async fn serve_paths(self: &Rc<Self>, address: SocketAddr, port_offset: u16) {
+        let listener = listen(address).await.expect("the address is free");
+        let served = self.clone();
+        compio::runtime::spawn(serve_http(listener, Rc::default(), move |request| {
+            served.clone().handle(request, port_offset)
+        }))
+        .detach();
+    }
+
     /// Sets the faults simulated from now on.
     pub fn set(&self, faults: StoreFaults) {
         self.faults.set(faults);
@@ -154,14 +165,18 @@
     }
 
     /// Answers a call; the answer names the era in which the call arrived.
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        port_offset: u16,
+    ) -> Response<Body> {
         let era = self.era.get();
-        let mut answer = self.answer(request).await;
+        let mut answer = self.answer(request, port_offset).await;
         answer.headers_mut().insert("store-era", era.into());
         answer
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Incoming>, port_offset: u16) -> Response<Body> {
         let path = request.uri().path().to_owned();
         *self.calls.borrow_mut().entry(path.clone()).or_default() += 1;
         if self.faults.get().is_silent {
@@ -172,8 +187,8 @@
         }
         let is_write = *request.method() == Method::POST;
         let answer = match path.as_str() {
-            "/-/log-newest" => self.newest(&request),
-            "/-/log-read" => self.read(&request).await,
+            "/-/log-newest" => self.newest(&request, port_offset),
+            "/-/log-read" => self.read(&request, port_offset).await,
             "/-/log-append" => self.handle_append(request).await,
             "/-/log-join" if self.faults.get().refuses_joins => {
                 http_json::status(StatusCode::SERVICE_UNAVAILABLE)
@@ -192,7 +207,7 @@
         answer
     }
 
-    fn newest(&self, request: &Request<Incoming>) -> Response<Body> {
+    fn newest(&self, request: &Request<Incoming>, port_offset: u16) -> Response<Body> {
         let topic: String = http_json::query(request, "topic").unwrap_or_default();
         let topics = self.topics.borrow();
         let records = topics.get(&topic).map_or(&[][..], |topic| &topic.records);
@@ -202,7 +217,7 @@
             if value.is_empty() {
                 newest.remove(&key);
             } else {
-                newest.insert(key, (offset, value));
+                newest.insert(key, (offset, move_port(&value, port_offset)));
             }
         }
         let items: Vec<Value> = newest
@@ -214,7 +229,7 @@
         http_json::ok(&json!({"items": items, "more_pages": false, "end": records.len()}))
     }
 
-    async fn read(&self, request: &Request<Incoming>) -> Response<Body> {
+    async fn read(&self, request: &Request<Incoming>, port_offset: u16) -> Response<Body> {
         let topic: String = http_json::query(request, "topic").unwrap_or_default();
         let from: u64 = http_json::query(request, "from").unwrap_or(0);
         let wait = Duration::from_millis(http_json::query(request, "wait_ms").unwrap_or(0));
@@ -242,8 +257,10 @@
                 let end = from + records.len() as u64;
                 let mut bytes = [end.to_be_bytes(), first.to_be_bytes()].concat();
                 for record in &records {
+                    let (key, value) = split_record(record);
+                    let record = keyed_record(&key, &move_port(&value, port_offset));
                     bytes.extend((record.len() as u32).to_be_bytes());
-                    bytes.extend(record);
+                    bytes.extend(&record);
                 }
                 return Response::new(Body::full(bytes));
             }
@@ -342,6 +359,23 @@
     record.into()
 }
 
+/// Adds to the port of the address in a server's entry; leaves all else as it is.
+fn move_port(value: &Bytes, port_offset: u16) -> Bytes {
+    if port_offset == 0 {
+        return value.clone();
+    }
+    let Ok(mut entry) = serde_json::from_slice::<Value>(value) else {
+        return value.clone();
+    };
+    let address = entry["address"].as_str();
+    let Some(address) = address.and_then(|it| it.parse::<SocketAddr>().ok()) else {
+        return value.clone();
+    };
+    let moved = SocketAddr::new(address.ip(), address.port() + port_offset);
+    entry["address"] = json!(moved.to_string());
+    entry.to_string().into()
+}
+
 /// Splits a record of a keyed topic into its key and its value.
 fn split_record(record: &Bytes) -> (String, Bytes) {
     let length = usize::from(record[0]);
--- /dev/null
+++ b/workbench/tests/site_cut_off.rs
@@ -0,0 +1,186 @@
+//! On the platform: a VM that reaches no server, while callers and the other VMs reach it.
+
+use googletest::prelude::*;
+use serde_json::json;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use workbench::cluster::block_on;
+use workbench::proxy::Proxy;
+use workbench::site::events::{events_text, remaining_events};
+use workbench::site::{
+    Answer, BlackHole, Caller, CallerRequest, Site, plain, route, runner_service, send_steadily,
+};
+
+/// The VM that is cut off.
+const CUT_VM: usize = 2;
+/// Time after which callers of a VM that is cut off are to be served nearly as often as others.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Events of a whole stream.
+const EVENTS: u64 = 6;
+
+/// How the paths from the VM to the servers are cut.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// New connections are refused, open ones go on.
+    Refused,
+    /// New connections are refused, open ones are reset.
+    Reset,
+    /// New connections get no answer, open ones are silent.
+    Silent,
+}
+
+/// A site whose last VM reaches the servers by paths of its own.
+struct CutSite {
+    site: Site,
+    paths: Vec<Rc<Proxy>>,
+    black_holes: Vec<BlackHole>,
+}
+
+impl CutSite {
+    async fn start() -> Self {
+        let plain_servers = vec![("books", vec![]); 2];
+        let runners = vec![("llm", vec![("m0", vec![])]); 2];
+        let mut site = Site::start([plain_servers, runners].concat()).await;
+        site.configure(
+            json!([
+                route("/", "safe", "books"),
+                route("/orders/", "unsafe", "books"),
+                route("/s/", "streaming", "llm"),
+            ]),
+            json!([plain("books"), runner_service("llm", &[("m0", 0)])]),
+        );
+        for server in site.servers.iter().filter(|it| it.service == "llm") {
+            server.script(|call| remaining_events(call, EVENTS, 20));
+        }
+        site.vms_with_paths.insert(CUT_VM);
+        let mut cut_site = Self {
+            site,
+            paths: Vec::new(),
+            black_holes: Vec::new(),
+        };
+        cut_site.heal().await;
+        cut_site.site.start_vms(3);
+        cut_site.site.wait_ready().await;
+        cut_site
+    }
+
+    async fn heal(&mut self) {
+        self.black_holes.clear();
+        self.paths.clear();
+        for index in 0..self.site.servers.len() {
+            let server = &self.site.servers[index];
+            let path = Proxy::start(self.site.path_address(index), server.address()).await;
+            self.paths.push(path);
+        }
+    }
+
+    async fn cut(&mut self, cut: Cut) {
+        for path in &self.paths {
+            path.close();
+            match cut {
+                Cut::Refused => {}
+                Cut::Reset => path.cut(),
+                Cut::Silent => path.silence(),
+            }
+        }
+        // Until the listeners are closed.
+        compio::time::sleep(Duration::from_millis(50)).await;
+        if matches!(cut, Cut::Silent) {
+            let addresses = (0..self.paths.len()).map(|index| self.site.path_address(index));
+            self.black_holes = addresses.map(BlackHole::start).collect();
+        }
+    }
+
+    /// Sends requests of all kinds to one VM at a steady rate.
+    async fn send(&self, vm: usize, duration: Duration) -> Vec<Answer> {
+        let vms = [vm];
+        let plain = send_steadily(&self.site, &vms, 20.0, duration, || {
+            CallerRequest::get("/books")
+        });
+        let orders = send_steadily(&self.site, &vms, 20.0, duration, || {
+            CallerRequest::post("/orders/new", "one")
+        });
+        let streams = send_steadily(&self.site, &vms, 10.0, duration, || {
+            CallerRequest::model("/s/x", "m0")
+        });
+        let (plain, orders, streams) = futures_util::join!(plain, orders, streams);
+        [plain, orders, streams].concat()
+    }
+}
+
+fn served(answers: &[Answer]) -> usize {
+    let is_served = |it: &&Answer| it.status == Some(200) && it.is_complete;
+    answers.iter().filter(is_served).count()
+}
+
+async fn expect_served_through_others(cut: Cut) {
+    let mut cut_site = CutSite::start().await;
+    cut_site.send(CUT_VM, Duration::from_secs(2)).await;
+    cut_site.cut(cut).await;
+    cut_site.send(CUT_VM, STABLE_WINDOW).await;
+    let duration = Duration::from_secs(4);
+    let (answers, of_other) =
+        futures_util::join!(cut_site.send(CUT_VM, duration), cut_site.send(0, duration));
+    expect_that!(served(&of_other), eq(of_other.len()), "{cut:?}: other VM");
+    expect_that!(3 * served(&answers), ge(2 * answers.len()), "{cut:?}");
+    let failed = answers.len() - served(&answers);
+    expect_that!(failed, le(10 + answers.len() / 50), "{cut:?}");
+    for server in &cut_site.site.servers {
+        let mut ids: Vec<String> = server.arrival_log().into_iter().map(|it| it.id).collect();
+        let arrivals = ids.len();
+        ids.sort();
+        ids.dedup();
+        expect_that!(ids.len(), eq(arrivals), "{cut:?}: requests arrive once");
+    }
+}
+
+#[googletest::test]
+fn callers_of_a_vm_whose_connections_to_servers_are_refused_are_served_through_others() {
+    block_on(expect_served_through_others(Cut::Refused));
+}
+
+#[googletest::test]
+fn callers_of_a_vm_whose_connections_to_servers_are_reset_are_served_through_others() {
+    block_on(expect_served_through_others(Cut::Reset));
+}
+
+#[googletest::test]
+fn callers_of_a_vm_whose_connections_to_servers_hang_are_served_through_others() {
+    block_on(expect_served_through_others(Cut::Silent));
+}
+
+#[googletest::test]
+fn a_stream_through_another_vm_is_passed_on_event_by_event() {
+    block_on(async {
+        let mut cut_site = CutSite::start().await;
+        cut_site.cut(Cut::Silent).await;
+        cut_site.send(CUT_VM, STABLE_WINDOW).await;
+        let request = CallerRequest::model("/s/x", "m0");
+        let answer = Caller::default()
+            .request(cut_site.site.front(CUT_VM), &request)
+            .await;
+        expect_that!(answer.body, eq(&events_text(1, EVENTS)));
+        expect_that!(answer.chunk_times.len(), eq(EVENTS as usize));
+    });
+}
+
+#[googletest::test]
+fn a_vm_that_reaches_servers_again_serves_its_callers_itself() {
+    block_on(async {
+        let mut cut_site = CutSite::start().await;
+        cut_site.cut(Cut::Reset).await;
+        cut_site.send(CUT_VM, Duration::from_secs(2)).await;
+        cut_site.heal().await;
+        let healed_at = Instant::now();
+        cut_site
+            .site
+            .wait("requests arrive over the paths again", async || {
+                cut_site.send(CUT_VM, Duration::from_millis(100)).await;
+                cut_site.paths.iter().any(|path| path.accepted() > 1)
+            })
+            .await;
+        expect_that!(healed_at.elapsed(), lt(STABLE_WINDOW));
+        let answers = cut_site.send(CUT_VM, Duration::from_secs(2)).await;
+        expect_that!(served(&answers), eq(answers.len()));
+    });
+}
