--- a/src/callers/key.rs
+++ b/src/callers/key.rs
@@ -15,8 +15,8 @@
         Self(Rc::new(SecretSlice::from(bytes.to_vec())))
     }
 
-    /// Returns the bytes, for hashing and comparison.
-    pub(super) fn bytes(&self) -> &[u8] {
+    /// Returns the bytes, for hashing, comparison and other VMs.
+    pub(crate) fn bytes(&self) -> &[u8] {
         self.0.expose_secret()
     }
 
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -54,6 +54,18 @@
         history.requests.push_back(now);
     }
 
+    /// Takes back the count of a request, which another VM counts.
+    pub(crate) fn forget_request(&self, service: &Name, noted_at: Instant) {
+        let mut services = self.services.borrow_mut();
+        let Some(history) = services.get_mut(service) else {
+            return;
+        };
+        let noted = history.requests.iter().position(|at| *at == noted_at);
+        if let Some(index) = noted {
+            history.requests.remove(index);
+        }
+    }
+
     /// Takes one retry from this VM's share of the budget and returns whether there was one left.
     /// `vms` is the number of VMs that share the slack; if it is unknown, this VM gets no slack.
     pub(crate) fn take(&self, service: &Name, vms: Option<usize>, now: Instant) -> bool {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -2,11 +2,13 @@
 
 use crate::callers::Organisation;
 use crate::gateway::failure::Failure;
+use crate::gateway::forwarding::ForwardedCall;
 use crate::gateway::grant::Grant;
 use crate::gateway::hold_time::RequestTiming;
 use crate::gateway::{CallerRequest, Route, Weights};
 use crate::inventory::Name;
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -52,9 +54,14 @@
     pub(crate) runs: u32,
     /// Whether a retry is reserved from the budget and not used yet.
     pub(crate) has_reserved_retry: Cell<bool>,
-    /// The number of servers that refused the request or could not be reached, so that none of
-    /// them executed it.
+    /// The number of servers that refused the request, so that none of them executed it.
     pub(crate) refused: u32,
+    /// The number of servers that could not be reached.
+    pub(crate) unreached: u32,
+    /// The VMs to which this VM tried to forward the request.
+    pub(crate) forwarded_to: Vec<SocketAddr>,
+    /// What another VM states that forwarded the request to this one.
+    pub(crate) forwarded: Option<ForwardedCall>,
     /// The ids of the servers that the request was sent to.
     pub(crate) tried: Vec<Name>,
 }
@@ -136,6 +143,16 @@
         self.hold_until() - self.arrived
     }
 
+    /// The version of the weights that the stream started with at the VM that forwarded it.
+    pub(crate) fn pinned_weights_version(&self) -> Option<u64> {
+        self.forwarded.as_ref()?.state.weights_version
+    }
+
+    /// Whether a server has received the request, so that sending it again counts as a retry.
+    pub(crate) fn has_arrived(&self) -> bool {
+        self.runs + self.refused > 0
+    }
+
     /// Whether no server has started to execute the request and the caller has received no part
     /// of an answer.
     pub(crate) fn is_unstarted(&self) -> bool {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,9 +16,9 @@
 
 /// How long opening a connection to a server may take. TCP retransmits a lost SYN only after a
 /// second, so trying another server is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long sent bytes may stay unacknowledged before the connection counts as broken.
-const UNACKED_LIMIT: Duration = Duration::from_millis(1_500);
+pub(super) const UNACKED_LIMIT: Duration = Duration::from_millis(1_500);
 /// The share of a server's idle timeout during which a connection is reused. If the server closes
 /// the connection while a request is being sent, it is unknown whether the request was executed.
 const REUSE_SHARE: f64 = 0.7;
@@ -140,6 +140,11 @@
         self.idle.borrow_mut().remove(&server.incarnation());
     }
 
+    /// Drops all idle connections: after a network partition they may stay silent.
+    pub(crate) fn clear_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     fn take(&self, server: &Server) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(&server.incarnation())?;
@@ -153,6 +158,10 @@
     }
 
     async fn open(&self, server: &Server) -> Result<Connection, SendError> {
+        if server.is_vm {
+            return Connection::open_abort_on_drop(server.address, CONNECT_TIMEOUT, UNACKED_LIMIT)
+                .await;
+        }
         self.state.metrics.connections_opened.inc();
         let begun_at = Instant::now();
         let opened =
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -72,6 +72,13 @@
     /// Builds the request that is sent to a backend server.
     fn to_server(caller_request: &CallerRequest, options: &SendOptions<'_>) -> Request<Body>;
 
+    /// Builds the request that is forwarded to another VM, which parses it as a caller's request.
+    fn to_vm(
+        caller_request: &CallerRequest,
+        time_left: Duration,
+        last_event: Option<u64>,
+    ) -> Request<Body>;
+
     /// Parses the head of a backend server's response.
     fn read_reply(head: &response::Parts) -> Reply;
 
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -45,6 +45,8 @@
     NoServer,
     /// All servers that can handle the request are full.
     Full,
+    /// This VM reaches no server, and no other VM takes the request.
+    CutOff,
     /// The rate limits of all servers that can handle the request are used up.
     RateLimited,
     /// All servers that can handle the request want none from this VM for this time.
@@ -72,6 +74,7 @@
             Self::BodyCut => "body_cut",
             Self::NoServer => "no_server",
             Self::Full => "full",
+            Self::CutOff => "cut_off",
             Self::RateLimited => "rate_limited",
             Self::Paused(_) => "paused",
             Self::Unknown => "unknown",
@@ -93,7 +96,7 @@
             Self::NoRoute => (404, None),
             Self::TooLarge => (413, None),
             Self::BodyCut => (408, None),
-            Self::Full | Self::NoServer | Self::RateLimited | Self::Unready => {
+            Self::CutOff | Self::Full | Self::NoServer | Self::RateLimited | Self::Unready => {
                 let share = rand::random_range(MIN_RETRY_SHARE..MAX_RETRY_SHARE);
                 (503, Some(time_left.mul_f64(share)))
             }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -113,6 +113,8 @@
     pub(crate) started_ms: u64,
     /// The address that the server listens on.
     pub(crate) address: SocketAddr,
+    /// Whether this is another VM, which forwards requests to backend servers.
+    pub(crate) is_vm: bool,
     /// The prefill time of the prompts queued at the server.
     pub(crate) backlog: Backlog,
     entry: RefCell<Entry>,
@@ -158,6 +160,7 @@
             id: entry.id.clone(),
             started_ms: entry.started_ms,
             address: entry.address,
+            is_vm: false,
             backlog: Backlog::default(),
             entry: RefCell::new(entry),
             in_flight: RefCell::default(),
@@ -171,6 +174,27 @@
         }
     }
 
+    /// Creates the stand-in for a VM that takes forwarded requests at an address.
+    pub(crate) fn of_vm(address: SocketAddr) -> Rc<Self> {
+        let entry = Entry {
+            id: format!("vm {address}").into(),
+            started_ms: 0,
+            sequence: 0,
+            service: Name::default(),
+            address,
+            availability_zone: Name::default(),
+            slots: u32::MAX,
+            state: ServerState::Ready,
+            holdings: Vec::new(),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+        };
+        Rc::new(Self {
+            is_vm: true,
+            ..Self::new(entry)
+        })
+    }
+
     /// Whether the entry belongs to this run of the server.
     fn is_run_of(&self, entry: &Entry) -> bool {
         self.started_ms == entry.started_ms && self.address == entry.address
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -102,6 +102,9 @@
     /// The processor time that the sender may use, in percent of a core.
     #[prost(uint32, tag = "27")]
     pub(super) cpu_percent: u32,
+    /// Whether the sender takes requests that other VMs forward.
+    #[prost(bool, tag = "28")]
+    pub(super) accepts_forwarded: bool,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -176,6 +176,7 @@
             followed_log: self.followed_log(),
             loads: self.loads(),
             has_state: state.has_state(),
+            accepts_forwarded: state.accepts_forwarded(),
             cpu_percent: u32::from(state.peers.own_cpu_percent()),
             fence: state.fence.get(),
             leader: state.peers.leader_seen(Instant::now()),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -49,6 +49,10 @@
         "requests of an organisation, by what its quota made of them",
     ),
     describe("attempts", "requests sent to servers, by what came of it"),
+    describe(
+        "forwarded_requests",
+        "requests forwarded to other VMs, or by other VMs to this one, by outcome",
+    ),
     describe("retries", "requests sent to a server once more"),
     describe("retries_denied", "retries that the budget did not allow"),
     describe("streams_resumed", "streams that went on at another server"),
@@ -121,6 +125,8 @@
     pub(crate) slot_wait: Histogram,
     pub(crate) organisations: Family<OrganisationLabels, Counter>,
     pub(crate) attempts: Family<OutcomeLabels, Counter>,
+    /// Requests forwarded between VMs.
+    pub(crate) forwarded: Family<OutcomeLabels, Counter>,
     pub(crate) retries: Counter,
     pub(crate) retries_denied: Counter,
     pub(crate) streams_resumed: Counter,
@@ -158,6 +164,7 @@
             slot_wait: duration_histogram(),
             organisations: Family::default(),
             attempts: Family::default(),
+            forwarded: Family::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
             streams_resumed: Counter::default(),
@@ -187,6 +194,7 @@
         self.register("place_wait_seconds", self.slot_wait.clone());
         self.register("organisation_requests", self.organisations.clone());
         self.register("attempts", self.attempts.clone());
+        self.register("forwarded_requests", self.forwarded.clone());
         self.register("retries", self.retries.clone());
         self.register("retries_denied", self.retries_denied.clone());
         self.register("streams_resumed", self.streams_resumed.clone());
@@ -237,6 +245,13 @@
             .inc();
     }
 
+    /// Counts a request forwarded to another VM, or by another VM to this one.
+    pub(crate) fn note_forwarded(&self, outcome: &'static str) {
+        self.forwarded
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts a call to the store and records how long it took.
     pub(crate) fn note_store_call(
         &self,
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -25,6 +25,8 @@
     pub(super) readings: Option<Readings>,
     /// Whether the peer has the directory and the configuration.
     pub(super) has_state: bool,
+    /// Whether the peer takes requests that other VMs forward.
+    pub(super) accepts_forwarded: bool,
     /// Requests in flight by server, as pairs of model and count.
     pub(super) loads: HashMap<Name, Vec<(Name, u32)>>,
     /// The last demand that was received completely.
@@ -46,6 +48,7 @@
                 .followed_log
                 .map(|followed_log| read_followed_log(followed_log, now)),
             has_state: digest.has_state,
+            accepts_forwarded: digest.accepts_forwarded,
             loads: read_loads(digest),
             demands: Vec::new(),
             partial_demands: Vec::new(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::Weights;
 use crate::gateway::demand_rate::DemandRate;
+use crate::gateway::forward_targets::ForwardCandidate;
 use crate::gateway::gossip_message::{Digest, SentPrompt};
 use crate::gateway::gossip_targets::Targets;
 use crate::gateway::group_members::GroupMembers;
@@ -385,6 +386,25 @@
         pick(with_state.map(|(address, _)| *address), draw)
     }
 
+    /// Whether messages of a VM still arrive.
+    pub(crate) fn is_heard(&self, address: &SocketAddr) -> bool {
+        self.peer_states.borrow().contains_key(address)
+    }
+
+    /// The other VMs that take forwarded requests.
+    pub(crate) fn forward_candidates(&self, zone: &Name) -> Vec<ForwardCandidate> {
+        let peer_states = self.peer_states.borrow();
+        let accepting = peer_states
+            .iter()
+            .filter(|(_, peer)| peer.accepts_forwarded);
+        accepting
+            .map(|(address, peer)| ForwardCandidate {
+                address: *address,
+                is_local: peer.availability_zone == *zone,
+            })
+            .collect()
+    }
+
     /// Picks a VM of a zone. `draw` is a random number from 0 to 1.
     pub(crate) fn random_peer(&self, zone: &Name, draw: f64) -> Option<SocketAddr> {
         let view = self.view.borrow();
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -7,7 +7,7 @@
 
 use crate::inventory::Name;
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The number of different servers that must have failed, unless fewer are listed.
 const MIN_FAILED_SERVERS: usize = 3;
@@ -32,9 +32,16 @@
     Regained(Instant),
 }
 
+/// The time without any response after which a request that gets none is a reason for doubt.
+const QUIET_TIME: Duration = Duration::from_millis(400);
+
 /// The outcomes of connections to backend servers since one last opened.
 #[derive(Debug, Default)]
 pub(crate) struct Reachability {
+    /// When a server last responded.
+    answered_at: Option<Instant>,
+    /// Whether a request got no response while no server responded to any other.
+    is_silent: bool,
     /// When the last connection opened.
     opened_at: Option<Instant>,
     /// The zones of the servers that were not reached since, by server.
@@ -48,9 +55,32 @@
         self.lost_at.is_some()
     }
 
+    /// Whether connections have failed or requests got no response, and none has opened since.
+    pub(crate) fn is_doubted(&self) -> bool {
+        self.is_silent || !self.failed.is_empty()
+    }
+
+    /// Whether the server was not reached since a connection last opened.
+    pub(crate) fn has_failed(&self, server: &Name) -> bool {
+        self.failed.contains_key(server)
+    }
+
+    /// Records that a server responded.
+    pub(crate) fn record_answer(&mut self, now: Instant) {
+        self.answered_at = Some(now);
+    }
+
+    /// Records that a request gets no response.
+    pub(crate) fn record_silence(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < QUIET_TIME;
+        let last = self.answered_at.max(self.opened_at);
+        self.is_silent |= !last.is_some_and(is_recent);
+    }
+
     /// Records that a connection opened.
     pub(crate) fn record_opened(&mut self, now: Instant) -> Option<ReachabilityChange> {
         self.opened_at = Some(now);
+        self.is_silent = false;
         self.failed.clear();
         self.lost_at.take().map(ReachabilityChange::Regained)
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,6 +7,10 @@
 use crate::gateway::exchange::{ConnectionPool, Exchange};
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
+use crate::gateway::forward_targets::ForwardTargets;
+use crate::gateway::forwarding::{
+    DeclineReason, ForwardSlots, ForwardState, ForwardedCall, is_declined, peer_address,
+};
 use crate::gateway::grant::Grant;
 use crate::gateway::state::State;
 use crate::gateway::wait_queue::WaitQueues;
@@ -34,14 +38,27 @@
 const NEGLIGIBLE_QUEUE_MS: f64 = 2.0;
 /// The assumed timeout of a caller that sends none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(6);
+/// How long a refused connection is not taken for a crash of the server while it is in doubt whether
+/// this VM reaches any.
+const DOUBT_TIME: Duration = Duration::from_millis(800);
 /// The number of refusals or failed connections after which a request fails.
 const MAX_REFUSALS: u32 = 3;
 
+/// Whether this VM reaches no server; waits for probes while that is in doubt.
+async fn is_cut_off_from_servers(state: &State) -> bool {
+    if state.is_reachability_doubted() {
+        compio::time::sleep(DOUBT_TIME).await;
+    }
+    state.is_reachability_doubted()
+}
+
 /// Forwards callers' requests to backend servers.
 pub(crate) struct Relay<P> {
     pub(crate) state: Rc<State>,
     pub(crate) pool: ConnectionPool,
     pub(crate) wait_queues: Rc<WaitQueues>,
+    pub(crate) forward_targets: ForwardTargets,
+    forward_slots: ForwardSlots,
     budget: RetryBudget,
     protocol: PhantomData<P>,
 }
@@ -58,14 +75,58 @@
         Self {
             pool: ConnectionPool::new(state.clone()),
             wait_queues: Rc::default(),
+            forward_targets: ForwardTargets::default(),
+            forward_slots: ForwardSlots::default(),
             state,
             budget,
             protocol: PhantomData,
         }
     }
 
-    /// Answers one request.
+    /// Answers one request of a caller.
     pub(crate) async fn handle(self: Rc<Self>, incoming: Request<Incoming>) -> Response<Body> {
+        self.handle_request(incoming, None).await
+    }
+
+    /// Answers one request that another VM forwards, or declines it at once.
+    pub(crate) async fn handle_forwarded(
+        self: Rc<Self>,
+        mut incoming: Request<Incoming>,
+    ) -> Response<Body> {
+        let Some(state) = ForwardState::take(incoming.headers_mut()) else {
+            warn!("forwarded request unreadable");
+            return P::refuse(Failure::Malformed("no forward state").refusal(Duration::ZERO));
+        };
+        if let Some(reason) = self.decline_reason(&state) {
+            info!(peer = %state.sender, reason = reason.name(), "forwarded request declined");
+            self.state.metrics.note_forwarded("declined");
+            return reason.response();
+        }
+        self.state.metrics.note_forwarded("accepted");
+        let forwarded = self.forward_slots.take(state);
+        self.handle_request(incoming, Some(forwarded)).await
+    }
+
+    /// Why this VM cannot take a forwarded request now; `None` if it can.
+    fn decline_reason(&self, forwarded: &ForwardState) -> Option<DeclineReason> {
+        let version = self.state.configuration().map_or(0, |it| it.version);
+        if self.state.is_cut_off() {
+            Some(DeclineReason::CutOff)
+        } else if !self.state.accepts_forwarded() || version < forwarded.configuration_version {
+            Some(DeclineReason::Unready)
+        } else if self.forward_slots.is_full() {
+            Some(DeclineReason::Full)
+        } else {
+            None
+        }
+    }
+
+    async fn handle_request(
+        self: Rc<Self>,
+        incoming: Request<Incoming>,
+        forwarded: Option<ForwardedCall>,
+    ) -> Response<Body> {
+        let is_forwarded = forwarded.is_some();
         let arrived = Instant::now();
         let (head, body) = incoming.into_parts();
         let request = match P::read_caller_request(&head) {
@@ -79,8 +140,9 @@
         let caller_timeout = request.time_limit.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let model = request.generation.as_ref().map(|it| it.model.clone());
         let model = model.unwrap_or_default();
-        match self.clone().answer(request, body, arrived).await {
+        match self.clone().answer(request, body, arrived, forwarded).await {
             Ok(response) => response,
+            Err(Failure::CutOff) if is_forwarded => DeclineReason::CutOff.response(),
             Err(failure) => {
                 let age = arrived.elapsed();
                 let age_ms = age.as_millis() as u64;
@@ -104,8 +166,9 @@
         request: CallerRequest,
         body: Incoming,
         arrived: Instant,
+        forwarded: Option<ForwardedCall>,
     ) -> Result<Response<Body>, Failure> {
-        let mut call = self.prepare_call(request, body, arrived).await?;
+        let mut call = self.prepare_call(request, body, arrived, forwarded).await?;
         if self.state.suspects.is_poison(call.fingerprint, arrived) {
             return Err(Failure::Poison);
         }
@@ -121,6 +184,7 @@
         mut request: CallerRequest,
         body: Incoming,
         arrived: Instant,
+        forwarded: Option<ForwardedCall>,
     ) -> Result<Call, Failure> {
         let configuration = self.state.configuration().ok_or(Failure::Unready)?;
         if !self.state.is_directory_known.get() {
@@ -130,7 +194,13 @@
             .route(&request.host, request.path.path())
             .ok_or(Failure::NoRoute)?;
         let organisation = configuration.organisation(route, request.key.as_ref())?;
-        let grant = Grant::take(&self.state, &request, organisation.as_deref(), arrived)?;
+        let forward_state = forwarded.as_ref().map(|it| it.state);
+        // The VM that forwards a request keeps its grant once a server may have run the request.
+        let has_grant = forward_state.is_some_and(|it| it.runs > 0);
+        let grant = match has_grant {
+            true => None,
+            false => Grant::take(&self.state, &request, organisation.as_deref(), arrived)?,
+        };
         let service = route
             .pick_target(rand::random())
             .ok_or(Failure::NoRoute)?
@@ -160,12 +230,18 @@
             service,
             arrived,
             deadline,
-            runs: 0,
-            has_reserved_retry: Cell::new(false),
+            runs: forward_state.map_or(0, |it| it.runs),
+            has_reserved_retry: Cell::new(forward_state.is_some_and(|it| it.is_retry)),
             refused: 0,
+            unreached: 0,
+            forwarded_to: Vec::new(),
+            forwarded,
             tried: Vec::new(),
         };
-        self.budget.note_request(&call.service, arrived);
+        let is_counted = forward_state.is_none_or(|it| !it.is_retry);
+        if is_counted {
+            self.budget.note_request(&call.service, arrived);
+        }
         if let Some(weights) = call.weights() {
             self.state.demand.note(&weights, call.cost.busy_ms, arrived);
         }
@@ -184,6 +260,8 @@
                     None => return Err(failure),
                 },
             };
+            // Another VM has made all attempts that the request allows.
+            let is_from_vm = exchange.server.is_vm;
             let Some((head, body)) = self.read_whole(call, exchange).await else {
                 if call.may_run_again() && !call.time_left().is_zero() {
                     continue;
@@ -191,7 +269,7 @@
                 return Err(Failure::Unknown);
             };
             let has_failed = head.status.is_server_error();
-            if has_failed && call.may_run_again() {
+            if has_failed && !is_from_vm && call.may_run_again() {
                 failed_answer = Some((head, body));
                 continue;
             }
@@ -243,12 +321,16 @@
         let now = Instant::now();
         server.note_failure(now);
         self.pool.clear(server);
+        if server.is_vm {
+            return;
+        }
+        self.state.record_server_silence(now);
         let state = self.state.clone();
         let server = server.clone();
         let fingerprint = call.fingerprint;
         let id = call.request.id.clone();
         compio::runtime::spawn(async move {
-            if is_refused(server.address).await {
+            if is_refused(server.address).await && !is_cut_off_from_servers(&state).await {
                 let crashes = state.suspects.record_crash(fingerprint, now);
                 warn!(request = %id, server = %server.id, fingerprint, crashes, "server crashed");
                 state.peers.outbox.report_crash(fingerprint, crashes, now);
@@ -265,8 +347,8 @@
         weights_version: Option<u64>,
     ) -> Result<Exchange, Failure> {
         loop {
-            let server = self.server_for(call).await?;
-            let is_retry = call.runs + call.refused > 0;
+            let server = self.upstream_for(call).await?;
+            let is_retry = call.has_arrived() || (!server.is_vm && call.unreached > 0);
             if is_retry && !self.reserve_retry(call) {
                 return Err(self.final_failure(call));
             }
@@ -282,6 +364,35 @@
         }
     }
 
+    /// Selects the server to send to, or another VM while this one reaches no server.
+    async fn upstream_for(&self, call: &mut Call) -> Result<Rc<Server>, Failure> {
+        if !self.state.is_cut_off() {
+            return self.server_for(call).await;
+        }
+        let target = match call.forwarded {
+            // A forwarded request is not forwarded again.
+            Some(_) => None,
+            None => self.forward_targets.pick(&self.state, &call.forwarded_to),
+        };
+        let Some(vm) = target else {
+            let is_unsent = !call.has_arrived();
+            return Err(if is_unsent {
+                Failure::CutOff
+            } else {
+                self.final_failure(call)
+            });
+        };
+        call.forwarded_to.push(vm.address);
+        if !call.has_arrived() {
+            // The other VM counts the request towards quotas and the retry budget.
+            call.grant = None;
+            self.budget.forget_request(&call.service, call.arrived);
+        }
+        info!(request = %call.request.id, vm = %vm.address, runs = call.runs, "request forwarded");
+        self.state.metrics.note_forwarded("sent");
+        Ok(vm)
+    }
+
     /// Reserves a retry from the budget for the next attempt, unless the call has one reserved.
     fn reserve_retry(&self, call: &Call) -> bool {
         if call.has_reserved_retry.get() {
@@ -301,7 +412,15 @@
     /// Whether to abandon a silent server for another one. A retry is reserved first: without one
     /// the request could not be sent to the other server, while the silent one may still answer.
     pub(crate) fn may_abandon(&self, call: &Call, silent: &Server) -> bool {
-        self.has_better_server(call, silent) && self.reserve_retry(call)
+        let has_better = if silent.is_vm {
+            // The other VM leaves silent servers itself.
+            !self.state.peers.is_heard(&peer_address(silent.address))
+        } else if self.state.is_cut_off() {
+            call.forwarded.is_none() && self.forward_targets.has_any(&self.state)
+        } else {
+            self.has_better_server(call, silent)
+        };
+        has_better && self.reserve_retry(call)
     }
 
     /// Sends the request once; fails with `Err(None)` if another server may be tried.
@@ -327,7 +446,10 @@
         };
         call.tried.push(server.id.clone());
         self.record_dispatch(call, server);
-        let request = || P::to_server(&call.request, &options);
+        let request = || match server.is_vm {
+            true => self.to_vm(call, &options),
+            false => P::to_server(&call.request, &options),
+        };
         let sent_at = Instant::now();
         let sent = self.pool.exchange::<P>(server, call.model(), request);
         let sent = self.await_head(call, server, sent).await;
@@ -339,8 +461,9 @@
                 self.state.metrics.note_attempt("not_reached");
                 warn!(request = %call.request.id, server = %server.id, "server not reached");
                 call.note_running(false);
-                call.refused += 1;
-                if call.refused >= MAX_REFUSALS {
+                call.unreached += 1;
+                let may_forward = self.state.is_cut_off();
+                if !may_forward && call.refused + call.unreached >= MAX_REFUSALS {
                     return Err(Some(self.final_failure(call)));
                 }
                 Err(None)
@@ -373,10 +496,28 @@
         }
     }
 
+    /// Builds the request to another VM.
+    fn to_vm(&self, call: &Call, options: &SendOptions<'_>) -> Request<Body> {
+        let mut request = P::to_vm(&call.request, options.time_left, options.last_event);
+        let state = ForwardState {
+            sender: self.state.settings.peer_address,
+            runs: call.runs,
+            is_retry: call.has_arrived(),
+            configuration_version: self.state.configuration().map_or(0, |it| it.version),
+            weights_version: options.weights_version,
+        };
+        state.insert(request.headers_mut());
+        request
+    }
+
     /// Records the dispatch, and adds the prompt to the runner's queue here and at peers.
     fn record_dispatch(&self, call: &mut Call, server: &Server) {
         let now = Instant::now();
         call.note_running(true);
+        if server.is_vm {
+            call.last_dispatch = None;
+            return;
+        }
         call.last_dispatch = Some(Dispatch {
             at: now,
             is_uncontended: server.backlog.wait_ms(now) < NEGLIGIBLE_QUEUE_MS
@@ -401,6 +542,16 @@
     ) -> Result<Exchange, Option<Failure>> {
         let status = exchange.head.status;
         let server = exchange.server.clone();
+        if server.is_vm && is_declined(&exchange.head) {
+            info!(request = %call.request.id, vm = %server.address, "request declined by other VM");
+            call.note_running(false);
+            call.unreached += 1;
+            self.pool.keep(exchange);
+            return Err(None);
+        }
+        if !server.is_vm {
+            self.state.record_server_answer(now);
+        }
         let is_other = exchange
             .reply
             .request_id
@@ -409,11 +560,11 @@
         let is_refused =
             exchange.reply.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST;
         let is_valid = !status.is_success() || exchange.reply.is_signed;
-        if is_valid && !is_other && !exchange.is_from_other_server() {
+        if is_valid && !is_other && !server.is_vm && !exchange.is_from_other_server() {
             self.state
                 .note_server_statements(&exchange.reply, &server, now);
         }
-        if is_refused && !is_other {
+        if is_refused && !is_other && !server.is_vm {
             self.state.metrics.note_attempt("refused");
             self.note_refused(call, &exchange, now);
             self.pool.keep(exchange);
@@ -491,6 +642,9 @@
             if let Ok(head) = compio::time::timeout(limit, head.as_mut()).await {
                 return Some(head);
             }
+            if !server.is_vm {
+                self.state.record_server_silence(Instant::now());
+            }
             let is_last = call.runs + 1 >= call.route.max_attempts;
             let may_resend = !is_last && call.route.is_retryable();
             if call.time_left().is_zero() || (may_resend && self.may_abandon(call, server)) {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,9 +3,11 @@
 use crate::error::Fault;
 use crate::gateway::election::LeaderElection;
 use crate::gateway::fleet::Incarnation;
+use crate::gateway::forwarding::forward_address;
 use crate::gateway::gossip::Gossip;
 use crate::gateway::journal::BufferedLog;
 use crate::gateway::relay::Relay;
+use crate::gateway::server_probe::probe_servers;
 use crate::gateway::state::State;
 use crate::gateway::sync_server::SyncServer;
 use crate::gateway::watch::LogWatcher;
@@ -95,7 +97,10 @@
         compio::runtime::spawn(serve_readiness(listener, state.clone(), ready_path)).detach();
     }
     compio::runtime::spawn(serve_readiness(readiness, state.clone(), ready_path)).detach();
-    serve_callers::<P>(callers, state.clone());
+    let relay = Rc::new(Relay::<P>::new(state.clone()));
+    serve_forwarded(&relay).await?;
+    compio::runtime::spawn(probe_servers(state.clone())).detach();
+    serve_callers(callers, relay);
     stop_signal().await;
     let stopped_at = Instant::now();
     info!("stopping");
@@ -108,8 +113,19 @@
     Ok(())
 }
 
-fn serve_callers<P: Protocol>(listener: TcpListener, state: Rc<State>) {
-    let relay = Rc::new(Relay::<P>::new(state.clone()));
+/// Handles the requests that other VMs forward. They count as open work, as callers' requests do.
+async fn serve_forwarded<P: Protocol>(relay: &Rc<Relay<P>>) -> Result<(), Report<Fault>> {
+    let state = &relay.state;
+    let listener = bind(forward_address(state.settings.peer_address)).await?;
+    let shutdown = state.shutdown.clone();
+    let relay = relay.clone();
+    let handler = move |request| relay.clone().handle_forwarded(request);
+    compio::runtime::spawn(http::serve(listener, shutdown, handler)).detach();
+    Ok(())
+}
+
+fn serve_callers<P: Protocol>(listener: TcpListener, relay: Rc<Relay<P>>) {
+    let state = relay.state.clone();
     let cleanup_relay = relay.clone();
     compio::runtime::spawn(async move {
         loop {
@@ -118,6 +134,9 @@
             let is_listed = |run: &Incarnation| fleet.run(run).is_some();
             let now = Instant::now();
             cleanup_relay.pool.remove_stale(is_listed, now);
+            if cleanup_relay.state.is_cut_off() {
+                cleanup_relay.pool.clear_all();
+            }
             let mut limits = cleanup_relay.state.server_limits.borrow_mut();
             limits.prune_expired(is_listed, now);
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -67,6 +67,8 @@
     pub(crate) server_limits: RefCell<ServerLimits>,
     /// Whether this VM can open connections to backend servers.
     reachability: RefCell<Reachability>,
+    /// Notified when that becomes doubtful.
+    pub(crate) reachability_doubted: Signal,
     /// The number of requests that wait for weights to be loaded.
     waiting: RefCell<HashMap<Weights, u32>>,
     /// What each runner holds, while this VM is the leader; advertised to all other VMs.
@@ -118,6 +120,7 @@
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
             server_limits: RefCell::new(ServerLimits::new(Instant::now())),
             reachability: RefCell::default(),
+            reachability_doubted: Signal::default(),
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
             fence: Cell::new(0),
@@ -225,6 +228,11 @@
         self.is_directory_known.get() && self.configuration.borrow().is_some()
     }
 
+    /// Whether this VM takes requests that other VMs forward.
+    pub(crate) fn accepts_forwarded(&self) -> bool {
+        self.has_state() && !self.is_cut_off() && !self.shutdown.is_leaving()
+    }
+
     /// Returns the offset in the log up to which this VM has a part of the state.
     pub(super) fn synced_to(&self, part: Part) -> Option<u64> {
         let known = match part {
@@ -445,6 +453,28 @@
         let change = reachability.record_failed(&server.id, &zone, begun_at, listed, now);
         drop(reachability);
         self.note_reachability(change, now);
+        self.reachability_doubted.notify();
+    }
+
+    /// Records that a backend server responded.
+    pub(crate) fn record_server_answer(&self, now: Instant) {
+        self.reachability.borrow_mut().record_answer(now);
+    }
+
+    /// Records that a request to a backend server gets no response.
+    pub(crate) fn record_server_silence(&self, now: Instant) {
+        self.reachability.borrow_mut().record_silence(now);
+        self.reachability_doubted.notify();
+    }
+
+    /// Whether it is in doubt that this VM reaches any backend server.
+    pub(crate) fn is_reachability_doubted(&self) -> bool {
+        self.reachability.borrow().is_doubted()
+    }
+
+    /// Whether no connection to the server opened since one to any server last did.
+    pub(crate) fn has_unreached(&self, server: &Server) -> bool {
+        self.reachability.borrow().has_failed(&server.id)
     }
 
     /// Whether this VM reaches no backend server.
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -101,7 +101,10 @@
         mut call: Call,
     ) -> Result<Response<Body>, Failure> {
         loop {
-            let exchange = self.send_until_answered(&mut call, None, None).await?;
+            let weights_version = call.pinned_weights_version();
+            let exchange = self
+                .send_until_answered(&mut call, None, weights_version)
+                .await?;
             if !exchange.head.status.is_success() {
                 return self.forward_failure(&mut call, exchange).await;
             }
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -181,6 +181,24 @@
     Some(Duration::from_secs(seconds.trim().parse().ok()?))
 }
 
+/// Builds a request with what a caller sent, and the time left.
+fn forwarded_request(caller_request: &CallerRequest, time_left: Duration) -> Request<Body> {
+    let body = if caller_request.body.is_empty() {
+        Body::empty()
+    } else {
+        Body::full(caller_request.body.clone())
+    };
+    let mut request = Request::new(body);
+    *request.method_mut() = caller_request.method.clone();
+    *request.uri_mut() = Uri::from(caller_request.path.clone());
+    *request.headers_mut() = caller_request.headers.clone();
+    let time_left_ms = time_left.as_millis() as u64;
+    request
+        .headers_mut()
+        .insert(DEADLINE_MS, time_left_ms.into());
+    request
+}
+
 impl Protocol for PlatformProtocol {
     fn read_caller_request(head: &request::Parts) -> Result<CallerRequest, Malformed> {
         let id = header_text(&head.headers, &REQUEST_ID).ok_or(Malformed("no request id"))?;
@@ -213,17 +231,8 @@
     }
 
     fn to_server(caller_request: &CallerRequest, options: &SendOptions<'_>) -> Request<Body> {
-        let body = if caller_request.body.is_empty() {
-            Body::empty()
-        } else {
-            Body::full(caller_request.body.clone())
-        };
-        let mut request = Request::new(body);
-        *request.method_mut() = caller_request.method.clone();
-        *request.uri_mut() = Uri::from(caller_request.path.clone());
+        let mut request = forwarded_request(caller_request, options.time_left);
         let headers = request.headers_mut();
-        *headers = caller_request.headers.clone();
-        headers.insert(DEADLINE_MS, (options.time_left.as_millis() as u64).into());
         headers.insert(PRIORITY, options.priority.min(MAX_PRIORITY).into());
         if let Ok(server) = HeaderValue::from_str(options.server) {
             headers.insert(EXPECT_SERVER, server);
@@ -241,6 +250,28 @@
         request
     }
 
+    fn to_vm(
+        caller_request: &CallerRequest,
+        time_left: Duration,
+        last_event: Option<u64>,
+    ) -> Request<Body> {
+        let mut request = forwarded_request(caller_request, time_left);
+        let headers = request.headers_mut();
+        if let Ok(host) = HeaderValue::from_str(&caller_request.host) {
+            headers.insert(header::HOST, host);
+        }
+        let key = caller_request.key.as_ref();
+        let key = key.and_then(|key| HeaderValue::from_bytes(key.bytes()).ok());
+        if let Some(mut key) = key {
+            key.set_sensitive(true);
+            headers.insert(API_KEY, key);
+        }
+        if let Some(last_event) = last_event {
+            headers.insert(LAST_EVENT_ID, last_event.into());
+        }
+        request
+    }
+
     fn read_reply(head: &response::Parts) -> Reply {
         let headers = &head.headers;
         Reply {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -240,6 +240,11 @@
             problems.push(Problem::new(field, message));
         }
     }
+    let [first_port, last_port] = file.internal_ports;
+    if last_port <= first_port {
+        let message = format!("are {first_port} to {last_port}, must be two ports or more");
+        problems.push(Problem::new("internal_ports", message));
+    }
     if file.node_name.is_empty() {
         problems.push(Problem::new("node_name", "must not be empty"));
     }
