A leader that reaches no runner leaves the orders to a VM that does (RECOVER)

It now hands over, and does not claim again, while another VM says that it reaches servers; missing reports of runners are a reason to probe.

--- a/src/gateway/election.rs
+++ b/src/gateway/election.rs
@@ -121,6 +121,9 @@
     /// that start, and each renewal has a cost. While there is no leader, all VMs are members, so
     /// that one of them can claim leadership, whichever VMs cannot reach the log.
     fn is_membership_needed(&self, now: Instant) -> bool {
+        if self.must_leave_orders() {
+            return false;
+        }
         let peers = &self.state.peers;
         let has_other_leader = peers.highest_fence(now).is_some();
         // A leader that has just handed over leaves the first partition to another member.
@@ -129,6 +132,11 @@
         self.dispatcher.is_leader() || lacks_leader || peers.should_join_group(now)
     }
 
+    /// Whether this VM reaches no runner while another VM does, which then has to lead.
+    fn must_leave_orders(&self) -> bool {
+        self.state.is_cut_off() && self.state.peers.has_forward_candidate()
+    }
+
     async fn apply_membership(&self, membership: Membership, requested_at: Instant) {
         let before = self.membership.replace(membership);
         self.renewed_at.set(Some(requested_at));
@@ -182,6 +190,13 @@
         }
     }
 
+    /// Gives up leadership, and tells the other VMs so.
+    async fn hand_over(&self) {
+        self.step_down();
+        self.state.peers.outbox.trigger_update_to_all();
+        self.leave_group().await;
+    }
+
     /// Claims leadership where there is no leader, and sends orders while this VM leads.
     pub(crate) async fn lead(self: Rc<Self>) {
         loop {
@@ -194,10 +209,13 @@
             match self.dispatcher.fence() {
                 Some(_) if !self.may_continue() || is_superseded => self.step_down(),
                 Some(_) if self.state.peers.should_hand_over(Instant::now()) => {
-                    self.step_down();
-                    self.state.peers.outbox.trigger_update_to_all();
-                    self.leave_group().await;
+                    self.hand_over().await;
+                }
+                Some(_) if self.must_leave_orders() => {
+                    info!("orders left to a VM that reaches runners");
+                    self.hand_over().await;
                 }
+                None if self.is_member() && self.must_leave_orders() => self.leave_group().await,
                 Some(fence) => {
                     self.check_claim(fence).await;
                     if self.may_send_orders() {
--- a/src/gateway/forward_targets.rs
+++ b/src/gateway/forward_targets.rs
@@ -72,10 +72,4 @@
         let vm = vms.entry(address);
         Some(vm.or_insert_with(|| Server::of_vm(address)).clone())
     }
-
-    /// Whether another VM takes forwarded requests.
-    pub(crate) fn has_any(&self, state: &State) -> bool {
-        let zone = &state.settings.availability_zone;
-        !state.peers.forward_candidates(zone).is_empty()
-    }
 }
--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -240,6 +240,10 @@
     pub(super) async fn fetch_report(&self, server: &Server) -> Option<RunnerReport> {
         let fence = self.fence.get();
         let report = self.runner_control.report(server.address, &server.id).await;
+        match report {
+            Some(_) => self.state.record_server_answer(Instant::now()),
+            None => self.state.record_server_silence(Instant::now()),
+        }
         if self.fence.get() != fence {
             return None;
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -391,6 +391,12 @@
         self.peer_states.borrow().contains_key(address)
     }
 
+    /// Whether another VM takes forwarded requests.
+    pub(crate) fn has_forward_candidate(&self) -> bool {
+        let peer_states = self.peer_states.borrow();
+        peer_states.values().any(|peer| peer.accepts_forwarded)
+    }
+
     /// The other VMs that take forwarded requests.
     pub(crate) fn forward_candidates(&self, zone: &Name) -> Vec<ForwardCandidate> {
         let peer_states = self.peer_states.borrow();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -416,7 +416,7 @@
             // The other VM leaves silent servers itself.
             !self.state.peers.is_heard(&peer_address(silent.address))
         } else if self.state.is_cut_off() {
-            call.forwarded.is_none() && self.forward_targets.has_any(&self.state)
+            call.forwarded.is_none() && self.state.peers.has_forward_candidate()
         } else {
             self.has_better_server(call, silent)
         };
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod change_history;
 mod decisions;
 mod directory_updates;
+mod forwarding;
 mod gossip_sender;
 mod large_fleet;
 mod loads;
--- a/src/gateway/tests/reachability.rs
+++ b/src/gateway/tests/reachability.rs
@@ -74,3 +74,16 @@
     let change = reachability.record_failed(&server, &zone, start, listed, start + TIMEOUT);
     assert_eq!(change, Some(ReachabilityChange::Lost));
 }
+
+#[test]
+fn a_request_without_response_is_a_reason_for_doubt_only_if_no_server_responds() {
+    let start = Instant::now();
+    let mut reachability = Reachability::default();
+    reachability.record_answer(start);
+    reachability.record_silence(start + TIMEOUT / 2);
+    assert!(!reachability.is_doubted());
+    reachability.record_silence(start + 2 * TIMEOUT);
+    assert!(reachability.is_doubted());
+    reachability.record_opened(start + 3 * TIMEOUT);
+    assert!(!reachability.is_doubted());
+}
--- a/workbench/tests/site_cut_off.rs
+++ b/workbench/tests/site_cut_off.rs
@@ -11,8 +11,10 @@
     Answer, BlackHole, Caller, CallerRequest, Site, plain, route, runner_service, send_steadily,
 };
 
-/// The VM that is cut off.
+/// The VM that is cut off, unless a test says otherwise.
 const CUT_VM: usize = 2;
+/// Time after a cut within which another VM sends the orders.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(8);
 /// Time after which callers of a VM that is cut off are to be served nearly as often as others.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// Events of a whole stream.
@@ -38,6 +40,10 @@
 
 impl CutSite {
     async fn start() -> Self {
+        Self::start_with_cut_vm(CUT_VM).await
+    }
+
+    async fn start_with_cut_vm(cut_vm: usize) -> Self {
         let plain_servers = vec![("books", vec![]); 2];
         let runners = vec![("llm", vec![("m0", vec![])]); 2];
         let mut site = Site::start([plain_servers, runners].concat()).await;
@@ -47,20 +53,26 @@
                 route("/orders/", "unsafe", "books"),
                 route("/s/", "streaming", "llm"),
             ]),
-            json!([plain("books"), runner_service("llm", &[("m0", 0)])]),
+            json!([
+                plain("books"),
+                runner_service("llm", &[("m0", 0), ("m1", 0)])
+            ]),
         );
         for server in site.servers.iter().filter(|it| it.service == "llm") {
             server.script(|call| remaining_events(call, EVENTS, 20));
         }
-        site.vms_with_paths.insert(CUT_VM);
+        site.vms_with_paths.insert(cut_vm);
         let mut cut_site = Self {
             site,
             paths: Vec::new(),
             black_holes: Vec::new(),
         };
         cut_site.heal().await;
-        cut_site.site.start_vms(3);
-        cut_site.site.wait_ready().await;
+        // The first VM becomes the leader.
+        for vms in [1, 2] {
+            cut_site.site.start_vms(vms);
+            cut_site.site.wait_ready().await;
+        }
         cut_site
     }
 
@@ -184,3 +196,31 @@
         expect_that!(served(&answers), eq(answers.len()));
     });
 }
+
+#[googletest::test]
+fn orders_go_on_although_the_leader_reaches_no_runner() {
+    block_on(async {
+        let mut cut_site = CutSite::start_with_cut_vm(0).await;
+        cut_site
+            .site
+            .wait("the first VM leads", async || {
+                cut_site.site.metric(0, "is_leading").await == Some(1.0)
+            })
+            .await;
+        cut_site.cut(Cut::Silent).await;
+        let cut_at = Instant::now();
+        cut_site
+            .site
+            .wait("another VM has m1 loaded", async || {
+                let wanted = [0, 1].map(|vm| {
+                    let request = CallerRequest::model("/s/x", "m1");
+                    let address = cut_site.site.front(vm);
+                    async move { Caller::default().request(address, &request).await }
+                });
+                futures_util::future::join_all(wanted).await;
+                cut_site.site.servers.iter().any(|it| it.holds("m1", None))
+            })
+            .await;
+        expect_that!(cut_at.elapsed(), lt(HANDOVER_LIMIT));
+    });
+}
