--- a/src/gateway/forward_targets.rs
+++ b/src/gateway/forward_targets.rs
@@ -4,7 +4,7 @@
 use crate::gateway::forwarding::forward_address;
 use crate::gateway::state::State;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -56,11 +56,9 @@
             .peers
             .forward_candidates(&state.settings.availability_zone);
         let mut vms = self.vms.borrow_mut();
-        let is_candidate = |address: &SocketAddr| {
-            let addresses = candidates.iter().map(|it| forward_address(it.address));
-            addresses.into_iter().any(|it| it == *address)
-        };
-        vms.retain(|address, vm| vm.in_flight() > 0 || is_candidate(address));
+        let addresses = candidates.iter().map(|it| forward_address(it.address));
+        let addresses: HashSet<SocketAddr> = addresses.collect();
+        vms.retain(|address, vm| vm.in_flight() > 0 || addresses.contains(address));
         candidates.retain(|it| !tried.contains(&forward_address(it.address)));
         let in_flight = |it: &ForwardCandidate| {
             let vm = vms.get(&forward_address(it.address));
