--- a/workbench/tests/site_cut_off.rs
+++ b/workbench/tests/site_cut_off.rs
@@ -8,11 +8,16 @@
 use workbench::proxy::Proxy;
 use workbench::site::events::{events_text, remaining_events};
 use workbench::site::{
-    Answer, BlackHole, Caller, CallerRequest, Site, plain, route, runner_service, send_steadily,
+    Answer, BlackHole, Caller, CallerRequest, ScriptStep, ServerEvent, Site, plain, route,
+    runner_service, send_steadily,
 };
 
 /// The VM that is cut off, unless a test says otherwise.
 const CUT_VM: usize = 2;
+/// Time within which a server has to notice that a caller has left.
+const LEFT_LIMIT: Duration = Duration::from_millis(500);
+/// Time within which a request that no VM can serve has to be refused.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
 /// Time after a cut within which another VM sends the orders.
 const HANDOVER_LIMIT: Duration = Duration::from_secs(8);
 /// Time after which callers of a VM that is cut off are to be served nearly as often as others.
@@ -40,10 +45,10 @@
 
 impl CutSite {
     async fn start() -> Self {
-        Self::start_with_cut_vm(CUT_VM).await
+        Self::start_with_cut_vms([CUT_VM]).await
     }
 
-    async fn start_with_cut_vm(cut_vm: usize) -> Self {
+    async fn start_with_cut_vms(cut_vms: impl IntoIterator<Item = usize>) -> Self {
         let plain_servers = vec![("books", vec![]); 2];
         let runners = vec![("llm", vec![("m0", vec![])]); 2];
         let mut site = Site::start([plain_servers, runners].concat()).await;
@@ -61,7 +66,7 @@
         for server in site.servers.iter().filter(|it| it.service == "llm") {
             server.script(|call| remaining_events(call, EVENTS, 20));
         }
-        site.vms_with_paths.insert(cut_vm);
+        site.vms_with_paths.extend(cut_vms);
         let mut cut_site = Self {
             site,
             paths: Vec::new(),
@@ -200,7 +205,7 @@
 #[googletest::test]
 fn orders_go_on_although_the_leader_reaches_no_runner() {
     block_on(async {
-        let mut cut_site = CutSite::start_with_cut_vm(0).await;
+        let mut cut_site = CutSite::start_with_cut_vms([0]).await;
         cut_site
             .site
             .wait("the first VM leads", async || {
@@ -224,3 +229,77 @@
         expect_that!(cut_at.elapsed(), lt(HANDOVER_LIMIT));
     });
 }
+
+#[googletest::test]
+fn a_caller_that_leaves_a_vm_which_forwards_stops_the_server() {
+    block_on(async {
+        let mut cut_site = CutSite::start().await;
+        cut_site.cut(Cut::Silent).await;
+        cut_site.send(CUT_VM, STABLE_WINDOW).await;
+        let site = &cut_site.site;
+        for server in site.servers.iter().filter(|it| it.service == "llm") {
+            server.script(|_| vec![ScriptStep::Wait(Duration::from_secs(10))]);
+        }
+        let mut request = CallerRequest::model("/s/x", "m0");
+        request.disconnect_after = Some(Duration::from_millis(400));
+        Caller::default()
+            .request(site.front(CUT_VM), &request)
+            .await;
+        let left_at = Instant::now();
+        site.wait("a server sees it", async || {
+            let mut seen = site.servers.iter().flat_map(|it| it.seen());
+            seen.any(|it| matches!(it, ServerEvent::Disconnected(id, _) if id == request.id))
+        })
+        .await;
+        expect_that!(left_at.elapsed(), lt(LEFT_LIMIT));
+    });
+}
+
+#[googletest::test]
+fn an_unsafe_request_whose_other_vm_dies_is_not_called_not_run() {
+    block_on(async {
+        let mut cut_site = CutSite::start().await;
+        cut_site.cut(Cut::Silent).await;
+        cut_site.send(CUT_VM, STABLE_WINDOW).await;
+        let site = &mut cut_site.site;
+        for server in site.servers.iter().filter(|it| it.service == "books") {
+            server.script(|_| vec![ScriptStep::Wait(Duration::from_secs(10))]);
+        }
+        let request = CallerRequest::post("/orders/new", "one");
+        let address = site.front(CUT_VM);
+        let id = request.id.clone();
+        let sent =
+            compio::runtime::spawn(
+                async move { Caller::default().request(address, &request).await },
+            );
+        site.wait("a server runs it", async || {
+            let mut runs = site.servers.iter().flat_map(|it| it.runs());
+            runs.any(|run| run.header("x-attempt-id") == id)
+        })
+        .await;
+        site.vms[0].kill();
+        site.vms[1].kill();
+        let answer = sent.await.expect("sending a request does not panic");
+        expect_that!(answer.status, some(eq(502)));
+        let runs = site.servers.iter().flat_map(|it| it.runs());
+        let runs = runs.filter(|run| run.header("x-attempt-id") == id);
+        expect_that!(runs.count(), eq(1));
+    });
+}
+
+#[googletest::test]
+fn requests_are_refused_at_once_if_no_vm_reaches_a_server() {
+    block_on(async {
+        let mut cut_site = CutSite::start_with_cut_vms([0, 1, 2]).await;
+        cut_site.cut(Cut::Silent).await;
+        for vm in 0..3 {
+            cut_site.send(vm, Duration::from_millis(1_500)).await;
+        }
+        let answers = cut_site.send(CUT_VM, Duration::from_secs(1)).await;
+        for answer in &answers {
+            expect_that!(answer.status, some(eq(503)));
+            expect_that!(answer.header("retry-after").parse::<f64>(), ok(gt(&0.0)));
+            expect_that!(answer.duration, lt(REFUSAL_LIMIT));
+        }
+    });
+}
