--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -112,6 +112,16 @@
                 .arg(number("vms", "4"))
                 .arg(number("seconds", "30")),
         )
+        .subcommand(
+            Command::new("cut-soak")
+                .about(
+                    "Draw cuts of VMs from all servers and faults of VMs and the store from a seed, \
+                     and check that callers are served and orders run at most once",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("vms", "6"))
+                .arg(number("seconds", "25")),
+        )
         .subcommand(
             Command::new("calls")
                 .about("Measure what non-idempotent calls cost")
@@ -247,6 +257,14 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("cut-soak", matches)) => {
+            let vms = get::<u64>(matches, "vms") as usize;
+            let seconds = Duration::from_secs(get(matches, "seconds"));
+            let findings = site::cut_soak::run(get(matches, "seed"), vms, seconds).await;
+            if !report_findings(&findings) {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("calls", matches)) => {
             let load = CallLoad {
                 vms: get::<u64>(matches, "vms") as usize,
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -3,6 +3,7 @@
 
 mod black_hole;
 mod caller;
+pub mod cut_soak;
 pub mod events;
 mod load;
 mod server;
