--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -225,7 +225,8 @@
         Process::start(command, &self.log_path(index))
     }
 
-    fn log_path(&self, index: usize) -> PathBuf {
+    /// The file that a VM logs to.
+    pub fn log_path(&self, index: usize) -> PathBuf {
         self.folder.join(format!("vm-{index}.log"))
     }
 
--- a/workbench/tests/site_cut_off.rs
+++ b/workbench/tests/site_cut_off.rs
@@ -2,9 +2,11 @@
 
 use googletest::prelude::*;
 use serde_json::json;
+use std::process::Command;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
+use workbench::process::product_binary;
 use workbench::proxy::Proxy;
 use workbench::site::events::{events_text, remaining_events};
 use workbench::site::{
@@ -303,3 +305,40 @@
         }
     });
 }
+
+#[googletest::test]
+fn a_forwarded_request_is_traced_through_the_logs_of_both_vms() {
+    block_on(async {
+        let mut cut_site = CutSite::start().await;
+        cut_site.cut(Cut::Reset).await;
+        cut_site.send(CUT_VM, STABLE_WINDOW).await;
+        let site = &cut_site.site;
+        let request = CallerRequest::get("/books");
+        Caller::default()
+            .request(site.front(CUT_VM), &request)
+            .await;
+        let lines_of = |vm: usize, message: &str| {
+            let log = site.log(vm).into_iter();
+            let lines = log.filter(|line| line["message"] == message);
+            lines
+                .filter(|line| line["request"] == request.id.as_str())
+                .count()
+        };
+        site.wait("the other VM has logged the answer", async || {
+            (0..CUT_VM).any(|vm| lines_of(vm, "request answered") == 1)
+        })
+        .await;
+        expect_that!(lines_of(CUT_VM, "request forwarded"), eq(1));
+        let logs = (0..3).map(|vm| site.log_path(vm));
+        let output = Command::new(product_binary())
+            .arg("trace")
+            .arg(&request.id)
+            .args(logs)
+            .output()
+            .expect("the program can be started");
+        let text = String::from_utf8_lossy(&output.stdout);
+        for message in ["request forwarded", "routed", "request answered"] {
+            expect_that!(text.contains(message), eq(true), "{message}: {text}");
+        }
+    });
+}
