Servers are probed only while it is in doubt that any is reached; forwarding in a file of its own

A request that got no response woke the probe even where other servers had just responded: two connections, up to four times a second, on an overloaded VM. Found by reading. Forwarding moved out of relay.rs unchanged. Test: a stream goes on through a third VM if the second one dies.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod external;
 mod failure;
 mod fleet;
+mod forward_relay;
 mod forward_targets;
 mod forwarding;
 mod gossip;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 use crate::gateway::fleet::Server;
 use crate::gateway::forward_targets::ForwardTargets;
 use crate::gateway::forwarding::{
-    DeclineReason, ForwardSlots, ForwardState, ForwardedCall, is_declined, peer_address,
+    DeclineReason, ForwardSlots, ForwardedCall, is_declined, peer_address,
 };
 use crate::gateway::grant::Grant;
 use crate::gateway::state::State;
@@ -58,8 +58,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) wait_queues: Rc<WaitQueues>,
     pub(crate) forward_targets: ForwardTargets,
-    forward_slots: ForwardSlots,
-    budget: RetryBudget,
+    pub(super) forward_slots: ForwardSlots,
+    pub(super) budget: RetryBudget,
     protocol: PhantomData<P>,
 }
 
@@ -88,40 +88,8 @@
         self.handle_request(incoming, None).await
     }
 
-    /// Answers one request that another VM forwards, or declines it at once.
-    pub(crate) async fn handle_forwarded(
-        self: Rc<Self>,
-        mut incoming: Request<Incoming>,
-    ) -> Response<Body> {
-        let Some(state) = ForwardState::take(incoming.headers_mut()) else {
-            warn!("forwarded request unreadable");
-            return P::refuse(Failure::Malformed("no forward state").refusal(Duration::ZERO));
-        };
-        if let Some(reason) = self.decline_reason(&state) {
-            info!(peer = %state.sender, reason = reason.name(), "forwarded request declined");
-            self.state.metrics.note_forwarded("declined");
-            return reason.response();
-        }
-        self.state.metrics.note_forwarded("accepted");
-        let forwarded = self.forward_slots.take(state);
-        self.handle_request(incoming, Some(forwarded)).await
-    }
-
-    /// Why this VM cannot take a forwarded request now; `None` if it can.
-    fn decline_reason(&self, forwarded: &ForwardState) -> Option<DeclineReason> {
-        let version = self.state.configuration().map_or(0, |it| it.version);
-        if self.state.is_cut_off() {
-            Some(DeclineReason::CutOff)
-        } else if !self.state.accepts_forwarded() || version < forwarded.configuration_version {
-            Some(DeclineReason::Unready)
-        } else if self.forward_slots.is_full() {
-            Some(DeclineReason::Full)
-        } else {
-            None
-        }
-    }
-
-    async fn handle_request(
+    /// Answers a request of a caller, or one that another VM forwarded for it.
+    pub(super) async fn handle_request(
         self: Rc<Self>,
         incoming: Request<Incoming>,
         forwarded: Option<ForwardedCall>,
@@ -364,35 +332,6 @@
         }
     }
 
-    /// Selects the server to send to, or another VM while this one reaches no server.
-    async fn upstream_for(&self, call: &mut Call) -> Result<Rc<Server>, Failure> {
-        if !self.state.is_cut_off() {
-            return self.server_for(call).await;
-        }
-        let target = match call.forwarded {
-            // A forwarded request is not forwarded again.
-            Some(_) => None,
-            None => self.forward_targets.pick(&self.state, &call.forwarded_to),
-        };
-        let Some(vm) = target else {
-            let is_unsent = !call.has_arrived();
-            return Err(if is_unsent {
-                Failure::CutOff
-            } else {
-                self.final_failure(call)
-            });
-        };
-        call.forwarded_to.push(vm.address);
-        if !call.has_arrived() {
-            // The other VM counts the request towards quotas and the retry budget.
-            call.grant = None;
-            self.budget.forget_request(&call.service, call.arrived);
-        }
-        info!(request = %call.request.id, vm = %vm.address, runs = call.runs, "request forwarded");
-        self.state.metrics.note_forwarded("sent");
-        Ok(vm)
-    }
-
     /// Reserves a retry from the budget for the next attempt, unless the call has one reserved.
     fn reserve_retry(&self, call: &Call) -> bool {
         if call.has_reserved_retry.get() {
@@ -496,20 +435,6 @@
         }
     }
 
-    /// Builds the request to another VM.
-    fn to_vm(&self, call: &Call, options: &SendOptions<'_>) -> Request<Body> {
-        let mut request = P::to_vm(&call.request, options.time_left, options.last_event);
-        let state = ForwardState {
-            sender: self.state.settings.peer_address,
-            runs: call.runs,
-            is_retry: call.has_arrived(),
-            configuration_version: self.state.configuration().map_or(0, |it| it.version),
-            weights_version: options.weights_version,
-        };
-        state.insert(request.headers_mut());
-        request
-    }
-
     /// Records the dispatch, and adds the prompt to the runner's queue here and at peers.
     fn record_dispatch(&self, call: &mut Call, server: &Server) {
         let now = Instant::now();
@@ -616,7 +541,7 @@
     }
 
     /// The failure of a request that is not sent again.
-    fn final_failure(&self, call: &Call) -> Failure {
+    pub(super) fn final_failure(&self, call: &Call) -> Failure {
         if call.runs > 0 {
             Failure::Unknown
         } else {
--- a/src/gateway/server_probe.rs
+++ b/src/gateway/server_probe.rs
@@ -20,6 +20,7 @@
         let doubted = state.reachability_doubted.wait();
         if !state.is_reachability_doubted() {
             doubted.await;
+            continue;
         }
         let servers = probed_servers(&state);
         join_all(servers.iter().map(|server| probe(&state, server))).await;
--- a/workbench/tests/site_cut_off.rs
+++ b/workbench/tests/site_cut_off.rs
@@ -1,7 +1,8 @@
 //! On the platform: a VM that reaches no server, while callers and the other VMs reach it.
 
 use googletest::prelude::*;
-use serde_json::json;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
 use std::process::Command;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -342,3 +343,37 @@
         }
     });
 }
+
+#[googletest::test]
+fn a_stream_goes_on_through_a_third_vm_if_the_second_one_dies() {
+    block_on(async {
+        let mut cut_site = CutSite::start().await;
+        cut_site.cut(Cut::Reset).await;
+        cut_site.send(CUT_VM, STABLE_WINDOW).await;
+        let site = &mut cut_site.site;
+        for server in site.servers.iter().filter(|it| it.service == "llm") {
+            server.script(|call| remaining_events(call, 20, 100));
+        }
+        let request = CallerRequest::model("/s/x", "m0");
+        let (address, id) = (site.front(CUT_VM), request.id.clone());
+        let sent =
+            compio::runtime::spawn(
+                async move { Caller::default().request(address, &request).await },
+            );
+        let is_forwarded =
+            |line: &Value| line["message"] == "request forwarded" && line["request"] == id.as_str();
+        site.wait("the request is forwarded", async || {
+            site.log(CUT_VM).iter().any(is_forwarded)
+        })
+        .await;
+        let line = site.log(CUT_VM).into_iter().find(is_forwarded);
+        let vm = line.and_then(|line| line["vm"].as_str()?.parse::<SocketAddr>().ok());
+        let vm = vm.expect("the line names the address of a VM");
+        let second = (0..CUT_VM).find(|index| site.front(*index).port() + 3 == vm.port());
+        compio::time::sleep(Duration::from_millis(500)).await;
+        site.vms[second.expect("it is one of the others")].kill();
+        let answer = sent.await.expect("sending a request does not panic");
+        expect_that!(answer.body, eq(&events_text(1, 20)));
+        expect_that!(answer.is_complete, eq(true));
+    });
+}
