--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -134,9 +134,14 @@
     }
 
     async fn accept(self: Rc<Self>, listener: TcpListener) {
+        // Kept over the checks: a connection that an abandoned accept has taken would be lost.
+        let mut accept = Box::pin(listener.accept());
         while !self.is_closed.get() {
-            let accepted = compio::time::timeout(HOLD_POLL, listener.accept()).await;
-            let Ok(Ok((near, _))) = accepted else {
+            let Ok(accepted) = compio::time::timeout(HOLD_POLL, accept.as_mut()).await else {
+                continue;
+            };
+            accept = Box::pin(listener.accept());
+            let Ok((near, _)) = accepted else {
                 continue;
             };
             self.accepted.set(self.accepted.get() + 1);
