Logs and metrics tell how far reads of the state came (CONFIG)

Without them a read that the store does not answer and one whose answer is too large for its time look the same: both are 'log not read', 'Unanswered', and only the first of a row was logged.

Calls of the store without an answer are logged with their time and the bytes received, transfers between VMs too; the size of the configuration is a metric and in its log line.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -43,6 +43,11 @@
     pub(crate) fn bytes(&self) -> Bytes {
         self.0.clone()
     }
+
+    /// Returns the length of the text, in bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
 }
 
 impl fmt::Debug for Document {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -67,7 +67,19 @@
         "orders_given",
         "orders to runners, by operation and outcome",
     ),
+    describe(
+        "store_bytes",
+        "bytes received from the store, those of abandoned calls included",
+    ),
+    describe(
+        "sync_bytes",
+        "bytes received from other VMs as directory or configuration",
+    ),
     describe("configuration_version", "the configuration in force"),
+    describe(
+        "configuration_bytes",
+        "size of the configuration in force, as the operator published it",
+    ),
     describe(
         "configuration_unconfirmed_seconds",
         "time since the configuration was last known to be the newest",
@@ -135,7 +147,13 @@
     pub(crate) store_calls: Family<CallLabels, Counter>,
     pub(crate) store_call: Histogram,
     pub(crate) orders: Family<CallLabels, Counter>,
+    /// Bytes received from the store.
+    pub(crate) store_bytes: Counter,
+    /// Bytes of the state received from other VMs.
+    pub(crate) sync_bytes: Counter,
     pub(crate) configuration_version: Gauge,
+    /// The size of the configuration's text.
+    pub(crate) configuration_bytes: Gauge,
     /// 1 while this VM reaches no backend server.
     pub(crate) is_cut_off: Gauge,
     /// Time since the configuration was last known to be current, in seconds.
@@ -173,7 +191,10 @@
             store_calls: Family::default(),
             store_call: duration_histogram(),
             orders: Family::default(),
+            store_bytes: Counter::default(),
+            sync_bytes: Counter::default(),
             configuration_version: Gauge::default(),
+            configuration_bytes: Gauge::default(),
             is_cut_off: Gauge::default(),
             configuration_unconfirmed: Gauge::default(),
             servers: Gauge::default(),
@@ -186,34 +207,39 @@
         metrics
     }
 
+    /// Registers gauges and counters before histograms, so that a monitoring system that keeps only
+    /// the beginning of the text has them.
     fn register_all(&mut self) {
-        self.register("served_requests", self.requests.clone());
-        self.register("answer_seconds", self.answer.clone());
-        self.register("first_event_seconds", self.first_event.clone());
-        self.register("longest_pause_seconds", self.longest_pause.clone());
-        self.register("place_wait_seconds", self.slot_wait.clone());
-        self.register("organisation_requests", self.organisations.clone());
-        self.register("attempts", self.attempts.clone());
-        self.register("forwarded_requests", self.forwarded.clone());
-        self.register("retries", self.retries.clone());
-        self.register("retries_denied", self.retries_denied.clone());
-        self.register("streams_resumed", self.streams_resumed.clone());
-        self.register("connections_opened", self.connections_opened.clone());
-        self.register("peer_messages", self.peer_messages.clone());
-        self.register("store_calls", self.store_calls.clone());
-        self.register("store_call_seconds", self.store_call.clone());
-        self.register("orders_given", self.orders.clone());
         self.register("configuration_version", self.configuration_version.clone());
-        self.register("is_cut_off", self.is_cut_off.clone());
+        self.register("configuration_bytes", self.configuration_bytes.clone());
         self.register(
             "configuration_unconfirmed_seconds",
             self.configuration_unconfirmed.clone(),
         );
+        self.register("is_cut_off", self.is_cut_off.clone());
         self.register("servers", self.servers.clone());
         self.register("limited_servers", self.limited_servers.clone());
         self.register("vms", self.vms.clone());
         self.register("is_leading", self.is_leading.clone());
         self.register("open_connections", self.open_connections.clone());
+        self.register("store_calls", self.store_calls.clone());
+        self.register("store_bytes", self.store_bytes.clone());
+        self.register("sync_bytes", self.sync_bytes.clone());
+        self.register("peer_messages", self.peer_messages.clone());
+        self.register("retries", self.retries.clone());
+        self.register("retries_denied", self.retries_denied.clone());
+        self.register("streams_resumed", self.streams_resumed.clone());
+        self.register("connections_opened", self.connections_opened.clone());
+        self.register("attempts", self.attempts.clone());
+        self.register("forwarded_requests", self.forwarded.clone());
+        self.register("orders_given", self.orders.clone());
+        self.register("served_requests", self.requests.clone());
+        self.register("organisation_requests", self.organisations.clone());
+        self.register("store_call_seconds", self.store_call.clone());
+        self.register("answer_seconds", self.answer.clone());
+        self.register("first_event_seconds", self.first_event.clone());
+        self.register("longest_pause_seconds", self.longest_pause.clone());
+        self.register("place_wait_seconds", self.slot_wait.clone());
     }
 
     fn register(&mut self, name: &'static str, metric: impl Metric) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -147,8 +147,11 @@
             version = configuration.version,
             before,
             routes = configuration.route_count(),
+            bytes = configuration.document.len(),
             "configuration in force"
         );
+        let bytes = configuration.document.len();
+        self.metrics.configuration_bytes.set(bytes as i64);
         *current = Some(Rc::new(configuration));
     }
 
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -5,14 +5,15 @@
 use crate::gateway::state::State;
 use crate::gateway::sync_message::{Part, SyncReply, SyncRequest};
 use crate::gateway::sync_server::SENDER_HEADER;
-use crate::http::{Body, read_body};
+use crate::http::{Body, read_body_counted};
 use hyper::Request;
 use hyper::header::{self, HeaderValue};
 use prost::Message;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::{debug, warn};
+use tracing::{info, warn};
 
 /// How long another VM may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -50,7 +51,11 @@
         let mut search = PeerSearch::new(first);
         while began.elapsed() < SEARCH_TIME {
             let peer = search.next(rand::random())?;
-            match self.request(part, from, peer).await {
+            let requested_at = Instant::now();
+            let received_bytes = Cell::new(0);
+            let reply = self.request(part, from, peer, &received_bytes).await;
+            self.state.metrics.sync_bytes.inc_by(received_bytes.get());
+            match reply {
                 Ok(reply) if reply.has_part => return Some(reply),
                 Ok(reply) if reply.is_busy => {
                     let own = self.state.settings.peer_address;
@@ -59,7 +64,14 @@
                 }
                 Ok(_) => search.note_lacking(peer),
                 Err(error) => {
-                    debug!(%peer, part = part.name(), ?error, "state not received");
+                    info!(
+                        %peer,
+                        part = part.name(),
+                        ?error,
+                        took_ms = requested_at.elapsed().as_millis() as u64,
+                        received_bytes = received_bytes.get(),
+                        "state not received"
+                    );
                     search.note_unreachable(peer);
                 }
             }
@@ -73,6 +85,7 @@
         part: Part,
         from: Option<u64>,
         peer: SocketAddr,
+        received_bytes: &Cell<u64>,
     ) -> Result<SyncReply, SendError> {
         let exchange = async {
             let mut connection =
@@ -90,7 +103,8 @@
                 .body(Body::full(request.encode_to_vec()))
                 .expect("the parts are valid");
             let response = connection.send(request).await?;
-            let body = read_body(response.into_body(), MAX_REPLY_BYTES).await;
+            let body = response.into_body();
+            let body = read_body_counted(body, MAX_REPLY_BYTES, received_bytes).await;
             let body = body.map_err(|_error| SendError::MaybeSent)?;
             SyncReply::decode(body).map_err(|error| {
                 warn!(%peer, %error, "reply of another VM unreadable");
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -10,6 +10,7 @@
 use crate::gateway::sync_message::{Part, SyncReply};
 use crate::gateway::{Changes, ConfigSource, Configuration, Directory, ServerChange, StoreError};
 use crate::inventory::Name;
+use prost::Message;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -281,6 +282,7 @@
                 from,
                 next = reply.next,
                 age_ms = reply.confirmed_age_ms,
+                bytes = reply.encoded_len(),
                 took_ms = began.elapsed().as_millis() as u64,
                 "state received"
             ),
@@ -486,8 +488,9 @@
     }
 
     fn report_failure(&self, what: &'static str, error: StoreError, failures: u32) {
-        if failures == 0 {
-            warn!(what, ?error, "log not read");
+        // The first failure and ever rarer ones of a long outage.
+        if (failures + 1).is_power_of_two() {
+            warn!(what, ?error, failures, "log not read");
         }
     }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::shutdown::Shutdown;
 use crate::write_stall::{MonitoredStream, StallMonitor};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compio::net::{TcpListener, TcpSocket, TcpStream};
 use compio::runtime::JoinHandle;
 use cyper_core::{CompioTimer, HyperStream};
@@ -205,6 +205,33 @@
     }
 }
 
+/// Reads a whole body into memory and adds its bytes to `received_bytes` as they arrive, so that the
+/// caller knows how far it came if it stops waiting.
+///
+/// # Errors
+///
+/// Fails if the body is longer than `limit_bytes` or the connection is lost.
+pub(crate) async fn read_body_counted(
+    body: Incoming,
+    limit_bytes: usize,
+    received_bytes: &Cell<u64>,
+) -> Result<Bytes, ReadError> {
+    let mut body = pin!(body);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_error| ReadError::Disconnected)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        received_bytes.set(received_bytes.get() + data.len() as u64);
+        if bytes.len() + data.len() > limit_bytes {
+            return Err(ReadError::TooLarge);
+        }
+        bytes.extend_from_slice(data);
+    }
+    Ok(bytes.freeze())
+}
+
 /// Binds a listener with a backlog that is long enough for bursts of new connections.
 ///
 /// # Errors
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,7 +5,7 @@
     Changes, ConfigSource, Configuration, Directory, Group, LeadershipClaims, Members, Membership,
     Metrics, ServerChange, StoreError,
 };
-use crate::http::{Body, read_body};
+use crate::http::{Body, read_body_counted};
 use crate::inventory::Name;
 use crate::platform::configuration;
 use crate::platform::directory::server_changes;
@@ -152,7 +152,10 @@
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let began = Instant::now();
-        let answer = self.send_call(method, path, body, wait).await;
+        let received_bytes = Cell::new(0);
+        let answer = self
+            .send_call(method, path, body, wait, &received_bytes)
+            .await;
         let outcome = match &answer {
             Ok((status, _)) if status.is_success() => "answered",
             Ok(_) | Err(StoreError::Refused) => "refused",
@@ -160,7 +163,17 @@
         };
         let call = CALL_PATHS.iter().find(|call| path.starts_with(**call));
         let call = call.copied().unwrap_or("other");
-        self.metrics.note_store_call(call, outcome, began.elapsed());
+        let took = began.elapsed();
+        self.metrics.note_store_call(call, outcome, took);
+        self.metrics.store_bytes.inc_by(received_bytes.get());
+        if outcome == "unanswered" {
+            tracing::info!(
+                call,
+                took_ms = took.as_millis() as u64,
+                received_bytes = received_bytes.get(),
+                "store call unanswered"
+            );
+        }
         answer
     }
 
@@ -171,11 +184,12 @@
         path: &str,
         body: Bytes,
         wait: Duration,
+        received_bytes: &Cell<u64>,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let exchange = async {
             let idle = self.take_idle();
             if let Some(connection) = idle {
-                match self.exchange(connection, &method, path, &body).await {
+                match self.exchange(connection, &method, path, &body, received_bytes).await {
                     // The connection was closed before the request was written.
                     Err(SendError::NotSent) => {}
                     outcome => return outcome,
@@ -184,7 +198,8 @@
             let limit = RESPONSE_TIMEOUT + wait;
             let opened =
                 Connection::open_abort_on_drop(self.address, CONNECT_TIMEOUT, limit).await?;
-            self.exchange(opened, &method, path, &body).await
+            self.exchange(opened, &method, path, &body, received_bytes)
+                .await
         };
         let outcome = compio::time::timeout(RESPONSE_TIMEOUT + wait, exchange);
         match outcome.await {
@@ -213,6 +228,7 @@
         method: &Method,
         path: &str,
         body: &Bytes,
+        received_bytes: &Cell<u64>,
     ) -> Result<(StatusCode, Bytes), SendError> {
         let host = HeaderValue::from_str(&self.address.to_string());
         let request = Request::builder()
@@ -224,7 +240,8 @@
             .expect("the parts are valid");
         let response = connection.send(request).await?;
         let status = response.status();
-        let body = read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
+        let body = response.into_body();
+        let body = read_body_counted(body, MAX_RESPONSE_BYTES, received_bytes).await;
         let body = body.map_err(|_error| SendError::MaybeSent)?;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE {
