--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -189,7 +189,10 @@
         let exchange = async {
             let idle = self.take_idle();
             if let Some(connection) = idle {
-                match self.exchange(connection, &method, path, &body, received_bytes).await {
+                match self
+                    .exchange(connection, &method, path, &body, received_bytes)
+                    .await
+                {
                     // The connection was closed before the request was written.
                     Err(SendError::NotSent) => {}
                     outcome => return outcome,
--- a/workbench/src/site/store.rs
+++ b/workbench/src/site/store.rs
@@ -17,6 +17,8 @@
 const PARTITIONS: u64 = 12;
 /// How often a waiting read checks for new records.
 const READ_POLL: Duration = Duration::from_millis(2);
+/// How much of a paced answer is sent at once.
+const PACED_CHUNK_BYTES: usize = 16 * 1024;
 /// How long a call is held when no answer is to be sent; longer than any test runs.
 const UNANSWERED_HOLD: Duration = Duration::from_secs(3_600);
 
@@ -33,6 +35,8 @@
     pub refuses_joins: bool,
     /// Queries for the owners of partitions are refused with status 503.
     pub hides_owners: bool,
+    /// The bytes per second at which each answer is sent; 0 for no limit.
+    pub bytes_per_s: u64,
 }
 
 /// What a store can come back with: its topics and groups at one moment.
@@ -173,7 +177,10 @@
         let era = self.era.get();
         let mut answer = self.answer(request, port_offset).await;
         answer.headers_mut().insert("store-era", era.into());
-        answer
+        match self.faults.get().bytes_per_s {
+            0 => answer,
+            bytes_per_s => answer.map(|body| paced(body, bytes_per_s)),
+        }
     }
 
     async fn answer(&self, request: Request<Incoming>, port_offset: u16) -> Response<Body> {
@@ -350,6 +357,27 @@
     }
 }
 
+/// Sends a body that is in memory at a limited rate.
+fn paced(body: Body, bytes_per_s: u64) -> Body {
+    let Body::Full(Some(mut bytes)) = body else {
+        return body;
+    };
+    let (mut sender, paced) = Body::answer(1);
+    compio::runtime::spawn(async move {
+        while !bytes.is_empty() {
+            let chunk = bytes.split_to(bytes.len().min(PACED_CHUNK_BYTES));
+            let pause = Duration::from_secs_f64(chunk.len() as f64 / bytes_per_s as f64);
+            compio::time::sleep(pause).await;
+            if !sender.send(chunk).await {
+                return;
+            }
+        }
+        sender.mark_complete();
+    })
+    .detach();
+    paced
+}
+
 /// Encodes a record of a keyed topic: a byte with the length of the key, the key and the value. An
 /// empty value deletes the key.
 fn keyed_record(key: &str, value: &[u8]) -> Bytes {
--- a/workbench/tests/site_configuration.rs
+++ b/workbench/tests/site_configuration.rs
@@ -15,6 +15,29 @@
 /// Time in which VMs find each other and agree on the one that follows the log.
 const CALM: Duration = Duration::from_secs(5);
 
+/// The rate of a slow path to the store.
+const SLOW_PATH: StoreFaults = StoreFaults {
+    is_down: false,
+    is_silent: false,
+    loses_answers: false,
+    refuses_joins: false,
+    hides_owners: false,
+    bytes_per_s: 800_000,
+};
+/// The number of routes of a configuration whose text is over a megabyte long.
+const MANY_ROUTES: u64 = 6_000;
+
+/// Publishes a configuration with this many routes besides the one that the tests use, with names that
+/// do not repeat.
+fn publish_routes(site: &mut Site, count: u64) {
+    let mut routes = vec![route("/", "safe", "books")];
+    routes.extend((0..count).map(|index| {
+        let name = (index + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        route(&format!("/{name:x}/"), "safe", "books")
+    }));
+    site.configure(json!(routes), json!([plain("books")]));
+}
+
 fn publish(site: &mut Site) {
     site.configure(
         json!([route("/", "safe", "books")]),
@@ -40,6 +63,16 @@
     .await;
 }
 
+/// The bytes of state that these VMs have received from each other.
+async fn received_bytes(site: &Site, vms: &[usize]) -> f64 {
+    let mut sum = 0.0;
+    for vm in vms {
+        let bytes = site.metric(*vm, "sync_bytes_total").await;
+        sum += bytes.expect("the metric is there");
+    }
+    sum
+}
+
 /// Stops the first VMs of the zone and the leader; returns the others.
 async fn stop_first(site: &Site, count: usize) -> Vec<usize> {
     let mut stopped: BTreeSet<usize> = (0..count).collect();
@@ -113,3 +146,51 @@
         expect_that!(returned_at.elapsed(), lt(RETURN_LIMIT));
     });
 }
+
+#[googletest::test]
+fn a_change_is_in_force_in_time_although_its_size_takes_most_of_that_on_the_path_to_the_store() {
+    block_on(async {
+        let mut site = Site::start_plain(1, 1).await;
+        let before = version(&site, 0).await;
+        site.store.set(SLOW_PATH);
+        let published_at = Instant::now();
+        publish_routes(&mut site, MANY_ROUTES);
+        wait_for_change(&site, &[0], before).await;
+        expect_that!(published_at.elapsed(), lt(CONFIGURATION_LIMIT));
+    });
+}
+
+#[googletest::test]
+fn a_vm_starts_although_the_configuration_is_large_for_its_path_to_the_store() {
+    block_on(async {
+        let mut site = Site::start(vec![("books", vec![])]).await;
+        publish_routes(&mut site, MANY_ROUTES);
+        site.store.set(SLOW_PATH);
+        site.start_vms(1);
+        site.wait_ready().await;
+    });
+}
+
+#[googletest::test]
+fn a_small_change_of_a_large_configuration_is_a_small_transfer_between_vms() {
+    block_on(async {
+        let mut site = Site::start_plain(1, 8).await;
+        let all: Vec<usize> = (0..8).collect();
+        compio::time::sleep(CALM).await;
+        let before = version(&site, 0).await;
+        publish_routes(&mut site, MANY_ROUTES);
+        wait_for_change(&site, &all, before).await;
+        compio::time::sleep(CALM).await;
+
+        let bytes_before = received_bytes(&site, &all).await;
+        let before = version(&site, 0).await;
+        publish_routes(&mut site, MANY_ROUTES + 1);
+        wait_for_change(&site, &all, before).await;
+        let size = site.metric(0, "configuration_bytes").await;
+        let size = size.expect("the metric is there");
+        let sent = received_bytes(&site, &all).await - bytes_before;
+        expect_that!(size, gt(1_000_000.0));
+        expect_that!(sent, gt(0.0));
+        expect_that!(sent, lt(size / 10.0));
+    });
+}
