A read of the log goes on for as long as its answer arrives (CONFIG)

Callers saw: 404 for routes that had been confirmed, and routes served as an older version says, at VMs with slow links.

Cause: a read of the log had 0.7 s in all, whatever its size. 830 KB over 10 Mbit/s take 0.66 s with nothing beside them; a read that was cut had lost all it had received and began anew, for ever.

The limit now applies to the beginning of the answer and to each pause in it. A store that stops answering is noticed as soon as before.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -201,7 +201,7 @@
                 let message = format!("the request body is larger than {limit_bytes} bytes");
                 (Kind::TooLarge, message)
             }
-            Ok(Err(ReadError::Disconnected)) => {
+            Ok(Err(ReadError::Disconnected | ReadError::Stalled)) => {
                 (Kind::Malformed, "the request body ended early".to_owned())
             }
             Err(_elapsed) => (
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -184,7 +184,9 @@
         request.body = match body {
             Ok(Ok(body)) => body,
             Ok(Err(ReadError::TooLarge)) => return Err(Failure::TooLarge),
-            Ok(Err(ReadError::Disconnected)) | Err(_) => return Err(Failure::BodyCut),
+            Ok(Err(ReadError::Disconnected | ReadError::Stalled)) | Err(_) => {
+                return Err(Failure::BodyCut);
+            }
         };
         let cost = request.generation.as_ref().map(|it| self.state.cost(it));
         let call = Call {
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -5,7 +5,7 @@
 use crate::gateway::state::State;
 use crate::gateway::sync_message::{Part, SyncReply, SyncRequest};
 use crate::gateway::sync_server::SENDER_HEADER;
-use crate::http::{Body, read_body_counted};
+use crate::http::{Body, read_flowing_body};
 use hyper::Request;
 use hyper::header::{self, HeaderValue};
 use prost::Message;
@@ -104,7 +104,8 @@
                 .expect("the parts are valid");
             let response = connection.send(request).await?;
             let body = response.into_body();
-            let body = read_body_counted(body, MAX_REPLY_BYTES, received_bytes).await;
+            let body =
+                read_flowing_body(body, MAX_REPLY_BYTES, TRANSFER_TIMEOUT, received_bytes).await;
             let body = body.map_err(|_error| SendError::MaybeSent)?;
             SyncReply::decode(body).map_err(|error| {
                 warn!(%peer, %error, "reply of another VM unreadable");
--- a/src/http.rs
+++ b/src/http.rs
@@ -190,6 +190,8 @@
     TooLarge,
     /// The connection was lost before the end of the body.
     Disconnected,
+    /// The body stopped arriving before its end.
+    Stalled,
 }
 
 /// Reads a whole body into memory.
@@ -205,20 +207,26 @@
     }
 }
 
-/// Reads a whole body into memory and adds its bytes to `received_bytes` as they arrive, so that the
-/// caller knows how far it came if it stops waiting.
+/// Reads a whole body into memory for as long as its bytes arrive, however long that takes, and adds
+/// them to `received_bytes`, so that the caller knows how far a failed read came.
 ///
 /// # Errors
 ///
-/// Fails if the body is longer than `limit_bytes` or the connection is lost.
-pub(crate) async fn read_body_counted(
+/// Fails if the body is longer than `limit_bytes`, the connection is lost or nothing arrives for
+/// `max_stall`.
+pub(crate) async fn read_flowing_body(
     body: Incoming,
     limit_bytes: usize,
+    max_stall: Duration,
     received_bytes: &Cell<u64>,
 ) -> Result<Bytes, ReadError> {
     let mut body = pin!(body);
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = compio::time::timeout(max_stall, body.frame()).await;
+        let Some(frame) = frame.map_err(|_elapsed| ReadError::Stalled)? else {
+            return Ok(bytes.freeze());
+        };
         let frame = frame.map_err(|_error| ReadError::Disconnected)?;
         let Some(data) = frame.data_ref() else {
             continue;
@@ -229,7 +237,6 @@
         }
         bytes.extend_from_slice(data);
     }
-    Ok(bytes.freeze())
 }
 
 /// Binds a listener with a backlog that is long enough for bursts of new connections.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,15 +5,16 @@
     Changes, ConfigSource, Configuration, Directory, Group, LeadershipClaims, Members, Membership,
     Metrics, ServerChange, StoreError,
 };
-use crate::http::{Body, read_body_counted};
+use crate::http::{Body, read_flowing_body};
 use crate::inventory::Name;
 use crate::platform::configuration;
 use crate::platform::directory::server_changes;
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -46,8 +47,8 @@
 
 /// How long the store may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a response may take beyond the requested wait. At the worst slowdown seen, the store
-/// responds within a third of a second.
+/// How long a response may take to begin beyond the requested wait, and how long it may pause. At
+/// the worst slowdown seen, the store responds within a third of a second.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 /// The largest accepted response, in bytes; the operator's limit on the size of a configuration
 /// is far below it.
@@ -178,6 +179,9 @@
     }
 
     /// Makes a call over an idle connection, or over a new one if there is none or it was closed.
+    ///
+    /// The time limit applies until the answer begins and to each pause in it: how long the whole
+    /// answer takes depends on its size and on the VM's link.
     async fn send_call(
         &self,
         method: Method,
@@ -186,35 +190,60 @@
         wait: Duration,
         received_bytes: &Cell<u64>,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let exchange = async {
-            let idle = self.take_idle();
-            if let Some(connection) = idle {
-                match self
-                    .exchange(connection, &method, path, &body, received_bytes)
-                    .await
-                {
-                    // The connection was closed before the request was written.
-                    Err(SendError::NotSent) => {}
-                    outcome => return outcome,
-                }
+        let limit = RESPONSE_TIMEOUT + wait;
+        let head = self.request_head(&method, path, &body, limit);
+        let answer = match compio::time::timeout(limit, head).await {
+            Ok(Ok((connection, response))) => {
+                self.read_answer(connection, response, received_bytes).await
             }
-            let limit = RESPONSE_TIMEOUT + wait;
-            let opened =
-                Connection::open_abort_on_drop(self.address, CONNECT_TIMEOUT, limit).await?;
-            self.exchange(opened, &method, path, &body, received_bytes)
-                .await
+            Ok(Err(SendError::NotSent)) => return Err(StoreError::Refused),
+            Ok(Err(SendError::MaybeSent)) => return Err(StoreError::Unanswered),
+            Err(_elapsed) => None,
         };
-        let outcome = compio::time::timeout(RESPONSE_TIMEOUT + wait, exchange);
-        match outcome.await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(SendError::NotSent)) => Err(StoreError::Refused),
-            Ok(Err(SendError::MaybeSent)) => Err(StoreError::Unanswered),
-            Err(_elapsed) => {
-                // The idle connections may be as unresponsive as this one.
-                self.idle.borrow_mut().clear();
-                Err(StoreError::Unanswered)
+        answer.ok_or_else(|| {
+            // The idle connections may be as unresponsive as this one.
+            self.idle.borrow_mut().clear();
+            StoreError::Unanswered
+        })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    async fn request_head(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &Bytes,
+        limit: Duration,
+    ) -> Result<(Connection, Response<Incoming>), SendError> {
+        if let Some(mut connection) = self.take_idle() {
+            match connection.send(self.request(method, path, body)).await {
+                // The connection was closed before the request was written.
+                Err(SendError::NotSent) => {}
+                outcome => return Ok((connection, outcome?)),
             }
         }
+        let opened = Connection::open_abort_on_drop(self.address, CONNECT_TIMEOUT, limit);
+        let mut connection = opened.await?;
+        let response = connection.send(self.request(method, path, body)).await?;
+        Ok((connection, response))
+    }
+
+    /// Reads an answer and keeps its connection; `None` if it does not arrive whole.
+    async fn read_answer(
+        &self,
+        connection: Connection,
+        response: Response<Incoming>,
+        received_bytes: &Cell<u64>,
+    ) -> Option<(StatusCode, Bytes)> {
+        let status = response.status();
+        let body = response.into_body();
+        let body = read_flowing_body(body, MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT, received_bytes);
+        let body = body.await.ok()?;
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+        Some((status, body))
     }
 
     /// Takes an idle connection that can send a request at once.
@@ -225,32 +254,15 @@
         Some(idle.swap_remove(index))
     }
 
-    async fn exchange(
-        &self,
-        mut connection: Connection,
-        method: &Method,
-        path: &str,
-        body: &Bytes,
-        received_bytes: &Cell<u64>,
-    ) -> Result<(StatusCode, Bytes), SendError> {
+    fn request(&self, method: &Method, path: &str, body: &Bytes) -> Request<Body> {
         let host = HeaderValue::from_str(&self.address.to_string());
-        let request = Request::builder()
+        Request::builder()
             .method(method)
             .uri(path)
             .header(header::HOST, host.expect("an address is a header value"))
             .header(header::CONTENT_TYPE, "application/json")
             .body(Body::full(body.clone()))
-            .expect("the parts are valid");
-        let response = connection.send(request).await?;
-        let status = response.status();
-        let body = response.into_body();
-        let body = read_body_counted(body, MAX_RESPONSE_BYTES, received_bytes).await;
-        let body = body.map_err(|_error| SendError::MaybeSent)?;
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE {
-            idle.push(connection);
-        }
-        Ok((status, body))
+            .expect("the parts are valid")
     }
 
     async fn get(&self, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
