VMs send each other differences of configurations, compressed (CONFIG)

Callers saw: the same 404s at VMs that waited for the configuration from others of their zone.

Cause: a VM sent the whole text for each change, also of one route. 22 VMs of a zone, 830 KB each, two at a time from links of 10 to 20 Mbit/s: in the incident a transfer took 0.75 to 1.9 s, and the next version came before the last VM had the one before it.

The receiver names the digest of the text that it has; a sender that had it too sends the difference, else the compressed whole (zstd, with the earlier text as prefix). VMs that do not know this get the text as before.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -10,6 +10,7 @@
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
@@ -31,28 +32,39 @@
 /// The text of a configuration as the operator published it. It may contain API keys, so that its
 /// `Debug` output leaves it out.
 #[derive(Clone, Default)]
-pub(crate) struct Document(Bytes);
+pub(crate) struct Document {
+    text: Bytes,
+    digest: u64,
+}
 
 impl Document {
     /// Copies a text.
     pub(crate) fn copy_of(text: &[u8]) -> Self {
-        Self(Bytes::copy_from_slice(text))
+        Self {
+            text: Bytes::copy_from_slice(text),
+            digest: xxh3_64(text),
+        }
     }
 
     /// Returns the text.
     pub(crate) fn bytes(&self) -> Bytes {
-        self.0.clone()
+        self.text.clone()
+    }
+
+    /// Returns a hash of the text, which is the same on every VM.
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// Returns the length of the text, in bytes.
     pub(crate) fn len(&self) -> usize {
-        self.0.len()
+        self.text.len()
     }
 }
 
 impl fmt::Debug for Document {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Document({} bytes)", self.0.len())
+        write!(f, "Document({} bytes)", self.len())
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
 use crate::gateway::demand::Demand;
 use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::directory_updates::{Assembly, DirectoryUpdate};
+use crate::gateway::document_history::DocumentHistory;
 use crate::gateway::fleet::{EntryChange, Fleet, Holding, Incarnation, Server};
 use crate::gateway::log_follower::{FollowerState, Reading, Readings, follows_closely};
 use crate::gateway::outbox::UpdateScope;
@@ -45,6 +46,8 @@
     /// The settings that the process was started with.
     pub(crate) settings: Settings,
     configuration: RefCell<Option<Rc<Configuration>>>,
+    /// The texts of the configurations before it.
+    pub(super) documents: RefCell<DocumentHistory>,
     /// The backend servers.
     pub(crate) fleet: Fleet,
     /// Whether the directory has been received since the process started.
@@ -108,6 +111,7 @@
         Self {
             metrics,
             configuration: RefCell::default(),
+            documents: RefCell::default(),
             fleet: Fleet::default(),
             is_directory_known: Cell::new(false),
             peers: Peers::new(settings.peer_address, Instant::now())
@@ -152,7 +156,9 @@
         );
         let bytes = configuration.document.len();
         self.metrics.configuration_bytes.set(bytes as i64);
-        *current = Some(Rc::new(configuration));
+        if let Some(replaced) = current.replace(Rc::new(configuration)) {
+            self.documents.borrow_mut().push(replaced.document.clone());
+        }
     }
 
     /// Estimates the cost of a generation to a runner; zero if the configuration doesn't contain
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -1,15 +1,19 @@
 //! Obtains the directory and the configuration from other VMs.
 
 use crate::client::{Connection, SendError};
+use crate::gateway::Document;
+use crate::gateway::packed_document::unpack;
 use crate::gateway::peer_search::PeerSearch;
 use crate::gateway::state::State;
 use crate::gateway::sync_message::{Part, SyncReply, SyncRequest};
 use crate::gateway::sync_server::SENDER_HEADER;
 use crate::http::{Body, read_flowing_body};
+use bytes::Bytes;
 use hyper::Request;
 use hyper::header::{self, HeaderValue};
 use prost::Message;
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -87,12 +91,18 @@
         peer: SocketAddr,
         received_bytes: &Cell<u64>,
     ) -> Result<SyncReply, SendError> {
+        let base = match part {
+            Part::Configuration => self.state.configuration().map(|it| it.document.clone()),
+            Part::Directory => None,
+        };
         let exchange = async {
             let mut connection =
                 Connection::open_abort_on_drop(peer, CONNECT_TIMEOUT, UNACKED_LIMIT).await?;
             let request = SyncRequest {
                 part: part.into(),
                 from,
+                accepts_packed: part == Part::Configuration,
+                base_digest: base.as_ref().map(Document::digest),
             };
             let request = Request::post("/sync")
                 .header(header::HOST, address_header(peer))
@@ -107,7 +117,9 @@
             let body =
                 read_flowing_body(body, MAX_REPLY_BYTES, TRANSFER_TIMEOUT, received_bytes).await;
             let body = body.map_err(|_error| SendError::MaybeSent)?;
-            SyncReply::decode(body).map_err(|error| {
+            let reply = SyncReply::decode(body).map_err(io::Error::other);
+            let reply = reply.and_then(|reply| unpack_document(reply, base.as_ref()));
+            reply.map_err(|error| {
                 warn!(%peer, %error, "reply of another VM unreadable");
                 SendError::MaybeSent
             })
@@ -117,6 +129,24 @@
     }
 }
 
+/// Replaces a packed configuration in a reply by its text. `base` is the configuration that this VM
+/// named in its request.
+fn unpack_document(mut reply: SyncReply, base: Option<&Document>) -> io::Result<SyncReply> {
+    if reply.packed.is_empty() {
+        return Ok(reply);
+    }
+    let base = match reply.base_digest {
+        None => Bytes::new(),
+        Some(digest) => base
+            .filter(|base| base.digest() == digest)
+            .map(Document::bytes)
+            .ok_or_else(|| io::Error::other("difference to another configuration"))?,
+    };
+    let packed = std::mem::take(&mut reply.packed);
+    reply.document = unpack(&packed, &base, MAX_REPLY_BYTES)?.into();
+    Ok(reply)
+}
+
 fn address_header(address: SocketAddr) -> HeaderValue {
     HeaderValue::from_str(&address.to_string()).expect("an address is a header value")
 }
--- a/src/gateway/sync_message.rs
+++ b/src/gateway/sync_message.rs
@@ -31,6 +31,12 @@
     /// The offset up to which the sender has the part; absent if it has none of it.
     #[prost(uint64, optional, tag = "2")]
     pub(super) from: Option<u64>,
+    /// Whether the sender reads packed configurations.
+    #[prost(bool, tag = "3")]
+    pub(super) accepts_packed: bool,
+    /// The digest of the configuration that the sender has.
+    #[prost(fixed64, optional, tag = "4")]
+    pub(super) base_digest: Option<u64>,
 }
 
 /// The requested part, or the reason why it is not sent.
@@ -56,7 +62,13 @@
     pub(super) is_whole: bool,
     #[prost(message, repeated, tag = "7")]
     pub(super) changes: Vec<ServerUpdate>,
-    /// The configuration as the operator published it.
+    /// The configuration as the operator published it, if it is not packed.
     #[prost(bytes = "bytes", tag = "8")]
     pub(super) document: bytes::Bytes,
+    /// The packed configuration.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub(super) packed: bytes::Bytes,
+    /// The digest of the configuration to which `packed` is a difference, if it is one.
+    #[prost(fixed64, optional, tag = "10")]
+    pub(super) base_digest: Option<u64>,
 }
--- a/src/gateway/sync_server.rs
+++ b/src/gateway/sync_server.rs
@@ -1,16 +1,18 @@
 //! Sends the directory and the configuration to other VMs, so that they need not read the log.
 
 use crate::gateway::directory_updates::ServerUpdate;
+use crate::gateway::packed_document::pack;
 use crate::gateway::state::State;
 use crate::gateway::sync_message::{Part, SyncReply, SyncRequest};
 use crate::gateway::transfer_slots::TransferSlots;
-use crate::gateway::{Changes, ServerChange};
+use crate::gateway::{Changes, Document, ServerChange};
 use crate::http::{Body, read_body};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prost::Message;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,6 +21,8 @@
 /// How long the encoded directory is sent again although it has changed since. Its receivers then
 /// ask for the changes.
 const ENCODED_TTL: Duration = Duration::from_millis(1_000);
+/// The number of packed configurations that are kept.
+const MAX_PACKED: usize = 4;
 /// How long a transfer may take.
 const TRANSFER_LIMIT: Duration = Duration::from_secs(4);
 /// Size of the chunks in which a reply is written.
@@ -35,6 +39,14 @@
     at: Instant,
 }
 
+/// A configuration as it is sent to VMs that have the same one now.
+#[derive(Debug)]
+struct PackedConfiguration {
+    digest: u64,
+    base_digest: Option<u64>,
+    packed: Bytes,
+}
+
 /// Counts a transfer as open until dropped.
 #[derive(Debug)]
 struct TransferGuard(Rc<SyncServer>);
@@ -51,6 +63,7 @@
     state: Rc<State>,
     slots: RefCell<TransferSlots>,
     encoded: RefCell<Option<EncodedDirectory>>,
+    packed: RefCell<VecDeque<PackedConfiguration>>,
 }
 
 impl SyncServer {
@@ -60,6 +73,7 @@
             state,
             slots: RefCell::default(),
             encoded: RefCell::new(None),
+            packed: RefCell::default(),
         })
     }
 
@@ -84,7 +98,7 @@
                 referrals: referrals.iter().map(SocketAddr::to_string).collect(),
                 ..SyncReply::default()
             },
-            Ok(guard) => match self.encode_part(part, request.from, now) {
+            Ok(guard) => match self.encode_part(&request, now) {
                 Some(reply) => {
                     debug!(peer = %sender, part = part.name(), bytes = reply.len(), "state sent");
                     let mut slots = self.slots.borrow_mut();
@@ -97,19 +111,23 @@
         Response::new(Body::full(reply.encode_to_vec()))
     }
 
-    /// Encodes the reply with a part; `None` if this VM has nothing that is newer than `from`.
-    fn encode_part(&self, part: Part, from: Option<u64>, now: Instant) -> Option<Bytes> {
+    /// Encodes the reply with a part; `None` if this VM has nothing newer than the sender
+    /// of the request.
+    fn encode_part(&self, request: &SyncRequest, now: Instant) -> Option<Bytes> {
+        let part = request.part();
+        let from = request.from;
         let end = self.state.synced_to(part)?;
         if from.is_some_and(|from| from >= end) {
             return None;
         }
         match part {
             Part::Configuration => {
-                let configuration = self.state.configuration()?;
-                let reply = SyncReply {
-                    document: configuration.document.bytes(),
-                    ..self.reply(part, end, now)?
-                };
+                let document = &self.state.configuration()?.document;
+                let mut reply = self.reply(part, end, now)?;
+                match request.accepts_packed {
+                    true => self.add_packed(&mut reply, document, request.base_digest),
+                    false => reply.document = document.bytes(),
+                }
                 Some(reply.encode_to_vec().into())
             }
             Part::Directory => {
@@ -122,6 +140,38 @@
         }
     }
 
+    /// Adds a configuration to a reply as a difference to the one that the receiver has, if this VM
+    /// had that too.
+    fn add_packed(&self, reply: &mut SyncReply, document: &Document, base_digest: Option<u64>) {
+        let base = base_digest.and_then(|digest| self.state.documents.borrow().find(digest));
+        reply.base_digest = base.as_ref().map(Document::digest);
+        let mut cached = self.packed.borrow_mut();
+        let is_same = |it: &&PackedConfiguration| {
+            it.digest == document.digest() && it.base_digest == reply.base_digest
+        };
+        if let Some(same) = cached.iter().find(is_same) {
+            reply.packed = same.packed.clone();
+            return;
+        }
+        let base = base.unwrap_or_default();
+        match pack(&document.bytes(), &base.bytes()) {
+            Ok(packed) => {
+                reply.packed = packed.into();
+                cached.truncate(MAX_PACKED - 1);
+                cached.push_front(PackedConfiguration {
+                    digest: document.digest(),
+                    base_digest: reply.base_digest,
+                    packed: reply.packed.clone(),
+                });
+            }
+            Err(error) => {
+                warn!(%error, "configuration not packed");
+                reply.base_digest = None;
+                reply.document = document.bytes();
+            }
+        }
+    }
+
     /// Encodes the whole directory, or returns a copy that was encoded a moment ago.
     fn encode_whole_directory(&self, end: u64, now: Instant) -> Option<Bytes> {
         let mut encoded = self.encoded.borrow_mut();
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -11,6 +11,7 @@
 mod log_follower;
 mod members;
 mod order_dispatch;
+mod packed_document;
 mod pages;
 mod planning;
 mod quota_play;
