--- a/src/gateway/packed_document.rs
+++ b/src/gateway/packed_document.rs
@@ -16,6 +16,8 @@
     let mut encoder = zstd::Encoder::with_ref_prefix(Vec::new(), LEVEL, base)?;
     encoder.set_pledged_src_size(Some(text.len() as u64))?;
     encoder.window_log(window_log(text.len() + base.len()))?;
+    // Finds the same part in a large base wherever it stands.
+    encoder.long_distance_matching(!base.is_empty())?;
     encoder.include_checksum(true)?;
     encoder.write_all(text)?;
     encoder.finish()
