A transfer between VMs goes on for as long as it arrives (CONFIG)

The same fixed time limits as in reads of the log, found by looking for the cause elsewhere: 3 s for a whole transfer and 4 s at its sender, whatever its size, and a change that was being received was dropped at the read deadline, to read the whole configuration from the log instead.

The limits now apply to the beginning of a reply and to each pause in it (0.4 s at the receiver, 1 s at the sender), so a VM that hangs is left as soon as before.

--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -9,8 +9,9 @@
 use crate::gateway::sync_server::SENDER_HEADER;
 use crate::http::{Body, read_flowing_body};
 use bytes::Bytes;
-use hyper::Request;
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
+use hyper::{Request, Response};
 use prost::Message;
 use std::cell::Cell;
 use std::io;
@@ -23,11 +24,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long sent bytes may stay unacknowledged.
 const UNACKED_LIMIT: Duration = Duration::from_millis(1_000);
-/// How long one transfer may take. A whole directory of some thousand servers takes about a second
-/// over a link of 20 Mbit/s that two transfers share.
-const TRANSFER_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// How long to look for a VM that sends the part.
-const SEARCH_TIME: Duration = Duration::from_millis(4_000);
+/// How long a reply may take to begin.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a reply may pause. How long it takes depends on its size and on the links of both VMs.
+const MAX_STALL: Duration = Duration::from_millis(400);
+/// How long a VM without the part looks for one that sends it.
+pub(super) const SEARCH_TIME: Duration = Duration::from_millis(4_000);
 /// Largest accepted reply, in bytes.
 const MAX_REPLY_BYTES: usize = 32 * 1024 * 1024;
 
@@ -44,20 +46,24 @@
     }
 
     /// Requests what is newer than `from` in a part, or the whole part, from `first` or from VMs to
-    /// which it refers. Returns `None` if none of them sends it in time.
+    /// which it refers. Returns `None` if none of them begins to send it within `limit`.
     pub(super) async fn fetch(
         &self,
         part: Part,
         from: Option<u64>,
         first: SocketAddr,
+        limit: Duration,
     ) -> Option<SyncReply> {
         let began = Instant::now();
         let mut search = PeerSearch::new(first);
-        while began.elapsed() < SEARCH_TIME {
+        loop {
+            let left = limit.checked_sub(began.elapsed())?;
             let peer = search.next(rand::random())?;
             let requested_at = Instant::now();
             let received_bytes = Cell::new(0);
-            let reply = self.request(part, from, peer, &received_bytes).await;
+            let reply_timeout = left.min(REPLY_TIMEOUT);
+            let reply = self.request(part, from, peer, reply_timeout, &received_bytes);
+            let reply = reply.await;
             self.state.metrics.sync_bytes.inc_by(received_bytes.get());
             match reply {
                 Ok(reply) if reply.has_part => return Some(reply),
@@ -81,51 +87,59 @@
             }
             compio::time::sleep(PeerSearch::pause(rand::random())).await;
         }
-        None
     }
 
+    /// Requests a part from one VM, which has to begin its reply within `timeout`.
     async fn request(
         &self,
         part: Part,
         from: Option<u64>,
         peer: SocketAddr,
+        timeout: Duration,
         received_bytes: &Cell<u64>,
     ) -> Result<SyncReply, SendError> {
         let base = match part {
             Part::Configuration => self.state.configuration().map(|it| it.document.clone()),
             Part::Directory => None,
         };
-        let exchange = async {
-            let mut connection =
-                Connection::open_abort_on_drop(peer, CONNECT_TIMEOUT, UNACKED_LIMIT).await?;
-            let request = SyncRequest {
-                part: part.into(),
-                from,
-                accepts_packed: part == Part::Configuration,
-                base_digest: base.as_ref().map(Document::digest),
-            };
-            let request = Request::post("/sync")
-                .header(header::HOST, address_header(peer))
-                .header(
-                    SENDER_HEADER,
-                    address_header(self.state.settings.peer_address),
-                )
-                .body(Body::full(request.encode_to_vec()))
-                .expect("the parts are valid");
-            let response = connection.send(request).await?;
-            let body = response.into_body();
-            let body =
-                read_flowing_body(body, MAX_REPLY_BYTES, TRANSFER_TIMEOUT, received_bytes).await;
-            let body = body.map_err(|_error| SendError::MaybeSent)?;
-            let reply = SyncReply::decode(body).map_err(io::Error::other);
-            let reply = reply.and_then(|reply| unpack_document(reply, base.as_ref()));
-            reply.map_err(|error| {
-                warn!(%peer, %error, "reply of another VM unreadable");
-                SendError::MaybeSent
-            })
+        let request = SyncRequest {
+            part: part.into(),
+            from,
+            accepts_packed: part == Part::Configuration,
+            base_digest: base.as_ref().map(Document::digest),
         };
-        let exchange = compio::time::timeout(TRANSFER_TIMEOUT, exchange);
-        exchange.await.unwrap_or(Err(SendError::MaybeSent))
+        let head = compio::time::timeout(timeout, self.request_head(peer, &request)).await;
+        // The connection is closed when it is dropped.
+        let (_connection, response) = head.unwrap_or(Err(SendError::MaybeSent))?;
+        let body = response.into_body();
+        let body = read_flowing_body(body, MAX_REPLY_BYTES, MAX_STALL, received_bytes).await;
+        let body = body.map_err(|_error| SendError::MaybeSent)?;
+        let reply = SyncReply::decode(body).map_err(io::Error::other);
+        let reply = reply.and_then(|reply| unpack_document(reply, base.as_ref()));
+        reply.map_err(|error| {
+            warn!(%peer, %error, "reply of another VM unreadable");
+            SendError::MaybeSent
+        })
+    }
+
+    /// Sends a request and waits until the reply begins.
+    async fn request_head(
+        &self,
+        peer: SocketAddr,
+        request: &SyncRequest,
+    ) -> Result<(Connection, Response<Incoming>), SendError> {
+        let mut connection =
+            Connection::open_abort_on_drop(peer, CONNECT_TIMEOUT, UNACKED_LIMIT).await?;
+        let request = Request::post("/sync")
+            .header(header::HOST, address_header(peer))
+            .header(
+                SENDER_HEADER,
+                address_header(self.state.settings.peer_address),
+            )
+            .body(Body::full(request.encode_to_vec()))
+            .expect("the parts are valid");
+        let response = connection.send(request).await?;
+        Ok((connection, response))
     }
 }
 
--- a/src/gateway/sync_server.rs
+++ b/src/gateway/sync_server.rs
@@ -23,8 +23,8 @@
 const ENCODED_TTL: Duration = Duration::from_millis(1_000);
 /// The number of packed configurations that are kept.
 const MAX_PACKED: usize = 4;
-/// How long a transfer may take.
-const TRANSFER_LIMIT: Duration = Duration::from_secs(4);
+/// How long a transfer may make no progress.
+const MAX_STALL: Duration = Duration::from_millis(1_000);
 /// Size of the chunks in which a reply is written.
 const CHUNK_BYTES: usize = 32 * 1024;
 /// Largest accepted request, in bytes.
@@ -224,27 +224,24 @@
     }
 }
 
-/// Sends a reply in chunks. The transfer counts as open until the last one is taken, or for
-/// [`TRANSFER_LIMIT`]: a receiver that hangs does not keep others waiting.
+/// Sends a reply in chunks. The transfer counts as open until the last one is taken, or until the
+/// receiver has taken none for [`MAX_STALL`]: one that hangs does not keep others waiting.
 fn send_chunks(mut reply: Bytes, guard: TransferGuard) -> Body {
     let (mut sender, body) = Body::answer(1);
     compio::runtime::spawn(async move {
         let _guard = guard;
-        let transfer = async move {
-            while !reply.is_empty() {
-                let chunk = reply.split_to(reply.len().min(CHUNK_BYTES));
-                if !sender.send(chunk).await {
+        while !reply.is_empty() {
+            let chunk = reply.split_to(reply.len().min(CHUNK_BYTES));
+            match compio::time::timeout(MAX_STALL, sender.send(chunk)).await {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(_elapsed) => {
+                    debug!("transfer of state abandoned");
                     return;
                 }
             }
-            sender.mark_complete();
-        };
-        if compio::time::timeout(TRANSFER_LIMIT, transfer)
-            .await
-            .is_err()
-        {
-            debug!("transfer of state abandoned");
         }
+        sender.mark_complete();
     })
     .detach();
     body
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,7 +6,7 @@
 use crate::gateway::read_delays::{ReadDelays, ReadStep};
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
-use crate::gateway::sync_client::SyncClient;
+use crate::gateway::sync_client::{SEARCH_TIME, SyncClient};
 use crate::gateway::sync_message::{Part, SyncReply};
 use crate::gateway::{Changes, ConfigSource, Configuration, Directory, ServerChange, StoreError};
 use crate::inventory::Name;
@@ -264,7 +264,7 @@
     ) -> Option<SyncReply> {
         let began = Instant::now();
         let synced = match from {
-            None => self.sync.fetch(part, from, peer).await,
+            None => self.sync.fetch(part, from, peer, SEARCH_TIME).await,
             Some(_) => self.sync_change(part, from, peer).await,
         };
         let max_age = match selector.log_failures() {
@@ -294,23 +294,22 @@
         synced
     }
 
-    /// Requests a change from another VM, until this VM has to read it from the log.
+    /// Requests a change from another VM. Once this VM has to read the log itself, it only goes on
+    /// with a transfer that has begun.
     async fn sync_change(
         &self,
         part: Part,
         from: Option<u64>,
         peer: SocketAddr,
     ) -> Option<SyncReply> {
-        let now = Instant::now();
-        let deadline = self.state.read_deadline(part, now);
-        let left = deadline.map(|deadline| deadline.saturating_duration_since(now));
+        let began = Instant::now();
+        let deadline = self.state.read_deadline(part, began);
+        let left = deadline.map(|deadline| deadline.saturating_duration_since(began));
         let limit = left.unwrap_or_default().max(MIN_SYNC_TIME);
-        let fetch = async {
-            let spread = SYNC_SPREAD_PER_VM * self.zone_vms() as u32;
-            compio::time::sleep(spread.mul_f64(rand::random())).await;
-            self.sync.fetch(part, from, peer).await
-        };
-        compio::time::timeout(limit, fetch).await.ok().flatten()
+        let spread = SYNC_SPREAD_PER_VM * self.zone_vms() as u32;
+        compio::time::sleep(spread.mul_f64(rand::random())).await;
+        let limit = limit.saturating_sub(began.elapsed());
+        self.sync.fetch(part, from, peer, limit).await
     }
 
     /// The number of other VMs known in the zone.
