The read deadline leaves the time that the read takes (CONFIG)

A VM reads the log by itself at 0.6 to 0.8 of the bound, whatever it waits for. What was left had to do for the read, whatever its size: at 3 s, rank 23 of 24 and 10 Mbit/s, 0.6 s for 830 KB.

The deadline now counts back from the last moment at which a read of the whole configuration can begin, by its size and the VM's link (limits.link_mbps). It is never earlier than a read that another VM advertises may be old.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -286,12 +286,25 @@
                 Part::Directory => bounds.drain,
                 Part::Configuration => bounds.configuration_delay,
             },
+            read_time: match part {
+                // Changes of the directory are small.
+                Part::Directory => Duration::ZERO,
+                Part::Configuration => self.configuration_transfer_time(),
+            },
             rank: self.zone_rank(),
             vms: self.peers.vms_in(&self.settings.availability_zone) + 1,
         };
         Some(confirmed_at + deadline.delay())
     }
 
+    /// How long the configuration takes on the link of this VM.
+    fn configuration_transfer_time(&self) -> Duration {
+        let bytes = self.configuration().map_or(0, |it| it.document.len());
+        let link_bytes_per_s = self.settings.link_bytes_per_s;
+        let seconds = link_bytes_per_s.map_or(0.0, |rate| bytes as f64 / rate);
+        Duration::from_secs_f64(seconds)
+    }
+
     /// What decides on when this VM may read the log while no VM of its zone advertises a read.
     pub(crate) fn read_turn(&self, failures: u32, now: Instant) -> ReadTurn {
         ReadTurn {
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -33,6 +33,14 @@
 /// Largest accepted reply, in bytes.
 const MAX_REPLY_BYTES: usize = 32 * 1024 * 1024;
 
+/// A reply of another VM.
+#[derive(Debug)]
+pub(super) struct ReceivedPart {
+    pub(super) reply: SyncReply,
+    /// The bytes that were transferred.
+    pub(super) bytes: u64,
+}
+
 /// Requests parts of the state from other VMs.
 #[derive(Debug)]
 pub(crate) struct SyncClient {
@@ -53,7 +61,7 @@
         from: Option<u64>,
         first: SocketAddr,
         limit: Duration,
-    ) -> Option<SyncReply> {
+    ) -> Option<ReceivedPart> {
         let began = Instant::now();
         let mut search = PeerSearch::new(first);
         loop {
@@ -66,7 +74,12 @@
             let reply = reply.await;
             self.state.metrics.sync_bytes.inc_by(received_bytes.get());
             match reply {
-                Ok(reply) if reply.has_part => return Some(reply),
+                Ok(reply) if reply.has_part => {
+                    return Some(ReceivedPart {
+                        reply,
+                        bytes: received_bytes.get(),
+                    });
+                }
                 Ok(reply) if reply.is_busy => {
                     let own = self.state.settings.peer_address;
                     let referrals = reply.referrals.iter().filter_map(|it| it.parse().ok());
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -50,6 +50,7 @@
         peer_address: address,
         log_address: address,
         cpu_cores: 1.0,
+        link_bytes_per_s: None,
         bounds: Bounds {
             quota: crate::callers::QuotaBounds::default(),
             grace: Duration::ZERO,
--- a/src/gateway/tests/source_selector.rs
+++ b/src/gateway/tests/source_selector.rs
@@ -170,6 +170,7 @@
 fn vms_of_a_zone_do_not_all_reach_their_deadlines_at_once() {
     let deadlines = (0..200).map(|rank| ReadDeadline {
         max_delay: Duration::from_millis(2_000),
+        read_time: Duration::ZERO,
         rank,
         vms: 200,
     });
@@ -179,6 +180,28 @@
     assert!(delays[0] >= FRESH_FOR && delays[199] <= Duration::from_millis(1_600));
 }
 
+#[test]
+fn the_deadline_leaves_the_time_that_a_read_takes_on_a_slow_link() {
+    let max_delay = Duration::from_millis(3_000);
+    for read_ms in [0, 300, 700, 1_200] {
+        let read_time = Duration::from_millis(read_ms);
+        for rank in 0..24 {
+            let deadline = ReadDeadline {
+                max_delay,
+                read_time,
+                rank,
+                vms: 24,
+            };
+            let left = max_delay.checked_sub(deadline.delay() + read_time);
+            assert!(deadline.delay() >= FRESH_FOR);
+            assert!(
+                left >= Some(Duration::from_millis(200)),
+                "{read_ms} ms, rank {rank}: {left:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_vm_that_cannot_read_the_log_in_time_still_asks_one_that_is_ahead() {
     let now = Instant::now();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,11 +6,10 @@
 use crate::gateway::read_delays::{ReadDelays, ReadStep};
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
-use crate::gateway::sync_client::{SEARCH_TIME, SyncClient};
+use crate::gateway::sync_client::{ReceivedPart, SEARCH_TIME, SyncClient};
 use crate::gateway::sync_message::{Part, SyncReply};
 use crate::gateway::{Changes, ConfigSource, Configuration, Directory, ServerChange, StoreError};
 use crate::inventory::Name;
-use prost::Message;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -271,18 +270,19 @@
             0 => MAX_CONFIRMED_AGE,
             _ => Duration::MAX,
         };
-        let is_current = |reply: &SyncReply| {
-            from.is_some() || Duration::from_millis(reply.confirmed_age_ms) < max_age
+        let is_current = |received: &ReceivedPart| {
+            let age = Duration::from_millis(received.reply.confirmed_age_ms);
+            from.is_some() || age < max_age
         };
         let synced = synced.filter(is_current);
         match &synced {
-            Some(reply) => info!(
+            Some(received) => info!(
                 part = part.name(),
                 %peer,
                 from,
-                next = reply.next,
-                age_ms = reply.confirmed_age_ms,
-                bytes = reply.encoded_len(),
+                next = received.reply.next,
+                age_ms = received.reply.confirmed_age_ms,
+                bytes = received.bytes,
                 took_ms = began.elapsed().as_millis() as u64,
                 "state received"
             ),
@@ -291,7 +291,7 @@
                 compio::time::sleep(UPDATE_POLL).await;
             }
         }
-        synced
+        synced.map(|received| received.reply)
     }
 
     /// Requests a change from another VM. Once this VM has to read the log itself, it only goes on
@@ -301,7 +301,7 @@
         part: Part,
         from: Option<u64>,
         peer: SocketAddr,
-    ) -> Option<SyncReply> {
+    ) -> Option<ReceivedPart> {
         let began = Instant::now();
         let deadline = self.state.read_deadline(part, began);
         let left = deadline.map(|deadline| deadline.saturating_duration_since(began));
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -17,6 +17,8 @@
 
 /// A valid settings file; its values replace invalid ones so that further errors can be found.
 const EXAMPLE: &str = include_str!("../../examples/front.toml");
+/// The bytes in a megabit.
+const BYTES_PER_MBIT: f64 = 125_000.0;
 /// The largest value of a setting in seconds: one day.
 const MAX_SECONDS: f64 = 86_400.0;
 
@@ -47,6 +49,8 @@
     cpu_share: f64,
     /// The speed of the processor, relative to the usual one.
     cores: f64,
+    /// The bandwidth of the VM's link, in Mbit/s; not limited if it is missing.
+    link_mbps: Option<f64>,
 }
 
 impl Default for FileLimits {
@@ -54,6 +58,7 @@
         Self {
             cpu_share: 1.0,
             cores: 1.0,
+            link_mbps: None,
         }
     }
 }
@@ -121,6 +126,7 @@
         peer_address: SocketAddr::new(file.ip, file.internal_ports[0]),
         log_address: file.platform.address,
         cpu_cores: file.limits.cpu_share * file.limits.cores,
+        link_bytes_per_s: file.limits.link_mbps.map(|mbps| mbps * BYTES_PER_MBIT),
         bounds: Bounds {
             grace: Duration::from_secs_f64(bounds.grace_s),
             drain: Duration::from_millis(bounds.drain_ms),
@@ -234,7 +240,8 @@
         ("limits.cpu_share", file.limits.cpu_share),
         ("limits.cores", file.limits.cores),
     ];
-    for (field, value) in limits {
+    let link = file.limits.link_mbps.map(|mbps| ("limits.link_mbps", mbps));
+    for (field, value) in limits.into_iter().chain(link) {
         if !(value > 0.0 && value.is_finite()) {
             let message = format!("is {value}, must be more than 0");
             problems.push(Problem::new(field, message));
