The product's side reads a page of the log for as long as it arrives

A VM that starts reads with no wait, so a page that takes longer was never folded and the VM never ready. Found by the new test, which failed before (not folded within 30 s at a rate that takes three).

The limit applies to the beginning of the response and to each pause in it. The proxy of tests copies small chunks at a limited rate, so that bytes flow steadily.

--- a/src/external/log.rs
+++ b/src/external/log.rs
@@ -5,18 +5,22 @@
 //! page once a record at `N` exists or `W` has passed. With `limit=L` a page has at most `L`
 //! records.
 
+use futures_util::StreamExt;
 use hyper::StatusCode;
 use prometheus_client::metrics::counter::Counter;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 /// Timeout of an append, after which its outcome is unknown.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// How much longer than its requested wait a read may take.
+/// How much longer than its requested wait the response to a read may take to begin.
 const READ_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
+/// How long the response to a read may pause.
+const MAX_STALL: Duration = Duration::from_millis(1_000);
 
 /// Why a call to the log failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -179,31 +183,41 @@
 }
 
 impl HttpLog {
+    /// Reads a page. `timeout` limits how long the response takes to begin; how long the whole page
+    /// takes depends on its size.
     async fn read_page(&self, url: String, timeout: Duration) -> Result<Page, LogError> {
-        let call = async {
-            let response = self
-                .client()
-                .get(url)
-                .map_err(|_bad_url| LogError::Refused)?
-                .send()
-                .await
-                .map_err(|_error| LogError::Unanswered)?;
-            if !response.status().is_success() {
-                return Err(LogError::Refused);
-            }
-            let body = response
-                .bytes()
-                .await
-                .map_err(|_error| LogError::Unanswered)?;
-            self.bytes.inc_by(body.len() as u64);
-            serde_json::from_slice(&body).map_err(|_malformed| LogError::Unanswered)
+        let head = async {
+            let request = self.client().get(url);
+            let request = request.map_err(|_error| LogError::Unanswered)?;
+            let response = request.send().await;
+            response.map_err(|_error| LogError::Unanswered)
         };
-        match compio::time::timeout(timeout, call).await {
-            Ok(outcome) => outcome,
-            Err(_elapsed) => {
-                self.reset_connections();
-                Err(LogError::Unanswered)
-            }
+        let read = match compio::time::timeout(timeout, head).await {
+            Ok(response) => self.read_body(response?).await?,
+            Err(_elapsed) => None,
+        };
+        let Some(body) = read else {
+            self.reset_connections();
+            return Err(LogError::Unanswered);
+        };
+        serde_json::from_slice(&body).map_err(|_malformed| LogError::Unanswered)
+    }
+
+    /// Reads the body of a response; `None` if it stops arriving.
+    async fn read_body(&self, response: cyper::Response) -> Result<Option<Vec<u8>>, LogError> {
+        if !response.status().is_success() {
+            return Err(LogError::Refused);
+        }
+        let mut chunks = pin!(response.bytes_stream());
+        let mut body = Vec::new();
+        while let Ok(chunk) = compio::time::timeout(MAX_STALL, chunks.next()).await {
+            let Some(chunk) = chunk else {
+                return Ok(Some(body));
+            };
+            let chunk = chunk.map_err(|_error| LogError::Unanswered)?;
+            self.bytes.inc_by(chunk.len() as u64);
+            body.extend_from_slice(&chunk);
         }
+        Ok(None)
     }
 }
--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -11,6 +11,8 @@
 
 /// Bytes copied at once.
 const CHUNK_BYTES: usize = 16 * 1024;
+/// The number of chunks per second at a limited rate.
+const CHUNKS_PER_S: u64 = 20;
 /// How often a held chunk looks whether it may go on.
 const HOLD_POLL: Duration = Duration::from_millis(10);
 
@@ -124,6 +126,14 @@
         self.delivered.get()
     }
 
+    /// The bytes to copy at once; a limited rate is kept by small chunks, so that bytes flow steadily.
+    fn chunk_bytes(&self) -> usize {
+        match self.faults.borrow().throttle_bytes_per_s {
+            0 => CHUNK_BYTES,
+            rate => CHUNK_BYTES.min((rate / CHUNKS_PER_S).max(1) as usize),
+        }
+    }
+
     /// Whether a request is to be kept back; counts it.
     fn captures(&self, bytes: &[u8]) -> bool {
         let faults = self.faults.borrow();
@@ -188,9 +198,8 @@
 
     /// Copies one way until either end closes or the line is cut.
     async fn copy(self: Rc<Self>, mut from: TcpStream, mut to: TcpStream, way: Way) {
-        let mut buffer = Vec::with_capacity(CHUNK_BYTES);
         loop {
-            let read = from.read(buffer);
+            let read = from.read(Vec::with_capacity(self.proxy.chunk_bytes()));
             let BufResult(count, bytes) = match self.unless_cut(read).await {
                 Some(result) => result,
                 None => break,
@@ -210,12 +219,10 @@
             if !self.let_through(way, count).await {
                 break;
             }
-            let BufResult(written, mut bytes) = to.write_all(bytes).await;
+            let BufResult(written, _) = to.write_all(bytes).await;
             if written.is_err() {
                 break;
             }
-            bytes.clear();
-            buffer = bytes;
         }
         self.closed.set(true);
         // Each way holds both ends, and closing one would wait for the other way's hold.
--- a/workbench/tests/configuration.rs
+++ b/workbench/tests/configuration.rs
@@ -555,3 +555,32 @@
         expect_that!(*watch.reverts.borrow(), is_empty());
     });
 }
+
+#[googletest::test]
+fn a_vm_starts_although_the_log_takes_long_to_arrive() {
+    block_on(async {
+        let ip = Cluster::pick_ip();
+        let mut plan = Plan::new(Shape::small(), 1);
+        let address = SocketAddr::new(ip, PROXY_PORT);
+        plan.vm_settings = vec![(0, json!({"log_address": address}))];
+        let proxy = Proxy::start(address, SocketAddr::new(ip, 20_000)).await;
+        let mut cluster = Cluster::start_at(plan, ip).await;
+        cluster.publish_and_settle(LIMIT).await;
+        let before = revision(&cluster, 0).await;
+        let path = "/streams/control/records?from=0&wait_ms=0";
+        let page = http_json::get(cluster.platform_address(), path).await;
+        let page_bytes = page.expect("the log answers").to_string().len() as u64;
+        cluster.vms[0].kill();
+        proxy.set(Faults {
+            // The page takes three seconds.
+            throttle_bytes_per_s: page_bytes / 3,
+            ..Faults::default()
+        });
+        cluster.restart_vm(0);
+        cluster
+            .wait_for("the log is folded", LIMIT, async || {
+                revision(&cluster, 0).await == before
+            })
+            .await;
+    });
+}
