Logs tell the software versions of a stream's servers, and who takes it up (ORDER)

The version is decoded from a server's entry, sent along with directory updates between VMs, and named in 'routed', 'stream broken' and 'stream resumed'. A request that takes a stream up logs 'stream taken up' with the attempt that it names. Nothing is decided by them yet.

--- a/src/gateway/caller_request.rs
+++ b/src/gateway/caller_request.rs
@@ -28,6 +28,8 @@
     pub(crate) time_limit: Option<Duration>,
     /// The last event that the caller has received, if it resumes a stream.
     pub(crate) last_event: Option<u64>,
+    /// The id of the request that brought the first event of that stream, if the caller states it.
+    pub(crate) resumes: Option<Name>,
     /// The caller's API key, if the request has exactly one.
     pub(crate) key: Option<ApiKey>,
     /// The number of prompt tokens and of tokens to generate, if the caller states both.
--- a/src/gateway/directory_updates.rs
+++ b/src/gateway/directory_updates.rs
@@ -69,6 +69,8 @@
     in_memory: Vec<String>,
     #[prost(string, repeated, tag = "12")]
     on_disk: Vec<String>,
+    #[prost(string, tag = "13")]
+    software_version: String,
 }
 
 impl ServerUpdate {
@@ -86,6 +88,7 @@
                 started_ms: entry.started_ms,
                 sequence: entry.sequence,
                 service: entry.service.to_string(),
+                software_version: entry.software_version.to_string(),
                 address: entry.address.to_string(),
                 availability_zone: entry.availability_zone.to_string(),
                 slots: entry.slots,
@@ -114,6 +117,7 @@
             started_ms: self.started_ms,
             sequence: self.sequence,
             service: self.service.into(),
+            software_version: self.software_version.into(),
             address: self.address.parse().ok()?,
             availability_zone: self.availability_zone.into(),
             slots: self.slots,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -72,6 +72,8 @@
     pub(crate) sequence: u64,
     /// The service that the server belongs to.
     pub(crate) service: Name,
+    /// The version of the server's software, not of weights; empty if it is not known.
+    pub(crate) software_version: Name,
     /// The address that the server listens on.
     pub(crate) address: SocketAddr,
     /// The availability zone that the server is in.
@@ -181,6 +183,7 @@
             started_ms: 0,
             sequence: 0,
             service: Name::default(),
+            software_version: Name::default(),
             address,
             availability_zone: Name::default(),
             slots: u32::MAX,
@@ -213,6 +216,11 @@
         read(&self.entry.borrow())
     }
 
+    /// Returns the version of the server's software.
+    pub(crate) fn software_version(&self) -> Name {
+        self.entry.borrow().software_version.clone()
+    }
+
     /// Whether the server accepts new requests: the directory lists it as ready, and the server has
     /// not said that it leaves.
     pub(crate) fn accepts_requests(&self) -> bool {
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -40,6 +40,7 @@
         info!(
             request = %call.request.id,
             server = %self.server.id,
+            software = %self.server.software_version(),
             model = %call.model(),
             organisation = call.organisation_name(),
             load = self.candidate.load(),
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -100,6 +100,10 @@
         self: Rc<Self>,
         mut call: Call,
     ) -> Result<Response<Body>, Failure> {
+        if let Some(last_event) = call.request.last_event {
+            let resumes = call.request.resumes.as_deref();
+            info!(request = %call.request.id, resumes, last_event, "stream taken up");
+        }
         loop {
             let weights_version = call.pinned_weights_version();
             let exchange = self
@@ -302,6 +306,7 @@
                 info!(
                     request = %call.request.id,
                     server = %exchange.server.id,
+                    software = %exchange.server.software_version(),
                     last = ?last_event,
                     "stream resumed"
                 );
@@ -324,7 +329,13 @@
 
     fn note_break(&self, call: &Call, stream: &ServerStream, why: &'static str) {
         let server = &stream.exchange.server;
-        warn!(request = %call.request.id, server = %server.id, why, "stream broken");
+        warn!(
+            request = %call.request.id,
+            server = %server.id,
+            software = %server.software_version(),
+            why,
+            "stream broken"
+        );
         if call.time_left().is_zero() {
             return;
         }
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -231,6 +231,7 @@
         started_ms: 1_000,
         sequence: 1,
         service: "s".into(),
+        software_version: "v1".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         availability_zone: "a".into(),
         slots: 4,
--- a/src/gateway/tests/directory_updates.rs
+++ b/src/gateway/tests/directory_updates.rs
@@ -21,6 +21,7 @@
         started_ms: 1_000 + index as u64,
         sequence: 5,
         service: "llm".into(),
+        software_version: "v1".into(),
         address: "10.1.0.9:8000".parse().expect("an address"),
         availability_zone: "a".into(),
         slots: 16,
--- a/src/gateway/tests/gossip_sender.rs
+++ b/src/gateway/tests/gossip_sender.rs
@@ -73,6 +73,7 @@
         started_ms: 1,
         sequence: 1,
         service: "s".into(),
+        software_version: "v1".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         availability_zone: "a".into(),
         slots: 4,
--- a/src/gateway/tests/large_fleet.rs
+++ b/src/gateway/tests/large_fleet.rs
@@ -91,6 +91,7 @@
         started_ms: 1,
         sequence: 0,
         service: "llm".into(),
+        software_version: "v1".into(),
         address: SocketAddr::from(([10, 2, (index / 256) as u8, (index % 256) as u8], 8_000)),
         availability_zone: "a".into(),
         slots: 16,
--- a/src/gateway/tests/order_dispatch.rs
+++ b/src/gateway/tests/order_dispatch.rs
@@ -165,6 +165,7 @@
         started_ms: 1,
         sequence: 0,
         service: "llm".into(),
+        software_version: "v1".into(),
         address: "10.1.0.9:8000".parse().expect("an address"),
         availability_zone: "a".into(),
         slots: 4,
--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -20,7 +20,7 @@
     zone: Name,
     /// The version of the runner's software, not of weights.
     #[serde(rename = "version")]
-    _software: Name,
+    software_version: Name,
     slots: NonZero<u32>,
     state: WireState,
     #[serde(rename = "cold_remaining_ms")]
@@ -111,6 +111,7 @@
         started_ms: parse_start(wire.born)?,
         sequence: wire.sequence,
         service: wire.service,
+        software_version: wire.software_version,
         address: wire.address,
         availability_zone: wire.zone,
         slots: wire.slots.get(),
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -18,6 +18,8 @@
 const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
 /// The last event of a stream that the receiver has; the stream resumes after it.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// The id of the attempt that brought the first event of the stream that a caller resumes.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// The model, optionally followed by a slash and one of its adapters.
 const MODEL: HeaderName = HeaderName::from_static("x-model");
 /// The number of tokens in the prompt and the most that may be generated, with a comma between.
@@ -222,6 +224,7 @@
             path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
             time_limit: header_number(&head.headers, &DEADLINE_MS).map(Duration::from_millis),
             last_event: header_number(&head.headers, &LAST_EVENT_ID),
+            resumes: header_text(&head.headers, &RESUMES).map(Name::from),
             tokens: tokens_of(&head.headers),
             key: key_of(&head.headers),
             generation: generation_of(&head.headers),
