--- a/workbench/src/site/events.rs
+++ b/workbench/src/site/events.rs
@@ -29,6 +29,24 @@
     steps
 }
 
+/// Like [`remaining_events`], with the same data in each event.
+pub fn remaining_events_of(
+    request: &ReceivedRequest,
+    data: &str,
+    count: u64,
+    pause_ms: u64,
+) -> Vec<ScriptStep> {
+    let last: u64 = request.header("last-event-id").parse().unwrap_or(0);
+    let mut steps = events(request, last + 1, 0, 0);
+    for number in last + 1..=count {
+        let event = format!("id: {number}\ndata: {data}\n\n");
+        steps.push(ScriptStep::Write(chunk(&event)));
+        steps.push(ScriptStep::Wait(Duration::from_millis(pause_ms)));
+    }
+    steps.push(last_chunk());
+    steps
+}
+
 /// The zero-length chunk that completes a stream.
 pub fn last_chunk() -> ScriptStep {
     ScriptStep::Write(b"0\r\n\r\n".to_vec())
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -95,6 +95,8 @@
     pub id: String,
     /// The service that the server belongs to.
     pub service: String,
+    /// The version of the server's software.
+    software: RefCell<String>,
     address: SocketAddr,
     started_ms: Cell<u64>,
     loaded: RefCell<Vec<(String, Vec<String>)>>,
@@ -155,6 +157,7 @@
         let server = Rc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
+            software: RefCell::new("v1".to_owned()),
             address,
             started_ms: Cell::new(FIRST_START_MS),
             loaded: RefCell::new(
@@ -187,7 +190,7 @@
             "service": self.service,
             "address": self.address.to_string(),
             "zone": "a",
-            "version": "v1",
+            "version": *self.software.borrow(),
             "slots": 64,
             "state": state,
             "cold_remaining_ms": 0,
@@ -197,6 +200,16 @@
         })
     }
 
+    /// Changes the version of the server's software, which its next entry states.
+    pub fn set_software(&self, version: &str) {
+        *self.software.borrow_mut() = version.to_owned();
+    }
+
+    /// The version of the server's software.
+    pub fn software(&self) -> String {
+        self.software.borrow().clone()
+    }
+
     fn models(&self) -> Vec<Value> {
         let loaded = self.loaded.borrow();
         let models = loaded
