A stream goes on only at the software version that began it (ORDER)

Callers saw: streams whose beginning and end came from runners of two software versions, which do not fit together.

Cause: no choice knew the version. The system resumed a broken stream at any server with the weights, and a VM at which a caller took a stream up again knew nothing of its beginning; 'Resumes' was read nowhere.

A stream is bound to the version of its first event. VMs tell each other at which version streams begin, but only while a service has had more than one version for as long as streams last: all VMs of a small fleet, in a large one a few that its key selects. A VM that was not told asks them; a stream that was told to nobody has begun at the version that was the only one before. Where that leaves more than one version, or no server has it, the request is refused at once as not run.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,6 +5,7 @@
 use crate::gateway::forwarding::ForwardedCall;
 use crate::gateway::grant::Grant;
 use crate::gateway::hold_time::RequestTiming;
+use crate::gateway::stream_versions::StreamKey;
 use crate::gateway::{CallerRequest, Route, Weights};
 use crate::inventory::Name;
 use std::cell::Cell;
@@ -33,6 +34,17 @@
     pub(crate) is_uncontended: bool,
 }
 
+/// The software version at which a stream may go on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum StreamVersion {
+    /// Any: no event of the stream has been delivered.
+    Any,
+    /// The one that began the stream, which is not known yet.
+    Unresolved,
+    /// This one.
+    Bound(Name),
+}
+
 /// One request in flight, from its arrival to the end of its answer.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -46,6 +58,8 @@
     /// The request's share of the organisation's quota, if the organisation has one.
     pub(crate) grant: Option<Grant>,
     pub(crate) service: Name,
+    /// The software version at which the stream may go on.
+    pub(crate) stream_version: StreamVersion,
     pub(crate) arrived: Instant,
     /// The deadline: the earlier of the caller's and the route's.
     pub(crate) deadline: Instant,
@@ -77,6 +91,20 @@
         self.route.is_retryable() && self.runs < self.route.max_attempts
     }
 
+    /// Identifies the stream that the request begins or takes up.
+    pub(crate) fn stream_key(&self) -> StreamKey {
+        let resumes = self.request.resumes.as_ref();
+        StreamKey::of(resumes.unwrap_or(&self.request.id))
+    }
+
+    /// Whether a server may go on with the stream, by its software version.
+    pub(crate) fn accepts_version(&self, version: &str) -> bool {
+        match &self.stream_version {
+            StreamVersion::Bound(bound) => *bound == version,
+            StreamVersion::Any | StreamVersion::Unresolved => true,
+        }
+    }
+
     /// The weights that the request needs; `None` for requests to plain services.
     pub(crate) fn weights(&self) -> Option<Weights> {
         let generation = self.request.generation.as_ref()?;
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -21,6 +21,8 @@
 const MAX_QUOTA_RETRY: Duration = Duration::from_secs(60);
 /// Time over which retries are spread for requests refused together because servers pause.
 const PAUSE_RETRY_SPREAD: Duration = Duration::from_millis(500);
+/// Time over which retries are spread for streams whose software version a VM does not know.
+const VERSION_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Retry time of a request that crashes servers.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -57,6 +59,10 @@
     TimedOut,
     /// The deadline passed before the request was sent.
     Late,
+    /// It is not known at which software version the stream began that the request takes up.
+    UnknownVersion,
+    /// No server has the software version at which the stream began.
+    VersionGone,
     /// Servers crashed while the request was in flight on them.
     Poison,
 }
@@ -80,6 +86,8 @@
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
             Self::Late => "late",
+            Self::UnknownVersion => "unknown_version",
+            Self::VersionGone => "version_gone",
             Self::Poison => "poison",
         }
     }
@@ -106,7 +114,12 @@
             }
             Self::Unknown => (502, None),
             Self::TimedOut => (504, None),
-            Self::Late => (503, None),
+            Self::UnknownVersion => {
+                // Another VM may know it.
+                let after = VERSION_RETRY_AFTER.mul_f64(rand::random());
+                (503, Some(after.min(time_left)))
+            }
+            Self::Late | Self::VersionGone => (503, None),
             Self::Poison => (503, Some(POISON_RETRY_AFTER)),
         };
         Refusal {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -419,6 +419,11 @@
         }
         let same_run = current.filter(|server| server.is_run_of(&entry));
         if let Some(server) = same_run {
+            let mut entry = entry;
+            if entry.software_version.is_empty() {
+                // A VM of an earlier release does not pass it on.
+                entry.software_version = server.software_version();
+            }
             let was_removed = server.removed_at.take().is_some();
             let before = server.entry.replace(entry.clone());
             if before.state != entry.state {
--- a/src/gateway/forward_relay.rs
+++ b/src/gateway/forward_relay.rs
@@ -51,6 +51,7 @@
     /// Selects the server to send to, or another VM while this one reaches no server.
     pub(super) async fn upstream_for(&self, call: &mut Call) -> Result<Rc<Server>, Failure> {
         if !self.state.is_cut_off() {
+            self.bind_version(call).await?;
             return self.server_for(call).await;
         }
         let target = match call.forwarded {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -419,7 +419,7 @@
         }
     }
 
-    async fn send_to(&self, message: &Digest, targets: &[SocketAddr]) {
+    pub(super) async fn send_to(&self, message: &Digest, targets: &[SocketAddr]) {
         let bytes = message.encode_to_vec();
         for target in targets {
             if *target == self.state.settings.peer_address {
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -5,6 +5,7 @@
 use crate::gateway::fleet::{Incarnation, Server};
 use crate::gateway::server_limits::LimitStatement;
 use crate::gateway::sighting_message::{LeaderSeen, ZoneVms};
+use crate::gateway::stream_message::{BegunStream, VersionQuery, VersionReply};
 use prost::Message;
 use std::time::Duration;
 
@@ -105,6 +106,18 @@
     /// Whether the sender takes requests that other VMs forward.
     #[prost(bool, tag = "28")]
     pub(super) accepts_forwarded: bool,
+    /// Streams that began at the sender, with their software versions.
+    #[prost(message, repeated, tag = "29")]
+    pub(super) begun_streams: Vec<BegunStream>,
+    /// Streams whose software version the sender asks for.
+    #[prost(message, repeated, tag = "30")]
+    pub(super) version_queries: Vec<VersionQuery>,
+    /// Answers to such questions.
+    #[prost(message, repeated, tag = "31")]
+    pub(super) version_replies: Vec<VersionReply>,
+    /// Services of which the sender has recently seen servers of several software versions.
+    #[prost(string, repeated, tag = "32")]
+    pub(super) mixed_services: Vec<String>,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -7,6 +7,7 @@
 use crate::gateway::gossip::Gossip;
 use crate::gateway::gossip_message::{Digest, UsageReportPart};
 use crate::gateway::peers::MICROS_PER_MILLI;
+use crate::gateway::stream_message::VersionQuery;
 use compio::BufResult;
 use prost::Message;
 use std::net::SocketAddr;
@@ -23,6 +24,8 @@
 enum Request {
     /// All VMs that the receiver knows.
     View,
+    /// The software versions of streams.
+    Versions(Vec<VersionQuery>),
     /// To forward the message to the VMs of the receiver's zone.
     ForwardToZone(Box<Digest>),
 }
@@ -36,6 +39,9 @@
             match received {
                 Ok((_, sender)) => match self.apply(sender, &buffer) {
                     Some(Request::View) => self.send_all_vms(sender).await,
+                    Some(Request::Versions(queries)) => {
+                        self.answer_version_queries(sender, &queries).await;
+                    }
                     Some(Request::ForwardToZone(message)) => self.forward_to_zone(&message).await,
                     None => {}
                 },
@@ -78,6 +84,7 @@
         self.apply_holdings(&digest, now);
         self.apply_prompts(sender, &digest, now);
         self.apply_shared_usage(sender, &digest, now);
+        self.apply_stream_versions(sender, &digest, now);
         if digest.has_loads {
             self.state.peers.apply_loads(sender, &digest);
         }
@@ -101,6 +108,9 @@
                 is_for_zone: false,
                 ..digest
             }))),
+            Digest {
+                version_queries, ..
+            } if !version_queries.is_empty() => Some(Request::Versions(version_queries)),
             _ => None,
         }
     }
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -12,6 +12,7 @@
 use crate::gateway::gossip_targets::Targets;
 use crate::gateway::log_follower::Reading;
 use crate::gateway::peers::MICROS_PER_MILLI;
+use crate::inventory::Name;
 use crate::short_id::short_id;
 use prost::Message;
 use std::collections::HashSet;
@@ -182,10 +183,17 @@
             leader: state.peers.leader_seen(Instant::now()),
             crashes: state.peers.outbox.crashes(),
             leaving: self.leaving_servers(),
+            mixed_services: self.mixed_services(),
             ..Digest::default()
         }
     }
 
+    fn mixed_services(&self) -> Vec<String> {
+        let versions = self.state.software_versions.borrow();
+        let services = versions.mixed_services(Instant::now());
+        services.iter().map(Name::to_string).collect()
+    }
+
     /// The servers that have recently said that they leave, the latest first.
     fn leaving_servers(&self) -> Vec<ServerRun> {
         let now = Instant::now();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -56,6 +56,10 @@
     describe("retries", "requests sent to a server once more"),
     describe("retries_denied", "retries that the budget did not allow"),
     describe("streams_resumed", "streams that went on at another server"),
+    describe(
+        "resumptions",
+        "streams taken up after a break, by where their software version was learnt",
+    ),
     describe("connections_opened", "connections opened to servers"),
     describe("peer_messages", "messages sent to other VMs"),
     describe("store_calls", "calls to the store, by call and outcome"),
@@ -142,6 +146,8 @@
     pub(crate) retries: Counter,
     pub(crate) retries_denied: Counter,
     pub(crate) streams_resumed: Counter,
+    /// Streams taken up after a break.
+    pub(crate) resumptions: Family<OutcomeLabels, Counter>,
     pub(crate) connections_opened: Counter,
     pub(crate) peer_messages: Counter,
     pub(crate) store_calls: Family<CallLabels, Counter>,
@@ -186,6 +192,7 @@
             retries: Counter::default(),
             retries_denied: Counter::default(),
             streams_resumed: Counter::default(),
+            resumptions: Family::default(),
             connections_opened: Counter::default(),
             peer_messages: Counter::default(),
             store_calls: Family::default(),
@@ -229,6 +236,7 @@
         self.register("retries", self.retries.clone());
         self.register("retries_denied", self.retries_denied.clone());
         self.register("streams_resumed", self.streams_resumed.clone());
+        self.register("resumptions", self.resumptions.clone());
         self.register("connections_opened", self.connections_opened.clone());
         self.register("attempts", self.attempts.clone());
         self.register("forwarded_requests", self.forwarded.clone());
@@ -278,6 +286,13 @@
             .inc();
     }
 
+    /// Counts a stream that is taken up after a break, by where its software version was learnt.
+    pub(crate) fn note_resumption(&self, outcome: &'static str) {
+        self.resumptions
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts a call to the store and records how long it took.
     pub(crate) fn note_store_call(
         &self,
--- a/src/gateway/outbox.rs
+++ b/src/gateway/outbox.rs
@@ -3,9 +3,12 @@
 use crate::gateway::directory_updates::DirectoryUpdate;
 use crate::gateway::gossip_message::{CrashReport, SentPrompt};
 use crate::gateway::peers::{MICROS_PER_MILLI, MIN_STATE_TTL};
+use crate::gateway::stream_message::{BegunStream, VersionQuery};
+use crate::gateway::stream_versions::StreamKey;
 use crate::inventory::Name;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// The VMs that are sent a change before the next regular round; a later variant covers more.
@@ -38,6 +41,12 @@
     /// Prompts that have yet to be reported to peers, and when each was sent to its runner.
     prompts: RefCell<Vec<(SentPrompt, Instant)>>,
     prompt_signal: Signal,
+    /// Streams whose software versions have yet to be told to other VMs.
+    begun_streams: RefCell<Vec<BegunStream>>,
+    stream_signal: Signal,
+    /// Questions for the software versions of streams, and the VMs that are asked.
+    version_queries: RefCell<Vec<(VersionQuery, Vec<SocketAddr>)>>,
+    query_signal: Signal,
 }
 
 impl Outbox {
@@ -109,6 +118,46 @@
         self.prompt_signal.wait()
     }
 
+    /// Tells other VMs at which software version a stream begins.
+    pub(crate) fn report_stream(&self, key: StreamKey, version: &Name) {
+        self.begun_streams.borrow_mut().push(BegunStream {
+            stream: key.0,
+            version: version.to_string(),
+        });
+        self.stream_signal.notify();
+    }
+
+    /// Returns and removes the streams to tell.
+    pub(super) fn take_begun_streams(&self) -> Vec<BegunStream> {
+        self.begun_streams.take()
+    }
+
+    /// Waits for [`Outbox::report_stream`].
+    pub(super) fn wait_for_streams(&self) -> impl Future<Output = ()> + use<> {
+        self.stream_signal.wait()
+    }
+
+    /// Asks VMs for the software version of a stream of a service.
+    pub(crate) fn query_version(&self, key: StreamKey, service: &Name, vms: &[SocketAddr]) {
+        let query = VersionQuery {
+            stream: key.0,
+            service: service.to_string(),
+        };
+        let mut queries = self.version_queries.borrow_mut();
+        queries.push((query, vms.to_vec()));
+        self.query_signal.notify();
+    }
+
+    /// Returns and removes the questions to send, each with the VMs that are asked.
+    pub(super) fn take_version_queries(&self) -> Vec<(VersionQuery, Vec<SocketAddr>)> {
+        self.version_queries.take()
+    }
+
+    /// Waits for [`Outbox::query_version`].
+    pub(super) fn wait_for_version_queries(&self) -> impl Future<Output = ()> + use<> {
+        self.query_signal.wait()
+    }
+
     /// Waits for [`Outbox::trigger_update`].
     pub(super) fn wait_for_update(&self) -> impl Future<Output = ()> + use<> {
         self.update_signal.wait()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -120,6 +120,11 @@
         self.view.borrow().vms()
     }
 
+    /// Whether neither messages nor the log name another VM.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.vms() <= 1 && self.group.borrow().listed.is_empty()
+    }
+
     /// The largest number of VMs seen at once, including this one. `None` while this VM may know too
     /// few, since the log lists only some members of a large group: when it has just started, and
     /// as long as it has seen few of the listed members.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::client::{SendError, is_refused};
 use crate::gateway::budget::{Allowance, RetryBudget};
-use crate::gateway::call::{Call, Dispatch};
+use crate::gateway::call::{Call, Dispatch, StreamVersion};
 use crate::gateway::exchange::{ConnectionPool, Exchange};
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
@@ -189,6 +189,11 @@
             }
         };
         let cost = request.generation.as_ref().map(|it| self.state.cost(it));
+        let has_begun = route.kind == RouteKind::Streaming && request.last_event.is_some();
+        let stream_version = match has_begun {
+            true => StreamVersion::Unresolved,
+            false => StreamVersion::Any,
+        };
         let call = Call {
             cost: cost.unwrap_or_default(),
             last_dispatch: None,
@@ -198,6 +203,7 @@
             organisation,
             grant,
             service,
+            stream_version,
             arrived,
             deadline,
             runs: forward_state.map_or(0, |it| it.runs),
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -261,9 +261,16 @@
         servers
     }
 
+    /// Whether a server takes requests, at least where no other can serve them.
+    pub(super) fn takes_requests(&self, server: &Server, now: Instant) -> bool {
+        let grace = self.state.settings.bounds.drain.mul_f64(LEAVING_USE_SHARE);
+        server.accepts_requests() || server.has_begun_leaving(grace, now)
+    }
+
     /// The servers that have what the request needs, whether they accept requests or not.
     fn capable_servers(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
         let mut servers = self.state.fleet.of_service(&call.service);
+        servers.retain(|server| call.accepts_version(&server.software_version()));
         if let Some(weights) = call.weights() {
             servers.retain(|server| server.holds(&weights, now));
         }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -88,6 +88,8 @@
     compio::runtime::spawn(watch.follow_directory()).detach();
     compio::runtime::spawn(gossip.clone().receive()).detach();
     compio::runtime::spawn(gossip.clone().send_prompts()).detach();
+    compio::runtime::spawn(gossip.clone().send_stream_versions()).detach();
+    compio::runtime::spawn(gossip.clone().send_version_queries()).detach();
     compio::runtime::spawn(gossip.send()).detach();
     let election = LeaderElection::new(state.clone(), store, runners);
     compio::runtime::spawn(election.clone().keep_membership()).detach();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,8 +16,11 @@
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
+use crate::gateway::software_versions::SoftwareVersions;
 use crate::gateway::speeds::Speeds;
+use crate::gateway::stream_versions::{StreamKey, StreamVersions};
 use crate::gateway::sync_message::Part;
+use crate::gateway::version_search::{VersionAnswer, VersionSearch};
 use crate::gateway::{
     Changes, Configuration, Generation, Metrics, Reply, ServerChange, Settings, Weights,
 };
@@ -25,9 +28,9 @@
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tracing::{debug, info, warn};
 
@@ -72,6 +75,12 @@
     reachability: RefCell<Reachability>,
     /// Notified when that becomes doubtful.
     pub(crate) reachability_doubted: Signal,
+    /// The software versions of the servers of each service.
+    pub(crate) software_versions: RefCell<SoftwareVersions>,
+    /// At which software versions streams began.
+    pub(crate) stream_versions: RefCell<StreamVersions>,
+    /// The searches for the software versions of streams that are taken up.
+    version_searches: RefCell<HashMap<StreamKey, Weak<VersionSearch>>>,
     /// The number of requests that wait for weights to be loaded.
     waiting: RefCell<HashMap<Weights, u32>>,
     /// What each runner holds, while this VM is the leader; advertised to all other VMs.
@@ -125,6 +134,9 @@
             server_limits: RefCell::new(ServerLimits::new(Instant::now())),
             reachability: RefCell::default(),
             reachability_doubted: Signal::default(),
+            software_versions: RefCell::default(),
+            stream_versions: RefCell::default(),
+            version_searches: RefCell::default(),
             waiting: RefCell::default(),
             leader_view: RefCell::default(),
             fence: Cell::new(0),
@@ -383,11 +395,57 @@
             Some(from) => history.push(from, next, to_send.clone()),
             None => history.restart(next),
         }
+        if has_availability_change || !self.is_directory_known.get() {
+            self.update_software_versions(now);
+        }
         self.is_directory_known.set(true);
         self.changed.notify();
         (to_send, has_availability_change)
     }
 
+    fn update_software_versions(&self, now: Instant) {
+        let mut listed: HashMap<Name, BTreeSet<Name>> = HashMap::new();
+        for server in self.fleet.servers() {
+            if !server.is_marked_removed() {
+                server.with_entry(|entry| {
+                    let versions = listed.entry(entry.service.clone()).or_default();
+                    versions.insert(entry.software_version.clone());
+                });
+            }
+        }
+        self.software_versions.borrow_mut().update(listed, now);
+    }
+
+    /// What this VM knows of the software version of a stream.
+    pub(crate) fn version_answer(
+        &self,
+        key: StreamKey,
+        service: &str,
+        now: Instant,
+    ) -> VersionAnswer {
+        VersionAnswer {
+            version: self.stream_versions.borrow().find(key),
+            candidates: self.software_versions.borrow().candidates(service, now),
+        }
+    }
+
+    /// Returns the search for the software version of a stream, if there is one.
+    pub(super) fn version_search(&self, key: StreamKey) -> Option<Rc<VersionSearch>> {
+        self.version_searches.borrow().get(&key)?.upgrade()
+    }
+
+    /// Returns the search for the software version of a stream, or begins one.
+    pub(super) fn begin_version_search(&self, key: StreamKey) -> Rc<VersionSearch> {
+        if let Some(search) = self.version_search(key) {
+            return search;
+        }
+        let search = Rc::new(VersionSearch::default());
+        let mut searches = self.version_searches.borrow_mut();
+        searches.retain(|_, search| search.strong_count() > 0);
+        searches.insert(key, Rc::downgrade(&search));
+        search
+    }
+
     /// Removes servers whose directory entry is gone: at once, or after [`REMOVAL_GRACE`] if the
     /// log was recently unavailable, since entries may then expire although their servers still
     /// run.
--- /dev/null
+++ b/src/gateway/stream_gossip.rs
@@ -0,0 +1,114 @@
+//! Sends and receives the gossip messages that concern the software versions of streams.
+
+use crate::gateway::gossip::Gossip;
+use crate::gateway::gossip_message::Digest;
+use crate::gateway::stream_message::{BegunStream, VersionQuery, VersionReply};
+use crate::gateway::stream_versions::StreamKey;
+use crate::gateway::version_search::keepers;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Maximum number of streams in a message. At about 20 bytes each they fit into one datagram.
+const MAX_STREAMS: usize = 50;
+/// Pause after a message, in which further streams are collected.
+const PAUSE: Duration = Duration::from_millis(5);
+
+impl Gossip {
+    /// Tells other VMs at which versions streams began, until the process ends.
+    pub(crate) async fn send_stream_versions(self: Rc<Self>) {
+        let outbox = &self.state.peers.outbox;
+        loop {
+            let is_added = outbox.wait_for_streams();
+            let begun = outbox.take_begun_streams();
+            if begun.is_empty() {
+                is_added.await;
+                continue;
+            }
+            let zone = &self.state.settings.availability_zone;
+            let targets = self.state.peers.targets(zone);
+            let mut by_vm: HashMap<SocketAddr, Vec<BegunStream>> = HashMap::new();
+            for stream in &begun {
+                for vm in keepers(StreamKey(stream.stream), &targets) {
+                    by_vm.entry(vm).or_default().push(stream.clone());
+                }
+            }
+            for (vm, streams) in by_vm {
+                for streams in streams.chunks(MAX_STREAMS) {
+                    let message = Digest {
+                        begun_streams: streams.to_vec(),
+                        ..self.partial_digest()
+                    };
+                    self.send_to(&message, &[vm]).await;
+                }
+            }
+            compio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Asks other VMs for the versions of streams, until the process ends.
+    pub(crate) async fn send_version_queries(self: Rc<Self>) {
+        let outbox = &self.state.peers.outbox;
+        loop {
+            let is_added = outbox.wait_for_version_queries();
+            let queries = outbox.take_version_queries();
+            for (query, vms) in &queries {
+                let message = Digest {
+                    version_queries: vec![query.clone()],
+                    ..self.partial_digest()
+                };
+                self.send_to(&message, vms).await;
+            }
+            if queries.is_empty() {
+                is_added.await;
+            }
+        }
+    }
+
+    /// Answers the questions of another VM.
+    pub(super) async fn answer_version_queries(&self, vm: SocketAddr, queries: &[VersionQuery]) {
+        let now = Instant::now();
+        let replies = queries.iter().take(MAX_STREAMS).map(|query| {
+            let key = StreamKey(query.stream);
+            let answer = self.state.version_answer(key, &query.service, now);
+            VersionReply::of(query.stream, &answer)
+        });
+        let message = Digest {
+            version_replies: replies.collect(),
+            ..self.partial_digest()
+        };
+        self.send_to(&message, &[vm]).await;
+    }
+
+    /// Applies what a message says of streams and their versions.
+    pub(super) fn apply_stream_versions(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
+        let state = &self.state;
+        for begun in &digest.begun_streams {
+            let key = StreamKey(begun.stream);
+            let version = begun.version.as_str().into();
+            state.stream_versions.borrow_mut().record(key, version, now);
+        }
+        for service in &digest.mixed_services {
+            let service = service.as_str().into();
+            state
+                .software_versions
+                .borrow_mut()
+                .note_report(service, now);
+        }
+        for reply in &digest.version_replies {
+            let search = state.version_search(StreamKey(reply.stream));
+            if let Some(search) = search {
+                search.record(sender, reply.answer());
+            }
+        }
+    }
+
+    fn partial_digest(&self) -> Digest {
+        Digest {
+            boot: self.boot,
+            is_partial: true,
+            ..Digest::default()
+        }
+    }
+}
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -115,6 +115,7 @@
             let mut stream = ServerStream::new(exchange);
             match self.next_read(&call, &mut stream).await {
                 ReadOutcome::Event(first) => {
+                    self.note_stream_version(&mut call, &stream.exchange.server);
                     self.learn_prefill_time(&call);
                     return Ok(self.start_forwarding(call, stream, first));
                 }
