--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -97,14 +97,6 @@
         StreamKey::of(resumes.unwrap_or(&self.request.id))
     }
 
-    /// Whether a server may go on with the stream, by its software version.
-    pub(crate) fn accepts_version(&self, version: &str) -> bool {
-        match &self.stream_version {
-            StreamVersion::Bound(bound) => *bound == version,
-            StreamVersion::Any | StreamVersion::Unresolved => true,
-        }
-    }
-
     /// The weights that the request needs; `None` for requests to plain services.
     pub(crate) fn weights(&self) -> Option<Weights> {
         let generation = self.request.generation.as_ref()?;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -2,7 +2,7 @@
 //! how long the request is held until one has.
 
 use crate::gateway::Protocol;
-use crate::gateway::call::Call;
+use crate::gateway::call::{Call, StreamVersion};
 use crate::gateway::choose::{Candidate, choose};
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
@@ -270,7 +270,9 @@
     /// The servers that have what the request needs, whether they accept requests or not.
     fn capable_servers(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
         let mut servers = self.state.fleet.of_service(&call.service);
-        servers.retain(|server| call.accepts_version(&server.software_version()));
+        if let StreamVersion::Bound(version) = &call.stream_version {
+            servers.retain(|server| server.software_version() == *version);
+        }
         if let Some(weights) = call.weights() {
             servers.retain(|server| server.holds(&weights, now));
         }
