A VM tells streams also to VMs that it discovers later, and all while it is young (ORDER)

Traced in the logs: streams begin 90 ms before a VM that has just started discovers the others ('peer discovered'), and were told to nobody; and a VM older than three seconds told nothing, though VMs that have known the servers for less than the time that streams last cannot name the version of a stream that they were not told.

A VM tells all streams for as long after its start as streams last, and VMs that it discovers get those of before. An entry of a run that states another software version counts as a change. The stand-in wrote entries of v1 first for servers of v2, which the test took for streams of v1; it names the version from the start.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -426,7 +426,7 @@
             }
             let was_removed = server.removed_at.take().is_some();
             let before = server.entry.replace(entry.clone());
-            if before.state != entry.state {
+            if before.state != entry.state || before.software_version != entry.software_version {
                 return EntryChange::AvailabilityChanged;
             }
             let is_same = before.holdings == entry.holdings && before.slots == entry.slots;
--- a/src/gateway/gossip_targets.rs
+++ b/src/gateway/gossip_targets.rs
@@ -33,6 +33,12 @@
 }
 
 impl Targets {
+    /// All VMs.
+    pub(super) fn all(&self) -> impl Iterator<Item = SocketAddr> {
+        let remote = self.remote.values().flatten();
+        self.local.iter().chain(remote).copied()
+    }
+
     /// The number of VMs in remote zones.
     fn remote_count(&self) -> usize {
         self.remote.values().map(Vec::len).sum()
--- a/src/gateway/software_versions.rs
+++ b/src/gateway/software_versions.rs
@@ -13,9 +13,6 @@
 pub(crate) const STREAM_LIFETIME: Duration = Duration::from_secs(30);
 /// How long a report of another VM that a service has several versions holds.
 const REPORT_TTL: Duration = Duration::from_secs(3);
-/// How long a VM tells all streams after its start: until it has heard from other VMs which services
-/// have several versions.
-const ORIENTATION_TIME: Duration = Duration::from_secs(3);
 
 /// The versions at which a stream can have begun that was not told to a VM.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -117,7 +114,8 @@
 
     /// Whether other VMs have to be told at which version a stream of a service begins.
     pub(crate) fn must_tell(&self, service: &str, now: Instant) -> bool {
-        if self.known_time(now) < ORIENTATION_TIME {
+        if self.known_time(now) < STREAM_LIFETIME {
+            // There may have been another version before.
             return true;
         }
         let Some(versions) = self.services.get(service) else {
--- a/src/gateway/stream_gossip.rs
+++ b/src/gateway/stream_gossip.rs
@@ -1,11 +1,13 @@
 //! Sends and receives the gossip messages that concern the software versions of streams.
 
-use crate::gateway::gossip::Gossip;
+use crate::gateway::gossip::{Gossip, INTERVAL};
 use crate::gateway::gossip_message::Digest;
+use crate::gateway::gossip_targets::Targets;
+use crate::gateway::software_versions::STREAM_LIFETIME;
 use crate::gateway::stream_message::{BegunStream, VersionQuery, VersionReply};
 use crate::gateway::stream_versions::StreamKey;
 use crate::gateway::version_search::keepers;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,28 +15,65 @@
 /// Maximum number of streams in a message. At about 20 bytes each they fit into one datagram.
 const MAX_STREAMS: usize = 50;
 /// Pause after a message, in which further streams are collected.
-const PAUSE: Duration = Duration::from_millis(5);
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Streams that this VM has told, for VMs that it discovers later.
+#[derive(Default)]
+struct ToldStreams {
+    streams: VecDeque<(BegunStream, Instant)>,
+    vms: HashSet<SocketAddr>,
+}
+
+impl ToldStreams {
+    /// Returns what each VM has to be told: of the streams that have just begun, and VMs that were
+    /// not known before also of the earlier ones.
+    fn update(
+        &mut self,
+        begun: Vec<BegunStream>,
+        targets: &Targets,
+        now: Instant,
+    ) -> HashMap<SocketAddr, Vec<BegunStream>> {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= STREAM_LIFETIME;
+        while self.streams.front().is_some_and(|(_, at)| is_old(*at)) {
+            self.streams.pop_front();
+        }
+        let vms: HashSet<SocketAddr> = targets.all().collect();
+        let discovered: HashSet<SocketAddr> = vms.difference(&self.vms).copied().collect();
+        let mut by_vm: HashMap<SocketAddr, Vec<BegunStream>> = HashMap::new();
+        if !discovered.is_empty() {
+            for (stream, _) in &self.streams {
+                let keepers = keepers(StreamKey(stream.stream), targets).into_iter();
+                for vm in keepers.filter(|vm| discovered.contains(vm)) {
+                    by_vm.entry(vm).or_default().push(stream.clone());
+                }
+            }
+        }
+        for stream in begun {
+            for vm in keepers(StreamKey(stream.stream), targets) {
+                by_vm.entry(vm).or_default().push(stream.clone());
+            }
+            self.streams.push_back((stream, now));
+        }
+        self.vms = vms;
+        by_vm
+    }
+}
 
 impl Gossip {
     /// Tells other VMs at which versions streams began, until the process ends.
     pub(crate) async fn send_stream_versions(self: Rc<Self>) {
         let outbox = &self.state.peers.outbox;
+        let mut told = ToldStreams::default();
         loop {
             let is_added = outbox.wait_for_streams();
             let begun = outbox.take_begun_streams();
-            if begun.is_empty() {
+            if begun.is_empty() && told.streams.is_empty() {
                 is_added.await;
                 continue;
             }
             let zone = &self.state.settings.availability_zone;
             let targets = self.state.peers.targets(zone);
-            let mut by_vm: HashMap<SocketAddr, Vec<BegunStream>> = HashMap::new();
-            for stream in &begun {
-                for vm in keepers(StreamKey(stream.stream), &targets) {
-                    by_vm.entry(vm).or_default().push(stream.clone());
-                }
-            }
-            for (vm, streams) in by_vm {
+            for (vm, streams) in told.update(begun, &targets, Instant::now()) {
                 for streams in streams.chunks(MAX_STREAMS) {
                     let message = Digest {
                         begun_streams: streams.to_vec(),
@@ -44,6 +83,8 @@
                 }
             }
             compio::time::sleep(PAUSE).await;
+            // Without another stream, VMs that were discovered meanwhile are told.
+            let _ = compio::time::timeout(INTERVAL, is_added).await;
         }
     }
 
--- a/src/gateway/version_search.rs
+++ b/src/gateway/version_search.rs
@@ -111,18 +111,12 @@
 
 /// The VMs that are told of a stream, and asked for it.
 pub(crate) fn keepers(key: StreamKey, targets: &Targets) -> Vec<SocketAddr> {
-    let remote = || targets.remote.values();
-    let others = targets.local.len() + remote().map(Vec::len).sum::<usize>();
-    if others < MAX_TOLD_VMS {
-        return targets
-            .local
-            .iter()
-            .chain(remote().flatten())
-            .copied()
-            .collect();
+    if targets.all().count() < MAX_TOLD_VMS {
+        return targets.all().collect();
     }
     let mut keepers = highest(key, &targets.local, LOCAL_KEEPERS);
-    keepers.extend(remote().flat_map(|vms| highest(key, vms, REMOTE_KEEPERS)));
+    let remote = targets.remote.values();
+    keepers.extend(remote.flat_map(|vms| highest(key, vms, REMOTE_KEEPERS)));
     keepers
 }
 
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -111,9 +111,20 @@
 
     /// Starts one more backend server and adds it to the directory.
     pub async fn add_server(&mut self, service: &str, holds: LoadedModels) -> Rc<ServerStandIn> {
+        self.add_server_of_version(service, holds, "v1").await
+    }
+
+    /// Starts one more backend server of a software version and adds it to the directory.
+    pub async fn add_server_of_version(
+        &mut self,
+        service: &str,
+        holds: LoadedModels,
+        version: &str,
+    ) -> Rc<ServerStandIn> {
         let index = self.servers.len();
         let address = SocketAddr::new(self.ip, SERVER_PORT + index as u16);
         let server = ServerStandIn::start(address, &format!("i-{index}"), service, holds).await;
+        server.set_software(version);
         self.put_entry(&server, "ready");
         self.servers.push(server.clone());
         server
--- a/workbench/tests/site_versions.rs
+++ b/workbench/tests/site_versions.rs
@@ -64,9 +64,8 @@
 
 /// Adds a runner whose streams stop in the middle unless they were taken up there.
 async fn add_server(site: &mut Site, version: &str) {
-    let server = site.add_server("llm", vec![("m0", vec![])]).await;
-    server.set_software(version);
-    site.put_entry(&server, "ready");
+    let holds = vec![("m0", vec![])];
+    let server = site.add_server_of_version("llm", holds, version).await;
     let version = version.to_owned();
     server.script(move |call| {
         let mut steps = remaining_events_of(call, &version, EVENTS, PAUSE_MS);
