--- a/src/gateway/software_versions.rs
+++ b/src/gateway/software_versions.rs
@@ -14,23 +14,6 @@
 /// How long a report of another VM that a service has several versions holds.
 const REPORT_TTL: Duration = Duration::from_secs(3);
 
-/// The versions at which a stream can have begun that was not told to a VM.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub(crate) struct CandidateVersions {
-    /// The versions.
-    pub(crate) versions: BTreeSet<Name>,
-    /// Whether the VM has known the servers for less than [`STREAM_LIFETIME`], so that there may be
-    /// further ones.
-    pub(crate) is_incomplete: bool,
-}
-
-impl CandidateVersions {
-    /// Returns the version if there is only one.
-    pub(crate) fn only(&self) -> Option<&Name> {
-        self.versions.first().filter(|_| self.versions.len() == 1)
-    }
-}
-
 /// The versions of one service.
 #[derive(Debug, Default)]
 struct ServiceVersions {
@@ -53,6 +36,12 @@
         self.listed.iter().cloned().chain(former).collect()
     }
 
+    /// Whether another VM has recently reported that the service has several versions.
+    fn is_reported(&self, now: Instant) -> bool {
+        let reported_at = self.reported_at;
+        reported_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_TTL)
+    }
+
     fn update(&mut self, listed: BTreeSet<Name>, now: Instant) {
         let before = self.recent(now);
         for version in self.listed.difference(&listed) {
@@ -65,15 +54,15 @@
         }
     }
 
-    /// The versions at which a stream can have begun while nothing was told.
-    fn untold(&self, now: Instant) -> BTreeSet<Name> {
+    /// The version at which streams began while nothing was told, if that can still matter.
+    fn untold(&self, now: Instant) -> Option<Name> {
         let recent = self.recent(now);
         if recent.len() <= 1 {
-            return recent;
+            return recent.into_iter().next();
         }
-        let last_only = self.last_only.iter();
+        let last_only = self.last_only.as_ref();
         let last_only = last_only.filter(|(_, until)| is_recent(*until, now));
-        last_only.map(|(version, _)| version.clone()).collect()
+        last_only.map(|(version, _)| version.clone())
     }
 }
 
@@ -114,43 +103,40 @@
 
     /// Whether other VMs have to be told at which version a stream of a service begins.
     pub(crate) fn must_tell(&self, service: &str, now: Instant) -> bool {
-        if self.known_time(now) < STREAM_LIFETIME {
+        if self.is_young(now) {
             // There may have been another version before.
             return true;
         }
         let Some(versions) = self.services.get(service) else {
             return false;
         };
-        let reported_at = versions.reported_at;
-        let is_reported =
-            reported_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_TTL);
-        is_reported || versions.recent(now).len() > 1
+        versions.is_reported(now) || versions.recent(now).len() > 1
     }
 
-    /// The versions at which a stream of a service can have begun that was not told to this VM.
-    pub(crate) fn candidates(&self, service: &str, now: Instant) -> CandidateVersions {
-        let is_incomplete = self.known_time(now) < STREAM_LIFETIME;
-        let versions = self.services.get(service);
-        let versions = versions.map(|versions| match is_incomplete {
-            true => versions.recent(now),
-            false => versions.untold(now),
-        });
-        CandidateVersions {
-            versions: versions.unwrap_or_default(),
-            is_incomplete,
+    /// The version at which a stream of a service began that no VM was told of; `None` if there is
+    /// none or if it may have been several.
+    ///
+    /// A VM that is young has to rely on what other VMs have seen.
+    pub(crate) fn untold(&self, service: &str, now: Instant) -> Option<Name> {
+        let versions = self.services.get(service)?;
+        let has_several = versions.is_reported(now) || versions.recent(now).len() > 1;
+        match self.is_young(now) {
+            true if has_several => None,
+            _ => versions.untold(now),
         }
     }
 
+    /// Whether this VM has not known the servers for as long as streams last.
+    pub(crate) fn is_young(&self, now: Instant) -> bool {
+        let since = self.known_since;
+        since.is_none_or(|since| now.saturating_duration_since(since) < STREAM_LIFETIME)
+    }
+
     /// Whether a service had a single version for as long as streams last.
     pub(crate) fn is_settled(&self, service: &str, now: Instant) -> bool {
         let versions = self.services.get(service);
         let has_one = versions.is_some_and(|versions| versions.recent(now).len() == 1);
-        has_one && self.known_time(now) >= STREAM_LIFETIME
-    }
-
-    fn known_time(&self, now: Instant) -> Duration {
-        self.known_since
-            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+        has_one && !self.is_young(now)
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -423,9 +423,15 @@
         service: &str,
         now: Instant,
     ) -> VersionAnswer {
+        let software_versions = self.software_versions.borrow();
+        let is_young = software_versions.is_young(now);
+        // Other VMs may have seen more versions.
+        let has_heard_others = !is_young || self.peers.vms() > 1 || self.peers.is_alone();
+        let untold = software_versions.untold(service, now);
         VersionAnswer {
             version: self.stream_versions.borrow().find(key),
-            candidates: self.software_versions.borrow().candidates(service, now),
+            untold: untold.filter(|_| has_heard_others),
+            is_young,
         }
     }
 
--- a/src/gateway/stream_gossip.rs
+++ b/src/gateway/stream_gossip.rs
@@ -18,13 +18,27 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// Streams that this VM has told, for VMs that it discovers later.
-#[derive(Default)]
 struct ToldStreams {
+    /// The address at which this VM receives messages.
+    own: SocketAddr,
     streams: VecDeque<(BegunStream, Instant)>,
     vms: HashSet<SocketAddr>,
+    /// Streams that are told once more, since a message may be lost.
+    unrepeated: Vec<BegunStream>,
+    repeated_at: Option<Instant>,
 }
 
 impl ToldStreams {
+    fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            streams: VecDeque::new(),
+            vms: HashSet::new(),
+            unrepeated: Vec::new(),
+            repeated_at: None,
+        }
+    }
+
     /// Returns what each VM has to be told: of the streams that have just begun, and VMs that were
     /// not known before also of the earlier ones.
     fn update(
@@ -42,17 +56,29 @@
         let mut by_vm: HashMap<SocketAddr, Vec<BegunStream>> = HashMap::new();
         if !discovered.is_empty() {
             for (stream, _) in &self.streams {
-                let keepers = keepers(StreamKey(stream.stream), targets).into_iter();
+                let keepers = keepers(StreamKey(stream.stream), targets, self.own).into_iter();
                 for vm in keepers.filter(|vm| discovered.contains(vm)) {
                     by_vm.entry(vm).or_default().push(stream.clone());
                 }
             }
         }
+        let is_repeat_due = self
+            .repeated_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= INTERVAL);
+        let mut to_tell = Vec::new();
+        if is_repeat_due {
+            self.repeated_at = Some(now);
+            to_tell.append(&mut self.unrepeated);
+        }
         for stream in begun {
-            for vm in keepers(StreamKey(stream.stream), targets) {
+            self.streams.push_back((stream.clone(), now));
+            self.unrepeated.push(stream.clone());
+            to_tell.push(stream);
+        }
+        for stream in to_tell {
+            for vm in keepers(StreamKey(stream.stream), targets, self.own) {
                 by_vm.entry(vm).or_default().push(stream.clone());
             }
-            self.streams.push_back((stream, now));
         }
         self.vms = vms;
         by_vm
@@ -63,7 +89,7 @@
     /// Tells other VMs at which versions streams began, until the process ends.
     pub(crate) async fn send_stream_versions(self: Rc<Self>) {
         let outbox = &self.state.peers.outbox;
-        let mut told = ToldStreams::default();
+        let mut told = ToldStreams::new(self.state.settings.peer_address);
         loop {
             let is_added = outbox.wait_for_streams();
             let begun = outbox.take_begun_streams();
--- a/src/gateway/stream_message.rs
+++ b/src/gateway/stream_message.rs
@@ -1,6 +1,5 @@
 //! The parts of gossip messages that concern the software versions of streams.
 
-use crate::gateway::software_versions::CandidateVersions;
 use crate::gateway::version_search::VersionAnswer;
 use crate::inventory::Name;
 use prost::Message;
@@ -35,23 +34,22 @@
     /// The version at which the stream began, if the sender was told.
     #[prost(string, optional, tag = "2")]
     pub(super) version: Option<String>,
-    /// The versions at which it can have begun if it was not told to the sender.
-    #[prost(string, repeated, tag = "3")]
-    pub(super) candidates: Vec<String>,
-    /// Whether there may be further candidates.
+    /// The version at which it began if no VM was told of it, as far as the sender can say.
+    #[prost(string, optional, tag = "3")]
+    pub(super) untold: Option<String>,
+    /// Whether the sender has not known the servers for as long as streams last.
     #[prost(bool, tag = "4")]
-    pub(super) is_incomplete: bool,
+    pub(super) is_young: bool,
 }
 
 impl VersionReply {
     /// Encodes the answer to the question for a stream.
     pub(super) fn of(stream: u64, answer: &VersionAnswer) -> Self {
-        let candidates = answer.candidates.versions.iter();
         Self {
             stream,
             version: answer.version.as_ref().map(Name::to_string),
-            candidates: candidates.map(Name::to_string).collect(),
-            is_incomplete: answer.candidates.is_incomplete,
+            untold: answer.untold.as_ref().map(Name::to_string),
+            is_young: answer.is_young,
         }
     }
 
@@ -59,14 +57,8 @@
     pub(super) fn answer(&self) -> VersionAnswer {
         VersionAnswer {
             version: self.version.as_deref().map(Name::from),
-            candidates: CandidateVersions {
-                versions: self
-                    .candidates
-                    .iter()
-                    .map(|it| it.as_str().into())
-                    .collect(),
-                is_incomplete: self.is_incomplete,
-            },
+            untold: self.untold.as_deref().map(Name::from),
+            is_young: self.is_young,
         }
     }
 }
--- a/src/gateway/stream_resumption.rs
+++ b/src/gateway/stream_resumption.rs
@@ -104,16 +104,16 @@
         if !is_current || !versions.is_settled(&call.service, now) {
             return None;
         }
-        let only = known.candidates.only();
-        only.map(|version| (version.clone(), Source::OnlyVersion))
+        known.untold.map(|version| (version, Source::OnlyVersion))
     }
 
     /// Asks the VMs that may know the version of a call's stream.
     async fn ask_for_version(&self, call: &Call) -> Option<Name> {
+        let began = Instant::now();
         let state = &self.state;
         let key = call.stream_key();
         let targets = state.peers.targets(&state.settings.availability_zone);
-        let asked = keepers(key, &targets);
+        let asked = keepers(key, &targets, state.settings.peer_address);
         let search = state.begin_version_search(key);
         if !asked.is_empty() {
             let outbox = &state.peers.outbox;
@@ -121,12 +121,12 @@
                 .wait(&asked, || outbox.query_version(key, &call.service, &asked))
                 .await;
         }
-        let mut answers = search.answers();
-        // A VM that hears no other may have missed what the others were told.
-        if !answers.is_empty() || state.peers.is_alone() {
-            answers.push(state.version_answer(key, &call.service, Instant::now()));
+        let own = state.version_answer(key, &call.service, began);
+        if state.peers.is_alone() {
+            return own.untold;
         }
-        decide(&answers)
+        // A VM that hears no other may have missed what the others were told.
+        decide(&search.answers(), &own, asked.len().max(1))
     }
 
     /// Records that the stream of a call goes on at a server, and tells other VMs.
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -23,6 +23,7 @@
 mod speeds;
 mod spreading;
 mod starts;
+mod stream_versions;
 mod swaps;
 mod views;
 mod waiting;
--- a/src/gateway/version_search.rs
+++ b/src/gateway/version_search.rs
@@ -1,26 +1,24 @@
 //! Finds out from other VMs at which software version a stream began.
 //!
-//! In a small fleet each VM is told of each stream. In a large one a few VMs keep it, chosen by the
-//! stream's key, so that any VM knows whom to ask: several of the zone in which the stream began,
-//! since callers mostly come back there, and one of each other zone.
+//! In a small fleet each VM is told of each stream. In a large one a few VMs of each zone keep it,
+//! chosen by the stream's key, so that any VM knows whom to ask: the loss of a zone leaves others.
 
 use crate::gateway::gossip_targets::Targets;
-use crate::gateway::software_versions::CandidateVersions;
 use crate::gateway::stream_versions::StreamKey;
 use crate::inventory::Name;
 use crate::signal::Signal;
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The largest fleet in which each VM is told of each stream.
 const MAX_TOLD_VMS: usize = 12;
-/// The number of VMs of the own zone that keep a stream in a larger fleet.
-const LOCAL_KEEPERS: usize = 3;
-/// The same for each other zone.
-const REMOTE_KEEPERS: usize = 1;
+/// The number of VMs of each zone that keep a stream in a larger fleet.
+const KEEPERS_PER_ZONE: usize = 2;
+/// The number of VMs that have to say that a stream was not told.
+const MIN_UNTOLD_ANSWERS: usize = 2;
 /// The number of times that VMs are asked: a message may be lost.
 const ATTEMPTS: usize = 3;
 /// How long answers are waited for each time.
@@ -31,8 +29,10 @@
 pub(crate) struct VersionAnswer {
     /// The version at which the stream began, if the VM was told.
     pub(crate) version: Option<Name>,
-    /// The versions at which it can have begun if it was not told to the VM.
-    pub(crate) candidates: CandidateVersions,
+    /// The version at which it began if no VM was told of it, as far as this VM can say.
+    pub(crate) untold: Option<Name>,
+    /// Whether the VM has not known the servers for as long as streams last.
+    pub(crate) is_young: bool,
 }
 
 /// A search for the version of one stream.
@@ -84,44 +84,51 @@
     }
 }
 
-/// Decides at which version a stream began by what VMs know; `None` if it may have been more than one.
+/// Decides at which version a stream began by the answers of the VMs that were `asked`, and by what
+/// this VM itself knows; `None` if that leaves none or several.
 ///
-/// A VM that was told decides. Otherwise the stream began while nothing had to be told, and only VMs
-/// that have known the servers for long enough can name all versions of that time.
-pub(crate) fn decide(answers: &[VersionAnswer]) -> Option<Name> {
-    let told: BTreeSet<&Name> = answers
-        .iter()
-        .filter_map(|it| it.version.as_ref())
-        .collect();
-    if !told.is_empty() {
-        return told
-            .first()
-            .filter(|_| told.len() == 1)
-            .map(|it| (*it).clone());
+/// VMs that were told decide. If none was, the stream began while nothing had to be told, of which
+/// only young VMs may be ignorant. Since a VM may have missed a message, it takes two to say so.
+pub(crate) fn decide(answers: &[VersionAnswer], own: &VersionAnswer, asked: usize) -> Option<Name> {
+    let all = || answers.iter().chain([own]);
+    let told = all().filter_map(|it| it.version.as_ref());
+    if told.clone().count() > 0 {
+        return only(told).cloned();
     }
-    let has_complete = answers.iter().any(|it| !it.candidates.is_incomplete);
-    let candidates = answers.iter().map(|it| &it.candidates);
-    let usable = candidates.filter(|it| !(has_complete && it.is_incomplete));
-    let versions: BTreeSet<&Name> = usable.flat_map(|it| &it.versions).collect();
-    versions
-        .first()
-        .filter(|_| versions.len() == 1)
-        .map(|it| (*it).clone())
+    let has_old = all().any(|it| !it.is_young);
+    let deciding = all().filter(|it| !(has_old && it.is_young));
+    let versions: Vec<Option<&Name>> = deciding.map(|it| it.untold.as_ref()).collect();
+    let has_ignorant_young = !has_old && versions.contains(&None);
+    let version = only(versions.into_iter().flatten()).filter(|_| !has_ignorant_young)?;
+    let confirmed = answers
+        .iter()
+        .filter(|it| it.untold.as_ref() == Some(version));
+    (confirmed.count() >= asked.min(MIN_UNTOLD_ANSWERS)).then(|| version.clone())
 }
 
-/// The VMs that are told of a stream, and asked for it.
-pub(crate) fn keepers(key: StreamKey, targets: &Targets) -> Vec<SocketAddr> {
+/// The version, if there is exactly one.
+fn only<'a>(mut versions: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
+    let first = versions.next()?;
+    versions.all(|version| version == first).then_some(first)
+}
+
+/// The other VMs that are told of a stream, and asked for it. `own` is the VM that tells or asks; all
+/// VMs with the same view name the same ones.
+pub(crate) fn keepers(key: StreamKey, targets: &Targets, own: SocketAddr) -> Vec<SocketAddr> {
     if targets.all().count() < MAX_TOLD_VMS {
         return targets.all().collect();
     }
-    let mut keepers = highest(key, &targets.local, LOCAL_KEEPERS);
-    let remote = targets.remote.values();
-    keepers.extend(remote.flat_map(|vms| highest(key, vms, REMOTE_KEEPERS)));
+    let local = targets.local.iter().copied().chain([own]);
+    let mut keepers = highest(key, local);
+    for vms in targets.remote.values() {
+        keepers.extend(highest(key, vms.iter().copied()));
+    }
+    keepers.retain(|vm| *vm != own);
     keepers
 }
 
-/// The `count` VMs with the highest hash of their address and the key.
-fn highest(key: StreamKey, vms: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+/// The VMs of a zone with the highest hash of their address and the key.
+fn highest(key: StreamKey, vms: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
     let weight = |vm: &SocketAddr| {
         let bytes = match vm.ip() {
             IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
@@ -129,10 +136,10 @@
         };
         xxh3_64_with_seed(&bytes, key.0 ^ u64::from(vm.port()))
     };
-    let mut ranked: Vec<(u64, SocketAddr)> = vms.iter().map(|vm| (weight(vm), *vm)).collect();
-    if ranked.len() > count {
-        ranked.select_nth_unstable_by(count, |left, right| right.cmp(left));
-        ranked.truncate(count);
+    let mut ranked: Vec<(u64, SocketAddr)> = vms.map(|vm| (weight(&vm), vm)).collect();
+    if ranked.len() > KEEPERS_PER_ZONE {
+        ranked.select_nth_unstable_by(KEEPERS_PER_ZONE, |left, right| right.cmp(left));
+        ranked.truncate(KEEPERS_PER_ZONE);
     }
     ranked.into_iter().map(|(_, vm)| vm).collect()
 }
