--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -122,6 +122,16 @@
                 .arg(number("vms", "6"))
                 .arg(number("seconds", "25")),
         )
+        .subcommand(
+            Command::new("version-soak")
+                .about(
+                    "Draw software versions that come and leave and faults of VMs from a seed, and \
+                     check that each stream holds events of one version",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("vms", "5"))
+                .arg(number("seconds", "25")),
+        )
         .subcommand(
             Command::new("calls")
                 .about("Measure what non-idempotent calls cost")
@@ -265,6 +275,14 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("version-soak", matches)) => {
+            let vms = get::<u64>(matches, "vms") as usize;
+            let seconds = Duration::from_secs(get(matches, "seconds"));
+            let findings = site::version_soak::run(get(matches, "seed"), vms, seconds).await;
+            if !report_findings(&findings) {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("calls", matches)) => {
             let load = CallLoad {
                 vms: get::<u64>(matches, "vms") as usize,
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -9,6 +9,7 @@
 mod server;
 pub mod soak;
 mod store;
+pub mod version_soak;
 
 pub use black_hole::BlackHole;
 pub use caller::{Answer, Caller, CallerRequest};
--- a/workbench/tests/site_soak.rs
+++ b/workbench/tests/site_soak.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use std::time::Duration;
 use workbench::cluster::block_on;
-use workbench::site::{cut_soak, soak};
+use workbench::site::{cut_soak, soak, version_soak};
 
 #[googletest::test]
 fn statements_of_servers_are_respected_with_seed_1() {
@@ -26,3 +26,9 @@
     let findings = block_on(cut_soak::run(3, 6, Duration::from_secs(25)));
     expect_that!(findings, is_empty());
 }
+
+#[googletest::test]
+fn each_stream_holds_events_of_one_software_version_with_seed_4() {
+    let findings = block_on(version_soak::run(4, 5, Duration::from_secs(25)));
+    expect_that!(findings, is_empty());
+}
