--- a/workbench/src/site/version_soak.rs
+++ b/workbench/src/site/version_soak.rs
@@ -75,7 +75,7 @@
             .lines()
             .filter_map(move |line| line.strip_prefix(name))
     };
-    let last = field("id: ").last().and_then(|id| id.parse().ok());
+    let last = field("id: ").next_back().and_then(|id| id.parse().ok());
     (last, field("data: ").map(str::to_owned).collect())
 }
 
