Test: a traced request is looked for once both VMs have written their logs

Traced: each process writes its log every 100 ms at a time of its own; the request was answered within 1 ms, the other VM had written, and this one had not. The test waited for the other VM's line alone. It now waits for both, for as long as before, and checks the same.

--- a/workbench/tests/site_cut_off.rs
+++ b/workbench/tests/site_cut_off.rs
@@ -325,8 +325,10 @@
                 .filter(|line| line["request"] == request.id.as_str())
                 .count()
         };
-        site.wait("the other VM has logged the answer", async || {
-            (0..CUT_VM).any(|vm| lines_of(vm, "request answered") == 1)
+        // Each VM writes its log at times of its own.
+        site.wait("both VMs have logged the request", async || {
+            let is_answered = (0..CUT_VM).any(|vm| lines_of(vm, "request answered") == 1);
+            is_answered && lines_of(CUT_VM, "request forwarded") > 0
         })
         .await;
         expect_that!(lines_of(CUT_VM, "request forwarded"), eq(1));
