Logs and metrics that tell the hypotheses of a VM with an older configuration apart

'state not confirmed' is logged while a VM does not know whether a part of its state is current, whether it obtains it or not, with whether it leads, whether another VM is ahead and how late the check ran. 'configuration in force' names the source, 'store call unanswered' whether a kept connection was used; task_delay_seconds shows starved tasks.

The site of the tests gets paths to the store of single VMs, connections that fail when they are next used, and quotas of processor time.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -88,6 +88,10 @@
         "configuration_unconfirmed_seconds",
         "time since the configuration was last known to be the newest",
     ),
+    describe(
+        "task_delay_seconds",
+        "how late a task ran that was due at regular times",
+    ),
     describe("is_cut_off", "1 while this VM reaches no backend server"),
     describe("servers", "backend servers in the directory"),
     describe("limited_servers", "backend servers that state a rate limit"),
@@ -152,6 +156,8 @@
     pub(crate) peer_messages: Counter,
     pub(crate) store_calls: Family<CallLabels, Counter>,
     pub(crate) store_call: Histogram,
+    /// How late tasks run.
+    pub(crate) task_delay: Histogram,
     pub(crate) orders: Family<CallLabels, Counter>,
     /// Bytes received from the store.
     pub(crate) store_bytes: Counter,
@@ -197,6 +203,7 @@
             peer_messages: Counter::default(),
             store_calls: Family::default(),
             store_call: duration_histogram(),
+            task_delay: duration_histogram(),
             orders: Family::default(),
             store_bytes: Counter::default(),
             sync_bytes: Counter::default(),
@@ -244,6 +251,7 @@
         self.register("served_requests", self.requests.clone());
         self.register("organisation_requests", self.organisations.clone());
         self.register("store_call_seconds", self.store_call.clone());
+        self.register("task_delay_seconds", self.task_delay.clone());
         self.register("answer_seconds", self.answer.clone());
         self.register("first_event_seconds", self.first_event.clone());
         self.register("longest_pause_seconds", self.longest_pause.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -67,6 +67,7 @@
 mod speeds;
 mod spread;
 mod state;
+mod state_monitor;
 mod stream_gossip;
 mod stream_message;
 mod stream_resumption;
@@ -79,6 +80,7 @@
 #[cfg(test)]
 mod tests;
 mod transfer_slots;
+mod unconfirmed_alarm;
 mod version_search;
 mod view;
 mod wait_queue;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -9,6 +9,7 @@
 use crate::gateway::relay::Relay;
 use crate::gateway::server_probe::probe_servers;
 use crate::gateway::state::State;
+use crate::gateway::state_monitor::StateMonitor;
 use crate::gateway::sync_server::SyncServer;
 use crate::gateway::watch::LogWatcher;
 use crate::gateway::{
@@ -86,6 +87,7 @@
     let watch = LogWatcher::new(state.clone(), store.clone());
     compio::runtime::spawn(watch.clone().follow_configuration()).detach();
     compio::runtime::spawn(watch.follow_directory()).detach();
+    compio::runtime::spawn(StateMonitor::new(state.clone()).run()).detach();
     compio::runtime::spawn(gossip.clone().receive()).detach();
     compio::runtime::spawn(gossip.clone().send_prompts()).detach();
     compio::runtime::spawn(gossip.clone().send_stream_versions()).detach();
--- a/src/gateway/source_selector.rs
+++ b/src/gateway/source_selector.rs
@@ -23,6 +23,17 @@
     Unneeded,
 }
 
+impl Source {
+    /// Returns the name of the source in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Log => "log",
+            Self::Peer(_) => "vm",
+            Self::Unneeded => "none",
+        }
+    }
+}
+
 /// Selects the source of one part of the state.
 #[derive(Debug)]
 pub(crate) struct SourceSelector {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use crate::gateway::read_turn::ReadTurn;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
 use crate::gateway::software_versions::SoftwareVersions;
+use crate::gateway::source_selector::Source;
 use crate::gateway::speeds::Speeds;
 use crate::gateway::stream_versions::{StreamKey, StreamVersions};
 use crate::gateway::sync_message::Part;
@@ -153,7 +154,7 @@
     }
 
     /// Puts a configuration in force, unless its version is not newer than the current one.
-    pub(crate) fn apply_configuration(&self, configuration: Configuration) {
+    pub(crate) fn apply_configuration(&self, configuration: Configuration, source: Source) {
         let mut current = self.configuration.borrow_mut();
         let before = current.as_ref().map_or(0, |current| current.version);
         if current.is_some() && configuration.version <= before {
@@ -162,6 +163,7 @@
         info!(
             version = configuration.version,
             before,
+            source = source.name(),
             routes = configuration.route_count(),
             bytes = configuration.document.len(),
             "configuration in force"
@@ -292,12 +294,8 @@
     /// does not have the part.
     pub(super) fn read_deadline(&self, part: Part, now: Instant) -> Option<Instant> {
         let confirmed_at = self.confirmed_at(part, now)?;
-        let bounds = &self.settings.bounds;
         let deadline = ReadDeadline {
-            max_delay: match part {
-                Part::Directory => bounds.drain,
-                Part::Configuration => bounds.configuration_delay,
-            },
+            max_delay: self.max_delay(part),
             read_time: match part {
                 // Changes of the directory are small.
                 Part::Directory => Duration::ZERO,
@@ -309,6 +307,14 @@
         Some(confirmed_at + deadline.delay())
     }
 
+    /// The longest time from the acknowledgement of a change of a part until it has to take effect.
+    pub(super) fn max_delay(&self, part: Part) -> Duration {
+        match part {
+            Part::Directory => self.settings.bounds.drain,
+            Part::Configuration => self.settings.bounds.configuration_delay,
+        }
+    }
+
     /// How long the configuration takes on the link of this VM.
     fn configuration_transfer_time(&self) -> Duration {
         let bytes = self.configuration().map_or(0, |it| it.document.len());
--- a/src/gateway/tests/large_fleet.rs
+++ b/src/gateway/tests/large_fleet.rs
@@ -3,6 +3,7 @@
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::order_dispatch::OrderDispatcher;
 use crate::gateway::report_schedule::ReportSchedule;
+use crate::gateway::source_selector::Source;
 use crate::gateway::tests::state;
 use crate::gateway::{
     Changes, Configuration, Engine, Limits, Model, Order, OrderOutcome, RunnerControl,
@@ -104,7 +105,7 @@
 
 fn leader(runners: usize, control: &Control) -> Rc<OrderDispatcher<Control>> {
     let state = Rc::new(state());
-    state.apply_configuration(configuration());
+    state.apply_configuration(configuration(), Source::Log);
     let entries = (0..runners).map(|index| ServerChange::Upserted(entry(index)));
     let changes = Changes {
         items: entries.collect(),
--- a/src/gateway/tests/order_dispatch.rs
+++ b/src/gateway/tests/order_dispatch.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::order_dispatch::OrderDispatcher;
+use crate::gateway::source_selector::Source;
 use crate::gateway::state::State;
 use crate::gateway::tests::state;
 use crate::gateway::{
@@ -187,7 +188,7 @@
 /// Returns a leader with one listed runner.
 fn leader(control: &Control) -> (Rc<State>, Rc<OrderDispatcher<Control>>) {
     let state = Rc::new(state());
-    state.apply_configuration(configuration());
+    state.apply_configuration(configuration(), Source::Log);
     apply_change(&state, ServerChange::Upserted(entry()));
     let dispatcher = OrderDispatcher::new(state.clone(), control.clone());
     dispatcher.start(1);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -123,7 +123,7 @@
                     let following = &self.state.following;
                     let before = following.configuration.replace(Some(reading));
                     for configuration in changes.items {
-                        self.state.apply_configuration(configuration);
+                        self.state.apply_configuration(configuration, source);
                     }
                     let is_change =
                         before.is_some_and(|before| before.last_change < reading.last_change);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -127,6 +127,14 @@
     end: u64,
 }
 
+/// What is known of a call while it is in progress.
+#[derive(Debug, Default)]
+struct CallProgress {
+    received_bytes: Cell<u64>,
+    /// Whether the call is sent on a connection that was kept open.
+    is_reused: Cell<bool>,
+}
+
 /// A record of a keyed topic; an empty value deletes the key.
 pub(super) struct KeyedRecord {
     pub(super) key: Bytes,
@@ -153,10 +161,8 @@
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let began = Instant::now();
-        let received_bytes = Cell::new(0);
-        let answer = self
-            .send_call(method, path, body, wait, &received_bytes)
-            .await;
+        let progress = CallProgress::default();
+        let answer = self.send_call(method, path, body, wait, &progress).await;
         let outcome = match &answer {
             Ok((status, _)) if status.is_success() => "answered",
             Ok(_) | Err(StoreError::Refused) => "refused",
@@ -166,12 +172,14 @@
         let call = call.copied().unwrap_or("other");
         let took = began.elapsed();
         self.metrics.note_store_call(call, outcome, took);
-        self.metrics.store_bytes.inc_by(received_bytes.get());
+        let received_bytes = progress.received_bytes.get();
+        self.metrics.store_bytes.inc_by(received_bytes);
         if outcome == "unanswered" {
             tracing::info!(
                 call,
                 took_ms = took.as_millis() as u64,
-                received_bytes = received_bytes.get(),
+                received_bytes,
+                is_reused = progress.is_reused.get(),
                 "store call unanswered"
             );
         }
@@ -188,12 +196,13 @@
         path: &str,
         body: Bytes,
         wait: Duration,
-        received_bytes: &Cell<u64>,
+        progress: &CallProgress,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let limit = RESPONSE_TIMEOUT + wait;
-        let head = self.request_head(&method, path, &body, limit);
+        let head = self.request_head(&method, path, &body, limit, progress);
         let answer = match compio::time::timeout(limit, head).await {
             Ok(Ok((connection, response))) => {
+                let received_bytes = &progress.received_bytes;
                 self.read_answer(connection, response, received_bytes).await
             }
             Ok(Err(SendError::NotSent)) => return Err(StoreError::Refused),
@@ -214,14 +223,17 @@
         path: &str,
         body: &Bytes,
         limit: Duration,
+        progress: &CallProgress,
     ) -> Result<(Connection, Response<Incoming>), SendError> {
         if let Some(mut connection) = self.take_idle() {
+            progress.is_reused.set(true);
             match connection.send(self.request(method, path, body)).await {
                 // The connection was closed before the request was written.
                 Err(SendError::NotSent) => {}
                 outcome => return Ok((connection, outcome?)),
             }
         }
+        progress.is_reused.set(false);
         let opened = Connection::open_abort_on_drop(self.address, CONNECT_TIMEOUT, limit);
         let mut connection = opened.await?;
         let response = connection.send(self.request(method, path, body)).await?;
--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -47,6 +47,7 @@
     faults: RefCell<Faults>,
     cuts: Cell<u64>,
     silences: Cell<u64>,
+    expiries: Cell<u64>,
     accepted: Cell<u64>,
     captured: Cell<u64>,
     delivered: Cell<u64>,
@@ -76,6 +77,7 @@
             faults: RefCell::default(),
             cuts: Cell::new(0),
             silences: Cell::new(0),
+            expiries: Cell::new(0),
             accepted: Cell::new(0),
             captured: Cell::new(0),
             delivered: Cell::new(0),
@@ -101,6 +103,11 @@
         self.silences.set(self.silences.get() + 1);
     }
 
+    /// Closes each present connection when it is next used; new ones work.
+    pub fn expire(&self) {
+        self.expiries.set(self.expiries.get() + 1);
+    }
+
     /// Stops listening, so that new connections are refused; present ones go on.
     pub fn close(&self) {
         self.is_closed.set(true);
@@ -170,6 +177,7 @@
         let line = Rc::new(Line {
             cuts: self.cuts.get(),
             silences: self.silences.get(),
+            expiries: self.expiries.get(),
             closed: Cell::new(false),
             proxy: self,
         });
@@ -184,6 +192,7 @@
     proxy: Rc<Proxy>,
     cuts: u64,
     silences: u64,
+    expiries: u64,
     closed: Cell<bool>,
 }
 
@@ -196,6 +205,10 @@
         self.proxy.silences.get() != self.silences
     }
 
+    fn is_expired(&self) -> bool {
+        self.proxy.expiries.get() != self.expiries
+    }
+
     /// Copies one way until either end closes or the line is cut.
     async fn copy(self: Rc<Self>, mut from: TcpStream, mut to: TcpStream, way: Way) {
         loop {
@@ -212,6 +225,9 @@
             if count == 0 {
                 break;
             }
+            if way == Way::Requests && self.is_expired() {
+                break;
+            }
             if way == Way::Requests && self.proxy.captures(&bytes) {
                 self.deliver_late(bytes).await;
                 break;
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -6,6 +6,7 @@
 pub mod cut_soak;
 pub mod events;
 mod load;
+mod quota;
 mod server;
 pub mod soak;
 mod store;
@@ -14,6 +15,7 @@
 pub use black_hole::BlackHole;
 pub use caller::{Answer, Caller, CallerRequest};
 pub use load::send_steadily;
+pub use quota::CpuQuota;
 pub use server::{
     Arrival, LoadedModels, ReceivedRequest, ScriptStep, ServerEvent, ServerStandIn, signed_answer,
 };
@@ -21,9 +23,11 @@
 
 use crate::cluster::Cluster;
 use crate::process::{Process, product_binary};
+use crate::proxy::Proxy;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::Command;
 use std::rc::Rc;
@@ -33,6 +37,8 @@
 const STORE_PORT: u16 = 22_000;
 /// The port of the store for VMs with paths of their own to the servers.
 const PATHS_STORE_PORT: u16 = STORE_PORT + 1;
+/// The first port of the VMs' own paths to the store.
+const STORE_PATH_PORT: u16 = STORE_PORT + 10;
 /// The first port of the backend servers.
 const SERVER_PORT: u16 = 22_100;
 /// How far the ports of the paths to the servers lie above those of the servers.
@@ -66,6 +72,8 @@
     /// The VMs that reach the servers by paths of their own, which a test can cut. They are in a zone
     /// of their own, since VMs of a zone send each other the directory.
     pub vms_with_paths: BTreeSet<usize>,
+    /// The VMs that reach the store by paths of their own, which a test has to start.
+    pub vms_with_store_paths: BTreeSet<usize>,
     folder: PathBuf,
     version: u64,
 }
@@ -88,6 +96,7 @@
             retry_slack: 58,
             organisations: None,
             vms_with_paths: BTreeSet::new(),
+            vms_with_store_paths: BTreeSet::new(),
             folder,
             version: 0,
         };
@@ -136,6 +145,22 @@
         SocketAddr::new(self.ip, SERVER_PORT + server as u16 + PATH_PORT_OFFSET)
     }
 
+    /// The address of the path to the store of a VM with a path of its own.
+    pub fn store_path_address(&self, vm: usize) -> SocketAddr {
+        SocketAddr::new(self.ip, STORE_PATH_PORT + vm as u16)
+    }
+
+    /// Starts the paths to the store of `vms`, which have to be started after this.
+    pub async fn start_store_paths(&mut self, vms: Range<usize>) -> Vec<Rc<Proxy>> {
+        let store = SocketAddr::new(self.ip, STORE_PORT);
+        let mut paths = Vec::new();
+        for vm in vms.clone() {
+            paths.push(Proxy::start(self.store_path_address(vm), store).await);
+        }
+        self.vms_with_store_paths.extend(vms);
+        paths
+    }
+
     /// Writes the directory entry of a server with the given state.
     pub fn put_entry(&self, server: &ServerStandIn, state: &str) {
         let entry = server.entry(state);
@@ -184,9 +209,12 @@
     fn spawn_vm(&self, index: usize) -> Process {
         let port = VM_PORT + 10 * index as u16;
         let at = |offset: u16| SocketAddr::new(self.ip, port + offset);
-        let (zone, store_port) = match self.vms_with_paths.contains(&index) {
-            true => ("b", PATHS_STORE_PORT),
-            false => ("a", STORE_PORT),
+        let (zone, store) = match self.vms_with_paths.contains(&index) {
+            true => ("b", SocketAddr::new(self.ip, PATHS_STORE_PORT)),
+            false if self.vms_with_store_paths.contains(&index) => {
+                ("a", self.store_path_address(index))
+            }
+            false => ("a", SocketAddr::new(self.ip, STORE_PORT)),
         };
         let settings = format!(
             r#"node_name = "vm-{index}"
@@ -228,7 +256,6 @@
             last = port + 9,
             front = at(0),
             ready = at(1),
-            store = SocketAddr::new(self.ip, store_port),
         );
         let path = self.folder.join(format!("vm-{index}.toml"));
         std::fs::write(&path, settings).expect("the folder takes files");
