A VM whose reads of the log fail takes changes from other VMs, also as the leader (CONFIG)

Callers of one VM got 404 for a route that was added, or reached a service from which the route had moved, for as long as the store turned that VM away, while all others were current.

Cause: a leader took its state from the log only, whatever other VMs advertised, and where runners check fences it keeps leading without the log. A VM that had asked others three times in vain never asked again before a read of the log succeeded. A VM alone in its zone asked nobody. While reads fail, a change was also noticed only between two reads and pauses, up to 2.2 s.

Now a VM whose last read failed asks whichever VM is ahead, first of its own zone, at once, in the middle of a read or of a pause; each failed read lets it ask again.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -381,6 +381,16 @@
             .collect()
     }
 
+    /// The log positions reported by all other VMs that follow the log closely, with the zone of
+    /// each.
+    pub(crate) fn all_readings(&self) -> Vec<(SocketAddr, Name, Readings)> {
+        let peer_states = self.peer_states.borrow();
+        let reported = peer_states.iter().filter_map(|(address, peer)| {
+            Some((*address, peer.availability_zone.clone(), peer.readings?))
+        });
+        reported.collect()
+    }
+
     /// Picks a VM of a zone that has the directory and the configuration. `draw` is a random number
     /// from 0 to 1.
     pub(crate) fn random_peer_with_state(&self, zone: &Name, draw: f64) -> Option<SocketAddr> {
--- a/src/gateway/source_selector.rs
+++ b/src/gateway/source_selector.rs
@@ -80,12 +80,20 @@
         self.waiting_since.set(None);
     }
 
-    /// Records a failed read of the log; returns the number of failures in a row.
+    /// Records a failed read of the log; returns the number of failures in a row. Other VMs may be
+    /// asked again.
     pub(crate) fn note_log_failure(&self) -> u32 {
+        self.sync_failures.set(0);
         self.log_failures.set(self.log_failures.get() + 1);
         self.log_failures.get()
     }
 
+    /// Whether this VM should obtain a change from another VM, since its own reads of the log fail
+    /// and the other one is ahead of `from`.
+    pub(crate) fn has_alternative(&self, from: u64) -> bool {
+        self.alternative(from).is_some()
+    }
+
     /// Records that another VM did not send the part.
     pub(crate) fn note_sync_failure(&self) {
         self.sync_failures.set(self.sync_failures.get() + 1);
@@ -110,24 +118,21 @@
 
     /// The source at this time; `None` while this VM waits for its turn.
     pub(crate) fn select_now(&self, from: Option<u64>, now: Instant) -> Option<Source> {
-        let is_leader = self.state.fence.get() > 0;
         match from {
-            _ if is_leader => Some(Source::Log),
             None => self.whole_source(now),
             Some(from) => self.update_source(from, now),
         }
     }
 
     fn whole_source(&self, now: Instant) -> Option<Source> {
-        let is_overdue = self.is_overdue(now) && self.log_failures.get() == 0;
-        if self.is_compacted.take() || self.is_follower(now) || is_overdue {
+        let reads_first = self.is_leader() || self.is_follower(now) || self.is_overdue(now);
+        if self.is_compacted.take() || (reads_first && self.log_failures.get() == 0) {
             return Some(Source::Log);
         }
         let peers = &self.state.peers;
         let zone = &self.state.settings.availability_zone;
-        let may_sync = self.sync_failures.get() < MAX_SYNC_FAILURES;
         let with_state = peers.random_peer_with_state(zone, rand::random());
-        if let Some(peer) = with_state.filter(|_| may_sync) {
+        if let Some(peer) = with_state.filter(|_| self.may_sync()) {
             return Some(Source::Peer(peer));
         }
         if self.is_turn(now) {
@@ -142,14 +147,15 @@
     }
 
     fn update_source(&self, from: u64, now: Instant) -> Option<Source> {
-        let may_sync = self.sync_failures.get() < MAX_SYNC_FAILURES;
-        let ahead = self.state.peer_ahead(self.part, from, now);
-        let ahead = ahead.filter(|_| may_sync).map(Source::Peer);
-        // The log may be out of reach of this VM, but not of the other one.
-        let has_alternative = ahead.is_some() && self.log_failures.get() > 0;
-        if self.is_overdue(now) && !has_alternative {
+        if let Some(peer) = self.alternative(from) {
+            return Some(Source::Peer(peer));
+        }
+        // The leader has to know what servers hold as soon as they report it.
+        if self.is_leader() || self.is_overdue(now) {
             return Some(Source::Log);
         }
+        let ahead = self.state.peer_ahead(self.part, from, now);
+        let ahead = ahead.filter(|_| self.may_sync()).map(Source::Peer);
         if self.state.advertised_readings(now).is_some() {
             let was_waiting = self.waiting_since.get().is_some();
             // Otherwise this is one of the rare reads.
@@ -160,10 +166,25 @@
             };
             return Some(ahead.unwrap_or(otherwise));
         }
-        if self.is_follower(now) || self.is_turn(now) {
-            return Some(Source::Log);
+        (self.is_follower(now) || self.is_turn(now)).then_some(Source::Log)
+    }
+
+    /// A VM that is ahead of `from`, while this VM's reads of the log fail: the log may be out of
+    /// reach of this VM only.
+    fn alternative(&self, from: u64) -> Option<SocketAddr> {
+        if self.log_failures.get() == 0 || !self.may_sync() {
+            return None;
         }
-        ahead.filter(|_| has_alternative)
+        self.state.any_peer_ahead(self.part, from)
+    }
+
+    fn is_leader(&self) -> bool {
+        self.state.fence.get() > 0
+    }
+
+    /// Whether other VMs have not failed to send the part too often.
+    fn may_sync(&self) -> bool {
+        self.sync_failures.get() < MAX_SYNC_FAILURES
     }
 
     /// Whether this VM no longer waits for others, since a change could take effect too late.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -246,6 +246,19 @@
         (newest.1.of(part).last_change > from).then_some(newest.0)
     }
 
+    /// Returns the address of the VM whose last known read of the log is furthest ahead of `from`,
+    /// however old the read is; one of the own zone if that is as far.
+    pub(super) fn any_peer_ahead(&self, part: Part, from: u64) -> Option<SocketAddr> {
+        let zone = &self.settings.availability_zone;
+        let advertised = self.peers.all_readings().into_iter();
+        let rated = advertised.map(|(peer, vm_zone, readings)| {
+            let rating = (readings.of(part).last_change, vm_zone == *zone);
+            (rating, peer)
+        });
+        let ((last_change, _), peer) = rated.max_by_key(|(rating, _)| *rating)?;
+        (last_change > from).then_some(peer)
+    }
+
     /// Whether this VM has the directory and the configuration.
     pub(crate) fn has_state(&self) -> bool {
         self.is_directory_known.get() && self.configuration.borrow().is_some()
--- a/src/gateway/tests/source_selector.rs
+++ b/src/gateway/tests/source_selector.rs
@@ -26,8 +26,14 @@
 
 /// Delivers the message of a VM of the zone that read the log up to `end` at this time.
 fn receive_reading(state: &State, vm: usize, end: u64, now: Instant) {
+    let zone = state.settings.availability_zone.clone();
+    receive_reading_of_zone(state, &zone, vm, end, now);
+}
+
+/// Delivers the message of a VM of some zone that read the log up to `end` at this time.
+fn receive_reading_of_zone(state: &State, zone: &str, vm: usize, end: u64, now: Instant) {
     let digest = Digest {
-        availability_zone: state.settings.availability_zone.to_string(),
+        availability_zone: zone.to_owned(),
         next_in_ms: 200,
         has_state: true,
         followed_log: Some(FollowedLog {
@@ -214,3 +220,49 @@
     let selected = selector.select_now(Some(OWN_END), now);
     assert_eq!(selected, Some(Source::Peer(follower(9))));
 }
+
+#[test]
+fn a_leader_that_cannot_read_the_log_asks_a_vm_that_is_ahead() {
+    let now = Instant::now();
+    let state = vm_state();
+    has_directory(&state, now);
+    state.fence.set(1);
+    receive_reading(&state, 3, OWN_END + 5, now);
+    let selector = SourceSelector::new(state, Part::Directory);
+    assert_eq!(selector.select_now(Some(OWN_END), now), Some(Source::Log));
+    selector.note_log_failure();
+    let expected = Some(Source::Peer(follower(3)));
+    assert_eq!(selector.select_now(Some(OWN_END), now), expected);
+    // The same without any offset, once the log has dropped its records.
+    assert_eq!(selector.select_now(None, now), expected);
+}
+
+#[test]
+fn a_vm_that_cannot_read_the_log_asks_others_again_after_they_failed_to_answer() {
+    let now = Instant::now();
+    let state = vm_state();
+    has_directory(&state, now);
+    receive_reading(&state, 3, OWN_END + 5, now);
+    let selector = SourceSelector::new(state, Part::Directory);
+    selector.note_log_failure();
+    for _ in 0..3 {
+        selector.note_sync_failure();
+    }
+    let later = now + Duration::from_secs(10);
+    assert_eq!(selector.select_now(Some(OWN_END), later), Some(Source::Log));
+    selector.note_log_failure();
+    let selected = selector.select_now(Some(OWN_END), later);
+    assert_eq!(selected, Some(Source::Peer(follower(3))));
+}
+
+#[test]
+fn a_vm_alone_in_its_zone_that_cannot_read_the_log_asks_one_of_another_zone() {
+    let now = Instant::now();
+    let state = vm_state();
+    has_directory(&state, now);
+    receive_reading_of_zone(&state, "b", 3, OWN_END + 5, now);
+    let selector = SourceSelector::new(state, Part::Directory);
+    selector.note_log_failure();
+    let selected = selector.select_now(Some(OWN_END), now);
+    assert_eq!(selected, Some(Source::Peer(follower(3))));
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -10,8 +10,10 @@
 use crate::gateway::sync_message::{Part, SyncReply};
 use crate::gateway::{Changes, ConfigSource, Configuration, Directory, ServerChange, StoreError};
 use crate::inventory::Name;
+use futures_util::future::{Either, select};
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -106,8 +108,12 @@
                     continue;
                 }
                 Source::Log => {
-                    let read = self.read_configuration(next, read_at).await;
+                    let read = self.read_configuration(next, read_at);
+                    let read = read_unless_alternative(read, next, &selector).await;
                     delays.add(ReadStep::Log, began);
+                    let Some(read) = read else {
+                        continue;
+                    };
                     read
                 }
             };
@@ -142,7 +148,8 @@
                 Err(error) => {
                     let failed_at = Instant::now();
                     self.report_failure("configuration", error, selector.log_failures());
-                    self.wait_before_retry(selector.note_log_failure()).await;
+                    selector.note_log_failure();
+                    self.wait_before_retry(next, &selector).await;
                     delays.add(ReadStep::Pause, failed_at);
                 }
             }
@@ -206,8 +213,12 @@
                     decode_directory(synced).map(|(changes, at)| (changes, since, at))
                 }
                 Source::Log => {
-                    let read = self.read_directory(from).await;
+                    let read = self.read_directory(from);
+                    let read = read_unless_alternative(read, from, &selector).await;
                     delays.add(ReadStep::Log, began);
+                    let Some(read) = read else {
+                        continue;
+                    };
                     read
                 }
             };
@@ -235,7 +246,8 @@
                     let failed_at = Instant::now();
                     following.disrupted_at.set(Some(failed_at));
                     self.report_failure("directory", error, selector.log_failures());
-                    self.wait_before_retry(selector.note_log_failure()).await;
+                    selector.note_log_failure();
+                    self.wait_before_retry(from, &selector).await;
                     delays.add(ReadStep::Pause, failed_at);
                 }
             }
@@ -450,9 +462,14 @@
 
     /// Waits after a failed read. While no VM of the zone can read the log, only the leader and the
     /// first [`MAX_RETRYING_VMS`] VMs of the zone by address retry after the usual pause. The
-    /// others wait until some VM advertises a read, for at most a random time.
-    async fn wait_before_retry(&self, failures: u32) {
-        compio::time::sleep(retry_pause(failures, self.state.is_ready())).await;
+    /// others wait until some VM advertises a read, for at most a random time. Ends early once another
+    /// VM has what this one lacks.
+    async fn wait_before_retry(&self, from: Option<u64>, selector: &SourceSelector) {
+        let pause = retry_pause(selector.log_failures(), self.state.is_ready());
+        let alternative = wait_for_alternative(from, selector);
+        if compio::time::timeout(pause, alternative).await.is_ok() {
+            return;
+        }
         let paused_at = Instant::now();
         let share: f64 = rand::random();
         let waits_for_others = || {
@@ -462,7 +479,8 @@
                 && paused_at.elapsed() < spread.mul_f64(share)
         };
         while waits_for_others() {
-            if self.state.advertised_readings(Instant::now()).is_some() {
+            let is_advertised = self.state.advertised_readings(Instant::now()).is_some();
+            if is_advertised || from.is_some_and(|from| selector.has_alternative(from)) {
                 return;
             }
             compio::time::sleep(UPDATE_POLL).await;
@@ -497,6 +515,29 @@
 /// Directory changes, the offset from which they were read, and the time at which they were current.
 type DirectoryRead = (Changes<ServerChange>, Option<u64>, Instant);
 
+/// Reads the log; `None` if another VM turns out to have what this one lacks while reads fail.
+async fn read_unless_alternative<T>(
+    read: impl Future<Output = T>,
+    from: Option<u64>,
+    selector: &SourceSelector,
+) -> Option<T> {
+    if selector.log_failures() == 0 {
+        return Some(read.await);
+    }
+    let alternative = pin!(wait_for_alternative(from, selector));
+    match select(pin!(read), alternative).await {
+        Either::Left((read, _)) => Some(read),
+        Either::Right(((), _)) => None,
+    }
+}
+
+/// Waits until another VM is ahead of `from` and may be asked.
+async fn wait_for_alternative(from: Option<u64>, selector: &SourceSelector) {
+    while !from.is_some_and(|from| selector.has_alternative(from)) {
+        compio::time::sleep(UPDATE_POLL).await;
+    }
+}
+
 /// Returns the time at which a part that another VM sent was current.
 fn confirmed_at(synced: &SyncReply) -> Instant {
     let now = Instant::now();
