A read on a kept connection to the store that fails is repeated on a new one at once

After connections to the store had died without notice, each one that was still kept cost a failed read, with pauses that grow from 0.25 to 1 s, in which callers of the VM were served by an older configuration.

Cause: only a call that ran into its time limit closed the other kept connections; one that failed with an error, as when the kernel gives up or the other end resets, left them. A read can be repeated, so that needs no pause either. Calls that write are not repeated.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -206,8 +206,7 @@
                 self.read_answer(connection, response, received_bytes).await
             }
             Ok(Err(SendError::NotSent)) => return Err(StoreError::Refused),
-            Ok(Err(SendError::MaybeSent)) => return Err(StoreError::Unanswered),
-            Err(_elapsed) => None,
+            Ok(Err(SendError::MaybeSent)) | Err(_) => None,
         };
         answer.ok_or_else(|| {
             // The idle connections may be as unresponsive as this one.
@@ -230,6 +229,10 @@
             match connection.send(self.request(method, path, body)).await {
                 // The connection was closed before the request was written.
                 Err(SendError::NotSent) => {}
+                // A read can be repeated. The other idle connections may be broken as well.
+                Err(SendError::MaybeSent) if *method == Method::GET => {
+                    self.idle.borrow_mut().clear();
+                }
                 outcome => return Ok((connection, outcome?)),
             }
         }
--- a/workbench/tests/site_one_vm.rs
+++ b/workbench/tests/site_one_vm.rs
@@ -112,6 +112,12 @@
             let took = time_to_apply(&mut site, 0).await;
             expect_that!(took, lt(CONFIGURATION_LIMIT));
         }
+        let log = site.log(0);
+        let failed: Vec<_> = log
+            .iter()
+            .filter(|line| line["message"] == "log not read")
+            .collect();
+        expect_that!(failed, is_empty());
     });
 }
 
