Soak of the configuration: changes in series under faults of VMs and of their paths to the store

Each answer has to agree with a version that may be in force when the request was sent, and no VM goes back. VMs are stopped, suspended, killed and held to a quarter core; paths to the store refuse, hang, delay, or have their open connections silent for good or closed when used; the store is away or drops its history.

--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -132,6 +132,17 @@
                 .arg(number("vms", "5"))
                 .arg(number("seconds", "25")),
         )
+        .subcommand(
+            Command::new("config-soak")
+                .about(
+                    "Draw changes of the configuration and faults of VMs and of their paths to the \
+                     store from a seed, and check that each answer agrees with a version that may \
+                     be in force",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("vms", "6"))
+                .arg(number("seconds", "25")),
+        )
         .subcommand(
             Command::new("calls")
                 .about("Measure what non-idempotent calls cost")
@@ -283,6 +294,14 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("config-soak", matches)) => {
+            let vms = get::<u64>(matches, "vms") as usize;
+            let seconds = Duration::from_secs(get(matches, "seconds"));
+            let findings = site::config_soak::run(get(matches, "seed"), vms, seconds).await;
+            if !report_findings(&findings) {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("calls", matches)) => {
             let load = CallLoad {
                 vms: get::<u64>(matches, "vms") as usize,
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -3,6 +3,8 @@
 
 mod black_hole;
 mod caller;
+mod config_history;
+pub mod config_soak;
 pub mod cut_soak;
 pub mod events;
 mod load;
@@ -150,12 +152,17 @@
         SocketAddr::new(self.ip, STORE_PATH_PORT + vm as u16)
     }
 
+    /// Starts the path to the store of a VM with a path of its own.
+    async fn start_store_path(&self, vm: usize) -> Rc<Proxy> {
+        let store = SocketAddr::new(self.ip, STORE_PORT);
+        Proxy::start(self.store_path_address(vm), store).await
+    }
+
     /// Starts the paths to the store of `vms`, which have to be started after this.
     pub async fn start_store_paths(&mut self, vms: Range<usize>) -> Vec<Rc<Proxy>> {
-        let store = SocketAddr::new(self.ip, STORE_PORT);
         let mut paths = Vec::new();
         for vm in vms.clone() {
-            paths.push(Proxy::start(self.store_path_address(vm), store).await);
+            paths.push(self.start_store_path(vm).await);
         }
         self.vms_with_store_paths.extend(vms);
         paths
