--- a/src/gateway/source_selector.rs
+++ b/src/gateway/source_selector.rs
@@ -80,12 +80,10 @@
         self.waiting_since.set(None);
     }
 
-    /// Records a failed read of the log; returns the number of failures in a row. Other VMs may be
-    /// asked again.
-    pub(crate) fn note_log_failure(&self) -> u32 {
+    /// Records a failed read of the log. Other VMs may be asked again.
+    pub(crate) fn note_log_failure(&self) {
         self.sync_failures.set(0);
         self.log_failures.set(self.log_failures.get() + 1);
-        self.log_failures.get()
     }
 
     /// Whether this VM should obtain a change from another VM, since its own reads of the log fail
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -39,6 +39,9 @@
 /// shortly before: the server may be alive and add its entry again.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_000);
 
+/// The largest fleet in which a VM that cannot read the log asks VMs of other zones.
+const MAX_VMS_ASKING_ZONES: usize = 12;
+
 /// Maximum number of log lines about listed servers for one set of changes.
 const MAX_LISTED_LINES: usize = 16;
 
@@ -246,17 +249,21 @@
         (newest.1.of(part).last_change > from).then_some(newest.0)
     }
 
-    /// Returns the address of the VM whose last known read of the log is furthest ahead of `from`,
-    /// however old the read is; one of the own zone if that is as far.
+    /// Returns the address of a VM whose last known read of the log is ahead of `from`, however old
+    /// the read is. VMs of other zones count in a small fleet, or if this VM is alone in its zone:
+    /// otherwise all VMs of a large fleet would ask the same one after an outage of the log.
     pub(super) fn any_peer_ahead(&self, part: Part, from: u64) -> Option<SocketAddr> {
         let zone = &self.settings.availability_zone;
+        let may_leave_zone =
+            self.peers.vms() <= MAX_VMS_ASKING_ZONES || self.peers.vms_in(zone) == 0;
         let advertised = self.peers.all_readings().into_iter();
-        let rated = advertised.map(|(peer, vm_zone, readings)| {
-            let rating = (readings.of(part).last_change, vm_zone == *zone);
-            (rating, peer)
+        let ahead = advertised.filter_map(|(peer, vm_zone, readings)| {
+            let is_local = vm_zone == *zone;
+            let last_change = readings.of(part).last_change;
+            let is_asked = last_change > from && (is_local || may_leave_zone);
+            is_asked.then_some(((is_local, last_change), peer))
         });
-        let ((last_change, _), peer) = rated.max_by_key(|(rating, _)| *rating)?;
-        (last_change > from).then_some(peer)
+        Some(ahead.max_by_key(|(rating, _)| *rating)?.1)
     }
 
     /// Whether this VM has the directory and the configuration.
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -25,6 +25,7 @@
 mod starts;
 mod stream_versions;
 mod swaps;
+mod unconfirmed_alarm;
 mod views;
 mod waiting;
 mod zones;
--- a/src/gateway/tests/source_selector.rs
+++ b/src/gateway/tests/source_selector.rs
@@ -266,3 +266,20 @@
     let selected = selector.select_now(Some(OWN_END), now);
     assert_eq!(selected, Some(Source::Peer(follower(3))));
 }
+
+#[test]
+fn a_vm_of_a_large_fleet_that_cannot_read_the_log_asks_its_own_zone_only() {
+    let now = Instant::now();
+    let state = vm_state();
+    has_directory(&state, now);
+    for vm in 0..20 {
+        receive_reading(&state, vm, OWN_END, now);
+    }
+    receive_reading_of_zone(&state, "b", 30, OWN_END + 5, now);
+    let selector = SourceSelector::new(state.clone(), Part::Directory);
+    selector.note_log_failure();
+    assert!(!selector.has_alternative(OWN_END));
+    receive_reading(&state, 3, OWN_END + 2, now);
+    let selected = selector.select_now(Some(OWN_END), now);
+    assert_eq!(selected, Some(Source::Peer(follower(3))));
+}
