--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -271,33 +271,29 @@
             }
         }
         Some(("site-soak", matches)) => {
-            let vms = get::<u64>(matches, "vms") as usize;
-            let seconds = Duration::from_secs(get(matches, "seconds"));
-            let findings = site::soak::run(get(matches, "seed"), vms, seconds).await;
+            let (seed, vms, duration) = soak_arguments(matches);
+            let findings = site::soak::run(seed, vms, duration).await;
             if !report_findings(&findings) {
                 return ExitCode::FAILURE;
             }
         }
         Some(("cut-soak", matches)) => {
-            let vms = get::<u64>(matches, "vms") as usize;
-            let seconds = Duration::from_secs(get(matches, "seconds"));
-            let findings = site::cut_soak::run(get(matches, "seed"), vms, seconds).await;
+            let (seed, vms, duration) = soak_arguments(matches);
+            let findings = site::cut_soak::run(seed, vms, duration).await;
             if !report_findings(&findings) {
                 return ExitCode::FAILURE;
             }
         }
         Some(("version-soak", matches)) => {
-            let vms = get::<u64>(matches, "vms") as usize;
-            let seconds = Duration::from_secs(get(matches, "seconds"));
-            let findings = site::version_soak::run(get(matches, "seed"), vms, seconds).await;
+            let (seed, vms, duration) = soak_arguments(matches);
+            let findings = site::version_soak::run(seed, vms, duration).await;
             if !report_findings(&findings) {
                 return ExitCode::FAILURE;
             }
         }
         Some(("config-soak", matches)) => {
-            let vms = get::<u64>(matches, "vms") as usize;
-            let seconds = Duration::from_secs(get(matches, "seconds"));
-            let findings = site::config_soak::run(get(matches, "seed"), vms, seconds).await;
+            let (seed, vms, duration) = soak_arguments(matches);
+            let findings = site::config_soak::run(seed, vms, duration).await;
             if !report_findings(&findings) {
                 return ExitCode::FAILURE;
             }
@@ -329,6 +325,13 @@
     ExitCode::SUCCESS
 }
 
+/// The seed, the number of VMs and the duration of a soak of a site.
+fn soak_arguments(matches: &ArgMatches) -> (u64, usize, Duration) {
+    let vms = get::<u64>(matches, "vms") as usize;
+    let duration = Duration::from_secs(get(matches, "seconds"));
+    (get(matches, "seed"), vms, duration)
+}
+
 async fn run_experiment(matches: &ArgMatches) -> ExitCode {
     let name: String = get(matches, "scenario");
     let scenario = Scenario::find(&name).expect("the parser knows the scenarios");
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -314,6 +314,16 @@
         value.trim().parse().ok()
     }
 
+    /// The version of the configuration that a VM has in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the VM does not answer or has no configuration.
+    pub async fn configuration_version(&self, index: usize) -> f64 {
+        let version = self.metric(index, "configuration_version").await;
+        version.expect("a configuration is in force")
+    }
+
     /// Waits until all VMs are ready.
     pub async fn wait_ready(&self) {
         for index in 0..self.vms.len() {
--- a/workbench/tests/site_configuration.rs
+++ b/workbench/tests/site_configuration.rs
@@ -45,16 +45,11 @@
     );
 }
 
-async fn version(site: &Site, vm: usize) -> f64 {
-    let version = site.metric(vm, "configuration_version").await;
-    version.expect("a configuration is in force")
-}
-
 /// Waits until a newer configuration than `before` is in force at these VMs.
 async fn wait_for_change(site: &Site, vms: &[usize], before: f64) {
     site.wait("the change is in force", async || {
         for vm in vms {
-            if version(site, *vm).await <= before {
+            if site.configuration_version(*vm).await <= before {
                 return false;
             }
         }
@@ -95,7 +90,7 @@
         let others: Vec<usize> = (1..8).collect();
         for _ in 0..3 {
             compio::time::sleep(CALM).await;
-            let before = version(&site, 1).await;
+            let before = site.configuration_version(1).await;
             let published_at = Instant::now();
             publish(&mut site);
             // It has read the change by then, and most others have not yet asked for it.
@@ -113,7 +108,7 @@
     block_on(async {
         let mut site = Site::start_plain(1, 16).await;
         compio::time::sleep(CALM).await;
-        let before = version(&site, 15).await;
+        let before = site.configuration_version(15).await;
         let others = stop_first(&site, 12).await;
         let published_at = Instant::now();
         publish(&mut site);
@@ -127,7 +122,7 @@
     block_on(async {
         let mut site = Site::start_plain(1, 8).await;
         compio::time::sleep(CALM).await;
-        let before = version(&site, 7).await;
+        let before = site.configuration_version(7).await;
         site.store.set(StoreFaults {
             is_silent: true,
             ..StoreFaults::default()
@@ -151,7 +146,7 @@
 fn a_change_is_in_force_in_time_although_its_size_takes_most_of_that_on_the_path_to_the_store() {
     block_on(async {
         let mut site = Site::start_plain(1, 1).await;
-        let before = version(&site, 0).await;
+        let before = site.configuration_version(0).await;
         site.store.set(SLOW_PATH);
         let published_at = Instant::now();
         publish_routes(&mut site, MANY_ROUTES);
@@ -177,13 +172,13 @@
         let mut site = Site::start_plain(1, 8).await;
         let all: Vec<usize> = (0..8).collect();
         compio::time::sleep(CALM).await;
-        let before = version(&site, 0).await;
+        let before = site.configuration_version(0).await;
         publish_routes(&mut site, MANY_ROUTES);
         wait_for_change(&site, &all, before).await;
         compio::time::sleep(CALM).await;
 
         let bytes_before = received_bytes(&site, &all).await;
-        let before = version(&site, 0).await;
+        let before = site.configuration_version(0).await;
         publish_routes(&mut site, MANY_ROUTES + 1);
         wait_for_change(&site, &all, before).await;
         let size = site.metric(0, "configuration_bytes").await;
--- a/workbench/tests/site_one_vm.rs
+++ b/workbench/tests/site_one_vm.rs
@@ -39,11 +39,6 @@
     );
 }
 
-async fn version(site: &Site, vm: usize) -> f64 {
-    let version = site.metric(vm, "configuration_version").await;
-    version.expect("a configuration is in force")
-}
-
 async fn leader(site: &Site) -> usize {
     for vm in 0..site.vms.len() {
         if site.metric(vm, "is_leading").await == Some(1.0) {
@@ -55,11 +50,11 @@
 
 /// Publishes a change; returns how long it takes until the VM has it in force.
 async fn time_to_apply(site: &mut Site, vm: usize) -> Duration {
-    let before = version(site, vm).await;
+    let before = site.configuration_version(vm).await;
     let published_at = Instant::now();
     publish(site);
     site.wait("the change is in force", async || {
-        version(site, vm).await > before
+        site.configuration_version(vm).await > before
     })
     .await;
     published_at.elapsed()
@@ -175,12 +170,12 @@
         site.store.come_back_from(copy);
         // The changes take the offsets up to which the VMs have read in the old history.
         publish(&mut site);
-        let before = version(&site, 0).await;
+        let before = site.configuration_version(0).await;
         publish(&mut site);
         site.store.set(StoreFaults::default());
         compio::time::sleep(STABLE_WINDOW + CONFIGURATION_LIMIT).await;
         for vm in 0..VMS {
-            expect_that!(version(&site, vm).await, gt(before));
+            expect_that!(site.configuration_version(vm).await, gt(before));
         }
     });
 }
@@ -190,13 +185,13 @@
     block_on(async {
         let (mut site, _paths) = start().await;
         for _ in 0..3 {
-            let before = version(&site, 0).await;
+            let before = site.configuration_version(0).await;
             let published_at = Instant::now();
             publish(&mut site);
             site.store.compact("keyed.op");
             site.wait("the change is in force", async || {
                 for vm in 0..VMS {
-                    if version(&site, vm).await <= before {
+                    if site.configuration_version(vm).await <= before {
                         return false;
                     }
                 }
