While reads of the log fail, a change is taken from the log or another VM, whichever has it first

By the events, the VM led and had its open connections to the store silent as changes came in quick succession; then it asked only another VM, three times for half a second, although a new connection to the store would have answered.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -94,13 +94,18 @@
             let began = Instant::now();
             let read = match source {
                 Source::Peer(peer) => {
-                    let synced = self.sync_part(Part::Configuration, next, peer, &selector);
-                    let synced = synced.await;
+                    let synced = async {
+                        let part = Part::Configuration;
+                        let synced = self.sync_part(part, next, peer, &selector).await?;
+                        Some(self.decode_synced(&synced))
+                    };
+                    let read = self.read_configuration(next, read_at);
+                    let read = first_obtained(synced, read, &selector).await;
                     delays.add(ReadStep::Peer, began);
-                    let Some(synced) = synced else {
+                    let Some(read) = read else {
                         continue;
                     };
-                    self.decode_synced(&synced)
+                    read
                 }
                 Source::Unneeded => {
                     self.wait_for_next_configuration_read(read_at).await;
@@ -203,14 +208,20 @@
                     continue;
                 }
                 Source::Peer(peer) => {
-                    let synced = self.sync_part(Part::Directory, from, peer, &selector);
-                    let synced = synced.await;
+                    let synced = async {
+                        let part = Part::Directory;
+                        let synced = self.sync_part(part, from, peer, &selector).await?;
+                        let since = from.filter(|_| !synced.is_whole);
+                        let decoded = decode_directory(synced);
+                        Some(decoded.map(|(changes, at)| (changes, since, at)))
+                    };
+                    let read = self.read_directory(from);
+                    let read = first_obtained(synced, read, &selector).await;
                     delays.add(ReadStep::Peer, began);
-                    let Some(synced) = synced else {
+                    let Some(read) = read else {
                         continue;
                     };
-                    let since = from.filter(|_| !synced.is_whole);
-                    decode_directory(synced).map(|(changes, at)| (changes, since, at))
+                    read
                 }
                 Source::Log => {
                     let read = self.read_directory(from);
@@ -531,6 +542,24 @@
     }
 }
 
+/// Obtains a part from another VM; while reads of the log fail, from whichever of both has it first.
+/// `None` if the other VM does not send it.
+async fn first_obtained<T>(
+    synced: impl Future<Output = Option<Result<T, StoreError>>>,
+    read: impl Future<Output = Result<T, StoreError>>,
+    selector: &SourceSelector,
+) -> Option<Result<T, StoreError>> {
+    if selector.log_failures() == 0 {
+        return synced.await;
+    }
+    match select(pin!(synced), pin!(read)).await {
+        Either::Left((Some(Ok(synced)), _)) => Some(Ok(synced)),
+        Either::Left((_, read)) => Some(read.await),
+        Either::Right((Ok(read), _)) => Some(Ok(read)),
+        Either::Right((Err(_), synced)) => synced.await,
+    }
+}
+
 /// Waits until another VM is ahead of `from` and may be asked.
 async fn wait_for_alternative(from: Option<u64>, selector: &SourceSelector) {
     while !from.is_some_and(|from| selector.has_alternative(from)) {
--- a/workbench/src/site/config_history.rs
+++ b/workbench/src/site/config_history.rs
@@ -63,6 +63,11 @@
         self.acknowledged.len() - 1
     }
 
+    /// The next version.
+    pub fn next(&self) -> usize {
+        self.acknowledged.len()
+    }
+
     /// Records that the next version is acknowledged now.
     pub fn note_published(&mut self, now: Instant) {
         self.acknowledged.push(now);
@@ -70,7 +75,7 @@
 
     /// The routes of the next version, with this many further ones.
     pub fn next_routes(&self, further: usize) -> Value {
-        let version = self.acknowledged.len();
+        let version = self.next();
         let changes = version.saturating_sub(ROUTE_SPAN)..version + ROUTE_SPAN;
         let probes =
             changes.flat_map(|at| [Probe::Added(at), Probe::Dropped(at), Probe::Moved(at)]);
--- a/workbench/src/site/config_soak.rs
+++ b/workbench/src/site/config_soak.rs
@@ -8,10 +8,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The servers of each service.
 const SERVERS: usize = 2;
@@ -204,6 +204,7 @@
 
 fn publish(site: &mut Site, seen: &Seen, further: usize) {
     let mut history = seen.history.borrow_mut();
+    println!("{} version {}", clock(), history.next());
     site.configure(history.next_routes(further), ConfigHistory::services());
     history.note_published(Instant::now());
 }
@@ -335,6 +336,10 @@
         if self.random.random_range(0..3) == 0 {
             vm = leader(site).await.unwrap_or(vm);
         }
+        println!(
+            "{} event {kind} of path kind {path_kind} at vm-{vm} for {lasts:?}",
+            clock()
+        );
         let stopped = self.thaws.iter().chain(&self.restarts).map(|it| it.0);
         let mut busy = stopped.chain(self.quotas.iter().map(|it| it.0));
         let is_busy = busy.any(|it| it == vm);
@@ -383,6 +388,24 @@
     }
 }
 
+/// The time of day within the hour, as the logs of VMs have it.
+fn clock() -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let since_epoch = since_epoch.unwrap_or_default();
+    let seconds = since_epoch.as_secs();
+    let (minute, second) = (seconds / 60 % 60, seconds % 60);
+    format!("{minute:02}:{second:02}.{:03}", since_epoch.subsec_millis())
+}
+
+/// Prints the log of a VM without the lines about requests.
+fn print_log(site: &Site, vm: usize) {
+    for line in site.log(vm) {
+        if line["request"].is_null() {
+            println!("vm-{vm} {line}");
+        }
+    }
+}
+
 /// The VM that leads.
 async fn leader(site: &Site) -> Option<usize> {
     for vm in 0..site.vms.len() {
@@ -409,6 +432,7 @@
     let mut requests = seen.requests.borrow_mut();
     requests.sort_by_key(|it| it.ended_at);
     let mut findings = Vec::new();
+    let mut faulty_vms = BTreeSet::new();
     let mut counted = 0;
     // The versions that answers prove, by VM and start: the time of the answer and the version.
     let mut proven: HashMap<(usize, usize), Vec<(Instant, usize)>> = HashMap::new();
@@ -427,6 +451,7 @@
             counted += 1;
             let (oldest, newest) = history.allowed(sent, ended, limit);
             if agreeing(oldest, newest).next().is_none() {
+                faulty_vms.insert(request.vm);
                 findings.push(format!(
                     "CONFIG: vm-{} handled {:?} as {handling:?}, versions {oldest} to {newest} \
                      allowed, limit {limit:?}, request {}",
@@ -443,16 +468,22 @@
         let earlier = of_boot.partition_point(|(at, _)| *at < sent);
         let floor = of_boot[..earlier].last().map_or(0, |(_, version)| *version);
         match agreeing(floor, newest).next() {
-            None => findings.push(format!(
-                "REGRESS: vm-{} handled {:?} as {handling:?} after version {floor}, request {}",
-                request.vm, request.probe, request.id
-            )),
+            None => {
+                faulty_vms.insert(request.vm);
+                findings.push(format!(
+                    "REGRESS: vm-{} handled {:?} as {handling:?} after version {floor}, request {}",
+                    request.vm, request.probe, request.id
+                ));
+            }
             Some(version) => {
                 let highest = of_boot.last().map_or(0, |(_, version)| *version);
                 of_boot.push((ended, version.max(highest)));
             }
         }
     }
+    for vm in faulty_vms {
+        print_log(site, vm);
+    }
     println!(
         "{counted} of {} requests counted, {} versions",
         requests.len(),
