--- a/src/gateway/caller_request.rs
+++ b/src/gateway/caller_request.rs
@@ -1,6 +1,7 @@
 //! A request of a caller, independent of the protocol it arrived by.
 
 use crate::callers::ApiKey;
+use crate::gateway::PromptPart;
 use crate::inventory::Name;
 use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
@@ -34,6 +35,11 @@
     pub(crate) key: Option<ApiKey>,
     /// The number of prompt tokens and of tokens to generate, if the caller states both.
     pub(crate) tokens: Option<(u32, u32)>,
+    /// The parts of the prompt that other requests may have in common with this one; empty if they
+    /// are not stated or cannot be read.
+    pub(crate) shared_parts: Vec<PromptPart>,
+    /// Whether the parts of the prompt are stated but cannot be read.
+    pub(crate) has_unreadable_parts: bool,
     /// What a model has to generate; `None` for calls to plain services.
     pub(crate) generation: Option<Generation>,
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -60,6 +60,10 @@
         "resumptions",
         "streams taken up after a break, by where their software version was learnt",
     ),
+    describe(
+        "unreadable_prompts",
+        "requests whose parts of the prompt cannot be read",
+    ),
     describe("connections_opened", "connections opened to servers"),
     describe("peer_messages", "messages sent to other VMs"),
     describe("store_calls", "calls to the store, by call and outcome"),
@@ -152,6 +156,8 @@
     pub(crate) streams_resumed: Counter,
     /// Streams taken up after a break.
     pub(crate) resumptions: Family<OutcomeLabels, Counter>,
+    /// Requests whose parts of the prompt cannot be read.
+    pub(crate) unreadable_prompts: Counter,
     pub(crate) connections_opened: Counter,
     pub(crate) peer_messages: Counter,
     pub(crate) store_calls: Family<CallLabels, Counter>,
@@ -199,6 +205,7 @@
             retries_denied: Counter::default(),
             streams_resumed: Counter::default(),
             resumptions: Family::default(),
+            unreadable_prompts: Counter::default(),
             connections_opened: Counter::default(),
             peer_messages: Counter::default(),
             store_calls: Family::default(),
@@ -245,6 +252,7 @@
         self.register("streams_resumed", self.streams_resumed.clone());
         self.register("resumptions", self.resumptions.clone());
         self.register("connections_opened", self.connections_opened.clone());
+        self.register("unreadable_prompts", self.unreadable_prompts.clone());
         self.register("attempts", self.attempts.clone());
         self.register("forwarded_requests", self.forwarded.clone());
         self.register("orders_given", self.orders.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 mod peer_search;
 mod peers;
 mod planning;
+mod prompt_part;
 mod reachability;
 mod read_deadline;
 mod read_delays;
@@ -98,5 +99,6 @@
 };
 pub(crate) use fleet::{Entry, Holding, ServerState};
 pub(crate) use metrics::Metrics;
+pub(crate) use prompt_part::PromptPart;
 pub(crate) use server::serve;
 pub(crate) use settings::{Bounds, Settings};
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -136,6 +136,9 @@
         arrived: Instant,
         forwarded: Option<ForwardedCall>,
     ) -> Result<Response<Body>, Failure> {
+        if request.has_unreadable_parts {
+            self.state.metrics.unreadable_prompts.inc();
+        }
         let mut call = self.prepare_call(request, body, arrived, forwarded).await?;
         if self.state.suspects.is_poison(call.fingerprint, arrived) {
             return Err(Failure::Poison);
@@ -283,17 +286,17 @@
             }
             Ok(Err(error)) => {
                 warn!(request = %call.request.id, server = %server.id, %error, "answer broken off");
-                self.note_broken_connection(call, &server);
+                self.note_broken_connection(call, &server, 0);
                 None
             }
             Err(_elapsed) => None,
         }
     }
 
-    /// Records that a connection broke with the request in flight. If the server refuses new
-    /// connections, it has crashed, and the request's fingerprint becomes a crash suspect here and
-    /// at peers.
-    pub(crate) fn note_broken_connection(&self, call: &Call, server: &Rc<Server>) {
+    /// Records that a connection broke with the request in flight, after the server had sent a number
+    /// of events. If the server refuses new connections, it has crashed, and the request's
+    /// fingerprint becomes a crash suspect here and at peers.
+    pub(crate) fn note_broken_connection(&self, call: &Call, server: &Rc<Server>, events: u32) {
         let now = Instant::now();
         server.note_failure(now);
         self.pool.clear(server);
@@ -305,12 +308,23 @@
         let server = server.clone();
         let fingerprint = call.fingerprint;
         let id = call.request.id.clone();
+        let parts = call.request.shared_parts.clone();
         compio::runtime::spawn(async move {
-            if is_refused(server.address).await && !is_cut_off_from_servers(&state).await {
-                let crashes = state.suspects.record_crash(fingerprint, now);
-                warn!(request = %id, server = %server.id, fingerprint, crashes, "server crashed");
-                state.peers.outbox.report_crash(fingerprint, crashes, now);
+            if !is_refused(server.address).await || is_cut_off_from_servers(&state).await {
+                info!(request = %id, server = %server.id, ?parts, events, "broken connection is no crash");
+                return;
             }
+            let crashes = state.suspects.record_crash(fingerprint, now);
+            warn!(
+                request = %id,
+                server = %server.id,
+                fingerprint,
+                crashes,
+                ?parts,
+                events,
+                "server crashed"
+            );
+            state.peers.outbox.report_crash(fingerprint, crashes, now);
         })
         .detach();
     }
@@ -427,7 +441,7 @@
                     "no answer from server"
                 );
                 if silent_or_broken.is_some() {
-                    self.note_broken_connection(call, server);
+                    self.note_broken_connection(call, server, 0);
                 } else if !self.is_busy(server) {
                     // Load may explain a busy server's silence; any other silent server is faulty.
                     server.note_failure(now);
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -32,6 +32,8 @@
 struct ServerStream {
     exchange: Exchange,
     buffer: EventBuffer,
+    /// The number of events that the server has sent.
+    events: u32,
 }
 
 impl ServerStream {
@@ -39,12 +41,14 @@
         Self {
             exchange,
             buffer: EventBuffer::default(),
+            events: 0,
         }
     }
 
     async fn next(&mut self, silence: Duration) -> ReadOutcome {
         loop {
             if let Some(event) = self.buffer.next() {
+                self.events += 1;
                 return ReadOutcome::Event(event);
             }
             let frame = compio::time::timeout(silence, self.exchange.body.frame()).await;
@@ -340,7 +344,7 @@
         if call.time_left().is_zero() {
             return;
         }
-        self.note_broken_connection(call, server);
+        self.note_broken_connection(call, server, stream.events);
     }
 
     /// Reads the next event. Reports silence only if the stream should be resumed on another server
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -1,7 +1,9 @@
 //! Requests and responses in the platform's format.
 
 use crate::callers::ApiKey;
-use crate::gateway::{CallerRequest, Generation, Malformed, Protocol, Refusal, Reply, SendOptions};
+use crate::gateway::{
+    CallerRequest, Generation, Malformed, PromptPart, Protocol, Refusal, Reply, SendOptions,
+};
 use crate::http::Body;
 use crate::inventory::Name;
 use bytes::Bytes;
@@ -24,6 +26,8 @@
 const MODEL: HeaderName = HeaderName::from_static("x-model");
 /// The number of tokens in the prompt and the most that may be generated, with a comma between.
 const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-token-usage");
+/// The parts of the prompt in order, as pairs of id and tokens; the last one is the request's own.
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// The id of the only server process that may execute the request.
 const EXPECT_SERVER: HeaderName = HeaderName::from_static("x-expect-instance");
 /// The only version of the weights with which the request may be executed.
@@ -48,6 +52,9 @@
 /// The name of the caller's organisation, for the backend server.
 const ORGANISATION: HeaderName = HeaderName::from_static("x-tenant");
 
+/// The maximum number of parts in a prompt whose parts are read.
+const MAX_PARTS: usize = 64;
+
 /// The greatest priority value that runners accept, which is the least urgent.
 const MAX_PRIORITY: u32 = 9;
 
@@ -119,6 +126,29 @@
     Some((prompt.trim().parse().ok()?, max.trim().parse().ok()?))
 }
 
+/// Parses the parts of the prompt that other requests may share: all but the last. Returns `None` if
+/// the list is malformed, too long or names a part twice.
+fn shared_parts_of(headers: &HeaderMap) -> Option<Vec<PromptPart>> {
+    if !headers.contains_key(&PROMPT_PARTS) {
+        return Some(Vec::new());
+    }
+    let mut parts = Vec::new();
+    for pair in header_text(headers, &PROMPT_PARTS)?.split(',') {
+        let (id, tokens) = pair.trim().split_once(':')?;
+        let is_hexadecimal = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let part = PromptPart::of(&id.to_ascii_lowercase());
+        if !is_hexadecimal || tokens.parse::<u32>().is_err() || parts.contains(&part) {
+            return None;
+        }
+        parts.push(part);
+        if parts.len() > MAX_PARTS {
+            return None;
+        }
+    }
+    parts.pop();
+    Some(parts)
+}
+
 fn generation_of(headers: &HeaderMap) -> Option<Generation> {
     let model = header_text(headers, &MODEL)?;
     let (model, adapter) = match model.split_once('/') {
@@ -217,7 +247,10 @@
         for name in &RESERVED_HEADERS {
             headers.remove(name);
         }
+        let shared_parts = shared_parts_of(&head.headers);
         Ok(CallerRequest {
+            has_unreadable_parts: shared_parts.is_none(),
+            shared_parts: shared_parts.unwrap_or_default(),
             id: id.into(),
             method: head.method.clone(),
             host: host.to_ascii_lowercase().into(),
