--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -118,6 +118,8 @@
     connections: Cell<u64>,
     overruns: Cell<u64>,
     is_dead: Cell<bool>,
+    /// The number of times that the process has ended.
+    deaths: Cell<u32>,
 }
 
 impl std::fmt::Debug for ServerStandIn {
@@ -176,6 +178,7 @@
             connections: Cell::new(0),
             overruns: Cell::new(0),
             is_dead: Cell::new(false),
+            deaths: Cell::new(0),
         });
         let listener = rattanjunction::listen(address)
             .await
@@ -282,6 +285,23 @@
     /// Closes all connections and accepts no more.
     pub fn die(&self) {
         self.is_dead.set(true);
+        self.deaths.set(self.deaths.get() + 1);
+    }
+
+    /// Starts the process again after it died, with the models that it had loaded.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address is in use.
+    pub async fn start_again(self: &Rc<Self>) {
+        let listener = rattanjunction::listen(self.address)
+            .await
+            .expect("the process that listened there has ended");
+        self.started_ms.set(self.started_ms.get() + RESTART_MS);
+        self.order_count.set(0);
+        self.fence.set(0);
+        self.is_dead.set(false);
+        compio::runtime::spawn(self.clone().accept(listener)).detach();
     }
 
     /// Whether the server has closed all connections and accepts no more.
@@ -369,6 +389,7 @@
     }
 
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        let deaths = self.deaths.get();
         let _ = stream.set_nodelay(true);
         let mut read = Vec::new();
         while let Some(request) = self.read_request(&mut stream, &mut read).await {
@@ -385,7 +406,7 @@
                         false
                     }
                 };
-                if !is_open || self.is_dead.get() {
+                if !is_open || self.deaths.get() > deaths {
                     let id = request.header("x-attempt-id").to_owned();
                     self.record(ServerEvent::Disconnected(id, Instant::now()));
                     return;
@@ -410,16 +431,26 @@
         bytes.splice(end + 2..end + 2, lines);
     }
 
-    /// Waits while keeping what the client sends; false if the client disconnected.
+    /// Waits while keeping what the client sends; false if the client disconnected or the server
+    /// died.
     async fn wait(&self, stream: &mut TcpStream, read: &mut Vec<u8>, time: Duration) -> bool {
+        let deaths = self.deaths.get();
         let until = Instant::now() + time;
         loop {
-            let more = pin!(stream.read(Vec::with_capacity(READ_BYTES)));
-            let sleep = pin!(compio::time::sleep_until(until));
-            match select(more, sleep).await {
-                Either::Left((BufResult(Ok(count), bytes), _)) if count > 0 => read.extend(bytes),
-                Either::Left(_) => return false,
-                Either::Right(_) => return true,
+            let mut more = pin!(stream.read(Vec::with_capacity(READ_BYTES)));
+            let received = loop {
+                let poll_at = until.min(Instant::now() + DEATH_POLL);
+                let sleep = pin!(compio::time::sleep_until(poll_at));
+                match select(more.as_mut(), sleep).await {
+                    Either::Left((received, _)) => break received,
+                    Either::Right(_) if self.deaths.get() > deaths => return false,
+                    Either::Right(_) if poll_at == until => return true,
+                    Either::Right(_) => {}
+                }
+            };
+            match received {
+                BufResult(Ok(count), bytes) if count > 0 => read.extend(bytes),
+                _ => return false,
             }
         }
     }
