--- a/src/client.rs
+++ b/src/client.rs
@@ -136,12 +136,24 @@
     }
 }
 
-/// Whether connections to the address are refused, so that no process listens there.
-///
-/// Returns false if the attempt fails for another reason.
-pub(crate) async fn is_refused(address: SocketAddr) -> bool {
-    let connected = TcpStream::connect(address).await;
-    connected.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+/// What became of a connection that was opened only to learn whether a process listens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Listening {
+    /// The connection was accepted.
+    Yes,
+    /// The connection was refused, so that no process listens.
+    No,
+    /// The connection was not accepted in time, or failed for another reason.
+    Unknown,
+}
+
+/// Learns whether a process listens at the address.
+pub(crate) async fn probe_listening(address: SocketAddr, timeout: Duration) -> Listening {
+    match compio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Listening::Yes,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Listening::No,
+        Ok(Err(_)) | Err(_) => Listening::Unknown,
+    }
 }
 
 /// A pool of idle connections by address.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -78,6 +78,8 @@
     pub(crate) forwarded: Option<ForwardedCall>,
     /// The ids of the servers that the request was sent to.
     pub(crate) tried: Vec<Name>,
+    /// Whether the request may have crashed a server.
+    pub(crate) is_crash_suspect: Cell<bool>,
 }
 
 impl Call {
@@ -88,7 +90,9 @@
 
     /// Whether one more server may execute the request.
     pub(crate) fn may_run_again(&self) -> bool {
-        self.route.is_retryable() && self.runs < self.route.max_attempts
+        self.route.is_retryable()
+            && self.runs < self.route.max_attempts
+            && !self.is_crash_suspect.get()
     }
 
     /// Identifies the stream that the request begins or takes up.
--- /dev/null
+++ b/src/gateway/crash_evidence.rs
@@ -0,0 +1,141 @@
+//! The crashes that this VM knows of, and what each cause is charged with.
+
+use crate::gateway::crash_report::{CrashCause, CrashReport, ServerRunId};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+/// How long a crash counts.
+pub(super) const CRASH_RETENTION: Duration = Duration::from_secs(600);
+/// The maximum number of reports; the oldest one is dropped first.
+const MAX_REPORTS: usize = 512;
+
+/// A reported request, and which of the possible causes have been cleared since.
+#[derive(Debug)]
+struct Crash {
+    report: CrashReport,
+    heard_at: Instant,
+    /// The number of answers that had begun at this VM by then.
+    begun_answers: u64,
+    cleared: Vec<CrashCause>,
+}
+
+impl Crash {
+    fn open_causes(&self) -> impl Iterator<Item = CrashCause> + '_ {
+        let causes = self.report.causes();
+        causes.filter(|cause| !self.cleared.contains(cause))
+    }
+}
+
+/// The crashes that a cause is charged with.
+#[derive(Debug)]
+pub(super) struct Charges {
+    /// The runs of servers that crashed.
+    pub(super) runs: HashSet<ServerRunId>,
+    /// The fingerprints of the requests that they had not begun to answer.
+    pub(super) requests: HashSet<u64>,
+    /// The number of answers that had begun at this VM before the first of these crashes.
+    pub(super) begun_answers: u64,
+}
+
+/// The reports of all VMs, each counted once.
+#[derive(Debug, Default)]
+pub(super) struct CrashEvidence {
+    crashes: VecDeque<Crash>,
+}
+
+impl CrashEvidence {
+    /// Adds a report; returns false if it is known.
+    pub(super) fn add(&mut self, report: &CrashReport, begun_answers: u64, now: Instant) -> bool {
+        let is_known = self
+            .crashes
+            .iter()
+            .any(|crash| crash.report.run == report.run && crash.report.request == report.request);
+        if is_known {
+            return false;
+        }
+        if self.crashes.len() >= MAX_REPORTS {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(Crash {
+            report: report.clone(),
+            heard_at: now,
+            begun_answers,
+            cleared: Vec::new(),
+        });
+        true
+    }
+
+    /// Drops reports that no longer count.
+    pub(super) fn prune_expired(&mut self, now: Instant) {
+        let is_expired =
+            |crash: &Crash| now.saturating_duration_since(crash.heard_at) >= CRASH_RETENTION;
+        while self.crashes.front().is_some_and(is_expired) {
+            self.crashes.pop_front();
+        }
+    }
+
+    /// Whether there is no report.
+    pub(super) fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// Clears a cause of the crashes that were known when a request with it was sent, since a server
+    /// has begun to answer that request. Returns the runs of which the cause is cleared now.
+    pub(super) fn clear_known_at(
+        &mut self,
+        cause: CrashCause,
+        sent_at: Instant,
+    ) -> Vec<ServerRunId> {
+        self.clear(cause, |crash| crash.heard_at <= sent_at)
+    }
+
+    /// Clears a cause of the crashes of these runs; returns whether anything changed.
+    pub(super) fn clear_runs(&mut self, cause: CrashCause, runs: &[ServerRunId]) -> bool {
+        let cleared = self.clear(cause, |crash| runs.contains(&crash.report.run));
+        !cleared.is_empty()
+    }
+
+    fn clear(&mut self, cause: CrashCause, is_meant: impl Fn(&Crash) -> bool) -> Vec<ServerRunId> {
+        let mut runs = Vec::new();
+        for crash in &mut self.crashes {
+            if is_meant(crash) && crash.open_causes().any(|open| open == cause) {
+                crash.cleared.push(cause);
+                runs.push(crash.report.run);
+            }
+        }
+        runs.sort();
+        runs.dedup();
+        runs
+    }
+
+    /// Whether the cause is charged with a crash.
+    pub(super) fn is_charged(&self, cause: CrashCause) -> bool {
+        let mut open = self.crashes.iter().flat_map(Crash::open_causes);
+        open.any(|it| it == cause)
+    }
+
+    /// The runs that ended with a request of this cause, cleared or not.
+    pub(super) fn runs_with(&self, cause: CrashCause) -> impl Iterator<Item = ServerRunId> + '_ {
+        let crashes = self.crashes.iter();
+        let with_cause = crashes.filter(move |crash| crash.report.causes().any(|it| it == cause));
+        with_cause.map(|crash| crash.report.run)
+    }
+
+    /// What each cause is charged with, without the runs whose crash is explained.
+    pub(super) fn charges(&self, explained: &HashSet<ServerRunId>) -> HashMap<CrashCause, Charges> {
+        let mut charges: HashMap<CrashCause, Charges> = HashMap::new();
+        let crashes = self.crashes.iter();
+        for crash in crashes.filter(|crash| !explained.contains(&crash.report.run)) {
+            for cause in crash.open_causes() {
+                let charge = charges.entry(cause).or_insert_with(|| Charges {
+                    runs: HashSet::new(),
+                    requests: HashSet::new(),
+                    begun_answers: crash.begun_answers,
+                });
+                charge.runs.insert(crash.report.run);
+                charge.requests.insert(crash.report.request);
+            }
+        }
+        charges
+    }
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -141,7 +141,14 @@
     /// and the load of the whole zone in a large one. The leader gets the demand at this VM.
     async fn send_round(&self, targets: &Targets, is_to_all: bool) {
         let now = Instant::now();
-        let digest = self.digest();
+        self.state.settle_containment(now);
+        let mut digest = self.digest();
+        self.state
+            .peers
+            .outbox
+            .crash_news
+            .borrow_mut()
+            .fill(&mut digest);
         let holdings = self.holdings_messages();
         let asked_peer = self.state.peers.take_view_request(now);
         if let Some(asked_peer) = asked_peer {
@@ -238,7 +245,7 @@
         let message = Digest {
             is_partial: true,
             loads: Vec::new(),
-            crashes: Vec::new(),
+            contained: Vec::new(),
             leaving: Vec::new(),
             leader: None,
             ..digest
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -1,6 +1,7 @@
 //! The gossip messages between VMs.
 
 use crate::callers::{SPAN_COUNT, Usage, UsageReport};
+use crate::gateway::crash_message::{ClearanceMessage, ContainedCauseMessage, CrashReportMessage};
 use crate::gateway::directory_updates::DirectoryUpdate;
 use crate::gateway::fleet::{Incarnation, Server};
 use crate::gateway::server_limits::LimitStatement;
@@ -46,9 +47,9 @@
     /// What runners hold, sent by the leader.
     #[prost(message, repeated, tag = "5")]
     pub(super) holdings: Vec<ServerHoldings>,
-    /// Recent crashes of runners with requests of the sender in flight.
+    /// Requests of the sender that servers had not begun to answer when they crashed.
     #[prost(message, repeated, tag = "6")]
-    pub(super) crashes: Vec<CrashReport>,
+    pub(super) crashes: Vec<CrashReportMessage>,
     /// The fence that the sender leads with; 0 if it is not the leader.
     #[prost(uint64, tag = "8")]
     pub(super) fence: u64,
@@ -118,6 +119,15 @@
     /// Services of which the sender has recently seen servers of several software versions.
     #[prost(string, repeated, tag = "32")]
     pub(super) mixed_services: Vec<String>,
+    /// What is no longer charged with crashes, since answers to requests of the sender have begun.
+    #[prost(message, repeated, tag = "33")]
+    pub(super) clearances: Vec<ClearanceMessage>,
+    /// Parts of reported prompts with which answers began at the sender.
+    #[prost(fixed64, repeated, tag = "34")]
+    pub(super) begun_parts: Vec<u64>,
+    /// What the sender contains because it crashes servers.
+    #[prost(message, repeated, tag = "35")]
+    pub(super) contained: Vec<ContainedCauseMessage>,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
@@ -397,16 +407,6 @@
     pub(super) adapters: Vec<String>,
 }
 
-/// A report of runner crashes with the same request in flight.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub(super) struct CrashReport {
-    /// Identifies the request.
-    #[prost(fixed64, tag = "1")]
-    pub(super) fingerprint: u64,
-    #[prost(uint32, tag = "2")]
-    pub(super) crashes: u32,
-}
-
 /// A prompt that the sender has just sent to a runner.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct SentPrompt {
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -2,6 +2,8 @@
 //! it concerns.
 
 use crate::callers::Ledger;
+use crate::gateway::PromptPart;
+use crate::gateway::crash_state::PeerCrashNews;
 use crate::gateway::fleet::Incarnation;
 use crate::gateway::fleet::holding;
 use crate::gateway::gossip::Gossip;
@@ -13,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::{info, warn};
+use tracing::warn;
 
 /// Pause after a failed receive call.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
@@ -62,17 +64,7 @@
             }
         };
         let now = Instant::now();
-        for crash in &digest.crashes {
-            let suspects = &self.state.suspects;
-            if suspects.merge_crashes(crash.fingerprint, crash.crashes, now) {
-                info!(
-                    peer = %sender,
-                    fingerprint = crash.fingerprint,
-                    crashes = crash.crashes,
-                    "crash report received"
-                );
-            }
-        }
+        self.apply_crash_news(sender, &digest, now);
         for run in &digest.leaving {
             if let Some(server) = self.state.fleet.run(&run.incarnation()) {
                 self.state.note_leaving(&server, now);
@@ -115,6 +107,22 @@
         }
     }
 
+    /// Applies what a peer tells of crashed servers.
+    fn apply_crash_news(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
+        let reports = digest.crashes.iter().filter_map(|it| it.report());
+        let clearances = digest.clearances.iter().filter_map(|it| it.clearance());
+        let contained = digest.contained.iter().filter_map(|it| it.contained());
+        let news = PeerCrashNews {
+            reports: reports.collect(),
+            clearances: clearances.collect(),
+            begun_parts: digest.begun_parts.iter().copied().map(PromptPart).collect(),
+            contained: contained.collect(),
+        };
+        if !news.is_empty() {
+            self.state.apply_crash_news(sender, &news, now);
+        }
+    }
+
     fn apply_shared_usage(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
         if let Some(part) = &digest.usage_report {
             let mut ledger = self.state.ledger.borrow_mut();
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -2,6 +2,7 @@
 //! what runners have loaded.
 
 use crate::callers::{Ledger, UsageReport};
+use crate::gateway::crash_message::ContainedCauseMessage;
 use crate::gateway::directory_updates::encode_holding;
 use crate::gateway::fleet::{Holding, Incarnation, Server};
 use crate::gateway::gossip::{Gossip, INTERVAL};
@@ -29,6 +30,8 @@
 const LEAVING_SENT_FOR: Duration = Duration::from_millis(5_000);
 /// The maximum number of leaving servers in one message. Each takes some 25 bytes.
 const MAX_LEAVING_PER_MESSAGE: usize = 12;
+/// The maximum number of contained causes in one message. Each takes some 20 bytes.
+const MAX_CONTAINED_PER_MESSAGE: usize = 16;
 /// The size of a message, in bytes, that fits one datagram on any network path.
 const MAX_MESSAGE_BYTES: usize = 1_300;
 /// The bytes of a tag and a length in an encoded message.
@@ -181,13 +184,22 @@
             cpu_percent: u32::from(state.peers.own_cpu_percent()),
             fence: state.fence.get(),
             leader: state.peers.leader_seen(Instant::now()),
-            crashes: state.peers.outbox.crashes(),
+            contained: self.contained_causes(),
             leaving: self.leaving_servers(),
             mixed_services: self.mixed_services(),
             ..Digest::default()
         }
     }
 
+    /// What this VM contains because it crashes servers, the causes refused last first.
+    fn contained_causes(&self) -> Vec<ContainedCauseMessage> {
+        let confirmed = self.state.containment.borrow().confirmed(Instant::now());
+        let causes = confirmed.iter().take(MAX_CONTAINED_PER_MESSAGE);
+        causes
+            .map(|(cause, idle)| ContainedCauseMessage::of(*cause, *idle))
+            .collect()
+    }
+
     fn mixed_services(&self) -> Vec<String> {
         let versions = self.state.software_versions.borrow();
         let services = versions.mixed_services(Instant::now());
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -97,6 +97,10 @@
         "how late a task ran that was due at regular times",
     ),
     describe("is_cut_off", "1 while this VM reaches no backend server"),
+    describe(
+        "contained_causes",
+        "parts of prompts and requests that are refused because they crash servers",
+    ),
     describe("servers", "backend servers in the directory"),
     describe("limited_servers", "backend servers that state a rate limit"),
     describe("vms", "VMs known, this one included"),
@@ -176,6 +180,8 @@
     pub(crate) is_cut_off: Gauge,
     /// Time since the configuration was last known to be current, in seconds.
     pub(crate) configuration_unconfirmed: Gauge<f64, AtomicU64>,
+    /// What is refused because it crashes servers.
+    pub(crate) contained_causes: Gauge,
     pub(crate) servers: Gauge,
     pub(crate) limited_servers: Gauge,
     pub(crate) vms: Gauge,
@@ -218,6 +224,7 @@
             configuration_bytes: Gauge::default(),
             is_cut_off: Gauge::default(),
             configuration_unconfirmed: Gauge::default(),
+            contained_causes: Gauge::default(),
             servers: Gauge::default(),
             limited_servers: Gauge::default(),
             vms: Gauge::default(),
@@ -238,6 +245,7 @@
             self.configuration_unconfirmed.clone(),
         );
         self.register("is_cut_off", self.is_cut_off.clone());
+        self.register("contained_causes", self.contained_causes.clone());
         self.register("servers", self.servers.clone());
         self.register("limited_servers", self.limited_servers.clone());
         self.register("vms", self.vms.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,13 +5,20 @@
 //! placement are made in code that does no network access, so that it can be tested without any.
 
 mod backlog;
+mod begun_parts;
 mod budget;
 mod call;
 mod caller_request;
 mod change_history;
 mod choose;
 mod configuration;
-mod crash_suspects;
+mod crash_check;
+mod crash_containment;
+mod crash_evidence;
+mod crash_message;
+mod crash_news;
+mod crash_report;
+mod crash_state;
 mod demand;
 mod demand_rate;
 mod directory_updates;
@@ -55,6 +62,7 @@
 mod read_delays;
 mod read_turn;
 mod relay;
+mod repeated_news;
 mod report_schedule;
 mod routing;
 mod runner_state;
--- a/src/gateway/outbox.rs
+++ b/src/gateway/outbox.rs
@@ -1,8 +1,11 @@
 //! What a VM has yet to send to its peers, and the signals that it is there.
 
+use crate::gateway::crash_message::CrashReportMessage;
+use crate::gateway::crash_news::CrashNews;
+use crate::gateway::crash_report::CrashReport;
 use crate::gateway::directory_updates::DirectoryUpdate;
-use crate::gateway::gossip_message::{CrashReport, SentPrompt};
-use crate::gateway::peers::{MICROS_PER_MILLI, MIN_STATE_TTL};
+use crate::gateway::gossip_message::SentPrompt;
+use crate::gateway::peers::MICROS_PER_MILLI;
 use crate::gateway::stream_message::{BegunStream, VersionQuery};
 use crate::gateway::stream_versions::StreamKey;
 use crate::inventory::Name;
@@ -34,8 +37,8 @@
     /// The scope of the triggered message that has yet to be sent.
     update_scope: Cell<UpdateScope>,
     update_signal: Signal,
-    /// Recent crash reports, and when each was made.
-    crashes: RefCell<Vec<(CrashReport, Instant)>>,
+    /// What is told of crashed servers.
+    pub(super) crash_news: RefCell<CrashNews>,
     /// Directory changes that have yet to be sent to the local zone.
     pending_updates: RefCell<Vec<DirectoryUpdate>>,
     /// Prompts that have yet to be reported to peers, and when each was sent to its runner.
@@ -78,13 +81,10 @@
         self.pending_updates.take()
     }
 
-    /// Reports to all peers that a runner crashed with a request in flight.
-    pub(crate) fn report_crash(&self, fingerprint: u64, crashes: u32, now: Instant) {
-        let crash = CrashReport {
-            fingerprint,
-            crashes,
-        };
-        self.crashes.borrow_mut().push((crash, now));
+    /// Reports to all peers a request that a server had not begun to answer when it crashed.
+    pub(crate) fn report_crash(&self, report: &CrashReport, now: Instant) {
+        let message = CrashReportMessage::of(report);
+        self.crash_news.borrow_mut().push_report(message, now);
         self.trigger_update_to_all();
     }
 
@@ -162,16 +162,4 @@
     pub(super) fn wait_for_update(&self) -> impl Future<Output = ()> + use<> {
         self.update_signal.wait()
     }
-
-    /// The recent crash reports, which every digest repeats.
-    pub(super) fn crashes(&self) -> Vec<CrashReport> {
-        let crashes = self.crashes.borrow();
-        crashes.iter().map(|(crash, _)| *crash).collect()
-    }
-
-    /// Forgets crash reports that have been repeated for long enough.
-    pub(super) fn forget_old_crashes(&self, now: Instant) {
-        let mut crashes = self.crashes.borrow_mut();
-        crashes.retain(|(_, at)| now.duration_since(*at) < MIN_STATE_TTL);
-    }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,8 +23,7 @@
 use tracing::{debug, info, warn};
 
 /// How long the state of a peer is kept without another message, at least. A peer that sends rarely
-/// announces a longer interval, and its state is kept longer. Crash reports are repeated for as
-/// long.
+/// announces a longer interval, and its state is kept longer.
 pub(super) const MIN_STATE_TTL: Duration = Duration::from_millis(1_500);
 /// The time after its start from which a leader hands over to VMs with more processor time. By then
 /// the VMs that do not belong in the group are no longer members.
@@ -532,7 +531,7 @@
             is_current
         });
         self.zone_loads.borrow_mut().expire(now);
-        self.outbox.forget_old_crashes(now);
+        self.outbox.crash_news.borrow_mut().prune_expired(now);
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,9 +1,10 @@
 //! Handles a caller's request from its arrival to its answer: reads it, sends it to backend
 //! servers with retries, and returns the response.
 
-use crate::client::{SendError, is_refused};
+use crate::client::SendError;
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::call::{Call, Dispatch, StreamVersion};
+use crate::gateway::crash_check::{Break, CrashCheck};
 use crate::gateway::exchange::{ConnectionPool, Exchange};
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
@@ -17,6 +18,7 @@
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind, SendOptions};
 use crate::http::{Body, ReadError, read_body};
 use bytes::Bytes;
+use futures_channel::oneshot;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response;
@@ -38,20 +40,13 @@
 const NEGLIGIBLE_QUEUE_MS: f64 = 2.0;
 /// The assumed timeout of a caller that sends none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(6);
-/// How long a refused connection is not taken for a crash of the server while it is in doubt whether
-/// this VM reaches any.
-const DOUBT_TIME: Duration = Duration::from_millis(800);
+/// How long a request waits to learn whether the server that it was sent to crashed.
+const CRASH_CHECK_WAIT: Duration = Duration::from_millis(100);
+/// How long a request that may have crashed a server waits for what other VMs know of its prompt.
+const PEER_EVIDENCE_WAIT: Duration = Duration::from_millis(300);
 /// The number of refusals or failed connections after which a request fails.
 const MAX_REFUSALS: u32 = 3;
 
-/// Whether this VM reaches no server; waits for probes while that is in doubt.
-async fn is_cut_off_from_servers(state: &State) -> bool {
-    if state.is_reachability_doubted() {
-        compio::time::sleep(DOUBT_TIME).await;
-    }
-    state.is_reachability_doubted()
-}
-
 /// Forwards callers' requests to backend servers.
 pub(crate) struct Relay<P> {
     pub(crate) state: Rc<State>,
@@ -140,7 +135,7 @@
             self.state.metrics.unreadable_prompts.inc();
         }
         let mut call = self.prepare_call(request, body, arrived, forwarded).await?;
-        if self.state.suspects.is_poison(call.fingerprint, arrived) {
+        if self.state.is_contained(&call) {
             return Err(Failure::Poison);
         }
         match call.route.kind {
@@ -216,6 +211,7 @@
             forwarded_to: Vec::new(),
             forwarded,
             tried: Vec::new(),
+            is_crash_suspect: Cell::new(false),
         };
         let is_counted = forward_state.is_none_or(|it| !it.is_retry);
         if is_counted {
@@ -252,7 +248,6 @@
                 failed_answer = Some((head, body));
                 continue;
             }
-            self.state.suspects.clear(call.fingerprint);
             let metrics = &self.state.metrics;
             metrics.note_request(call.route.kind.name(), "answered");
             metrics.answer.observe(call.arrived.elapsed().as_secs_f64());
@@ -280,23 +275,40 @@
         match compio::time::timeout(call.time_left(), collected).await {
             Ok(Ok(body)) => {
                 server.note_success();
+                self.note_begun_answer(call, &server);
                 let head = exchange.head.clone();
                 self.pool.keep(exchange);
                 Some((head, body.to_bytes()))
             }
             Ok(Err(error)) => {
                 warn!(request = %call.request.id, server = %server.id, %error, "answer broken off");
-                self.note_broken_connection(call, &server, 0);
+                self.note_broken_connection(call, &server, Break::Cut, 0)
+                    .await;
                 None
             }
             Err(_elapsed) => None,
         }
     }
 
-    /// Records that a connection broke with the request in flight, after the server had sent a number
-    /// of events. If the server refuses new connections, it has crashed, and the request's
-    /// fingerprint becomes a crash suspect here and at peers.
-    pub(crate) fn note_broken_connection(&self, call: &Call, server: &Rc<Server>, events: u32) {
+    /// Records that a server has begun to answer a request.
+    pub(crate) fn note_begun_answer(&self, call: &Call, server: &Server) {
+        let dispatch = call.last_dispatch.filter(|_| !server.is_vm);
+        if let Some(dispatch) = dispatch {
+            self.state.record_begun_answer(call, dispatch.at);
+        }
+    }
+
+    /// Records that a connection broke, or was given up, with the request in flight after the server
+    /// had sent a number of events. If the server had not begun its answer, this waits until it is
+    /// known whether the server crashed and whether the request may be the cause; it is then not
+    /// sent again.
+    pub(crate) async fn note_broken_connection(
+        &self,
+        call: &Call,
+        server: &Rc<Server>,
+        broken: Break,
+        events: u32,
+    ) {
         let now = Instant::now();
         server.note_failure(now);
         self.pool.clear(server);
@@ -304,29 +316,26 @@
             return;
         }
         self.state.record_server_silence(now);
-        let state = self.state.clone();
-        let server = server.clone();
-        let fingerprint = call.fingerprint;
-        let id = call.request.id.clone();
-        let parts = call.request.shared_parts.clone();
+        let check = CrashCheck::new(self.state.clone(), call, server, broken, events);
+        let has_begun = check.has_begun();
+        let (checked, done) = oneshot::channel();
+        // The evidence counts even if the caller leaves meanwhile.
         compio::runtime::spawn(async move {
-            if !is_refused(server.address).await || is_cut_off_from_servers(&state).await {
-                info!(request = %id, server = %server.id, ?parts, events, "broken connection is no crash");
-                return;
-            }
-            let crashes = state.suspects.record_crash(fingerprint, now);
-            warn!(
-                request = %id,
-                server = %server.id,
-                fingerprint,
-                crashes,
-                ?parts,
-                events,
-                "server crashed"
-            );
-            state.peers.outbox.report_crash(fingerprint, crashes, now);
+            check.run().await;
+            // Sending fails if nobody waits any more.
+            let _ = checked.send(());
         })
         .detach();
+        if has_begun || !call.may_run_again() {
+            return;
+        }
+        let wait = call.time_left().min(CRASH_CHECK_WAIT);
+        let is_known = compio::time::timeout(wait, done).await.is_ok();
+        if is_known && self.state.is_crash_suspect(call) {
+            // Other VMs may know that answers with the same parts have begun.
+            compio::time::sleep(call.time_left().min(PEER_EVIDENCE_WAIT)).await;
+            call.is_crash_suspect.set(self.state.is_crash_suspect(call));
+        }
     }
 
     /// Sends the request until a server answers; each further attempt uses a retry of the budget.
@@ -441,7 +450,8 @@
                     "no answer from server"
                 );
                 if silent_or_broken.is_some() {
-                    self.note_broken_connection(call, server, 0);
+                    self.note_broken_connection(call, server, Break::Cut, 0)
+                        .await;
                 } else if !self.is_busy(server) {
                     // Load may explain a busy server's silence; any other silent server is faulty.
                     server.note_failure(now);
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -108,6 +108,12 @@
         let mut queued = None;
         loop {
             let changed = self.state.changed.wait();
+            if self.state.is_contained(call) {
+                return Err(match call.runs {
+                    0 => Failure::Poison,
+                    _ => Failure::Unknown,
+                });
+            }
             let obstacle = match self.try_select(call, queued.as_ref()) {
                 Ok(server) => {
                     let waited = call.arrived.elapsed();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,7 +3,7 @@
 use crate::callers::Ledger;
 use crate::gateway::call::Cost;
 use crate::gateway::change_history::ChangeHistory;
-use crate::gateway::crash_suspects::CrashSuspects;
+use crate::gateway::crash_containment::CrashContainment;
 use crate::gateway::demand::Demand;
 use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::directory_updates::{Assembly, DirectoryUpdate};
@@ -65,8 +65,8 @@
     pub(crate) following: FollowerState,
     /// The recent changes of the directory, for VMs that missed them.
     pub(super) history: RefCell<ChangeHistory>,
-    /// Requests that were in flight when servers crashed.
-    pub(crate) suspects: CrashSuspects,
+    /// What crashes servers.
+    pub(crate) containment: RefCell<CrashContainment>,
     /// The demand for weights by the requests that this VM receives.
     pub(crate) demand: Demand,
     /// Estimates of how fast runners process each model.
@@ -131,7 +131,7 @@
                 .with_cpu_cores(settings.cpu_cores),
             following: FollowerState::default(),
             history: RefCell::default(),
-            suspects: CrashSuspects::default(),
+            containment: RefCell::default(),
             demand: Demand::default(),
             speeds: Speeds::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::Protocol;
 use crate::gateway::call::Call;
+use crate::gateway::crash_check::{BEGUN_EVENTS, Break};
 use crate::gateway::events::{EventBuffer, StreamEvent};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::failure::Failure;
@@ -124,8 +125,8 @@
                     return Ok(self.start_forwarding(call, stream, first));
                 }
                 ReadOutcome::End => return Ok(P::to_caller(&stream.exchange.head, Body::empty())),
-                ReadOutcome::Silent => self.note_break(&call, &stream, silence_cause(&call)),
-                ReadOutcome::Broken(why) => self.note_break(&call, &stream, why),
+                ReadOutcome::Silent => self.note_silence(&call, &stream).await,
+                ReadOutcome::Broken(why) => self.note_cut(&call, &stream, why).await,
             }
             if call.time_left().is_zero() {
                 return Err(Failure::TimedOut);
@@ -231,7 +232,7 @@
             event = loop {
                 match self.next_read(&call, &mut stream).await {
                     ReadOutcome::Event(event) if has_gap_before(last_event, event.id) => {
-                        self.note_break(&call, &stream, "event missing");
+                        self.note_cut(&call, &stream, "event missing").await;
                     }
                     ReadOutcome::Event(event) => break event,
                     ReadOutcome::End => {
@@ -239,8 +240,8 @@
                         sender.mark_complete();
                         return;
                     }
-                    ReadOutcome::Silent => self.note_break(&call, &stream, silence_cause(&call)),
-                    ReadOutcome::Broken(why) => self.note_break(&call, &stream, why),
+                    ReadOutcome::Silent => self.note_silence(&call, &stream).await,
+                    ReadOutcome::Broken(why) => self.note_cut(&call, &stream, why).await,
                 }
                 let Some(next) = self.resume(&mut call, last_event, weights_version).await else {
                     return;
@@ -251,8 +252,11 @@
     }
 
     fn finish(&self, call: &Call, stream: ServerStream, progress: &StreamProgress) {
-        stream.exchange.server.note_success();
-        self.state.suspects.clear(call.fingerprint);
+        let server = &stream.exchange.server;
+        server.note_success();
+        if stream.events < BEGUN_EVENTS {
+            self.note_begun_answer(call, server);
+        }
         self.learn_stream_duration(call, progress);
         let metrics = &self.state.metrics;
         metrics.note_request(call.route.kind.name(), "answered");
@@ -332,7 +336,24 @@
         }
     }
 
-    fn note_break(&self, call: &Call, stream: &ServerStream, why: &'static str) {
+    /// Records that a server's stream fell silent and is given up.
+    async fn note_silence(&self, call: &Call, stream: &ServerStream) {
+        self.note_break(call, stream, Break::Silence, silence_cause(call))
+            .await;
+    }
+
+    /// Records that a server's stream was cut off or cannot be continued.
+    async fn note_cut(&self, call: &Call, stream: &ServerStream, why: &'static str) {
+        self.note_break(call, stream, Break::Cut, why).await;
+    }
+
+    async fn note_break(
+        &self,
+        call: &Call,
+        stream: &ServerStream,
+        broken: Break,
+        why: &'static str,
+    ) {
         let server = &stream.exchange.server;
         warn!(
             request = %call.request.id,
@@ -344,7 +365,8 @@
         if call.time_left().is_zero() {
             return;
         }
-        self.note_broken_connection(call, server, stream.events);
+        self.note_broken_connection(call, server, broken, stream.events)
+            .await;
     }
 
     /// Reads the next event. Reports silence only if the stream should be resumed on another server
@@ -353,6 +375,10 @@
         loop {
             let left = call.time_left();
             let next = stream.next(left.min(MAX_SILENCE)).await;
+            let is_event = matches!(next, ReadOutcome::Event(_));
+            if is_event && stream.events == BEGUN_EVENTS {
+                self.note_begun_answer(call, &stream.exchange.server);
+            }
             let is_silent = matches!(next, ReadOutcome::Silent);
             if !is_silent || call.time_left().is_zero() {
                 return next;
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -3,7 +3,6 @@
 use crate::gateway::backlog::Backlog;
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::choose::{Candidate, choose};
-use crate::gateway::crash_suspects::CrashSuspects;
 use crate::gateway::demand::Demand;
 use crate::gateway::events::EventBuffer;
 use crate::gateway::fleet::{EntryChange, Fleet};
@@ -131,20 +130,6 @@
     assert!(retries.len() > 300, "{}", retries.len());
 }
 
-#[test]
-fn a_request_is_refused_after_crashes_observed_by_several_vms() {
-    let suspects = CrashSuspects::default();
-    let now = Instant::now();
-    assert_eq!(suspects.record_crash(7, now), 1);
-    assert!(!suspects.is_poison(7, now));
-    // A peer reports one more.
-    suspects.merge_crashes(7, 2, now);
-    assert!(suspects.is_poison(7, now));
-    assert!(!suspects.is_poison(8, now));
-    suspects.clear(7);
-    assert!(!suspects.is_poison(7, now));
-}
-
 fn route(name: &str, prefix: &str) -> Route {
     let target = |service: &str, weight| Target {
         service: service.into(),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod brief;
 mod change_history;
+mod crash_containment;
 mod decisions;
 mod directory_updates;
 mod forwarding;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! So the request at fault crashes a second runner on its own and is refused from then on, and the
 //! other suspects are cleared within a few tokens.
 
-use crate::client::is_refused;
+use crate::client::{Listening, probe_listening};
 use crate::control::{Command, SuspectCommand, SuspectStatus, Verdict};
 use crate::engine::EngineClient;
 use crate::events::{Event, emit};
@@ -19,6 +19,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// How long an engine may take to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of crashes not yet recorded in the log at which this VM refuses a request.
 const MAX_UNRECORDED_CRASHES: u32 = 2;
 /// The interval between attempts to record a crash while the log is unavailable.
@@ -199,7 +201,8 @@
         if let Some(boot) = current_boot(&run.runner).await {
             return boot != run.boot;
         }
-        if is_refused(run.runner.address).await {
+        let listening = probe_listening(run.runner.address, CONNECT_TIMEOUT).await;
+        if listening == Listening::No {
             return true;
         }
         compio::time::sleep(PROBE_INTERVAL).await;
--- a/workbench/tests/site_recovery.rs
+++ b/workbench/tests/site_recovery.rs
@@ -129,8 +129,9 @@
         expect_that!(poisoned(&site), eq(2));
         site.wait("the other VM heard of both crashes", async || {
             let log = site.log(1);
-            log.iter()
-                .any(|line| line["message"] == "crash report received" && line["crashes"] == 2)
+            let reports = log.iter();
+            let reports = reports.filter(|line| line["message"] == "crash report received");
+            reports.count() == 2
         })
         .await;
         for vm in [0, 1, 0, 1] {
