A server that still listens while its connections close is found to have crashed

A new connection must now stay open for 50 ms. A request waits for the check only if no answer is known to have begun with one of its parts.

--- a/src/client.rs
+++ b/src/client.rs
@@ -4,6 +4,7 @@
 //! request may have been sent.
 
 use crate::http::Body;
+use compio::io::AsyncRead;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
@@ -136,6 +137,9 @@
     }
 }
 
+/// How long a new connection must stay open before its server is known to go on.
+const CLOSE_WAIT: Duration = Duration::from_millis(50);
+
 /// What became of a connection that was opened only to learn whether a process listens.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Listening {
@@ -147,12 +151,29 @@
     Unknown,
 }
 
-/// Learns whether a process listens at the address.
+/// Learns whether a process listens at the address, and has not begun to end: a process that ends
+/// may close some connections before it stops listening. Takes at most twice the `timeout` and
+/// [`CLOSE_WAIT`].
 pub(crate) async fn probe_listening(address: SocketAddr, timeout: Duration) -> Listening {
+    let (listening, connection) = connect_once(address, timeout).await;
+    let Some(mut connection) = connection else {
+        return listening;
+    };
+    let closed = compio::time::timeout(CLOSE_WAIT, connection.read(Vec::with_capacity(1))).await;
+    match closed {
+        Err(_elapsed) => Listening::Yes,
+        // A server with too many connections closes them too, and goes on listening.
+        Ok(_) => connect_once(address, timeout).await.0,
+    }
+}
+
+async fn connect_once(address: SocketAddr, timeout: Duration) -> (Listening, Option<TcpStream>) {
     match compio::time::timeout(timeout, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Listening::Yes,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Listening::No,
-        Ok(Err(_)) | Err(_) => Listening::Unknown,
+        Ok(Ok(connection)) => (Listening::Yes, Some(connection)),
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            (Listening::No, None)
+        }
+        Ok(Err(_)) | Err(_) => (Listening::Unknown, None),
     }
 }
 
--- a/src/gateway/crash_containment.rs
+++ b/src/gateway/crash_containment.rs
@@ -125,6 +125,11 @@
         self.begun_here.contains(part) || self.begun_elsewhere.contains(part)
     }
 
+    /// Whether there is a part with which no answer is known to have begun.
+    pub(crate) fn has_unknown_part(&self, parts: &[PromptPart]) -> bool {
+        parts.iter().any(|part| !self.is_known(*part))
+    }
+
     /// Whether a part may be the cause of a crash: it is charged with one, and no answer with it is
     /// known to have begun.
     pub(crate) fn has_suspect(&self, parts: &[PromptPart]) -> bool {
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -108,6 +108,12 @@
         cause.is_some()
     }
 
+    /// Whether a crash with the request in flight would make it a suspect.
+    pub(super) fn may_be_crash_suspect(&self, call: &Call) -> bool {
+        let containment = self.containment.borrow();
+        containment.has_unknown_part(&call.request.shared_parts)
+    }
+
     /// Whether a request may be the one that crashed a server.
     pub(super) fn is_crash_suspect(&self, call: &Call) -> bool {
         let containment = self.containment.borrow();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -326,7 +326,7 @@
             let _ = checked.send(());
         })
         .detach();
-        if has_begun || !call.may_run_again() {
+        if has_begun || !call.may_run_again() || !self.state.may_be_crash_suspect(call) {
             return;
         }
         let wait = call.time_left().min(CRASH_CHECK_WAIT);
