--- /dev/null
+++ b/src/gateway/containment_keeper.rs
@@ -0,0 +1,118 @@
+//! Keeps what is contained in the log, for VMs that start when no other VM can tell them.
+
+use crate::gateway::crash_report::CrashCause;
+use crate::gateway::state::State;
+use crate::gateway::{ContainmentLog, StoredCause};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+use tracing::{info, warn};
+
+/// How often the leader checks whether something has yet to be written.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// How often a contained cause is written again while requests of it come.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(200);
+/// The pause after a failed read.
+const READ_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a VM that starts takes no requests while neither the log nor another VM tells what is
+/// contained.
+const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Reads what is contained when the process starts, and writes it while this VM leads.
+#[derive(Debug)]
+pub(crate) struct ContainmentKeeper<S> {
+    state: Rc<State>,
+    store: Rc<S>,
+    /// When each cause was written by this VM.
+    written_at: RefCell<HashMap<CrashCause, Instant>>,
+}
+
+impl<S: ContainmentLog> ContainmentKeeper<S> {
+    /// Creates the keeper of a VM that has just started.
+    pub(crate) fn new(state: Rc<State>, store: Rc<S>) -> Rc<Self> {
+        Rc::new(Self {
+            state,
+            store,
+            written_at: RefCell::default(),
+        })
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(self: Rc<Self>) {
+        let waiting = self.clone();
+        compio::runtime::spawn(async move { waiting.end_start_delay().await }).detach();
+        self.read_until_known().await;
+        loop {
+            compio::time::sleep(CHECK_INTERVAL).await;
+            if self.state.fence.get() != 0 {
+                self.write_news().await;
+            }
+        }
+    }
+
+    /// Lets the VM take requests although it could not learn what is contained.
+    async fn end_start_delay(&self) {
+        compio::time::sleep(MAX_START_DELAY).await;
+        if !self.state.is_containment_known.replace(true) {
+            warn!("requests are taken before it is known which crash servers");
+        }
+    }
+
+    /// Reads the log until it answers or another VM has told what is contained.
+    async fn read_until_known(&self) {
+        while !self.state.is_containment_told.get() {
+            match self.store.contained().await {
+                Ok(stored) => {
+                    self.apply(&stored);
+                    break;
+                }
+                Err(error) => {
+                    info!(?error, "contained causes not read");
+                    compio::time::sleep(READ_RETRY_INTERVAL).await;
+                }
+            }
+        }
+        self.state.is_containment_known.set(true);
+    }
+
+    fn apply(&self, stored: &[StoredCause]) {
+        let now = Instant::now();
+        for stored in stored {
+            let refused_at = SystemTime::UNIX_EPOCH + Duration::from_millis(stored.refused_unix_ms);
+            // The clock may have been set back since.
+            let idle = refused_at.elapsed().unwrap_or_default();
+            self.state.contain_stored(stored.cause, idle, now);
+        }
+    }
+
+    /// Writes the causes that are confirmed and not in the log as of late.
+    async fn write_news(&self) {
+        let now = Instant::now();
+        let confirmed = self.state.containment.borrow().confirmed(now);
+        for (cause, idle) in confirmed {
+            let written_at = self.written_at.borrow().get(&cause).copied();
+            let is_recent = written_at.is_some_and(|at| now - at < REFRESH_INTERVAL);
+            let was_refused_since = written_at.is_none_or(|at| now - at > idle);
+            if is_recent || !was_refused_since {
+                continue;
+            }
+            let refused_at = SystemTime::now() - idle;
+            let refused_at = refused_at.duration_since(SystemTime::UNIX_EPOCH);
+            let stored = StoredCause {
+                cause,
+                refused_unix_ms: refused_at.unwrap_or_default().as_millis() as u64,
+            };
+            match self.store.write_contained(&stored).await {
+                Ok(()) => {
+                    self.written_at.borrow_mut().insert(cause, now);
+                    info!(?cause, "contained cause written");
+                }
+                Err(error) => {
+                    info!(?cause, ?error, "contained cause not written");
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -16,6 +16,8 @@
     pub(super) clearances: Vec<(CrashCause, Vec<ServerRunId>)>,
     /// Parts of reported prompts with which answers began at the peer.
     pub(super) begun_parts: Vec<PromptPart>,
+    /// Whether the peer knows what was contained before it started.
+    pub(super) knows_contained: bool,
     /// Contained causes, each with the time since a request was last refused for it.
     pub(super) contained: Vec<(CrashCause, Duration)>,
 }
@@ -27,6 +29,7 @@
             && self.clearances.is_empty()
             && self.begun_parts.is_empty()
             && self.contained.is_empty()
+            && !self.knows_contained
     }
 }
 
@@ -76,12 +79,24 @@
             }
         }
         drop(containment);
+        if news.knows_contained {
+            self.is_containment_told.set(true);
+            self.is_containment_known.set(true);
+        }
         if has_change {
             self.changed.notify();
         }
         self.settle_containment(now);
     }
 
+    /// Contains a cause that the log names.
+    pub(super) fn contain_stored(&self, cause: CrashCause, idle: Duration, now: Instant) {
+        if self.containment.borrow_mut().contain(cause, idle, now) {
+            warn!(?cause, "contained according to the log");
+            self.settle_containment(now);
+        }
+    }
+
     /// Records that a server has begun to answer a request that was sent to it at a time.
     pub(super) fn record_begun_answer(&self, call: &Call, sent_at: Instant) {
         let mut containment = self.containment.borrow_mut();
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -1,6 +1,7 @@
 //! Interfaces between the gateway and the outside: the request protocol, the log and the runners,
 //! with one small trait for each.
 
+use crate::gateway::crash_report::CrashCause;
 use crate::gateway::{CallerRequest, Configuration, Entry};
 use crate::http::Body;
 use crate::inventory::Name;
@@ -210,6 +211,25 @@
     fn claim(&self, leader: &str, offset: u64) -> impl Future<Output = Result<u64, StoreError>>;
 }
 
+/// A contained cause of crashes as kept in the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct StoredCause {
+    /// What crashes servers.
+    pub(crate) cause: CrashCause,
+    /// When a request was last refused for it, in Unix milliseconds.
+    pub(crate) refused_unix_ms: u64,
+}
+
+/// The causes of crashes that VMs contain.
+pub(crate) trait ContainmentLog: 'static {
+    /// Reads all contained causes.
+    fn contained(&self) -> impl Future<Output = Result<Vec<StoredCause>, StoreError>>;
+
+    /// Writes a contained cause in place of what was written of it before.
+    fn write_contained(&self, stored: &StoredCause)
+    -> impl Future<Output = Result<(), StoreError>>;
+}
+
 /// Identifies the weights that are loaded or unloaded: a model, or an adapter of it.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct Weights {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -246,6 +246,7 @@
             is_partial: true,
             loads: Vec::new(),
             contained: Vec::new(),
+            knows_contained: false,
             leaving: Vec::new(),
             leader: None,
             ..digest
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -128,6 +128,9 @@
     /// What the sender contains because it crashes servers.
     #[prost(message, repeated, tag = "35")]
     pub(super) contained: Vec<ContainedCauseMessage>,
+    /// Whether the sender knows what was contained before it started.
+    #[prost(bool, tag = "36")]
+    pub(super) knows_contained: bool,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -116,6 +116,7 @@
             reports: reports.collect(),
             clearances: clearances.collect(),
             begun_parts: digest.begun_parts.iter().copied().map(PromptPart).collect(),
+            knows_contained: digest.knows_contained && !self.state.is_containment_told.get(),
             contained: contained.collect(),
         };
         if !news.is_empty() {
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -185,6 +185,7 @@
             fence: state.fence.get(),
             leader: state.peers.leader_seen(Instant::now()),
             contained: self.contained_causes(),
+            knows_contained: state.is_containment_known.get(),
             leaving: self.leaving_servers(),
             mixed_services: self.mixed_services(),
             ..Digest::default()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod change_history;
 mod choose;
 mod configuration;
+mod containment_keeper;
 mod crash_check;
 mod crash_containment;
 mod crash_evidence;
@@ -100,10 +101,11 @@
 pub(crate) use configuration::{
     Configuration, Document, Engine, Limits, Model, Route, RouteKind, Service, Target,
 };
+pub(crate) use crash_report::CrashCause;
 pub(crate) use external::{
-    Changes, ConfigSource, Directory, Group, LeadershipClaims, Malformed, Members, Membership,
-    Order, OrderOutcome, Protocol, Refusal, Reply, RunnerControl, RunnerReport, SendOptions,
-    ServerChange, StoreError, Weights,
+    Changes, ConfigSource, ContainmentLog, Directory, Group, LeadershipClaims, Malformed, Members,
+    Membership, Order, OrderOutcome, Protocol, Refusal, Reply, RunnerControl, RunnerReport,
+    SendOptions, ServerChange, StoreError, StoredCause, Weights,
 };
 pub(crate) use fleet::{Entry, Holding, ServerState};
 pub(crate) use metrics::Metrics;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -153,7 +153,7 @@
         forwarded: Option<ForwardedCall>,
     ) -> Result<Call, Failure> {
         let configuration = self.state.configuration().ok_or(Failure::Unready)?;
-        if !self.state.is_directory_known.get() {
+        if !self.state.is_directory_known.get() || !self.state.is_containment_known.get() {
             return Err(Failure::Unready);
         }
         let route = configuration
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,6 +1,7 @@
 //! Starts, runs and shuts down the serving role on one VM.
 
 use crate::error::Fault;
+use crate::gateway::containment_keeper::ContainmentKeeper;
 use crate::gateway::election::LeaderElection;
 use crate::gateway::fleet::Incarnation;
 use crate::gateway::forwarding::forward_address;
@@ -13,7 +14,8 @@
 use crate::gateway::sync_server::SyncServer;
 use crate::gateway::watch::LogWatcher;
 use crate::gateway::{
-    ConfigSource, Directory, Group, LeadershipClaims, Metrics, Protocol, RunnerControl, Settings,
+    ConfigSource, ContainmentLog, Directory, Group, LeadershipClaims, Metrics, Protocol,
+    RunnerControl, Settings,
 };
 use crate::http::{self, Body, serve_with_head_timeout};
 use compio::net::TcpListener;
@@ -62,7 +64,7 @@
 ) -> Result<(), Report<Fault>>
 where
     P: Protocol,
-    S: ConfigSource + Directory + Group + LeadershipClaims,
+    S: ConfigSource + ContainmentLog + Directory + Group + LeadershipClaims,
     R: RunnerControl,
 {
     let log_buffer = BufferedLog::start().change_context(Fault::Logging)?;
@@ -93,6 +95,8 @@
     compio::runtime::spawn(gossip.clone().send_stream_versions()).detach();
     compio::runtime::spawn(gossip.clone().send_version_queries()).detach();
     compio::runtime::spawn(gossip.send()).detach();
+    let keeper = ContainmentKeeper::new(state.clone(), store.clone());
+    compio::runtime::spawn(keeper.run()).detach();
     let election = LeaderElection::new(state.clone(), store, runners);
     compio::runtime::spawn(election.clone().keep_membership()).detach();
     compio::runtime::spawn(election.clone().lead()).detach();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -67,6 +67,10 @@
     pub(super) history: RefCell<ChangeHistory>,
     /// What crashes servers.
     pub(crate) containment: RefCell<CrashContainment>,
+    /// Whether another VM has told what is contained.
+    pub(super) is_containment_told: Cell<bool>,
+    /// Whether the log or another VM has told what is contained, as far as either can.
+    pub(super) is_containment_known: Cell<bool>,
     /// The demand for weights by the requests that this VM receives.
     pub(crate) demand: Demand,
     /// Estimates of how fast runners process each model.
@@ -132,6 +136,8 @@
             following: FollowerState::default(),
             history: RefCell::default(),
             containment: RefCell::default(),
+            is_containment_told: Cell::new(false),
+            is_containment_known: Cell::new(false),
             demand: Demand::default(),
             speeds: Speeds::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
@@ -616,6 +622,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         !self.shutdown.is_leaving()
             && self.is_directory_known.get()
+            && self.is_containment_known.get()
             && self.peers.is_discovery_done(Instant::now())
             && self.configuration.borrow().is_some()
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,6 +11,7 @@
 mod requests;
 mod settings;
 mod store;
+mod stored_cause;
 #[cfg(test)]
 mod tests;
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,13 +2,14 @@
 
 use crate::client::{Connection, SendError};
 use crate::gateway::{
-    Changes, ConfigSource, Configuration, Directory, Group, LeadershipClaims, Members, Membership,
-    Metrics, ServerChange, StoreError,
+    Changes, ConfigSource, Configuration, ContainmentLog, Directory, Group, LeadershipClaims,
+    Members, Membership, Metrics, ServerChange, StoreError, StoredCause,
 };
 use crate::http::{Body, read_flowing_body};
 use crate::inventory::Name;
 use crate::platform::configuration;
 use crate::platform::directory::server_changes;
+use crate::platform::stored_cause;
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -38,6 +39,8 @@
 const SERVERS_TOPIC: &str = "keyed.servers";
 /// The topic whose partitions the store assigns to VMs.
 const MEMBERS_TOPIC: &str = "members";
+/// The keyed topic of what VMs contain because it crashes servers.
+const CONTAINED_TOPIC: &str = "keyed.contained";
 /// The topic of leadership claims.
 const CLAIMS_TOPIC: &str = "claims";
 /// The name of the group that all VMs join.
@@ -340,6 +343,23 @@
         }
     }
 
+    /// Appends one record to a topic; `position` is empty or holds further parameters of the call.
+    async fn append(
+        &self,
+        topic: &str,
+        position: &str,
+        record: &[u8],
+    ) -> Result<WireAppended, StoreError> {
+        let mut body = BytesMut::new();
+        body.put_u32(record.len() as u32);
+        body.put_slice(record);
+        let path = format!("/-/log-append?topic={topic}&part=0{position}");
+        let answer = self
+            .call(Method::POST, &path, body.freeze(), Duration::ZERO)
+            .await?;
+        parse(&success_body(answer)?)
+    }
+
     /// Reads the records of a keyed topic from an offset on.
     async fn read_records(
         &self,
@@ -510,6 +530,20 @@
     }
 }
 
+impl ContainmentLog for PlatformStore {
+    async fn contained(&self) -> Result<Vec<StoredCause>, StoreError> {
+        let records = self.read_newest(CONTAINED_TOPIC).await?;
+        let stored = records.items.iter().filter_map(stored_cause::decode);
+        Ok(stored.collect())
+    }
+
+    async fn write_contained(&self, stored: &StoredCause) -> Result<(), StoreError> {
+        let record = stored_cause::encode(stored);
+        let appended = self.append(CONTAINED_TOPIC, "", &record).await;
+        appended.map(drop)
+    }
+}
+
 impl LeadershipClaims for PlatformStore {
     async fn has_later_claim(&self, fence: u64) -> Result<bool, StoreError> {
         // A claim's fence is its offset plus one, which is the offset of the next claim.
@@ -527,14 +561,10 @@
     }
 
     async fn claim(&self, leader: &str, offset: u64) -> Result<u64, StoreError> {
-        let mut record = BytesMut::new();
-        record.put_u32(leader.len() as u32);
-        record.put_slice(leader.as_bytes());
-        let path = format!("/-/log-append?topic={CLAIMS_TOPIC}&part=0&at={offset}");
-        let answer = self
-            .call(Method::POST, &path, record.freeze(), Duration::ZERO)
+        let position = format!("&at={offset}");
+        let appended = self
+            .append(CLAIMS_TOPIC, &position, leader.as_bytes())
             .await?;
-        let appended: WireAppended = parse(&success_body(answer)?)?;
         // Fences begin at 1, so that no claim's fence is mistaken for a missing one.
         Ok(appended.offset + 1)
     }
--- a/workbench/tests/site_prompt_parts.rs
+++ b/workbench/tests/site_prompt_parts.rs
@@ -3,6 +3,7 @@
 use futures_util::join;
 use googletest::prelude::*;
 use serde_json::json;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
 use workbench::site::crashing_parts::{CrashingParts, FIRST_PART, prompt, send_prompts};
@@ -75,27 +76,55 @@
     });
 }
 
+/// Two VMs that have learnt that a part crashes servers.
+async fn site_with_known_part() -> (Site, Rc<CrashingParts>) {
+    let site = model_site(6, 2).await;
+    let crashing = CrashingParts::install(&site, &[BAD], DOWNTIME);
+    let sound = send_prompts(&site, &[0, 1], 30.0, Duration::from_secs(6), sound_parts);
+    let bad = async {
+        compio::time::sleep(Duration::from_secs(2)).await;
+        send_prompts(&site, &[0, 1], 5.0, Duration::from_secs(4), bad_parts).await
+    };
+    join!(sound, bad);
+    expect_that!(crashing.crashes(BAD).len(), le(MAX_CRASHES));
+    (site, crashing)
+}
+
+/// Checks that a VM refuses prompts with the bad part and sends none to a server.
+async fn expect_refusals(site: &Site, vm: usize, crashing: &CrashingParts) {
+    let arrivals = crashing.arrivals(BAD);
+    for _ in 0..4 {
+        let request = prompt(&[FIRST_PART, BAD]);
+        let answer = Caller::default().request(site.front(vm), &request).await;
+        expect_that!(answer.status, some(eq(503)));
+    }
+    expect_that!(crashing.arrivals(BAD), eq(arrivals));
+}
+
 #[googletest::test]
 fn a_vm_that_starts_knows_the_parts_that_crashed_servers() {
     block_on(async {
-        let mut site = model_site(6, 2).await;
-        let crashing = CrashingParts::install(&site, &[BAD], DOWNTIME);
-        let sound = send_prompts(&site, &[0, 1], 30.0, Duration::from_secs(6), sound_parts);
-        let bad = async {
-            compio::time::sleep(Duration::from_secs(2)).await;
-            send_prompts(&site, &[0, 1], 5.0, Duration::from_secs(4), bad_parts).await
-        };
-        join!(sound, bad);
-        let arrivals = crashing.arrivals(BAD);
-        expect_that!(crashing.crashes(BAD).len(), le(MAX_CRASHES));
+        let (mut site, crashing) = site_with_known_part().await;
         site.start_vms(1);
         site.wait_ready().await;
-        for _ in 0..4 {
-            let request = prompt(&[FIRST_PART, BAD]);
-            let answer = Caller::default().request(site.front(2), &request).await;
-            expect_that!(answer.status, some(eq(503)));
+        expect_refusals(&site, 2, &crashing).await;
+    });
+}
+
+#[googletest::test]
+fn vms_that_all_start_at_once_know_the_parts_that_crashed_servers() {
+    block_on(async {
+        let (mut site, crashing) = site_with_known_part().await;
+        for vm in &mut site.vms {
+            vm.kill();
+        }
+        for index in 0..site.vms.len() {
+            site.restart_vm(index);
+        }
+        site.wait_ready().await;
+        for vm in 0..site.vms.len() {
+            expect_refusals(&site, vm, &crashing).await;
         }
-        expect_that!(crashing.arrivals(BAD), eq(arrivals));
     });
 }
 
