What a peer repeats of contained causes is not decided on anew

Each message of a peer repeats what it contains; every one had the evidence weighed again, though only reports, clearances and causes that are news can change the decision.

--- a/src/gateway/crash_containment.rs
+++ b/src/gateway/crash_containment.rs
@@ -102,9 +102,11 @@
         self.evidence.clear_runs(cause, runs)
     }
 
-    /// Records that an answer with a part began at a peer.
-    pub(crate) fn record_begun_elsewhere(&mut self, part: PromptPart) {
+    /// Records that an answer with a part began at a peer; returns whether that is news.
+    pub(crate) fn record_begun_elsewhere(&mut self, part: PromptPart) -> bool {
+        let is_news = !self.begun_elsewhere.contains(part);
         self.begun_elsewhere.insert(part);
+        is_news
     }
 
     /// Whether an answer with the part began at this VM.
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -47,10 +47,12 @@
     /// Applies what a peer tells of crashed servers.
     pub(super) fn apply_crash_news(&self, peer: SocketAddr, news: &PeerCrashNews, now: Instant) {
         let mut containment = self.containment.borrow_mut();
+        let mut has_evidence = false;
         for report in &news.reports {
             if !containment.record_crash(report, now) {
                 continue;
             }
+            has_evidence = true;
             info!(
                 %peer,
                 run = report.run.0,
@@ -66,16 +68,15 @@
             }
         }
         for (cause, runs) in &news.clearances {
-            containment.clear(*cause, runs);
+            has_evidence |= containment.clear(*cause, runs);
         }
         for part in &news.begun_parts {
-            containment.record_begun_elsewhere(*part);
+            has_evidence |= containment.record_begun_elsewhere(*part);
         }
-        let mut has_change = false;
         for (cause, idle) in &news.contained {
             if containment.contain(*cause, *idle, now) {
                 warn!(%peer, ?cause, "contained by a peer");
-                has_change = true;
+                has_evidence = true;
             }
         }
         drop(containment);
@@ -83,10 +84,10 @@
             self.is_containment_told.set(true);
             self.is_containment_known.set(true);
         }
-        if has_change {
+        if has_evidence {
             self.changed.notify();
+            self.settle_containment(now);
         }
-        self.settle_containment(now);
     }
 
     /// Contains a cause that the log names.
