New connections are closed unread where a VM cannot serve them in time (RECOVER)

Callers saw: while most new connections go to one VM, nearly all requests there time out; with 0.05 cores and 500 connections a second 61 of 2,000 were answered in 4 s. Cause: one connection was accepted a turn, so that the kernel's queue held up to 1,024; each was served after its caller had left. Change: what the kernel has ready is taken at once, four connections are begun a turn, and one that waited longer than 150 ms, or beyond 70 % of the descriptors, is closed before anything is read, so that its caller tries another VM at once.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -64,6 +64,10 @@
         "unreadable_prompts",
         "requests whose parts of the prompt cannot be read",
     ),
+    describe(
+        "closed_unread",
+        "callers' connections closed before anything was read, since this VM was too busy",
+    ),
     describe("connections_opened", "connections opened to servers"),
     describe("peer_messages", "messages sent to other VMs"),
     describe("store_calls", "calls to the store, by call and outcome"),
@@ -162,6 +166,8 @@
     pub(crate) resumptions: Family<OutcomeLabels, Counter>,
     /// Requests whose parts of the prompt cannot be read.
     pub(crate) unreadable_prompts: Counter,
+    /// Callers' connections that were closed before anything was read.
+    pub(crate) closed_unread: Counter,
     pub(crate) connections_opened: Counter,
     pub(crate) peer_messages: Counter,
     pub(crate) store_calls: Family<CallLabels, Counter>,
@@ -212,6 +218,7 @@
             streams_resumed: Counter::default(),
             resumptions: Family::default(),
             unreadable_prompts: Counter::default(),
+            closed_unread: Counter::default(),
             connections_opened: Counter::default(),
             peer_messages: Counter::default(),
             store_calls: Family::default(),
@@ -261,6 +268,7 @@
         self.register("resumptions", self.resumptions.clone());
         self.register("connections_opened", self.connections_opened.clone());
         self.register("unreadable_prompts", self.unreadable_prompts.clone());
+        self.register("closed_unread", self.closed_unread.clone());
         self.register("attempts", self.attempts.clone());
         self.register("forwarded_requests", self.forwarded.clone());
         self.register("orders_given", self.orders.clone());
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -17,7 +17,7 @@
     ConfigSource, ContainmentLog, Directory, Group, LeadershipClaims, Metrics, Protocol,
     RunnerControl, Settings,
 };
-use crate::http::{self, Body, serve_with_head_timeout};
+use crate::http::{self, AcceptLimits, Body, serve_within};
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
 use futures_util::future::{Either, select};
@@ -47,6 +47,9 @@
 /// How much longer than the configured idle timeout a caller's connection is kept open, so that it
 /// isn't closed while a request is on its way.
 const IDLE_SLACK: Duration = Duration::from_millis(2_000);
+/// How long a new connection of a caller may wait for this VM: longer than the pauses of a processor
+/// with a quota, and short enough that the caller still has time for another VM.
+const MAX_ACCEPT_WAIT: Duration = Duration::from_millis(150);
 /// The interval at which stale idle connections to servers are dropped.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -157,13 +160,14 @@
         Duration::from_millis(limits.idle_timeout_ms) + IDLE_SLACK
     };
     let shutdown = state.shutdown.clone();
-    compio::runtime::spawn(serve_with_head_timeout(
-        listener,
-        shutdown,
+    let limits = AcceptLimits {
         head_timeout,
-        move |request| relay.clone().handle(request),
-    ))
-    .detach();
+        max_wait: MAX_ACCEPT_WAIT,
+        max_open: state.settings.max_caller_connections,
+        closed_unread: state.metrics.closed_unread.clone(),
+    };
+    let handler = move |request| relay.clone().handle(request);
+    compio::runtime::spawn(serve_within(limits, listener, shutdown, handler)).detach();
 }
 
 fn metrics_response(state: &State) -> Response<Body> {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -26,6 +26,8 @@
     pub(crate) cpu_cores: f64,
     /// The bandwidth of the VM's link, in bytes per second; `None` if it is not limited.
     pub(crate) link_bytes_per_s: Option<f64>,
+    /// The maximum number of open connections of callers.
+    pub(crate) max_caller_connections: usize,
     /// Limits and guarantees of the deployment.
     pub(crate) bounds: Bounds,
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the serving role that need no network.
 
+mod accept_queue;
 mod brief;
 mod change_history;
 mod crash_containment;
@@ -54,6 +55,7 @@
         log_address: address,
         cpu_cores: 1.0,
         link_bytes_per_s: None,
+        max_caller_connections: 1_000,
         bounds: Bounds {
             quota: crate::callers::QuotaBounds::default(),
             grace: Duration::ZERO,
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1 serving with `hyper` on `compio`, and the body type of requests and responses.
 
+use crate::accept_queue::{AcceptQueue, Admission};
 use crate::shutdown::Shutdown;
 use crate::write_stall::{MonitoredStream, StallMonitor};
 use bytes::{Bytes, BytesMut};
@@ -14,7 +15,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
+use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
@@ -22,7 +25,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The default time a client may take to send a request head.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -32,6 +35,8 @@
 const BACKLOG: i32 = 1_024;
 /// The delay before the next accept after one failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// The maximum number of connections that are begun to be served before others have their turn.
+const MAX_SERVED_PER_TURN: usize = 4;
 /// How long a closing listener still accepts connections, and a closing idle connection still
 /// accepts requests, that were in flight when the shutdown began.
 const CLOSE_LINGER: Duration = Duration::from_millis(100);
@@ -252,7 +257,9 @@
     };
     socket.set_reuseaddr(true)?;
     socket.bind(address).await?;
-    socket.listen(BACKLOG).await
+    let listener = socket.listen(BACKLOG).await?;
+    SockRef::from(&listener).set_nonblocking(true)?;
+    Ok(listener)
 }
 
 /// Accepts connections until `shutdown` begins and serves each in its own task.
@@ -264,43 +271,121 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    serve_with_head_timeout(listener, shutdown, || HEADER_TIMEOUT, handler).await;
+    let limits = AcceptLimits {
+        head_timeout: || HEADER_TIMEOUT,
+        max_wait: Duration::MAX,
+        max_open: usize::MAX,
+        closed_unread: Counter::default(),
+    };
+    serve_within(limits, listener, shutdown, handler).await;
 }
 
-/// Like [`serve`], with the time that a client may be idle or take to send a request head.
-///
-/// `head_timeout` is called once for each connection.
-pub(crate) async fn serve_with_head_timeout<T, H, F>(
+/// What a server does with new connections.
+#[derive(Debug)]
+pub(crate) struct AcceptLimits<T> {
+    /// Returns the time that a client may be idle or take to send a request head; called once for
+    /// each connection.
+    pub(crate) head_timeout: T,
+    /// How long a connection may wait for this process to serve it.
+    pub(crate) max_wait: Duration,
+    /// The maximum number of open connections.
+    pub(crate) max_open: usize,
+    /// Counts connections that were closed before anything was read.
+    pub(crate) closed_unread: Counter,
+}
+
+/// Like [`serve`], within limits beyond which new connections are closed at once.
+pub(crate) async fn serve_within<T, H, F>(
+    limits: AcceptLimits<T>,
     listener: TcpListener,
     shutdown: Rc<Shutdown>,
-    head_timeout: T,
     handler: H,
 ) where
     T: Fn() -> Duration,
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
+    let serve_one = |stream| {
+        let head_timeout = (limits.head_timeout)();
+        spawn_connection(stream, shutdown.clone(), head_timeout, handler.clone());
+    };
+    let mut queue = AcceptQueue::new(limits.max_wait, limits.max_open);
     let mut stop = pin!(shutdown.wait());
     loop {
-        let accept = pin!(listener.accept());
-        match select(accept, stop.as_mut()).await {
-            Either::Left((Ok((stream, _)), _)) => {
-                spawn_connection(stream, shutdown.clone(), head_timeout(), handler.clone());
+        if queue.is_empty() {
+            let accept = pin!(listener.accept());
+            match select(accept, stop.as_mut()).await {
+                Either::Left((Ok((stream, _)), _)) => queue.push(stream, Instant::now()),
+                Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
+                Either::Right(_) => break,
+            }
+        }
+        accept_pending(&listener, &mut queue);
+        let mut served = 0;
+        while served < MAX_SERVED_PER_TURN {
+            match queue.pop(shutdown.open(), Instant::now()) {
+                Some(Admission::Serve(stream)) => {
+                    serve_one(stream);
+                    served += 1;
+                }
+                Some(Admission::Close(stream)) => {
+                    drop(stream);
+                    limits.closed_unread.inc();
+                }
+                None => break,
             }
-            Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
-            Either::Right(_) => break,
+        }
+        // The connections that are being served have their turn, so that the time for which others
+        // wait shows how busy this process is.
+        if let Either::Right(_) = select(pin!(yield_now()), stop.as_mut()).await {
+            break;
         }
     }
     // Connections that were established before the listener closes are still served.
-    let accept_pending = async {
+    while let Some(Admission::Serve(stream) | Admission::Close(stream)) =
+        queue.pop(0, Instant::now())
+    {
+        serve_one(stream);
+    }
+    let accept_last = async {
         loop {
             if let Ok((stream, _)) = listener.accept().await {
-                spawn_connection(stream, shutdown.clone(), head_timeout(), handler.clone());
+                serve_one(stream);
             }
         }
     };
-    // `accept_pending` never returns, so that a timeout is the normal case.
-    let _ = compio::time::timeout(CLOSE_LINGER, accept_pending).await;
+    // `accept_last` never returns, so that a timeout is the normal case.
+    let _ = compio::time::timeout(CLOSE_LINGER, accept_last).await;
+}
+
+/// Takes the connections that the kernel has ready.
+fn accept_pending(listener: &TcpListener, queue: &mut AcceptQueue<TcpStream>) {
+    let socket = SockRef::from(listener);
+    let now = Instant::now();
+    for _ in 0..BACKLOG {
+        // An error is met again, and handled, when the next connection is waited for.
+        let Ok((accepted, _)) = socket.accept() else {
+            return;
+        };
+        let stream = accepted.set_nonblocking(true);
+        match stream.and_then(|()| TcpStream::from_std(accepted.into())) {
+            Ok(stream) => queue.push(stream, now),
+            Err(error) => tracing::warn!(%error, "connection not taken over"),
+        }
+    }
+}
+
+/// Lets the other tasks run once.
+async fn yield_now() {
+    let mut has_yielded = false;
+    std::future::poll_fn(|context| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
 }
 
 fn spawn_connection<H, F>(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The processes of this crate route requests from callers to backend servers. They agree on
 //! shared state by the order of records in the platform's log; docs/DESIGN.md explains why.
 
+mod accept_queue;
 mod admission;
 mod append_pace;
 mod arguments;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -21,6 +21,11 @@
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// The largest value of a setting in seconds: one day.
 const MAX_SECONDS: f64 = 86_400.0;
+/// The number of file descriptors if the settings do not state it.
+const DEFAULT_MAX_FDS: usize = 4_096;
+/// The share of them that callers' connections may take; the others are for servers, other VMs and
+/// the log.
+const CALLER_FDS_SHARE: f64 = 0.7;
 
 #[derive(Deserialize)]
 struct SettingsFile {
@@ -51,6 +56,8 @@
     cores: f64,
     /// The bandwidth of the VM's link, in Mbit/s; not limited if it is missing.
     link_mbps: Option<f64>,
+    /// The number of file descriptors that the process may have.
+    max_fds: usize,
 }
 
 impl Default for FileLimits {
@@ -59,6 +66,7 @@
             cpu_share: 1.0,
             cores: 1.0,
             link_mbps: None,
+            max_fds: DEFAULT_MAX_FDS,
         }
     }
 }
@@ -126,6 +134,7 @@
         peer_address: SocketAddr::new(file.ip, file.internal_ports[0]),
         log_address: file.platform.address,
         cpu_cores: file.limits.cpu_share * file.limits.cores,
+        max_caller_connections: (file.limits.max_fds as f64 * CALLER_FDS_SHARE) as usize,
         link_bytes_per_s: file.limits.link_mbps.map(|mbps| mbps * BYTES_PER_MBIT),
         bounds: Bounds {
             grace: Duration::from_secs_f64(bounds.grace_s),
