Play of fleets of 1 to 1,000 VMs against parts of prompts that crash servers

One to three parts at 1 to 20 requests a second, a tenth of the messages lost, servers that end for other reasons, 10 to 10,000 subjects.

--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -3,6 +3,7 @@
 mod accept_queue;
 mod brief;
 mod change_history;
+mod containment_play;
 mod crash_containment;
 mod decisions;
 mod directory_updates;
