Start: the VMs that join the group first read the log at once

In a fleet with more VMs than partitions, each VM waited for 1 s of uptime and a turn before the first one read the log, and every VM read from the log what is contained.

Without a list the turns decide as before. What is contained comes with the configuration of another VM, which sends none before it knows what is contained.

`workbench start` measures it.

--- a/src/gateway/containment_keeper.rs
+++ b/src/gateway/containment_keeper.rs
@@ -15,6 +15,11 @@
 const REFRESH_INTERVAL: Duration = Duration::from_secs(200);
 /// The pause after a failed read.
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// The interval between two checks whether another VM has told what is contained.
+const PEER_POLL: Duration = Duration::from_millis(10);
+/// How long a VM that starts waits for another VM before it reads the log. The VMs that join the
+/// group first read the log at once, and the others have their state from them within half a second.
+const MAX_PEER_WAIT: Duration = Duration::from_millis(1_000);
 /// How long a VM that starts takes no requests while neither the log nor another VM tells what is
 /// contained.
 const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
@@ -59,13 +64,30 @@
         }
     }
 
+    /// Waits until another VM has told what is contained, or until this VM has to read it from the
+    /// log: because it reads its other state there too, because the VM that sent the configuration
+    /// does not know what is contained, or because no state has arrived for long.
+    async fn wait_for_other_vms(&self) {
+        let began = Instant::now();
+        while !self.state.is_containment_told.get()
+            && !self.state.reads_log.get()
+            && self.state.configuration().is_none()
+            && began.elapsed() < MAX_PEER_WAIT
+        {
+            compio::time::sleep(PEER_POLL).await;
+        }
+    }
+
     /// Reads the log until it answers or another VM has told what is contained.
     async fn read_until_known(&self) {
+        self.wait_for_other_vms().await;
+        let mut source = "vm";
         while !self.state.is_containment_told.get() {
             match self.store.contained().await {
                 Ok(stored) => {
                     self.apply(&stored);
-                    break;
+                    self.state.is_containment_told.set(true);
+                    source = "log";
                 }
                 Err(error) => {
                     info!(?error, "contained causes not read");
@@ -74,6 +96,7 @@
             }
         }
         self.state.is_containment_known.set(true);
+        info!(source, "contained causes known");
     }
 
     fn apply(&self, stored: &[StoredCause]) {
--- a/src/gateway/election.rs
+++ b/src/gateway/election.rs
@@ -165,6 +165,7 @@
                 let others = others.filter_map(|name| name.parse::<SocketAddr>().ok());
                 let peers = &self.state.peers;
                 peers.set_members(others.collect(), members.is_complete(), members.partitions);
+                peers.note_list_read(membership.is_owner, Instant::now());
             }
             Err(error) => {
                 warn!(?error, "members not read");
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -162,6 +162,8 @@
     pub(crate) generation: u64,
     /// Whether this member is the one that may claim leadership.
     pub(crate) is_first: bool,
+    /// Whether this member owns a partition, so that the list of members names it.
+    pub(crate) is_owner: bool,
 }
 
 /// The members of the group that the log lists.
--- a/src/gateway/group_members.rs
+++ b/src/gateway/group_members.rs
@@ -1,6 +1,7 @@
 //! The members of the group that the log lists.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 /// How many VMs stay members of the log's group for each partition that the log assigns to them.
 /// With more than one, its list of partition owners is still full after the loss of a zone or two.
@@ -20,6 +21,19 @@
     pub(super) is_complete: bool,
     /// The number of partitions that the log assigns to members.
     pub(super) partitions: usize,
+    /// What the first list since the start means for the first reads of this VM.
+    pub(super) first_list: Option<FirstList>,
+}
+
+/// What a VM learns from the first list of members that it reads.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FirstList {
+    /// When the list was read.
+    pub(super) read_at: Instant,
+    /// The number of listed members with a lower address; `None` if this VM is not listed.
+    pub(super) rank: Option<usize>,
+    /// Whether so few members were listed that this VM is one of the first that joined.
+    pub(super) is_short: bool,
 }
 
 impl GroupMembers {
@@ -36,6 +50,7 @@
             was_read: false,
             is_complete: false,
             partitions: DEFAULT_PARTITIONS,
+            first_list: None,
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod exchange;
 mod external;
 mod failure;
+mod first_read;
 mod fleet;
 mod forward_relay;
 mod forward_targets;
--- a/src/gateway/peer_search.rs
+++ b/src/gateway/peer_search.rs
@@ -7,11 +7,17 @@
 /// the same part spread out.
 const MIN_PAUSE: Duration = Duration::from_millis(30);
 const MAX_PAUSE: Duration = Duration::from_millis(150);
+/// The same for the first requests, which a small state answers at once.
+const MIN_FIRST_PAUSE: Duration = Duration::from_millis(8);
+const MAX_FIRST_PAUSE: Duration = Duration::from_millis(25);
+/// The number of requests after which the pause is longer.
+const FIRST_REQUESTS: usize = 8;
 
 /// The VMs that may send the part.
 #[derive(Debug)]
 pub(super) struct PeerSearch {
-    first: SocketAddr,
+    /// The VM that is no longer asked once it turns out to lack the part.
+    first: Option<SocketAddr>,
     candidates: Vec<SocketAddr>,
 }
 
@@ -19,11 +25,19 @@
     /// Starts with one VM.
     pub(super) fn new(first: SocketAddr) -> Self {
         Self {
-            first,
+            first: Some(first),
             candidates: vec![first],
         }
     }
 
+    /// Starts with VMs that have the part or are about to obtain it.
+    pub(super) fn of_members(members: Vec<SocketAddr>) -> Self {
+        Self {
+            first: None,
+            candidates: members,
+        }
+    }
+
     /// Picks the VM to ask next by `draw`, a random number from 0 to 1; `None` if none is left.
     pub(super) fn next(&self, draw: f64) -> Option<SocketAddr> {
         let index = (draw * self.candidates.len() as f64) as usize;
@@ -42,7 +56,7 @@
     /// Records that a VM does not have the part. One that another VM named may still be receiving
     /// it, and is kept.
     pub(super) fn note_lacking(&mut self, peer: SocketAddr) {
-        if peer == self.first {
+        if self.first == Some(peer) {
             self.candidates.retain(|it| *it != peer);
         }
     }
@@ -52,8 +66,12 @@
         self.candidates.retain(|it| *it != peer);
     }
 
-    /// Returns the pause before the next request, by `draw`, a random number from 0 to 1.
-    pub(super) fn pause(draw: f64) -> Duration {
-        MIN_PAUSE + (MAX_PAUSE - MIN_PAUSE).mul_f64(draw)
+    /// Returns the pause after `requests` requests, by `draw`, a random number from 0 to 1.
+    pub(super) fn pause(requests: usize, draw: f64) -> Duration {
+        let (min, max) = match requests {
+            ..=FIRST_REQUESTS => (MIN_FIRST_PAUSE, MAX_FIRST_PAUSE),
+            _ => (MIN_PAUSE, MAX_PAUSE),
+        };
+        min + (max - min).mul_f64(draw)
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,10 +2,11 @@
 
 use crate::gateway::Weights;
 use crate::gateway::demand_rate::DemandRate;
+use crate::gateway::first_read::{FirstRead, MAX_FIRST_READERS};
 use crate::gateway::forward_targets::ForwardCandidate;
 use crate::gateway::gossip_message::{Digest, SentPrompt};
 use crate::gateway::gossip_targets::Targets;
-use crate::gateway::group_members::GroupMembers;
+use crate::gateway::group_members::{FirstList, GroupMembers};
 use crate::gateway::leader_view::{LeaderSighting, LeaderView};
 use crate::gateway::line_budget::LineBudget;
 use crate::gateway::log_follower::Readings;
@@ -99,14 +100,48 @@
     /// Replaces the members of the group that the log lists, without this VM. `is_all` is true if
     /// the list is complete, and `partitions` is the number of members that it can contain.
     pub(crate) fn set_members(&self, members: Vec<SocketAddr>, is_all: bool, partitions: usize) {
-        *self.group.borrow_mut() = GroupMembers {
+        let mut group = self.group.borrow_mut();
+        *group = GroupMembers {
             listed: members,
             was_read: true,
             is_complete: is_all,
             partitions,
+            first_list: group.first_list,
         };
     }
 
+    /// Records that the list of members was read. The first list decides on the first reads of the
+    /// log. `is_owner` is true if this VM owned a partition just before.
+    pub(crate) fn note_list_read(&self, is_owner: bool, now: Instant) {
+        let mut group = self.group.borrow_mut();
+        if group.first_list.is_some() {
+            return;
+        }
+        let lower = group.listed.iter().filter(|it| **it < self.own).count();
+        group.first_list = Some(FirstList {
+            read_at: now,
+            rank: is_owner.then_some(lower),
+            is_short: group.is_complete && group.listed.len() < MAX_FIRST_READERS,
+        });
+    }
+
+    /// What this VM does for its first state, once it has read the list of members.
+    pub(crate) fn first_read(&self) -> Option<FirstRead> {
+        let group = self.group.borrow();
+        let list = group.first_list?;
+        Some(FirstRead {
+            read_at: list.read_at,
+            rank: list.rank,
+            is_first_joiner: list.is_short,
+            has_members: !group.listed.is_empty(),
+        })
+    }
+
+    /// The members that the log lists, without this VM.
+    pub(super) fn listed_members(&self) -> Vec<SocketAddr> {
+        self.group.borrow().listed.clone()
+    }
+
     /// Whether this VM has had the chance to find the others: the list of members was read, or the
     /// discovery time has passed. Until then it has no share of the retry slack, so that it can
     /// retry few refused requests.
@@ -439,9 +474,11 @@
         of_zone.count()
     }
 
-    /// Whether the log lists the whole fleet, as it does while there are few VMs.
-    pub(crate) fn has_all_members(&self) -> bool {
-        self.group.borrow().is_complete
+    /// Whether the log lists the whole fleet, as it does while there are few VMs, and these are so
+    /// few that all may read the log at once.
+    pub(crate) fn is_fleet_small(&self) -> bool {
+        let group = self.group.borrow();
+        group.is_complete && group.listed.len() < MAX_FIRST_READERS
     }
 
     /// Time since this VM started.
--- a/src/gateway/source_selector.rs
+++ b/src/gateway/source_selector.rs
@@ -9,6 +9,13 @@
 
 /// Time between two checks while a VM waits for its turn to read the log.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while the VM has none of the part: it refuses all requests until then.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for which the listed members are asked at most, before the other sources are considered
+/// again.
+const MAX_MEMBERS_TIME: Duration = Duration::from_millis(300);
+/// Time after the start for which a VM waits for the list of members before it asks any VM.
+const LIST_TIME: Duration = Duration::from_millis(400);
 /// Number of failed requests to other VMs after which a VM may read the log.
 const MAX_SYNC_FAILURES: u32 = 3;
 
@@ -19,6 +26,8 @@
     Log,
     /// Another VM.
     Peer(SocketAddr),
+    /// One of the members that the log lists, until the given time at the latest.
+    Members(Instant),
     /// Nowhere: another VM has read the log meanwhile and found nothing newer.
     Unneeded,
 }
@@ -28,7 +37,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Log => "log",
-            Self::Peer(_) => "vm",
+            Self::Peer(_) | Self::Members(_) => "vm",
             Self::Unneeded => "none",
         }
     }
@@ -110,7 +119,11 @@
                 }
                 return source;
             }
-            compio::time::sleep(POLL_INTERVAL).await;
+            let interval = match from {
+                None => START_POLL_INTERVAL,
+                Some(_) => POLL_INTERVAL,
+            };
+            compio::time::sleep(interval).await;
         }
     }
 
@@ -133,11 +146,22 @@
         if let Some(peer) = with_state.filter(|_| self.may_sync()) {
             return Some(Source::Peer(peer));
         }
-        if self.is_turn(now) {
+        let first_read = peers.first_read();
+        let is_first_turn = first_read.is_some_and(|it| it.is_turn(now));
+        if (is_first_turn && self.log_failures.get() == 0) || self.is_turn(now) {
             return Some(Source::Log);
         }
+        match first_read {
+            Some(first_read) if first_read.has_members && self.may_sync() => {
+                let until = now + MAX_MEMBERS_TIME;
+                let turn_at = first_read.turn_at().filter(|at| *at > now);
+                return Some(Source::Members(turn_at.unwrap_or(until).min(until)));
+            }
+            None if peers.uptime(now) < LIST_TIME => return None,
+            _ => {}
+        }
         // In a large fleet most VMs are heard rarely, so any of them may have the state.
-        let peer = match peers.has_all_members() {
+        let peer = match peers.is_fleet_small() {
             true => None,
             false => peers.random_peer(zone, rand::random()),
         };
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -67,10 +67,13 @@
     pub(super) history: RefCell<ChangeHistory>,
     /// What crashes servers.
     pub(crate) containment: RefCell<CrashContainment>,
-    /// Whether another VM has told what is contained.
+    /// Whether the log or another VM has told what is contained.
     pub(super) is_containment_told: Cell<bool>,
-    /// Whether the log or another VM has told what is contained, as far as either can.
+    /// Whether this VM may take requests as far as contained causes are concerned: it was told what
+    /// is contained, or nobody could tell it in time.
     pub(super) is_containment_known: Cell<bool>,
+    /// Whether this VM has begun to read a part of its state from the log since its start.
+    pub(super) reads_log: Cell<bool>,
     /// The demand for weights by the requests that this VM receives.
     pub(crate) demand: Demand,
     /// Estimates of how fast runners process each model.
@@ -138,6 +141,7 @@
             containment: RefCell::default(),
             is_containment_told: Cell::new(false),
             is_containment_known: Cell::new(false),
+            reads_log: Cell::new(false),
             demand: Demand::default(),
             speeds: Speeds::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
@@ -353,7 +357,7 @@
     pub(crate) fn read_turn(&self, failures: u32, now: Instant) -> ReadTurn {
         ReadTurn {
             rank: self.zone_rank(),
-            is_fleet_small: self.peers.has_all_members(),
+            is_fleet_small: self.peers.is_fleet_small(),
             uptime: self.peers.uptime(now),
             failures,
         }
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub(super) struct ReceivedPart {
     pub(super) reply: SyncReply,
+    /// The VM that sent it.
+    pub(super) peer: SocketAddr,
     /// The bytes that were transferred.
     pub(super) bytes: u64,
 }
@@ -53,17 +55,17 @@
         Self { state }
     }
 
-    /// Requests what is newer than `from` in a part, or the whole part, from `first` or from VMs to
-    /// which it refers. Returns `None` if none of them begins to send it within `limit`.
+    /// Requests what is newer than `from` in a part, or the whole part, from the VMs of `search` or
+    /// from those to which they refer. Returns `None` if none of them begins to send it within `limit`.
     pub(super) async fn fetch(
         &self,
         part: Part,
         from: Option<u64>,
-        first: SocketAddr,
+        mut search: PeerSearch,
         limit: Duration,
     ) -> Option<ReceivedPart> {
         let began = Instant::now();
-        let mut search = PeerSearch::new(first);
+        let mut requests = 0;
         loop {
             let left = limit.checked_sub(began.elapsed())?;
             let peer = search.next(rand::random())?;
@@ -77,6 +79,7 @@
                 Ok(reply) if reply.has_part => {
                     return Some(ReceivedPart {
                         reply,
+                        peer,
                         bytes: received_bytes.get(),
                     });
                 }
@@ -98,7 +101,8 @@
                     search.note_unreachable(peer);
                 }
             }
-            compio::time::sleep(PeerSearch::pause(rand::random())).await;
+            requests += 1;
+            compio::time::sleep(PeerSearch::pause(requests, rand::random())).await;
         }
     }
 
--- a/src/gateway/sync_message.rs
+++ b/src/gateway/sync_message.rs
@@ -1,5 +1,6 @@
 //! The messages by which a VM obtains the directory or the configuration from another VM.
 
+use crate::gateway::crash_message::ContainedCauseMessage;
 use crate::gateway::directory_updates::ServerUpdate;
 use prost::Message;
 
@@ -71,4 +72,10 @@
     /// The digest of the configuration to which `packed` is a difference, if it is one.
     #[prost(fixed64, optional, tag = "10")]
     pub(super) base_digest: Option<u64>,
+    /// Whether the sender knows what is contained; sent with the whole configuration.
+    #[prost(bool, tag = "11")]
+    pub(super) knows_contained: bool,
+    /// What the sender contains because it crashes servers; sent with the whole configuration.
+    #[prost(message, repeated, tag = "12")]
+    pub(super) contained: Vec<ContainedCauseMessage>,
 }
--- a/src/gateway/sync_server.rs
+++ b/src/gateway/sync_server.rs
@@ -1,5 +1,6 @@
 //! Sends the directory and the configuration to other VMs, so that they need not read the log.
 
+use crate::gateway::crash_message::ContainedCauseMessage;
 use crate::gateway::directory_updates::ServerUpdate;
 use crate::gateway::packed_document::pack;
 use crate::gateway::state::State;
@@ -121,6 +122,8 @@
             return None;
         }
         match part {
+            // The receiver would have to read from the log what is contained.
+            Part::Configuration if from.is_none() && !self.state.is_containment_known.get() => None,
             Part::Configuration => {
                 let document = &self.state.configuration()?.document;
                 let mut reply = self.reply(part, end, now)?;
@@ -128,6 +131,10 @@
                     true => self.add_packed(&mut reply, document, request.base_digest),
                     false => reply.document = document.bytes(),
                 }
+                if from.is_none() {
+                    reply.knows_contained = self.state.is_containment_told.get();
+                    reply.contained = self.contained_causes(now);
+                }
                 Some(reply.encode_to_vec().into())
             }
             Part::Directory => {
@@ -140,6 +147,13 @@
         }
     }
 
+    /// What this VM contains because it crashes servers.
+    fn contained_causes(&self, now: Instant) -> Vec<ContainedCauseMessage> {
+        let confirmed = self.state.containment.borrow().confirmed(now).into_iter();
+        let encoded = confirmed.map(|(cause, idle)| ContainedCauseMessage::of(cause, idle));
+        encoded.collect()
+    }
+
     /// Adds a configuration to a reply as a difference to the one that the receiver has, if this VM
     /// had that too.
     fn add_packed(&self, reply: &mut SyncReply, document: &Document, base_digest: Option<u64>) {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -7,6 +7,7 @@
 mod crash_containment;
 mod decisions;
 mod directory_updates;
+mod first_read;
 mod forwarding;
 mod gossip_sender;
 mod large_fleet;
--- a/src/gateway/tests/starts.rs
+++ b/src/gateway/tests/starts.rs
@@ -194,7 +194,7 @@
                 }
             }
         }
-        let pause = PeerSearch::pause(self.random.random());
+        let pause = PeerSearch::pause(usize::MAX, self.random.random());
         Activity::Searching {
             search,
             next_at: self.now + pause,
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,8 +1,10 @@
 //! Follows the configuration and the directory of backend servers in the log.
 
+use crate::gateway::crash_state::PeerCrashNews;
 use crate::gateway::directory_updates::{ServerUpdate, update_messages};
 use crate::gateway::log_follower::{Reading, Readings};
 use crate::gateway::outbox::UpdateScope;
+use crate::gateway::peer_search::PeerSearch;
 use crate::gateway::read_delays::{ReadDelays, ReadStep};
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
@@ -12,7 +14,6 @@
 use crate::inventory::Name;
 use futures_util::future::{Either, select};
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -55,6 +56,8 @@
 /// Time over which the other VMs of the zone spread their reads, for each VM. Whichever of them are
 /// gone, the rest of the zone reads soon after the log is available again.
 const OTHERS_SPREAD_PER_VM: Duration = Duration::from_millis(200);
+/// Pause before the listed members are asked again when none of them could be reached.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(10);
 /// Least time in which another VM may send a change.
 const MIN_SYNC_TIME: Duration = Duration::from_millis(500);
 /// Time over which the VMs of a zone spread their requests for the same change, for each VM.
@@ -93,10 +96,10 @@
             delays.add(ReadStep::Turn, read_at);
             let began = Instant::now();
             let read = match source {
-                Source::Peer(peer) => {
+                Source::Peer(_) | Source::Members(_) => {
                     let synced = async {
                         let part = Part::Configuration;
-                        let synced = self.sync_part(part, next, peer, &selector).await?;
+                        let synced = self.sync_part(part, next, source, &selector).await?;
                         Some(self.decode_synced(&synced))
                     };
                     let read = self.read_configuration(next, read_at);
@@ -113,6 +116,7 @@
                     continue;
                 }
                 Source::Log => {
+                    self.state.reads_log.set(true);
                     let read = self.read_configuration(next, read_at);
                     let read = read_unless_alternative(read, next, &selector).await;
                     delays.add(ReadStep::Log, began);
@@ -207,10 +211,10 @@
                     delays = ReadDelays::default();
                     continue;
                 }
-                Source::Peer(peer) => {
+                Source::Peer(_) | Source::Members(_) => {
                     let synced = async {
                         let part = Part::Directory;
-                        let synced = self.sync_part(part, from, peer, &selector).await?;
+                        let synced = self.sync_part(part, from, source, &selector).await?;
                         let since = from.filter(|_| !synced.is_whole);
                         let decoded = decode_directory(synced);
                         Some(decoded.map(|(changes, at)| (changes, since, at)))
@@ -224,6 +228,7 @@
                     read
                 }
                 Source::Log => {
+                    self.state.reads_log.set(true);
                     let read = self.read_directory(from);
                     let read = read_unless_alternative(read, from, &selector).await;
                     delays.add(ReadStep::Log, began);
@@ -281,13 +286,22 @@
         &self,
         part: Part,
         from: Option<u64>,
-        peer: SocketAddr,
+        source: Source,
         selector: &SourceSelector,
     ) -> Option<SyncReply> {
         let began = Instant::now();
+        let (search, limit) = match source {
+            Source::Members(until) => {
+                let members = self.state.peers.listed_members();
+                let limit = until.saturating_duration_since(began);
+                (PeerSearch::of_members(members), limit)
+            }
+            Source::Peer(peer) => (PeerSearch::new(peer), SEARCH_TIME),
+            Source::Log | Source::Unneeded => return None,
+        };
         let synced = match from {
-            None => self.sync.fetch(part, from, peer, SEARCH_TIME).await,
-            Some(_) => self.sync_change(part, from, peer).await,
+            None => self.sync.fetch(part, from, search, limit).await,
+            Some(_) => self.sync_change(part, from, search).await,
         };
         let max_age = match selector.log_failures() {
             0 => MAX_CONFIRMED_AGE,
@@ -301,7 +315,7 @@
         match &synced {
             Some(received) => info!(
                 part = part.name(),
-                %peer,
+                peer = %received.peer,
                 from,
                 next = received.reply.next,
                 age_ms = received.reply.confirmed_age_ms,
@@ -309,12 +323,33 @@
                 took_ms = began.elapsed().as_millis() as u64,
                 "state received"
             ),
+            // The members may have obtained the part meanwhile, and are asked until this VM's turn.
+            None if matches!(source, Source::Members(_)) => {
+                compio::time::sleep(MEMBERS_PAUSE).await;
+            }
             None => {
                 selector.note_sync_failure();
                 compio::time::sleep(UPDATE_POLL).await;
             }
         }
-        synced.map(|received| received.reply)
+        let received = synced?;
+        self.apply_contained(&received);
+        Some(received.reply)
+    }
+
+    /// Applies what another VM contains, which comes with the whole configuration.
+    fn apply_contained(&self, received: &ReceivedPart) {
+        if !received.reply.knows_contained {
+            return;
+        }
+        let contained = received.reply.contained.iter();
+        let news = PeerCrashNews {
+            knows_contained: true,
+            contained: contained.filter_map(|it| it.contained()).collect(),
+            ..PeerCrashNews::default()
+        };
+        self.state
+            .apply_crash_news(received.peer, &news, Instant::now());
     }
 
     /// Requests a change from another VM. Once this VM has to read the log itself, it only goes on
@@ -323,7 +358,7 @@
         &self,
         part: Part,
         from: Option<u64>,
-        peer: SocketAddr,
+        search: PeerSearch,
     ) -> Option<ReceivedPart> {
         let began = Instant::now();
         let deadline = self.state.read_deadline(part, began);
@@ -332,7 +367,7 @@
         let spread = SYNC_SPREAD_PER_VM * self.zone_vms() as u32;
         compio::time::sleep(spread.mul_f64(rand::random())).await;
         let limit = limit.saturating_sub(began.elapsed());
-        self.sync.fetch(part, from, peer, limit).await
+        self.sync.fetch(part, from, search, limit).await
     }
 
     /// The number of other VMs known in the zone.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -503,6 +503,7 @@
         let mut parts = joined.parts.iter();
         Ok(Membership {
             generation: joined.generation,
+            is_owner: !joined.parts.is_empty(),
             is_first: parts.any(|(_, part, _)| *part == LEADER_PARTITION),
         })
     }
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -88,6 +88,25 @@
                 )
                 .arg(decimal("step-ms", "20")),
         )
+        .subcommand(
+            Command::new("start")
+                .about("Start all VMs of a site at once and report when each step is reached")
+                .arg(
+                    Arg::new("vms")
+                        .long("vms")
+                        .default_value("6,58")
+                        .value_delimiter(',')
+                        .value_parser(value_parser!(u64).range(1..=400)),
+                )
+                .arg(number("runs", "3"))
+                .arg(number("servers", "100").help("The servers in the directory"))
+                .arg(
+                    Arg::new("again")
+                        .long("again")
+                        .action(ArgAction::SetTrue)
+                        .help("Kill all VMs at once before and start them again"),
+                ),
+        )
         .subcommand(
             Command::new("platform")
                 .about("Stand in for the log, the VM list and the weight store")
@@ -281,6 +300,17 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("start", matches)) => {
+            let sizes = matches.get_many::<u64>("vms").into_iter().flatten();
+            for vms in sizes {
+                let size = site::start::Size {
+                    vms: *vms as usize,
+                    servers: get::<u64>(matches, "servers") as usize,
+                    is_restart: matches.get_flag("again"),
+                };
+                site::start::run(size, get::<u64>(matches, "runs") as usize).await;
+            }
+        }
         Some(("site-soak", matches)) => {
             let (seed, vms, duration) = soak_arguments(matches);
             let findings = site::soak::run(seed, vms, duration).await;
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -13,6 +13,7 @@
 mod quota;
 mod server;
 pub mod soak;
+pub mod start;
 mod store;
 pub mod version_soak;
 
@@ -53,6 +54,8 @@
 const LIMIT: Duration = Duration::from_secs(30);
 /// The interval between two checks of a condition.
 const POLL: Duration = Duration::from_millis(20);
+/// The availability zones of VMs.
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 /// The hostname of all routes.
 pub const HOST: &str = "desk.example";
 
@@ -78,6 +81,8 @@
     pub vms_with_paths: BTreeSet<usize>,
     /// The VMs that reach the store by paths of their own, which a test has to start.
     pub vms_with_store_paths: BTreeSet<usize>,
+    /// The number of availability zones over which the VMs are spread in turn.
+    pub zones: usize,
     folder: PathBuf,
     version: u64,
 }
@@ -101,6 +106,7 @@
             organisations: None,
             vms_with_paths: BTreeSet::new(),
             vms_with_store_paths: BTreeSet::new(),
+            zones: 1,
             folder,
             version: 0,
         };
@@ -223,7 +229,10 @@
             false if self.vms_with_store_paths.contains(&index) => {
                 ("a", self.store_path_address(index))
             }
-            false => ("a", SocketAddr::new(self.ip, STORE_PORT)),
+            false => (
+                ZONES[index % self.zones],
+                SocketAddr::new(self.ip, STORE_PORT),
+            ),
         };
         let settings = format!(
             r#"node_name = "vm-{index}"
@@ -278,6 +287,11 @@
         self.folder.join(format!("vm-{index}.log"))
     }
 
+    /// Empties the log file of a VM that has ended.
+    pub fn clear_log(&self, index: usize) {
+        std::fs::write(self.log_path(index), "").expect("the folder takes files");
+    }
+
     /// The log of a VM so far, one JSON object per line.
     pub fn log(&self, index: usize) -> Vec<Value> {
         let text = std::fs::read_to_string(self.log_path(index)).unwrap_or_default();
--- a/workbench/src/site/store.rs
+++ b/workbench/src/site/store.rs
@@ -85,6 +85,8 @@
     /// How often the store has come back from a copy.
     era: Cell<u64>,
     calls: RefCell<HashMap<String, u64>>,
+    /// The reads of a whole topic, by topic.
+    whole_reads: RefCell<BTreeMap<String, u64>>,
 }
 
 impl StoreStandIn {
@@ -155,6 +157,11 @@
         self.calls.borrow().get(path).copied().unwrap_or(0)
     }
 
+    /// The number of reads of a whole topic so far, by topic.
+    pub fn whole_reads(&self) -> BTreeMap<String, u64> {
+        self.whole_reads.borrow().clone()
+    }
+
     /// The number of records of a topic.
     pub fn len(&self, topic: &str) -> usize {
         let topics = self.topics.borrow();
@@ -216,6 +223,11 @@
 
     fn newest(&self, request: &Request<Incoming>, port_offset: u16) -> Response<Body> {
         let topic: String = http_json::query(request, "topic").unwrap_or_default();
+        *self
+            .whole_reads
+            .borrow_mut()
+            .entry(topic.clone())
+            .or_default() += 1;
         let topics = self.topics.borrow();
         let records = topics.get(&topic).map_or(&[][..], |topic| &topic.records);
         let mut newest: BTreeMap<String, (usize, Bytes)> = BTreeMap::new();
