Containment counts the answers that all reporting VMs have seen

A part was taken for new only by a VM that had itself seen 20 answers begin. Of 1,000 VMs, each sees 0.9 a second, so that a part went on to crash servers.

A crash report now says how many answers had begun at the reporting VM. Their sum over the VMs that reported crashes with the part, each counted once by its first report, and this VM counts toward the 20. The play passes this count on with each report; its checks are as they were. A report of an older release carries no count.

--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -58,6 +58,7 @@
                 run: ServerRunId::of(&server.incarnation()),
                 request: call.fingerprint,
                 parts,
+                witness: None,
             },
             broken,
             events,
--- a/src/gateway/crash_containment.rs
+++ b/src/gateway/crash_containment.rs
@@ -22,7 +22,9 @@
 /// The number of answers that must have begun since the first crash, all without the part, before a
 /// part is contained with which answers had begun before.
 const MIN_ANSWERS_WITHOUT_PART: u64 = 10;
-/// The number of answers that this VM must have seen begin before it takes a part for new.
+/// The number of answers that must have begun at this VM and at the other VMs that report crashes
+/// with a part before the part is taken for new. In a large fleet one VM sees few answers. The
+/// reporting VMs tell each other if one of theirs had the part, within [`CONFIRM_DELAY`].
 const MIN_ANSWERS_SEEN: u64 = 20;
 /// How long the evidence must hold before other VMs are told to contain the cause; by then what
 /// they know of it has arrived.
@@ -73,6 +75,11 @@
         self.evidence.add(report, self.begun_answers, now)
     }
 
+    /// The number of answers that began at this VM.
+    pub(crate) fn begun_answers(&self) -> u64 {
+        self.begun_answers
+    }
+
     /// Records that a server has begun to answer a request that was sent at a time. Returns what is
     /// cleared by that, with the runs whose crashes it is no longer charged with.
     pub(crate) fn record_begun_answer(
@@ -270,7 +277,7 @@
 
     fn is_sufficient(&self, part: PromptPart, charges: &Charges) -> bool {
         let crashes = charges.runs.len().min(charges.requests.len());
-        let is_new = !self.is_known(part) && charges.begun_answers >= MIN_ANSWERS_SEEN;
+        let is_new = !self.is_known(part) && charges.answers_seen() >= MIN_ANSWERS_SEEN;
         if is_new {
             return crashes >= NEW_PART_CRASHES;
         }
--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -35,6 +35,16 @@
     pub(super) requests: HashSet<u64>,
     /// The number of answers that had begun at this VM before the first of these crashes.
     pub(super) begun_answers: u64,
+    /// The same for the other VMs that reported these crashes.
+    begun_elsewhere: HashMap<u64, u64>,
+}
+
+impl Charges {
+    /// The number of answers that had begun before at the VMs that reported these crashes and at
+    /// this one.
+    pub(super) fn answers_seen(&self) -> u64 {
+        self.begun_answers + self.begun_elsewhere.values().sum::<u64>()
+    }
 }
 
 /// The reports of all VMs, each counted once.
@@ -131,7 +141,12 @@
                     runs: HashSet::new(),
                     requests: HashSet::new(),
                     begun_answers: crash.begun_answers,
+                    begun_elsewhere: HashMap::new(),
                 });
+                if let Some(witness) = crash.report.witness {
+                    let first = charge.begun_elsewhere.entry(witness.vm);
+                    first.or_insert(witness.begun_answers);
+                }
                 charge.runs.insert(crash.report.run);
                 charge.requests.insert(crash.report.request);
             }
--- a/src/gateway/crash_message.rs
+++ b/src/gateway/crash_message.rs
@@ -1,7 +1,9 @@
 //! What VMs tell each other of crashed servers and of what crashes them.
 
 use crate::gateway::PromptPart;
-use crate::gateway::crash_report::{CrashCause, CrashReport, MAX_REPORTED_PARTS, ServerRunId};
+use crate::gateway::crash_report::{
+    CrashCause, CrashReport, MAX_REPORTED_PARTS, ServerRunId, Witness,
+};
 use prost::Message;
 use std::time::Duration;
 
@@ -20,6 +22,12 @@
     /// The parts of the prompt that other requests may have.
     #[prost(fixed64, repeated, tag = "4")]
     parts: Vec<u64>,
+    /// Identifies the VM that reports; 0 if it does not say so.
+    #[prost(fixed64, tag = "5")]
+    witness: u64,
+    /// The number of answers that had begun at that VM.
+    #[prost(uint64, tag = "6")]
+    begun_answers: u64,
 }
 
 impl CrashReportMessage {
@@ -30,6 +38,8 @@
             crashes: 1,
             run: report.run.0,
             parts: report.parts.iter().map(|part| part.0).collect(),
+            witness: report.witness.map_or(0, |witness| witness.vm),
+            begun_answers: report.witness.map_or(0, |witness| witness.begun_answers),
         }
     }
 
@@ -40,6 +50,10 @@
             run: ServerRunId(self.run),
             request: self.request,
             parts: parts.map(|part| PromptPart(*part)).collect(),
+            witness: (self.witness != 0).then_some(Witness {
+                vm: self.witness,
+                begun_answers: self.begun_answers,
+            }),
         })
     }
 }
--- a/src/gateway/crash_report.rs
+++ b/src/gateway/crash_report.rs
@@ -2,7 +2,8 @@
 
 use crate::gateway::PromptPart;
 use crate::gateway::fleet::Incarnation;
-use xxhash_rust::xxh3::Xxh3;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// The maximum number of parts in a report.
 pub(crate) const MAX_REPORTED_PARTS: usize = 16;
@@ -39,6 +40,28 @@
     pub(crate) request: u64,
     /// The parts of its prompt that other requests may have.
     pub(crate) parts: Vec<PromptPart>,
+    /// What the VM that reports it has seen, if that is another VM.
+    pub(crate) witness: Option<Witness>,
+}
+
+/// How many answers another VM had seen begin when it reported a crash. A VM tells the others if
+/// one of these answers had a part that a report names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Witness {
+    /// Identifies the VM by a hash of its address.
+    pub(crate) vm: u64,
+    /// The number of answers that had begun at the VM.
+    pub(crate) begun_answers: u64,
+}
+
+impl Witness {
+    /// The witness with an address.
+    pub(crate) fn new(vm: SocketAddr, begun_answers: u64) -> Self {
+        Self {
+            vm: xxh3_64(vm.to_string().as_bytes()),
+            begun_answers,
+        }
+    }
 }
 
 impl CrashReport {
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -3,7 +3,7 @@
 use crate::gateway::PromptPart;
 use crate::gateway::call::Call;
 use crate::gateway::crash_message::ClearanceMessage;
-use crate::gateway::crash_report::{CrashCause, CrashReport, ServerRunId};
+use crate::gateway::crash_report::{CrashCause, CrashReport, ServerRunId, Witness};
 use crate::gateway::state::State;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -39,7 +39,12 @@
     pub(super) fn report_crash(&self, report: &CrashReport, now: Instant) {
         let is_new = self.containment.borrow_mut().record_crash(report, now);
         if is_new {
-            self.peers.outbox.report_crash(report, now);
+            let begun_answers = self.containment.borrow().begun_answers();
+            let told = CrashReport {
+                witness: Some(Witness::new(self.settings.peer_address, begun_answers)),
+                ..report.clone()
+            };
+            self.peers.outbox.report_crash(&told, now);
             self.settle_containment(now);
         }
     }
--- a/src/gateway/tests/containment_play.rs
+++ b/src/gateway/tests/containment_play.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::PromptPart;
 use crate::gateway::crash_containment::CrashContainment;
-use crate::gateway::crash_report::{CrashCause, CrashReport, ServerRunId};
+use crate::gateway::crash_report::{CrashCause, CrashReport, ServerRunId, Witness};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
@@ -285,10 +285,17 @@
                 run: ServerRunId((server as u64) << 32 | run),
                 request: index as u64,
                 parts: parts.clone(),
+                witness: None,
             };
             self.vms[vm].record_crash(&report, now);
             self.vms[vm].update(now);
-            self.reports.push(report);
+            self.reports.push(CrashReport {
+                witness: Some(Witness {
+                    vm: vm as u64,
+                    begun_answers: self.vms[vm].begun_answers(),
+                }),
+                ..report
+            });
             for other in (0..self.setup.vms).filter(|other| *other != vm) {
                 let heard_ms = self.arrival(at_ms);
                 self.push(heard_ms, Event::Report(other, self.reports.len() - 1));
--- a/src/gateway/tests/crash_containment.rs
+++ b/src/gateway/tests/crash_containment.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::PromptPart;
 use crate::gateway::crash_containment::CrashContainment;
-use crate::gateway::crash_report::{CrashCause, CrashReport, ServerRunId};
+use crate::gateway::crash_report::{CrashCause, CrashReport, ServerRunId, Witness};
 use std::time::{Duration, Instant};
 
 const FIRST: PromptPart = PromptPart(1);
@@ -68,6 +68,31 @@
         run: ServerRunId(run),
         request,
         parts: parts.to_vec(),
+        witness: None,
+    }
+}
+
+/// A report of another VM, at which some answers had begun before.
+fn report_of(vm: u64, begun_answers: u64, run: u64, parts: &[PromptPart]) -> CrashReport {
+    CrashReport {
+        witness: Some(Witness { vm, begun_answers }),
+        ..report(run, run, parts)
+    }
+}
+
+#[test]
+fn the_answers_that_reporting_vms_have_seen_count_once_for_each_vm() {
+    let now = Instant::now();
+    let part = PromptPart(77);
+    for (vms, is_contained) in [([1, 2, 3, 4], true), ([1, 1, 1, 1], false)] {
+        let mut containment = CrashContainment::default();
+        for (run, vm) in vms.into_iter().enumerate() {
+            let report = report_of(vm, 5, run as u64 + 1, &[part]);
+            containment.record_crash(&report, now);
+        }
+        containment.update(now);
+        let cause = containment.cause_of(99, &[part], now);
+        assert_eq!(cause.is_some(), is_contained, "{vms:?}");
     }
 }
 
