--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,7 +40,6 @@
 mod gossip_targets;
 mod grant;
 mod group_members;
-mod hold_time;
 mod journal;
 mod leader_view;
 mod line_budget;
@@ -93,7 +92,7 @@
 mod unconfirmed_alarm;
 mod version_search;
 mod view;
-mod wait_queue;
+mod waiting;
 mod watch;
 mod zone_loads;
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 };
 use crate::gateway::grant::Grant;
 use crate::gateway::state::State;
-use crate::gateway::wait_queue::WaitQueues;
+use crate::gateway::waiting::WaitQueues;
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind, SendOptions};
 use crate::http::{Body, ReadError, read_body};
 use bytes::Bytes;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -8,7 +8,7 @@
 use crate::gateway::fleet::Server;
 use crate::gateway::peer_loads::PeerLoads;
 use crate::gateway::relay::Relay;
-use crate::gateway::wait_queue::QueuedRequest;
+use crate::gateway::waiting::QueuedRequest;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
--- a/src/gateway/tests/waiting.rs
+++ b/src/gateway/tests/waiting.rs
@@ -2,8 +2,7 @@
 
 use crate::gateway::Weights;
 use crate::gateway::choose::Candidate;
-use crate::gateway::hold_time::RequestTiming;
-use crate::gateway::wait_queue::WaitQueues;
+use crate::gateway::waiting::{RequestTiming, WaitQueues};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
