Free slots go by priority; work with much time leaves slots to urgent work

Each VM ordered only requests for the same weights, by deadline. The order now covers all waiting requests that the chosen runner can serve, where it has no slot for all of them: priority, rank of the organisation (0.0 until it is provided), latest time to be sent, late ones last. Requests that can wait four times as long as more urgent ones that arrive leave the last slots of a runner to them for half of their time.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -219,6 +219,9 @@
         }
         if let Some(weights) = call.weights() {
             self.state.demand.note(&weights, call.cost.busy_ms, arrived);
+            let target = call.timing().target;
+            let traffic = &self.state.traffic;
+            traffic.note_arrival(&call.service, call.priority(), target, arrived);
         }
         Ok(call)
     }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -8,7 +8,7 @@
 use crate::gateway::fleet::Server;
 use crate::gateway::peer_loads::PeerLoads;
 use crate::gateway::relay::Relay;
-use crate::gateway::waiting::QueuedRequest;
+use crate::gateway::waiting::{Need, QueuedRequest, Urgency, reserved_slots, yield_limit};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
@@ -17,6 +17,10 @@
 const BUSY_LOAD: f64 = 0.7;
 /// The longest interval between two checks for a free slot.
 const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// The longest interval between two checks of a request that leaves slots to more urgent ones. It
+/// exceeds the age of what a VM of the zone reports, so that the requests of several VMs do not all
+/// take the same slot.
+const RESERVED_POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// The longest interval between two checks for a server that has the model loaded; each change in
 /// what servers have loaded triggers a check at once.
 const MODEL_POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -57,12 +61,28 @@
     }
 }
 
+/// What a request for a new stream waits for, and its place among others.
+struct Place {
+    need: Need,
+    urgency: Urgency,
+}
+
+/// What a request waits for; `None` for requests to plain services.
+fn need(call: &Call) -> Option<Need> {
+    Some(Need {
+        service: call.service.clone(),
+        weights: call.weights()?,
+    })
+}
+
 /// Why a request cannot be sent yet.
 enum Obstacle {
     /// No server can serve the request.
     NoServer,
     /// All servers that can serve the request are full.
     Full,
+    /// The free slots of all servers that can serve the request are reserved for more urgent ones.
+    Reserved,
     /// The rate limits of all servers that can serve the request allow none now.
     RateLimited,
     /// All servers that can serve the request want none from this VM until then.
@@ -106,6 +126,7 @@
     pub(crate) async fn server_for(&self, call: &Call) -> Result<Rc<Server>, Failure> {
         let mut waiting = None;
         let mut queued = None;
+        let place = self.place(call);
         loop {
             let changed = self.state.changed.wait();
             if self.state.is_contained(call) {
@@ -114,12 +135,13 @@
                     _ => Failure::Unknown,
                 });
             }
-            let obstacle = match self.try_select(call, queued.as_ref()) {
+            let obstacle = match self.try_select(call, place.as_ref(), queued.as_ref()) {
                 Ok(server) => {
                     let waited = call.arrived.elapsed();
                     if queued.is_some() {
                         self.state.metrics.slot_wait.observe(waited.as_secs_f64());
                     }
+                    self.note_end(call, place.as_ref(), true);
                     return Ok(server);
                 }
                 Err(obstacle) => obstacle,
@@ -128,18 +150,24 @@
             let left = limit.saturating_duration_since(Instant::now());
             // A VM that is shutting down holds no requests that another VM can serve.
             let is_leaving = self.state.shutdown.is_leaving();
+            if matches!(obstacle, Obstacle::Reserved) && (left.is_zero() || is_leaving) {
+                // The reservation has ended since.
+                continue;
+            }
             if left.is_zero() || is_leaving || self.outlasts_hold(call, &obstacle) {
-                return self.resolve(obstacle, call);
+                let result = self.resolve(obstacle, call);
+                self.note_end(call, place.as_ref(), result.is_ok());
+                return result;
             }
-            if let Some(weights) = call.weights() {
-                let send_by = call.timing().send_by(call.prefill_time());
-                queued.get_or_insert_with(|| self.wait_queues.enqueue(&weights, send_by));
+            if let Some(Place { need, urgency }) = &place {
+                queued.get_or_insert_with(|| self.wait_queues.enqueue(need.clone(), *urgency));
                 if matches!(obstacle, Obstacle::NoServer) {
-                    waiting.get_or_insert_with(|| self.state.count_waiting(&weights));
+                    waiting.get_or_insert_with(|| self.state.count_waiting(&need.weights));
                 }
             }
             let poll = match obstacle {
                 Obstacle::NoServer => MODEL_POLL_INTERVAL,
+                Obstacle::Reserved => RESERVED_POLL_INTERVAL.mul_f64(rand::random_range(0.5..1.0)),
                 _ => SLOT_POLL_INTERVAL.mul_f64(rand::random_range(0.5..1.0)),
             };
             // Whether notified or timed out, the next iteration checks again.
@@ -147,6 +175,65 @@
         }
     }
 
+    /// The place of a request for a new stream among those that wait; `None` for plain calls and for
+    /// streams that have started, which go on without waiting.
+    fn place(&self, call: &Call) -> Option<Place> {
+        let need = need(call).filter(|_| call.is_unstarted())?;
+        let now = Instant::now();
+        let priority = call.priority();
+        let target = call.timing().target;
+        let send_by = call.timing().send_by(call.prefill_time());
+        let traffic = &self.state.traffic;
+        let urgent_per_s = traffic.urgent_per_s(&need.service, priority, target, now);
+        let yields_until = match urgent_per_s > 0.0 {
+            true => yield_limit(call.arrived, send_by, call.hold_until()),
+            false => call.arrived,
+        };
+        let urgency = Urgency {
+            priority,
+            rank: 0.0,
+            arrived: call.arrived,
+            send_by,
+            yields_until,
+            may_advance: traffic.may_advance(&need.service, priority, now),
+        };
+        Some(Place { need, urgency })
+    }
+
+    /// Records whether a request was sent, and in time.
+    fn note_end(&self, call: &Call, place: Option<&Place>, is_sent: bool) {
+        if let Some(Place { need, urgency }) = place {
+            let now = Instant::now();
+            let is_in_time = is_sent && now <= urgency.send_by;
+            let traffic = &self.state.traffic;
+            traffic.note_end(&need.service, call.priority(), is_in_time, now);
+        }
+    }
+
+    /// Removes the servers whose free slots are all reserved for requests that are more urgent. A VM
+    /// assumes that others receive as many of them as it does.
+    fn leave_reserved(
+        &self,
+        servers: &mut Vec<Rc<Server>>,
+        call: &Call,
+        place: &Place,
+        now: Instant,
+    ) {
+        let target = call.timing().target;
+        let service = &place.need.service;
+        let traffic = &self.state.traffic;
+        let own_per_s = traffic.urgent_per_s(service, place.urgency.priority, target, now);
+        let runners = self.state.fleet.of_service(service).len().max(1);
+        let urgent_per_s = own_per_s * self.state.peers.vms() as f64 / runners as f64;
+        let peer_loads = self.state.peers.loads();
+        servers.retain(|server| {
+            let in_flight = server.in_flight() + peer_loads.in_flight(&server.id);
+            let slots = server.with_entry(|entry| entry.slots);
+            let reserved = reserved_slots(urgent_per_s, slots);
+            reserved == 0 || in_flight < slots.saturating_sub(reserved)
+        });
+    }
+
     /// Decides what happens to the request when its hold ends: it is sent even if prompts are
     /// queued at the server, else it fails.
     fn resolve(&self, obstacle: Obstacle, call: &Call) -> Result<Rc<Server>, Failure> {
@@ -163,7 +250,7 @@
                 let left = until.saturating_duration_since(Instant::now());
                 Err(Failure::Paused(left))
             }
-            Obstacle::Full => Err(Failure::Full),
+            Obstacle::Full | Obstacle::Reserved => Err(Failure::Full),
             Obstacle::Prefilling(_) | Obstacle::RateLimited => Err(Failure::RateLimited),
         }
     }
@@ -173,10 +260,20 @@
     fn try_select(
         &self,
         call: &Call,
+        place: Option<&Place>,
         queued: Option<&QueuedRequest>,
     ) -> Result<Rc<Server>, Obstacle> {
         let now = Instant::now();
         let mut servers = self.eligible_servers(call, now);
+        let yields = |it: &&Place| it.urgency.yields(now) && !self.state.shutdown.is_leaving();
+        if !servers.is_empty()
+            && let Some(place) = place.filter(yields)
+        {
+            self.leave_reserved(&mut servers, call, place, now);
+            if servers.is_empty() {
+                return Err(Obstacle::Reserved);
+            }
+        }
         let mut is_rate_limited = false;
         loop {
             let Some(choice) = self.pick(call, &servers, now) else {
@@ -186,7 +283,7 @@
                     None => Obstacle::NoServer,
                 });
             };
-            self.check_readiness(call, &choice, queued)?;
+            self.check_readiness(call, &choice, place, queued)?;
             if self.state.take_rate_limit(&choice.server, now) {
                 choice.log(call);
                 return Ok(choice.server);
@@ -202,24 +299,30 @@
         &self,
         call: &Call,
         choice: &Choice,
+        place: Option<&Place>,
         queued: Option<&QueuedRequest>,
     ) -> Result<(), Obstacle> {
         let candidate = &choice.candidate;
         // A stream that has already started continues without waiting, even where others wait.
-        let weights = call.weights().filter(|_| call.is_unstarted());
-        if let Some(weights) = weights {
+        if let Some(place) = place {
             if candidate.is_full() {
                 return Err(Obstacle::Full);
             }
             let max_pause_ms = call.route.max_pause_ms as f64;
             let now = Instant::now();
-            let is_next = match queued {
-                Some(queued) => queued.is_next(now),
-                None => {
-                    let send_by = call.timing().send_by(call.prefill_time());
-                    self.wait_queues.would_be_first(&weights, send_by, now)
-                }
+            let is_served = |need: &Need| {
+                need.service == place.need.service && choice.server.holds(&need.weights, now)
+            };
+            let ahead = match queued {
+                Some(queued) => queued.ahead(is_served, now),
+                None => self
+                    .wait_queues
+                    .ahead_of_new(&place.need, place.urgency, is_served, now),
             };
+            // Requests for other weights come first only where there is no slot for both.
+            let free = candidate.slots.saturating_sub(candidate.in_flight) as usize;
+            let is_next =
+                ahead.same_weights == 0 && (ahead.other_weights == 0 || ahead.other_weights < free);
             if !is_next || candidate.defers_prompt(call.cost.prefill_ms, max_pause_ms) {
                 return Err(Obstacle::Prefilling(choice.clone()));
             }
@@ -233,7 +336,7 @@
         if let Obstacle::Paused(until) = obstacle {
             return *until >= obstacle.hold_limit(call);
         }
-        let Some(weights) = call.weights() else {
+        let Some(need) = need(call) else {
             return false;
         };
         let servers = self.eligible_servers(call, Instant::now());
@@ -245,10 +348,13 @@
         let capacity_per_s: f64 = match obstacle {
             Obstacle::Full => servers.iter().map(starts_per_s).sum(),
             Obstacle::RateLimited => rate_limits().flatten().sum(),
-            Obstacle::NoServer | Obstacle::Paused(_) | Obstacle::Prefilling(_) => return false,
+            Obstacle::NoServer
+            | Obstacle::Paused(_)
+            | Obstacle::Prefilling(_)
+            | Obstacle::Reserved => return false,
         };
         let capacity = capacity_per_s * call.hold_time().as_secs_f64();
-        let waiting = self.wait_queues.count(&weights) * self.state.peers.vms();
+        let waiting = self.wait_queues.count(&need) * self.state.peers.vms();
         waiting as f64 > capacity
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use crate::gateway::stream_versions::{StreamKey, StreamVersions};
 use crate::gateway::sync_message::Part;
 use crate::gateway::version_search::{VersionAnswer, VersionSearch};
+use crate::gateway::waiting::Traffic;
 use crate::gateway::{
     Changes, Configuration, Generation, Metrics, Reply, ServerChange, Settings, Weights,
 };
@@ -75,6 +76,8 @@
     pub(crate) demand: Demand,
     /// Estimates of how fast runners process each model.
     pub(crate) speeds: Speeds,
+    /// How often requests of each priority arrive, and are sent in time.
+    pub(crate) traffic: Traffic,
     /// The quota usage of organisations, at this VM and at others.
     pub(crate) ledger: RefCell<Ledger>,
     /// The rate limits that backend servers state.
@@ -140,6 +143,7 @@
             is_containment_known: Cell::new(false),
             demand: Demand::default(),
             speeds: Speeds::default(),
+            traffic: Traffic::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
             server_limits: RefCell::new(ServerLimits::new(Instant::now())),
             reachability: RefCell::default(),
--- a/src/gateway/tests/waiting.rs
+++ b/src/gateway/tests/waiting.rs
@@ -2,7 +2,9 @@
 
 use crate::gateway::Weights;
 use crate::gateway::choose::Candidate;
-use crate::gateway::waiting::{RequestTiming, WaitQueues};
+use crate::gateway::waiting::{
+    Ahead, Need, QueuedRequest, RequestTiming, Traffic, Urgency, WaitQueues, reserved_slots,
+};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -39,30 +41,137 @@
     assert_eq!(too_long, timing.arrived);
 }
 
+/// Returns what a request for a model waits for.
+fn need(model: &str) -> Need {
+    Need {
+        service: "s".into(),
+        weights: Weights {
+            model: model.into(),
+            adapter: None,
+        },
+    }
+}
+
+/// Returns the place of a request that does not leave slots to others.
+fn urgency(priority: u32, arrived: Instant, send_by: Instant) -> Urgency {
+    Urgency {
+        priority,
+        rank: 0.0,
+        arrived,
+        send_by,
+        yields_until: arrived,
+        may_advance: false,
+    }
+}
+
+fn is_next(queued: &QueuedRequest, now: Instant) -> bool {
+    queued.ahead(|_| true, now) == Ahead::default()
+}
+
 #[test]
 fn the_most_urgent_request_that_can_still_be_in_time_is_first() {
     let queues = Rc::new(WaitQueues::default());
-    let weights = Weights {
-        model: "m".into(),
-        adapter: None,
-    };
     let now = Instant::now();
     let at = |ms: u64| now + Duration::from_millis(ms);
-    let relaxed = queues.enqueue(&weights, at(9_000));
-    let urgent = queues.enqueue(&weights, at(500));
-    assert!(urgent.is_next(now) && !relaxed.is_next(now));
-    assert!(queues.would_be_first(&weights, at(100), now));
-    assert!(!queues.would_be_first(&weights, at(700), now));
+    let place = |ms: u64| urgency(0, now, at(ms));
+    let relaxed = queues.enqueue(need("m"), place(9_000));
+    let urgent = queues.enqueue(need("m"), place(500));
+    assert!(is_next(&urgent, now) && !is_next(&relaxed, now));
+    let new = |model: &str, ms: u64| {
+        let ahead = queues.ahead_of_new(&need(model), place(ms), |_| false, now);
+        ahead.same_weights
+    };
+    assert_eq!(new("m", 100), 0);
+    assert_eq!(new("m", 700), 1);
     // Once it is late, it comes after requests that can still be in time.
-    assert!(relaxed.is_next(at(600)) && !urgent.is_next(at(600)));
-    assert_eq!(queues.count(&weights), 2);
+    assert!(is_next(&relaxed, at(600)) && !is_next(&urgent, at(600)));
+    assert_eq!(queues.count(&need("m")), 2);
     drop(relaxed);
-    assert!(urgent.is_next(at(600)));
-    let other = Weights {
-        model: "other".into(),
-        adapter: None,
+    assert!(is_next(&urgent, at(600)));
+    assert_eq!(new("other", 900), 0);
+}
+
+#[test]
+fn requests_for_all_weights_of_a_runner_are_ordered_by_priority_and_rank() {
+    // Ordered by deadline for each model alone, a less urgent request took the slot.
+    let queues = Rc::new(WaitQueues::default());
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let sooner = queues.enqueue(need("a"), urgency(1, now, at(100)));
+    let urgent = queues.enqueue(need("b"), urgency(0, now, at(200)));
+    let ahead = sooner.ahead(|other| *other == need("b"), now);
+    assert_eq!((ahead.same_weights, ahead.other_weights), (0, 1));
+    assert!(is_next(&urgent, now));
+    // A runner that does not hold the other model is free to be used.
+    assert_eq!(sooner.ahead(|_| false, now), Ahead::default());
+    let below_share = Urgency {
+        rank: -1.0,
+        ..urgency(0, now, at(300))
     };
-    assert!(queues.would_be_first(&other, at(900), now));
+    let below_share = queues.enqueue(need("a"), below_share);
+    assert!(is_next(&below_share, now) && !is_next(&urgent, now));
+    assert_eq!(queues.counts_by_priority().get(&0), Some(&2));
+}
+
+#[test]
+fn a_request_with_much_time_is_first_before_it_would_be_late() {
+    // Urgent requests that keep arriving must not hold it up until it is late.
+    let queues = Rc::new(WaitQueues::default());
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let patient = Urgency {
+        yields_until: at(2_900),
+        may_advance: true,
+        ..urgency(2, now, at(5_800))
+    };
+    let queued = queues.enqueue(need("m"), patient);
+    let urgent = |ms: u64| queues.enqueue(need("m"), urgency(0, at(ms), at(ms + 190)));
+    // While it leaves slots to others, it holds up none of them.
+    let least = urgency(3, now, at(700));
+    let ahead = queues.ahead_of_new(&need("m"), least, |_| true, now);
+    assert_eq!(ahead, Ahead::default());
+    let at_4_s = urgent(4_000);
+    assert!(!is_next(&queued, at(4_000)) && is_next(&at_4_s, at(4_000)));
+    let _at_5_s = urgent(5_700);
+    assert!(is_next(&queued, at(5_750)));
+}
+
+#[test]
+fn a_kind_that_is_served_more_often_than_an_urgent_one_does_not_advance() {
+    let traffic = Traffic::default();
+    let now = Instant::now();
+    let service = "s".into();
+    for _ in 0..10 {
+        traffic.note_end(&service, 0, true, now);
+        traffic.note_end(&service, 2, true, now);
+    }
+    assert!(traffic.may_advance(&service, 2, now));
+    traffic.note_end(&service, 0, false, now);
+    assert!(!traffic.may_advance(&service, 2, now));
+    assert!(traffic.may_advance(&service, 0, now));
+}
+
+#[test]
+fn slots_are_reserved_only_while_much_more_urgent_requests_arrive() {
+    let traffic = Traffic::default();
+    let now = Instant::now();
+    let service = "s".into();
+    let patience = Duration::from_secs(6);
+    assert_eq!(traffic.urgent_per_s(&service, 2, patience, now), 0.0);
+    for _ in 0..20 {
+        traffic.note_arrival(&service, 0, Duration::from_millis(250), now);
+    }
+    let rate_per_s = traffic.urgent_per_s(&service, 2, patience, now);
+    assert!((3.9..4.1).contains(&rate_per_s), "{rate_per_s}");
+    // Neither for one of the same priority nor for one that can hardly wait longer.
+    assert_eq!(traffic.urgent_per_s(&service, 0, patience, now), 0.0);
+    let short = Duration::from_millis(800);
+    assert_eq!(traffic.urgent_per_s(&service, 2, short, now), 0.0);
+    let later = now + Duration::from_secs(60);
+    let rate_per_s = traffic.urgent_per_s(&service, 2, patience, later);
+    assert_eq!(reserved_slots(rate_per_s, 12), 0);
+    assert_eq!(reserved_slots(2.4, 12), 3);
+    assert_eq!(reserved_slots(100.0, 12), 3);
 }
 
 /// Sends prompts of 70 ms in bursts of `burst` at three quarters of a runner's prefill capacity;
--- a/src/gateway/waiting/mod.rs
+++ b/src/gateway/waiting/mod.rs
@@ -1,9 +1,19 @@
 //! Decides which request of this VM is sent next, and how long requests are held.
 //!
-//! The decisions are made without network access and without a clock: times are arguments.
+//! Load that this addresses: requests with targets from a quarter of a second to several seconds
+//! compete for runners of 12 slots, and more arrive than the runners can serve. The decisions are
+//! made without network access and without a clock: times are arguments.
 
 mod hold_time;
+mod order;
+mod reserve;
+mod traffic;
 mod wait_queue;
 
 pub(crate) use hold_time::RequestTiming;
-pub(crate) use wait_queue::{QueuedRequest, WaitQueues};
+pub(crate) use order::Urgency;
+pub(crate) use reserve::{reserved_slots, yield_limit};
+pub(crate) use traffic::Traffic;
+#[cfg(test)]
+pub(crate) use wait_queue::Ahead;
+pub(crate) use wait_queue::{Need, QueuedRequest, WaitQueues};
--- a/src/gateway/waiting/wait_queue.rs
+++ b/src/gateway/waiting/wait_queue.rs
@@ -1,97 +1,153 @@
-//! Orders the requests that wait for the same weights.
-//!
-//! Earliest deadline first. Requests that have already missed their deadline come after all that
-//! can still meet theirs, since sending them sooner gains nothing.
+//! The requests of this VM that wait, grouped by what they wait for.
 
 use crate::gateway::Weights;
+use crate::gateway::waiting::Urgency;
+use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Waiting requests, by the weights that they wait for.
+/// What a request waits for: a runner of a service with weights loaded.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Need {
+    pub(crate) service: Name,
+    pub(crate) weights: Weights,
+}
+
+/// Waiting requests, by what they wait for.
 #[derive(Debug, Default)]
 pub(crate) struct WaitQueues {
-    waiting: RefCell<HashMap<Weights, Vec<Position>>>,
+    waiting: RefCell<HashMap<Need, Vec<Position>>>,
     next_arrival: Cell<u64>,
 }
 
-/// A request in the queue for its weights; leaves the queue when dropped.
+/// A request in the queue; leaves the queue when dropped.
 #[derive(Debug)]
 pub(crate) struct QueuedRequest {
     queues: Rc<WaitQueues>,
-    weights: Weights,
+    need: Need,
     position: Position,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug)]
 struct Position {
-    /// The latest time at which the request can be sent and still be answered before its deadline.
-    send_by: Instant,
-    /// Arrival number of the request; breaks ties between equal deadlines.
+    urgency: Urgency,
+    /// Arrival number of the request; breaks ties.
     arrival: u64,
 }
 
 impl Position {
-    fn sort_key(self, now: Instant) -> (bool, Instant, u64) {
-        (self.send_by < now, self.send_by, self.arrival)
+    fn is_before(&self, other: &Self, now: Instant) -> bool {
+        let order = self.urgency.compare(&other.urgency, now);
+        order.then(self.arrival.cmp(&other.arrival)) == Ordering::Less
+    }
+
+    /// Whether this request comes first at a runner that can serve both. One that leaves the last
+    /// slots to others holds up only requests that do so too: these need the same free slots.
+    fn holds_up(&self, other: &Self, now: Instant) -> bool {
+        let competes = !self.urgency.yields(now) || other.urgency.yields(now);
+        competes && self.is_before(other, now)
     }
 }
 
+/// The number of waiting requests that come before a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Ahead {
+    /// Those that wait for the same weights.
+    pub(crate) same_weights: usize,
+    /// Those for other weights on the runner in question.
+    pub(crate) other_weights: usize,
+}
+
 impl WaitQueues {
-    /// Adds a request that has to be sent by `send_by`.
-    pub(crate) fn enqueue(self: &Rc<Self>, weights: &Weights, send_by: Instant) -> QueuedRequest {
-        let position = self.new_position(send_by);
+    /// Adds a request.
+    pub(crate) fn enqueue(self: &Rc<Self>, need: Need, urgency: Urgency) -> QueuedRequest {
+        let position = self.new_position(urgency);
         self.next_arrival.set(position.arrival + 1);
         let mut waiting = self.waiting.borrow_mut();
-        waiting.entry(weights.clone()).or_default().push(position);
+        waiting.entry(need.clone()).or_default().push(position);
         QueuedRequest {
             queues: self.clone(),
-            weights: weights.clone(),
+            need,
             position,
         }
     }
 
-    /// Whether a request that is not queued yet would come before all queued ones.
-    pub(crate) fn would_be_first(&self, weights: &Weights, send_by: Instant, now: Instant) -> bool {
-        self.is_before_all(weights, self.new_position(send_by), now)
+    /// Counts the waiting requests that come before one that is not queued yet; `is_served` tells
+    /// whether the runner in question can serve what others need.
+    pub(crate) fn ahead_of_new(
+        &self,
+        need: &Need,
+        urgency: Urgency,
+        is_served: impl Fn(&Need) -> bool,
+        now: Instant,
+    ) -> Ahead {
+        self.ahead_of(need, &self.new_position(urgency), is_served, now)
     }
 
-    /// Returns the number of requests that wait for the weights.
-    pub(crate) fn count(&self, weights: &Weights) -> usize {
-        self.waiting.borrow().get(weights).map_or(0, Vec::len)
+    /// Returns the number of requests that wait for the same.
+    pub(crate) fn count(&self, need: &Need) -> usize {
+        self.waiting.borrow().get(need).map_or(0, Vec::len)
     }
 
-    fn new_position(&self, send_by: Instant) -> Position {
+    /// Returns the number of waiting requests by priority.
+    pub(crate) fn counts_by_priority(&self) -> BTreeMap<u32, usize> {
+        let mut counts = BTreeMap::new();
+        for position in self.waiting.borrow().values().flatten() {
+            *counts.entry(position.urgency.priority).or_default() += 1;
+        }
+        counts
+    }
+
+    fn new_position(&self, urgency: Urgency) -> Position {
         Position {
-            send_by,
+            urgency,
             arrival: self.next_arrival.get(),
         }
     }
 
-    fn is_before_all(&self, weights: &Weights, position: Position, now: Instant) -> bool {
-        let waiting = self.waiting.borrow();
-        let others = waiting.get(weights).into_iter().flatten();
-        others
-            .filter(|other| **other != position)
-            .all(|other| position.sort_key(now) < other.sort_key(now))
+    fn ahead_of(
+        &self,
+        need: &Need,
+        position: &Position,
+        is_served: impl Fn(&Need) -> bool,
+        now: Instant,
+    ) -> Ahead {
+        let mut ahead = Ahead::default();
+        for (other_need, positions) in self.waiting.borrow().iter() {
+            let before = positions.iter().filter(|it| it.holds_up(position, now));
+            let count = before.count();
+            if other_need == need {
+                ahead.same_weights = count;
+            } else if count > 0 && is_served(other_need) {
+                ahead.other_weights += count;
+            }
+        }
+        ahead
     }
 }
 
 impl QueuedRequest {
-    /// Whether the request is at the head of its queue.
-    pub(crate) fn is_next(&self, now: Instant) -> bool {
-        self.queues.is_before_all(&self.weights, self.position, now)
+    /// Counts the waiting requests that come before this one.
+    pub(crate) fn ahead(&self, is_served: impl Fn(&Need) -> bool, now: Instant) -> Ahead {
+        let Self {
+            queues,
+            need,
+            position,
+        } = self;
+        queues.ahead_of(need, position, is_served, now)
     }
 }
 
 impl Drop for QueuedRequest {
     fn drop(&mut self) {
         let mut waiting = self.queues.waiting.borrow_mut();
-        if let Some(positions) = waiting.get_mut(&self.weights) {
-            positions.retain(|position| *position != self.position);
+        if let Some(positions) = waiting.get_mut(&self.need) {
+            positions.retain(|position| position.arrival != self.position.arrival);
             if positions.is_empty() {
-                waiting.remove(&self.weights);
+                waiting.remove(&self.need);
             }
         }
     }
