Quotas: demand that the remaining quota covers needs no draw; plays of surges

Requests were refused by draw although what was left covered what all VMs would ask for until they hear of each other's grants. The rule now exempts such demand.

--- a/src/callers/quota_estimate.rs
+++ b/src/callers/quota_estimate.rs
@@ -93,8 +93,9 @@
     pub(super) fn admits(&self, amount: f64, draw: f64) -> bool {
         let remaining = self.remaining();
         let lag_s = self.lag.as_secs_f64();
-        // The reserve covers demand that is too low to exceed it before other VMs learn of it.
-        let is_covered = self.requested_per_s() * lag_s <= self.reserve();
+        // Demand needs no draw while the reserve or the remaining quota covers it until other VMs
+        // learn of the grants.
+        let is_covered = self.requested_per_s() * lag_s <= self.reserve().max(remaining);
         let spendable_per_s = remaining / (lag_s * SPEND_TIME_LAGS) + self.rate_per_s();
         amount <= remaining && (is_covered || draw * self.requested_per_s() <= spendable_per_s)
     }
--- a/src/gateway/tests/quota_play.rs
+++ b/src/gateway/tests/quota_play.rs
@@ -118,6 +118,9 @@
     pub(super) refused_within_quota: f64,
     /// The total amount granted, as a fraction of the amount that the ideal bucket granted.
     pub(super) granted_share: f64,
+    /// The total amount granted, as a fraction of the largest amount that the limit of every window
+    /// allows.
+    pub(super) granted_of_limit: f64,
     /// The messages sent per second and VM.
     pub(super) messages_per_s: f64,
     /// The bytes sent per second and VM.
@@ -208,6 +211,8 @@
         bytes: 0,
     };
     let mut window = Window::default();
+    let mut ideal_window = Window::default();
+    let mut limit_granted = 0.0;
     let mut result = SimulationResult::default();
     let (mut ideal_granted, mut refused, mut granted) = (0.0, 0.0, 0.0);
     let steps = (scenario.duration_s / STEP.as_secs_f64()) as u32;
@@ -229,6 +234,10 @@
             if is_within_quota {
                 ideal_granted += amount;
             }
+            if ideal_window.sum + amount <= scenario.allowed() {
+                ideal_window.record(amount, at.now);
+                limit_granted += amount;
+            }
             if is_granted {
                 granted += amount;
                 window.record(amount, at.now);
@@ -237,12 +246,14 @@
             }
         }
         window.prune(scenario.bounds.window, at.now);
+        ideal_window.prune(scenario.bounds.window, at.now);
         result.max_granted_share = result
             .max_granted_share
             .max(window.sum / scenario.allowed());
     }
     result.refused_within_quota = refused / ideal_granted;
     result.granted_share = granted / ideal_granted;
+    result.granted_of_limit = granted / limit_granted;
     let vm_seconds = scenario.duration_s * scenario.vms as f64;
     result.messages_per_s = network.sent as f64 / vm_seconds;
     result.bytes_per_s = network.bytes as f64 / vm_seconds;
--- a/src/gateway/tests/quotas.rs
+++ b/src/gateway/tests/quotas.rs
@@ -108,6 +108,85 @@
     }
 }
 
+/// Organisations that ask for several times their usual amount, or for little more than usual.
+fn surges(vms: usize) -> Vec<(&'static str, Scenario)> {
+    let surge = |usual: f64, factor: f64| Scenario {
+        rate_per_s: 490_000.0,
+        demand: vec![(WARM_UP_S, usual), (17.0, usual * factor), (31.0, usual)],
+        duration_s: 36.0,
+        ..Scenario::steady(vms)
+    };
+    let small = |scenario: Scenario| Scenario {
+        rate_per_s: 3_000.0,
+        ..scenario
+    };
+    let six = surge(0.55, 6.0);
+    let late = Scenario {
+        max_delay: Duration::from_millis(1_000),
+        ..six.clone()
+    };
+    let lossy = Scenario {
+        loss: 0.4,
+        ..six.clone()
+    };
+    let restarted = Scenario {
+        restart: Some((21.0, 21.5)),
+        ..six.clone()
+    };
+    let divided = Scenario {
+        partition: Some((15.0, 26.0, 1.0 / 3.0)),
+        ..six.clone()
+    };
+    vec![
+        ("calm", surge(0.55, 1.0)),
+        ("calm, small quota", small(surge(0.55, 1.0))),
+        ("twice its usual", surge(0.55, 2.0)),
+        ("twice its usual, small quota", small(surge(0.55, 2.0))),
+        ("five times its usual", surge(0.55, 5.0)),
+        ("six times", six.clone()),
+        ("six times, small quota", small(six)),
+        ("seven times", surge(0.55, 7.0)),
+        ("seven times, near its quota before", surge(0.95, 7.0)),
+        ("six times, messages late by up to 1 s", late),
+        ("six times, 0.4 of the messages lost", lossy),
+        ("six times, all restarted", restarted),
+        ("six times, a third cut off", divided),
+    ]
+}
+
+#[test]
+fn a_surge_is_granted_most_of_what_its_limit_allows() {
+    println!("| VMs | load | most | refused below | granted | of the limit |");
+    for vms in [6, 58, 195] {
+        for (name, scenario) in surges(vms) {
+            let result = simulate::<GossipedReports>(&scenario);
+            println!(
+                "| {vms} | {name} | {:.3} | {:.3} | {:.2} | {:.2} |",
+                result.max_granted_share,
+                result.refused_within_quota,
+                result.granted_share,
+                result.granted_of_limit,
+            );
+            assert!(
+                result.max_granted_share < 1.0,
+                "{vms} VMs, {name}: {result:?}"
+            );
+            if name.starts_with("calm") {
+                assert!(
+                    result.refused_within_quota <= 0.01,
+                    "{vms} VMs, {name}: {result:?}"
+                );
+            }
+            if vms <= 58 && name == "six times" {
+                assert!(
+                    result.granted_of_limit >= 0.9,
+                    "{vms} VMs, {name}: {result:?}"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn a_request_that_did_not_run_is_refunded() {
     let now = Instant::now();
