--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -5,6 +5,7 @@
 use crate::gateway::directory_updates::DirectoryUpdate;
 use crate::gateway::fleet::{Incarnation, Server};
 use crate::gateway::server_limits::LimitStatement;
+use crate::gateway::server_speed::ServerSpeedsPart;
 use crate::gateway::sighting_message::{LeaderSeen, ZoneVms};
 use crate::gateway::stream_message::{BegunStream, VersionQuery, VersionReply};
 use prost::Message;
@@ -131,6 +132,10 @@
     /// Whether the sender knows what was contained before it started.
     #[prost(bool, tag = "36")]
     pub(super) knows_contained: bool,
+    /// How fast servers are: what the sender has seen, or, in messages to remote zones, all VMs of
+    /// the zone of the sender.
+    #[prost(message, optional, tag = "37")]
+    pub(super) server_speeds: Option<ServerSpeedsPart>,
     /// The requests that wait for runners at the sender, the largest numbers first.
     #[prost(message, repeated, tag = "39")]
     pub(super) waiting: Vec<WaitingRequests>,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
+use crate::gateway::server_speed::{ListedRun, ServerSpeeds};
 use crate::gateway::software_versions::SoftwareVersions;
 use crate::gateway::source_selector::Source;
 use crate::gateway::speeds::Speeds;
@@ -85,6 +86,8 @@
     pub(crate) wait_queues: Rc<WaitQueues>,
     /// When callers that were refused have been asked to come again.
     pub(crate) returns: ReturnCalendar,
+    /// How fast each backend server is compared with others.
+    pub(crate) server_speeds: ServerSpeeds,
     /// The quota usage of organisations, at this VM and at others.
     pub(crate) ledger: RefCell<Ledger>,
     /// The rate limits that backend servers state.
@@ -154,6 +157,7 @@
             traffic: Traffic::default(),
             wait_queues: Rc::default(),
             returns: ReturnCalendar::new(Instant::now()),
+            server_speeds: ServerSpeeds::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
             server_limits: RefCell::new(ServerLimits::new(Instant::now())),
             reachability: RefCell::default(),
@@ -571,6 +575,19 @@
             .rate_per_s(&server.incarnation())
     }
 
+    /// Renews the estimates of how fast the listed servers are.
+    pub(crate) fn refresh_server_speeds(&self, now: Instant) {
+        let listed = || {
+            let servers = self.fleet.servers().into_iter();
+            let runs = servers.map(|server| ListedRun {
+                run: server.incarnation(),
+                service: server.with_entry(|entry| entry.service.clone()),
+            });
+            runs.collect()
+        };
+        self.server_speeds.refresh(listed, now);
+    }
+
     /// Records that a connection to a backend server opened.
     pub(crate) fn record_server_reached(&self, now: Instant) {
         let change = self.reachability.borrow_mut().record_opened(now);
