--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -5,7 +5,7 @@
 use crate::gateway::load_limit::LoadRateLimit;
 use crate::gateway::order_queue::OrderTarget;
 use crate::gateway::outbox::UpdateScope;
-use crate::gateway::planning::{PlacementPlanner, RunnerPlan, RunnerView};
+use crate::gateway::placement::{PlacementPlanner, RunnerPlan, RunnerView};
 use crate::gateway::report_schedule::ReportSchedule;
 use crate::gateway::runner_state::RunnerState;
 use crate::gateway::state::State;
--- a/src/gateway/order_queue.rs
+++ b/src/gateway/order_queue.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::fleet::{Server, holds};
 use crate::gateway::order_dispatch::OrderDispatcher;
-use crate::gateway::planning::RunnerPlan;
+use crate::gateway::placement::RunnerPlan;
 use crate::gateway::runner_state::{MIN_RESIDENCE, apply_order};
 use crate::gateway::{Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
 use crate::inventory::Name;
--- a/src/gateway/planning.rs
+++ b/src/gateway/placement/planning.rs
@@ -2,7 +2,7 @@
 //! then adapters.
 
 use crate::gateway::demand_rate::DemandRate;
-use crate::gateway::swaps::SwapPlanner;
+use crate::gateway::placement::swaps::SwapPlanner;
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
 use std::collections::{HashMap, HashSet};
--- a/src/gateway/swaps.rs
+++ b/src/gateway/placement/swaps.rs
@@ -4,8 +4,10 @@
 //! then, and which these are changes within seconds. A swap is made if the new copy, from when it
 //! is loaded, answers more requests in time than the unloaded copies did.
 
-use crate::gateway::planning::{PlacementPlanner, RunnerPlan, RunnerView, model_weights};
-use crate::gateway::spread::{DemandSpread, ModelDemand, SwapValue};
+use crate::gateway::placement::planning::{
+    PlacementPlanner, RunnerPlan, RunnerView, model_weights,
+};
+use crate::gateway::placement::spread::{DemandSpread, ModelDemand, SwapValue};
 use crate::gateway::{Model, Weights};
 use crate::inventory::Name;
 use std::collections::HashMap;
--- a/src/gateway/runner_state.rs
+++ b/src/gateway/runner_state.rs
@@ -1,7 +1,7 @@
 //! State that the leader keeps for each runner.
 
 use crate::gateway::fleet::{Holding, Server, holds};
-use crate::gateway::planning::RunnerView;
+use crate::gateway::placement::RunnerView;
 use crate::gateway::{RunnerReport, Weights};
 use crate::inventory::Name;
 use std::collections::HashMap;
--- a/src/gateway/tests/planning.rs
+++ b/src/gateway/tests/planning.rs
@@ -1,7 +1,7 @@
 //! Plans always fit the memory and adapter slots of a runner, and follow the demand.
 
 use crate::gateway::demand_rate::DemandRate;
-use crate::gateway::planning::{PlacementPlanner, RunnerPlan, RunnerView};
+use crate::gateway::placement::{PlacementPlanner, RunnerPlan, RunnerView};
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
 use proptest::prelude::*;
--- a/src/gateway/tests/swaps.rs
+++ b/src/gateway/tests/swaps.rs
@@ -1,6 +1,6 @@
 //! The value of swaps, given the total load of all models on each runner.
 
-use crate::gateway::spread::{DemandSpread, ModelDemand};
+use crate::gateway::placement::{DemandSpread, ModelDemand};
 
 fn demand(busy_runners: f64) -> ModelDemand {
     ModelDemand {
