Slow runners count as less capacity for placement

The time that a request takes differs by runner from 0.6 to 2.7 times the usual, and plans treated all runners alike. The load of a copy is now demand times the slowness of its runner, and runners are ranked by it. Figures that are not plausible are bounded.

--- a/src/gateway/placement/planning.rs
+++ b/src/gateway/placement/planning.rs
@@ -6,6 +6,7 @@
 use crate::gateway::{Engine, Model, Weights};
 use crate::inventory::Name;
 use std::collections::{HashMap, HashSet};
+use std::ops::RangeInclusive;
 
 /// Demand per copy of an adapter above which another copy is placed, in milliseconds of runner
 /// time per second.
@@ -16,8 +17,12 @@
 /// Maximum number of adapters that one runner loads at a time.
 const MAX_ADAPTER_LOADS: usize = 4;
 
+/// Range within which the slowness of a runner is believed. Runners take 0.6 to 2.7 times the usual
+/// time; figures far outside are measurement errors.
+const SLOWNESS_RANGE: RangeInclusive<f64> = 0.25..=8.0;
+
 /// State of a model runner that a plan is based on.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct RunnerView {
     /// ID of the runner.
     pub(crate) id: Name,
@@ -37,9 +42,38 @@
     pub(crate) in_flight: HashMap<Name, u32>,
     /// Models that were loaded too recently to be unloaded.
     pub(crate) recently_loaded: Vec<Name>,
+    /// Time that the runner takes relative to others for the same work; 1.0 is usual.
+    pub(crate) slowness: f64,
+}
+
+impl Default for RunnerView {
+    fn default() -> Self {
+        Self {
+            id: Name::default(),
+            models: Vec::new(),
+            loading: None,
+            adapters: Vec::new(),
+            is_executing: false,
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+            in_flight: HashMap::new(),
+            recently_loaded: Vec::new(),
+            slowness: 1.0,
+        }
+    }
 }
 
 impl RunnerView {
+    /// Returns the slowness that plans count with: usual if the figure is not a number, and within
+    /// the plausible range.
+    pub(super) fn slowness(&self) -> f64 {
+        if self.slowness.is_nan() {
+            return 1.0;
+        }
+        self.slowness
+            .clamp(*SLOWNESS_RANGE.start(), *SLOWNESS_RANGE.end())
+    }
+
     /// Whether the runner can be sent an order.
     pub(super) fn is_free(&self) -> bool {
         !self.is_executing && self.loading.is_none()
@@ -183,7 +217,11 @@
                 && !runner.adapters.contains(wanted)
                 && planned_loads < MAX_ADAPTER_LOADS
         });
-        let Some(runner) = fitting.min_by_key(|runner| runner.adapters.len()) else {
+        let fewest = fitting.min_by(|left, right| {
+            let count = left.adapters.len().cmp(&right.adapters.len());
+            count.then(left.slowness().total_cmp(&right.slowness()))
+        });
+        let Some(runner) = fewest else {
             return;
         };
         let mut unload = Vec::new();
--- a/src/gateway/placement/spread.rs
+++ b/src/gateway/placement/spread.rs
@@ -2,7 +2,8 @@
 //!
 //! Requests go to the least loaded runner that holds their model, so the demand for a model evens
 //! out the load of these runners, as far as there is enough demand. The total load of a runner
-//! determines how many of its requests are answered late or not at all.
+//! determines how many of its requests are answered late or not at all. A request takes the time of
+//! its model multiplied by the slowness of the runner, so that slow runners count as less capacity.
 
 /// Load of a runner, as a share of its time, up to which its streams are on time. Above it,
 /// prompts arrive while others are being processed, and streams pause during each prefill.
@@ -45,13 +46,23 @@
 
 /// Load of one runner: the share of its time that is used, above 1 if overloaded, and requests
 /// per second.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct RunnerLoad {
     utilisation: f64,
     requests_per_s: f64,
+    /// Time that the runner takes relative to others for the same work; 1.0 is usual.
+    slowness: f64,
 }
 
 impl RunnerLoad {
+    fn idle(slowness: f64) -> Self {
+        Self {
+            utilisation: 0.0,
+            requests_per_s: 0.0,
+            slowness,
+        }
+    }
+
     /// Returns the requests per second that are lost; late ones count in part.
     fn cost(self) -> f64 {
         let late = (self.utilisation - MAX_ON_TIME_LOAD) / (ALL_LATE_LOAD - MAX_ON_TIME_LOAD);
@@ -75,11 +86,11 @@
 
 impl DemandSpread {
     /// Spreads the demand for models over the runners that hold them; `copy_runners` lists these
-    /// by model.
+    /// by model and `slowness` the time that each runner takes relative to others.
     pub(crate) fn new(
         demands: Vec<ModelDemand>,
         copy_runners: &[Vec<usize>],
-        runners: usize,
+        slowness: &[f64],
     ) -> Self {
         let models = demands.into_iter().zip(copy_runners);
         let models = models.map(|(demand, copy_runners)| ModelCopies {
@@ -88,7 +99,7 @@
         });
         let mut spread = Self {
             models: models.collect(),
-            runners: vec![RunnerLoad::default(); runners],
+            runners: slowness.iter().copied().map(RunnerLoad::idle).collect(),
         };
         spread.balance();
         spread
@@ -123,6 +134,15 @@
         self.runners[runner].utilisation
     }
 
+    /// Returns the load of a runner, plus the extra time that it would take because of its speed
+    /// for an equal part of a model's demand. It ranks runners for another copy of the model.
+    pub(crate) fn load_with_slowness(&self, model: usize, runner: usize) -> f64 {
+        let entry = &self.models[model];
+        let part = entry.demand.busy_runners / (entry.copies.len() + 1) as f64;
+        let load = self.runners[runner];
+        load.utilisation + (load.slowness - 1.0) * part
+    }
+
     /// Returns the requests per second for a model that are currently lost.
     pub(crate) fn lost_per_s(&self, model: usize) -> f64 {
         let entry = &self.models[model];
@@ -228,7 +248,8 @@
         let ModelCopies { demand, copies } = &mut self.models[model];
         for (runner, fraction) in copies {
             let load = &mut self.runners[*runner];
-            load.utilisation = (load.utilisation - *fraction * demand.busy_runners).max(0.0);
+            let used = *fraction * demand.busy_runners * load.slowness;
+            load.utilisation = (load.utilisation - used).max(0.0);
             load.requests_per_s =
                 (load.requests_per_s - *fraction * demand.requests_per_s).max(0.0);
             *fraction = 0.0;
@@ -247,18 +268,18 @@
             load(left).total_cmp(&load(right))
         });
         let level = water_fill_level(
-            copies.iter().map(|copy| self.runners[copy.0].utilisation),
+            copies.iter().map(|copy| self.runners[copy.0]),
             demand.busy_runners,
         );
         let equal = 1.0 / copies.len() as f64;
         for (runner, fraction) in copies {
             let load = &mut self.runners[*runner];
             *fraction = if demand.busy_runners > 0.0 {
-                (level - load.utilisation).max(0.0) / demand.busy_runners
+                (level - load.utilisation).max(0.0) / (demand.busy_runners * load.slowness)
             } else {
                 equal
             };
-            load.utilisation += *fraction * demand.busy_runners;
+            load.utilisation += *fraction * demand.busy_runners * load.slowness;
             load.requests_per_s += *fraction * demand.requests_per_s;
         }
     }
@@ -270,17 +291,19 @@
     runners: Vec<(usize, RunnerLoad)>,
 }
 
-/// Returns the level to which `demand` raises the lowest loads (water filling). The loads must be
-/// in ascending order.
-fn water_fill_level(loads: impl Iterator<Item = f64>, demand: f64) -> f64 {
-    let mut sum = demand;
+/// Returns the utilisation to which `demand` raises the least loaded runners (water filling). The
+/// runners must be in ascending order of utilisation.
+fn water_fill_level(runners: impl Iterator<Item = RunnerLoad>, demand: f64) -> f64 {
+    let mut work = demand;
+    let mut speed = 0.0;
     let mut level = 0.0;
-    for (count, load) in loads.enumerate() {
-        if count > 0 && load >= level {
+    for (count, runner) in runners.enumerate() {
+        if count > 0 && runner.utilisation >= level {
             break;
         }
-        sum += load;
-        level = sum / (count + 1) as f64;
+        work += runner.utilisation / runner.slowness;
+        speed += 1.0 / runner.slowness;
+        level = work / speed;
     }
     level
 }
--- a/src/gateway/placement/swaps.rs
+++ b/src/gateway/placement/swaps.rs
@@ -112,8 +112,9 @@
                 }
             }
         }
+        let slowness: Vec<f64> = planner.runners.iter().map(RunnerView::slowness).collect();
         Self {
-            spread: DemandSpread::new(demands, &copy_runners, planner.runners.len()),
+            spread: DemandSpread::new(demands, &copy_runners, &slowness),
             planner,
             model_indices,
         }
@@ -233,7 +234,7 @@
             view.is_free() && !view.models.contains(name) && !plans.contains_key(&view.id)
         });
         let mut free: Vec<usize> = free.map(|(runner, _)| runner).collect();
-        let load = |runner: &usize| self.spread.load(*runner);
+        let load = |runner: &usize| self.spread.load_with_slowness(model, *runner);
         free.sort_by(|left, right| load(left).total_cmp(&load(right)));
         let (mut cached, mut cold): (Vec<usize>, Vec<usize>) = free
             .into_iter()
@@ -284,12 +285,16 @@
     }
 
     /// Fills each runner that has free memory with the model that gains most there. A runner that
-    /// already holds models gets only those whose copies are few or in use.
+    /// already holds models gets only those whose copies are few or in use. The fastest runners are
+    /// filled first, so that they get the models with the highest demand.
     fn fill_free_memory(&mut self, plans: &mut HashMap<Name, RunnerPlan>, mut cold_loads: usize) {
         let all: Vec<usize> = (0..self.planner.engine.models.len()).collect();
         let mut wanted = all.clone();
         wanted.retain(|model| !self.has_idle_copies(*model));
-        for runner in 0..self.planner.runners.len() {
+        let mut order: Vec<usize> = (0..self.planner.runners.len()).collect();
+        let slowness = |runner: &usize| self.planner.runners[*runner].slowness();
+        order.sort_by(|left, right| slowness(left).total_cmp(&slowness(right)));
+        for runner in order {
             let view = &self.planner.runners[runner];
             if !view.is_free() || plans.contains_key(&view.id) {
                 continue;
--- a/src/gateway/tests/planning.rs
+++ b/src/gateway/tests/planning.rs
@@ -152,6 +152,25 @@
     assert_eq!(loads.count(), 1, "{plan:?}");
 }
 
+/// Guards against plans that rank runners by load alone: all runners are idle, so that only their
+/// speed distinguishes them.
+#[test]
+fn a_demanded_model_is_loaded_on_the_fastest_of_idle_runners() {
+    let engine = engine(0);
+    let mut runners: Vec<RunnerView> = (0..20)
+        .map(|number| runner(&format!("r{number:02}"), &["m0", "m2"]))
+        .collect();
+    for (number, view) in runners.iter_mut().enumerate() {
+        view.slowness = if number == 17 { 0.6 } else { 2.7 };
+    }
+    runners[3].slowness = f64::NAN;
+    let demand = HashMap::from([(model("m1"), rate(400.0))]);
+    let plan = plan(&engine, &runners, &demand);
+    let loads = plan.iter().filter(|(_, it)| it.load.contains(&model("m1")));
+    let loading: Vec<&str> = loads.map(|(id, _)| id.as_str()).collect();
+    assert_eq!(loading, ["r17"], "{plan:?}");
+}
+
 #[test]
 fn copies_follow_demand_to_another_model() {
     let engine = engine(0);
--- a/src/gateway/tests/swaps.rs
+++ b/src/gateway/tests/swaps.rs
@@ -13,7 +13,11 @@
 #[test]
 fn demand_evens_out_the_load_of_its_runners() {
     // Model 0 on runners 0 and 1, model 1 on 1 only.
-    let spread = DemandSpread::new(vec![demand(0.4), demand(0.2)], &[vec![0, 1], vec![1]], 2);
+    let spread = DemandSpread::new(
+        vec![demand(0.4), demand(0.2)],
+        &[vec![0, 1], vec![1]],
+        &[1.0; 2],
+    );
     assert!((spread.load(0) - 0.3).abs() < 1e-9, "{}", spread.load(0));
     assert!((spread.load(1) - 0.3).abs() < 1e-9, "{}", spread.load(1));
 }
@@ -23,7 +27,7 @@
     // Model 0 overloads runner 0; runner 1 is idle with model 2, runner 2 is busy with model 1.
     let demands = vec![demand(1.4), demand(1.2), demand(0.0)];
     let copy_runners = [vec![0], vec![2], vec![1]];
-    let mut spread = DemandSpread::new(demands, &copy_runners, 3);
+    let mut spread = DemandSpread::new(demands, &copy_runners, &[1.0; 3]);
     let idle = spread.swap_value(1, 0, &[]);
     let busy = spread.swap_value(2, 0, &[]);
     assert!(idle.gain > 5.0, "{idle:?}");
@@ -32,7 +36,11 @@
 
 #[test]
 fn evaluating_a_swap_leaves_the_spread_unchanged() {
-    let mut spread = DemandSpread::new(vec![demand(1.0), demand(0.5)], &[vec![0], vec![1]], 2);
+    let mut spread = DemandSpread::new(
+        vec![demand(1.0), demand(0.5)],
+        &[vec![0], vec![1]],
+        &[1.0; 2],
+    );
     let before = (spread.load(0), spread.load(1), spread.lost_per_s(0));
     spread.swap_value(1, 0, &[1]);
     let after = (spread.load(0), spread.load(1), spread.lost_per_s(0));
@@ -42,7 +50,11 @@
 
 #[test]
 fn unloading_the_last_copy_costs_demand_and_missing_cost() {
-    let mut spread = DemandSpread::new(vec![demand(0.6), demand(0.1)], &[vec![0], vec![1]], 2);
+    let mut spread = DemandSpread::new(
+        vec![demand(0.6), demand(0.1)],
+        &[vec![0], vec![1]],
+        &[1.0; 2],
+    );
     let value = spread.swap_value(1, 0, &[1]);
     assert!(value.loss > 1.0, "{value:?}");
     assert!(
@@ -66,7 +78,32 @@
         requests_per_s: 8.0,
         missing_cost_per_s: 0.0,
     };
-    let mut spread = DemandSpread::new(vec![large, small], &[vec![0], vec![0]], 2);
+    let mut spread = DemandSpread::new(vec![large, small], &[vec![0], vec![0]], &[1.0; 2]);
     let moved_copy = spread.swap_value(1, 1, &[]);
     assert!(moved_copy.gain > 2.0, "{moved_copy:?}");
 }
+
+#[test]
+fn a_slow_runner_takes_less_of_the_demand() {
+    // Runner 1 takes three times as long, so that equal loads leave it a quarter of the demand.
+    let spread = DemandSpread::new(vec![demand(0.8)], &[vec![0, 1]], &[1.0, 3.0]);
+    assert!((spread.load(0) - 0.6).abs() < 1e-9, "{}", spread.load(0));
+    assert!((spread.load(1) - 0.6).abs() < 1e-9, "{}", spread.load(1));
+}
+
+#[test]
+fn a_copy_gains_more_on_a_fast_runner_and_where_the_only_one_is_slow() {
+    let gain = |slowness: &[f64; 3], runner: usize| {
+        let demands = vec![demand(0.4)];
+        let mut spread = DemandSpread::new(demands, &[vec![0]], slowness);
+        spread.swap_value(runner, 0, &[]).gain
+    };
+    let of_usual = gain(&[1.0, 1.0, 1.0], 1);
+    let of_slow = gain(&[2.5, 1.0, 1.0], 1);
+    assert!(of_slow > of_usual + 1.0, "{of_slow} and {of_usual}");
+    let slowness = [2.5, 2.5, 0.6];
+    assert!(
+        gain(&slowness, 2) > gain(&slowness, 1),
+        "the fast runner gains less"
+    );
+}
