Plans count the measured slowness of runners

Plans treated all runners alike, since measured speeds were not available. The leader now asks for the slowness of each runner when it builds the views that plans are made from.

--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -309,7 +309,11 @@
                 let runner = tracked.get(&server.incarnation())?;
                 let in_flight = peers_in_flight.get(&server.id);
                 let view = runner.view(server, in_flight);
-                view.or_else(|| runner.listed_view(server))
+                let view = view.or_else(|| runner.listed_view(server))?;
+                Some(RunnerView {
+                    slowness: self.state.server_speeds.slowness(&server.incarnation()),
+                    ..view
+                })
             })
             .collect();
         views.sort_by(|left, right| left.id.cmp(&right.id));
--- a/src/gateway/runner_state.rs
+++ b/src/gateway/runner_state.rs
@@ -61,7 +61,6 @@
             id: server.id.clone(),
             models,
             is_executing: true,
-            slowness: slowness(server),
             ..RunnerView::default()
         })
     }
@@ -111,17 +110,11 @@
                 .filter(|(_, at)| at.elapsed() < MIN_RESIDENCE)
                 .map(|(model, _)| model.clone())
                 .collect(),
-            slowness: slowness(server),
+            ..RunnerView::default()
         })
     }
 }
 
-/// Returns the time that a runner takes relative to others for the same work. Every run counts as
-/// usual until measured speeds of servers are available.
-fn slowness(_server: &Server) -> f64 {
-    1.0
-}
-
 /// Applies an order to what a runner holds; the load of a model is left to the next report.
 pub(super) fn apply_order(holdings: &mut Vec<Holding>, weights: &Weights, is_load: bool) {
     let Some(adapter) = &weights.adapter else {
