X-Server-Load is read, checked and used while it is recent

Nothing read it. Its counts raise the known load of a server for 200 ms, unless they are impossible or stay the same while the load changes. The fourth figure counts for 100 ms, relative to the server's own mean, only once the durations of its responses confirm it. Log lines for slow servers and for statements that are not used; metrics slow_servers and stated_loads.

--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -2,7 +2,7 @@
 //! with one small trait for each.
 
 use crate::gateway::crash_report::CrashCause;
-use crate::gateway::{CallerRequest, Configuration, Entry};
+use crate::gateway::{CallerRequest, Configuration, Entry, StatedLoad};
 use crate::http::Body;
 use crate::inventory::Name;
 use hyper::http::{request, response};
@@ -54,6 +54,8 @@
     /// How long the server wants no requests from this VM, if it turned the request away and asks
     /// for a pause.
     pub(crate) pause: Option<Duration>,
+    /// What the server states of its load.
+    pub(crate) stated_load: Option<StatedLoad>,
 }
 
 /// An error response that the gateway itself sends to a caller.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -107,6 +107,14 @@
     ),
     describe("servers", "backend servers in the directory"),
     describe("limited_servers", "backend servers that state a rate limit"),
+    describe(
+        "slow_servers",
+        "backend servers that take at least 1.5 times the usual time",
+    ),
+    describe(
+        "stated_loads",
+        "loads that servers stated in responses, by what came of them",
+    ),
     describe("vms", "VMs known, this one included"),
     describe("is_leading", "1 while this VM gives orders"),
     describe("open_connections", "callers' connections"),
@@ -190,6 +198,10 @@
     pub(crate) contained_causes: Gauge,
     pub(crate) servers: Gauge,
     pub(crate) limited_servers: Gauge,
+    /// Servers that are reported as slow.
+    pub(crate) slow_servers: Gauge,
+    /// Loads that servers stated.
+    pub(crate) stated_loads: Family<OutcomeLabels, Counter>,
     pub(crate) vms: Gauge,
     pub(crate) is_leading: Gauge,
     pub(crate) open_connections: Gauge,
@@ -234,6 +246,8 @@
             contained_causes: Gauge::default(),
             servers: Gauge::default(),
             limited_servers: Gauge::default(),
+            slow_servers: Gauge::default(),
+            stated_loads: Family::default(),
             vms: Gauge::default(),
             is_leading: Gauge::default(),
             open_connections: Gauge::default(),
@@ -255,6 +269,7 @@
         self.register("contained_causes", self.contained_causes.clone());
         self.register("servers", self.servers.clone());
         self.register("limited_servers", self.limited_servers.clone());
+        self.register("slow_servers", self.slow_servers.clone());
         self.register("vms", self.vms.clone());
         self.register("is_leading", self.is_leading.clone());
         self.register("open_connections", self.open_connections.clone());
@@ -270,6 +285,7 @@
         self.register("unreadable_prompts", self.unreadable_prompts.clone());
         self.register("closed_unread", self.closed_unread.clone());
         self.register("attempts", self.attempts.clone());
+        self.register("stated_loads", self.stated_loads.clone());
         self.register("forwarded_requests", self.forwarded.clone());
         self.register("orders_given", self.orders.clone());
         self.register("served_requests", self.requests.clone());
@@ -311,6 +327,13 @@
             .inc();
     }
 
+    /// Counts a load that a server stated.
+    pub(crate) fn note_stated_load(&self, outcome: &'static str) {
+        self.stated_loads
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts a request forwarded to another VM, or by another VM to this one.
     pub(crate) fn note_forwarded(&self, outcome: &'static str) {
         self.forwarded
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -112,4 +112,5 @@
 pub(crate) use metrics::Metrics;
 pub(crate) use prompt_part::PromptPart;
 pub(crate) use server::serve;
+pub(crate) use server_speed::StatedLoad;
 pub(crate) use settings::{Bounds, Settings};
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -305,7 +305,11 @@
             let work = Work::Call(call.route.name.clone());
             let speeds = &self.state.server_speeds;
             let took = now - dispatch.at;
-            speeds.note(&server.incarnation(), &work, took, CALL_WEIGHT, now);
+            let run = server.incarnation();
+            speeds.note(&run, &work, took, CALL_WEIGHT, now);
+            if let Some(load) = exchange.reply.stated_load {
+                speeds.note_stated_time(&run, load, &work, took);
+            }
         }
     }
 
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -319,6 +319,10 @@
         now: Instant,
     ) -> Candidate {
         let in_flight = server.in_flight() + peer_loads.in_flight(&server.id);
+        // Requests of VMs whose messages are lost or late are known to the server alone.
+        let speeds = &self.state.server_speeds;
+        let stated = speeds.stated_in_flight(&server.incarnation(), now);
+        let in_flight = in_flight.max(stated.unwrap_or(0));
         let zone = &self.state.settings.availability_zone;
         let is_connected = self.pool.has_idle(server, now);
         server.with_entry(|entry| Candidate {
@@ -329,16 +333,16 @@
             is_remote_load_stale: self.state.peers.is_remote_load_stale(),
             is_connected,
             is_short_call: call.request.generation.is_none(),
-            slowness: self.relevant_slowness(call, server),
+            slowness: self.relevant_slowness(call, server, now),
             has_failed: server.is_in_backoff(now) || call.tried.contains(&server.id),
         })
     }
 
     /// The slowness of a server as far as it matters for a request: a server at which the request
     /// would be on time counts as one that is only just fast enough for that.
-    fn relevant_slowness(&self, call: &Call, server: &Server) -> f64 {
+    fn relevant_slowness(&self, call: &Call, server: &Server, now: Instant) -> f64 {
         let speeds = &self.state.server_speeds;
-        let slowness = speeds.slowness(&server.incarnation());
+        let slowness = speeds.current_slowness(&server.incarnation(), now);
         let (work, limit_ms) = match call.request.generation {
             Some(_) => (Work::Event(call.model()), call.route.max_pause_ms),
             None => (
--- a/src/gateway/server_speed/mod.rs
+++ b/src/gateway/server_speed/mod.rs
@@ -16,17 +16,20 @@
 mod exchange;
 mod message;
 mod observations;
+mod stated_load;
 
 pub(super) use message::ServerSpeedsPart;
 pub(crate) use observations::Work;
+pub(crate) use stated_load::{StatedLoad, Verdict};
 
 use crate::gateway::fleet::Incarnation;
 use crate::inventory::Name;
 use evidence::{Evidence, Figures, add};
 use exchange::Exchanged;
 use observations::Observations;
+use stated_load::StatedLoads;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -40,6 +43,9 @@
 /// long stream is known, and decreases with the root of their number.
 const INDIFFERENCE: f64 = 0.06;
 const INDIFFERENCE_OF_ONE: f64 = 0.4;
+/// The slowness from which a server is reported as slow, and below which it no longer is.
+const SLOW: f64 = 1.5;
+const NOT_SLOW: f64 = 1.25;
 
 /// The share of the limit of a caller that work may take on average, so that nearly all of it is
 /// within the limit: the longest of 35 pauses is several times the mean.
@@ -77,6 +83,9 @@
     observations: RefCell<Observations>,
     exchanged: RefCell<Exchanged>,
     estimates: RefCell<Estimates>,
+    stated: RefCell<StatedLoads>,
+    /// The runs that are reported as slow.
+    slow: RefCell<HashSet<u32>>,
     refreshed_at: Cell<Option<Instant>>,
 }
 
@@ -116,6 +125,72 @@
         effect.map_or(1.0, slowness_of)
     }
 
+    /// Returns the same with how long work takes at the moment, as the server itself states. That
+    /// counts only if it is recent and confirmed by the server's responses.
+    pub(crate) fn current_slowness(&self, run: &Incarnation, now: Instant) -> f64 {
+        let momentary = self.stated.borrow().momentary_slowness(run_id(run), now);
+        self.slowness(run) * momentary
+    }
+
+    /// Records what a server with `slots` states of its load, where this VM knows of
+    /// `known_in_flight` requests; returns what came of it, and whether that is a change.
+    pub(crate) fn note_stated(
+        &self,
+        run: &Incarnation,
+        load: StatedLoad,
+        slots: u32,
+        known_in_flight: u32,
+        now: Instant,
+    ) -> (Verdict, bool) {
+        let mut stated = self.stated.borrow_mut();
+        stated.note(run_id(run), load, slots, known_in_flight, now)
+    }
+
+    /// Records how long a unit of work took after a server had stated its load.
+    pub(crate) fn note_stated_time(
+        &self,
+        run: &Incarnation,
+        load: StatedLoad,
+        work: &Work,
+        took: Duration,
+    ) {
+        let estimates = self.estimates.borrow();
+        let run = run_id(run);
+        let expected = (estimates.usual.get(&work.id()), estimates.effects.get(&run));
+        if let (Some(usual), Some(effect)) = expected {
+            let took = took.as_secs_f64().max(f64::MIN_POSITIVE).ln() - usual.mean - effect.mean;
+            self.stated.borrow_mut().note_time(run, load, took);
+        }
+    }
+
+    /// Returns the requests in flight at a server by its own recent statement, if that is plausible.
+    pub(crate) fn stated_in_flight(&self, run: &Incarnation, now: Instant) -> Option<u32> {
+        self.stated.borrow().in_flight(run_id(run), now)
+    }
+
+    /// Returns the number of servers that are reported as slow.
+    pub(crate) fn slow_servers(&self) -> usize {
+        self.slow.borrow().len()
+    }
+
+    /// Returns the runs that have become slow or no longer are, with their slowness.
+    pub(crate) fn take_changes(&self, listed: &[ListedRun]) -> Vec<(Incarnation, f64)> {
+        let mut slow = self.slow.borrow_mut();
+        let ids: HashSet<u32> = listed.iter().map(|it| run_id(&it.run)).collect();
+        slow.retain(|id| ids.contains(id));
+        self.stated.borrow_mut().retain(|id| ids.contains(&id));
+        let changes = listed.iter().filter_map(|ListedRun { run, .. }| {
+            let slowness = self.slowness(run);
+            let is_change = match slowness {
+                SLOW.. => slow.insert(run_id(run)),
+                ..NOT_SLOW => slow.remove(&run_id(run)),
+                _ => false,
+            };
+            is_change.then(|| (run.clone(), slowness))
+        });
+        changes.collect()
+    }
+
     /// Returns the usual time for a unit of work, if that is known.
     pub(crate) fn usual_time(&self, work: &Work) -> Option<Duration> {
         let estimates = self.estimates.borrow();
@@ -123,12 +198,16 @@
         Some(Duration::from_secs_f64(usual.mean.exp()))
     }
 
-    /// Renews the estimates for the listed runs, unless that was done a moment ago; returns whether
-    /// it was done. What is known of other runs no longer counts.
-    pub(crate) fn refresh(&self, listed: impl FnOnce() -> Vec<ListedRun>, now: Instant) -> bool {
+    /// Renews the estimates for the listed runs, unless that was done a moment ago; returns the runs
+    /// if it was done. What is known of other runs no longer counts.
+    pub(crate) fn refresh(
+        &self,
+        listed: impl FnOnce() -> Vec<ListedRun>,
+        now: Instant,
+    ) -> Option<Vec<ListedRun>> {
         let is_recent = |at| now.saturating_duration_since(at) < REFRESH_INTERVAL;
         if self.refreshed_at.get().is_some_and(is_recent) {
-            return false;
+            return None;
         }
         self.refreshed_at.set(Some(now));
         let mut observations = self.observations.borrow_mut();
@@ -150,12 +229,16 @@
         add(&mut of_zone, &own_effects);
 
         let mut by_service: HashMap<Name, Vec<(u32, Evidence)>> = HashMap::new();
-        for ListedRun { run, service } in listed() {
-            let id = run_id(&run);
+        let listed = listed();
+        for ListedRun { run, service } in &listed {
+            let id = run_id(run);
             let of = |figures: &Figures| figures.get(&id).copied().unwrap_or_default();
             let evidence = of(&of_zone).merged(of(&of_zones));
             if evidence.weight > 0.0 {
-                by_service.entry(service).or_default().push((id, evidence));
+                by_service
+                    .entry(service.clone())
+                    .or_default()
+                    .push((id, evidence));
             }
         }
         let effects = by_service.values().flat_map(|it| centred_effects(it));
@@ -165,7 +248,7 @@
             own,
             of_zone,
         };
-        true
+        Some(listed)
     }
 
     /// The evidence of this VM, for the VMs of its zone. When there is much of it, each round
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,7 +16,7 @@
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
-use crate::gateway::server_speed::{ListedRun, ServerSpeeds};
+use crate::gateway::server_speed::{ListedRun, ServerSpeeds, StatedLoad};
 use crate::gateway::software_versions::SoftwareVersions;
 use crate::gateway::source_selector::Source;
 use crate::gateway::speeds::Speeds;
@@ -214,6 +214,8 @@
         metrics.vms.set(self.peers.vms() as i64);
         let limited_servers = self.server_limits.borrow().limited_servers();
         metrics.limited_servers.set(limited_servers as i64);
+        let slow_servers = self.server_speeds.slow_servers();
+        metrics.slow_servers.set(slow_servers as i64);
         metrics.is_cut_off.set(i64::from(self.is_cut_off()));
         let unconfirmed = self.unconfirmed_time(Part::Configuration, Instant::now());
         let unconfirmed = unconfirmed.unwrap_or_default();
@@ -517,6 +519,23 @@
         if let Some(pause) = reply.pause {
             server.note_pause(pause, now);
         }
+        if let Some(load) = reply.stated_load {
+            self.note_stated_load(load, server, now);
+        }
+    }
+
+    fn note_stated_load(&self, load: StatedLoad, server: &Server, now: Instant) {
+        let known_in_flight = server.in_flight() + self.peers.loads().in_flight(&server.id);
+        let slots = server.with_entry(|entry| entry.slots);
+        let run = server.incarnation();
+        let (verdict, is_change) =
+            self.server_speeds
+                .note_stated(&run, load, slots, known_in_flight, now);
+        self.metrics.note_stated_load(verdict.name());
+        if is_change {
+            let verdict = verdict.name();
+            info!(server = %server.id, ?load, slots, verdict, "server's stated load judged");
+        }
     }
 
     /// Records that a server is about to leave, as one of its responses to this VM or another one
@@ -570,7 +589,13 @@
             });
             runs.collect()
         };
-        self.server_speeds.refresh(listed, now);
+        let Some(listed) = self.server_speeds.refresh(listed, now) else {
+            return;
+        };
+        let changes = self.server_speeds.take_changes(&listed);
+        for (run, slowness) in changes.iter().take(MAX_LISTED_LINES) {
+            info!(server = %run.id, slowness, "server's speed changed");
+        }
     }
 
     /// Records that a connection to a backend server opened.
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -6,7 +6,6 @@
 use crate::gateway::events::{EventBuffer, StreamEvent};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::failure::Failure;
-use crate::gateway::fleet::Server;
 use crate::gateway::relay::Relay;
 use crate::gateway::server_speed::Work;
 use crate::http::{AnswerSender, Body};
@@ -197,20 +196,19 @@
     }
 
     /// Updates the estimate of the runner's speed from a stream that it delivered completely.
-    fn learn_event_time(&self, call: &Call, server: &Server, progress: &StreamProgress) {
+    fn learn_event_time(&self, call: &Call, exchange: &Exchange, progress: &StreamProgress) {
+        let server = &exchange.server;
         let is_whole = call.runs == 1 && call.request.last_event.is_none() && !server.is_vm;
         if let Some(event_time) = progress.event_time().filter(|_| is_whole) {
             let weight = f64::from(progress.events) / LONG_STREAM_EVENTS;
             let work = Work::Event(call.model());
             let speeds = &self.state.server_speeds;
             let now = Instant::now();
-            speeds.note(
-                &server.incarnation(),
-                &work,
-                event_time,
-                weight.min(1.0),
-                now,
-            );
+            let run = server.incarnation();
+            speeds.note(&run, &work, event_time, weight, now);
+            if let Some(load) = exchange.reply.stated_load {
+                speeds.note_stated_time(&run, load, &work, event_time);
+            }
         }
     }
 
@@ -291,7 +289,7 @@
             self.note_begun_answer(call, server);
         }
         self.learn_stream_duration(call, progress);
-        self.learn_event_time(call, server, progress);
+        self.learn_event_time(call, &stream.exchange, progress);
         let metrics = &self.state.metrics;
         metrics.note_request(call.route.kind.name(), "answered");
         metrics
@@ -307,6 +305,8 @@
             events = progress.events,
             first_ms = progress.first_event_after.as_millis() as u64,
             longest_pause_ms = progress.longest_pause.as_millis() as u64,
+            event_us = progress.event_time().map(|it| it.as_micros() as u64),
+            stated = ?stream.exchange.reply.stated_load,
             runs = call.runs,
             age_ms = call.arrived.elapsed().as_millis() as u64,
             "stream complete"
--- a/src/gateway/tests/server_speed.rs
+++ b/src/gateway/tests/server_speed.rs
@@ -1,7 +1,7 @@
-//! The speed of servers: what VMs learn of it together.
+//! The speed of servers: what VMs learn of it together, and what servers state themselves.
 
 use crate::gateway::fleet::Incarnation;
-use crate::gateway::server_speed::{ListedRun, ServerSpeeds, Work};
+use crate::gateway::server_speed::{ListedRun, ServerSpeeds, StatedLoad, Work};
 use crate::gateway::tests::address;
 use crate::inventory::Name;
 use rand::rngs::SmallRng;
@@ -205,3 +205,95 @@
         assert!((0.3..3.5).contains(&slowness), "{runner}: {slowness}");
     }
 }
+
+/// Lets a server answer 60 calls, of which `calls` tells the stated slowness in percent and the time
+/// in milliseconds; returns the effect of what the server states then.
+fn stated_slowness(calls: impl Fn(usize) -> (u32, u64)) -> f64 {
+    let speeds = ServerSpeeds::default();
+    let work = Work::Call("route".into());
+    let mut now = Instant::now();
+    for index in 0..60 {
+        let (percent, took_ms) = calls(index);
+        let load = StatedLoad {
+            running: 1,
+            waiting: 0,
+            slots: 6,
+            slowness_percent: Some(percent),
+        };
+        let took = Duration::from_millis(took_ms);
+        for server in 0..2 {
+            speeds.note(&run(server), &work, took, 1.0, now);
+        }
+        speeds.note_stated(&run(0), load, 6, 1, now);
+        speeds.note_stated_time(&run(0), load, &work, took);
+        now += Duration::from_millis(300);
+        speeds.refresh(|| listed(2), now);
+    }
+    let (percent, _) = calls(60);
+    let load = StatedLoad {
+        running: 1,
+        waiting: 0,
+        slots: 6,
+        slowness_percent: Some(percent),
+    };
+    speeds.note_stated(&run(0), load, 6, 1, now);
+    let later = now + Duration::from_millis(500);
+    assert!((speeds.current_slowness(&run(0), later) - speeds.slowness(&run(0))).abs() < 1e-9);
+    speeds.current_slowness(&run(0), now) / speeds.slowness(&run(0))
+}
+
+#[test]
+fn a_stated_slowness_counts_only_if_the_responses_of_the_server_confirm_it() {
+    let percent = |index: usize| [70, 100, 200, 130][index * 7 % 4];
+    let confirmed = stated_slowness(|index| match index {
+        60 => (200, 0),
+        _ => (percent(index), 60 * u64::from(percent(index)) / 100),
+    });
+    assert!(confirmed > 1.3, "{confirmed}");
+    let times_ms = [50, 60, 70, 55, 65, 45, 75];
+    let cases: [(&str, f64); 3] = [
+        ("stuck", stated_slowness(|it| (300, times_ms[it % 7]))),
+        ("absurd", stated_slowness(|it| (90_000, times_ms[it % 7]))),
+        (
+            "false",
+            stated_slowness(|it| (percent(it), times_ms[it % 7])),
+        ),
+    ];
+    for (case, slowness) in cases {
+        assert!((slowness - 1.0).abs() < 1e-9, "{case}: {slowness}");
+    }
+}
+
+#[test]
+fn stated_counts_are_used_while_they_are_recent_and_plausible() {
+    let speeds = ServerSpeeds::default();
+    let now = Instant::now();
+    let load = |running, waiting, slots| StatedLoad {
+        running,
+        waiting,
+        slots,
+        slowness_percent: None,
+    };
+    let mut known = 0;
+    let mut in_flight = |load| {
+        known += 1;
+        speeds.note_stated(&run(0), load, 12, known, now);
+        speeds.stated_in_flight(&run(0), now)
+    };
+    assert_eq!(in_flight(load(12, 3, 12)), Some(15));
+    for absurd in [
+        load(13, 0, 12),
+        load(3, 4, 12),
+        load(3, 0, 64),
+        load(12, 9_999, 12),
+    ] {
+        assert_eq!(in_flight(absurd), None, "{absurd:?}");
+    }
+    // The same counts at ever more known requests.
+    let stuck: Vec<_> = (0..6).map(|_| in_flight(load(2, 0, 12))).collect();
+    assert_eq!(stuck[0], Some(2));
+    assert_eq!(stuck[5], None);
+    assert_eq!(in_flight(load(4, 0, 12)), Some(4));
+    let later = now + Duration::from_millis(201);
+    assert_eq!(speeds.stated_in_flight(&run(0), later), None);
+}
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -3,6 +3,7 @@
 use crate::callers::ApiKey;
 use crate::gateway::{
     CallerRequest, Generation, Malformed, PromptPart, Protocol, Refusal, Reply, SendOptions,
+    StatedLoad,
 };
 use crate::http::Body;
 use crate::inventory::Name;
@@ -42,6 +43,9 @@
 const SERVER_ID: HeaderName = HeaderName::from_static("x-instance-id");
 /// The requests per second that the server accepts from all VMs together.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// The requests that the server runs, those that wait, its slots and, from some servers, how long work
+/// takes at the moment, in percent of the usual time.
+const SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
 /// Present if the server is about to leave and accepts no new requests.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// The version of the weights that the server used.
@@ -185,6 +189,28 @@
     valid
 }
 
+/// Parses what a server states of its load.
+fn stated_load_of(headers: &HeaderMap) -> Option<StatedLoad> {
+    let value = headers.get(&SERVER_LOAD)?;
+    let load = header_text(headers, &SERVER_LOAD).and_then(parse_load);
+    if load.is_none() {
+        warn!(?value, "server's stated load unreadable");
+    }
+    load
+}
+
+/// Parses three or four numbers. A fourth one that is unreadable is left out.
+fn parse_load(text: &str) -> Option<StatedLoad> {
+    let mut figures = text.split(',').map(str::trim);
+    let mut count = || figures.next()?.parse().ok();
+    Some(StatedLoad {
+        running: count()?,
+        waiting: count()?,
+        slots: count()?,
+        slowness_percent: count(),
+    })
+}
+
 /// Parses the time for which a server that turned a request away wants no more of them, in seconds.
 fn pause_of(head: &response::Parts) -> Option<Duration> {
     if !TURNED_AWAY.contains(&head.status) {
@@ -320,6 +346,7 @@
             rate_limit_per_s: rate_limit_of(headers),
             is_leaving: is_leaving(headers),
             pause: pause_of(head),
+            stated_load: stated_load_of(headers),
         }
     }
 
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,7 +1,7 @@
 //! Tests that the platform's formats are read correctly and that invalid input is reported.
 
 use crate::callers::ApiKey;
-use crate::gateway::{Changes, Protocol, Reply, RouteKind, SendOptions, ServerChange};
+use crate::gateway::{Changes, Protocol, Reply, RouteKind, SendOptions, ServerChange, StatedLoad};
 use crate::platform::PlatformProtocol;
 use crate::platform::directory::server_changes;
 use crate::platform::settings::parse_settings;
@@ -377,6 +377,21 @@
     assert_eq!(pause(503, "3"), Some(Duration::from_secs(3)));
     assert_eq!(pause(429, "0.25"), Some(Duration::from_millis(250)));
     assert_eq!(pause(200, "3"), None);
+    let load = |value| reply_of(200, &[("X-Server-Load", value)]).stated_load;
+    let stated = |slowness_percent| {
+        Some(StatedLoad {
+            running: 3,
+            waiting: 0,
+            slots: 12,
+            slowness_percent,
+        })
+    };
+    assert_eq!(load("3,0,12"), stated(None));
+    assert_eq!(load("3, 0, 12, 140"), stated(Some(140)));
+    assert_eq!(load("3,0,12,fast"), stated(None));
+    for invalid in ["", "3", "3,0", "-1,0,12", "a,b,c", "3;0;12"] {
+        assert_eq!(load(invalid), None, "{invalid}");
+    }
     for invalid in ["-1", "soon", "1e300", "NaN"] {
         assert_eq!(pause(503, invalid), None, "{invalid}");
     }
