--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -54,7 +54,7 @@
 /// units of load.
 ///
 /// Where the loads of other VMs are known late, 6 instead of 9 of 100 requests are late with this
-/// value, and 7 to 8 with twice as much, which fills the fastest runners (`tests/speed_play.rs`).
+/// value, and 8 with twice as much, which fills the fastest runners (`tests/speed_play.rs`).
 const SLOWNESS_PENALTY: f64 = 1.5;
 /// The same for a short call. A route of plain calls has few servers, and the faster ones alone
 /// cannot take all calls, whose load is known too late to spread them. With 0.6, 2 instead of 1 of
--- a/src/gateway/tests/speed_play.rs
+++ b/src/gateway/tests/speed_play.rs
@@ -199,7 +199,7 @@
 #[test]
 fn slow_runners_get_requests_only_where_faster_ones_are_loaded() {
     let slowness = uneven();
-    for share in [0.7, 1.0] {
+    for share in [0.7, 1.0, 1.2, 1.4] {
         for seed in 1..=2 {
             let unknown = play(&slowness, &[1.0; RUNNERS], share, seed);
             let known = play(&slowness, &slowness, share, seed);
@@ -213,8 +213,13 @@
                 known.paused_share(),
                 f64::from(known.remote) / known.chosen.len() as f64,
             );
-            assert!(known.paused_share() < 0.75 * unknown.paused_share());
-            assert!(known.late_share() < 0.8 * unknown.late_share());
+            // Beyond the usual load, requests are late because all runners with a model are full.
+            let (max_paused, max_late) = match share > 1.0 {
+                true => (0.95, 1.05),
+                false => (0.75, 0.8),
+            };
+            assert!(known.paused_share() < max_paused * unknown.paused_share());
+            assert!(known.late_share() < max_late * unknown.late_share());
         }
     }
 }
