--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -61,8 +61,7 @@
 const MAX_SLOWNESS_PENALTY: f64 = 3.0;
 /// Load below [`FULL_LOAD`] of the fastest server at which the score added for slowness begins to
 /// decrease; it is zero when that server is full. Without it, requests that slower servers would
-/// start at once queue at the fast ones: 13 instead of 11 of 100 requests are late at 1.2 times the
-/// usual load.
+/// start at once queue at the fast ones (`docs/design/server-speed.md`).
 const NEARLY_FULL_RANGE: f64 = 0.3;
 /// Slowness relative to the fastest server up to which a lightly loaded local server is preferred to
 /// all remote ones.
