--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -56,6 +56,7 @@
 mod peer_search;
 mod peers;
 mod planning;
+mod predicted_wait;
 mod prompt_part;
 mod reachability;
 mod read_deadline;
--- a/src/gateway/tests/waiting.rs
+++ b/src/gateway/tests/waiting.rs
@@ -2,6 +2,10 @@
 
 use crate::gateway::Weights;
 use crate::gateway::choose::Candidate;
+use crate::gateway::gossip_message::{Digest, WaitingRequests};
+use crate::gateway::gossip_sender::MAX_WAITING_PER_MESSAGE;
+use crate::gateway::peers::Peers;
+use crate::gateway::tests::address;
 use crate::gateway::waiting::{
     Ahead, FleetWaiting, Need, QueuedRequest, RequestTiming, Traffic, Urgency, WaitQueues,
     WaitingCount, reserved_slots,
@@ -204,6 +208,37 @@
     assert_eq!(reported.wait(2, 0.0), Duration::MAX);
 }
 
+#[test]
+fn what_waits_at_a_vm_counts_until_the_vm_leaves() {
+    let now = Instant::now();
+    let peers = Peers::new(address(0), now);
+    let mut digest = Digest {
+        boot: 1,
+        availability_zone: "z".to_owned(),
+        waiting: (0..MAX_WAITING_PER_MESSAGE as u32 + 5)
+            .map(|need| WaitingRequests {
+                need,
+                // A later version may count more levels.
+                by_level: vec![1, 2, 3, 90],
+            })
+            .collect(),
+        ..Digest::default()
+    };
+    let waiting = WaitingCount {
+        by_level: [1, 2, 3],
+    };
+    for vm in 1..=2 {
+        peers.apply_digest(address(vm), &digest, now);
+        peers.apply_digest(address(vm), &digest, now);
+    }
+    let (sum, reporting) = peers.waiting(7);
+    assert_eq!((sum.by_level, reporting), ([2, 4, 6], 2));
+    assert_eq!(peers.waiting(15), (WaitingCount::default(), 2));
+    digest.is_leaving = true;
+    peers.apply_digest(address(1), &digest, now);
+    assert_eq!(peers.waiting(7), (waiting, 1));
+}
+
 /// Sends prompts of 70 ms in bursts of `burst` at three quarters of a runner's prefill capacity;
 /// returns the longest time for which consecutive prompts stall its streams.
 fn longest_pause_ms(burst: u32, is_held: bool) -> f64 {
--- a/src/gateway/tests/waiting_play.rs
+++ b/src/gateway/tests/waiting_play.rs
@@ -53,7 +53,7 @@
 }
 
 impl Outcome {
-    fn to_full_share(&self) -> f64 {
+    fn full_share(&self) -> f64 {
         f64::from(self.to_full) / f64::from(self.sent)
     }
 
@@ -208,8 +208,8 @@
         for (kind, (before, after)) in before.iter().zip(&after).enumerate() {
             println!(
                 "load {load} priority {kind}: to full {:.3} -> {:.3}, in time {:.3} -> {:.3}",
-                before.to_full_share(),
-                after.to_full_share(),
+                before.full_share(),
+                after.full_share(),
                 before.in_time_share(),
                 after.in_time_share()
             );
