--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,6 +57,7 @@
 mod peer_search;
 mod peers;
 mod placement;
+mod predicted_wait;
 mod prompt_part;
 mod reachability;
 mod read_deadline;
