Quotas: what urgent requests ask for is kept for them

Less urgent requests used up what was left before the urgent ones came, so that a tenth of the urgent ones were refused. At a surge, what they ask for until other VMs learn of the grants is now kept, up to half of what may be granted at once.

--- a/src/callers/quota_estimate.rs
+++ b/src/callers/quota_estimate.rs
@@ -14,6 +14,9 @@
 /// too little.
 const SPEND_TIME_LAGS: f64 = 3.0;
 
+/// The largest share of the amount that may be granted at once which is kept for more urgent requests.
+const MAX_KEPT_SHARE: f64 = 0.5;
+
 /// One VM's estimate of what all VMs have granted to an organisation.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct QuotaEstimate {
@@ -100,8 +103,16 @@
         let is_covered = self.requested_per_s() * lag_s <= self.reserve().max(remaining);
         let spendable_per_s = remaining / (lag_s * SPEND_TIME_LAGS) + self.rate_per_s();
         let (own_per_s, more_urgent_per_s) = self.usage.requested_per_s(urgency);
-        amount <= remaining
-            && (is_covered || draw * own_per_s <= spendable_per_s - more_urgent_per_s)
+        if is_covered {
+            return amount <= remaining;
+        }
+        // More urgent requests find what they ask for until other VMs learn of the grants, but a
+        // request that the quota allows at once is granted after a pause, whatever its urgency.
+        let at_once = self.at_once();
+        let kept = (more_urgent_per_s * lag_s)
+            .min(MAX_KEPT_SHARE * at_once)
+            .min((at_once - amount).max(0.0));
+        amount + kept <= remaining && draw * own_per_s <= spendable_per_s - more_urgent_per_s
     }
 
     /// Returns the time after which to retry: once the missing amount may be available again, but
--- a/src/gateway/tests/quotas.rs
+++ b/src/gateway/tests/quotas.rs
@@ -212,6 +212,29 @@
                 result.max_granted_share < 1.0,
                 "{vms} VMs, {name}: {result:?}"
             );
+            if name == "six times" {
+                assert!(result.urgent_granted >= 0.9, "{vms} VMs: {result:?}");
+            }
+        }
+    }
+}
+
+/// Guards against refusing less urgent requests below the quota for the sake of urgent ones.
+#[test]
+fn requests_within_the_quota_are_granted_whatever_their_urgency() {
+    for vms in [1, 58] {
+        for burst in [None, Some(0.0)] {
+            let scenario = Scenario {
+                burst,
+                rate_per_s: 490_000.0,
+                demand: vec![(WARM_UP_S, 0.9)],
+                urgent_share: 0.75,
+                ..Scenario::steady(vms)
+            };
+            let result = simulate::<GossipedReports>(&scenario);
+            println!("{vms} VMs, {burst:?}: {result:?}");
+            let refused = 1.0 - result.granted_share;
+            assert!(refused <= 0.01, "{vms} VMs, {burst:?}: {result:?}");
         }
     }
 }
