--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -59,6 +59,8 @@
     pub(crate) remaining: f64,
     /// The amount requested per second on all VMs that report.
     pub(crate) requested_per_s: f64,
+    /// The part of it that more urgent requests ask for.
+    pub(crate) more_urgent_per_s: f64,
     /// The share of the fleet's VMs that report, this VM included.
     pub(crate) reporting_share: f64,
     /// Whether the VMs that report can ever grant the amount: their part of the quota allows as
@@ -142,6 +144,7 @@
                     amount,
                     remaining: estimate.remaining(),
                     requested_per_s: estimate.requested_per_s(),
+                    more_urgent_per_s: estimate.usage.requested_per_s(urgency).1,
                     reporting_share: estimate.reporting_share,
                     is_attainable: amount <= estimate.at_once(),
                 },
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -86,6 +86,7 @@
         amount = check.amount,
         left = check.remaining,
         asked_per_s = check.requested_per_s,
+        more_urgent_per_s = check.more_urgent_per_s,
         heard_share = check.reporting_share,
         vms,
         "over quota"
