--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -59,6 +59,8 @@
     pub(crate) remaining: f64,
     /// The amount requested per second on all VMs that report.
     pub(crate) requested_per_s: f64,
+    /// The part of it that more urgent requests ask for.
+    pub(crate) more_urgent_per_s: f64,
     /// The share of the fleet's VMs that report, this VM included.
     pub(crate) reporting_share: f64,
     /// Whether the VMs that report can ever grant the amount: their part of the quota allows as
@@ -114,11 +116,15 @@
         draw: f64,
         now: Instant,
     ) -> Result<GrantRecord, OverQuota> {
-        let Charge { quota, amount } = charge;
+        let Charge {
+            quota,
+            amount,
+            urgency,
+        } = charge;
         let window = self.bounds.window;
         let account = self.account(name, quota, now);
         account.last_request_at = now;
-        account.history.record_request(amount, now);
+        account.history.record_request(amount, urgency, now);
         let mut usage = account.history.usage(window, now);
         self.add_peer_usage(&mut usage, short_id(name), now);
         let (reporting_vms, coverage) = self.reporting_vms(now);
@@ -131,13 +137,14 @@
             coverage,
             lag: self.lag(now),
         };
-        if !estimate.admits(amount, draw) {
+        if !estimate.admits(amount, urgency, draw) {
             return Err(OverQuota {
                 retry_after: estimate.retry_delay(amount),
                 check: QuotaCheck {
                     amount,
                     remaining: estimate.remaining(),
                     requested_per_s: estimate.requested_per_s(),
+                    more_urgent_per_s: estimate.usage.requested_per_s(urgency).1,
                     reporting_share: estimate.reporting_share,
                     is_attainable: amount <= estimate.at_once(),
                 },
@@ -150,7 +157,7 @@
     pub(crate) fn record_grant(
         &mut self,
         name: &Name,
-        Charge { quota, amount }: Charge,
+        Charge { quota, amount, .. }: Charge,
         now: Instant,
     ) -> GrantRecord {
         let account = self.account(name, quota, now);
