A server that this request was sent to ranks behind one that failed recently

Candidate::has_failed covered both, so that a retry could go to the same server again while another one, which had failed another request just before, would have answered. Candidate::was_tried now comes first.

The tests of decisions pass, among them the new a_server_that_failed_this_request_is_chosen_after_one_that_failed_recently.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -65,6 +65,8 @@
     pub(crate) is_remote_load_stale: bool,
     /// Whether an idle connection to the server is open.
     pub(crate) is_connected: bool,
+    /// Whether an earlier attempt of this request was sent to the server.
+    pub(crate) was_tried: bool,
     /// Whether the request ends before other VMs learn of it, as calls to plain services do.
     pub(crate) is_short_call: bool,
     /// Whether the server failed recently, or failed an earlier attempt of this request.
@@ -119,14 +121,16 @@
 
     /// Returns the sort key that takes precedence over the score; lower is better.
     ///
-    /// Servers that failed come last, and full ones come after those with free slots, whatever
+    /// Servers that this request was sent to before come last, after others that failed recently:
+    /// only the former are known to have failed this request. Then full ones come after those with free slots, whatever
     /// their scores. Lightly loaded local servers come first, because traffic between zones is
     /// charged and slower. For short calls only failures count: the rest is outdated by the time
     /// it is known.
-    fn class(&self) -> (bool, bool, bool) {
+    fn class(&self) -> (bool, bool, bool, bool) {
         match self.is_short_call {
-            true => (self.has_failed, false, false),
+            true => (self.was_tried, self.has_failed, false, false),
             false => (
+                self.was_tried,
                 self.has_failed,
                 self.is_full(),
                 !self.is_local_and_lightly_loaded(),
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -319,6 +319,7 @@
         let in_flight = server.in_flight() + peer_loads.in_flight(&server.id);
         let zone = &self.state.settings.availability_zone;
         let is_connected = self.pool.has_idle(server, now);
+        let was_tried = call.tried.contains(&server.id);
         server.with_entry(|entry| Candidate {
             in_flight,
             slots: entry.slots,
@@ -326,8 +327,9 @@
             is_local: entry.availability_zone == *zone,
             is_remote_load_stale: self.state.peers.is_remote_load_stale(),
             is_connected,
+            was_tried,
             is_short_call: call.request.generation.is_none(),
-            has_failed: server.is_in_backoff(now) || call.tried.contains(&server.id),
+            has_failed: server.is_in_backoff(now) || was_tried,
         })
     }
 }
--- a/src/gateway/tests/brief.rs
+++ b/src/gateway/tests/brief.rs
@@ -80,6 +80,7 @@
                 is_local: true,
                 is_remote_load_stale: vms.count > 12,
                 is_connected: true,
+                was_tried: false,
                 is_short_call: true,
                 has_failed: false,
             });
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -22,6 +22,7 @@
         is_local: true,
         is_remote_load_stale: false,
         is_connected: true,
+        was_tried: false,
         is_short_call: false,
         has_failed: false,
     }
@@ -65,6 +66,24 @@
     assert_eq!(choose(&[failed], || 0.5), Some(0));
 }
 
+#[test]
+fn a_server_that_failed_this_request_is_chosen_after_one_that_failed_recently() {
+    for is_short_call in [false, true] {
+        let failed = Candidate {
+            has_failed: true,
+            is_short_call,
+            ..candidate(60)
+        };
+        let tried = Candidate {
+            was_tried: true,
+            in_flight: 0,
+            ..failed
+        };
+        assert_eq!(choose(&[tried, failed], || 0.5), Some(1));
+        assert_eq!(choose(&[tried], || 0.5), Some(0));
+    }
+}
+
 #[test]
 fn a_server_with_more_streams_is_preferred_to_one_with_queued_prompts() {
     let prefilling = Candidate {
--- a/src/gateway/tests/spreading.rs
+++ b/src/gateway/tests/spreading.rs
@@ -82,6 +82,7 @@
                     is_local: runner % 3 == vm % 3,
                     is_remote_load_stale: false,
                     is_connected: true,
+                    was_tried: false,
                     is_short_call: false,
                     has_failed: false,
                 }
--- a/src/gateway/tests/waiting.rs
+++ b/src/gateway/tests/waiting.rs
@@ -86,6 +86,7 @@
                 is_local: true,
                 is_remote_load_stale: false,
                 is_connected: true,
+                was_tried: false,
                 is_short_call: false,
                 has_failed: false,
             };
--- a/src/gateway/tests/zones.rs
+++ b/src/gateway/tests/zones.rs
@@ -83,6 +83,7 @@
                         is_local: runner % ZONES == zone,
                         is_remote_load_stale,
                         is_connected: true,
+                        was_tried: false,
                         is_short_call: false,
                         has_failed: false,
                     }
