--- a/src/gateway/tests/speed_play.rs
+++ b/src/gateway/tests/speed_play.rs
@@ -167,6 +167,7 @@
                     is_local: runner % ZONES == vm % ZONES,
                     is_remote_load_stale: true,
                     is_connected: true,
+                    was_tried: false,
                     is_short_call: false,
                     slowness: known[*runner],
                     has_failed: false,
--- a/src/gateway/tests/waiting_play.rs
+++ b/src/gateway/tests/waiting_play.rs
@@ -162,7 +162,9 @@
                 is_local: true,
                 is_remote_load_stale: false,
                 is_connected: true,
+                was_tried: false,
                 is_short_call: false,
+                slowness: 1.0,
                 has_failed: false,
             });
             let candidates: Vec<Candidate> = candidates.collect();
