Planned loads count until a window after they begin

Loads from the weight store counted from their plan. A plan now reserves its load, which counts until a window after the runner has accepted the order.

--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -42,7 +42,7 @@
     started_at: Cell<Instant>,
     /// When the next plan is due.
     next_plan_at: Cell<Instant>,
-    ceiling: LoadRateLimit,
+    ceiling: Rc<LoadRateLimit>,
     /// When each model was last requested.
     last_requested_at: RefCell<HashMap<Name, Instant>>,
 }
@@ -50,7 +50,7 @@
 impl<R: RunnerControl> OrderDispatcher<R> {
     /// Creates a dispatcher that sends no orders until [`start`](Self::start).
     pub(crate) fn new(state: Rc<State>, runner_control: R) -> Rc<Self> {
-        let ceiling = LoadRateLimit::new(state.settings.bounds.load_window);
+        let ceiling = Rc::new(LoadRateLimit::new(state.settings.bounds.load_window));
         let now = Instant::now();
         Rc::new(Self {
             reports: RefCell::new(ReportSchedule::new(state.settings.cpu_cores, now)),
@@ -152,7 +152,7 @@
                 cold_loads: self.ceiling.left(engine.loads_per_s, now),
             };
             for (runner, runner_plan) in planner.plan() {
-                self.start_orders(&runner, runner_plan, now);
+                self.start_orders(&runner, runner_plan);
             }
         }
     }
@@ -320,7 +320,7 @@
         views
     }
 
-    fn start_orders(self: &Rc<Self>, runner: &Name, runner_plan: RunnerPlan, now: Instant) {
+    fn start_orders(self: &Rc<Self>, runner: &Name, runner_plan: RunnerPlan) {
         let Some(server) = self.state.fleet.server(runner) else {
             return;
         };
@@ -337,11 +337,12 @@
             let loading = runner_plan.load.iter().find(is_model);
             tracked.loading = loading.map(|weights| weights.model.clone());
         }
-        if runner_plan.is_cold {
-            self.ceiling.note(now);
-        }
         let dispatcher = self.clone();
-        let target = OrderTarget { server, fence };
+        let target = OrderTarget {
+            server,
+            fence,
+            cold_load: runner_plan.is_cold.then(|| self.ceiling.reserve()),
+        };
         compio::runtime::spawn(async move {
             dispatcher.execute_plan(&target, &runner_plan).await;
             dispatcher.finish_orders(&target);
--- a/src/gateway/order_queue.rs
+++ b/src/gateway/order_queue.rs
@@ -1,6 +1,7 @@
 //! Executes the orders for one runner in sequence: each is sent once the previous one is complete.
 
 use crate::gateway::fleet::{Server, holds};
+use crate::gateway::load_limit::LoadReservation;
 use crate::gateway::order_dispatch::OrderDispatcher;
 use crate::gateway::placement::RunnerPlan;
 use crate::gateway::runner_state::{MIN_RESIDENCE, apply_order};
@@ -23,6 +24,8 @@
 pub(super) struct OrderTarget {
     pub(super) server: Rc<Server>,
     pub(super) fence: u64,
+    /// The load from the weight store among the orders, if there is one.
+    pub(super) cold_load: Option<LoadReservation>,
 }
 
 impl<R: RunnerControl> OrderDispatcher<R> {
@@ -114,6 +117,10 @@
             match outcome {
                 OrderOutcome::Accepted => {
                     self.note_accepted(server, weights, is_load);
+                    let cold_load = target.cold_load.as_ref();
+                    if let Some(load) = cold_load.filter(|_| is_load && weights.adapter.is_none()) {
+                        load.note_started(Instant::now());
+                    }
                     // An adapter loads within milliseconds; one that is unloaded while in
                     // use keeps its slot until its runs have ended.
                     let is_quick = is_load && weights.adapter.is_some();
@@ -165,7 +172,7 @@
         weights: &Weights,
         is_load: bool,
     ) -> Option<OrderOutcome> {
-        let OrderTarget { server, fence } = target;
+        let OrderTarget { server, fence, .. } = target;
         if !self.is_current(target) {
             return None;
         }
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -6,12 +6,13 @@
 use crate::gateway::demand::Demand;
 use crate::gateway::events::EventBuffer;
 use crate::gateway::fleet::{EntryChange, Fleet};
-use crate::gateway::load_limit::LoadRateLimit;
+use crate::gateway::load_limit::{LoadRateLimit, LoadReservation};
 use crate::gateway::watch::retry_pause;
 use crate::gateway::{
     Configuration, Entry, Holding, Limits, Route, RouteKind, ServerState, Target, Weights,
 };
 use crate::inventory::Name;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 fn candidate(in_flight: u32) -> Candidate {
@@ -370,6 +371,23 @@
     started.iter().map(in_window).max().unwrap_or(0)
 }
 
+#[test]
+fn a_planned_load_counts_until_a_window_after_its_beginning() {
+    // Counted from the plan only, loads that waited for unloads began together with later ones.
+    let window = Duration::from_secs(5);
+    let limit = Rc::new(LoadRateLimit::new(window));
+    let start = Instant::now();
+    let planned: Vec<LoadReservation> = (0..8).map(|_| limit.reserve()).collect();
+    assert_eq!(limit.left(1.6, start), 0);
+    let begun = start + Duration::from_secs(6);
+    assert_eq!(limit.left(1.6, begun), 0);
+    planned.iter().for_each(|load| load.note_started(begun));
+    assert_eq!(limit.left(1.6, begun + Duration::from_secs(4)), 0);
+    // A load counts once, whether it was noted before it is dropped or not.
+    drop(planned);
+    assert_eq!(limit.left(1.6, begun + Duration::from_secs(6)), 8);
+}
+
 #[test]
 fn successive_leaders_stay_within_the_load_rate_limit() {
     // 1.6 per second over 5 s, plus a tenth of that, plus three, rounded down.
