--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -196,7 +196,6 @@
         };
         let urgency = Urgency {
             priority,
-            rank: 0.0,
             arrived: call.arrived,
             send_by,
             yields_until,
--- a/src/gateway/waiting/order.rs
+++ b/src/gateway/waiting/order.rs
@@ -1,7 +1,6 @@
 //! Order in which waiting requests get a free slot.
 //!
-//! By priority, then by the rank of the organisation, then by the latest time at which the request
-//! can be sent and still be in time. Requests that can no longer be in time come after all that can,
+//! By priority, then by the latest time at which the request can be sent and still be in time. Requests that can no longer be in time come after all that can,
 //! since sending them sooner gains nothing. A request that can wait for seconds loses to each more
 //! urgent arrival under steady load, so it counts as one of the most urgent shortly before it would
 //! be late, provided that its kind is not already served more often than more urgent ones.
@@ -20,8 +19,6 @@
 pub(crate) struct Urgency {
     /// The priority; 0 is the most urgent.
     pub(crate) priority: u32,
-    /// The rank of the organisation; lower goes first.
-    pub(crate) rank: f64,
     /// When the request arrived.
     pub(crate) arrived: Instant,
     /// The latest time at which the request can be sent and still be in time.
@@ -44,7 +41,6 @@
         is_late(self)
             .cmp(&is_late(other))
             .then(self.level(now).cmp(&other.level(now)))
-            .then(self.rank.total_cmp(&other.rank))
             .then(self.send_by.cmp(&other.send_by))
     }
 
