--- a/src/callers/quota_estimate.rs
+++ b/src/callers/quota_estimate.rs
@@ -14,7 +14,8 @@
 /// too little.
 const SPEND_TIME_LAGS: f64 = 3.0;
 
-/// The largest share of the amount that may be granted at once which is kept for more urgent requests.
+/// The largest share of the amount that may be granted at once which is kept for more urgent
+/// requests.
 const MAX_KEPT_SHARE: f64 = 0.5;
 
 /// One VM's estimate of what all VMs have granted to an organisation.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -149,9 +149,9 @@
     ///
     /// Servers that this request was sent to before come last, after others that failed recently:
     /// only the former are known to have failed this request. Then full ones come after those with
-    /// free slots, whatever their scores. Lightly loaded local servers come first, because traffic between zones is
-    /// charged and slower, unless others are much faster. For short calls only failures count: the
-    /// rest is outdated by the time it is known.
+    /// free slots, whatever their scores. Lightly loaded local servers come first, because traffic
+    /// between zones is charged and slower, unless others are much faster. For short calls only
+    /// failures count: the rest is outdated by the time it is known.
     fn class(&self, slowness: f64) -> (bool, bool, bool, bool) {
         match self.is_short_call {
             true => (self.was_tried, self.has_failed, false, false),
--- a/src/gateway/first_read.rs
+++ b/src/gateway/first_read.rs
@@ -13,11 +13,10 @@
 /// The number of VMs that may read the log because they joined the group first. As many VMs as a
 /// small fleet has, so that none of them waits for another.
 pub(crate) const MAX_FIRST_READERS: usize = 6;
-/// The time for which the first listed VM asks the others before it reads the log. The request and
-/// the reply of another VM take some 20 ms together on a slow processor.
+/// The time for which the first listed VM asks the others before it reads the log.
 const ASK_TIME: Duration = Duration::from_millis(60);
-/// The time between the reads of two listed VMs that follow each other: longer than a read of a
-/// small directory takes.
+/// The time between the reads of two listed VMs that follow each other, so that a later one can
+/// learn of the read of an earlier one.
 const RANK_INTERVAL: Duration = Duration::from_millis(60);
 /// The number of listed VMs that read the log in this order. If all of them fail or are gone, the
 /// turns of [`ReadTurn`](crate::gateway::read_turn::ReadTurn) decide.
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -20,7 +20,8 @@
 }
 
 impl Grant {
-    /// Charges a request to its organisation's quota, with the urgency of its route; `None` if there is no organisation, or it has
+    /// Charges a request to its organisation's quota, with the urgency of its route; `None` if there
+    /// is no organisation, or it has
     /// no quota.
     ///
     /// # Errors
--- a/src/gateway/waiting/order.rs
+++ b/src/gateway/waiting/order.rs
@@ -1,9 +1,10 @@
 //! Order in which waiting requests get a free slot.
 //!
-//! By priority, then by the latest time at which the request can be sent and still be in time. Requests that can no longer be in time come after all that can,
-//! since sending them sooner gains nothing. A request that can wait for seconds loses to each more
-//! urgent arrival under steady load, so it counts as one of the most urgent shortly before it would
-//! be late, provided that its kind is not already served more often than more urgent ones.
+//! By priority, then by the latest time at which the request can be sent and still be in time.
+//! Requests that can no longer be in time come after all that can, since sending them sooner gains
+//! nothing. A request that can wait for seconds loses to each more urgent arrival under steady load,
+//! so it counts as one of the most urgent shortly before it would be late, provided that its kind is
+//! not already served more often than more urgent ones.
 
 use std::cmp::Ordering;
 use std::time::{Duration, Instant};
