Servers that crash together are not taken for a VM that is cut off

Connections must now have failed for 50 ms, during which servers are probed twice; a request that reached no server waits for that.

--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -2,8 +2,9 @@
 //!
 //! A VM may be cut off from all backend servers while callers, the log and the other VMs still reach
 //! it. Each failed connection alone looks like the failure of one server, and several like that of
-//! a zone. The VM counts as cut off once connections to servers of several zones have failed and
-//! none that was begun since has opened.
+//! a zone. The VM counts as cut off once connections to servers of several zones have failed for a
+//! while and none that was begun since has opened. Many servers that crash at the same moment refuse
+//! connections within milliseconds too; while that is in doubt, connections to others are tried.
 
 use crate::inventory::Name;
 use std::collections::HashMap;
@@ -13,6 +14,8 @@
 const MIN_FAILED_SERVERS: usize = 3;
 /// The number of different zones that they must be in, unless the servers are in one.
 const MIN_FAILED_ZONES: usize = 2;
+/// The time for which connections must have failed: several attempts to connect within a region.
+pub(crate) const CONFIRMATION_TIME: Duration = Duration::from_millis(50);
 
 /// The listed servers, as far as they matter for the decision.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -46,6 +49,8 @@
     opened_at: Option<Instant>,
     /// The zones of the servers that were not reached since, by server.
     failed: HashMap<Name, Name>,
+    /// When the first connection that failed since was begun.
+    failing_since: Option<Instant>,
     lost_at: Option<Instant>,
 }
 
@@ -82,6 +87,7 @@
         self.opened_at = Some(now);
         self.is_silent = false;
         self.failed.clear();
+        self.failing_since = None;
         self.lost_at.take().map(ReachabilityChange::Regained)
     }
 
@@ -98,10 +104,13 @@
             return None;
         }
         self.failed.insert(server.clone(), zone.clone());
+        let failing_since = *self.failing_since.get_or_insert(begun_at);
+        let is_confirmed = now.saturating_duration_since(failing_since) >= CONFIRMATION_TIME;
         let mut zones: Vec<&Name> = self.failed.values().collect();
         zones.sort();
         zones.dedup();
-        let is_lost = self.failed.len() >= MIN_FAILED_SERVERS.min(listed.servers)
+        let is_lost = is_confirmed
+            && self.failed.len() >= MIN_FAILED_SERVERS.min(listed.servers)
             && zones.len() >= MIN_FAILED_ZONES.min(listed.zones);
         if self.is_lost() || !is_lost {
             return None;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,6 +13,7 @@
     DeclineReason, ForwardSlots, ForwardedCall, is_declined, peer_address,
 };
 use crate::gateway::grant::Grant;
+use crate::gateway::reachability::CONFIRMATION_TIME;
 use crate::gateway::server_speed::Work;
 use crate::gateway::state::State;
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind, SendOptions};
@@ -49,6 +50,10 @@
 const CALL_WEIGHT: f64 = 0.3;
 /// The number of refusals or failed connections after which a request fails.
 const MAX_REFUSALS: u32 = 3;
+/// How long a request that reached no server waits until it is known whether this VM reaches any,
+/// and how often that is checked: until servers have been probed twice.
+const MAX_REACHABILITY_WAIT: Duration = CONFIRMATION_TIME.saturating_mul(2);
+const REACHABILITY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Forwards callers' requests to backend servers.
 pub(crate) struct Relay<P> {
@@ -462,8 +467,8 @@
                 warn!(request = %call.request.id, server = %server.id, "server not reached");
                 call.note_running(false);
                 call.unreached += 1;
-                let may_forward = self.state.is_cut_off();
-                if !may_forward && call.refused + call.unreached >= MAX_REFUSALS {
+                let has_failed = call.refused + call.unreached >= MAX_REFUSALS;
+                if has_failed && !self.is_found_cut_off(call).await {
                     return Err(Some(self.final_failure(call)));
                 }
                 Err(None)
@@ -497,6 +502,20 @@
         }
     }
 
+    /// Whether this VM reaches no server, so that another VM may take the request; waits while that
+    /// is being found out.
+    async fn is_found_cut_off(&self, call: &Call) -> bool {
+        let wait = call.time_left().min(MAX_REACHABILITY_WAIT);
+        let end = Instant::now() + wait;
+        while !self.state.is_cut_off()
+            && self.state.is_reachability_doubted()
+            && Instant::now() < end
+        {
+            compio::time::sleep(REACHABILITY_CHECK_INTERVAL).await;
+        }
+        self.state.is_cut_off()
+    }
+
     /// Records the dispatch, and adds the prompt to the runner's queue here and at peers.
     fn record_dispatch(&self, call: &mut Call, server: &Server) {
         let now = Instant::now();
--- a/src/gateway/server_probe.rs
+++ b/src/gateway/server_probe.rs
@@ -3,6 +3,7 @@
 use crate::client::Connection;
 use crate::gateway::exchange::{CONNECT_TIMEOUT, UNACKED_LIMIT};
 use crate::gateway::fleet::Server;
+use crate::gateway::reachability::CONFIRMATION_TIME;
 use crate::gateway::state::State;
 use futures_util::future::join_all;
 use rand::seq::SliceRandom;
@@ -22,12 +23,21 @@
             doubted.await;
             continue;
         }
-        let servers = probed_servers(&state);
-        join_all(servers.iter().map(|server| probe(&state, server))).await;
+        probe_some(&state).await;
+        if state.is_reachability_doubted() && !state.is_cut_off() {
+            // The failures count only once they have lasted for this time.
+            compio::time::sleep(CONFIRMATION_TIME).await;
+            probe_some(&state).await;
+        }
         compio::time::sleep(PROBE_INTERVAL).await;
     }
 }
 
+async fn probe_some(state: &State) {
+    let servers = probed_servers(state);
+    join_all(servers.iter().map(|server| probe(state, server))).await;
+}
+
 /// Draws servers, first among those to which no connection has failed since one last opened.
 fn probed_servers(state: &State) -> Vec<Rc<Server>> {
     let mut servers = state.fleet.servers();
--- a/src/gateway/tests/reachability.rs
+++ b/src/gateway/tests/reachability.rs
@@ -51,6 +51,34 @@
     assert!(!reachability.is_lost());
 }
 
+#[test]
+fn servers_that_crash_together_are_not_taken_for_a_cut_off_vm() {
+    let start = Instant::now();
+    let mut reachability = Reachability::default();
+    reachability.record_opened(start);
+    let refused = |reachability: &mut Reachability, server: &str, zone: &str, at: Instant| {
+        let (server, zone) = (Name::from(server), Name::from(zone));
+        reachability.record_failed(&server, &zone, at, LISTED, at + Duration::from_millis(2))
+    };
+    for (index, server) in ["s1", "s2", "s3", "s4", "s5"].into_iter().enumerate() {
+        let at = start + Duration::from_millis(1 + index as u64);
+        assert_eq!(refused(&mut reachability, server, server, at), None);
+    }
+    assert!(reachability.is_doubted());
+    // Another server is still there.
+    assert_eq!(
+        reachability.record_opened(start + Duration::from_millis(8)),
+        None
+    );
+    assert!(!reachability.is_doubted());
+    // Failures that last mean that the VM is cut off.
+    for (index, server) in ["s1", "s2", "s3"].into_iter().enumerate() {
+        let at = start + Duration::from_millis(10 + 30 * index as u64);
+        let change = refused(&mut reachability, server, server, at);
+        assert_eq!(change.is_some(), index == 2);
+    }
+}
+
 #[test]
 fn failures_of_connections_begun_before_one_opened_do_not_count() {
     let start = Instant::now();
