VMs of a zone share what runners state of their load

In a large fleet the requests in flight from other zones are known a second late. Used only where loads of other zones come late and runners state their load.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -170,6 +170,7 @@
             usage_report: own_reports.quotas.first().cloned(),
             server_limits: own_reports.server_limits.first().cloned(),
             server_speeds: self.state.server_speeds.own_part(round),
+            runner_loads: self.state.runner_loads.take_part(now),
             ..digest.clone()
         };
         let local_targets = match is_to_all {
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -78,6 +78,9 @@
         self.apply_shared_usage(sender, &digest, now);
         self.apply_stream_versions(sender, &digest, now);
         self.apply_server_speeds(sender, &digest, now);
+        if let Some(part) = &digest.runner_loads {
+            self.state.runner_loads.apply(part, now);
+        }
         if digest.has_loads {
             self.state.peers.apply_loads(sender, &digest);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -67,6 +67,7 @@
 mod repeated_news;
 mod report_schedule;
 mod routing;
+mod runner_load;
 mod runner_state;
 mod server;
 mod server_limits;
--- a/src/gateway/peer_loads.rs
+++ b/src/gateway/peer_loads.rs
@@ -36,8 +36,12 @@
 
     /// The requests that all other VMs have in flight at a server.
     pub(crate) fn in_flight(&self, server: &Name) -> u32 {
-        let of_single = self.of_single.get(server).copied().unwrap_or(0);
-        of_single + self.zone_loads.in_flight(short_id(server))
+        self.of_single(server) + self.zone_loads.in_flight(short_id(server))
+    }
+
+    /// The requests that the VMs have in flight at a server that report individually.
+    pub(crate) fn of_single(&self, server: &Name) -> u32 {
+        self.of_single.get(server).copied().unwrap_or(0)
     }
 }
 
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -117,7 +117,10 @@
 
     /// Whether most slots of a server are in use.
     pub(crate) fn is_busy(&self, server: &Server) -> bool {
-        let in_flight = server.in_flight() + self.state.peers.loads().in_flight(&server.id);
+        let peer_loads = self.state.peers.loads();
+        let in_flight = self
+            .state
+            .known_in_flight(server, &peer_loads, Instant::now());
         f64::from(in_flight) >= BUSY_LOAD * server.with_entry(|entry| f64::from(entry.slots))
     }
 
@@ -231,7 +234,7 @@
         let urgent_per_s = own_per_s * self.state.peers.vms() as f64 / runners as f64;
         let peer_loads = self.state.peers.loads();
         servers.retain(|server| {
-            let in_flight = server.in_flight() + peer_loads.in_flight(&server.id);
+            let in_flight = self.state.known_in_flight(server, &peer_loads, now);
             let slots = server.with_entry(|entry| entry.slots);
             let reserved = reserved_slots(urgent_per_s, slots);
             reserved == 0 || in_flight < slots.saturating_sub(reserved)
@@ -407,7 +410,7 @@
         peer_loads: &PeerLoads<'_>,
         now: Instant,
     ) -> Candidate {
-        let in_flight = server.in_flight() + peer_loads.in_flight(&server.id);
+        let in_flight = self.state.known_in_flight(server, peer_loads, now);
         // Requests of VMs whose messages are lost or late are known to the server alone.
         let speeds = &self.state.server_speeds;
         let stated = speeds.stated_in_flight(&server.incarnation(), now);
--- /dev/null
+++ b/src/gateway/runner_load/mod.rs
@@ -0,0 +1,92 @@
+//! Decides how many requests of other availability zones a runner holds, from what the runner states.
+//!
+//! It addresses large fleets under load, in which the requests in flight from other zones are known a
+//! second late, while a stream lasts little longer: a runner that looks idle is chosen by all zones at
+//! once, and half of the requests that reach a full runner find another one with free slots. A runner
+//! states all that it runs and queues in each response. A single VM gets few responses of a runner, so
+//! the VMs of a zone share these statements in the messages that they send each other anyway.
+//!
+//! A statement less the requests of the local zone, which are known soon, gives those of the others.
+
+mod message;
+
+pub(super) use message::RunnerLoadsPart;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// The age up to which a figure is used. Older ones are worse than the sums that zones exchange, which
+/// are a second old on average.
+const MAX_AGE: Duration = Duration::from_millis(1_000);
+/// The maximum number of figures in a message, the latest first. Each takes some ten bytes.
+const MAX_FIGURES: usize = 24;
+
+/// The requests of other zones at a runner, by a statement of the runner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Figure {
+    remote: u32,
+    stated_at: Instant,
+}
+
+/// The requests of other zones at each runner, as the VMs of the local zone know them.
+#[derive(Debug, Default)]
+pub(crate) struct RunnerLoads {
+    /// The latest figure of each run of a runner, by its short id.
+    figures: RefCell<HashMap<u32, Figure>>,
+    /// The figures from responses to this VM that the others of its zone do not have yet.
+    unsent: RefCell<HashMap<u32, Figure>>,
+}
+
+impl RunnerLoads {
+    /// Records that a runner states that it holds `stated` requests, of which `local` are known to be
+    /// from the local zone.
+    pub(crate) fn note(&self, run: u32, stated: u32, local: u32, now: Instant) {
+        let figure = Figure {
+            remote: stated.saturating_sub(local),
+            stated_at: now,
+        };
+        self.figures.borrow_mut().insert(run, figure);
+        self.unsent.borrow_mut().insert(run, figure);
+    }
+
+    /// Returns the requests of other zones at a runner, if a recent statement is known.
+    pub(crate) fn remote(&self, run: u32, now: Instant) -> Option<u32> {
+        let figures = self.figures.borrow();
+        let figure = figures.get(&run)?;
+        let age = now.saturating_duration_since(figure.stated_at);
+        (age < MAX_AGE).then_some(figure.remote)
+    }
+
+    /// Takes the figures that the other VMs of the zone do not have yet.
+    pub(super) fn take_part(&self, now: Instant) -> Option<RunnerLoadsPart> {
+        self.figures
+            .borrow_mut()
+            .retain(|_, it| now.saturating_duration_since(it.stated_at) < MAX_AGE);
+        let mut unsent: Vec<(u32, Figure)> = self.unsent.borrow_mut().drain().collect();
+        unsent.sort_unstable_by_key(|(_, figure)| std::cmp::Reverse(figure.stated_at));
+        unsent.truncate(MAX_FIGURES);
+        let figures = unsent.into_iter().map(|(run, figure)| {
+            let age = now.saturating_duration_since(figure.stated_at);
+            (run, figure.remote, age)
+        });
+        let part = RunnerLoadsPart::of(figures);
+        (!part.is_empty()).then_some(part)
+    }
+
+    /// Applies the figures of another VM of the zone. Later ones replace earlier ones, so that
+    /// messages may come in any order, twice or not at all.
+    pub(super) fn apply(&self, part: &RunnerLoadsPart, now: Instant) {
+        let mut figures = self.figures.borrow_mut();
+        for (run, remote, age) in part.figures().take(MAX_FIGURES) {
+            let Some(stated_at) = now.checked_sub(age).filter(|_| age < MAX_AGE) else {
+                continue;
+            };
+            let figure = Figure { remote, stated_at };
+            let known = figures.entry(run).or_insert(figure);
+            if known.stated_at < stated_at {
+                *known = figure;
+            }
+        }
+    }
+}
--- a/src/gateway/server_speed/stated_load.rs
+++ b/src/gateway/server_speed/stated_load.rs
@@ -40,14 +40,19 @@
 }
 
 impl StatedLoad {
-    /// Whether the counts are possible for a server with `slots` according to the directory.
-    fn is_plausible(&self, slots: u32) -> bool {
+    /// Whether the counts are within what a server with `slots` according to the directory can hold. A
+    /// runner may let requests wait while slots are free: it reads one prompt after the other.
+    pub(crate) fn is_possible(&self, slots: u32) -> bool {
         self.slots == slots
             && self.running <= slots
-            && (self.waiting == 0 || self.running == slots)
             && self.waiting <= slots.saturating_mul(MAX_WAITING_PER_SLOT)
     }
 
+    /// Whether the counts are possible and do not contradict each other.
+    fn is_plausible(&self, slots: u32) -> bool {
+        self.is_possible(slots) && (self.waiting == 0 || self.running == slots)
+    }
+
     /// The logarithm of the stated slowness, if that is plausible.
     fn log_slowness(&self) -> Option<f64> {
         let percent = self.slowness_percent?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,12 +11,14 @@
 use crate::gateway::fleet::{EntryChange, Fleet, Holding, Incarnation, Server};
 use crate::gateway::log_follower::{FollowerState, Reading, Readings, follows_closely};
 use crate::gateway::outbox::UpdateScope;
+use crate::gateway::peer_loads::PeerLoads;
 use crate::gateway::peers::Peers;
 use crate::gateway::reachability::{Reachability, ReachabilityChange};
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
+use crate::gateway::runner_load::RunnerLoads;
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
-use crate::gateway::server_speed::{ListedRun, ServerSpeeds, StatedLoad};
+use crate::gateway::server_speed::{ListedRun, ServerSpeeds, StatedLoad, run_id};
 use crate::gateway::software_versions::SoftwareVersions;
 use crate::gateway::source_selector::Source;
 use crate::gateway::speeds::Speeds;
@@ -88,6 +90,8 @@
     pub(crate) returns: ReturnCalendar,
     /// How fast each backend server is compared with others.
     pub(crate) server_speeds: ServerSpeeds,
+    /// The requests of other zones at runners, as these state.
+    pub(crate) runner_loads: RunnerLoads,
     /// The quota usage of organisations, at this VM and at others.
     pub(crate) ledger: RefCell<Ledger>,
     /// The rate limits that backend servers state.
@@ -158,6 +162,7 @@
             wait_queues: Rc::default(),
             returns: ReturnCalendar::new(Instant::now()),
             server_speeds: ServerSpeeds::default(),
+            runner_loads: RunnerLoads::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
             server_limits: RefCell::new(ServerLimits::new(Instant::now())),
             reachability: RefCell::default(),
@@ -539,10 +544,35 @@
         }
     }
 
+    /// Returns the requests that all VMs have in flight at a server, as far as this VM knows.
+    pub(crate) fn known_in_flight(
+        &self,
+        server: &Server,
+        peer_loads: &PeerLoads<'_>,
+        now: Instant,
+    ) -> u32 {
+        let remote = match self.peers.is_remote_load_stale() {
+            true => self.runner_loads.remote(run_id(&server.incarnation()), now),
+            false => None,
+        };
+        let others = match remote {
+            Some(remote) => peer_loads.of_single(&server.id) + remote,
+            None => peer_loads.in_flight(&server.id),
+        };
+        server.in_flight() + others
+    }
+
     fn note_stated_load(&self, load: StatedLoad, server: &Server, now: Instant) {
-        let known_in_flight = server.in_flight() + self.peers.loads().in_flight(&server.id);
+        let peer_loads = self.peers.loads();
+        let known_in_flight = server.in_flight() + peer_loads.in_flight(&server.id);
         let slots = server.with_entry(|entry| entry.slots);
         let run = server.incarnation();
+        let is_runner = server.with_entry(|entry| !entry.holdings.is_empty());
+        if is_runner && self.peers.is_remote_load_stale() && load.is_possible(slots) {
+            let local = server.in_flight() + peer_loads.of_single(&server.id);
+            let stated = load.running + load.waiting;
+            self.runner_loads.note(run_id(&run), stated, local, now);
+        }
         let (verdict, is_change) =
             self.server_speeds
                 .note_stated(&run, load, slots, known_in_flight, now);
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -23,6 +23,7 @@
 mod quotas;
 mod reachability;
 mod return_play;
+mod runner_load;
 mod server_limits;
 mod server_speed;
 mod source_selector;
