Requests that can wait, or are late, leave slots to urgent ones that wait at any VM

Requests with much time now leave slots to more urgent ones that any VM reports as waiting for what the runner holds, until the last fifth of their time; requests that can no longer be in time do the same until their hold ends.

--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -208,7 +208,7 @@
 
     /// The requests that wait at this VM, as many as a message may carry.
     fn waiting_requests(&self) -> Vec<WaitingRequests> {
-        let counts = self.state.wait_queues.counts().into_iter();
+        let counts = self.state.wait_queues.counts(Instant::now()).into_iter();
         let waiting = counts.map(|(need, count)| WaitingRequests {
             need: need_id(&need),
             by_level: count.by_level.to_vec(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -405,6 +405,14 @@
         (sum, peer_states.len())
     }
 
+    /// Whether requests that are more urgent than one of a priority wait for any of `needs` at other
+    /// VMs.
+    pub(crate) fn has_more_urgent(&self, needs: &[u32], priority: u32) -> bool {
+        let peer_states = self.peer_states.borrow();
+        let mut waiting = peer_states.values().flat_map(|peer| &peer.waiting);
+        waiting.any(|(need, count)| count.has_more_urgent(priority) && needs.contains(need))
+    }
+
     /// Applies one part of the demand of a peer. The demand takes effect once its last part is
     /// received.
     pub(super) fn apply_demand(&self, sender: SocketAddr, digest: &Digest) {
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -1,7 +1,6 @@
 //! Server selection for a request: which servers can serve it, which of them have free slots, and
 //! how long the request is held until one has.
 
-use crate::gateway::Protocol;
 use crate::gateway::call::{Call, StreamVersion};
 use crate::gateway::choose::{Candidate, choose};
 use crate::gateway::failure::Failure;
@@ -10,8 +9,10 @@
 use crate::gateway::relay::Relay;
 use crate::gateway::server_speed::{Work, on_time_slowness};
 use crate::gateway::waiting::{
-    Need, QueuedRequest, Urgency, check_interval, reserved_slots, yield_limit,
+    Need, QueuedRequest, Urgency, check_interval, need_id, reserved_slots, yield_limit,
 };
+use crate::gateway::{Protocol, Weights};
+use crate::inventory::Name;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
@@ -174,7 +175,8 @@
             let poll = match (&obstacle, &place) {
                 (Obstacle::NoServer, _) => MODEL_POLL_INTERVAL,
                 (Obstacle::Reserved, Some(Place { urgency, .. })) => {
-                    check_interval(urgency.yields_until - urgency.arrived).mul_f64(jitter)
+                    let interval = check_interval(urgency.yields_until - urgency.arrived);
+                    interval.max(SLOT_POLL_INTERVAL).mul_f64(jitter)
                 }
                 _ => SLOT_POLL_INTERVAL.mul_f64(jitter),
             };
@@ -241,6 +243,30 @@
         });
     }
 
+    /// Whether more urgent requests wait at other VMs for what a server has loaded. The order in a VM's
+    /// own queue does not see them.
+    fn has_more_urgent(&self, place: &Place, server: &Server, now: Instant) -> bool {
+        let need = |model: &Name, adapter: Option<&Name>| {
+            need_id(&Need {
+                service: place.need.service.clone(),
+                weights: Weights {
+                    model: model.clone(),
+                    adapter: adapter.cloned(),
+                },
+            })
+        };
+        let mut needs = Vec::new();
+        server.with_holdings(now, |holdings| {
+            for holding in holdings {
+                needs.push(need(&holding.model, None));
+                let adapters = holding.adapters.iter();
+                needs.extend(adapters.map(|adapter| need(&holding.model, Some(adapter))));
+            }
+        });
+        let priority = place.urgency.effective_priority(now);
+        self.state.peers.has_more_urgent(&needs, priority)
+    }
+
     /// Decides what happens to the request when its hold ends: it is sent even if prompts are
     /// queued at the server, else it fails.
     fn resolve(&self, obstacle: Obstacle, call: &Call) -> Result<Rc<Server>, Failure> {
@@ -279,9 +305,10 @@
     ) -> Result<Rc<Server>, Obstacle> {
         let now = Instant::now();
         let mut servers = self.eligible_servers(call, now);
-        let yields = |it: &&Place| it.urgency.yields(now) && !self.state.shutdown.is_leaving();
+        let may_yield = now < call.hold_until() && !self.state.shutdown.is_leaving();
+        let yielding = place.filter(|it| may_yield && it.urgency.yields(now));
         if !servers.is_empty()
-            && let Some(place) = place.filter(yields)
+            && let Some(place) = yielding
         {
             self.leave_reserved(&mut servers, call, place, now);
             if servers.is_empty() {
@@ -298,6 +325,9 @@
                 });
             };
             self.check_readiness(call, &choice, place, queued)?;
+            if yielding.is_some_and(|it| self.has_more_urgent(it, &choice.server, now)) {
+                return Err(Obstacle::Reserved);
+            }
             if self.state.take_rate_limit(&choice.server, now) {
                 choice.log(call);
                 return Ok(choice.server);
--- a/src/gateway/waiting/order.rs
+++ b/src/gateway/waiting/order.rs
@@ -2,7 +2,7 @@
 //!
 //! By priority, then by the latest time at which the request can be sent and still be in time.
 //! Requests that can no longer be in time come after all that can, since sending them sooner gains
-//! nothing. A request that can wait for seconds loses to each more urgent arrival under steady load,
+//! nothing; until their hold ends they also leave free slots to others. A request that can wait for seconds loses to each more urgent arrival under steady load,
 //! so it counts as one of the most urgent shortly before it would be late, provided that its kind is
 //! not already served more often than more urgent ones.
 
@@ -11,7 +11,7 @@
 
 /// The part of the time that a request can wait, at its end, in which it counts as one of the most
 /// urgent.
-const LAST_CHANCE_SHARE: f64 = 0.2;
+pub(super) const LAST_CHANCE_SHARE: f64 = 0.2;
 /// The priority of the most urgent requests.
 const MOST_URGENT: u32 = 0;
 
@@ -31,16 +31,29 @@
 }
 
 impl Urgency {
-    /// Whether the request leaves the last slots of a runner to more urgent ones.
+    /// Whether the request leaves the last slots of a runner to more urgent ones: it has much time,
+    /// or can no longer be in time.
     pub(crate) fn yields(&self, now: Instant) -> bool {
-        now < self.yields_until
+        now < self.yields_until || self.is_late(now)
+    }
+
+    /// Whether the request can no longer be in time.
+    fn is_late(&self, now: Instant) -> bool {
+        self.send_by < now
+    }
+
+    /// Returns the priority; the least urgent one for a request that can no longer be in time.
+    pub(crate) fn effective_priority(&self, now: Instant) -> u32 {
+        match self.is_late(now) {
+            true => u32::MAX,
+            false => self.priority,
+        }
     }
 
     /// Compares the places of two requests; the lesser goes first.
     pub(super) fn compare(&self, other: &Self, now: Instant) -> Ordering {
-        let is_late = |it: &Self| it.send_by < now;
-        is_late(self)
-            .cmp(&is_late(other))
+        self.is_late(now)
+            .cmp(&other.is_late(now))
             .then(self.level(now).cmp(&other.level(now)))
             .then(self.send_by.cmp(&other.send_by))
     }
--- a/src/gateway/waiting/prediction.rs
+++ b/src/gateway/waiting/prediction.rs
@@ -47,6 +47,12 @@
         let levels = self.by_level.iter().take(level(priority) + 1);
         levels.fold(0, |sum, count| sum.saturating_add(*count))
     }
+
+    /// Whether there are requests that are more urgent than one of a priority.
+    pub(crate) fn has_more_urgent(&self, priority: u32) -> bool {
+        let mut levels = self.by_level.iter().take(level(priority));
+        levels.any(|count| *count > 0)
+    }
 }
 
 fn level(priority: u32) -> usize {
--- a/src/gateway/waiting/reserve.rs
+++ b/src/gateway/waiting/reserve.rs
@@ -4,6 +4,7 @@
 //! targets of seconds share runners of 12 slots. A request sent as soon as a slot is free takes the
 //! slot from an urgent one that arrives a moment later, and gains nothing by being sooner.
 
+use crate::gateway::waiting::order::LAST_CHANCE_SHARE;
 use std::time::{Duration, Instant};
 
 /// Time over which urgent arrivals are covered by reserved slots: until a VM has learned of the
@@ -17,9 +18,9 @@
 /// it. With 3, requests with a target of 800 ms leave slots to those with 250 ms; at full load 44
 /// instead of 73 of 100 of them are then in time (`tests/waiting_play.rs`).
 pub(super) const MIN_PATIENCE_RATIO: f64 = 4.0;
-/// The part of the time that a request can wait during which it leaves slots to others. The rest is
-/// left to get a slot in competition with all.
-const YIELD_SHARE: f64 = 0.5;
+/// The part of the time that a request can wait during which it leaves slots to others. In the rest
+/// it counts as one of the most urgent.
+const YIELD_SHARE: f64 = 1.0 - LAST_CHANCE_SHARE;
 
 /// Returns how many slots of a runner are kept for urgent requests that arrive there at a rate: as
 /// many as usually arrive within the horizon, and one standard deviation more.
--- a/src/gateway/waiting/wait_queue.rs
+++ b/src/gateway/waiting/wait_queue.rs
@@ -101,11 +101,18 @@
         waiting.get(need).map(|it| count(it)).unwrap_or_default()
     }
 
-    /// Returns the number of waiting requests by what they wait for, the largest first.
-    pub(crate) fn counts(&self) -> Vec<(Need, WaitingCount)> {
+    /// Returns the number of waiting requests by what they wait for, the largest first. Those that
+    /// can no longer be in time count as the least urgent.
+    pub(crate) fn counts(&self, now: Instant) -> Vec<(Need, WaitingCount)> {
         let waiting = self.waiting.borrow();
-        let counts = waiting.iter();
-        let mut counts: Vec<_> = counts.map(|(need, it)| (need.clone(), count(it))).collect();
+        let counts = waiting.iter().map(|(need, positions)| {
+            let mut count = WaitingCount::default();
+            for position in positions {
+                count.add_one(position.urgency.effective_priority(now));
+            }
+            (need.clone(), count)
+        });
+        let mut counts: Vec<_> = counts.collect();
         counts.sort_unstable_by_key(|(_, count)| std::cmp::Reverse(count.total()));
         counts
     }
