--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -141,7 +141,7 @@
     #[prost(message, repeated, tag = "39")]
     pub(super) waiting: Vec<WaitingRequests>,
     /// The requests of other zones at runners, from what these stated to the sender; sent within a zone.
-    #[prost(message, optional, tag = "42")]
+    #[prost(message, optional, tag = "44")]
     pub(super) runner_loads: Option<RunnerLoadsPart>,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
