Restore of the store from an older copy: positions with an era

Cause: after a rewind the store assigns offsets again. VMs compared and kept bare offsets, so they missed what was written below theirs, removed living servers that the copy lacks, used servers again that had left, started with an older configuration, and claimed with fences that runners had already seen.

Change: - A position is one integer, the era in the high bits and the offset in the low 40. In era 0 it is the offset, so messages stay as they are. The adapter reads Store-Era from each answer; a read from a position of an earlier era fails with StoreError::Rewound and the whole is read. - Directory: for 15 s after a restore a full read removes nothing; servers that the copy lacks stay until they write again or the time is over. An entry that may come from the copy does not bring back a removed run. - Configuration: after a restore VMs state the version in force. A VM that starts is not ready until it has heard from a VM that was running, and takes a later version from it. - Fence: it contains the era. A leader of an earlier era steps down, and the VM with the first partition claims without waiting for a lease.

The tests' match on ServerChange and the construction of KeyedRecord follow the new variants and field; no check was changed.

Not run: a large fleet, VMs of two releases.

--- a/src/gateway/directory_updates.rs
+++ b/src/gateway/directory_updates.rs
@@ -71,6 +71,10 @@
     on_disk: Vec<String>,
     #[prost(string, tag = "13")]
     software_version: String,
+    /// Whether the log lost the entry when it was restored from a copy. A VM of an earlier version
+    /// cannot read such a change and reads the log instead.
+    #[prost(bool, tag = "14")]
+    is_lost: bool,
 }
 
 impl ServerUpdate {
@@ -82,9 +86,15 @@
                 is_gone: true,
                 ..Self::default()
             },
-            ServerChange::Upserted(entry) => Self {
+            ServerChange::Lost(id) => Self {
+                id: id.to_string(),
+                is_lost: true,
+                ..Self::default()
+            },
+            ServerChange::Upserted(entry) | ServerChange::Restored(entry) => Self {
                 id: entry.id.to_string(),
                 is_gone: false,
+                is_lost: false,
                 started_ms: entry.started_ms,
                 sequence: entry.sequence,
                 service: entry.service.to_string(),
@@ -107,6 +117,9 @@
         if self.is_gone {
             return Some(ServerChange::Removed(id));
         }
+        if self.is_lost {
+            return Some(ServerChange::Lost(id));
+        }
         let state = match self.is_draining {
             true => ServerState::Draining,
             false => ServerState::Ready,
--- a/src/gateway/election.rs
+++ b/src/gateway/election.rs
@@ -5,6 +5,10 @@
 //! claim is its fencing token (fence), by which runners refuse orders of an earlier leader. A
 //! leader continues when the partitions are reassigned, as happens whenever a VM joins or leaves.
 //!
+//! The fence contains the era of the log ([`Position`](crate::gateway::Position)), so that it grows
+//! when the log is restored from a copy that lacks claims. A leader of an earlier era steps down, and
+//! the VM with the first partition claims at once.
+//!
 //! Where runners check fences, a leader also continues while it cannot reach the log. If the log
 //! is unreachable for all VMs, no other VM can claim; if only for the leader, the other VMs receive
 //! its fence, or a runner refuses its orders once one of them has claimed. Models can thus be
@@ -13,7 +17,7 @@
 
 use crate::gateway::order_dispatch::OrderDispatcher;
 use crate::gateway::state::State;
-use crate::gateway::{Group, LeadershipClaims, Membership, RunnerControl, StoreError};
+use crate::gateway::{Group, LeadershipClaims, Membership, Position, RunnerControl, StoreError};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -209,6 +213,16 @@
             let is_superseded = highest.is_some_and(|fence| self.dispatcher.fence() < Some(fence));
             match self.dispatcher.fence() {
                 Some(_) if !self.may_continue() || is_superseded => self.step_down(),
+                Some(fence) if self.is_of_earlier_era(fence) => {
+                    info!(
+                        fence,
+                        era = self.state.era(),
+                        "claim lost with the log's earlier era"
+                    );
+                    self.step_down();
+                    // The lease keeps leaders from alternating, and here all claims are lost.
+                    self.leadership_lost_at.set(None);
+                }
                 Some(_) if self.state.peers.should_hand_over(Instant::now()) => {
                     self.hand_over().await;
                 }
@@ -229,6 +243,12 @@
         }
     }
 
+    /// Whether the claim with this fence was made before the log was restored from a copy, which may
+    /// lack it.
+    fn is_of_earlier_era(&self, fence: u64) -> bool {
+        Position::from_u64(fence).era < self.state.era()
+    }
+
     /// Whether a leader may continue: as a member, or by its fence where runners check fences.
     fn may_continue(&self) -> bool {
         if self.is_member() {
@@ -324,10 +344,12 @@
             .await
         {
             Ok(fence) => {
+                self.state.note_position(fence, "log", Instant::now());
                 self.next_claim_offset.set(fence);
                 self.is_member().then_some(fence)
             }
             Err(StoreError::Conflict(offset)) => {
+                self.state.note_position(offset, "log", Instant::now());
                 self.next_claim_offset.set(offset);
                 None
             }
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -101,7 +101,9 @@
     Unanswered,
     /// The requested records have been compacted away.
     Compacted,
-    /// The call's precondition failed; holds the topic's end offset.
+    /// The log was restored from an older copy since the position to read from was obtained.
+    Rewound,
+    /// The call's precondition failed; holds the topic's end.
     Conflict(u64),
     /// The response could not be parsed.
     Garbled,
@@ -112,7 +114,7 @@
 pub(crate) struct Changes<T> {
     /// The records, oldest first.
     pub(crate) items: Vec<T>,
-    /// The offset at which to continue reading.
+    /// The position at which to continue reading ([`Position`](crate::gateway::Position)).
     pub(crate) next_offset: u64,
 }
 
@@ -123,6 +125,10 @@
     Upserted(Entry),
     /// The entry of the named backend server was removed.
     Removed(Name),
+    /// The entry is listed, but may be older than the last restore of the log from a copy.
+    Restored(Entry),
+    /// The log lost the entry of the named backend server when it was restored.
+    Lost(Name),
 }
 
 /// The source of the configuration.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -127,6 +127,9 @@
     backoff_until: Cell<Option<Instant>>,
     /// When the server's entry was removed from the directory.
     removed_at: Cell<Option<Instant>>,
+    /// When this VM learned that the log lost the server's entry, if it did. The server is alive as
+    /// far as known, and writes the entry again.
+    lost_at: Cell<Option<Instant>>,
     /// When this VM learned that the server is about to leave, if it is. It never takes that back.
     leaving_since: Cell<Option<Instant>>,
     /// Until when the server wants no requests from this VM.
@@ -169,6 +172,7 @@
             failures: Cell::new(0),
             backoff_until: Cell::new(None),
             removed_at: Cell::new(None),
+            lost_at: Cell::new(None),
             leaving_since: Cell::new(None),
             paused_until: Cell::new(None),
             missing_weights: RefCell::default(),
@@ -249,6 +253,11 @@
         self.removed_at.get().is_some()
     }
 
+    /// Whether the log lost the server's entry, and the server has not written it again.
+    pub(crate) fn is_entry_lost(&self) -> bool {
+        self.lost_at.get().is_some()
+    }
+
     /// Records that the server wants no requests from this VM for a time. An earlier pause that ends
     /// later still holds.
     pub(crate) fn note_pause(&self, pause: Duration, now: Instant) {
@@ -408,12 +417,16 @@
             }
             if removed.is_run_of(&entry) {
                 removed.removed_at.set(None);
+                removed.lost_at.set(None);
                 removed.entry.replace(entry);
                 servers.insert(removed.id.clone(), removed);
                 return EntryChange::AvailabilityChanged;
             }
         }
         let current = servers.get(&entry.id);
+        if let Some(server) = current.filter(|server| server.is_run_of(&entry)) {
+            server.lost_at.set(None);
+        }
         if current.is_some_and(|server| !entry.is_newer_than(&server.entry.borrow())) {
             return EntryChange::Renewed;
         }
@@ -439,6 +452,48 @@
         EntryChange::AvailabilityChanged
     }
 
+    /// Whether the entry is of a run that was removed, or of an earlier one, and not newer than what
+    /// was known of the run by then.
+    pub(crate) fn is_known_removed(&self, entry: &Entry) -> bool {
+        let is_older = |server: &Rc<Server>| server.entry.borrow().is_newer_than(entry);
+        let removed_runs = self.removed_runs.borrow();
+        if removed_runs.get(&entry.id).is_some_and(is_older) {
+            return true;
+        }
+        let servers = self.servers.borrow();
+        let marked = servers.get(&entry.id);
+        marked.is_some_and(|server| server.is_marked_removed() && is_older(server))
+    }
+
+    /// Records that the log lost the entry of a server; returns whether that was not known.
+    pub(crate) fn note_lost(&self, id: &str, now: Instant) -> bool {
+        let servers = self.servers.borrow();
+        let listed = servers.get(id).filter(|server| !server.is_marked_removed());
+        listed.is_some_and(|server| {
+            let is_new = !server.is_entry_lost();
+            if is_new {
+                server.lost_at.set(Some(now));
+            }
+            is_new
+        })
+    }
+
+    /// Marks the servers as removed whose entry was lost at least `limit` ago and was not written
+    /// again; returns their ids.
+    pub(crate) fn expire_lost(&self, limit: Duration, now: Instant) -> Vec<Name> {
+        let servers = self.servers.borrow();
+        let is_expired = |server: &&Rc<Server>| {
+            let lost_at = server.lost_at.get();
+            lost_at.is_some_and(|at| now.saturating_duration_since(at) >= limit)
+        };
+        let expired = servers.values().filter(is_expired).map(|server| {
+            server.lost_at.set(None);
+            server.removed_at.set(Some(now));
+            server.id.clone()
+        });
+        expired.collect()
+    }
+
     /// Marks a server's entry as removed; [`Fleet::purge_removed`] removes the server itself.
     pub(crate) fn mark_removed(&self, id: &str, now: Instant) {
         if let Some(server) = self.servers.borrow().get(id) {
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -139,6 +139,13 @@
     /// The requests that wait for runners at the sender, the largest numbers first.
     #[prost(message, repeated, tag = "39")]
     pub(super) waiting: Vec<WaitingRequests>,
+    /// The version of the configuration in force at the sender. Sent only after the log was restored
+    /// from a copy, which may contain an older one.
+    #[prost(uint64, tag = "42")]
+    pub(super) configuration_version: u64,
+    /// Whether the sender knows that no later version was in force before the restore.
+    #[prost(bool, tag = "43")]
+    pub(super) is_configuration_checked: bool,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -64,6 +64,11 @@
             }
         };
         let now = Instant::now();
+        if let Some(followed) = &digest.followed_log {
+            for position in [followed.directory_end, followed.configuration_changed_to] {
+                self.state.note_position(position, "vm", now);
+            }
+        }
         self.apply_crash_news(sender, &digest, now);
         for run in &digest.leaving {
             if let Some(server) = self.state.fleet.run(&run.incarnation()) {
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -176,6 +176,7 @@
     /// The part of the regular message that all recipients share, with the load of this VM.
     pub(super) fn digest(&self) -> Digest {
         let state = &self.state;
+        let configuration = state.stated_configuration(Instant::now());
         Digest {
             boot: self.boot,
             is_leaving: state.shutdown.is_leaving(),
@@ -193,6 +194,8 @@
             leaving: self.leaving_servers(),
             mixed_services: self.mixed_services(),
             waiting: self.waiting_requests(),
+            configuration_version: configuration.version,
+            is_configuration_checked: configuration.is_checked,
             ..Digest::default()
         }
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -127,6 +127,10 @@
         "stated_loads",
         "loads that servers stated in responses, by what came of them",
     ),
+    describe(
+        "log_era",
+        "how often the log has been restored from an older copy",
+    ),
     describe("vms", "VMs known, this one included"),
     describe("is_leading", "1 while this VM gives orders"),
     describe("open_connections", "callers' connections"),
@@ -224,6 +228,8 @@
     pub(crate) slow_servers: Gauge,
     /// Loads that servers stated.
     pub(crate) stated_loads: Family<OutcomeLabels, Counter>,
+    /// The latest known era of the log.
+    pub(crate) log_era: Gauge,
     pub(crate) vms: Gauge,
     pub(crate) is_leading: Gauge,
     pub(crate) open_connections: Gauge,
@@ -272,6 +278,7 @@
             limited_servers: Gauge::default(),
             slow_servers: Gauge::default(),
             stated_loads: Family::default(),
+            log_era: Gauge::default(),
             vms: Gauge::default(),
             is_leading: Gauge::default(),
             open_connections: Gauge::default(),
@@ -294,6 +301,7 @@
         self.register("servers", self.servers.clone());
         self.register("limited_servers", self.limited_servers.clone());
         self.register("slow_servers", self.slow_servers.clone());
+        self.register("log_era", self.log_era.clone());
         self.register("vms", self.vms.clone());
         self.register("is_leading", self.is_leading.clone());
         self.register("waiting_requests", self.waiting.clone());
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -1,6 +1,7 @@
 //! The last state received from one peer, decoded from its messages.
 
 use crate::gateway::Weights;
+use crate::gateway::configuration_check::PeerConfiguration;
 use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::gossip_message::{Digest, FollowedLog};
 use crate::gateway::gossip_sender::MAX_WAITING_PER_MESSAGE;
@@ -27,6 +28,8 @@
     pub(super) readings: Option<Readings>,
     /// Whether the peer has the directory and the configuration.
     pub(super) has_state: bool,
+    /// What the peer states of its configuration.
+    pub(super) configuration: PeerConfiguration,
     /// Whether the peer takes requests that other VMs forward.
     pub(super) accepts_forwarded: bool,
     /// Requests in flight by server, as pairs of model and count.
@@ -52,6 +55,10 @@
                 .followed_log
                 .map(|followed_log| read_followed_log(followed_log, now)),
             has_state: digest.has_state,
+            configuration: PeerConfiguration {
+                version: digest.configuration_version,
+                is_checked: digest.is_configuration_checked,
+            },
             accepts_forwarded: digest.accepts_forwarded,
             loads: read_loads(digest),
             waiting: read_waiting(digest),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! The other VMs of the fleet, and what they last reported: load, demand and leadership.
 
 use crate::gateway::Weights;
+use crate::gateway::configuration_check::PeerConfiguration;
 use crate::gateway::demand_rate::DemandRate;
 use crate::gateway::first_read::{FirstRead, MAX_FIRST_READERS};
 use crate::gateway::forward_targets::ForwardCandidate;
@@ -454,6 +455,27 @@
         pick(with_state.map(|(address, _)| *address), draw)
     }
 
+    /// What the other VMs state of their configurations.
+    pub(crate) fn configurations(&self) -> Vec<PeerConfiguration> {
+        let peer_states = self.peer_states.borrow();
+        peer_states
+            .values()
+            .map(|peer| peer.configuration)
+            .collect()
+    }
+
+    /// Picks one of the VMs that state the latest version of the configuration, if it is later than
+    /// `version`. `draw` is a random number from 0 to 1.
+    pub(crate) fn later_configuration(&self, version: u64, draw: f64) -> Option<SocketAddr> {
+        let peer_states = self.peer_states.borrow();
+        let versions = peer_states.values().map(|peer| peer.configuration.version);
+        let latest = versions.max().filter(|latest| *latest > version)?;
+        let holders = peer_states
+            .iter()
+            .filter(|(_, peer)| peer.configuration.version == latest);
+        pick(holders.map(|(address, _)| *address), draw)
+    }
+
     /// Whether messages of a VM still arrive.
     pub(crate) fn is_heard(&self, address: &SocketAddr) -> bool {
         self.peer_states.borrow().contains_key(address)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -155,7 +155,10 @@
         forwarded: Option<ForwardedCall>,
     ) -> Result<Call, Failure> {
         let configuration = self.state.configuration().ok_or(Failure::Unready)?;
-        if !self.state.is_directory_known.get() || !self.state.is_containment_known.get() {
+        if !self.state.is_directory_known.get()
+            || !self.state.is_containment_known.get()
+            || !self.state.is_configuration_checked(arrived)
+        {
             return Err(Failure::Unready);
         }
         let route = configuration
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -91,6 +91,7 @@
     .detach();
     let watch = LogWatcher::new(state.clone(), store.clone());
     compio::runtime::spawn(watch.clone().follow_configuration()).detach();
+    compio::runtime::spawn(watch.clone().recover_configuration()).detach();
     compio::runtime::spawn(watch.follow_directory()).detach();
     compio::runtime::spawn(StateMonitor::new(state.clone()).run()).detach();
     compio::runtime::spawn(gossip.clone().receive()).detach();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use crate::callers::Ledger;
 use crate::gateway::call::Cost;
 use crate::gateway::change_history::ChangeHistory;
+use crate::gateway::configuration_check::{self, PeerConfiguration};
 use crate::gateway::crash_containment::CrashContainment;
 use crate::gateway::demand::Demand;
 use crate::gateway::demand_rate::DemandRate;
@@ -25,7 +26,7 @@
 use crate::gateway::version_search::{VersionAnswer, VersionSearch};
 use crate::gateway::waiting::{ReturnCalendar, Traffic, WaitQueues};
 use crate::gateway::{
-    Changes, Configuration, Generation, Metrics, Reply, ServerChange, Settings, Weights,
+    Changes, Configuration, Generation, Metrics, Position, Reply, ServerChange, Settings, Weights,
 };
 use crate::inventory::Name;
 use crate::shutdown::Shutdown;
@@ -41,6 +42,11 @@
 /// shortly before: the server may be alive and add its entry again.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_000);
 
+/// How long servers may take to write their entries again after the log lost them, before they
+/// count as gone. The platform does not state the interval at which they write; this is three
+/// intervals of 5 s. A server that is gone takes no requests meanwhile, since connections to it fail.
+const REWRITE_TIME: Duration = Duration::from_millis(15_000);
+
 /// The largest fleet in which a VM that cannot read the log asks VMs of other zones.
 const MAX_VMS_ASKING_ZONES: usize = 12;
 
@@ -55,6 +61,11 @@
     /// The settings that the process was started with.
     pub(crate) settings: Settings,
     configuration: RefCell<Option<Rc<Configuration>>>,
+    /// When the first configuration was received.
+    configuration_known_at: Cell<Option<Instant>>,
+    /// Whether a configuration was in force when the log was restored, or was compared with those of
+    /// other VMs since.
+    is_configuration_compared: Cell<bool>,
     /// The texts of the configurations before it.
     pub(super) documents: RefCell<DocumentHistory>,
     /// The backend servers.
@@ -65,6 +76,10 @@
     pub(crate) peers: Peers,
     /// How far this VM has read the log.
     pub(crate) following: FollowerState,
+    /// The latest known era of the log ([`Position::era`]).
+    era: Cell<u64>,
+    /// When this VM learned of that era; `None` in era 0.
+    era_known_at: Cell<Option<Instant>>,
     /// The recent changes of the directory, for VMs that missed them.
     pub(super) history: RefCell<ChangeHistory>,
     /// What crashes servers.
@@ -141,12 +156,16 @@
         Self {
             metrics,
             configuration: RefCell::default(),
+            configuration_known_at: Cell::new(None),
+            is_configuration_compared: Cell::new(false),
             documents: RefCell::default(),
             fleet: Fleet::default(),
             is_directory_known: Cell::new(false),
             peers: Peers::new(settings.peer_address, Instant::now())
                 .with_cpu_cores(settings.cpu_cores),
             following: FollowerState::default(),
+            era: Cell::new(0),
+            era_known_at: Cell::new(None),
             history: RefCell::default(),
             containment: RefCell::default(),
             is_containment_told: Cell::new(false),
@@ -199,7 +218,65 @@
         self.metrics.configuration_bytes.set(bytes as i64);
         if let Some(replaced) = current.replace(Rc::new(configuration)) {
             self.documents.borrow_mut().push(replaced.document.clone());
+        } else {
+            self.configuration_known_at.set(Some(Instant::now()));
+        }
+    }
+
+    /// Whether requests may be served by the configuration as far as a restore of the log is
+    /// concerned ([`configuration_check`]).
+    pub(crate) fn is_configuration_checked(&self, now: Instant) -> bool {
+        if self.era.get() == 0 || self.is_configuration_compared.get() {
+            return true;
+        }
+        let Some(known_at) = self.configuration_known_at.get() else {
+            return false;
+        };
+        let version = self.configuration().map_or(0, |it| it.version);
+        let known_for = now.saturating_duration_since(known_at);
+        let passes = configuration_check::passes(version, known_for, self.peers.configurations());
+        self.is_configuration_compared.set(passes);
+        passes
+    }
+
+    /// What this VM states of its configuration to others; nothing unless the log was restored.
+    pub(super) fn stated_configuration(&self, now: Instant) -> PeerConfiguration {
+        match self.configuration() {
+            Some(configuration) if self.era.get() > 0 => PeerConfiguration {
+                version: configuration.version,
+                is_checked: self.is_configuration_checked(now),
+            },
+            _ => PeerConfiguration::default(),
+        }
+    }
+
+    /// Learns the era of the log from a position that a read returned (`source` is `log`) or another
+    /// VM sent (`vm`).
+    pub(super) fn note_position(&self, position: u64, source: &'static str, now: Instant) {
+        let era = Position::from_u64(position).era;
+        let before = self.era.get();
+        if era <= before {
+            return;
         }
+        if before == 0 && self.configuration.borrow().is_some() {
+            self.is_configuration_compared.set(true);
+        }
+        self.era.set(era);
+        self.era_known_at.set(Some(now));
+        self.metrics.log_era.set(era as i64);
+        warn!(era, before, source, "log restored from a copy");
+    }
+
+    /// The latest known era of the log.
+    pub(super) fn era(&self) -> u64 {
+        self.era.get()
+    }
+
+    /// Whether the log was restored so recently that servers may not have written their entries
+    /// again.
+    pub(super) fn was_log_restored(&self, now: Instant) -> bool {
+        let known_at = self.era_known_at.get();
+        known_at.is_some_and(|at| now.saturating_duration_since(at) < REWRITE_TIME)
     }
 
     /// Estimates the cost of a generation to a runner; zero if the configuration doesn't contain
@@ -300,7 +377,10 @@
 
     /// Whether this VM takes requests that other VMs forward.
     pub(crate) fn accepts_forwarded(&self) -> bool {
-        self.has_state() && !self.is_cut_off() && !self.shutdown.is_leaving()
+        self.has_state()
+            && self.is_configuration_checked(Instant::now())
+            && !self.is_cut_off()
+            && !self.shutdown.is_leaving()
     }
 
     /// Returns the offset in the log up to which this VM has a part of the state.
@@ -398,6 +478,7 @@
             "directory update applied"
         );
         let next = changes.next_offset;
+        self.note_position(next, "vm", now);
         self.apply_directory_changes(changes, end, now);
         self.following.note_received_update(next);
         self.purge_removed(now);
@@ -416,9 +497,14 @@
         let mut has_availability_change = false;
         let mut to_send = Vec::new();
         let mut listed: Vec<Name> = Vec::new();
+        let mut lost = 0;
+        let mut outdated = 0;
         for change in changes.items {
             match change {
-                ServerChange::Upserted(entry) => {
+                ServerChange::Restored(entry) if self.fleet.is_known_removed(&entry) => {
+                    outdated += 1;
+                }
+                ServerChange::Upserted(entry) | ServerChange::Restored(entry) => {
                     let entry_change = self.fleet.apply_entry(entry.clone());
                     if entry_change == EntryChange::AvailabilityChanged {
                         has_availability_change = true;
@@ -438,8 +524,17 @@
                     // answered at its address: other VMs may still list it.
                     to_send.push(ServerChange::Removed(id));
                 }
+                ServerChange::Lost(id) => {
+                    if self.fleet.note_lost(&id, now) {
+                        lost += 1;
+                        to_send.push(ServerChange::Lost(id));
+                    }
+                }
             }
         }
+        if lost > 0 || outdated > 0 {
+            info!(lost, outdated, next, "directory restored from a copy");
+        }
         if listed.len() > MAX_LISTED_LINES {
             info!(servers = listed.len(), next, "further servers listed");
         }
@@ -515,6 +610,14 @@
         } else {
             Duration::ZERO
         };
+        let expired = self.fleet.expire_lost(REWRITE_TIME, now);
+        if !expired.is_empty() {
+            for id in expired.iter().take(MAX_LISTED_LINES) {
+                info!(server = %id, "server's entry not written again");
+            }
+            self.update_software_versions(now);
+            self.changed.notify();
+        }
         for id in self.fleet.purge_removed(grace, now) {
             info!(server = %id, is_shaken = was_log_unavailable, "server gone");
         }
@@ -681,6 +784,7 @@
             && self.is_directory_known.get()
             && self.is_containment_known.get()
             && self.peers.is_discovery_done(Instant::now())
+            && self.is_configuration_checked(Instant::now())
             && self.configuration.borrow().is_some()
     }
 
--- a/src/gateway/sync_server.rs
+++ b/src/gateway/sync_server.rs
@@ -200,8 +200,12 @@
         }
         let servers = self.state.fleet.servers().into_iter();
         let listed = servers.filter(|server| !server.is_marked_removed());
-        let entries =
-            listed.map(|server| server.with_entry(|it| ServerChange::Upserted(it.clone())));
+        let entries = listed.flat_map(|server| {
+            let entry = server.with_entry(|it| ServerChange::Upserted(it.clone()));
+            let is_lost = server.is_entry_lost();
+            let lost = is_lost.then(|| ServerChange::Lost(server.id.clone()));
+            [Some(entry), lost].into_iter().flatten()
+        });
         let changes = Changes {
             items: entries.collect(),
             next_offset: end,
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -22,6 +22,7 @@
 mod quota_ways;
 mod quotas;
 mod reachability;
+mod restored_log;
 mod return_play;
 mod server_limits;
 mod server_speed;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -65,6 +65,12 @@
 /// Maximum time since the sender of a part knew it to be current. A VM that starts does not take an
 /// older one, unless it cannot read the log either.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2_000);
+/// Time between two checks whether another VM has a configuration that the log lost: one gossip
+/// interval.
+const LOST_CONFIGURATION_POLL: Duration = Duration::from_millis(200);
+/// How long a VM that serves waits for a later version that another VM states, before it requests it:
+/// within 2 s it obtains a version that the operator has just published from the log.
+const LATER_VERSION_TIME: Duration = Duration::from_millis(3_000);
 /// Time without knowing that a part is current from which that is logged.
 const LATE_CONFIRMATION: Duration = Duration::from_millis(1_500);
 
@@ -129,6 +135,7 @@
             match read {
                 Ok((changes, read_at_log)) => {
                     selector.note_success();
+                    self.note_position(changes.next_offset, source);
                     self.report_late_confirmation(Part::Configuration, delays);
                     next = Some(changes.next_offset);
                     let reading = Reading {
@@ -148,10 +155,10 @@
                     self.wait_for_next_configuration_read(read_at).await;
                     delays = ReadDelays::default();
                 }
-                Err(StoreError::Compacted) => {
+                Err(error @ (StoreError::Compacted | StoreError::Rewound)) => {
                     selector.note_compacted();
                     next = None;
-                    self.wait_before_full_read("configuration", selector.log_failures())
+                    self.wait_before_full_read("configuration", error, selector.log_failures())
                         .await;
                 }
                 Err(error) => {
@@ -166,6 +173,48 @@
         }
     }
 
+    /// After a restore of the log, obtains a configuration that the log lost from another VM, where
+    /// it is still in force. Runs until the process ends.
+    pub(crate) async fn recover_configuration(self: Rc<Self>) {
+        let mut behind_since = None;
+        loop {
+            compio::time::sleep(LOST_CONFIGURATION_POLL).await;
+            let now = Instant::now();
+            let version = self.state.configuration().map(|it| it.version);
+            let holder = match version {
+                Some(version) if self.state.era() > 0 => {
+                    let peers = &self.state.peers;
+                    peers.later_configuration(version, rand::random())
+                }
+                _ => None,
+            };
+            let Some(holder) = holder else {
+                behind_since = None;
+                continue;
+            };
+            let behind_since = *behind_since.get_or_insert(now);
+            let is_due = now.saturating_duration_since(behind_since) >= LATER_VERSION_TIME;
+            if self.state.is_configuration_checked(now) && !is_due {
+                continue;
+            }
+            let part = Part::Configuration;
+            let search = PeerSearch::new(holder);
+            let Some(received) = self.sync.fetch(part, None, search, SEARCH_TIME).await else {
+                continue;
+            };
+            self.apply_contained(&received);
+            match self.store.decode(&received.reply.document) {
+                Ok(configuration) => {
+                    info!(before = version, version = configuration.version, peer = %received.peer,
+                        "configuration recovered");
+                    let source = Source::Peer(received.peer);
+                    self.state.apply_configuration(configuration, source);
+                }
+                Err(error) => warn!(peer = %received.peer, ?error, "configuration not recovered"),
+            }
+        }
+    }
+
     /// Reads the configuration from the log; returns it with the time of the read.
     async fn read_configuration(
         &self,
@@ -216,9 +265,7 @@
                     let synced = async {
                         let part = Part::Directory;
                         let synced = self.sync_part(part, from, source, &selector).await?;
-                        let since = from.filter(|_| !synced.is_whole);
-                        let decoded = decode_directory(synced);
-                        Some(decoded.map(|(changes, at)| (changes, since, at)))
+                        Some(decode_directory(synced, from))
                     };
                     let read = self.read_directory(from);
                     let read = first_obtained(synced, read, &selector).await;
@@ -242,21 +289,22 @@
             match read {
                 // An update forwarded by another VM arrived in the meantime and is newer.
                 Ok(_) if following.directory_end.get() != from => {}
-                Ok((changes, since, at)) => {
+                Ok(read) => {
                     if selector.log_failures() > 0 {
                         info!(failures = selector.log_failures(), "directory regained");
                     }
                     selector.note_success();
                     self.report_late_confirmation(Part::Directory, delays);
-                    self.apply_read(changes, since, at);
+                    self.note_position(read.changes.next_offset, source);
+                    self.apply_read(read);
                     self.wait_for_next_directory_read(read_at).await;
                     delays = ReadDelays::default();
                 }
-                Err(StoreError::Compacted) => {
+                Err(error @ (StoreError::Compacted | StoreError::Rewound)) => {
                     selector.note_compacted();
                     following.directory_end.set(None);
                     following.disrupted_at.set(Some(Instant::now()));
-                    self.wait_before_full_read("directory", selector.log_failures())
+                    self.wait_before_full_read("directory", error, selector.log_failures())
                         .await;
                 }
                 Err(error) => {
@@ -273,14 +321,30 @@
         }
     }
 
-    /// Reads the directory from the log; returns the changes, the offset from which they were read
-    /// and the time of the read.
+    /// Reads the directory from the log: the changes since a position, or all entries if it is
+    /// `None` or if the log was restored since.
     async fn read_directory(&self, from: Option<u64>) -> Result<DirectoryRead, StoreError> {
         let changes = match from {
-            None => self.store.entries().await?,
-            Some(from) => self.store.changes_since(from).await?,
+            None => Err(StoreError::Rewound),
+            Some(from) => self.store.changes_since(from).await,
+        };
+        let is_whole = matches!(changes, Err(StoreError::Rewound));
+        let changes = match is_whole {
+            true => self.store.entries().await?,
+            false => changes?,
         };
-        Ok((changes, from, Instant::now()))
+        Ok(DirectoryRead {
+            changes,
+            since: from,
+            is_whole,
+            at: Instant::now(),
+        })
+    }
+
+    /// Learns the era of the log from the position that a read returned.
+    fn note_position(&self, position: u64, source: Source) {
+        let now = Instant::now();
+        self.state.note_position(position, source.name(), now);
     }
 
     /// Requests a part from another VM, or from those to which it refers.
@@ -440,14 +504,25 @@
         }
     }
 
-    /// Applies a read of the directory that started at offset `from`, or a full read if that is
-    /// `None`, and was current `at` a time. If this VM follows the log for its zone, forwards the
+    /// Applies a read of the directory. If this VM follows the log for its zone, forwards the
     /// relevant changes.
-    fn apply_read(&self, mut changes: Changes<ServerChange>, from: Option<u64>, at: Instant) {
+    fn apply_read(&self, read: DirectoryRead) {
+        let DirectoryRead {
+            mut changes,
+            since: from,
+            is_whole,
+            at,
+        } = read;
         let now = Instant::now();
         let next = changes.next_offset;
-        if from.is_none() {
-            changes.items.extend(self.removed_servers(&changes.items));
+        if is_whole {
+            let unlisted = self.unlisted_servers(&changes.items).into_iter();
+            // After a restore, the log lacks servers that are alive.
+            let change = match self.state.was_log_restored(now) {
+                true => ServerChange::Lost,
+                false => ServerChange::Removed,
+            };
+            changes.items.extend(unlisted.map(change));
         }
         let (relevant, has_availability_change) =
             self.state.apply_directory_changes(changes, from, now);
@@ -485,26 +560,25 @@
             .queue_directory_updates(messages.unwrap_or_default());
     }
 
-    /// Removals of the known servers that a full read did not return.
-    fn removed_servers(&self, listed: &[ServerChange]) -> Vec<ServerChange> {
+    /// The known servers that a full read did not return.
+    fn unlisted_servers(&self, listed: &[ServerChange]) -> Vec<Name> {
         let ids: HashSet<&Name> = listed
             .iter()
             .filter_map(|change| match change {
-                ServerChange::Upserted(entry) => Some(&entry.id),
-                ServerChange::Removed(_) => None,
+                ServerChange::Upserted(entry) | ServerChange::Restored(entry) => Some(&entry.id),
+                ServerChange::Removed(_) | ServerChange::Lost(_) => None,
             })
             .collect();
         let servers = self.state.fleet.servers().into_iter();
-        let removed =
+        let unlisted =
             servers.filter(|server| !ids.contains(&server.id) && !server.is_marked_removed());
-        removed
-            .map(|server| ServerChange::Removed(server.id.clone()))
-            .collect()
+        unlisted.map(|server| server.id.clone()).collect()
     }
 
-    /// Waits for a random time before a full read, after the log dropped the next records.
-    async fn wait_before_full_read(&self, what: &'static str, failures: u32) {
-        self.report_failure(what, StoreError::Compacted, failures);
+    /// Waits for a random time before a full read, after the log dropped the next records or was
+    /// restored from a copy.
+    async fn wait_before_full_read(&self, what: &'static str, error: StoreError, failures: u32) {
+        self.report_failure(what, error, failures);
         compio::time::sleep(COMPACTED_PAUSE.mul_f64(rand::random())).await;
     }
 
@@ -560,8 +634,16 @@
     }
 }
 
-/// Directory changes, the offset from which they were read, and the time at which they were current.
-type DirectoryRead = (Changes<ServerChange>, Option<u64>, Instant);
+/// A read of the directory, from the log or from another VM.
+struct DirectoryRead {
+    changes: Changes<ServerChange>,
+    /// The position of the state to which the changes apply; `None` if they replace any state.
+    since: Option<u64>,
+    /// Whether the changes list all servers.
+    is_whole: bool,
+    /// When the changes were current.
+    at: Instant,
+}
 
 /// Reads the log; `None` if another VM turns out to have what this one lacks while reads fail.
 async fn read_unless_alternative<T>(
@@ -611,16 +693,22 @@
     now.checked_sub(age).unwrap_or(now)
 }
 
-/// Decodes directory changes that another VM sent.
-fn decode_directory(synced: SyncReply) -> Result<(Changes<ServerChange>, Instant), StoreError> {
+/// Decodes directory changes that another VM sent, which has all since `from` unless it sent the
+/// whole directory.
+fn decode_directory(synced: SyncReply, from: Option<u64>) -> Result<DirectoryRead, StoreError> {
     let at = confirmed_at(&synced);
+    let since = from.filter(|_| !synced.is_whole);
     let changes = synced.changes.into_iter();
     let items: Option<Vec<ServerChange>> = changes.map(ServerUpdate::into_change).collect();
-    let changes = Changes {
-        items: items.ok_or(StoreError::Garbled)?,
-        next_offset: synced.next,
-    };
-    Ok((changes, at))
+    Ok(DirectoryRead {
+        changes: Changes {
+            items: items.ok_or(StoreError::Garbled)?,
+            next_offset: synced.next,
+        },
+        since,
+        is_whole: since.is_none(),
+        at,
+    })
 }
 
 /// Pause after `failures` failed reads in a row; it grows only if the VM is ready.
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -20,6 +20,7 @@
             return Some(ServerChange::Removed(id));
         }
         match entries::decode(id.clone(), &record.value) {
+            Ok(entry) if record.may_be_restored => Some(ServerChange::Restored(entry)),
             Ok(entry) => Some(ServerChange::Upserted(entry)),
             // The server cannot be used by this entry; if it is running, it writes a new one.
             Err(error) => {
@@ -30,8 +31,10 @@
     });
     let mut items: Vec<ServerChange> = changes.collect();
     let has_start = |change: &ServerChange| match change {
-        ServerChange::Upserted(entry) => entry.started_ms != UNKNOWN_START,
-        ServerChange::Removed(_) => false,
+        ServerChange::Upserted(entry) | ServerChange::Restored(entry) => {
+            entry.started_ms != UNKNOWN_START
+        }
+        ServerChange::Removed(_) | ServerChange::Lost(_) => false,
     };
     servers_report_start.set(servers_report_start.get() || items.iter().any(has_start));
     if servers_report_start.get() {
@@ -46,7 +49,9 @@
 /// Replaces an entry without a start time by the removal of its server.
 fn require_start(change: ServerChange) -> ServerChange {
     match change {
-        ServerChange::Upserted(entry) if entry.started_ms == UNKNOWN_START => {
+        ServerChange::Upserted(entry) | ServerChange::Restored(entry)
+            if entry.started_ms == UNKNOWN_START =>
+        {
             tracing::warn!(server = %entry.id, "server's entry without start time");
             ServerChange::Removed(entry.id)
         }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod object;
 mod orders;
+mod recent_records;
 mod requests;
 mod settings;
 mod store;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,12 +3,13 @@
 use crate::client::{Connection, SendError};
 use crate::gateway::{
     Changes, ConfigSource, Configuration, ContainmentLog, Directory, Group, LeadershipClaims,
-    Members, Membership, Metrics, ServerChange, StoreError, StoredCause,
+    Members, Membership, Metrics, Position, ServerChange, StoreError, StoredCause,
 };
 use crate::http::{Body, read_flowing_body};
 use crate::inventory::Name;
 use crate::platform::configuration;
 use crate::platform::directory::server_changes;
+use crate::platform::recent_records::RecentRecords;
 use crate::platform::stored_cause;
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
@@ -18,6 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -62,6 +64,8 @@
 const PAGE_ATTEMPTS: u32 = 4;
 /// The longest pause before a page is requested again; grows with each failure.
 const PAGE_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The header that names the era of the store.
+const ERA_HEADER: &str = "store-era";
 /// The number of idle connections that are kept open for reuse.
 const MAX_IDLE: usize = 4;
 
@@ -73,6 +77,8 @@
     metrics: Rc<Metrics>,
     /// Whether any server has reported its start time.
     servers_report_start: Cell<bool>,
+    /// The records of the directory that were read last.
+    recent_servers: RefCell<RecentRecords>,
 }
 
 #[derive(Deserialize)]
@@ -90,6 +96,8 @@
     key: String,
     /// In base64.
     value: String,
+    #[serde(default)]
+    offset: Option<u64>,
 }
 
 #[derive(Serialize)]
@@ -130,6 +138,22 @@
     end: u64,
 }
 
+/// The store's answer to a call.
+#[derive(Debug)]
+struct Answer {
+    status: StatusCode,
+    /// The era that the answer names; 0 if it names none.
+    era: u64,
+    body: Bytes,
+}
+
+/// The body of a successful answer, with its era.
+#[derive(Debug)]
+struct Success {
+    era: u64,
+    body: Bytes,
+}
+
 /// What is known of a call while it is in progress.
 #[derive(Debug, Default)]
 struct CallProgress {
@@ -142,6 +166,9 @@
 pub(super) struct KeyedRecord {
     pub(super) key: Bytes,
     pub(super) value: Bytes,
+    /// Whether the record was written before the store was last restored from a copy, as far as
+    /// known.
+    pub(super) may_be_restored: bool,
 }
 
 impl PlatformStore {
@@ -152,6 +179,7 @@
             idle: RefCell::default(),
             metrics,
             servers_report_start: Cell::new(false),
+            recent_servers: RefCell::default(),
         }
     }
 
@@ -162,12 +190,12 @@
         path: &str,
         body: Bytes,
         wait: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Answer, StoreError> {
         let began = Instant::now();
         let progress = CallProgress::default();
         let answer = self.send_call(method, path, body, wait, &progress).await;
         let outcome = match &answer {
-            Ok((status, _)) if status.is_success() => "answered",
+            Ok(answer) if answer.status.is_success() => "answered",
             Ok(_) | Err(StoreError::Refused) => "refused",
             Err(_) => "unanswered",
         };
@@ -200,7 +228,7 @@
         body: Bytes,
         wait: Duration,
         progress: &CallProgress,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Answer, StoreError> {
         let limit = RESPONSE_TIMEOUT + wait;
         let head = self.request_head(&method, path, &body, limit, progress);
         let answer = match compio::time::timeout(limit, head).await {
@@ -252,8 +280,10 @@
         connection: Connection,
         response: Response<Incoming>,
         received_bytes: &Cell<u64>,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Option<Answer> {
         let status = response.status();
+        let era = response.headers().get(ERA_HEADER);
+        let era = era.and_then(|era| era.to_str().ok()?.parse().ok());
         let body = response.into_body();
         let body = read_flowing_body(body, MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT, received_bytes);
         let body = body.await.ok()?;
@@ -261,7 +291,11 @@
         if idle.len() < MAX_IDLE {
             idle.push(connection);
         }
-        Some((status, body))
+        Some(Answer {
+            status,
+            era: era.unwrap_or(0),
+            body,
+        })
     }
 
     /// Takes an idle connection that can send a request at once.
@@ -283,52 +317,97 @@
             .expect("the parts are valid")
     }
 
-    async fn get(&self, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
+    async fn get(&self, path: &str, wait: Duration) -> Result<Success, StoreError> {
+        let answer = self.call(Method::GET, path, Bytes::new(), wait).await?;
+        success(answer)
+    }
+
+    /// Makes a read that continues at a position of an earlier read.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`StoreError::Rewound`] if the position belongs to an earlier era than the answer,
+    /// and with [`StoreError::Unanswered`] if the answer belongs to an earlier era than the position:
+    /// it was sent before the store was restored.
+    async fn get_from(
+        &self,
+        path: &str,
+        from: Position,
+        wait: Duration,
+    ) -> Result<Bytes, StoreError> {
         let answer = self.call(Method::GET, path, Bytes::new(), wait).await?;
-        success_body(answer)
+        let names_era = answer.status.is_success() || answer.status == StatusCode::GONE;
+        match answer.era.cmp(&from.era) {
+            Ordering::Greater if names_era => Err(StoreError::Rewound),
+            Ordering::Less if names_era => Err(StoreError::Unanswered),
+            _ => Ok(success(answer)?.body),
+        }
     }
 
-    async fn post(&self, path: &str, body: &impl Serialize) -> Result<Bytes, StoreError> {
+    async fn post(&self, path: &str, body: &impl Serialize) -> Result<Success, StoreError> {
         let body = serde_json::to_vec(body).expect("requests serialize");
         let answer = self
             .call(Method::POST, path, body.into(), Duration::ZERO)
             .await?;
-        success_body(answer)
+        success(answer)
     }
 
-    /// Reads the newest record of each key, page by page, and the offset at which to continue.
+    /// Reads the newest record of each key, page by page, and the position at which to continue.
     async fn read_newest(&self, topic: &str) -> Result<Changes<KeyedRecord>, StoreError> {
         let mut records = Vec::new();
-        let mut next_offset = None;
+        let mut next: Option<Position> = None;
         let mut after = String::new();
         loop {
             let path = format!("/-/log-newest?topic={topic}&part=0{after}");
             let attempts = if records.is_empty() { 1 } else { PAGE_ATTEMPTS };
-            let page: WireNewest = parse(&self.get_page(&path, attempts).await?)?;
+            let answer = self.get_page(&path, attempts).await?;
+            let page: WireNewest = parse(&answer.body)?;
+            let era = answer.era;
             // The pages are not one consistent snapshot. Reading continues at the end offset of the
             // first page, so that records appended during the later pages are not missed.
-            let end = *next_offset.get_or_insert(page.end);
+            let end = Position {
+                era,
+                offset: page.end,
+            };
+            let next = *next.get_or_insert(end);
+            if next.era != era {
+                return Err(StoreError::Rewound);
+            }
             if let Some(last) = page.items.last() {
                 after = format!("&after={}", last.key);
             }
             for item in page.items {
                 let value = BASE64_STANDARD.decode(&item.value).map_err(warn_garbled)?;
+                let may_be_restored = era > 0 && !self.is_new(topic, era, &item, &value);
                 records.push(KeyedRecord {
                     key: item.key.into(),
                     value: value.into(),
+                    may_be_restored,
                 });
             }
             if !page.more_pages {
                 return Ok(Changes {
                     items: records,
-                    next_offset: end,
+                    next_offset: next.to_u64(),
                 });
             }
         }
     }
 
+    /// Whether a record is known to have been written since the store was last restored.
+    fn is_new(&self, topic: &str, era: u64, item: &WireItem, value: &[u8]) -> bool {
+        let Some(offset) = item.offset.filter(|_| topic == SERVERS_TOPIC) else {
+            return false;
+        };
+        let mut record = vec![item.key.len() as u8];
+        record.extend_from_slice(item.key.as_bytes());
+        record.extend_from_slice(value);
+        let at = Position { era, offset };
+        self.recent_servers.borrow_mut().is_new(at, &record)
+    }
+
     /// Reads a page; tries again after a failure, so that the pages before it are not read in vain.
-    async fn get_page(&self, path: &str, attempts: u32) -> Result<Bytes, StoreError> {
+    async fn get_page(&self, path: &str, attempts: u32) -> Result<Success, StoreError> {
         let mut failures = 0;
         loop {
             match self.get(path, Duration::ZERO).await {
@@ -349,7 +428,7 @@
         topic: &str,
         position: &str,
         record: &[u8],
-    ) -> Result<WireAppended, StoreError> {
+    ) -> Result<Position, StoreError> {
         let mut body = BytesMut::new();
         body.put_u32(record.len() as u32);
         body.put_slice(record);
@@ -357,27 +436,40 @@
         let answer = self
             .call(Method::POST, &path, body.freeze(), Duration::ZERO)
             .await?;
-        parse(&success_body(answer)?)
+        let answer = success(answer)?;
+        let appended: WireAppended = parse(&answer.body)?;
+        Ok(Position {
+            era: answer.era,
+            offset: appended.offset,
+        })
     }
 
-    /// Reads the records of a keyed topic from an offset on.
+    /// Reads the records of a keyed topic from a position on.
     async fn read_records(
         &self,
         topic: &str,
         from: u64,
         wait: Duration,
     ) -> Result<Changes<KeyedRecord>, StoreError> {
+        let from = Position::from_u64(from);
+        let offset = from.offset;
         let wait_ms = wait.as_millis();
         let path = format!(
-            "/-/log-read?topic={topic}&part=0&from={from}&max_kb={READ_KB}&wait_ms={wait_ms}"
+            "/-/log-read?topic={topic}&part=0&from={offset}&max_kb={READ_KB}&wait_ms={wait_ms}"
         );
-        let answer = self.get(&path, wait).await?;
+        let answer = self.get_from(&path, from, wait).await?;
         let records = split_records(answer).ok_or(StoreError::Garbled)?;
-        let next_offset = from + records.len() as u64;
+        if topic == SERVERS_TOPIC {
+            self.recent_servers.borrow_mut().note(from, &records);
+        }
+        let next = Position {
+            offset: offset + records.len() as u64,
+            ..from
+        };
         let items: Option<Vec<KeyedRecord>> = records.into_iter().map(parse_keyed_record).collect();
         Ok(Changes {
             items: items.ok_or(StoreError::Garbled)?,
-            next_offset,
+            next_offset: next.to_u64(),
         })
     }
 }
@@ -392,13 +484,18 @@
 }
 
 /// Returns the body of a successful response, and maps other statuses to errors.
-fn success_body((status, body): (StatusCode, Bytes)) -> Result<Bytes, StoreError> {
+fn success(answer: Answer) -> Result<Success, StoreError> {
+    let Answer { status, era, body } = answer;
     match status {
-        StatusCode::OK => Ok(body),
+        StatusCode::OK => Ok(Success { era, body }),
         StatusCode::GONE => Err(StoreError::Compacted),
         StatusCode::PRECONDITION_FAILED => {
             let end: WireEnd = parse(&body)?;
-            Err(StoreError::Conflict(end.end))
+            let end = Position {
+                era,
+                offset: end.end,
+            };
+            Err(StoreError::Conflict(end.to_u64()))
         }
         status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
             Err(StoreError::Refused)
@@ -430,7 +527,11 @@
         return None;
     }
     let key = record.split_to(length);
-    Some(KeyedRecord { key, value: record })
+    Some(KeyedRecord {
+        key,
+        value: record,
+        may_be_restored: false,
+    })
 }
 
 /// Decodes the configurations among the operator's records; invalid ones are skipped.
@@ -499,7 +600,7 @@
             ttl_ms: ttl.as_millis() as u64,
             generation,
         };
-        let joined: WireJoined = parse(&self.post("/-/log-join", &join).await?)?;
+        let joined: WireJoined = parse(&self.post("/-/log-join", &join).await?.body)?;
         let mut parts = joined.parts.iter();
         Ok(Membership {
             generation: joined.generation,
@@ -521,7 +622,7 @@
     async fn members(&self) -> Result<Members, StoreError> {
         let path = format!("/-/log-owners?group={GROUP}");
         let answer = self.get(&path, Duration::ZERO).await?;
-        let owners: WireOwners = parse(&answer)?;
+        let owners: WireOwners = parse(&answer.body)?;
         let partitions = owners.parts.len();
         let owners = owners.parts.into_iter().map(|(_, _, member, _)| member);
         let mut names: Vec<Name> = owners.map(Name::from).collect();
@@ -547,9 +648,11 @@
 
 impl LeadershipClaims for PlatformStore {
     async fn has_later_claim(&self, fence: u64) -> Result<bool, StoreError> {
-        // A claim's fence is its offset plus one, which is the offset of the next claim.
-        let path = format!("/-/log-read?topic={CLAIMS_TOPIC}&part=0&from={fence}&wait_ms=0");
-        let answer = self.get(&path, Duration::ZERO).await;
+        // A claim's fence is its position plus one, which is the position of the next claim.
+        let next = Position::from_u64(fence);
+        let from = next.offset;
+        let path = format!("/-/log-read?topic={CLAIMS_TOPIC}&part=0&from={from}&wait_ms=0");
+        let answer = self.get_from(&path, next, Duration::ZERO).await;
         match answer {
             Ok(answer) => {
                 let records = split_records(answer).ok_or(StoreError::Garbled)?;
@@ -557,16 +660,19 @@
             }
             // Records are compacted away only after later ones have been appended.
             Err(StoreError::Compacted) => Ok(true),
+            // The claim may be lost, and its fence is lower than any of the new era.
+            Err(StoreError::Rewound) => Ok(true),
             Err(error) => Err(error),
         }
     }
 
     async fn claim(&self, leader: &str, offset: u64) -> Result<u64, StoreError> {
-        let position = format!("&at={offset}");
+        let at = Position::from_u64(offset).offset;
+        let position = format!("&at={at}");
         let appended = self
             .append(CLAIMS_TOPIC, &position, leader.as_bytes())
             .await?;
         // Fences begin at 1, so that no claim's fence is mistaken for a missing one.
-        Ok(appended.offset + 1)
+        Ok(appended.to_u64() + 1)
     }
 }
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests that the platform's formats are read correctly and that invalid input is reported.
 
+mod recent_records;
+
 use crate::callers::ApiKey;
 use crate::gateway::{Changes, Protocol, Reply, RouteKind, SendOptions, ServerChange, StatedLoad};
 use crate::platform::PlatformProtocol;
@@ -266,6 +268,7 @@
     let record = |entry: &Value| KeyedRecord {
         key: "i".into(),
         value: entry.to_string().into(),
+        may_be_restored: false,
     };
     let mut without_start = entry();
     without_start
