--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -143,6 +143,13 @@
     /// The requests of other zones at runners, from what these stated to the sender; sent within a zone.
     #[prost(message, optional, tag = "44")]
     pub(super) runner_loads: Option<RunnerLoadsPart>,
+    /// The version of the configuration in force at the sender. Sent only after the log was restored
+    /// from a copy, which may contain an older one.
+    #[prost(uint64, tag = "42")]
+    pub(super) configuration_version: u64,
+    /// Whether the sender knows that no later version was in force before the restore.
+    #[prost(bool, tag = "43")]
+    pub(super) is_configuration_checked: bool,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
