Plain calls: shared load of servers decides where they go and which are refused

Cause: each of some 60 VMs sends a plain server less than one call per second, so a VM's own view of it is outdated at the next call.

Change: VMs share what servers state in X-Server-Load (Digest tag 41). Calls are divided among servers by what each can take until all would answer equally late, refused on arrival beyond what is answered within 0.8 of the target, and after a rejection tried elsewhere, held or refused. Where no server states its load, calls go where they went before.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -143,6 +143,7 @@
         let now = Instant::now();
         self.state.settle_containment(now);
         self.state.refresh_server_speeds(now);
+        self.state.plain_loads.expire(now);
         let mut digest = self.digest();
         self.state
             .peers
@@ -170,6 +171,7 @@
             usage_report: own_reports.quotas.first().cloned(),
             server_limits: own_reports.server_limits.first().cloned(),
             server_speeds: self.state.server_speeds.own_part(round),
+            plain_loads: self.state.plain_loads.own_part(now),
             ..digest.clone()
         };
         let local_targets = match is_to_all {
@@ -199,6 +201,7 @@
         let mut remote_digest = Digest {
             next_in_ms: (INTERVAL * remote_rounds as u32).as_millis() as u32,
             server_speeds: self.state.server_speeds.zone_part(round),
+            plain_loads: self.state.plain_loads.zone_part(now),
             ..digest
         };
         if remote_rounds > 1 {
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -4,6 +4,7 @@
 use crate::gateway::crash_message::{ClearanceMessage, ContainedCauseMessage, CrashReportMessage};
 use crate::gateway::directory_updates::DirectoryUpdate;
 use crate::gateway::fleet::{Incarnation, Server};
+use crate::gateway::plain_load::PlainLoadsPart;
 use crate::gateway::server_limits::LimitStatement;
 use crate::gateway::server_speed::ServerSpeedsPart;
 use crate::gateway::sighting_message::{LeaderSeen, ZoneVms};
@@ -139,6 +140,10 @@
     /// The requests that wait for runners at the sender, the largest numbers first.
     #[prost(message, repeated, tag = "39")]
     pub(super) waiting: Vec<WaitingRequests>,
+    /// The load of plain servers: as the sender was told, or, in messages to remote zones, any VM of
+    /// the zone of the sender.
+    #[prost(message, optional, tag = "41")]
+    pub(super) plain_loads: Option<PlainLoadsPart>,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -78,6 +78,7 @@
         self.apply_shared_usage(sender, &digest, now);
         self.apply_stream_versions(sender, &digest, now);
         self.apply_server_speeds(sender, &digest, now);
+        self.apply_plain_loads(sender, &digest, now);
         if digest.has_loads {
             self.state.peers.apply_loads(sender, &digest);
         }
@@ -171,6 +172,20 @@
         }
     }
 
+    fn apply_plain_loads(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
+        let loads = &self.state.plain_loads;
+        if digest.is_leaving {
+            loads.forget_vm(&sender);
+        }
+        let Some(part) = &digest.plain_loads else {
+            return;
+        };
+        match digest.availability_zone == self.state.settings.availability_zone.as_str() {
+            true => loads.apply_vm(sender, part, now),
+            false => loads.apply_zone(&digest.availability_zone.as_str().into(), part, now),
+        }
+    }
+
     fn apply_prompts(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
         self.state.peers.apply_prompts(sender, &digest.prompts);
         for prompt in &digest.prompts {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -127,6 +127,10 @@
         "stated_loads",
         "loads that servers stated in responses, by what came of them",
     ),
+    describe(
+        "plain_decisions",
+        "plain calls refused by the load of servers, and rejected calls, by what came of them",
+    ),
     describe("vms", "VMs known, this one included"),
     describe("is_leading", "1 while this VM gives orders"),
     describe("open_connections", "callers' connections"),
@@ -224,6 +228,8 @@
     pub(crate) slow_servers: Gauge,
     /// Loads that servers stated.
     pub(crate) stated_loads: Family<OutcomeLabels, Counter>,
+    /// Decisions on plain calls by the load of their servers.
+    pub(crate) plain_decisions: Family<OutcomeLabels, Counter>,
     pub(crate) vms: Gauge,
     pub(crate) is_leading: Gauge,
     pub(crate) open_connections: Gauge,
@@ -272,6 +278,7 @@
             limited_servers: Gauge::default(),
             slow_servers: Gauge::default(),
             stated_loads: Family::default(),
+            plain_decisions: Family::default(),
             vms: Gauge::default(),
             is_leading: Gauge::default(),
             open_connections: Gauge::default(),
@@ -311,6 +318,7 @@
         self.register("closed_unread", self.closed_unread.clone());
         self.register("attempts", self.attempts.clone());
         self.register("stated_loads", self.stated_loads.clone());
+        self.register("plain_decisions", self.plain_decisions.clone());
         self.register("forwarded_requests", self.forwarded.clone());
         self.register("orders_given", self.orders.clone());
         self.register("served_requests", self.requests.clone());
@@ -373,6 +381,13 @@
             .inc();
     }
 
+    /// Counts a decision on a plain call.
+    pub(crate) fn note_plain_decision(&self, outcome: &'static str) {
+        self.plain_decisions
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts a request forwarded to another VM, or by another VM to this one.
     pub(crate) fn note_forwarded(&self, outcome: &'static str) {
         self.forwarded
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,6 +57,8 @@
 mod peer_search;
 mod peers;
 mod placement;
+mod plain_calls;
+mod plain_load;
 mod predicted_wait;
 mod prompt_part;
 mod reachability;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -237,6 +237,7 @@
     /// Answers a call whose response is buffered completely before it is forwarded, so that the
     /// call can be retried on another server if the response is cut off.
     async fn answer_plain(&self, call: &mut Call) -> Result<Response<Body>, Failure> {
+        self.admit_plain(call)?;
         let mut failed_answer: Option<(response::Parts, Bytes)> = None;
         loop {
             let exchange = match self.send_until_answered(call, None, None).await {
@@ -375,7 +376,12 @@
         last_event: Option<u64>,
         weights_version: Option<u64>,
     ) -> Result<Exchange, Failure> {
+        let mut refused = call.refused;
         loop {
+            if call.refused > refused {
+                refused = call.refused;
+                self.settle_rejected(call).await?;
+            }
             let server = self.upstream_for(call).await?;
             let is_retry = call.has_arrived() || (!server.is_vm && call.unreached > 0);
             if is_retry && !self.reserve_retry(call) {
@@ -394,7 +400,7 @@
     }
 
     /// Reserves a retry from the budget for the next attempt, unless the call has one reserved.
-    fn reserve_retry(&self, call: &Call) -> bool {
+    pub(super) fn reserve_retry(&self, call: &Call) -> bool {
         if call.has_reserved_retry.get() {
             return true;
         }
@@ -550,6 +556,7 @@
         if is_valid && !is_other && !server.is_vm && !exchange.is_from_other_server() {
             self.state
                 .note_server_statements(&exchange.reply, &server, now);
+            self.note_plain_load(call, &exchange, now);
         }
         if is_refused && !is_other && !server.is_vm {
             self.state.metrics.note_attempt("refused");
@@ -607,7 +614,7 @@
         if call.runs > 0 {
             Failure::Unknown
         } else {
-            Failure::Full(None)
+            Failure::Full(self.plain_return_after(call))
         }
     }
 
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -35,6 +35,8 @@
     candidate: Candidate,
     /// The number of eligible servers.
     candidates: usize,
+    /// Whether calls were divided among the servers by their load.
+    is_divided: bool,
 }
 
 impl Choice {
@@ -55,6 +57,7 @@
             read_ms = call.cost.prefill_ms as u64,
             has_failed = self.candidate.has_failed,
             candidates = self.candidates,
+            is_divided = self.is_divided,
             waited_ms = call.arrived.elapsed().as_millis() as u64,
             "routed"
         );
@@ -388,15 +391,28 @@
     /// Picks the best candidate among servers, by load and penalties.
     fn pick(&self, call: &Call, servers: &[Rc<Server>], now: Instant) -> Option<Choice> {
         let peer_loads = self.state.peers.loads();
-        let candidates: Vec<Candidate> = servers
+        let divided = self.divided_servers(call, servers, now);
+        let kept = divided.as_deref().unwrap_or(servers);
+        let candidates: Vec<Candidate> = kept
             .iter()
             .map(|server| self.candidate(call, server, &peer_loads, now))
             .collect();
-        let index = choose(&candidates, rand::random)?;
+        // Load and speed have decided already which servers are kept.
+        let compared = candidates.iter().map(|it| match divided {
+            Some(_) => Candidate {
+                in_flight: 0,
+                slowness: 1.0,
+                ..*it
+            },
+            None => *it,
+        });
+        let compared: Vec<Candidate> = compared.collect();
+        let index = choose(&compared, rand::random)?;
         Some(Choice {
-            server: servers[index].clone(),
+            server: kept[index].clone(),
             candidate: candidates[index],
-            candidates: candidates.len(),
+            candidates: servers.len(),
+            is_divided: divided.is_some(),
         })
     }
 
--- a/src/gateway/server_speed/mod.rs
+++ b/src/gateway/server_speed/mod.rs
@@ -168,6 +168,17 @@
         self.stated.borrow().in_flight(run_id(run), now)
     }
 
+    /// Returns what came of the last statement of a run of a server.
+    pub(crate) fn stated_verdict(&self, run: &Incarnation) -> Option<Verdict> {
+        self.stated.borrow().verdict(run_id(run))
+    }
+
+    /// Whether a server has stated different slowness, and its responses to this VM did not take
+    /// longer when it stated more.
+    pub(crate) fn has_false_slowness(&self, run: &Incarnation) -> bool {
+        self.stated.borrow().has_false_slowness(run_id(run))
+    }
+
     /// Returns the number of servers that are reported as slow.
     pub(crate) fn slow_servers(&self) -> usize {
         self.slow.borrow().len()
--- a/src/gateway/server_speed/stated_load.rs
+++ b/src/gateway/server_speed/stated_load.rs
@@ -27,6 +27,10 @@
 /// 100 servers that state random figures reach it with the least number of responses.
 const MIN_EXPLAINED: f64 = 0.3;
 
+/// The variation of the stated slowness from which a server may be found to state a false one: that
+/// of some four responses with two and a half times the usual one.
+const MIN_STATED_VARIATION: f64 = 3.0;
+
 /// What a server states of its load in a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct StatedLoad {
@@ -89,6 +93,10 @@
 }
 
 impl SlownessFit {
+    fn stated_variation(&self) -> f64 {
+        self.stated_squared - self.stated * self.stated / self.responses.max(1.0)
+    }
+
     fn add(&mut self, stated: f64, took: f64) {
         let add = |sum: &mut f64, value: f64| *sum = *sum * RETENTION + value;
         add(&mut self.responses, 1.0);
@@ -199,6 +207,21 @@
         effect.map_or(1.0, f64::exp)
     }
 
+    /// What came of the last statement of a run.
+    pub(super) fn verdict(&self, run: u32) -> Option<Verdict> {
+        Some(self.runs.get(&run)?.verdict)
+    }
+
+    /// Whether the stated slowness of a run varies and the times of its responses contradict it.
+    pub(super) fn has_false_slowness(&self, run: u32) -> bool {
+        let fit = self.runs.get(&run).map(|it| &it.fit);
+        fit.is_some_and(|it| {
+            it.stated_variation() >= MIN_STATED_VARIATION
+                && it.responses >= MIN_RESPONSES
+                && it.effect(0.0).is_none()
+        })
+    }
+
     /// Removes the statements of runs that are not listed.
     pub(super) fn retain(&mut self, is_listed: impl Fn(u32) -> bool) {
         self.runs.retain(|run, _| is_listed(*run));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use crate::gateway::log_follower::{FollowerState, Reading, Readings, follows_closely};
 use crate::gateway::outbox::UpdateScope;
 use crate::gateway::peers::Peers;
+use crate::gateway::plain_load::PlainLoads;
 use crate::gateway::reachability::{Reachability, ReachabilityChange};
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
@@ -88,6 +89,8 @@
     pub(crate) returns: ReturnCalendar,
     /// How fast each backend server is compared with others.
     pub(crate) server_speeds: ServerSpeeds,
+    /// The load of plain servers.
+    pub(crate) plain_loads: PlainLoads,
     /// The quota usage of organisations, at this VM and at others.
     pub(crate) ledger: RefCell<Ledger>,
     /// The rate limits that backend servers state.
@@ -158,6 +161,7 @@
             wait_queues: Rc::default(),
             returns: ReturnCalendar::new(Instant::now()),
             server_speeds: ServerSpeeds::default(),
+            plain_loads: PlainLoads::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
             server_limits: RefCell::new(ServerLimits::new(Instant::now())),
             reachability: RefCell::default(),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -17,6 +17,8 @@
 mod order_dispatch;
 mod packed_document;
 mod pages;
+mod plain_load;
+mod plain_play;
 mod planning;
 mod quota_play;
 mod quota_ways;
