--- /dev/null
+++ b/workbench/tests/site_plain_load.rs
@@ -0,0 +1,124 @@
+//! On the platform: plain servers state their load, and VMs share it and send calls by it.
+
+use googletest::prelude::*;
+use serde_json::json;
+use std::time::Duration;
+use workbench::cluster::block_on;
+use workbench::site::{
+    Caller, CallerRequest, ReceivedRequest, ScriptStep, Site, plain, route, signed_answer,
+};
+
+const SERVER_LOAD: &str = "X-Server-Load";
+/// The work of a call: far below the target of the routes.
+const WORK: Duration = Duration::from_millis(50);
+/// The answer of a server whose slots and queue are full.
+const FULL: &str = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+fn work(call: &ReceivedRequest) -> Vec<ScriptStep> {
+    let answer = signed_answer(call.header("x-attempt-id"), 200, "done");
+    vec![ScriptStep::Wait(WORK), ScriptStep::Write(answer)]
+}
+
+/// Two VMs and two servers that answer calls.
+async fn site() -> Site {
+    let mut site = Site::start(vec![("books", vec![]); 2]).await;
+    site.configure(
+        json!([
+            route("/", "safe", "books"),
+            route("/orders/", "unsafe", "books")
+        ]),
+        json!([plain("books")]),
+    );
+    for server in &site.servers {
+        server.script(work);
+    }
+    site.start_vms(2);
+    site.wait_ready().await;
+    site
+}
+
+/// Sends calls to a VM until it knows how long they take and what other VMs were told.
+async fn warm_up(site: &Site, caller: &Caller, path: &str) {
+    for _ in 0..10 {
+        for vm in 0..2 {
+            let answer = caller
+                .request(site.front(vm), &CallerRequest::get(path))
+                .await;
+            expect_that!(answer.status, some(eq(200)), "{answer:?}");
+        }
+    }
+    compio::time::sleep(Duration::from_millis(1_200)).await;
+}
+
+/// Guards against calls that are spread evenly although one server states a long queue.
+#[googletest::test]
+fn a_server_with_a_long_queue_gets_few_calls() {
+    block_on(async {
+        let site = site().await;
+        let caller = Caller::default();
+        warm_up(&site, &caller, "/x").await;
+        let mut before = 0;
+        for index in 0..50 {
+            // Counts that stay the same while the load changes are not believed.
+            let (full, idle) = match index % 2 {
+                0 => ("64,500,64,100", "1,0,64,100"),
+                _ => ("64,490,64,100", "2,0,64,100"),
+            };
+            site.servers[0].set_header(SERVER_LOAD, Some(full));
+            site.servers[1].set_header(SERVER_LOAD, Some(idle));
+            if index == 10 {
+                before = site.servers[0].arrivals().len();
+            }
+            for vm in 0..2 {
+                caller
+                    .request(site.front(vm), &CallerRequest::get("/x"))
+                    .await;
+            }
+        }
+        let at_full = site.servers[0].arrivals().len() - before;
+        println!("{at_full} of 80 calls at the full server");
+        expect_that!(at_full, lt(27));
+    });
+}
+
+/// Guards against unsafe calls that run although their caller is told that they did not, and against
+/// calls sent to servers that are known to be full.
+#[googletest::test]
+fn calls_to_full_servers_are_refused_and_did_not_run() {
+    block_on(async {
+        let site = site().await;
+        let caller = Caller::default();
+        for server in &site.servers {
+            server.set_header(SERVER_LOAD, Some("1,0,64,100"));
+        }
+        warm_up(&site, &caller, "/orders/1").await;
+        for server in &site.servers {
+            server.set_header(SERVER_LOAD, Some("64,500,64,100"));
+            server.script(|_| vec![ScriptStep::Write(FULL.as_bytes().to_vec())]);
+        }
+        let arrivals = || -> usize { site.servers.iter().map(|it| it.arrivals().len()).sum() };
+        let before = arrivals();
+        for index in 0..30 {
+            let order = CallerRequest::post("/orders/1", "order");
+            let answer = caller.request(site.front(index % 2), &order).await;
+            expect_that!(answer.promises_not_run(), eq(true), "{answer:?}");
+            let after: f64 = answer.header("retry-after").parse().unwrap_or(-1.0);
+            // A third of the five seconds that the caller has.
+            expect_that!(after, all![ge(0.0), le(1.7)], "{answer:?}");
+        }
+        let sent = arrivals() - before;
+        println!("{sent} calls sent for 30 orders");
+        expect_that!(sent, lt(30));
+        // The servers have room again.
+        for server in &site.servers {
+            server.set_header(SERVER_LOAD, Some("1,0,64,100"));
+            server.script(work);
+        }
+        site.wait("calls are answered again", async || {
+            let order = CallerRequest::post("/orders/1", "order");
+            let answer = caller.request(site.front(0), &order).await;
+            answer.status == Some(200)
+        })
+        .await;
+    });
+}
