--- a/workbench/tests/site_plain_load.rs
+++ b/workbench/tests/site_plain_load.rs
@@ -19,6 +19,18 @@
     vec![ScriptStep::Wait(WORK), ScriptStep::Write(answer)]
 }
 
+/// The same with a statement of the load, which `set_header` adds only to answers without a wait.
+fn work_and_state(call: &ReceivedRequest, load: &str) -> Vec<ScriptStep> {
+    let answer = signed_answer(call.header("x-attempt-id"), 200, "done");
+    let answer = String::from_utf8(answer).expect("the answer is text");
+    let head = format!("\r\n{SERVER_LOAD}: {load}\r\n");
+    let answer = answer.replacen("\r\n", &head, 1);
+    vec![
+        ScriptStep::Wait(WORK),
+        ScriptStep::Write(answer.into_bytes()),
+    ]
+}
+
 /// Two VMs and two servers that answer calls.
 async fn site() -> Site {
     let mut site = Site::start(vec![("books", vec![]); 2]).await;
@@ -64,8 +76,8 @@
                 0 => ("64,500,64,100", "1,0,64,100"),
                 _ => ("64,490,64,100", "2,0,64,100"),
             };
-            site.servers[0].set_header(SERVER_LOAD, Some(full));
-            site.servers[1].set_header(SERVER_LOAD, Some(idle));
+            site.servers[0].script(move |call| work_and_state(call, full));
+            site.servers[1].script(move |call| work_and_state(call, idle));
             if index == 10 {
                 before = site.servers[0].arrivals().len();
             }
