--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -4,6 +4,7 @@
 use crate::gateway::crash_message::{ClearanceMessage, ContainedCauseMessage, CrashReportMessage};
 use crate::gateway::directory_updates::DirectoryUpdate;
 use crate::gateway::fleet::{Incarnation, Server};
+use crate::gateway::plain_load::PlainLoadsPart;
 use crate::gateway::runner_load::RunnerLoadsPart;
 use crate::gateway::server_limits::LimitStatement;
 use crate::gateway::server_speed::ServerSpeedsPart;
@@ -150,6 +151,10 @@
     /// Whether the sender knows that no later version was in force before the restore.
     #[prost(bool, tag = "43")]
     pub(super) is_configuration_checked: bool,
+    /// The load of plain servers: as the sender was told, or, in messages to remote zones, any VM of
+    /// the zone of the sender.
+    #[prost(message, optional, tag = "41")]
+    pub(super) plain_loads: Option<PlainLoadsPart>,
     /// Whether this message carries only some fields and does not replace the state of its sender.
     #[prost(bool, tag = "7")]
     pub(super) is_partial: bool,
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -86,6 +86,7 @@
         if let Some(part) = &digest.runner_loads {
             self.state.runner_loads.apply(part, now);
         }
+        self.apply_plain_loads(sender, &digest, now);
         if digest.has_loads {
             self.state.peers.apply_loads(sender, &digest);
         }
@@ -179,6 +180,20 @@
         }
     }
 
+    fn apply_plain_loads(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
+        let loads = &self.state.plain_loads;
+        if digest.is_leaving {
+            loads.forget_vm(&sender);
+        }
+        let Some(part) = &digest.plain_loads else {
+            return;
+        };
+        match digest.availability_zone == self.state.settings.availability_zone.as_str() {
+            true => loads.apply_vm(sender, part, now),
+            false => loads.apply_zone(&digest.availability_zone.as_str().into(), part, now),
+        }
+    }
+
     fn apply_prompts(&self, sender: SocketAddr, digest: &Digest, now: Instant) {
         self.state.peers.apply_prompts(sender, &digest.prompts);
         for prompt in &digest.prompts {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -131,6 +131,10 @@
         "log_era",
         "how often the log has been restored from an older copy",
     ),
+    describe(
+        "plain_decisions",
+        "plain calls refused by the load of servers, and rejected calls, by what came of them",
+    ),
     describe("vms", "VMs known, this one included"),
     describe("is_leading", "1 while this VM gives orders"),
     describe("open_connections", "callers' connections"),
@@ -230,6 +234,8 @@
     pub(crate) stated_loads: Family<OutcomeLabels, Counter>,
     /// The latest known era of the log.
     pub(crate) log_era: Gauge,
+    /// Decisions on plain calls by the load of their servers.
+    pub(crate) plain_decisions: Family<OutcomeLabels, Counter>,
     pub(crate) vms: Gauge,
     pub(crate) is_leading: Gauge,
     pub(crate) open_connections: Gauge,
@@ -279,6 +285,7 @@
             slow_servers: Gauge::default(),
             stated_loads: Family::default(),
             log_era: Gauge::default(),
+            plain_decisions: Family::default(),
             vms: Gauge::default(),
             is_leading: Gauge::default(),
             open_connections: Gauge::default(),
@@ -319,6 +326,7 @@
         self.register("closed_unread", self.closed_unread.clone());
         self.register("attempts", self.attempts.clone());
         self.register("stated_loads", self.stated_loads.clone());
+        self.register("plain_decisions", self.plain_decisions.clone());
         self.register("forwarded_requests", self.forwarded.clone());
         self.register("orders_given", self.orders.clone());
         self.register("served_requests", self.requests.clone());
@@ -381,6 +389,13 @@
             .inc();
     }
 
+    /// Counts a decision on a plain call.
+    pub(crate) fn note_plain_decision(&self, outcome: &'static str) {
+        self.plain_decisions
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts a request forwarded to another VM, or by another VM to this one.
     pub(crate) fn note_forwarded(&self, outcome: &'static str) {
         self.forwarded
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use crate::gateway::outbox::UpdateScope;
 use crate::gateway::peer_loads::PeerLoads;
 use crate::gateway::peers::Peers;
+use crate::gateway::plain_load::PlainLoads;
 use crate::gateway::reachability::{Reachability, ReachabilityChange};
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
@@ -107,6 +108,8 @@
     pub(crate) server_speeds: ServerSpeeds,
     /// The requests of other zones at runners, as these state.
     pub(crate) runner_loads: RunnerLoads,
+    /// The load of plain servers.
+    pub(crate) plain_loads: PlainLoads,
     /// The quota usage of organisations, at this VM and at others.
     pub(crate) ledger: RefCell<Ledger>,
     /// The rate limits that backend servers state.
@@ -182,6 +185,7 @@
             returns: ReturnCalendar::new(Instant::now()),
             server_speeds: ServerSpeeds::default(),
             runner_loads: RunnerLoads::default(),
+            plain_loads: PlainLoads::default(),
             ledger: RefCell::new(Ledger::new(settings.bounds.quota, Instant::now())),
             server_limits: RefCell::new(ServerLimits::new(Instant::now())),
             reachability: RefCell::default(),
