Prediction of waits: copies being loaded count from when they are expected

The prediction counted only loaded copies. A request was refused although a copy being loaded would have started it within its hold, and a request for a model that no runner holds waited to the end of its hold even if the copy was expected later; its caller was then told to return at a time unrelated to the load.

The leader states with a runner's holdings which model it is loading and when the copy is expected (ServerHoldings tag 4). VMs add the copy's starts from then on, refuse at once if the first copy is expected after the hold, and tell callers to return when it is ready. A new leader counts loads that it was told of as copies while the runner is busy, so that it does not order them again elsewhere. Where no load is known, the prediction is unchanged. Calls in tests/waiting.rs pass the rate as ExpectedStarts::steady; their assertions are unchanged.

Not run: tests with real processes.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::Weights;
 use crate::gateway::backlog::Backlog;
+use crate::gateway::coming_copy::ComingCopy;
 use crate::gateway::reachability::ListedServers;
 use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
@@ -135,6 +136,8 @@
     missing_weights: RefCell<Vec<(Weights, Instant)>>,
     /// When the leader last advertised the server's holdings, and which.
     leader_view: RefCell<Option<(Instant, Vec<Holding>)>>,
+    /// The copy that the server is loading, as far as this VM was told.
+    coming: RefCell<Option<ComingCopy>>,
 }
 
 /// Keeps a request counted as in flight on a server until dropped.
@@ -173,6 +176,7 @@
             paused_until: Cell::new(None),
             missing_weights: RefCell::default(),
             leader_view: RefCell::new(None),
+            coming: RefCell::new(None),
         }
     }
 
@@ -341,6 +345,21 @@
         *self.leader_view.borrow_mut() = Some((now, holdings));
     }
 
+    /// Records the copy that the server is loading, if it is loading one.
+    pub(crate) fn note_coming(&self, coming: Option<ComingCopy>) {
+        *self.coming.borrow_mut() = coming;
+    }
+
+    /// Returns the copy that the server is loading, unless it is loaded or no longer expected.
+    pub(crate) fn coming(&self, now: Instant) -> Option<ComingCopy> {
+        let coming = self.coming.borrow();
+        let coming = coming.as_ref().filter(|it| it.is_expected(now))?;
+        let is_held = self.with_holdings(now, |holdings| {
+            holdings.iter().any(|held| held.model == coming.model)
+        });
+        (!is_held).then(|| coming.clone())
+    }
+
     /// Whether the server holds these weights, as far as this VM knows.
     pub(crate) fn holds(&self, weights: &Weights, now: Instant) -> bool {
         let missing_weights = self.missing_weights.borrow();
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -429,6 +429,19 @@
     pub(super) started_ms: u64,
     #[prost(message, repeated, tag = "2")]
     pub(super) models: Vec<ModelHolding>,
+    /// The model that the runner is loading.
+    #[prost(message, optional, tag = "4")]
+    pub(super) loading: Option<LoadingModel>,
+}
+
+/// A model that a runner is loading.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct LoadingModel {
+    #[prost(string, tag = "1")]
+    pub(super) model: String,
+    /// The time until it is expected to be loaded, in milliseconds; negative if it is late.
+    #[prost(sint32, tag = "2")]
+    pub(super) ready_in_ms: i32,
 }
 
 /// A model that a runner holds, with the loaded adapters.
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -3,6 +3,7 @@
 
 use crate::callers::Ledger;
 use crate::gateway::PromptPart;
+use crate::gateway::coming_copy::ComingCopy;
 use crate::gateway::crash_state::PeerCrashNews;
 use crate::gateway::fleet::Incarnation;
 use crate::gateway::fleet::holding;
@@ -196,6 +197,10 @@
             let models = runner.models.iter();
             let holdings = models.map(|it| holding(&it.model, it.version, &it.adapters));
             server.note_leader_view(holdings.collect(), now);
+            let loading = runner.loading.as_ref();
+            server.note_coming(loading.map(|loading| {
+                ComingCopy::after_ms(loading.model.as_str().into(), loading.ready_in_ms, now)
+            }));
         }
         self.state.changed.notify();
     }
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -2,12 +2,13 @@
 //! what runners have loaded.
 
 use crate::callers::{Ledger, UsageReport};
+use crate::gateway::coming_copy::ComingCopy;
 use crate::gateway::crash_message::ContainedCauseMessage;
 use crate::gateway::directory_updates::encode_holding;
 use crate::gateway::fleet::{Holding, Incarnation, Server};
 use crate::gateway::gossip::{Gossip, INTERVAL};
 use crate::gateway::gossip_message::{
-    Digest, FollowedLog, ServerHoldings, ServerLimitsPart, ServerRequests, ServerRun,
+    Digest, FollowedLog, LoadingModel, ServerHoldings, ServerLimitsPart, ServerRequests, ServerRun,
     UsageReportPart, WaitingRequests, WeightsDemand, ZoneLoadSums,
 };
 use crate::gateway::gossip_targets::Targets;
@@ -48,6 +49,7 @@
 #[derive(Debug)]
 pub(super) struct AdvertisedHoldings {
     holdings: Vec<Holding>,
+    coming: Option<ComingCopy>,
     changed_at: Instant,
     sent_at: Option<Instant>,
 }
@@ -57,6 +59,7 @@
     pub(super) fn new(holdings: &[Holding], now: Instant) -> Self {
         Self {
             holdings: holdings.to_vec(),
+            coming: None,
             changed_at: now,
             sent_at: None,
         }
@@ -70,6 +73,14 @@
         }
     }
 
+    /// Replaces the copy that is being loaded, and records a change if it is another.
+    pub(super) fn update_coming(&mut self, coming: Option<ComingCopy>, now: Instant) {
+        if self.coming != coming {
+            self.coming = coming;
+            self.changed_at = now;
+        }
+    }
+
     /// Whether the holdings should be sent now.
     ///
     /// Holdings that the directory lists (`is_listed`) reach every VM through the directory, so
@@ -148,7 +159,9 @@
         let mut messages: Vec<Digest> = Vec::new();
         let mut bytes = 0;
         for (run, holdings) in self.due_holdings(now) {
-            let encoded = holdings_message(&run, &holdings);
+            let server = self.state.fleet.run(&run);
+            let coming = server.and_then(|server| server.coming(now));
+            let encoded = holdings_message(&run, &holdings, coming.as_ref(), now);
             // Beside its fields, each runner takes a tag and its length.
             let length = encoded.encoded_len() + ENCODING_OVERHEAD_BYTES;
             if messages.is_empty() || bytes + length > MAX_MESSAGE_BYTES {
@@ -303,6 +316,8 @@
                 .or_insert_with(|| AdvertisedHoldings::new(holdings, now));
             advertised.update(holdings, now);
             let server = self.state.fleet.run(run);
+            let coming = server.as_ref().and_then(|server| server.coming(now));
+            advertised.update_coming(coming, now);
             let is_listed = server.is_some_and(|server| server.lists(holdings));
             if advertised.is_due(is_listed, now) {
                 due.push((advertised.changed_at, run.clone(), holdings.clone()));
@@ -315,11 +330,20 @@
     }
 }
 
-/// Encodes the holdings of one run of a server.
-fn holdings_message(run: &Incarnation, holdings: &[Holding]) -> ServerHoldings {
+/// Encodes the holdings of one run of a server, and the copy that it is loading.
+fn holdings_message(
+    run: &Incarnation,
+    holdings: &[Holding],
+    coming: Option<&ComingCopy>,
+    now: Instant,
+) -> ServerHoldings {
     ServerHoldings {
         server: run.id.to_string(),
         started_ms: run.started_ms,
         models: holdings.iter().map(encode_holding).collect(),
+        loading: coming.map(|coming| LoadingModel {
+            model: coming.model.to_string(),
+            ready_in_ms: coming.ready_in_ms(now),
+        }),
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -50,7 +50,7 @@
     ),
     describe(
         "predicted_wait_seconds",
-        "predicted wait of a request that found all slots taken",
+        "predicted wait of a request that found all slots taken, or its model being loaded",
     ),
     describe(
         "waiting_requests",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod caller_request;
 mod change_history;
 mod choose;
+mod coming_copy;
 mod configuration;
 mod containment_keeper;
 mod crash_check;
--- a/src/gateway/order_queue.rs
+++ b/src/gateway/order_queue.rs
@@ -1,8 +1,10 @@
 //! Executes the orders for one runner in sequence: each is sent once the previous one is complete.
 
+use crate::gateway::coming_copy::ComingCopy;
 use crate::gateway::fleet::{Server, holds};
 use crate::gateway::load_limit::LoadReservation;
 use crate::gateway::order_dispatch::OrderDispatcher;
+use crate::gateway::outbox::UpdateScope;
 use crate::gateway::placement::RunnerPlan;
 use crate::gateway::runner_state::{MIN_RESIDENCE, apply_order};
 use crate::gateway::{Order, OrderOutcome, RunnerControl, RunnerReport, Weights};
@@ -49,6 +51,7 @@
             tracked.loading = None;
             tracked.unloading = None;
         }
+        target.server.note_coming(None);
         self.advertise_holdings();
     }
 
@@ -117,6 +120,9 @@
             match outcome {
                 OrderOutcome::Accepted => {
                     self.note_accepted(server, weights, is_load);
+                    if is_load && weights.adapter.is_none() {
+                        self.note_load_begun(server, weights);
+                    }
                     let cold_load = target.cold_load.as_ref();
                     if let Some(load) = cold_load.filter(|_| is_load && weights.adapter.is_none()) {
                         load.note_started(Instant::now());
@@ -240,6 +246,27 @@
         }
     }
 
+    /// Records when the copy that a runner began to load is expected, and tells the other VMs.
+    fn note_load_begun(&self, server: &Server, weights: &Weights) {
+        // The runner's report shows a copy with this delay, and requests are sent from then on.
+        let ready_in = self.min_duration(server, weights, true) + REPORT_LAG;
+        info!(
+            server = %server.id,
+            model = %weights.model,
+            ready_in_ms = ready_in.as_millis() as u64,
+            "copy expected"
+        );
+        server.note_coming(Some(ComingCopy {
+            model: weights.model.clone(),
+            ready_at: Instant::now() + ready_in,
+        }));
+        self.state.changed.notify();
+        self.state
+            .peers
+            .outbox
+            .trigger_update(UpdateScope::Holdings);
+    }
+
     fn note_already_done(&self, server: &Server, weights: &Weights, is_load: bool) {
         let mut all = self.runner_states.borrow_mut();
         let tracked = all.get_mut(&server.incarnation());
--- a/src/gateway/predicted_wait.rs
+++ b/src/gateway/predicted_wait.rs
@@ -1,12 +1,12 @@
 //! Predicts how long a request for a stream waits for a slot; refuses it if that is too long, and
 //! tells its caller when to come again.
 
-use crate::gateway::Protocol;
 use crate::gateway::call::Call;
 use crate::gateway::fleet::Server;
 use crate::gateway::relay::Relay;
 use crate::gateway::routing::{Obstacle, need};
-use crate::gateway::waiting::{FleetWaiting, Need, Refused, Room, need_id};
+use crate::gateway::waiting::{ExpectedStarts, FleetWaiting, Need, Refused, Room, need_id};
+use crate::gateway::{Protocol, Weights};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
@@ -21,11 +21,11 @@
         let Some(need) = need(call) else {
             return false;
         };
-        let Some(starts_per_s) = self.starts_per_s(call, obstacle) else {
+        let Some(starts) = self.expected_starts(call, obstacle) else {
             return false;
         };
         let fleet = self.fleet_waiting(&need, is_queued.then(|| call.priority()));
-        let wait = fleet.wait(call.priority(), starts_per_s);
+        let wait = fleet.wait(call.priority(), &starts);
         let hold = call.hold_time();
         if !is_queued {
             let predicted = &self.state.metrics.predicted_wait;
@@ -41,7 +41,9 @@
             ahead = fleet.known.ahead_of(call.priority()),
             reporting = fleet.reporting,
             vms = fleet.vms,
-            starts_per_s,
+            starts_per_s = starts.per_s,
+            coming = starts.coming.len(),
+            first_ready_ms = starts.first_ready().map(|it| it.as_millis() as u64),
             predicted_wait_ms = wait.as_millis() as u64,
             hold_ms = hold.as_millis() as u64,
             "predicted wait exceeds the hold"
@@ -65,18 +67,28 @@
         }
     }
 
-    /// How many requests like this one all servers that can serve it start per second; `None` if the
-    /// obstacle does not depend on that.
-    fn starts_per_s(&self, call: &Call, obstacle: &Obstacle) -> Option<f64> {
-        let servers = self.eligible_servers(call, Instant::now());
+    /// The requests like this one that all servers start which can serve it now, or once they have
+    /// loaded the model; `None` if the obstacle does not depend on that.
+    fn expected_starts(&self, call: &Call, obstacle: &Obstacle) -> Option<ExpectedStarts> {
+        let now = Instant::now();
+        let servers = self.eligible_servers(call, now);
         let starts_per_s = |server: &Rc<Server>| {
             let slots = server.with_entry(|entry| f64::from(entry.slots));
             slots * 1_000.0 / call.cost.stream_duration_ms.max(1.0)
         };
         let rate_limits = || servers.iter().map(|it| self.state.rate_limit_per_s(it));
         match obstacle {
-            Obstacle::Full => Some(servers.iter().map(starts_per_s).sum()),
-            Obstacle::RateLimited => Some(rate_limits().flatten().sum()),
+            Obstacle::Full => Some(ExpectedStarts {
+                per_s: servers.iter().map(starts_per_s).sum(),
+                coming: self.coming_starts(call, starts_per_s, now),
+            }),
+            Obstacle::RateLimited => Some(ExpectedStarts::steady(rate_limits().flatten().sum())),
+            // A stream that has started is held for as long as possible: it cannot come again.
+            Obstacle::NoServer if call.is_unstarted() => {
+                let coming = self.coming_starts(call, starts_per_s, now);
+                let starts = ExpectedStarts { per_s: 0.0, coming };
+                (!starts.coming.is_empty()).then_some(starts)
+            }
             Obstacle::NoServer
             | Obstacle::Paused(_)
             | Obstacle::Prefilling(_)
@@ -84,16 +96,49 @@
         }
     }
 
+    /// The copies being loaded that will serve the request, with the time until each is ready and
+    /// the requests that it starts per second.
+    fn coming_starts(
+        &self,
+        call: &Call,
+        starts_per_s: impl Fn(&Rc<Server>) -> f64,
+        now: Instant,
+    ) -> Vec<(Duration, f64)> {
+        let Some(weights) = call.weights() else {
+            return Vec::new();
+        };
+        let servers = self.state.fleet.of_service(&call.service);
+        let model = Weights {
+            adapter: None,
+            ..weights.clone()
+        };
+        // An adapter follows onto the first copy of its model; where another copy is loaded, it may
+        // not be loaded onto the new one.
+        if weights.adapter.is_some() && servers.iter().any(|it| it.holds(&model, now)) {
+            return Vec::new();
+        }
+        let mut coming = Vec::new();
+        for server in servers.iter().filter(|server| server.accepts_requests()) {
+            let copy = server.coming(now).filter(|it| it.model == weights.model);
+            if let Some(copy) = copy {
+                let after = copy.ready_at.saturating_duration_since(now);
+                coming.push((after, starts_per_s(server)));
+            }
+        }
+        coming
+    }
+
     /// When the caller of a refused request for a stream should come again: once the requests that
     /// wait have been started.
     pub(super) fn return_after(&self, call: &Call, obstacle: &Obstacle) -> Option<Duration> {
         let need = need(call)?;
-        let starts_per_s = self.starts_per_s(call, obstacle);
+        let starts = self.expected_starts(call, obstacle);
         let fleet = self.fleet_waiting(&need, None);
-        let wait = starts_per_s.map(|rate| fleet.wait(call.priority(), rate));
+        let wait = starts.as_ref().map(|it| fleet.wait(call.priority(), it));
+        let after = wait.unwrap_or_default();
         let room = Room {
-            after: wait.unwrap_or_default(),
-            starts_per_s: starts_per_s.map(|rate| rate / fleet.vms.max(1) as f64),
+            after,
+            starts_per_s: starts.map(|it| it.rate_at(after) / fleet.vms.max(1) as f64),
         };
         let refused = Refused {
             service: &call.service,
--- a/src/gateway/runner_state.rs
+++ b/src/gateway/runner_state.rs
@@ -88,7 +88,11 @@
             id: server.id.clone(),
             adapters: adapters.chain(loading_adapters.cloned()).collect(),
             models: usable.iter().map(|holding| holding.model.clone()).collect(),
-            loading: self.loading.clone(),
+            loading: self.loading.clone().or_else(|| {
+                // A load that an earlier leader ordered, as it told this VM.
+                let coming = server.coming(Instant::now()).filter(|_| report.is_busy);
+                coming.map(|coming| coming.model)
+            }),
             is_executing: self.is_executing || report.is_busy,
             in_memory,
             on_disk,
--- a/src/gateway/tests/order_dispatch.rs
+++ b/src/gateway/tests/order_dispatch.rs
@@ -1,7 +1,9 @@
 //! Orders never exceed the memory of a runner, whatever other orders are in flight there.
 
+use crate::gateway::coming_copy::ComingCopy;
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::order_dispatch::OrderDispatcher;
+use crate::gateway::runner_state::RunnerState;
 use crate::gateway::source_selector::Source;
 use crate::gateway::state::State;
 use crate::gateway::tests::state;
@@ -283,3 +285,50 @@
     assert!(is_state_known_throughout(1).await);
     assert!(!is_state_known_throughout(3).await);
 }
+
+/// VMs predict waits with copies being loaded, so the leader must state when each is ready, and stop
+/// once it is loaded.
+#[compio::test]
+async fn a_copy_is_expected_from_its_accepted_order_until_it_is_loaded() {
+    let control = Control::default();
+    control.0.borrow_mut().load_time = Duration::from_millis(300);
+    let (state, dispatcher) = leader(&control);
+    let server = state.fleet.server(SERVER).expect("it is listed");
+    assert_eq!(server.coming(Instant::now()), None);
+    tick(&dispatcher, 10).await;
+    assert_eq!(control.0.borrow().orders, 1, "a load is in progress");
+    let now = Instant::now();
+    let coming = server.coming(now).expect("a copy is expected");
+    let left = coming.ready_at.saturating_duration_since(now);
+    assert!(left > Duration::ZERO, "{coming:?}");
+    assert!(left < Duration::from_secs(1), "{coming:?}");
+    tick(&dispatcher, 60).await;
+    assert_eq!(control.0.borrow().held, [coming.model] as [Name; 1]);
+    assert_eq!(server.coming(Instant::now()), None);
+}
+
+/// A new leader loaded a second copy of a model whose load the earlier leader had begun.
+#[test]
+fn a_new_leader_counts_the_load_that_it_was_told_of() {
+    let control = Control::default();
+    let (state, _dispatcher) = leader(&control);
+    let server = state.fleet.server(SERVER).expect("it is listed");
+    let now = Instant::now();
+    server.note_coming(Some(ComingCopy::after_ms("b".into(), 2_000, now)));
+    let mut report = control.0.borrow_mut().report().expect("a report");
+    let loading = |report: &RunnerReport| {
+        let known = RunnerState {
+            report: Some(report.clone()),
+            ..RunnerState::default()
+        };
+        known.view(&server, None).expect("a view").loading
+    };
+    assert_eq!(loading(&report), None, "the load has ended");
+    report.is_busy = true;
+    assert_eq!(loading(&report), Some("b".into()));
+    assert_eq!(
+        server.coming(now + Duration::from_millis(3_500)),
+        None,
+        "the load has failed"
+    );
+}
--- a/src/gateway/tests/waiting.rs
+++ b/src/gateway/tests/waiting.rs
@@ -7,8 +7,8 @@
 use crate::gateway::peers::Peers;
 use crate::gateway::tests::address;
 use crate::gateway::waiting::{
-    Ahead, FleetWaiting, Need, QueuedRequest, RequestTiming, Traffic, Urgency, WaitQueues,
-    WaitingCount, reserved_slots,
+    Ahead, ExpectedStarts, FleetWaiting, Need, QueuedRequest, RequestTiming, Traffic, Urgency,
+    WaitQueues, WaitingCount, reserved_slots,
 };
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -192,15 +192,21 @@
     };
     let reported = fleet(count(0, 1), 57);
     assert_eq!(
-        reported.wait(1_000, 7.5),
+        reported.wait(1_000, &ExpectedStarts::steady(7.5)),
         Duration::from_secs_f64(1.0 / 7.5)
     );
-    assert_eq!(reported.wait(1, 7.5), Duration::ZERO);
+    assert_eq!(
+        reported.wait(1, &ExpectedStarts::steady(7.5)),
+        Duration::ZERO
+    );
     // VMs that do not report count like the others.
     assert_eq!(fleet(count(2, 8), 28).ahead_of(0), 4.0);
     assert_eq!(fleet(count(0, 1), 0).ahead_of(2), 58.0);
     // No server starts any request.
-    assert_eq!(reported.wait(2, 0.0), Duration::MAX);
+    assert_eq!(
+        reported.wait(2, &ExpectedStarts::steady(0.0)),
+        Duration::MAX
+    );
 }
 
 #[test]
@@ -279,3 +285,47 @@
     let held = longest_pause_ms(8, true);
     assert!(held < 200.0, "{held}");
 }
+
+/// Requests that wait at this VM only, all of the same priority.
+fn waiting_here(count: u32) -> FleetWaiting {
+    let mut known = WaitingCount::default();
+    (0..count).for_each(|_| known.add_one(0));
+    FleetWaiting {
+        known,
+        reporting: 0,
+        vms: 1,
+    }
+}
+
+/// Requests were refused although a copy being loaded could have started them within their hold.
+#[test]
+fn a_copy_being_loaded_shortens_the_wait_from_when_it_is_ready() {
+    let second = Duration::from_secs(1);
+    let starts = ExpectedStarts {
+        per_s: 10.0,
+        coming: vec![(3 * second, 30.0), (second, 10.0)],
+    };
+    // 10 in the first second, 40 in the next two, then 50 per second.
+    assert_eq!(waiting_here(0).wait(0, &starts), Duration::ZERO);
+    assert_eq!(waiting_here(5).wait(0, &starts), second / 2);
+    assert_eq!(waiting_here(30).wait(0, &starts), 2 * second);
+    assert_eq!(waiting_here(100).wait(0, &starts), 4 * second);
+    assert_eq!(starts.rate_at(Duration::ZERO), 10.0);
+    assert_eq!(starts.rate_at(2 * second), 20.0);
+    assert_eq!(starts.rate_at(3 * second), 50.0);
+}
+
+/// Callers for a model that no runner has yet were told to return before any copy was ready.
+#[test]
+fn without_a_loaded_copy_the_wait_lasts_until_the_first_is_ready() {
+    let second = Duration::from_secs(1);
+    let starts = ExpectedStarts {
+        per_s: 0.0,
+        coming: vec![(3 * second, 10.0)],
+    };
+    assert_eq!(waiting_here(0).wait(0, &starts), 3 * second);
+    assert_eq!(waiting_here(5).wait(0, &starts), 3 * second + second / 2);
+    let none = ExpectedStarts::steady(0.0);
+    assert_eq!(waiting_here(0).wait(0, &none), Duration::ZERO);
+    assert_eq!(waiting_here(1).wait(0, &none), Duration::MAX);
+}
--- a/src/gateway/waiting/mod.rs
+++ b/src/gateway/waiting/mod.rs
@@ -15,7 +15,7 @@
 
 pub(crate) use hold_time::RequestTiming;
 pub(crate) use order::Urgency;
-pub(crate) use prediction::{FleetWaiting, WaitingCount, need_id};
+pub(crate) use prediction::{ExpectedStarts, FleetWaiting, WaitingCount, need_id};
 pub(crate) use reserve::{check_interval, reserved_slots, yield_limit};
 pub(crate) use return_calendar::{Refused, ReturnCalendar, Room};
 pub(crate) use traffic::Traffic;
--- a/src/gateway/waiting/prediction.rs
+++ b/src/gateway/waiting/prediction.rs
@@ -71,13 +71,64 @@
         f64::from(self.known.ahead_of(priority)) * (self.vms as f64 / heard as f64).max(1.0)
     }
 
-    /// Predicts the wait of a request, given how many are started per second.
-    pub(crate) fn wait(&self, priority: u32, starts_per_s: f64) -> Duration {
-        let ahead = self.ahead_of(priority);
-        if ahead <= 0.0 {
-            return Duration::ZERO;
+    /// Predicts the wait of a request, given the requests that are started.
+    pub(crate) fn wait(&self, priority: u32, starts: &ExpectedStarts) -> Duration {
+        starts.time_for(self.ahead_of(priority))
+    }
+}
+
+/// The requests that servers start: at present, and with the copies that are being loaded.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ExpectedStarts {
+    /// Requests per second at present.
+    pub(crate) per_s: f64,
+    /// Copies being loaded: the time until each is ready, and the requests per second from then on.
+    pub(crate) coming: Vec<(Duration, f64)>,
+}
+
+impl ExpectedStarts {
+    /// Returns the starts without any copies that are being loaded.
+    pub(crate) fn steady(per_s: f64) -> Self {
+        Self {
+            per_s,
+            coming: Vec::new(),
+        }
+    }
+
+    /// Returns the time until the first copy that is being loaded is ready.
+    pub(crate) fn first_ready(&self) -> Option<Duration> {
+        self.coming.iter().map(|(after, _)| *after).min()
+    }
+
+    /// Returns the requests per second at a time from now.
+    pub(crate) fn rate_at(&self, after: Duration) -> f64 {
+        let ready = self.coming.iter().filter(|(ready, _)| *ready <= after);
+        self.per_s + ready.map(|(_, per_s)| per_s).sum::<f64>()
+    }
+
+    /// Returns the time until so many requests are started. Where nothing serves them at present,
+    /// it is at least the time until the first copy is ready.
+    fn time_for(&self, requests: f64) -> Duration {
+        let no_server = (self.per_s <= 0.0).then(|| self.first_ready()).flatten();
+        if requests <= 0.0 {
+            return no_server.unwrap_or_default();
+        }
+        let mut coming = self.coming.clone();
+        coming.sort_by_key(|(after, _)| *after);
+        let mut left = requests;
+        let mut per_s = self.per_s;
+        let mut now = Duration::ZERO;
+        for (after, added_per_s) in coming {
+            let until = after.saturating_sub(now).as_secs_f64();
+            if left <= per_s * until {
+                break;
+            }
+            left -= per_s * until;
+            per_s += added_per_s;
+            now = after;
         }
-        Duration::try_from_secs_f64(ahead / starts_per_s).unwrap_or(Duration::MAX)
+        let rest = Duration::try_from_secs_f64(left / per_s).unwrap_or(Duration::MAX);
+        now.saturating_add(rest)
     }
 }
 
