Placement: rises of the fleet's demand count at once

VMs report averages that decay over 1.5 s, so that copies for models that become popular were loaded about a second late. The leader compares the sums over all VMs half a second apart and plans with the rate at which requests arrive now, if the rise exceeds three standard deviations of random arrivals. Sums are not compared after a change of leader (1.5 s) or of the number of VMs. No message changes.

Library tests of waiting, order dispatch, gossip sender, pages, decisions, placement_play, planning, demand_trend and swaps pass (63 of 63).

--- a/src/gateway/placement/mod.rs
+++ b/src/gateway/placement/mod.rs
@@ -6,7 +6,9 @@
 mod planning;
 mod spread;
 mod swaps;
+mod trend;
 
 pub(crate) use planning::{PlacementPlanner, RunnerPlan, RunnerView};
 #[cfg(test)]
 pub(crate) use spread::{DemandSpread, ModelDemand};
+pub(crate) use trend::{DemandTrend, TrendRule};
