Reads of the log count as current from their requests, not from the arrival of the answers

On a path that delays all bytes by 100 ms, configurations of 0.2 and 0.4 MB took 1.2 and 2.8 s. Each answer counted as current as it arrived, so the other VMs stopped reading, and missed a change made after the store had answered, until their own deadline over 2 s later. A VM that is stopped while an answer waits has the same effect.

Change: a read is dated by its request, plus the wait if it returned nothing; a part that another VM sent by the request, less its age. A VM whose last read is no longer fresh reads without waiting for a change. Gossip messages are still dated by their arrival.

The soak prints the logs of all VMs if it has findings, not only of the late ones: the cause was in the log of another VM.

--- a/src/gateway/log_follower.rs
+++ b/src/gateway/log_follower.rs
@@ -21,12 +21,23 @@
 /// How long the directory counts as disrupted after a failed read.
 const DISRUPTED_FOR: Duration = Duration::from_millis(4_000);
 
+/// Returns a time at which the log held nothing newer than what a read returned. `waited` is how long
+/// the log waited in vain for a change; zero if the read returned one.
+///
+/// The arrival of the answer does not show this: on a slow path a large configuration takes seconds,
+/// and a VM that was stopped finds an answer from before the stop. If the VM that follows the log
+/// dated its reads by their arrival, its zone would miss the changes made in between, for up to
+/// [`FRESH_FOR`] and the wait until the VMs read for themselves.
+pub(crate) fn read_as_of(sent_at: Instant, waited: Duration, received_at: Instant) -> Instant {
+    (sent_at + waited).min(received_at)
+}
+
 /// Result of the last read of one part of the log: the directory or the configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Reading {
     /// Offset just past the last change that other VMs must learn of at once.
     pub(crate) last_change: u64,
-    /// Time of the read.
+    /// A time at which the log contained nothing newer ([`read_as_of`]).
     pub(crate) at: Instant,
 }
 
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -41,6 +41,19 @@
     pub(super) peer: SocketAddr,
     /// The bytes that were transferred.
     pub(super) bytes: u64,
+    /// When it was requested.
+    pub(super) requested_at: Instant,
+}
+
+impl ReceivedPart {
+    /// Returns a time at which the part was current. Its age counts from the request: the reply may
+    /// have been under way for any part of the time since then, or have waited while this VM was
+    /// stopped.
+    pub(super) fn confirmed_at(&self) -> Instant {
+        let age = Duration::from_millis(self.reply.confirmed_age_ms);
+        let requested_at = self.requested_at;
+        requested_at.checked_sub(age).unwrap_or(requested_at)
+    }
 }
 
 /// Requests parts of the state from other VMs.
@@ -87,6 +100,7 @@
                         reply,
                         peer,
                         bytes: received_bytes.get(),
+                        requested_at,
                     });
                 }
                 Ok(reply) if reply.is_busy => {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -11,6 +11,7 @@
 mod forwarding;
 mod gossip_sender;
 mod large_fleet;
+mod late_reads;
 mod loads;
 mod log_follower;
 mod members;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -2,14 +2,14 @@
 
 use crate::gateway::crash_state::PeerCrashNews;
 use crate::gateway::directory_updates::{ServerUpdate, update_messages};
-use crate::gateway::log_follower::{Reading, Readings};
+use crate::gateway::log_follower::{Reading, Readings, read_as_of};
 use crate::gateway::outbox::UpdateScope;
 use crate::gateway::peer_search::PeerSearch;
 use crate::gateway::read_delays::{ReadDelays, ReadStep};
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
 use crate::gateway::sync_client::{ReceivedPart, SEARCH_TIME, SyncClient};
-use crate::gateway::sync_message::{Part, SyncReply};
+use crate::gateway::sync_message::Part;
 use crate::gateway::{Changes, ConfigSource, Configuration, Directory, ServerChange, StoreError};
 use crate::inventory::Name;
 use futures_util::future::{Either, select};
@@ -142,7 +142,7 @@
                     }
                     let is_change =
                         before.is_some_and(|before| before.last_change < reading.last_change);
-                    if is_change && self.state.follows_closely(reading.at) {
+                    if is_change && self.state.follows_closely(Instant::now()) {
                         self.state.peers.outbox.trigger_update(UpdateScope::Zone);
                     }
                     self.wait_for_next_configuration_read(read_at).await;
@@ -166,33 +166,48 @@
         }
     }
 
-    /// Reads the configuration from the log; returns it with the time of the read.
-    async fn read_configuration(
+    /// Reads the configuration from the log; returns it with a time at which it was current.
+    pub(super) async fn read_configuration(
         &self,
         from: Option<u64>,
         now: Instant,
     ) -> Result<(Changes<Configuration>, Instant), StoreError> {
-        let changes = match from {
-            None => self.store.newest().await?,
-            Some(from) => {
-                let advertised = self.state.advertised_readings(now);
-                let wait = advertised.map_or(CONFIGURATION_WAIT, |_| Duration::ZERO);
-                self.store.changes(from, wait).await?
-            }
+        let sent_at = Instant::now();
+        let Some(from) = from else {
+            return Ok((self.store.newest().await?, sent_at));
+        };
+        let wait = self.configuration_wait(now);
+        let changes = self.store.changes(from, wait).await?;
+        // A read that returns records ended some time within the wait.
+        let waited = match changes.next_offset == from {
+            true => wait,
+            false => Duration::ZERO,
         };
-        Ok((changes, Instant::now()))
+        Ok((changes, read_as_of(sent_at, waited, Instant::now())))
+    }
+
+    /// How long a read of the configuration waits for a change.
+    fn configuration_wait(&self, now: Instant) -> Duration {
+        let own = self.state.following.configuration.get();
+        // A VM whose last answer was late, or that was stopped, first makes sure that it has all
+        // changes, so that others can rely on it again.
+        let is_confirmed = own.is_some_and(|own| own.is_fresh(now));
+        match self.state.advertised_readings(now) {
+            None if is_confirmed => CONFIGURATION_WAIT,
+            _ => Duration::ZERO,
+        }
     }
 
     /// Decodes a configuration that another VM sent.
     fn decode_synced(
         &self,
-        synced: &SyncReply,
+        synced: &ReceivedPart,
     ) -> Result<(Changes<Configuration>, Instant), StoreError> {
         let changes = Changes {
-            items: vec![self.store.decode(&synced.document)?],
-            next_offset: synced.next,
+            items: vec![self.store.decode(&synced.reply.document)?],
+            next_offset: synced.reply.next,
         };
-        Ok((changes, confirmed_at(synced)))
+        Ok((changes, synced.confirmed_at()))
     }
 
     /// Follows the directory until the process ends.
@@ -216,7 +231,7 @@
                     let synced = async {
                         let part = Part::Directory;
                         let synced = self.sync_part(part, from, source, &selector).await?;
-                        let since = from.filter(|_| !synced.is_whole);
+                        let since = from.filter(|_| !synced.reply.is_whole);
                         let decoded = decode_directory(synced);
                         Some(decoded.map(|(changes, at)| (changes, since, at)))
                     };
@@ -274,13 +289,17 @@
     }
 
     /// Reads the directory from the log; returns the changes, the offset from which they were read
-    /// and the time of the read.
-    async fn read_directory(&self, from: Option<u64>) -> Result<DirectoryRead, StoreError> {
+    /// and a time at which they were current.
+    pub(super) async fn read_directory(
+        &self,
+        from: Option<u64>,
+    ) -> Result<DirectoryRead, StoreError> {
+        let sent_at = Instant::now();
         let changes = match from {
             None => self.store.entries().await?,
             Some(from) => self.store.changes_since(from).await?,
         };
-        Ok((changes, from, Instant::now()))
+        Ok((changes, from, sent_at))
     }
 
     /// Requests a part from another VM, or from those to which it refers.
@@ -290,7 +309,7 @@
         from: Option<u64>,
         source: Source,
         selector: &SourceSelector,
-    ) -> Option<SyncReply> {
+    ) -> Option<ReceivedPart> {
         let began = Instant::now();
         let (search, limit) = match source {
             Source::Members(until) => {
@@ -336,7 +355,7 @@
         }
         let received = synced?;
         self.apply_contained(&received);
-        Some(received.reply)
+        Some(received)
     }
 
     /// Applies what another VM contains, which comes with the whole configuration.
@@ -560,8 +579,8 @@
     }
 }
 
-/// Directory changes, the offset from which they were read, and the time at which they were current.
-type DirectoryRead = (Changes<ServerChange>, Option<u64>, Instant);
+/// Directory changes, the offset from which they were read, and a time at which they were current.
+pub(super) type DirectoryRead = (Changes<ServerChange>, Option<u64>, Instant);
 
 /// Reads the log; `None` if another VM turns out to have what this one lacks while reads fail.
 async fn read_unless_alternative<T>(
@@ -604,21 +623,15 @@
     }
 }
 
-/// Returns the time at which a part that another VM sent was current.
-fn confirmed_at(synced: &SyncReply) -> Instant {
-    let now = Instant::now();
-    let age = Duration::from_millis(synced.confirmed_age_ms);
-    now.checked_sub(age).unwrap_or(now)
-}
-
 /// Decodes directory changes that another VM sent.
-fn decode_directory(synced: SyncReply) -> Result<(Changes<ServerChange>, Instant), StoreError> {
-    let at = confirmed_at(&synced);
-    let changes = synced.changes.into_iter();
+fn decode_directory(synced: ReceivedPart) -> Result<(Changes<ServerChange>, Instant), StoreError> {
+    let at = synced.confirmed_at();
+    let next_offset = synced.reply.next;
+    let changes = synced.reply.changes.into_iter();
     let items: Option<Vec<ServerChange>> = changes.map(ServerUpdate::into_change).collect();
     let changes = Changes {
         items: items.ok_or(StoreError::Garbled)?,
-        next_offset: synced.next,
+        next_offset,
     };
     Ok((changes, at))
 }
--- a/workbench/src/site/config_soak.rs
+++ b/workbench/src/site/config_soak.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -432,7 +432,6 @@
     let mut requests = seen.requests.borrow_mut();
     requests.sort_by_key(|it| it.ended_at);
     let mut findings = Vec::new();
-    let mut faulty_vms = BTreeSet::new();
     let mut counted = 0;
     // The versions that answers prove, by VM and start: the time of the answer and the version.
     let mut proven: HashMap<(usize, usize), Vec<(Instant, usize)>> = HashMap::new();
@@ -451,7 +450,6 @@
             counted += 1;
             let (oldest, newest) = history.allowed(sent, ended, limit);
             if agreeing(oldest, newest).next().is_none() {
-                faulty_vms.insert(request.vm);
                 findings.push(format!(
                     "CONFIG: vm-{} handled {:?} as {handling:?}, versions {oldest} to {newest} \
                      allowed, limit {limit:?}, request {}",
@@ -469,7 +467,6 @@
         let floor = of_boot[..earlier].last().map_or(0, |(_, version)| *version);
         match agreeing(floor, newest).next() {
             None => {
-                faulty_vms.insert(request.vm);
                 findings.push(format!(
                     "REGRESS: vm-{} handled {:?} as {handling:?} after version {floor}, request {}",
                     request.vm, request.probe, request.id
@@ -481,8 +478,11 @@
             }
         }
     }
-    for vm in faulty_vms {
-        print_log(site, vm);
+    // What one VM lacks may be the fault of the VM that follows the log for it.
+    if !findings.is_empty() {
+        for vm in 0..site.vms.len() {
+            print_log(site, vm);
+        }
     }
     println!(
         "{counted} of {} requests counted, {} versions",
--- a/workbench/tests/site_configuration.rs
+++ b/workbench/tests/site_configuration.rs
@@ -6,12 +6,16 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
+use workbench::proxy::Faults;
 use workbench::site::{Site, StoreFaults, plain, route};
 
 /// The time in which a change has to be in force, as in the settings of the VMs.
 const CONFIGURATION_LIMIT: Duration = Duration::from_millis(2_000);
 /// The time after an outage of the store in which a change made at its end has to be in force.
 const RETURN_LIMIT: Duration = Duration::from_millis(3_000);
+/// The time in which VMs have a change that the first VM of the zone receives slowly. It took 1.2 s when
+/// reads were dated by the arrival of their answers, and takes 0.05 to 0.11 s.
+const SLOW_FIRST_VM_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time in which VMs find each other and agree on the one that follows the log.
 const CALM: Duration = Duration::from_secs(5);
 
@@ -27,6 +31,9 @@
 /// The number of routes of a configuration whose text is over a megabyte long.
 const MANY_ROUTES: u64 = 6_000;
 
+/// How far apart the versions are that the site publishes.
+const VERSION_STEP: f64 = 3.0;
+
 /// Publishes a configuration with this many routes besides the one that the tests use, with names that
 /// do not repeat.
 fn publish_routes(site: &mut Site, count: u64) {
@@ -68,21 +75,31 @@
     sum
 }
 
-/// Stops the first VMs of the zone and the leader; returns the others.
-async fn stop_first(site: &Site, count: usize) -> Vec<usize> {
-    let mut stopped: BTreeSet<usize> = (0..count).collect();
+/// The first VMs of the zone and the leader.
+async fn first_and_leader(site: &Site, count: usize) -> BTreeSet<usize> {
+    let mut vms: BTreeSet<usize> = (0..count).collect();
     for vm in 0..site.vms.len() {
         if site.metric(vm, "is_leading").await == Some(1.0) {
-            stopped.insert(vm);
+            vms.insert(vm);
         }
     }
-    for vm in &stopped {
+    vms
+}
+
+/// Stops VMs; returns the others.
+fn stop(site: &Site, stopped: &BTreeSet<usize>) -> Vec<usize> {
+    for vm in stopped {
         site.vms[*vm].signal(Signal::SIGSTOP);
     }
     let all = 0..site.vms.len();
     all.filter(|vm| !stopped.contains(vm)).collect()
 }
 
+/// Stops the first VMs of the zone and the leader; returns the others.
+async fn stop_first(site: &Site, count: usize) -> Vec<usize> {
+    stop(site, &first_and_leader(site, count).await)
+}
+
 #[googletest::test]
 fn a_change_is_in_force_in_time_although_the_vm_that_advertised_it_stands_still() {
     block_on(async {
@@ -103,6 +120,77 @@
     });
 }
 
+/// Guards against the answer to a read being taken as current when it is processed: the one that a
+/// VM finds as it goes on after a stop says nothing of the changes made meanwhile.
+#[googletest::test]
+fn a_change_is_in_force_in_time_although_a_vm_that_stood_still_goes_on() {
+    block_on(async {
+        let mut site = Site::start(vec![("books", vec![])]).await;
+        let paths = site.start_store_paths(0..1).await;
+        publish(&mut site);
+        site.start_vms(12);
+        site.wait_ready().await;
+        compio::time::sleep(CALM).await;
+        let stopped = first_and_leader(&site, 10).await;
+        // vm-0 reads this change at once. Its next read ends 0.5 s later, and one more is pending
+        // when it is stopped, which the store answers before the next change.
+        publish(&mut site);
+        compio::time::sleep(Duration::from_millis(560)).await;
+        let others = stop(&site, &stopped);
+        compio::time::sleep(Duration::from_millis(520)).await;
+        let before = site.configuration_version(others[0]).await;
+        let published_at = Instant::now();
+        publish(&mut site);
+        paths[0].set(Faults {
+            delay_ms: 2_000,
+            ..Faults::default()
+        });
+        // The others are about to read the log themselves.
+        compio::time::sleep(Duration::from_millis(570)).await;
+        site.vms[0].signal(Signal::SIGCONT);
+        wait_for_change(&site, &others, before).await;
+        let took = published_at.elapsed();
+        println!("in force at {others:?} after {took:?}");
+        expect_that!(took, lt(CONFIGURATION_LIMIT));
+    });
+}
+
+/// Guards against the answer to a read being taken as current when it has arrived: the VM that follows
+/// the log then holds up changes made while large ones reach it on a slow path.
+#[googletest::test]
+fn a_change_is_in_force_in_time_although_large_ones_reach_the_first_vm_slowly() {
+    block_on(async {
+        let mut site = Site::start(vec![("books", vec![])]).await;
+        let paths = site.start_store_paths(0..1).await;
+        publish(&mut site);
+        site.start_vms(6);
+        site.wait_ready().await;
+        paths[0].set(Faults {
+            delay_ms: 100,
+            ..Faults::default()
+        });
+        let others: Vec<usize> = (1..6).collect();
+        for _ in 0..3 {
+            compio::time::sleep(CALM).await;
+            let before = site.configuration_version(0).await;
+            // It takes over two seconds until vm-0 has this, and one more until it has the next.
+            publish_routes(&mut site, 2_000);
+            compio::time::sleep(Duration::from_millis(1_000)).await;
+            publish_routes(&mut site, 700);
+            wait_for_change(&site, &[0], before).await;
+            // The answer with the second change is on its way.
+            compio::time::sleep(Duration::from_millis(200)).await;
+            let second = before + 2.0 * VERSION_STEP;
+            let published_at = Instant::now();
+            publish(&mut site);
+            wait_for_change(&site, &others, second).await;
+            let took = published_at.elapsed();
+            println!("in force after {took:?}");
+            expect_that!(took, lt(SLOW_FIRST_VM_LIMIT));
+        }
+    });
+}
+
 #[googletest::test]
 fn a_change_is_in_force_in_time_although_most_vms_of_the_zone_stand_still() {
     block_on(async {
