--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -2,14 +2,14 @@
 
 use crate::gateway::crash_state::PeerCrashNews;
 use crate::gateway::directory_updates::{ServerUpdate, update_messages};
-use crate::gateway::log_follower::{Reading, Readings};
+use crate::gateway::log_follower::{Reading, Readings, read_as_of};
 use crate::gateway::outbox::UpdateScope;
 use crate::gateway::peer_search::PeerSearch;
 use crate::gateway::read_delays::{ReadDelays, ReadStep};
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
 use crate::gateway::sync_client::{ReceivedPart, SEARCH_TIME, SyncClient};
-use crate::gateway::sync_message::{Part, SyncReply};
+use crate::gateway::sync_message::Part;
 use crate::gateway::{Changes, ConfigSource, Configuration, Directory, ServerChange, StoreError};
 use crate::inventory::Name;
 use futures_util::future::{Either, select};
@@ -149,7 +149,7 @@
                     }
                     let is_change =
                         before.is_some_and(|before| before.last_change < reading.last_change);
-                    if is_change && self.state.follows_closely(reading.at) {
+                    if is_change && self.state.follows_closely(Instant::now()) {
                         self.state.peers.outbox.trigger_update(UpdateScope::Zone);
                     }
                     self.wait_for_next_configuration_read(read_at).await;
@@ -215,33 +215,48 @@
         }
     }
 
-    /// Reads the configuration from the log; returns it with the time of the read.
-    async fn read_configuration(
+    /// Reads the configuration from the log; returns it with a time at which it was current.
+    pub(super) async fn read_configuration(
         &self,
         from: Option<u64>,
         now: Instant,
     ) -> Result<(Changes<Configuration>, Instant), StoreError> {
-        let changes = match from {
-            None => self.store.newest().await?,
-            Some(from) => {
-                let advertised = self.state.advertised_readings(now);
-                let wait = advertised.map_or(CONFIGURATION_WAIT, |_| Duration::ZERO);
-                self.store.changes(from, wait).await?
-            }
+        let sent_at = Instant::now();
+        let Some(from) = from else {
+            return Ok((self.store.newest().await?, sent_at));
+        };
+        let wait = self.configuration_wait(now);
+        let changes = self.store.changes(from, wait).await?;
+        // A read that returns records ended some time within the wait.
+        let waited = match changes.next_offset == from {
+            true => wait,
+            false => Duration::ZERO,
         };
-        Ok((changes, Instant::now()))
+        Ok((changes, read_as_of(sent_at, waited, Instant::now())))
+    }
+
+    /// How long a read of the configuration waits for a change.
+    fn configuration_wait(&self, now: Instant) -> Duration {
+        let own = self.state.following.configuration.get();
+        // A VM whose last answer was late, or that was stopped, first makes sure that it has all
+        // changes, so that others can rely on it again.
+        let is_confirmed = own.is_some_and(|own| own.is_fresh(now));
+        match self.state.advertised_readings(now) {
+            None if is_confirmed => CONFIGURATION_WAIT,
+            _ => Duration::ZERO,
+        }
     }
 
     /// Decodes a configuration that another VM sent.
     fn decode_synced(
         &self,
-        synced: &SyncReply,
+        synced: &ReceivedPart,
     ) -> Result<(Changes<Configuration>, Instant), StoreError> {
         let changes = Changes {
-            items: vec![self.store.decode(&synced.document)?],
-            next_offset: synced.next,
+            items: vec![self.store.decode(&synced.reply.document)?],
+            next_offset: synced.reply.next,
         };
-        Ok((changes, confirmed_at(synced)))
+        Ok((changes, synced.confirmed_at()))
     }
 
     /// Follows the directory until the process ends.
@@ -265,7 +280,13 @@
                     let synced = async {
                         let part = Part::Directory;
                         let synced = self.sync_part(part, from, source, &selector).await?;
+<<<<<<< HEAD
                         Some(decode_directory(synced, from))
+=======
+                        let since = from.filter(|_| !synced.reply.is_whole);
+                        let decoded = decode_directory(synced);
+                        Some(decoded.map(|(changes, at)| (changes, since, at)))
+>>>>>>> part-a
                     };
                     let read = self.read_directory(from);
                     let read = first_obtained(synced, read, &selector).await;
@@ -321,13 +342,24 @@
         }
     }
 
+<<<<<<< HEAD
     /// Reads the directory from the log: the changes since a position, or all entries if it is
     /// `None` or if the log was restored since.
     async fn read_directory(&self, from: Option<u64>) -> Result<DirectoryRead, StoreError> {
+=======
+    /// Reads the directory from the log; returns the changes, the offset from which they were read
+    /// and a time at which they were current.
+    pub(super) async fn read_directory(
+        &self,
+        from: Option<u64>,
+    ) -> Result<DirectoryRead, StoreError> {
+        let sent_at = Instant::now();
+>>>>>>> part-a
         let changes = match from {
             None => Err(StoreError::Rewound),
             Some(from) => self.store.changes_since(from).await,
         };
+<<<<<<< HEAD
         let is_whole = matches!(changes, Err(StoreError::Rewound));
         let changes = match is_whole {
             true => self.store.entries().await?,
@@ -345,6 +377,9 @@
     fn note_position(&self, position: u64, source: Source) {
         let now = Instant::now();
         self.state.note_position(position, source.name(), now);
+=======
+        Ok((changes, from, sent_at))
+>>>>>>> part-a
     }
 
     /// Requests a part from another VM, or from those to which it refers.
@@ -354,7 +389,7 @@
         from: Option<u64>,
         source: Source,
         selector: &SourceSelector,
-    ) -> Option<SyncReply> {
+    ) -> Option<ReceivedPart> {
         let began = Instant::now();
         let (search, limit) = match source {
             Source::Members(until) => {
@@ -400,7 +435,7 @@
         }
         let received = synced?;
         self.apply_contained(&received);
-        Some(received.reply)
+        Some(received)
     }
 
     /// Applies what another VM contains, which comes with the whole configuration.
@@ -634,6 +669,7 @@
     }
 }
 
+<<<<<<< HEAD
 /// A read of the directory, from the log or from another VM.
 struct DirectoryRead {
     changes: Changes<ServerChange>,
@@ -644,6 +680,10 @@
     /// When the changes were current.
     at: Instant,
 }
+=======
+/// Directory changes, the offset from which they were read, and a time at which they were current.
+pub(super) type DirectoryRead = (Changes<ServerChange>, Option<u64>, Instant);
+>>>>>>> part-a
 
 /// Reads the log; `None` if another VM turns out to have what this one lacks while reads fail.
 async fn read_unless_alternative<T>(
@@ -686,6 +726,7 @@
     }
 }
 
+<<<<<<< HEAD
 /// Returns the time at which a part that another VM sent was current.
 fn confirmed_at(synced: &SyncReply) -> Instant {
     let now = Instant::now();
@@ -709,6 +750,19 @@
         is_whole: since.is_none(),
         at,
     })
+=======
+/// Decodes directory changes that another VM sent.
+fn decode_directory(synced: ReceivedPart) -> Result<(Changes<ServerChange>, Instant), StoreError> {
+    let at = synced.confirmed_at();
+    let next_offset = synced.reply.next;
+    let changes = synced.reply.changes.into_iter();
+    let items: Option<Vec<ServerChange>> = changes.map(ServerUpdate::into_change).collect();
+    let changes = Changes {
+        items: items.ok_or(StoreError::Garbled)?,
+        next_offset,
+    };
+    Ok((changes, at))
+>>>>>>> part-a
 }
 
 /// Pause after `failures` failed reads in a row; it grows only if the VM is ready.
