--- a/src/gateway/tests/late_reads.rs
+++ b/src/gateway/tests/late_reads.rs
@@ -98,7 +98,8 @@
             .await
             .expect("the log answers");
         assert!(Some(at) <= log.answered_at.get(), "{has_change} {from:?}");
-        let (_, _, at) = watcher.read_directory(from).await.expect("the log answers");
+        let read = watcher.read_directory(from).await.expect("the log answers");
+        let at = read.at;
         assert!(Some(at) <= log.answered_at.get(), "{has_change} {from:?}");
     }
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -280,13 +280,7 @@
                     let synced = async {
                         let part = Part::Directory;
                         let synced = self.sync_part(part, from, source, &selector).await?;
-<<<<<<< HEAD
                         Some(decode_directory(synced, from))
-=======
-                        let since = from.filter(|_| !synced.reply.is_whole);
-                        let decoded = decode_directory(synced);
-                        Some(decoded.map(|(changes, at)| (changes, since, at)))
->>>>>>> part-a
                     };
                     let read = self.read_directory(from);
                     let read = first_obtained(synced, read, &selector).await;
@@ -342,24 +336,17 @@
         }
     }
 
-<<<<<<< HEAD
     /// Reads the directory from the log: the changes since a position, or all entries if it is
     /// `None` or if the log was restored since.
-    async fn read_directory(&self, from: Option<u64>) -> Result<DirectoryRead, StoreError> {
-=======
-    /// Reads the directory from the log; returns the changes, the offset from which they were read
-    /// and a time at which they were current.
     pub(super) async fn read_directory(
         &self,
         from: Option<u64>,
     ) -> Result<DirectoryRead, StoreError> {
         let sent_at = Instant::now();
->>>>>>> part-a
         let changes = match from {
             None => Err(StoreError::Rewound),
             Some(from) => self.store.changes_since(from).await,
         };
-<<<<<<< HEAD
         let is_whole = matches!(changes, Err(StoreError::Rewound));
         let changes = match is_whole {
             true => self.store.entries().await?,
@@ -369,7 +356,7 @@
             changes,
             since: from,
             is_whole,
-            at: Instant::now(),
+            at: sent_at,
         })
     }
 
@@ -377,9 +364,6 @@
     fn note_position(&self, position: u64, source: Source) {
         let now = Instant::now();
         self.state.note_position(position, source.name(), now);
-=======
-        Ok((changes, from, sent_at))
->>>>>>> part-a
     }
 
     /// Requests a part from another VM, or from those to which it refers.
@@ -669,21 +653,16 @@
     }
 }
 
-<<<<<<< HEAD
 /// A read of the directory, from the log or from another VM.
-struct DirectoryRead {
+pub(super) struct DirectoryRead {
     changes: Changes<ServerChange>,
     /// The position of the state to which the changes apply; `None` if they replace any state.
     since: Option<u64>,
     /// Whether the changes list all servers.
     is_whole: bool,
-    /// When the changes were current.
-    at: Instant,
+    /// A time at which the changes were current.
+    pub(super) at: Instant,
 }
-=======
-/// Directory changes, the offset from which they were read, and a time at which they were current.
-pub(super) type DirectoryRead = (Changes<ServerChange>, Option<u64>, Instant);
->>>>>>> part-a
 
 /// Reads the log; `None` if another VM turns out to have what this one lacks while reads fail.
 async fn read_unless_alternative<T>(
@@ -726,43 +705,23 @@
     }
 }
 
-<<<<<<< HEAD
-/// Returns the time at which a part that another VM sent was current.
-fn confirmed_at(synced: &SyncReply) -> Instant {
-    let now = Instant::now();
-    let age = Duration::from_millis(synced.confirmed_age_ms);
-    now.checked_sub(age).unwrap_or(now)
-}
-
 /// Decodes directory changes that another VM sent, which has all since `from` unless it sent the
 /// whole directory.
-fn decode_directory(synced: SyncReply, from: Option<u64>) -> Result<DirectoryRead, StoreError> {
-    let at = confirmed_at(&synced);
-    let since = from.filter(|_| !synced.is_whole);
-    let changes = synced.changes.into_iter();
+fn decode_directory(synced: ReceivedPart, from: Option<u64>) -> Result<DirectoryRead, StoreError> {
+    let at = synced.confirmed_at();
+    let reply = synced.reply;
+    let since = from.filter(|_| !reply.is_whole);
+    let changes = reply.changes.into_iter();
     let items: Option<Vec<ServerChange>> = changes.map(ServerUpdate::into_change).collect();
     Ok(DirectoryRead {
         changes: Changes {
             items: items.ok_or(StoreError::Garbled)?,
-            next_offset: synced.next,
+            next_offset: reply.next,
         },
         since,
         is_whole: since.is_none(),
         at,
     })
-=======
-/// Decodes directory changes that another VM sent.
-fn decode_directory(synced: ReceivedPart) -> Result<(Changes<ServerChange>, Instant), StoreError> {
-    let at = synced.confirmed_at();
-    let next_offset = synced.reply.next;
-    let changes = synced.reply.changes.into_iter();
-    let items: Option<Vec<ServerChange>> = changes.map(ServerUpdate::into_change).collect();
-    let changes = Changes {
-        items: items.ok_or(StoreError::Garbled)?,
-        next_offset,
-    };
-    Ok((changes, at))
->>>>>>> part-a
 }
 
 /// Pause after `failures` failed reads in a row; it grows only if the VM is ready.
