--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// Time constant of the decay: half of a change in demand shows after 0.7 of this time.
-pub(crate) const DECAY_TIME: Duration = Duration::from_millis(1_500);
+const DECAY_TIME: Duration = Duration::from_millis(1_500);
 /// Rates below this are removed.
 const MIN_REQUESTS_PER_S: f64 = 0.001;
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -67,10 +67,6 @@
     ),
     describe("retries", "requests sent to a server once more"),
     describe("retries_denied", "retries that the budget did not allow"),
-    describe(
-        "demand_rises",
-        "models whose demand began to rise, as seen by the leader",
-    ),
     describe("streams_resumed", "streams that went on at another server"),
     describe(
         "resumptions",
@@ -203,7 +199,6 @@
     pub(crate) forwarded: Family<OutcomeLabels, Counter>,
     pub(crate) retries: Counter,
     pub(crate) retries_denied: Counter,
-    pub(crate) demand_rises: Counter,
     pub(crate) streams_resumed: Counter,
     /// Streams taken up after a break.
     pub(crate) resumptions: Family<OutcomeLabels, Counter>,
@@ -268,7 +263,6 @@
             forwarded: Family::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
-            demand_rises: Counter::default(),
             streams_resumed: Counter::default(),
             resumptions: Family::default(),
             unreadable_prompts: Counter::default(),
@@ -325,7 +319,6 @@
         self.register("peer_messages", self.peer_messages.clone());
         self.register("retries", self.retries.clone());
         self.register("retries_denied", self.retries_denied.clone());
-        self.register("demand_rises", self.demand_rises.clone());
         self.register("streams_resumed", self.streams_resumed.clone());
         self.register("resumptions", self.resumptions.clone());
         self.register("connections_opened", self.connections_opened.clone());
--- a/src/gateway/order_dispatch.rs
+++ b/src/gateway/order_dispatch.rs
@@ -5,7 +5,7 @@
 use crate::gateway::load_limit::LoadRateLimit;
 use crate::gateway::order_queue::OrderTarget;
 use crate::gateway::outbox::UpdateScope;
-use crate::gateway::placement::{DemandTrend, PlacementPlanner, RunnerPlan, RunnerView, TrendRule};
+use crate::gateway::placement::{PlacementPlanner, RunnerPlan, RunnerView};
 use crate::gateway::report_schedule::ReportSchedule;
 use crate::gateway::runner_state::RunnerState;
 use crate::gateway::state::State;
@@ -45,7 +45,6 @@
     ceiling: Rc<LoadRateLimit>,
     /// When each model was last requested.
     last_requested_at: RefCell<HashMap<Name, Instant>>,
-    trend: RefCell<DemandTrend>,
 }
 
 impl<R: RunnerControl> OrderDispatcher<R> {
@@ -64,7 +63,6 @@
             runner_states: RefCell::default(),
             ceiling,
             last_requested_at: RefCell::default(),
-            trend: RefCell::new(DemandTrend::new(TrendRule::default(), now)),
         })
     }
 
@@ -85,7 +83,6 @@
             self.ceiling.note_takeover(Instant::now());
         }
         self.runner_states.borrow_mut().clear();
-        self.trend.borrow_mut().restart(Instant::now());
         self.started_at.set(Instant::now());
         self.state.metrics.is_leading.set(1);
         self.fence.set(Some(fence));
@@ -142,10 +139,7 @@
             return;
         };
         let now = Instant::now();
-        let mut demand = self.state.demand(now);
-        let vms = self.state.peers.vms();
-        let rising = self.trend.borrow_mut().correct(&mut demand, vms, now);
-        self.state.metrics.demand_rises.inc_by(rising as u64);
+        let demand = self.state.demand(now);
         let recently_requested = self.recently_requested_models(&demand, now);
         for (service, engine) in configuration.engines() {
             let runners = self.views(&service.name);
--- a/src/gateway/placement/mod.rs
+++ b/src/gateway/placement/mod.rs
@@ -6,9 +6,7 @@
 mod planning;
 mod spread;
 mod swaps;
-mod trend;
 
 pub(crate) use planning::{PlacementPlanner, RunnerPlan, RunnerView};
 #[cfg(test)]
 pub(crate) use spread::{DemandSpread, ModelDemand};
-pub(crate) use trend::{DemandTrend, TrendRule};
