A slow VM does not take the crash of many servers for a loss of its connections

When a quarter of the servers crashed at once, VMs with a tenth of a core handled the refused connections over several hundred milliseconds and counted as cut off after 50 ms of failures: the leader handed over and nothing was loaded for 1.4 to 3.3 s, other VMs forwarded requests that they could serve. Failures now have to last for 400 ms, as long as a connection that gets no response takes, and servers are probed every 100 ms while that is in doubt.

--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -5,7 +5,9 @@
 //! a zone. The VM counts as cut off once connections to servers of several zones have failed for a
 //! while and none that was begun since has opened. Many servers that crash at the same moment refuse
 //! connections within milliseconds too; while that is in doubt, connections to others are tried.
+//! A VM that wrongly counts as cut off gives up the orders and forwards requests that it could serve.
 
+use crate::gateway::exchange::CONNECT_TIMEOUT;
 use crate::inventory::Name;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -14,8 +16,10 @@
 const MIN_FAILED_SERVERS: usize = 3;
 /// The number of different zones that they must be in, unless the servers are in one.
 const MIN_FAILED_ZONES: usize = 2;
-/// The time for which connections must have failed: several attempts to connect within a region.
-pub(crate) const CONFIRMATION_TIME: Duration = Duration::from_millis(50);
+/// The time for which connections must have failed. A single one that gets no response takes as long.
+/// When a quarter of the servers crash, a VM with a tenth of a core handles the refusals and the
+/// connections to the others over several hundred milliseconds, so that 50 ms was too short.
+pub(crate) const CONFIRMATION_TIME: Duration = CONNECT_TIMEOUT;
 
 /// The listed servers, as far as they matter for the decision.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 };
 use crate::gateway::grant::Grant;
 use crate::gateway::reachability::CONFIRMATION_TIME;
+use crate::gateway::server_probe::DOUBT_PROBE_INTERVAL;
 use crate::gateway::server_speed::Work;
 use crate::gateway::state::State;
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind, SendOptions};
@@ -51,8 +52,8 @@
 /// The number of refusals or failed connections after which a request fails.
 const MAX_REFUSALS: u32 = 3;
 /// How long a request that reached no server waits until it is known whether this VM reaches any,
-/// and how often that is checked: until servers have been probed twice.
-const MAX_REACHABILITY_WAIT: Duration = CONFIRMATION_TIME.saturating_mul(2);
+/// and how often that is checked: until a probe after the time of confirmation has ended.
+const MAX_REACHABILITY_WAIT: Duration = CONFIRMATION_TIME.saturating_add(DOUBT_PROBE_INTERVAL);
 const REACHABILITY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Forwards callers' requests to backend servers.
--- a/src/gateway/server_probe.rs
+++ b/src/gateway/server_probe.rs
@@ -3,7 +3,6 @@
 use crate::client::Connection;
 use crate::gateway::exchange::{CONNECT_TIMEOUT, UNACKED_LIMIT};
 use crate::gateway::fleet::Server;
-use crate::gateway::reachability::CONFIRMATION_TIME;
 use crate::gateway::state::State;
 use futures_util::future::join_all;
 use rand::seq::SliceRandom;
@@ -12,7 +11,9 @@
 
 /// Servers that are probed at a time.
 const PROBED_SERVERS: usize = 2;
-/// Time between two rounds of probes.
+/// Time between two rounds of probes while it is not yet decided that this VM reaches no server.
+pub(crate) const DOUBT_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two rounds of probes while this VM reaches no server.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Probes servers whenever that is in doubt, until the process ends.
@@ -24,12 +25,11 @@
             continue;
         }
         probe_some(&state).await;
-        if state.is_reachability_doubted() && !state.is_cut_off() {
-            // The failures count only once they have lasted for this time.
-            compio::time::sleep(CONFIRMATION_TIME).await;
-            probe_some(&state).await;
-        }
-        compio::time::sleep(PROBE_INTERVAL).await;
+        let interval = match state.is_cut_off() {
+            true => PROBE_INTERVAL,
+            false => DOUBT_PROBE_INTERVAL,
+        };
+        compio::time::sleep(interval).await;
     }
 }
 
