The outage of many servers convicts no part of a prompt

Two crashes with the same new part were enough to contain it, although many other servers crashed at the same moment without it: sound requests of a session were then refused. A crash no longer counts for a cause if five others or more, and three times as many as with the cause, crashed within 0.5 s without it. A part that goes on crashing servers afterwards is contained by these crashes.

a_new_part_is_not_contained_for_the_outage_of_many_servers fails on the code before; the existing tests and containment_play pass unchanged.

--- a/src/gateway/crash_containment.rs
+++ b/src/gateway/crash_containment.rs
@@ -3,7 +3,8 @@
 //! A crash is charged to all that its unanswered requests have: the parts of their prompts and the
 //! requests themselves. A cause crashes every server that begins to answer it, so that an answer
 //! that begins clears all that its request has. What is left and explains most crashes is contained.
-//! A crash that a contained part explains is charged to nothing else.
+//! A crash that a contained part explains is charged to nothing else. Servers that crash together,
+//! most of them without the suspected cause, crash for a reason outside the requests.
 
 use crate::gateway::PromptPart;
 use crate::gateway::begun_parts::BegunParts;
@@ -241,7 +242,7 @@
         let mut convicted = Vec::new();
         loop {
             let charges = self.evidence.charges(&explained);
-            let Some((cause, charges)) = self.strongest_part(&charges) else {
+            let Some((cause, charges)) = self.strongest_part(&charges, &explained) else {
                 break;
             };
             convicted.push((cause, charges.runs.len()));
@@ -250,7 +251,11 @@
         for (cause, charges) in self.evidence.charges(&explained) {
             let is_request = matches!(cause, CrashCause::Request(_));
             let is_contained = self.contained.contains_key(&cause);
-            if is_request && !is_contained && charges.runs.len() >= REQUEST_CRASHES {
+            let is_convicted = || {
+                charges.runs.len() >= REQUEST_CRASHES
+                    && self.evidence.independent_crashes(cause, &explained).runs >= REQUEST_CRASHES
+            };
+            if is_request && !is_contained && is_convicted() {
                 convicted.push((cause, charges.runs.len()));
             }
         }
@@ -262,12 +267,14 @@
     fn strongest_part<'a>(
         &self,
         charges: &'a HashMap<CrashCause, Charges>,
+        explained: &HashSet<ServerRunId>,
     ) -> Option<(CrashCause, &'a Charges)> {
         let parts = charges.iter().filter_map(|(cause, charges)| match cause {
             CrashCause::Part(part) => Some((*part, charges)),
             CrashCause::Request(_) => None,
         });
-        let sufficient = parts.filter(|(part, charges)| self.is_sufficient(*part, charges));
+        let sufficient =
+            parts.filter(|(part, charges)| self.is_sufficient(*part, charges, explained));
         let strongest = sufficient.max_by_key(|(part, charges)| {
             let is_new = !self.is_known(*part);
             (is_new, charges.runs.len(), charges.requests.len(), *part)
@@ -275,14 +282,25 @@
         strongest.map(|(part, charges)| (CrashCause::Part(part), charges))
     }
 
-    fn is_sufficient(&self, part: PromptPart, charges: &Charges) -> bool {
-        let crashes = charges.runs.len().min(charges.requests.len());
+    fn is_sufficient(
+        &self,
+        part: PromptPart,
+        charges: &Charges,
+        explained: &HashSet<ServerRunId>,
+    ) -> bool {
         let is_new = !self.is_known(part) && charges.answers_seen() >= MIN_ANSWERS_SEEN;
-        if is_new {
-            return crashes >= NEW_PART_CRASHES;
-        }
         let answers_since = self.begun_answers - charges.begun_answers;
-        crashes >= KNOWN_PART_CRASHES && answers_since >= MIN_ANSWERS_WITHOUT_PART
+        let needed = match is_new {
+            true => NEW_PART_CRASHES,
+            false if answers_since >= MIN_ANSWERS_WITHOUT_PART => KNOWN_PART_CRASHES,
+            false => return false,
+        };
+        if charges.runs.len().min(charges.requests.len()) < needed {
+            return false;
+        }
+        let cause = CrashCause::Part(part);
+        let independent = self.evidence.independent_crashes(cause, explained);
+        independent.runs.min(independent.requests) >= needed
     }
 
     fn evict_excess(&mut self) {
--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -9,6 +9,14 @@
 /// The maximum number of reports; the oldest one is dropped first.
 const MAX_REPORTS: usize = 512;
 
+/// How far apart the reports of servers that crashed at the same moment arrive.
+const COINCIDENCE_TIME: Duration = Duration::from_millis(500);
+/// The number of other servers that must crash at the same moment for their crashes to have a common
+/// cause outside the requests, such as an outage. Several bad parts at a time crash fewer.
+const MIN_COINCIDENT_RUNS: usize = 5;
+/// How many times as many servers these must be as crashed with the suspected cause.
+const COINCIDENT_RATIO: usize = 3;
+
 /// A reported request, and which of the possible causes have been cleared since.
 #[derive(Debug)]
 struct Crash {
@@ -24,6 +32,14 @@
         let causes = self.report.causes();
         causes.filter(|cause| !self.cleared.contains(cause))
     }
+
+    fn is_coincident(&self, other: &Self) -> bool {
+        let (first, last) = (
+            self.heard_at.min(other.heard_at),
+            self.heard_at.max(other.heard_at),
+        );
+        last.duration_since(first) < COINCIDENCE_TIME
+    }
 }
 
 /// The crashes that a cause is charged with.
@@ -47,6 +63,15 @@
     }
 }
 
+/// The crashes with a cause that no outage of many servers explains.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct IndependentCrashes {
+    /// The number of runs of servers that crashed.
+    pub(super) runs: usize,
+    /// The number of different requests that they had not begun to answer.
+    pub(super) requests: usize,
+}
+
 /// The reports of all VMs, each counted once.
 #[derive(Debug, Default)]
 pub(super) struct CrashEvidence {
@@ -131,6 +156,37 @@
         with_cause.map(|crash| crash.report.run)
     }
 
+    /// Counts the crashes with a cause, without those of servers that crashed at the same moment as many
+    /// others without it. Runs whose crash is explained do not count as others.
+    pub(super) fn independent_crashes(
+        &self,
+        cause: CrashCause,
+        explained: &HashSet<ServerRunId>,
+    ) -> IndependentCrashes {
+        let has_cause = |crash: &Crash| crash.open_causes().any(|open| open == cause);
+        let (own, others): (Vec<&Crash>, Vec<&Crash>) =
+            self.crashes.iter().partition(|crash| has_cause(crash));
+        let own_runs: HashSet<ServerRunId> = own.iter().map(|it| it.report.run).collect();
+        let runs_at = |crash: &Crash, all: &[&Crash]| {
+            let near = all.iter().filter(|other| crash.is_coincident(other));
+            let runs: HashSet<ServerRunId> = near.map(|other| other.report.run).collect();
+            runs
+        };
+        let is_independent = |crash: &Crash| {
+            let own_here = runs_at(crash, &own).len();
+            let mut others_here = runs_at(crash, &others);
+            others_here.retain(|run| !own_runs.contains(run) && !explained.contains(run));
+            others_here.len() < MIN_COINCIDENT_RUNS.max(COINCIDENT_RATIO * own_here)
+        };
+        let independent: Vec<&&Crash> = own.iter().filter(|it| is_independent(it)).collect();
+        let runs: HashSet<ServerRunId> = independent.iter().map(|it| it.report.run).collect();
+        let requests: HashSet<u64> = independent.iter().map(|it| it.report.request).collect();
+        IndependentCrashes {
+            runs: runs.len(),
+            requests: requests.len(),
+        }
+    }
+
     /// What each cause is charged with, without the runs whose crash is explained.
     pub(super) fn charges(&self, explained: &HashSet<ServerRunId>) -> HashMap<CrashCause, Charges> {
         let mut charges: HashMap<CrashCause, Charges> = HashMap::new();
--- a/src/gateway/tests/crash_containment.rs
+++ b/src/gateway/tests/crash_containment.rs
@@ -168,6 +168,39 @@
     assert_eq!(vm.containment.contained_count(), 0);
 }
 
+/// Guards against requests of a session being refused because an outage ended two servers with
+/// requests of this session among many others.
+#[test]
+fn a_new_part_is_not_contained_for_the_outage_of_many_servers() {
+    let mut vm = Vm::experienced();
+    vm.crash(1, 1, &[FIRST, BAD]);
+    vm.crash(2, 2, &[FIRST, BAD]);
+    vm.crash(2, 3, &[FIRST, PromptPart(1_009)]);
+    for run in 3..=8 {
+        vm.pass(30);
+        vm.crash(run, 10 + run, &[FIRST, PromptPart(1_000 + run)]);
+    }
+    assert!(!vm.is_contained(&[FIRST, BAD]));
+    vm.pass(5_000);
+    vm.containment.update(vm.now);
+    assert_eq!(vm.containment.contained_count(), 0);
+}
+
+/// Guards against a part that crashes servers staying in use because an outage came at the same time.
+#[test]
+fn a_part_that_goes_on_crashing_servers_after_an_outage_is_contained() {
+    let mut vm = Vm::experienced();
+    for run in 1..=8 {
+        vm.crash(run, 10 + run, &[FIRST, PromptPart(1_000 + run)]);
+    }
+    vm.crash(9, 1, &[FIRST, BAD]);
+    for run in 10..=11 {
+        vm.pass(1_000);
+        vm.crash(run, run, &[FIRST, BAD]);
+    }
+    assert!(vm.is_contained(&[BAD]));
+}
+
 #[test]
 fn a_vm_that_has_just_started_takes_no_part_for_new() {
     let mut vm = Vm::new();
