Runner loads: all VMs of a large zone get each figure; figures are bounded

A VM sends to at most 28 VMs of its zone per round. A figure was sent in one round only, so that with 300 VMs in four zones a third of the zone got it. It is now sent in as many rounds as it takes to send to each VM once, and figures beyond the 24 of a message follow in the next round instead of being dropped.

The requests that another VM states were not bounded: a VM that states 2^32 - 1 made the sum overflow, so that a full runner looked idle. At most 10,000 count.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -171,7 +171,10 @@
             usage_report: own_reports.quotas.first().cloned(),
             server_limits: own_reports.server_limits.first().cloned(),
             server_speeds: self.state.server_speeds.own_part(round),
-            runner_loads: self.state.runner_loads.take_part(now),
+            runner_loads: self
+                .state
+                .runner_loads
+                .take_part(targets.local_rounds(), now),
             plain_loads: self.state.plain_loads.own_part(now),
             ..digest.clone()
         };
--- a/src/gateway/runner_load/message.rs
+++ b/src/gateway/runner_load/message.rs
@@ -19,7 +19,7 @@
 
 impl RunnerLoadsPart {
     /// Encodes runs with the requests at each and the age of the figure.
-    pub(super) fn of(figures: impl Iterator<Item = (u32, u32, Duration)>) -> Self {
+    pub(crate) fn of(figures: impl Iterator<Item = (u32, u32, Duration)>) -> Self {
         let mut part = Self::default();
         for (run, remote, age) in figures {
             part.runs.push(run);
@@ -35,7 +35,7 @@
     }
 
     /// Returns the runs with the requests at each and the age of the figure.
-    pub(super) fn figures(&self) -> impl Iterator<Item = (u32, u32, Duration)> {
+    pub(crate) fn figures(&self) -> impl Iterator<Item = (u32, u32, Duration)> {
         let runs = self.runs.iter().copied();
         let remote = self.remote.iter().copied();
         let ages = self.ages_ms.iter().copied();
--- a/src/gateway/runner_load/mod.rs
+++ b/src/gateway/runner_load/mod.rs
@@ -10,7 +10,7 @@
 
 mod message;
 
-pub(super) use message::RunnerLoadsPart;
+pub(crate) use message::RunnerLoadsPart;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -22,6 +22,9 @@
 /// The maximum number of figures in a message, the latest first. Each takes some ten bytes.
 const MAX_FIGURES: usize = 24;
 
+/// The most requests of other zones at a runner, so that a faulty VM cannot make sums overflow.
+const MAX_REMOTE: u32 = 10_000;
+
 /// The requests of other zones at a runner, by a statement of the runner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Figure {
@@ -34,8 +37,9 @@
 pub(crate) struct RunnerLoads {
     /// The latest figure of each run of a runner, by its short id.
     figures: RefCell<HashMap<u32, Figure>>,
-    /// The figures from responses to this VM that the others of its zone do not have yet.
-    unsent: RefCell<HashMap<u32, Figure>>,
+    /// The figures from responses to this VM that others of its zone do not have yet, with the number
+    /// of rounds in which each was sent.
+    unsent: RefCell<HashMap<u32, (Figure, usize)>>,
 }
 
 impl RunnerLoads {
@@ -47,7 +51,7 @@
             stated_at: now,
         };
         self.figures.borrow_mut().insert(run, figure);
-        self.unsent.borrow_mut().insert(run, figure);
+        self.unsent.borrow_mut().insert(run, (figure, 0));
     }
 
     /// Returns the requests of other zones at a runner, if a recent statement is known.
@@ -58,30 +62,35 @@
         (age < MAX_AGE).then_some(figure.remote)
     }
 
-    /// Takes the figures that the other VMs of the zone do not have yet.
-    pub(super) fn take_part(&self, now: Instant) -> Option<RunnerLoadsPart> {
-        self.figures
-            .borrow_mut()
-            .retain(|_, it| now.saturating_duration_since(it.stated_at) < MAX_AGE);
-        let mut unsent: Vec<(u32, Figure)> = self.unsent.borrow_mut().drain().collect();
-        unsent.sort_unstable_by_key(|(_, figure)| std::cmp::Reverse(figure.stated_at));
-        unsent.truncate(MAX_FIGURES);
-        let figures = unsent.into_iter().map(|(run, figure)| {
+    /// Takes the figures that other VMs of the zone do not have yet, where each of them is sent to once
+    /// in so many rounds. Figures beyond the maximum of a message are left for the next round.
+    pub(crate) fn take_part(&self, rounds: usize, now: Instant) -> Option<RunnerLoadsPart> {
+        let is_recent = |it: &Figure| now.saturating_duration_since(it.stated_at) < MAX_AGE;
+        self.figures.borrow_mut().retain(|_, it| is_recent(it));
+        let mut unsent = self.unsent.borrow_mut();
+        unsent.retain(|_, (figure, _)| is_recent(figure));
+        let mut latest: Vec<(&u32, &mut (Figure, usize))> = unsent.iter_mut().collect();
+        latest.sort_unstable_by_key(|(_, (figure, _))| std::cmp::Reverse(figure.stated_at));
+        latest.truncate(MAX_FIGURES);
+        let figures = latest.into_iter().map(|(run, (figure, sent))| {
+            *sent += 1;
             let age = now.saturating_duration_since(figure.stated_at);
-            (run, figure.remote, age)
+            (*run, figure.remote, age)
         });
         let part = RunnerLoadsPart::of(figures);
+        unsent.retain(|_, (_, sent)| *sent < rounds);
         (!part.is_empty()).then_some(part)
     }
 
     /// Applies the figures of another VM of the zone. Later ones replace earlier ones, so that
     /// messages may come in any order, twice or not at all.
-    pub(super) fn apply(&self, part: &RunnerLoadsPart, now: Instant) {
+    pub(crate) fn apply(&self, part: &RunnerLoadsPart, now: Instant) {
         let mut figures = self.figures.borrow_mut();
         for (run, remote, age) in part.figures().take(MAX_FIGURES) {
             let Some(stated_at) = now.checked_sub(age).filter(|_| age < MAX_AGE) else {
                 continue;
             };
+            let remote = remote.min(MAX_REMOTE);
             let figure = Figure { remote, stated_at };
             let known = figures.entry(run).or_insert(figure);
             if known.stated_at < stated_at {
