Stated loads of runners: requests that wait while slots are free are not absurd

A runner counts requests as waiting until it reads their prompts, one after the other. For runners the requests that wait now count as running while slots are free, before the statement is judged; for plain servers nothing changes.

Loads of runners shared in a zone did not regard the judgement: a runner stuck on the same counts was believed there. It is now ignored while it states free slots. A full runner states the same each time and is still believed.

a_runner_may_let_requests_wait_while_slots_are_free and a_runner_that_is_stuck_on_free_slots_is_not_believed failed without the two decisions and pass.

--- a/src/gateway/runner_load/mod.rs
+++ b/src/gateway/runner_load/mod.rs
@@ -12,6 +12,7 @@
 
 pub(crate) use message::RunnerLoadsPart;
 
+use crate::gateway::server_speed::{StatedLoad, Verdict};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -25,6 +26,32 @@
 /// The most requests of other zones at a runner, so that a faulty VM cannot make sums overflow.
 const MAX_REMOTE: u32 = 10_000;
 
+/// Returns a statement of a runner in which requests wait only while no slot is free, as in those of
+/// plain servers. A runner counts requests as waiting until it reads their prompts, one after the
+/// other, also while it has free slots. Counts that no runner with `slots` can hold are left as they
+/// are.
+pub(crate) fn counted(load: StatedLoad, slots: u32) -> StatedLoad {
+    if !load.is_possible(slots) {
+        return load;
+    }
+    let moved = load.waiting.min(slots - load.running);
+    StatedLoad {
+        running: load.running + moved,
+        waiting: load.waiting - moved,
+        ..load
+    }
+}
+
+/// Whether the counts of a runner are used. Those that stay the same while the known load changes are
+/// believed only if all slots are in use: a full runner states the same each time.
+pub(crate) fn is_believed(load: &StatedLoad, verdict: Verdict) -> bool {
+    match verdict {
+        Verdict::Used => true,
+        Verdict::Stuck => load.running >= load.slots,
+        Verdict::Absurd => false,
+    }
+}
+
 /// The requests of other zones at a runner, by a statement of the runner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Figure {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,7 +18,7 @@
 use crate::gateway::reachability::{Reachability, ReachabilityChange};
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
-use crate::gateway::runner_load::RunnerLoads;
+use crate::gateway::runner_load::{RunnerLoads, counted, is_believed};
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
 use crate::gateway::server_speed::{ListedRun, ServerSpeeds, StatedLoad, run_id};
 use crate::gateway::software_versions::SoftwareVersions;
@@ -675,14 +675,19 @@
         let slots = server.with_entry(|entry| entry.slots);
         let run = server.incarnation();
         let is_runner = server.with_entry(|entry| !entry.holdings.is_empty());
-        if is_runner && self.peers.is_remote_load_stale() && load.is_possible(slots) {
+        let counted = match is_runner {
+            true => counted(load, slots),
+            false => load,
+        };
+        let (verdict, is_change) =
+            self.server_speeds
+                .note_stated(&run, counted, slots, known_in_flight, now);
+        let is_shared = is_runner && self.peers.is_remote_load_stale();
+        if is_shared && is_believed(&counted, verdict) {
             let local = server.in_flight() + peer_loads.of_single(&server.id);
-            let stated = load.running + load.waiting;
+            let stated = counted.running + counted.waiting;
             self.runner_loads.note(run_id(&run), stated, local, now);
         }
-        let (verdict, is_change) =
-            self.server_speeds
-                .note_stated(&run, load, slots, known_in_flight, now);
         self.metrics.note_stated_load(verdict.name());
         if is_change {
             let verdict = verdict.name();
--- a/src/gateway/tests/runner_load.rs
+++ b/src/gateway/tests/runner_load.rs
@@ -1,10 +1,13 @@
 //! The requests of other zones at runners, from what the runners state.
 
-use crate::gateway::runner_load::{RunnerLoads, RunnerLoadsPart};
+use crate::gateway::fleet::Incarnation;
+use crate::gateway::runner_load::{RunnerLoads, RunnerLoadsPart, counted, is_believed};
+use crate::gateway::server_speed::{ServerSpeeds, StatedLoad, Verdict};
 use prost::Message;
 use std::time::{Duration, Instant};
 
 const RUN: u32 = 7;
+const SLOTS: u32 = 12;
 
 #[test]
 fn what_a_runner_states_to_one_vm_is_known_in_its_zone() {
@@ -39,6 +42,48 @@
     assert_eq!(receiver.remote(RUN, later), Some(0));
 }
 
+fn load(running: u32, waiting: u32) -> StatedLoad {
+    StatedLoad {
+        running,
+        waiting,
+        slots: SLOTS,
+        slowness_percent: None,
+    }
+}
+
+/// Guards against statements of runners that are rejected because requests wait while slots are free:
+/// a runner reads one prompt after the other.
+#[test]
+fn a_runner_may_let_requests_wait_while_slots_are_free() {
+    let speeds = ServerSpeeds::default();
+    let run = Incarnation {
+        id: "runner".into(),
+        started_ms: 1,
+    };
+    let now = Instant::now();
+    let judge = |load| {
+        let load = counted(load, SLOTS);
+        let (verdict, _) = speeds.note_stated(&run, load, SLOTS, load.running, now);
+        (verdict, speeds.stated_in_flight(&run, now))
+    };
+    assert_eq!(judge(load(5, 2)), (Verdict::Used, Some(7)));
+    assert_eq!(judge(load(11, 4)), (Verdict::Used, Some(15)));
+    // Counts that no runner can hold remain absurd.
+    assert_eq!(judge(load(SLOTS + 1, 0)), (Verdict::Absurd, None));
+    assert_eq!(judge(load(3, 8 * SLOTS + 1)), (Verdict::Absurd, None));
+    assert_eq!(judge(load(u32::MAX, u32::MAX)), (Verdict::Absurd, None));
+}
+
+/// Guards against a runner that states free slots whatever its load, which all VMs of a zone would
+/// choose. A full runner states the same each time.
+#[test]
+fn a_runner_that_is_stuck_on_free_slots_is_not_believed() {
+    assert!(is_believed(&load(3, 0), Verdict::Used));
+    assert!(!is_believed(&load(3, 0), Verdict::Stuck));
+    assert!(is_believed(&load(SLOTS, 0), Verdict::Stuck));
+    assert!(!is_believed(&load(SLOTS, 0), Verdict::Absurd));
+}
+
 /// Guards against figures that only a part of a large zone gets: a VM sends to the VMs of such a zone
 /// in turn.
 #[test]
