Plain calls: a hold lasts until a server has room, and ends before the deadline

Three faults in what happens to a rejected call. The requests at the server that rejected it are a mean with what other VMs were told before, so that the hold could be zero and the next attempt was rejected as well; the server now counts as full. A server that had failed was taken for one that has room. The caller's deadline was not regarded, which may be before the route's target: the call was held and then failed as late.

In an existing test and in the simulation, servers that rejected the call are marked as such; the asserted figures are the same.

--- a/src/gateway/plain_calls.rs
+++ b/src/gateway/plain_calls.rs
@@ -83,6 +83,7 @@
                 work_s: usual_time.as_secs_f64() * slowness,
                 limit: known.and_then(|it| it.limit),
                 is_avoided: server.is_in_backoff(now) || call.tried.contains(&server.id),
+                has_rejected: !server.is_in_backoff(now) && call.tried.contains(&server.id),
             }
         });
         let servers: Vec<PlainServer> = servers.collect();
--- a/src/gateway/plain_load/estimate.rs
+++ b/src/gateway/plain_load/estimate.rs
@@ -35,6 +35,8 @@
     pub(crate) limit: Option<u32>,
     /// Whether the call was rejected there, or the server failed recently.
     pub(crate) is_avoided: bool,
+    /// Whether the call was rejected there, so that the server was full a moment ago.
+    pub(crate) has_rejected: bool,
 }
 
 impl PlainServer {
@@ -190,13 +192,21 @@
         return AfterRejection::TryOther;
     }
     // The time until a server has completed as many calls as it has slots: less is taken by others.
-    let target_left_s = target_left.as_secs_f64();
-    let held = servers.iter().filter_map(|server| {
+    // A server that has rejected the call is full, whatever was stated before.
+    let left_s = target_left.min(time_left).as_secs_f64();
+    let usable = servers
+        .iter()
+        .filter(|it| !it.is_avoided || it.has_rejected);
+    let held = usable.filter_map(|server| {
         let limit = f64::from(server.limit?);
-        let excess = (server.in_system + server.slots - limit).max(0.0);
+        let in_system = match server.has_rejected {
+            true => server.in_system.max(limit),
+            false => server.in_system,
+        };
+        let excess = (in_system + server.slots - limit).max(0.0);
         let wait_s = excess / server.rate();
         let queue_s = server.work_s * (limit / server.slots).max(1.0);
-        (wait_s + queue_s <= target_left_s).then_some(wait_s)
+        (wait_s + queue_s <= left_s).then_some(wait_s)
     });
     match held.reduce(f64::min) {
         Some(wait_s) => AfterRejection::Hold(Duration::from_secs_f64(wait_s)),
--- a/src/gateway/tests/plain_load.rs
+++ b/src/gateway/tests/plain_load.rs
@@ -34,6 +34,7 @@
         work_s: 0.06,
         limit: Some(30),
         is_avoided: false,
+        has_rejected: false,
     }
 }
 
@@ -198,6 +199,7 @@
 fn a_rejected_call_is_tried_elsewhere_held_or_refused() {
     let rejecting = PlainServer {
         is_avoided: true,
+        has_rejected: true,
         ..server(30.0)
     };
     let second = Duration::from_secs(1);
@@ -225,6 +227,46 @@
     assert_eq!(late, AfterRejection::Refuse);
 }
 
+/// Guards against calls that are sent again at once to the server that has just rejected them, because
+/// other VMs stated fewer requests there a moment ago, and to a server that has failed.
+#[test]
+fn a_hold_lasts_until_a_server_that_rejected_the_call_has_room() {
+    let rejecting = PlainServer {
+        is_avoided: true,
+        has_rejected: true,
+        ..server(18.0)
+    };
+    let failed = PlainServer {
+        is_avoided: true,
+        ..server(2.0)
+    };
+    let settle = |servers: &[PlainServer]| {
+        let left = Duration::from_millis(500);
+        after_rejection(servers, left, Duration::from_secs(1))
+    };
+    let hold = AfterRejection::Hold(Duration::from_millis(60));
+    assert_eq!(settle(&[rejecting]), hold);
+    assert_eq!(settle(&[rejecting, failed]), hold);
+}
+
+/// Guards against holds that end after the caller's deadline, which may be before the target.
+#[test]
+fn no_call_is_held_that_cannot_be_answered_before_its_deadline() {
+    let rejecting = PlainServer {
+        is_avoided: true,
+        has_rejected: true,
+        ..server(30.0)
+    };
+    let settle = |target_left, time_left| {
+        let left = Duration::from_millis(target_left);
+        after_rejection(&[rejecting], left, Duration::from_millis(time_left))
+    };
+    // The answer comes after 60 ms of hold and 300 ms in the queue.
+    let hold = AfterRejection::Hold(Duration::from_millis(60));
+    assert_eq!(settle(500, 500), hold);
+    assert_eq!(settle(500, 300), AfterRejection::Refuse);
+}
+
 /// Guards against callers that are told to return before servers answer in time again.
 #[test]
 fn refused_callers_return_when_the_queues_are_short_again() {
--- a/src/gateway/tests/plain_play.rs
+++ b/src/gateway/tests/plain_play.rs
@@ -240,6 +240,7 @@
             work_s: WORK_MS / 1_000.0 * it.map_or(1.0, |it| it.slowness),
             limit: it.and_then(|it| it.limit),
             is_avoided: call.tried[index],
+            has_rejected: call.tried[index],
         });
         let demand = Demand {
             calls_per_s: loads.calls_per_s(&self.service, now),
