--- a/src/gateway/tests/plain_load.rs
+++ b/src/gateway/tests/plain_load.rs
@@ -34,6 +34,7 @@
         work_s: 0.06,
         limit: Some(30),
         is_avoided: false,
+        has_rejected: false,
     }
 }
 
@@ -198,6 +199,7 @@
 fn a_rejected_call_is_tried_elsewhere_held_or_refused() {
     let rejecting = PlainServer {
         is_avoided: true,
+        has_rejected: true,
         ..server(30.0)
     };
     let second = Duration::from_secs(1);
@@ -225,6 +227,68 @@
     assert_eq!(late, AfterRejection::Refuse);
 }
 
+/// Guards against calls that are sent again at once to the server that has just rejected them, because
+/// other VMs stated fewer requests there a moment ago, and to a server that has failed.
+#[test]
+fn a_hold_lasts_until_a_server_that_rejected_the_call_has_room() {
+    let rejecting = PlainServer {
+        is_avoided: true,
+        has_rejected: true,
+        ..server(18.0)
+    };
+    let failed = PlainServer {
+        is_avoided: true,
+        ..server(2.0)
+    };
+    let settle = |servers: &[PlainServer]| {
+        let left = Duration::from_millis(500);
+        after_rejection(servers, left, Duration::from_secs(1))
+    };
+    let hold = AfterRejection::Hold(Duration::from_millis(60));
+    assert_eq!(settle(&[rejecting]), hold);
+    assert_eq!(settle(&[rejecting, failed]), hold);
+}
+
+/// Guards against holds that end after the caller's deadline, which may be before the target.
+#[test]
+fn no_call_is_held_that_cannot_be_answered_before_its_deadline() {
+    let rejecting = PlainServer {
+        is_avoided: true,
+        has_rejected: true,
+        ..server(30.0)
+    };
+    let settle = |target_left, time_left| {
+        let left = Duration::from_millis(target_left);
+        after_rejection(&[rejecting], left, Duration::from_millis(time_left))
+    };
+    // The answer comes after 60 ms of hold and 300 ms in the queue.
+    let hold = AfterRejection::Hold(Duration::from_millis(60));
+    assert_eq!(settle(500, 500), hold);
+    assert_eq!(settle(500, 300), AfterRejection::Refuse);
+}
+
+/// Guards against VMs that underestimate the calls that arrive because a VM that has sent none of
+/// them on does not state its own, and against messages where no server states its load.
+#[test]
+fn calls_are_stated_while_any_vm_knows_the_load() {
+    let now = Instant::now();
+    let (knowing, refusing) = (PlainLoads::default(), PlainLoads::default());
+    let receiver = PlainLoads::default();
+    refusing.note_arrival(&"plain".into(), now);
+    assert_eq!(refusing.own_part(now), None);
+    knowing.note(&run(1), figure(30, 100, now), true);
+    let part = knowing.own_part(now).expect("it has a figure");
+    refusing.apply_vm(address(1), &part, now);
+    let part = refusing.own_part(now).expect("it has calls");
+    receiver.apply_vm(address(2), &part, now);
+    assert!((receiver.calls_per_s(&"plain".into(), now) - 1.0).abs() < 0.01);
+    // VMs that state only calls do not keep each other stating them.
+    refusing.apply_vm(address(3), &part, now);
+    let later = now + Duration::from_millis(2_600);
+    refusing.note_arrival(&"plain".into(), later);
+    assert_eq!(refusing.own_part(later), None);
+}
+
 /// Guards against callers that are told to return before servers answer in time again.
 #[test]
 fn refused_callers_return_when_the_queues_are_short_again() {
