Test of a large change: time counts from the store's acknowledgement

The failed run took 2.02 s, counted from before the test built the text. Measured on a busy machine (load average 9 to 23): building the text takes 54 to 157 ms, the transfer 1.604 s, and the rest 36 to 160 ms, which is the time to the next read (the VM has just started and reads at most every 200 ms), parsing and the polling of the test. There is no second read. From start to the configuration in force it is 1.80 s in every run: 0.2 s between two reads and the transfer.

The requirement is 2 s from the acknowledgement, so the time now counts from there.

--- a/workbench/tests/site_configuration.rs
+++ b/workbench/tests/site_configuration.rs
@@ -230,16 +230,30 @@
     });
 }
 
+/// Guards against a large change that is read late, read twice, or held up after its transfer, which
+/// takes 1.6 s.
 #[googletest::test]
 fn a_change_is_in_force_in_time_although_its_size_takes_most_of_that_on_the_path_to_the_store() {
     block_on(async {
         let mut site = Site::start_plain(1, 1).await;
         let before = site.configuration_version(0).await;
         site.store.set(SLOW_PATH);
-        let published_at = Instant::now();
+        let began = Instant::now();
         publish_routes(&mut site, MANY_ROUTES);
+        // The time counts from the store's acknowledgement. The test builds the text before, which
+        // takes 60 to 130 ms and more on a busy machine.
+        let acknowledged_at = Instant::now();
         wait_for_change(&site, &[0], before).await;
-        expect_that!(published_at.elapsed(), lt(CONFIGURATION_LIMIT));
+        let took = acknowledged_at.elapsed();
+        let size = site.metric(0, "configuration_bytes").await;
+        let size = size.expect("the metric is there");
+        let transfer = Duration::from_secs_f64(size / SLOW_PATH.bytes_per_s as f64);
+        println!(
+            "text built in {:?}, in force after {took:?}, of which {transfer:?} for the transfer",
+            acknowledged_at - began
+        );
+        expect_that!(transfer, gt(CONFIGURATION_LIMIT.mul_f64(0.75)));
+        expect_that!(took, lt(CONFIGURATION_LIMIT));
     });
 }
 
