Learned speeds: large differences count nearly in full

Cause of the failing no_estimate_errs_by_as_much_as_makes_a_server_count_as_slow: of each effect the whole uncertainty was left out, which is 0.17 of a logarithm for a runner with 14 streams. The worst runner has one copy; its effect is 0.62, 0.36 was learned after 20 s and 0.20 was used. Now the square of the uncertainty over the effect is left out; effects within the uncertainty still count as none.

The rest of the error is slow convergence of usual times and effects, which are estimated in turns.

--- a/src/gateway/server_speed/mod.rs
+++ b/src/gateway/server_speed/mod.rs
@@ -38,9 +38,9 @@
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// The weight of the assumption that a server is as fast as others, in long streams.
 const USUAL_WEIGHT: f64 = 1.5;
-/// The difference from the usual time, as a logarithm, that does not count: equal servers differ in
-/// the estimates, because their streams differ. The second figure applies to a server of which one
-/// long stream is known, and decreases with the root of their number.
+/// The difference from the usual time, as a logarithm, up to which it does not count: equal servers
+/// differ in the estimates, because their streams differ. The second figure applies to a server of
+/// which one long stream is known, and decreases with the root of their number.
 const INDIFFERENCE: f64 = 0.06;
 const INDIFFERENCE_OF_ONE: f64 = 0.4;
 /// The slowness from which a server is reported as slow, and below which it no longer is.
@@ -73,7 +73,13 @@
 /// The time that a server with this effect takes relative to a usual one.
 fn slowness_of(effect: &Evidence) -> f64 {
     let margin = INDIFFERENCE + INDIFFERENCE_OF_ONE / effect.weight.sqrt();
-    let counted = (effect.mean.abs() - margin).max(0.0);
+    let difference = effect.mean.abs();
+    if difference <= margin {
+        return 1.0;
+    }
+    // The larger the difference, the less of it is left out. With the whole margin left out, the
+    // estimate of a server with few streams was wrong by up to a factor of 1.52 after 20 s.
+    let counted = difference - margin * margin / difference;
     (counted * effect.mean.signum()).exp()
 }
 
--- a/src/gateway/tests/server_speed.rs
+++ b/src/gateway/tests/server_speed.rs
@@ -151,10 +151,15 @@
 #[test]
 fn no_estimate_errs_by_as_much_as_makes_a_server_count_as_slow() {
     // With a greater error, a usual server is reported as slow and avoided.
-    let mut fleet = Fleet::new(65, uneven(90), 0.1, 1);
-    fleet.run(Duration::from_secs(20), 5.0);
-    let (largest, _) = fleet.errors();
-    assert!(largest < 1.5, "{largest}");
+    for seed in 1..5 {
+        let mut fleet = Fleet::new(65, uneven(90), 0.1, seed);
+        fleet.run(Duration::from_secs(20), 5.0);
+        let (largest, mean) = fleet.errors();
+        println!("seed {seed}: error after 20 s {largest} (largest), {mean} (mean)");
+        assert!(largest < 1.5, "seed {seed}: {largest}");
+        // It is 1.08 to 1.09, and was 1.14 to 1.16 when the whole margin was left out.
+        assert!(mean < 1.12, "seed {seed}: {mean}");
+    }
 }
 
 #[test]
