Plain calls: the speed of a server that failed does not lower the level of the others

The level up to which calls are sent depends on the fastest server. A server that failed counted there, so that with a slow one beside it 42 of 100 calls were sent where all can be started, and the rest refused.

a_fast_server_that_failed_does_not_lower_the_level_of_the_others failed before (0.417 instead of 1.0) and passes.

--- a/src/gateway/plain_load/estimate.rs
+++ b/src/gateway/plain_load/estimate.rs
@@ -110,7 +110,8 @@
         // Where all servers are avoided, calls are sent to them all the same.
         let has_other = servers.iter().any(|it| !it.is_avoided);
         let usable = |it: &&PlainServer| !it.is_avoided || !has_other;
-        let fastest = servers.iter().map(|it| it.work_s).reduce(f64::min)?;
+        let works = servers.iter().filter(usable).map(|it| it.work_s);
+        let fastest = works.reduce(f64::min)?;
         let horizon_s = demand.horizon_s();
         let expected = demand.calls_per_s * horizon_s + 1.0;
         let sum = |level_s: f64| -> f64 {
--- a/src/gateway/tests/plain_load.rs
+++ b/src/gateway/tests/plain_load.rs
@@ -267,6 +267,28 @@
     assert_eq!(settle(500, 300), AfterRejection::Refuse);
 }
 
+/// Guards against refusals because of the speed of a server that failed: the level up to which calls
+/// are sent depends on the servers in use.
+#[test]
+fn a_fast_server_that_failed_does_not_lower_the_level_of_the_others() {
+    let slow = PlainServer {
+        work_s: 0.3,
+        limit: None,
+        ..server(9.5)
+    };
+    let failed = PlainServer {
+        work_s: 0.02,
+        is_avoided: true,
+        ..server(0.0)
+    };
+    let share = |servers: &[PlainServer]| {
+        let division = Division::of(servers, &demand(1.0)).expect("there are servers");
+        division.useful_share
+    };
+    assert_eq!(share(&[slow]), 1.0);
+    assert_eq!(share(&[slow, failed]), 1.0);
+}
+
 /// Guards against VMs that underestimate the calls that arrive because a VM that has sent none of
 /// them on does not state its own, and against messages where no server states its load.
 #[test]
