Plain calls: a call without a retry is not reported as held

A call whose retry budget is spent was counted and logged as held, and then refused. The retry is reserved before the decision is reported, which is now 'given_up'. Found by reading; no test of it.

--- a/src/gateway/plain_calls.rs
+++ b/src/gateway/plain_calls.rs
@@ -166,9 +166,13 @@
         let target = Duration::from_millis(call.route.target_latency_ms);
         let target_left = target.saturating_sub(call.arrived.elapsed());
         let decision = after_rejection(&view.servers, target_left, call.time_left());
+        let is_leaving = self.state.shutdown.is_leaving();
         let (name, hold) = match decision {
             AfterRejection::TryOther => ("tried_other", None),
-            AfterRejection::Hold(hold) if !self.state.shutdown.is_leaving() => ("held", Some(hold)),
+            // Without a retry the call could not be sent after the hold.
+            AfterRejection::Hold(hold) if !is_leaving && self.reserve_retry(call) => {
+                ("held", Some(hold))
+            }
             AfterRejection::Hold(_) | AfterRejection::Refuse => ("given_up", None),
         };
         self.state.metrics.note_plain_decision(name);
@@ -183,8 +187,7 @@
         );
         match (decision, hold) {
             (AfterRejection::TryOther, _) => Ok(()),
-            // Without a retry the call could not be sent after the hold.
-            (_, Some(hold)) if self.reserve_retry(call) => {
+            (_, Some(hold)) => {
                 compio::time::sleep(hold).await;
                 // The servers that rejected the call have room again.
                 call.tried.clear();
