--- a/workbench/tests/site_plain_load.rs
+++ b/workbench/tests/site_plain_load.rs
@@ -2,7 +2,9 @@
 
 use googletest::prelude::*;
 use serde_json::json;
-use std::time::Duration;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
 use workbench::site::{
     Caller, CallerRequest, ReceivedRequest, ScriptStep, Site, plain, route, signed_answer,
@@ -134,3 +136,126 @@
         .await;
     });
 }
+
+/// Guards against rejected calls that are refused although a server has room before the target, or that
+/// are sent again before it has.
+#[googletest::test]
+fn a_call_that_all_servers_rejected_is_held_and_answered() {
+    block_on(async {
+        let site = site().await;
+        let caller = Caller::default();
+        for server in &site.servers {
+            server.script(|call| work_and_state(call, "1,0,64,100"));
+        }
+        warm_up(&site, &caller, "/orders/1").await;
+        for server in &site.servers {
+            let has_rejected = Cell::new(false);
+            server.script(move |call| match has_rejected.replace(true) {
+                true => work_and_state(call, "60,0,64,100"),
+                false => vec![ScriptStep::Write(
+                    FULL.replacen("\r\n", &format!("\r\n{SERVER_LOAD}: 64,10,64,100\r\n"), 1)
+                        .into_bytes(),
+                )],
+            });
+        }
+        let begin = Instant::now();
+        let order = CallerRequest::post("/orders/1", "order");
+        let answer = caller.request(site.front(0), &order).await;
+        expect_that!(answer.status, some(eq(200)), "{answer:?}");
+        let arrivals = site.servers.iter().flat_map(|it| it.arrivals());
+        let mut arrivals: Vec<Instant> = arrivals.filter(|it| *it >= begin).collect();
+        arrivals.sort();
+        assert_that!(arrivals, len(eq(3)));
+        let hold = arrivals[2] - arrivals[1];
+        println!("held for {hold:?}, answered after {:?}", answer.duration);
+        // The time in which a server completes as many calls as it has slots.
+        expect_that!(hold, ge(WORK.mul_f64(0.8)));
+    });
+}
+
+/// Guards against VMs that know the load of a server only from its responses to themselves.
+#[googletest::test]
+fn a_vm_learns_the_load_of_a_server_from_another_vm() {
+    block_on(async {
+        let site = site().await;
+        let caller = Caller::default();
+        warm_up(&site, &caller, "/x").await;
+        let at_full = Rc::new(Cell::new(0));
+        let mut before = 0;
+        for index in 0..70 {
+            let (full, idle) = match index % 2 {
+                0 => ("64,500,64,100", "1,0,64,100"),
+                _ => ("64,490,64,100", "2,0,64,100"),
+            };
+            // The servers state their load only to the first VM.
+            let count = at_full.clone();
+            site.servers[0].script(move |call| {
+                if call.path == "/told" {
+                    return work_and_state(call, full);
+                }
+                count.set(count.get() + 1);
+                work(call)
+            });
+            site.servers[1].script(move |call| match call.path == "/told" {
+                true => work_and_state(call, idle),
+                false => work(call),
+            });
+            if index == 10 {
+                before = at_full.get();
+            }
+            for (vm, path) in ["/told", "/untold"].into_iter().enumerate() {
+                caller
+                    .request(site.front(vm), &CallerRequest::get(path))
+                    .await;
+            }
+        }
+        let at_full = at_full.get() - before;
+        println!("{at_full} of 60 calls at the full server");
+        expect_that!(at_full, lt(20));
+    });
+}
+
+/// Guards against a server that gets few calls because it states a slowness that its responses
+/// contradict.
+#[googletest::test]
+fn a_false_slowness_does_not_keep_calls_away() {
+    block_on(async {
+        let site = site().await;
+        let caller = Caller::default();
+        warm_up(&site, &caller, "/x").await;
+        let state = |slowness: [u32; 2]| {
+            for (server, slowness) in site.servers.iter().zip(slowness) {
+                let calls = Cell::new(0);
+                server.script(move |call| {
+                    calls.set(calls.get() + 1);
+                    // Counts that stay the same while the load changes are not believed.
+                    let running = 1 + calls.get() % 2;
+                    work_and_state(call, &format!("{running},0,64,{slowness}"))
+                });
+            }
+        };
+        let call_both = async || {
+            for vm in 0..2 {
+                caller
+                    .request(site.front(vm), &CallerRequest::get("/x"))
+                    .await;
+            }
+        };
+        // All calls take the same time, whatever the servers state.
+        for index in 0..70 {
+            state(match index % 2 {
+                0 => [100, 100],
+                _ => [500, 500],
+            });
+            call_both().await;
+        }
+        let before = site.servers[0].arrivals().len();
+        state([500, 100]);
+        for _ in 0..40 {
+            call_both().await;
+        }
+        let at_slow = site.servers[0].arrivals().len() - before;
+        println!("{at_slow} of 80 calls at the server that states to be slow");
+        expect_that!(at_slow, gt(27));
+    });
+}
