Rate limits: a stated limit of zero counts as the least rate

A server that states a limit of 0 still gets 0.25 requests per second, but waits for it were predicted with a rate of 0. The prediction was then the longest time there is, which was added to the metric of predicted waits and made its sum useless.

a_limit_of_zero_counts_as_the_least_rate failed before (0 instead of 0.25) and passes.

--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -114,9 +114,11 @@
         has_changed
     }
 
-    /// Returns the limit of a server in requests per second; `None` if it has none.
+    /// Returns the limit of a server in requests per second, at least the rate that it always gets;
+    /// `None` if it has none.
     pub(crate) fn rate_per_s(&self, server: &Incarnation) -> Option<f64> {
-        self.statements.get(server)?.rate_per_s
+        let stated = self.statements.get(server)?.rate_per_s;
+        stated.map(|rate_per_s| rate_per_s.max(MIN_RATE_PER_S))
     }
 
     /// Returns the number of servers that have a limit.
--- a/src/gateway/tests/server_limits.rs
+++ b/src/gateway/tests/server_limits.rs
@@ -142,6 +142,16 @@
     assert_eq!(others.rate_per_s(&server(1)), None);
 }
 
+/// Guards against a predicted wait without end, which is added to the metric of predicted waits: a server
+/// that states a limit of 0 still gets some requests.
+#[test]
+fn a_limit_of_zero_counts_as_the_least_rate() {
+    let now = Instant::now();
+    let mut limits = ServerLimits::new(now);
+    limits.record_response(&server(1), Some(0.0), now);
+    assert_eq!(limits.rate_per_s(&server(1)), Some(0.25));
+}
+
 #[test]
 fn the_limit_of_a_server_outlasts_a_short_absence_of_its_entry() {
     let now = Instant::now();
