Requests that arrive while a VM starts wait for its state instead of being refused

After a loss of power all VMs start at once and accept connections 0.2 to 0.3 s before they know the configuration, the directory and what is contained. Requests now wait until the VM can route, up to 600 ms after the start of the process and half of the caller's time limit. A VM that does not learn its state in that time refuses at once, as before.

a_request_that_arrives_before_a_vm_knows_its_state_is_served_once_it_does fails on the code before (503 after 0.4 ms).

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 use crate::gateway::server_probe::DOUBT_PROBE_INTERVAL;
 use crate::gateway::server_speed::Work;
 use crate::gateway::state::State;
+use crate::gateway::waiting::start_hold;
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind, SendOptions};
 use crate::http::{Body, ReadError, read_body};
 use bytes::Bytes;
@@ -55,6 +56,8 @@
 /// and how often that is checked: until a probe after the time of confirmation has ended.
 const MAX_REACHABILITY_WAIT: Duration = CONFIRMATION_TIME.saturating_add(DOUBT_PROBE_INTERVAL);
 const REACHABILITY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// How often a request that waits for the start of this VM is checked.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Forwards callers' requests to backend servers.
 pub(crate) struct Relay<P> {
@@ -160,11 +163,9 @@
         arrived: Instant,
         forwarded: Option<ForwardedCall>,
     ) -> Result<Call, Failure> {
+        self.wait_for_start(&request, arrived).await;
         let configuration = self.state.configuration().ok_or(Failure::Unready)?;
-        if !self.state.is_directory_known.get()
-            || !self.state.is_containment_known.get()
-            || !self.state.is_configuration_checked(arrived)
-        {
+        if !self.state.can_route(Instant::now()) {
             return Err(Failure::Unready);
         }
         let route = configuration
@@ -243,6 +244,17 @@
         Ok(call)
     }
 
+    /// Waits while this VM has just started and does not know its state yet.
+    async fn wait_for_start(&self, request: &CallerRequest, arrived: Instant) {
+        let hold = start_hold(self.state.age(arrived), request.time_limit);
+        while !self.state.can_route(Instant::now())
+            && !self.state.shutdown.is_leaving()
+            && arrived.elapsed() < hold
+        {
+            compio::time::sleep(START_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Answers a call whose response is buffered completely before it is forwarded, so that the
     /// call can be retried on another server if the response is cut off.
     async fn answer_plain(&self, call: &mut Call) -> Result<Response<Body>, Failure> {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -66,6 +66,8 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     /// When the first configuration was received.
     configuration_known_at: Cell<Option<Instant>>,
+    /// When the process was started.
+    started_at: Instant,
     /// Whether a configuration was in force when the log was restored, or was compared with those of
     /// other VMs since.
     is_configuration_compared: Cell<bool>,
@@ -164,6 +166,7 @@
             metrics,
             configuration: RefCell::default(),
             configuration_known_at: Cell::new(None),
+            started_at: Instant::now(),
             is_configuration_compared: Cell::new(false),
             documents: RefCell::default(),
             fleet: Fleet::default(),
@@ -379,6 +382,16 @@
         Some(ahead.max_by_key(|(rating, _)| *rating)?.1)
     }
 
+    /// Whether this VM knows all that it needs to know to route a request that arrives now.
+    pub(crate) fn can_route(&self, now: Instant) -> bool {
+        self.has_state() && self.is_containment_known.get() && self.is_configuration_checked(now)
+    }
+
+    /// The time since the process was started.
+    pub(crate) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started_at)
+    }
+
     /// Whether this VM has the directory and the configuration.
     pub(crate) fn has_state(&self) -> bool {
         self.is_directory_known.get() && self.configuration.borrow().is_some()
--- a/src/gateway/tests/waiting.rs
+++ b/src/gateway/tests/waiting.rs
@@ -8,7 +8,7 @@
 use crate::gateway::tests::address;
 use crate::gateway::waiting::{
     Ahead, ExpectedStarts, FleetWaiting, Need, QueuedRequest, RequestTiming, Traffic, Urgency,
-    WaitQueues, WaitingCount, reserved_slots,
+    WaitQueues, WaitingCount, reserved_slots, start_hold,
 };
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -329,3 +329,15 @@
     assert_eq!(waiting_here(0).wait(0, &none), Duration::ZERO);
     assert_eq!(waiting_here(1).wait(0, &none), Duration::MAX);
 }
+
+/// Guards against requests that wait for a VM whose start takes unusually long.
+#[test]
+fn requests_wait_only_for_a_vm_that_has_just_started() {
+    let ms = Duration::from_millis;
+    assert_eq!(start_hold(ms(0), None), ms(600));
+    assert_eq!(start_hold(ms(250), None), ms(350));
+    assert_eq!(start_hold(ms(600), None), ms(0));
+    assert_eq!(start_hold(ms(60_000), None), ms(0));
+    // Half of a short time limit is left for the answer.
+    assert_eq!(start_hold(ms(0), Some(ms(400))), ms(200));
+}
--- a/src/gateway/waiting/mod.rs
+++ b/src/gateway/waiting/mod.rs
@@ -10,6 +10,7 @@
 mod prediction;
 mod reserve;
 mod return_calendar;
+mod start_hold;
 mod traffic;
 mod wait_queue;
 
@@ -18,6 +19,7 @@
 pub(crate) use prediction::{ExpectedStarts, FleetWaiting, WaitingCount, need_id};
 pub(crate) use reserve::{check_interval, reserved_slots, yield_limit};
 pub(crate) use return_calendar::{Refused, ReturnCalendar, Room};
+pub(crate) use start_hold::start_hold;
 pub(crate) use traffic::Traffic;
 #[cfg(test)]
 pub(crate) use wait_queue::Ahead;
--- a/workbench/tests/site_path.rs
+++ b/workbench/tests/site_path.rs
@@ -8,10 +8,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
+use workbench::proxy::Faults;
 use workbench::site::events::{events, events_text, last_chunk};
 use workbench::site::{
-    Caller, CallerRequest, ReceivedRequest, ScriptStep, ServerEvent, Site, StoreFaults, plain,
-    route, runner_service, signed_answer,
+    Answer, Caller, CallerRequest, ReceivedRequest, ScriptStep, ServerEvent, Site, StoreFaults,
+    plain, route, runner_service, signed_answer,
 };
 
 /// Far below the time for which a server would go on working for a caller that has left.
@@ -533,3 +534,61 @@
         expect_that!(changed_at.elapsed(), lt(COMPACTED_LIMIT));
     });
 }
+
+/// Sends a request to a VM as soon as it accepts connections.
+async fn request_at_start(site: &Site, vm: usize) -> Answer {
+    loop {
+        let answer = Caller::default()
+            .request(site.front(vm), &CallerRequest::get("/x"))
+            .await;
+        if answer.status.is_some() {
+            return answer;
+        }
+        compio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against callers being refused, and coming again a second later, because a VM accepts their
+/// connections a fraction of a second before it knows its state.
+#[googletest::test]
+fn a_request_that_arrives_before_a_vm_knows_its_state_is_served_once_it_does() {
+    block_on(async {
+        let mut site = Site::start(vec![("books", vec![])]).await;
+        site.configure(
+            json!([route("/", "safe", "books")]),
+            json!([plain("books")]),
+        );
+        let paths = site.start_store_paths(0..1).await;
+        paths[0].set(Faults {
+            delay_ms: 30,
+            ..Faults::default()
+        });
+        site.start_vms(1);
+        let answer = request_at_start(&site, 0).await;
+        expect_that!(answer.status, some(eq(200)));
+        expect_that!(answer.duration, gt(Duration::from_millis(30)));
+    });
+}
+
+/// Guards against requests being held by a VM for which nobody knows when it will know its state.
+#[googletest::test]
+fn a_vm_that_does_not_learn_its_state_holds_requests_only_shortly_after_its_start() {
+    block_on(async {
+        let mut site = Site::start(vec![("books", vec![])]).await;
+        site.configure(
+            json!([route("/", "safe", "books")]),
+            json!([plain("books")]),
+        );
+        site.store.set(StoreFaults {
+            is_down: true,
+            ..StoreFaults::default()
+        });
+        site.start_vms(1);
+        let first = request_at_start(&site, 0).await;
+        expect_that!(first.status, some(eq(503)));
+        expect_that!(first.duration, lt(Duration::from_millis(1_000)));
+        let later = request_at_start(&site, 0).await;
+        expect_that!(later.status, some(eq(503)));
+        expect_that!(later.duration, lt(Duration::from_millis(200)));
+    });
+}
