Plain calls: VMs state their calls without figures of their own again

A VM without a recent response states its calls as long as any VM knows the load of a server, so that others do not admit too many.

--- a/src/gateway/plain_load/figures.rs
+++ b/src/gateway/plain_load/figures.rs
@@ -169,9 +169,21 @@
         rates.collect()
     }
 
-    /// What this VM states itself.
+    /// What this VM states itself. Calls are stated while the load of any server is known to any VM,
+    /// since they are of no use before.
     pub(super) fn of_vm(&self, now: Instant) -> (HashMap<u32, Figure>, HashMap<u32, f64>) {
-        (self.own.clone(), self.own_calls(now))
+        let calls = match self.knows_load(now) {
+            true => self.own_calls(now),
+            false => HashMap::new(),
+        };
+        (self.own.clone(), calls)
+    }
+
+    fn knows_load(&self, now: Instant) -> bool {
+        let statements = self.vms.values().chain(self.zones.values());
+        let received = statements.flat_map(|it| it.figures.values());
+        let mut figures = self.own.values().chain(received);
+        figures.any(|it| it.age(now) < MAX_AGE)
     }
 
     /// What this VM and the others of its zone state: of each run the latest figure, and the sum of
--- a/src/gateway/plain_load/message.rs
+++ b/src/gateway/plain_load/message.rs
@@ -51,7 +51,7 @@
         calls: &HashMap<u32, f64>,
         now: Instant,
     ) -> Option<Self> {
-        if figures.is_empty() {
+        if figures.is_empty() && calls.is_empty() {
             return None;
         }
         let mut figures: Vec<(u32, Figure)> = figures.iter().map(|(id, it)| (*id, *it)).collect();
--- a/src/gateway/tests/plain_load.rs
+++ b/src/gateway/tests/plain_load.rs
@@ -289,6 +289,28 @@
     assert_eq!(share(&[slow, failed]), 1.0);
 }
 
+/// Guards against VMs that underestimate the calls that arrive because a VM that has sent none of
+/// them on does not state its own, and against messages where no server states its load.
+#[test]
+fn calls_are_stated_while_any_vm_knows_the_load() {
+    let now = Instant::now();
+    let (knowing, refusing) = (PlainLoads::default(), PlainLoads::default());
+    let receiver = PlainLoads::default();
+    refusing.note_arrival(&"plain".into(), now);
+    assert_eq!(refusing.own_part(now), None);
+    knowing.note(&run(1), figure(30, 100, now), true);
+    let part = knowing.own_part(now).expect("it has a figure");
+    refusing.apply_vm(address(1), &part, now);
+    let part = refusing.own_part(now).expect("it has calls");
+    receiver.apply_vm(address(2), &part, now);
+    assert!((receiver.calls_per_s(&"plain".into(), now) - 1.0).abs() < 0.01);
+    // VMs that state only calls do not keep each other stating them.
+    refusing.apply_vm(address(3), &part, now);
+    let later = now + Duration::from_millis(2_600);
+    refusing.note_arrival(&"plain".into(), later);
+    assert_eq!(refusing.own_part(later), None);
+}
+
 /// Guards against callers that are told to return before servers answer in time again.
 #[test]
 fn refused_callers_return_when_the_queues_are_short_again() {
