Signals are received by a thread for as long as the process lives

Callers saw: all requests of a VM cut without an answer, at once, when a signal came again: a second SIGTERM or SIGINT while the VM drained, or a SIGHUP right after another one or before the first handler was installed. The second kind needs a series; the first does not.

Cause: the handler of compio's `signal` is installed when its future is first polled, and the default action comes back when the future ends. After the first SIGTERM nothing held a handler for SIGTERM and SIGINT any more, and SIGHUP's was installed anew after each signal. The handler also wakes a task from within: on the thread of the runtime that relinks the runtime's list of runnable tasks (compio-executor `Local::schedule`, `make_hot`), which the signal may have interrupted in the middle of a change of the same list. Read in its code; no run shows a task lost by it.

Why it works: the signals are blocked before the first thread is started, so that no default action applies from then on, and a thread takes them with sigwait and passes them on by a channel, whose wake-up from another thread the runtime supports. What comes before main still has its default action. `serve` keeps the default action of SIGHUP.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -63,7 +63,7 @@
             eprintln!("error: {}", format_report(&report));
             ExitCode::from(match report.current_context() {
                 Fault::Settings => EXIT_INVALID,
-                Fault::Bind | Fault::Exchange | Fault::Logging => EXIT_UNREACHABLE,
+                Fault::Bind | Fault::Exchange | Fault::Logging | Fault::Signals => EXIT_UNREACHABLE,
                 Fault::Refused => EXIT_REFUSED,
             })
         }
--- a/src/error.rs
+++ b/src/error.rs
@@ -302,6 +302,8 @@
     Logging,
     /// Sending a request that the other process refused.
     Refused,
+    /// Taking over signals.
+    Signals,
 }
 
 impl fmt::Display for Fault {
@@ -312,6 +314,7 @@
             Self::Exchange => "communication with another process failed",
             Self::Logging => "cannot set up logging",
             Self::Refused => "request was refused",
+            Self::Signals => "cannot take over signals",
         })
     }
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -18,11 +18,12 @@
     RunnerControl, Settings,
 };
 use crate::http::{self, AcceptLimits, Body, serve_within};
+use crate::process_signals::ProcessSignals;
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
-use futures_util::future::{Either, select};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
+use nix::sys::signal::Signal;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -33,10 +34,10 @@
 const METRICS_PATH: &str = "/metrics";
 /// The content type of the metrics.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-/// SIGTERM and SIGINT start a graceful shutdown.
-const STOP_SIGNALS: [i32; 2] = [15, 2];
-/// SIGHUP announces that the settings file has changed.
-const RELOAD_SIGNAL: i32 = 1;
+/// The signals that start a graceful shutdown.
+const STOP_SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+/// Announces that the settings file has changed.
+const RELOAD_SIGNAL: Signal = Signal::SIGHUP;
 /// How long new connections may arrive after readiness starts to fail: readiness is checked once
 /// a second, and a VM receives no more connections after two failures. Requests accepted later may
 /// not finish in time.
@@ -57,7 +58,7 @@
 ///
 /// # Errors
 ///
-/// Fails if an address cannot be bound or logging cannot be started.
+/// Fails if signals cannot be taken over, an address cannot be bound or logging cannot be started.
 pub(crate) async fn serve<P, S, R>(
     settings: Settings,
     metrics: Rc<Metrics>,
@@ -70,6 +71,8 @@
     S: ConfigSource + ContainmentLog + Directory + Group + LeadershipClaims,
     R: RunnerControl,
 {
+    let signals = STOP_SIGNALS.into_iter().chain([RELOAD_SIGNAL]);
+    let mut signals = ProcessSignals::take_over(signals).change_context(Fault::Signals)?;
     let log_buffer = BufferedLog::start().change_context(Fault::Logging)?;
     let callers = bind(settings.caller_address).await?;
     let readiness = bind(settings.ready_address).await?;
@@ -113,7 +116,7 @@
     serve_forwarded(&relay).await?;
     compio::runtime::spawn(probe_servers(state.clone())).detach();
     serve_callers(callers, relay);
-    stop_signal().await;
+    wait_for_stop(&mut signals).await;
     let stopped_at = Instant::now();
     info!("stopping");
     state.shutdown.leave();
@@ -206,21 +209,9 @@
 
 /// Waits for a stop signal. SIGHUP is only logged, since values that may change at run time are
 /// read again anyway.
-async fn stop_signal() {
-    compio::runtime::spawn(async {
-        while compio::signal::unix::signal(RELOAD_SIGNAL).await.is_ok() {
-            info!("settings changed");
-        }
-    })
-    .detach();
-    let [terminate, interrupt] = STOP_SIGNALS.map(|signal| {
-        Box::pin(async move {
-            // If no handler can be installed, the signal terminates the process by default.
-            let _ = compio::signal::unix::signal(signal).await;
-        })
-    });
-    match select(terminate, interrupt).await {
-        Either::Left(_) | Either::Right(_) => {}
+async fn wait_for_stop(signals: &mut ProcessSignals) {
+    while signals.next().await == RELOAD_SIGNAL {
+        info!("settings changed");
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 mod plain_service;
 mod planner;
 mod platform;
+mod process_signals;
 mod quarantine;
 mod recent_decisions;
 mod reference;
--- a/src/server.rs
+++ b/src/server.rs
@@ -17,6 +17,7 @@
 use crate::peer::{HEARTBEAT_INTERVAL, PeerConnections, PeerService};
 use crate::plain_service::PlainServiceClient;
 use crate::planner::Planner;
+use crate::process_signals::ProcessSignals;
 use crate::quarantine::Quarantine;
 use crate::router::Router;
 use crate::service_registry::{Service, ServiceRegistry};
@@ -26,6 +27,7 @@
 use crate::wire::{Heartbeat, ModelDemand};
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
+use nix::sys::signal::Signal;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -51,8 +53,8 @@
 /// The interval after which the demand is included in heartbeats again.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The signals that start a graceful shutdown: SIGTERM and SIGINT.
-const STOP_SIGNALS: [i32; 2] = [15, 2];
+/// The signals that start a graceful shutdown.
+const STOP_SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
 
 /// The interval at which this VM's share of the append budget is recomputed.
 const PACE_INTERVAL: Duration = Duration::from_millis(500);
@@ -131,8 +133,9 @@
 ///
 /// # Errors
 ///
-/// Fails if an address cannot be bound.
+/// Fails if signals cannot be taken over or an address cannot be bound.
 pub async fn serve(config: Config) -> Result<(), Report<Fault>> {
+    let mut signals = ProcessSignals::take_over(STOP_SIGNALS).change_context(Fault::Signals)?;
     let callers = bind(config.caller_address).await?;
     let operators = bind(config.operator_address).await?;
     let peers = bind(config.peer_address).await?;
@@ -167,7 +170,7 @@
             config.vm, config.caller_address, config.operator_address, config.peer_address
         ),
     );
-    stop_signal().await;
+    signals.next().await;
     drain(&config, &shutdown).await;
     Ok(())
 }
@@ -281,17 +284,6 @@
         .attach_with(|| format!("{address}"))
 }
 
-/// Waits for one of [`STOP_SIGNALS`].
-async fn stop_signal() {
-    let [terminate, interrupt] = STOP_SIGNALS.map(|signal| {
-        Box::pin(async move {
-            // If no handler can be installed, the signal ends the process by its default action.
-            let _ = compio::signal::unix::signal(signal).await;
-        })
-    });
-    futures_util::future::select(terminate, interrupt).await;
-}
-
 /// Fails health checks for the grace period, then closes listeners and waits for open work.
 async fn drain(config: &Config, shutdown: &Rc<Shutdown>) {
     shutdown.leave();
--- a/workbench/tests/shutdown.rs
+++ b/workbench/tests/shutdown.rs
@@ -138,3 +138,30 @@
         expect_that!(answers.iter().flatten().count(), gt(24));
     });
 }
+
+#[googletest::test]
+fn a_second_stop_signal_cuts_nothing() {
+    block_on(async {
+        let mut cluster = start(GRACE).await;
+        let address = cluster.caller_address(1);
+        let asks = join_all((0..8).map(async |index| {
+            let question = Question::new("model-0", &format!("long {index}"), LONG);
+            let outcome = Asker::default().ask(address, &question).await;
+            (question, outcome)
+        }));
+        let leave = async {
+            cluster
+                .wait_for("requests run", LIMIT, async || runs(&cluster) >= 8)
+                .await;
+            for signal in [Signal::SIGTERM, Signal::SIGTERM, Signal::SIGINT] {
+                cluster.vms[1].signal(signal);
+                compio::time::sleep(SHORT_GRACE).await;
+            }
+        };
+        let (answers, ()) = futures_util::join!(asks, leave);
+        for (question, outcome) in &answers {
+            expect_whole(question, outcome);
+        }
+        wait_ended(&mut cluster.vms[1]).await;
+    });
+}
