Each caller's request ends once, in a metric and a log line

No log line or metric said whose request ended without a complete answer, when or why. OpenRequest is created when a request's head has been read and lives in the body of its response; when it is dropped before the whole response was passed on, its end is that of its connection, which http.rs states before it drops the connection. What a VM leaves open when it exits is logged before it ends. No change of how requests are handled.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use crate::gateway::waiting::RequestTiming;
 use crate::gateway::{CallerRequest, Route, Weights};
 use crate::inventory::Name;
+use crate::open_requests::RequestProgress;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,6 +62,8 @@
     /// The software version at which the stream may go on.
     pub(crate) stream_version: StreamVersion,
     pub(crate) arrived: Instant,
+    /// How far the request has come, for the record of its end.
+    pub(crate) progress: Rc<RequestProgress>,
     /// The deadline: the earlier of the caller's and the route's.
     pub(crate) deadline: Instant,
     pub(crate) fingerprint: u64,
@@ -120,6 +123,7 @@
     /// does the request consume its quota.
     pub(crate) fn note_running(&mut self, may_run: bool) {
         let may_have_run = may_run || self.runs > 0;
+        self.progress.runs.set(self.runs + u32::from(may_run));
         if let Some(grant) = &mut self.grant {
             grant.may_have_run = may_have_run;
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of the serving role, in the OpenMetrics text format.
 
+use crate::request_end::EndLabels;
 use prometheus_client::encoding::{EncodeLabelSet, text::encode};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -80,6 +81,10 @@
         "closed_unread",
         "callers' connections closed before anything was read, since this VM was too busy",
     ),
+    describe(
+        "request_ends",
+        "callers' requests ended, by how: whole answer, refusal, or what broke off the answer",
+    ),
     describe("connections_opened", "connections opened to servers"),
     describe("peer_messages", "messages sent to other VMs"),
     describe("store_calls", "calls to the store, by call and outcome"),
@@ -206,6 +211,8 @@
     pub(crate) unreadable_prompts: Counter,
     /// Callers' connections that were closed before anything was read.
     pub(crate) closed_unread: Counter,
+    /// Callers' requests by how they ended.
+    pub(crate) request_ends: Family<EndLabels, Counter>,
     pub(crate) connections_opened: Counter,
     pub(crate) peer_messages: Counter,
     pub(crate) store_calls: Family<CallLabels, Counter>,
@@ -267,6 +274,7 @@
             resumptions: Family::default(),
             unreadable_prompts: Counter::default(),
             closed_unread: Counter::default(),
+            request_ends: Family::default(),
             connections_opened: Counter::default(),
             peer_messages: Counter::default(),
             store_calls: Family::default(),
@@ -324,6 +332,7 @@
         self.register("connections_opened", self.connections_opened.clone());
         self.register("unreadable_prompts", self.unreadable_prompts.clone());
         self.register("closed_unread", self.closed_unread.clone());
+        self.register("request_ends", self.request_ends.clone());
         self.register("attempts", self.attempts.clone());
         self.register("stated_loads", self.stated_loads.clone());
         self.register("plain_decisions", self.plain_decisions.clone());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 //! servers with retries, and returns the response.
 
 use crate::client::SendError;
+use crate::connection_end::ConnectionEnd;
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::call::{Call, Dispatch, StreamVersion};
 use crate::gateway::crash_check::{Break, CrashCheck};
@@ -20,6 +21,9 @@
 use crate::gateway::waiting::start_hold;
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind, SendOptions};
 use crate::http::{Body, ReadError, read_body};
+use crate::inventory::Name;
+use crate::open_requests::RequestProgress;
+use crate::request_end::RequestEnd;
 use bytes::Bytes;
 use futures_channel::oneshot;
 use http_body_util::BodyExt;
@@ -59,6 +63,13 @@
 /// How often a request that waits for the start of this VM is checked.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// A request whose body has not been read yet.
+struct Reading {
+    body: Incoming,
+    arrived: Instant,
+    progress: Rc<RequestProgress>,
+}
+
 /// Forwards callers' requests to backend servers.
 pub(crate) struct Relay<P> {
     pub(crate) state: Rc<State>,
@@ -102,18 +113,35 @@
         let is_forwarded = forwarded.is_some();
         let arrived = Instant::now();
         let (head, body) = incoming.into_parts();
+        let open_requests = &self.state.open_requests;
+        let connection = head.extensions.get::<ConnectionEnd>().cloned();
+        let connection = connection.unwrap_or_default();
         let request = match P::read_caller_request(&head) {
             Ok(request) => request,
             Err(Malformed(why)) => {
                 warn!(why, "request malformed");
-                return P::refuse(Failure::Malformed(why).refusal(DEFAULT_CALLER_TIMEOUT));
+                let open = open_requests.begin(Name::default(), arrived, connection, is_forwarded);
+                open.expect(RequestEnd::Refused);
+                let refusal = Failure::Malformed(why).refusal(DEFAULT_CALLER_TIMEOUT);
+                return P::refuse(refusal).map(|body| body.tracked(open));
             }
         };
         let id = request.id.clone();
+        let open = open_requests.begin(id.clone(), arrived, connection, is_forwarded);
         let caller_timeout = request.time_limit.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let model = request.generation.as_ref().map(|it| it.model.clone());
         let model = model.unwrap_or_default();
-        match self.clone().answer(request, body, arrived, forwarded).await {
+        let reading = Reading {
+            body,
+            arrived,
+            progress: open.progress(),
+        };
+        let answer = self.clone().answer(request, reading, forwarded).await;
+        open.expect(match answer {
+            Ok(_) => RequestEnd::Answered,
+            Err(_) => RequestEnd::Refused,
+        });
+        let response = match answer {
             Ok(response) => response,
             Err(Failure::CutOff) if is_forwarded => DeclineReason::CutOff.response(),
             Err(failure) => {
@@ -132,20 +160,20 @@
                 );
                 P::refuse(refusal)
             }
-        }
+        };
+        response.map(|body| body.tracked(open))
     }
 
     async fn answer(
         self: Rc<Self>,
         request: CallerRequest,
-        body: Incoming,
-        arrived: Instant,
+        reading: Reading,
         forwarded: Option<ForwardedCall>,
     ) -> Result<Response<Body>, Failure> {
         if request.has_unreadable_parts {
             self.state.metrics.unreadable_prompts.inc();
         }
-        let mut call = self.prepare_call(request, body, arrived, forwarded).await?;
+        let mut call = self.prepare_call(request, reading, forwarded).await?;
         if self.state.is_contained(&call) {
             return Err(Failure::Poison);
         }
@@ -159,10 +187,14 @@
     async fn prepare_call(
         &self,
         mut request: CallerRequest,
-        body: Incoming,
-        arrived: Instant,
+        reading: Reading,
         forwarded: Option<ForwardedCall>,
     ) -> Result<Call, Failure> {
+        let Reading {
+            body,
+            arrived,
+            progress,
+        } = reading;
         self.wait_for_start(&request, arrived).await;
         let configuration = self.state.configuration().ok_or(Failure::Unready)?;
         if !self.state.can_route(Instant::now()) {
@@ -204,6 +236,7 @@
                 return Err(Failure::BodyCut);
             }
         };
+        progress.deadline.set(Some(deadline));
         let cost = request.generation.as_ref().map(|it| self.state.cost(it));
         let has_begun = route.kind == RouteKind::Streaming && request.last_event.is_some();
         let stream_version = match has_begun {
@@ -221,6 +254,7 @@
             service,
             stream_version,
             arrived,
+            progress,
             deadline,
             runs: forward_state.map_or(0, |it| it.runs),
             has_reserved_retry: Cell::new(forward_state.is_some_and(|it| it.is_retry)),
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -120,6 +120,7 @@
     state.peers.outbox.trigger_update_to_all();
     election.leave().await;
     drain(&state, stopped_at).await;
+    state.open_requests.end_all();
     info!(open = state.shutdown.open(), "stopped");
     log_buffer.flush();
     Ok(())
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,6 +32,7 @@
     Changes, Configuration, Generation, Metrics, Position, Reply, ServerChange, Settings, Weights,
 };
 use crate::inventory::Name;
+use crate::open_requests::OpenRequests;
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
@@ -61,6 +62,8 @@
 pub(crate) struct State {
     /// The metrics of this VM.
     pub(crate) metrics: Rc<Metrics>,
+    /// The requests in work.
+    pub(crate) open_requests: Rc<OpenRequests>,
     /// The settings that the process was started with.
     pub(crate) settings: Settings,
     configuration: RefCell<Option<Rc<Configuration>>>,
@@ -163,6 +166,7 @@
     /// Creates the state of a process that has received neither configuration nor directory.
     pub(crate) fn new(settings: Settings, metrics: Rc<Metrics>) -> Self {
         Self {
+            open_requests: Rc::new(OpenRequests::new(metrics.request_ends.clone())),
             metrics,
             configuration: RefCell::default(),
             configuration_known_at: Cell::new(None),
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,8 @@
 //! HTTP/1 serving with `hyper` on `compio`, and the body type of requests and responses.
 
 use crate::accept_queue::{AcceptQueue, Admission};
+use crate::connection_end::{CloseCause, ConnectionEnd};
+use crate::open_requests::OpenRequest;
 use crate::shutdown::Shutdown;
 use crate::write_stall::{MonitoredStream, StallMonitor};
 use bytes::{Bytes, BytesMut};
@@ -54,6 +56,33 @@
     Stream(mpsc::Receiver<io::Result<Bytes>>),
     /// A streamed response that ends cleanly only if it was marked as complete.
     Answer(AnswerBody),
+    /// The response to a request whose end is recorded.
+    Tracked(TrackedBody),
+}
+
+/// A response that records how far it has been passed on.
+#[derive(Debug)]
+pub struct TrackedBody {
+    body: Box<Body>,
+    request: OpenRequest,
+}
+
+impl TrackedBody {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let poll = hyper::body::Body::poll_frame(Pin::new(self.body.as_mut()), cx);
+        match &poll {
+            Poll::Ready(Some(Ok(_))) => {
+                self.request.note_chunk();
+                if hyper::body::Body::is_end_stream(self.body.as_ref()) {
+                    self.request.note_delivered();
+                }
+            }
+            Poll::Ready(Some(Err(_))) => self.request.note_broken(),
+            Poll::Ready(None) => self.request.note_delivered(),
+            Poll::Pending => {}
+        }
+        poll
+    }
 }
 
 /// The receiving half of a streamed response.
@@ -134,6 +163,18 @@
         (sender, Self::Answer(body))
     }
 
+    /// Records how far this body is passed on as the response to `request`.
+    pub(crate) fn tracked(self, request: OpenRequest) -> Self {
+        // `hyper` does not ask an empty body for frames.
+        if hyper::body::Body::is_end_stream(&self) {
+            request.note_delivered();
+        }
+        Self::Tracked(TrackedBody {
+            body: Box::new(self),
+            request,
+        })
+    }
+
     /// A streamed response produced by a task that is cancelled when the client disconnects.
     pub(crate) fn answer_from_task(
         capacity: usize,
@@ -161,17 +202,23 @@
                 .poll_next_unpin(cx)
                 .map(|item| item.map(|chunk| chunk.map(Frame::data))),
             Self::Answer(answer) => answer.poll_chunk(cx),
+            Self::Tracked(tracked) => tracked.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(None))
+        match self {
+            Self::Full(bytes) => bytes.is_none(),
+            Self::Stream(_) | Self::Answer(_) => false,
+            Self::Tracked(tracked) => tracked.body.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Stream(_) | Self::Answer(_) => SizeHint::default(),
+            Self::Tracked(tracked) => tracked.body.size_hint(),
         }
     }
 }
@@ -404,7 +451,10 @@
         // A failure to set the option only costs latency.
         let _ = stream.set_nodelay(true);
         let shutdown_state = shutdown.clone();
-        let service = service_fn(move |request| {
+        let end = ConnectionEnd::default();
+        let request_end = end.clone();
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(request_end.clone());
             let answer = handler(request);
             let shutdown_state = shutdown_state.clone();
             async move { Ok::<_, Infallible>(close_if_leaving(&shutdown_state, answer.await)) }
@@ -424,18 +474,46 @@
                 compio::time::sleep(CLOSE_LINGER).await;
             };
             let stop = pin!(stop);
-            if let Either::Right(((), _)) = select(connection.as_mut(), stop).await {
-                connection.as_mut().graceful_shutdown();
-                // The client notices a broken connection itself.
-                let _ = connection.await;
-            }
+            let served = match select(connection.as_mut(), stop).await {
+                Either::Left((served, _)) => served,
+                Either::Right(((), _)) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.as_mut().await
+                }
+            };
+            // The cause is known before the connection, and any request in work on it, is dropped.
+            let cause = match &served {
+                Ok(()) => CloseCause::ClientLeft,
+                Err(error) => CloseCause::of_error(error),
+            };
+            let error = served.err().map(|error| error.to_string());
+            note_close(&end, cause, error.as_deref());
         };
+        let mut serving = pin!(serving);
         // A connection whose client has stopped reading is closed.
-        select(pin!(serving), pin!(wait_for_stall(watch))).await;
+        let stalled = pin!(wait_for_stall(watch));
+        if let Either::Right(((), _)) = select(serving.as_mut(), stalled).await {
+            note_close(&end, CloseCause::WriteStalled, None);
+        }
     })
     .detach();
 }
 
+/// States why a connection ends, and logs it unless the client simply ended it between requests.
+fn note_close(end: &ConnectionEnd, cause: CloseCause, error: Option<&str>) {
+    end.set(cause);
+    let open_requests = end.open_requests();
+    let is_usual = matches!(cause, CloseCause::ClientLeft | CloseCause::HeadTimeout);
+    if open_requests > 0 || !is_usual {
+        tracing::info!(
+            cause = cause.name(),
+            error,
+            open_requests,
+            "connection closed early"
+        );
+    }
+}
+
 /// Adds `Connection: close` to responses of a VM that is shutting down, so that clients open
 /// their next connection elsewhere.
 fn close_if_leaving(shutdown: &Shutdown, mut response: Response<Body>) -> Response<Body> {
