--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use crate::gateway::waiting::RequestTiming;
 use crate::gateway::{CallerRequest, Route, Weights};
 use crate::inventory::Name;
+use crate::open_requests::RequestProgress;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,7 +49,7 @@
 /// One request in flight, from its arrival to the end of its answer.
 #[derive(Debug)]
 pub(crate) struct Call {
-    pub(crate) request: CallerRequest,
+    pub(crate) request: Rc<CallerRequest>,
     pub(crate) cost: Cost,
     /// When the request was last sent to a server, and under which load.
     pub(crate) last_dispatch: Option<Dispatch>,
@@ -61,11 +62,15 @@
     /// The software version at which the stream may go on.
     pub(crate) stream_version: StreamVersion,
     pub(crate) arrived: Instant,
+    /// How far the request has come, for the record of its end.
+    pub(crate) progress: Rc<RequestProgress>,
     /// The deadline: the earlier of the caller's and the route's.
     pub(crate) deadline: Instant,
     pub(crate) fingerprint: u64,
     /// The number of servers that may have started to execute the request.
     pub(crate) runs: u32,
+    /// Whether the request is being sent to a server whose answer is not known yet.
+    pub(crate) is_attempt_open: bool,
     /// Whether a retry is reserved from the budget and not used yet.
     pub(crate) has_reserved_retry: Cell<bool>,
     /// The number of servers that refused the request, so that none of them executed it.
@@ -95,6 +100,14 @@
             && !self.is_crash_suspect.get()
     }
 
+    /// Records that the request may have run where it was sent last, if that attempt was cancelled
+    /// before its outcome was known.
+    pub(crate) fn settle_cancelled_attempt(&mut self) {
+        if std::mem::take(&mut self.is_attempt_open) {
+            self.runs += 1;
+        }
+    }
+
     /// Identifies the stream that the request begins or takes up.
     pub(crate) fn stream_key(&self) -> StreamKey {
         let resumes = self.request.resumes.as_ref();
@@ -120,6 +133,7 @@
     /// does the request consume its quota.
     pub(crate) fn note_running(&mut self, may_run: bool) {
         let may_have_run = may_run || self.runs > 0;
+        self.progress.runs.set(self.runs + u32::from(may_run));
         if let Some(grant) = &mut self.grant {
             grant.may_have_run = may_have_run;
         }
