A second server replaces a silent one only once it sends part of the answer

What callers saw: a stream was cut after four of twelve events if the second server sent its head and then nothing, or reset; a safe call, and a stream before its head, got the second server's 500 although the silent server went on; the silent server got the same request a second time beside the first.

Cause: the connection to the silent server was dropped at the other server's head, whatever its status and before any event; a server that is silent was still a candidate for the attempt beside it.

Now a stream changes over at the first event of the other server, which is waited for 300 ms after its head, since it runs the request by then; a failure of the other server is kept while the silent one may still answer, for at most half of the time left; silent servers are no candidates meanwhile.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -83,6 +83,8 @@
     pub(crate) forwarded: Option<ForwardedCall>,
     /// The ids of the servers that the request was sent to.
     pub(crate) tried: Vec<Name>,
+    /// The ids of the servers that are silent and may still answer.
+    pub(crate) silent_servers: Vec<Name>,
     /// Whether the request may have crashed a server.
     pub(crate) is_crash_suspect: Cell<bool>,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -260,6 +260,7 @@
             deadline,
             runs: forward_state.map_or(0, |it| it.runs),
             is_attempt_open: false,
+            silent_servers: Vec::new(),
             has_reserved_retry: Cell::new(forward_state.is_some_and(|it| it.is_retry)),
             refused: 0,
             unreached: 0,
@@ -583,30 +584,48 @@
         let request_id = call.request.id.clone();
         let deadline = call.deadline;
         let dispatch = call.last_dispatch;
+        let asked = call.silent_servers.len();
+        call.silent_servers.extend(call.tried.last().cloned());
         // The future is recursive, since the other server may be silent too.
         let mut other = Box::pin(self.send_until_answered(call, last_event, weights_version));
-        let failure = match select(other.as_mut(), silent_head.as_mut()).await {
-            Either::Left((Ok(exchange), _)) => return Ok(exchange),
-            Either::Left((Err(failure), _)) => failure,
+        let other_failure = match select(other.as_mut(), silent_head.as_mut()).await {
+            Either::Left((Ok(exchange), _)) if !exchange.head.status.is_server_error() => {
+                drop(other);
+                call.silent_servers.truncate(asked);
+                return Ok(exchange);
+            }
+            // The silent server may still succeed.
+            Either::Left((failed, _)) => failed,
             Either::Right((Ok(exchange), _))
                 if exchange.is_answer_to(&request_id)
                     && !exchange.head.status.is_server_error() =>
             {
                 drop(other);
+                call.silent_servers.truncate(asked);
                 call.settle_cancelled_attempt();
                 call.last_dispatch = dispatch;
                 return self.accept_late_head(call, exchange);
             }
-            Either::Right(_) => return other.await.map_err(Some),
+            Either::Right(_) => {
+                let answer = other.await.map_err(Some);
+                call.silent_servers.truncate(asked);
+                return answer;
+            }
         };
         drop(other);
+        call.silent_servers.truncate(asked);
         let left = deadline.saturating_duration_since(Instant::now());
-        match compio::time::timeout(left, silent_head).await {
+        // The caller gets the other server's failure while it still waits.
+        let wait = match other_failure {
+            Ok(_) => left / 2,
+            Err(_) => left,
+        };
+        match compio::time::timeout(wait, silent_head).await {
             Ok(Ok(exchange)) if exchange.is_answer_to(&request_id) => {
                 call.last_dispatch = dispatch;
                 self.accept_late_head(call, exchange)
             }
-            Ok(Ok(_) | Err(_)) | Err(_) => Err(Some(failure)),
+            Ok(Ok(_) | Err(_)) | Err(_) => other_failure.map_err(Some),
         }
     }
 
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -385,6 +385,7 @@
     pub(super) fn eligible_servers(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
         let mut servers = self.capable_servers(call, now);
         servers.retain(|server| server.paused_until(now).is_none());
+        servers.retain(|server| !call.silent_servers.contains(&server.id));
         let has_accepting = servers.iter().any(|server| server.accepts_requests());
         let grace = self.state.settings.bounds.drain.mul_f64(LEAVING_USE_SHARE);
         servers.retain(|server| match has_accepting {
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -13,6 +13,7 @@
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use hyper::Response;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -24,6 +25,10 @@
 /// on with it: callers give up after two seconds.
 const MAX_SILENCE: Duration = Duration::from_millis(1_200);
 
+/// How long after its head the first event of a server that goes on with a stream is waited for
+/// before one of the server that was silent is used.
+const FIRST_EVENT_TIME: Duration = Duration::from_millis(300);
+
 /// The fewest events of a stream from which the speed of its runner is estimated.
 const MIN_TIMED_EVENTS: u32 = 4;
 /// The number of events from which a stream tells as much about the speed of its runner as any. The
@@ -451,8 +456,8 @@
     }
 
     /// Asks another server to go on with a stream while its own one is silent; the first that sends
-    /// something goes on. Returns `None` if that is the other server, or if no other one takes the
-    /// stream.
+    /// an event goes on. Once the other one has sent a head, its first event is waited for: it runs
+    /// the request already. Returns `None` if neither goes on and the silent one may still.
     async fn read_or_replace(
         &self,
         call: &mut Call,
@@ -464,14 +469,23 @@
         let left = call.time_left();
         let dispatch = call.last_dispatch;
         let request_id = call.request.id.clone();
+        let asked = call.silent_servers.len();
+        call.silent_servers.push(silent.id.clone());
+        let other_head_at = Cell::new(None);
         let mut replacement = Box::pin(async {
             self.note_silence(call, &silent, events).await;
             match call.may_run_again() {
-                true => self.resume(call, position).await,
+                true => self.resume_to_event(call, position, &other_head_at).await,
                 false => None,
             }
         });
-        let mut next = Box::pin(compio::time::timeout(left, stream.next()));
+        let mut next = Box::pin(async {
+            let read = compio::time::timeout(left, stream.next()).await;
+            if let Some(head_at) = other_head_at.get() {
+                compio::time::sleep_until(head_at + FIRST_EVENT_TIME).await;
+            }
+            read
+        });
         let (other, read) = match select(replacement.as_mut(), next.as_mut()).await {
             Either::Left((other, _)) => (other, None),
             Either::Right((Ok(ReadOutcome::Broken(why)), _)) => {
@@ -484,15 +498,36 @@
             Either::Right((Err(_elapsed), _)) => (None, Some(ReadOutcome::TimeUp)),
         };
         drop((replacement, next));
-        if let Some(other) = other {
+        call.silent_servers.truncate(asked);
+        if let Some((other, read)) = other {
             *stream = other;
-            return None;
+            return Some(read);
         }
         call.settle_cancelled_attempt();
         call.last_dispatch = dispatch;
         read
     }
 
+    /// Resumes a stream on another server and reads its first event, or the end if it has no event
+    /// left; `None` if none sends that. `head_at` is set to when the head arrives.
+    async fn resume_to_event(
+        &self,
+        call: &mut Call,
+        position: StreamPosition,
+        head_at: &Cell<Option<Instant>>,
+    ) -> Option<(ServerStream, ReadOutcome)> {
+        let mut other = self.resume(call, position).await?;
+        head_at.set(Some(Instant::now()));
+        match compio::time::timeout(call.time_left(), other.next()).await {
+            Ok(read @ (ReadOutcome::Event(_) | ReadOutcome::End)) => Some((other, read)),
+            Ok(ReadOutcome::Broken(why)) => {
+                self.note_cut(call, &other, why).await;
+                None
+            }
+            Ok(ReadOutcome::TimeUp) | Err(_) => None,
+        }
+    }
+
     /// Records that a server's stream is silent and that another server is asked.
     async fn note_silence(&self, call: &Call, silent: &Rc<Server>, events: u32) {
         warn!(
