Refused requests are read to their end

Callers saw: a request with a body that was refused before its body had been read (route dropped by a new configuration, unknown key, too large, no id) ended with a reset instead of the refusal, or its kept connection was closed without notice after it.

Cause: the body was dropped with the refusal. hyper then stops reading, sends the response without 'Connection: close' and closes the connection; the bytes that still arrive reset it, and a response that the caller has not read yet is lost. When a configuration drops a route, every request on it with a body that takes more than one read is met by this.

Fix: the refusal is sent at once, and the rest of the body is read and discarded beside it, within the caller's time and 16 MiB, so that the connection stays in step. The same for requests of other VMs that are declined.

--- a/src/gateway/forward_relay.rs
+++ b/src/gateway/forward_relay.rs
@@ -7,13 +7,16 @@
 use crate::gateway::forwarding::{DeclineReason, ForwardState};
 use crate::gateway::relay::Relay;
 use crate::gateway::{Protocol, SendOptions};
-use crate::http::Body;
+use crate::http::{Body, discard_body};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{info, warn};
 
+/// How long the body of a declined request may take to arrive.
+const DECLINED_BODY_LIMIT: Duration = Duration::from_secs(2);
+
 impl<P: Protocol> Relay<P> {
     /// Answers one request that another VM forwards, or declines it at once.
     pub(crate) async fn handle_forwarded(
@@ -27,6 +30,7 @@
         if let Some(reason) = self.decline_reason(&state) {
             info!(peer = %state.sender, reason = reason.name(), "forwarded request declined");
             self.state.metrics.note_forwarded("declined");
+            discard_body(incoming.into_body(), DECLINED_BODY_LIMIT);
             return reason.response();
         }
         self.state.metrics.note_forwarded("accepted");
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,7 +20,7 @@
 use crate::gateway::state::State;
 use crate::gateway::waiting::start_hold;
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind, SendOptions};
-use crate::http::{Body, ReadError, read_body};
+use crate::http::{Body, ReadError, discard_body, read_body};
 use crate::inventory::Name;
 use crate::open_requests::RequestProgress;
 use crate::request_end::RequestEnd;
@@ -122,6 +122,7 @@
                 warn!(why, "request malformed");
                 let open = open_requests.begin(Name::default(), arrived, connection, is_forwarded);
                 open.expect(RequestEnd::Refused);
+                discard_body(body, DEFAULT_CALLER_TIMEOUT);
                 let refusal = Failure::Malformed(why).refusal(DEFAULT_CALLER_TIMEOUT);
                 return P::refuse(refusal).map(|body| body.tracked(open));
             }
@@ -131,12 +132,16 @@
         let caller_timeout = request.time_limit.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let model = request.generation.as_ref().map(|it| it.model.clone());
         let model = model.unwrap_or_default();
-        let reading = Reading {
+        let mut reading = Reading {
             body,
             arrived,
             progress: open.progress(),
         };
-        let answer = self.clone().answer(request, reading, forwarded).await;
+        let answer = self.clone().answer(request, &mut reading, forwarded).await;
+        if answer.is_err() {
+            let time_left = caller_timeout.saturating_sub(arrived.elapsed());
+            discard_body(reading.body, time_left);
+        }
         open.expect(match answer {
             Ok(_) => RequestEnd::Answered,
             Err(_) => RequestEnd::Refused,
@@ -167,7 +172,7 @@
     async fn answer(
         self: Rc<Self>,
         request: CallerRequest,
-        reading: Reading,
+        reading: &mut Reading,
         forwarded: Option<ForwardedCall>,
     ) -> Result<Response<Body>, Failure> {
         if request.has_unreadable_parts {
@@ -187,14 +192,10 @@
     async fn prepare_call(
         &self,
         mut request: CallerRequest,
-        reading: Reading,
+        reading: &mut Reading,
         forwarded: Option<ForwardedCall>,
     ) -> Result<Call, Failure> {
-        let Reading {
-            body,
-            arrived,
-            progress,
-        } = reading;
+        let arrived = reading.arrived;
         self.wait_for_start(&request, arrived).await;
         let configuration = self.state.configuration().ok_or(Failure::Unready)?;
         if !self.state.can_route(Instant::now()) {
@@ -227,8 +228,8 @@
                 .time_limit
                 .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         let limit_bytes = configuration.limits.max_body_bytes;
-        let reading = read_body(body, limit_bytes);
-        let body = compio::time::timeout(deadline - arrived, reading).await;
+        let reading_body = read_body(&mut reading.body, limit_bytes);
+        let body = compio::time::timeout(deadline - arrived, reading_body).await;
         request.body = match body {
             Ok(Ok(body)) => body,
             Ok(Err(ReadError::TooLarge)) => return Err(Failure::TooLarge),
@@ -236,7 +237,7 @@
                 return Err(Failure::BodyCut);
             }
         };
-        progress.deadline.set(Some(deadline));
+        reading.progress.deadline.set(Some(deadline));
         let cost = request.generation.as_ref().map(|it| self.state.cost(it));
         let has_begun = route.kind == RouteKind::Streaming && request.last_event.is_some();
         let stream_version = match has_begun {
@@ -254,7 +255,7 @@
             service,
             stream_version,
             arrived,
-            progress,
+            progress: reading.progress.clone(),
             deadline,
             runs: forward_state.map_or(0, |it| it.runs),
             has_reserved_retry: Cell::new(forward_state.is_some_and(|it| it.is_retry)),
--- a/src/http.rs
+++ b/src/http.rs
@@ -33,6 +33,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// The largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The most that is read and discarded of the body of a request that is answered without it.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 /// The length of the queue of connections that are not accepted yet.
 const BACKLOG: i32 = 1_024;
 /// The delay before the next accept after one failed, for example for lack of file descriptors.
@@ -251,7 +253,10 @@
 /// # Errors
 ///
 /// Fails if the body is longer than `limit_bytes` or the connection is lost.
-pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, ReadError> {
+pub async fn read_body(
+    body: impl hyper::body::Body<Data = Bytes, Error = hyper::Error>,
+    limit_bytes: usize,
+) -> Result<Bytes, ReadError> {
     match Limited::new(body, limit_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLarge),
@@ -259,6 +264,28 @@
     }
 }
 
+/// Reads what is left of the body of a request that is answered without it, for up to `limit`, and
+/// discards it.
+///
+/// `hyper` closes a connection whose request was not read to its end; the client's next bytes then
+/// reset it, and the answer may be lost.
+pub(crate) fn discard_body(mut body: Incoming, limit: Duration) {
+    let discarding = async move {
+        let mut discarded_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if discarded_bytes > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    compio::runtime::spawn(async move {
+        // What takes longer closes the connection.
+        let _ = compio::time::timeout(limit, discarding).await;
+    })
+    .detach();
+}
+
 /// Reads a whole body into memory for as long as its bytes arrive, however long that takes, and adds
 /// them to `received_bytes`, so that the caller knows how far a failed read came.
 ///
--- a/workbench/tests/site_request_ends.rs
+++ b/workbench/tests/site_request_ends.rs
@@ -1,15 +1,35 @@
 //! On the platform: each request whose head was read ends once, in the log and in the metrics.
 
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io;
 use std::time::Duration;
 use workbench::cluster::block_on;
 use workbench::site::events::{events, remaining_events};
 use workbench::site::{
-    Caller, CallerRequest, ScriptStep, Site, plain, route, runner_service, signed_answer,
+    Caller, CallerRequest, HOST, ScriptStep, Site, organisation, plain, route, runner_service,
+    signed_answer,
 };
 
+/// How long a response may take.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// The size of a body, and into how many pieces it is divided.
+const BODY_BYTES: usize = 160_000;
+const BODY_PIECES: usize = 8;
+/// The pause before each piece.
+const PIECE_PAUSE: Duration = Duration::from_millis(10);
+/// The largest body that the configuration allows.
+const MAX_BODY_BYTES: usize = 1_048_576;
+/// The number of requests that are refused, by each framing.
+const REFUSED_ROUNDS: usize = 4;
+/// The number of requests while a route comes and goes.
+const DROPPED_ROUNDS: usize = 30;
+
 /// One plain server and one runner that holds `m0`, so that nothing can go on elsewhere.
 async fn site() -> Site {
     let mut site = Site::start(vec![("books", vec![]), ("llm", vec![("m0", vec![])])]).await;
@@ -122,3 +142,174 @@
         expect_early_end(&site, &request.id, &expected).await;
     });
 }
+
+/// A connection over which a test sends bytes as it likes.
+struct RawConnection(TcpStream);
+
+impl RawConnection {
+    async fn open(site: &Site) -> Self {
+        let stream = TcpStream::connect(site.front(0)).await;
+        Self(stream.expect("the VM accepts connections"))
+    }
+
+    /// Sends pieces with a pause before each; fails if the connection is reset meanwhile.
+    async fn send(&mut self, pieces: Vec<Vec<u8>>, pause: Duration) -> io::Result<()> {
+        for piece in pieces {
+            compio::time::sleep(pause).await;
+            let BufResult(written, _) = self.0.write_all(piece).await;
+            written?;
+        }
+        Ok(())
+    }
+
+    /// Reads the head of one response, and its body as far as the head states a length.
+    async fn receive(&mut self) -> io::Result<String> {
+        let mut text = String::new();
+        loop {
+            if let Some(end) = text.find("\r\n\r\n") {
+                let head = text[..end].to_lowercase();
+                let length = head.split("content-length: ").nth(1);
+                let length = length.and_then(|it| it.lines().next()?.parse().ok());
+                if text.len() >= end + 4 + length.unwrap_or(0) {
+                    return Ok(text);
+                }
+            }
+            let reading = self.0.read(Vec::with_capacity(16 * 1024));
+            let read = compio::time::timeout(ANSWER_LIMIT, reading).await;
+            let BufResult(count, bytes) = read.map_err(|_elapsed| io::ErrorKind::TimedOut)?;
+            if count? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            text.push_str(&String::from_utf8_lossy(&bytes));
+        }
+    }
+}
+
+/// The header with the id of a new request.
+fn id() -> String {
+    format!("X-Attempt-Id: {:016x}\r\n", rand::random::<u64>())
+}
+
+/// A `POST` whose body arrives in pieces, with a length or in chunks.
+fn pieces_of(path: &str, headers: &str, body_bytes: usize, is_chunked: bool) -> Vec<Vec<u8>> {
+    let framing = match is_chunked {
+        true => "Transfer-Encoding: chunked".to_owned(),
+        false => format!("Content-Length: {body_bytes}"),
+    };
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Deadline-Ms: 4000\r\n\
+         {headers}{framing}\r\n\r\n"
+    );
+    let mut pieces = vec![head.into_bytes()];
+    let part = vec![b'x'; body_bytes / BODY_PIECES];
+    for _ in 0..BODY_PIECES {
+        match is_chunked {
+            true => {
+                let mut chunk = format!("{:x}\r\n", part.len()).into_bytes();
+                chunk.extend_from_slice(&part);
+                chunk.extend_from_slice(b"\r\n");
+                pieces.push(chunk);
+            }
+            false => pieces.push(part.clone()),
+        }
+    }
+    if is_chunked {
+        pieces.push(b"0\r\n\r\n".to_vec());
+    }
+    pieces
+}
+
+/// Sends requests that are refused before their bodies have arrived, each on a kept connection, and
+/// checks that all callers get the refusal whole and may use their connections again.
+async fn expect_refusals(site: &Site, path: &str, headers: &str, bytes: usize, status: &str) {
+    let mut failures = Vec::new();
+    for round in 0..2 * REFUSED_ROUNDS {
+        let is_chunked = round % 2 == 0;
+        let mut connection = RawConnection::open(site).await;
+        let refused = pieces_of(path, headers, bytes, is_chunked);
+        let pause = match round % 4 {
+            0 | 1 => PIECE_PAUSE,
+            _ => Duration::ZERO,
+        };
+        let exchange = async {
+            connection.send(refused, pause).await?;
+            let refusal = connection.receive().await?;
+            if !refusal.starts_with(&format!("HTTP/1.1 {status}")) {
+                return Err(io::Error::other(refusal));
+            }
+            let next = pieces_of("/x", &id(), 0, false);
+            connection.send(next, Duration::ZERO).await?;
+            connection.receive().await
+        };
+        if let Err(error) = exchange.await {
+            failures.push(format!("chunked {is_chunked}, {pause:?}: {error}"));
+        }
+    }
+    expect_that!(failures, is_empty(), "{path} {status}");
+}
+
+fn answer_all(site: &Site) {
+    site.servers[0].script(|call| {
+        let answer = signed_answer(call.header("x-attempt-id"), 200, "all of it");
+        vec![ScriptStep::Write(answer)]
+    });
+}
+
+#[googletest::test]
+fn a_refusal_before_the_body_has_arrived_reaches_the_caller() {
+    block_on(async {
+        let mut site = site().await;
+        answer_all(&site);
+        expect_refusals(&site, "/elsewhere", &id(), BODY_BYTES, "404").await;
+        expect_refusals(&site, "/x", &id(), 2 * MAX_BODY_BYTES, "413").await;
+        expect_refusals(&site, "/x", "", BODY_BYTES, "400").await;
+        site.organisations = Some(json!([organisation("cafe", &["key"])]));
+        site.configure(
+            json!([route("/x", "safe", "books")]),
+            json!([plain("books")]),
+        );
+        site.wait("the configuration is in force", async || {
+            site.configuration_version(0).await == 6.0
+        })
+        .await;
+        expect_refusals(&site, "/x", &id(), BODY_BYTES, "401").await;
+    });
+}
+
+#[googletest::test]
+fn requests_whose_route_is_dropped_while_they_arrive_are_answered_or_refused() {
+    block_on(async {
+        let mut site = site().await;
+        answer_all(&site);
+        let front = site.front(0);
+        let sending = compio::runtime::spawn(async move {
+            let mut failures = Vec::new();
+            let mut statuses = BTreeMap::new();
+            for round in 0..DROPPED_ROUNDS {
+                let stream = TcpStream::connect(front).await;
+                let mut connection = RawConnection(stream.expect("the VM accepts connections"));
+                let exchange = async {
+                    let pieces = pieces_of("/x", &id(), BODY_BYTES, round % 2 == 0);
+                    connection.send(pieces, PIECE_PAUSE).await?;
+                    connection.receive().await
+                };
+                match exchange.await {
+                    Ok(answer) => *statuses.entry(answer[9..12].to_owned()).or_insert(0) += 1,
+                    Err(error) => failures.push(error.to_string()),
+                }
+            }
+            (statuses, failures)
+        });
+        for is_there in [false, true, false, true] {
+            compio::time::sleep(Duration::from_millis(500)).await;
+            let routes = match is_there {
+                true => vec![route("/x", "safe", "books")],
+                false => vec![route("/y", "safe", "books")],
+            };
+            site.configure(json!(routes), json!([plain("books")]));
+        }
+        let (statuses, failures) = sending.await.expect("sending does not panic");
+        expect_that!(statuses.len(), eq(2), "{statuses:?}");
+        expect_that!(failures, is_empty(), "{statuses:?}");
+    });
+}
