A longer idle timeout reaches connections that are open

Callers saw: after a configuration with a longer idle timeout, connections that had been opened before it were closed at the old limit, also under a request that the new limit allows.

Cause: the timeout was read from the configuration once for each connection, when it was accepted.

Evidence: a_longer_idle_timeout_reaches_open_connections got 'unexpected end of file' for a request on a connection that was idle for 4.5 s, opened under 0.5 s, with 10 s in force since. It passes now.

Fix: connections share the timeout, which a new configuration sets, and a timer that is due is extended by what the timeout has grown. A shorter timeout closes no connection sooner than the one under which it became idle.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -44,9 +44,6 @@
 /// Share of the grace period spent on waiting for open requests; the rest is left for the process
 /// to exit.
 const DRAIN_SHARE: f64 = 0.94;
-/// How much longer than the configured idle timeout a caller's connection is kept open, so that it
-/// isn't closed while a request is on its way.
-const IDLE_SLACK: Duration = Duration::from_millis(2_000);
 /// How long a new connection of a caller may wait for this VM: longer than the pauses of a processor
 /// with a quota, and short enough that the caller still has time for another VM.
 const MAX_ACCEPT_WAIT: Duration = Duration::from_millis(150);
@@ -155,15 +152,9 @@
         }
     })
     .detach();
-    let timeout_state = state.clone();
-    let head_timeout = move || {
-        let configuration = timeout_state.configuration();
-        let limits = configuration.map(|it| it.limits).unwrap_or_default();
-        Duration::from_millis(limits.idle_timeout_ms) + IDLE_SLACK
-    };
     let shutdown = state.shutdown.clone();
     let limits = AcceptLimits {
-        head_timeout,
+        head_timeout: state.idle_timeout.clone(),
         max_wait: MAX_ACCEPT_WAIT,
         max_open: state.settings.max_caller_connections,
         closed_unread: state.metrics.closed_unread.clone(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -29,8 +29,10 @@
 use crate::gateway::version_search::{VersionAnswer, VersionSearch};
 use crate::gateway::waiting::{ReturnCalendar, Traffic, WaitQueues};
 use crate::gateway::{
-    Changes, Configuration, Generation, Metrics, Position, Reply, ServerChange, Settings, Weights,
+    Changes, Configuration, Generation, Limits, Metrics, Position, Reply, ServerChange, Settings,
+    Weights,
 };
+use crate::idle_timer::IdleTimeout;
 use crate::inventory::Name;
 use crate::open_requests::OpenRequests;
 use crate::shutdown::Shutdown;
@@ -51,6 +53,10 @@
 /// intervals of 5 s. A server that is gone takes no requests meanwhile, since connections to it fail.
 const REWRITE_TIME: Duration = Duration::from_millis(15_000);
 
+/// How much longer than the configured idle timeout a caller's connection is kept open, so that it
+/// isn't closed while a request is on its way.
+const IDLE_SLACK: Duration = Duration::from_millis(2_000);
+
 /// The largest fleet in which a VM that cannot read the log asks VMs of other zones.
 const MAX_VMS_ASKING_ZONES: usize = 12;
 
@@ -64,6 +70,8 @@
     pub(crate) metrics: Rc<Metrics>,
     /// The requests in work.
     pub(crate) open_requests: Rc<OpenRequests>,
+    /// How long callers' connections may be idle.
+    pub(crate) idle_timeout: IdleTimeout,
     /// The settings that the process was started with.
     pub(crate) settings: Settings,
     configuration: RefCell<Option<Rc<Configuration>>>,
@@ -167,6 +175,7 @@
     pub(crate) fn new(settings: Settings, metrics: Rc<Metrics>) -> Self {
         Self {
             open_requests: Rc::new(OpenRequests::new(metrics.request_ends.clone())),
+            idle_timeout: IdleTimeout::new(idle_time(Limits::default())),
             metrics,
             configuration: RefCell::default(),
             configuration_known_at: Cell::new(None),
@@ -231,6 +240,7 @@
             "configuration in force"
         );
         let bytes = configuration.document.len();
+        self.idle_timeout.set(idle_time(configuration.limits));
         self.metrics.configuration_bytes.set(bytes as i64);
         if let Some(replaced) = current.replace(Rc::new(configuration)) {
             self.documents.borrow_mut().push(replaced.document.clone());
@@ -881,3 +891,8 @@
         demand
     }
 }
+
+/// How long a caller's connection is kept open while it is idle.
+fn idle_time(limits: Limits) -> Duration {
+    Duration::from_millis(limits.idle_timeout_ms).saturating_add(IDLE_SLACK)
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,13 +2,14 @@
 
 use crate::accept_queue::{AcceptQueue, Admission};
 use crate::connection_end::{CloseCause, ConnectionEnd};
+use crate::idle_timer::{IdleTimeout, IdleTimer};
 use crate::open_requests::OpenRequest;
 use crate::shutdown::Shutdown;
 use crate::write_stall::{MonitoredStream, StallMonitor};
 use bytes::{Bytes, BytesMut};
 use compio::net::{TcpListener, TcpSocket, TcpStream};
 use compio::runtime::JoinHandle;
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use futures_channel::mpsc;
 use futures_util::future::{Either, select};
 use futures_util::{SinkExt, StreamExt};
@@ -346,7 +347,7 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let limits = AcceptLimits {
-        head_timeout: || HEADER_TIMEOUT,
+        head_timeout: IdleTimeout::new(HEADER_TIMEOUT),
         max_wait: Duration::MAX,
         max_open: usize::MAX,
         closed_unread: Counter::default(),
@@ -356,10 +357,9 @@
 
 /// What a server does with new connections.
 #[derive(Debug)]
-pub(crate) struct AcceptLimits<T> {
-    /// Returns the time that a client may be idle or take to send a request head; called once for
-    /// each connection.
-    pub(crate) head_timeout: T,
+pub(crate) struct AcceptLimits {
+    /// How long a client may be idle or take to send a request head.
+    pub(crate) head_timeout: IdleTimeout,
     /// How long a connection may wait for this process to serve it.
     pub(crate) max_wait: Duration,
     /// The maximum number of open connections.
@@ -369,18 +369,17 @@
 }
 
 /// Like [`serve`], within limits beyond which new connections are closed at once.
-pub(crate) async fn serve_within<T, H, F>(
-    limits: AcceptLimits<T>,
+pub(crate) async fn serve_within<H, F>(
+    limits: AcceptLimits,
     listener: TcpListener,
     shutdown: Rc<Shutdown>,
     handler: H,
 ) where
-    T: Fn() -> Duration,
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let serve_one = |stream| {
-        let head_timeout = (limits.head_timeout)();
+        let head_timeout = limits.head_timeout.clone();
         spawn_connection(stream, shutdown.clone(), head_timeout, handler.clone());
     };
     let mut queue = AcceptQueue::new(limits.max_wait, limits.max_open);
@@ -465,7 +464,7 @@
 fn spawn_connection<H, F>(
     stream: TcpStream,
     shutdown: Rc<Shutdown>,
-    head_timeout: Duration,
+    head_timeout: IdleTimeout,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
@@ -488,8 +487,8 @@
         });
         let (stream, watch) = MonitoredStream::new(HyperStream::new_plain(stream));
         let connection = http1::Builder::new()
-            .timer(CompioTimer)
-            .header_read_timeout(head_timeout)
+            .header_read_timeout(head_timeout.get())
+            .timer(IdleTimer(head_timeout))
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(stream, service);
         let serving = async {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 mod gateway;
 mod http;
 mod idempotency;
+mod idle_timer;
 mod inventory;
 mod membership;
 mod metrics;
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -81,6 +81,8 @@
     pub vms_with_paths: BTreeSet<usize>,
     /// The VMs that reach the store by paths of their own, which a test has to start.
     pub vms_with_store_paths: BTreeSet<usize>,
+    /// How long callers' connections may be idle by the next configuration, in milliseconds.
+    pub idle_timeout_ms: u64,
     /// The number of availability zones over which the VMs are spread in turn.
     pub zones: usize,
     folder: PathBuf,
@@ -106,6 +108,7 @@
             organisations: None,
             vms_with_paths: BTreeSet::new(),
             vms_with_store_paths: BTreeSet::new(),
+            idle_timeout_ms: 15_000,
             zones: 1,
             folder,
             version: 0,
@@ -198,7 +201,7 @@
                 "max_header_bytes": 16_384,
                 "max_body_bytes": 1_048_576,
                 "header_timeout_ms": 3_000,
-                "idle_timeout_ms": 15_000,
+                "idle_timeout_ms": self.idle_timeout_ms,
             },
         });
         if let Some(organisations) = &self.organisations {
--- a/workbench/tests/site_request_ends.rs
+++ b/workbench/tests/site_request_ends.rs
@@ -313,3 +313,43 @@
         expect_that!(failures, is_empty(), "{statuses:?}");
     });
 }
+
+/// A site whose callers may be idle for `idle_timeout_ms`, and a connection that has been used.
+async fn idle_connection(idle_timeout_ms: u64) -> (Site, RawConnection) {
+    let mut site = Site::start(vec![("books", vec![])]).await;
+    answer_all(&site);
+    site.idle_timeout_ms = idle_timeout_ms;
+    configure_plain(&mut site);
+    site.start_vms(1);
+    site.wait_ready().await;
+    let mut connection = RawConnection::open(&site).await;
+    connection.expect_answer().await;
+    (site, connection)
+}
+
+fn configure_plain(site: &mut Site) {
+    let routes = json!([route("/x", "safe", "books")]);
+    site.configure(routes, json!([plain("books")]));
+}
+
+impl RawConnection {
+    async fn expect_answer(&mut self) {
+        let request = pieces_of("/x", &id(), 0, false);
+        let sent = self.send(request, Duration::ZERO).await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        let answer = self.receive().await;
+        expect_that!(answer, ok(starts_with("HTTP/1.1 200")));
+    }
+}
+
+#[googletest::test]
+fn a_longer_idle_timeout_reaches_open_connections() {
+    block_on(async {
+        let (mut site, mut connection) = idle_connection(500).await;
+        site.idle_timeout_ms = 10_000;
+        configure_plain(&mut site);
+        compio::time::sleep(Duration::from_millis(4_500)).await;
+        expect_that!(site.configuration_version(0).await, eq(6.0));
+        connection.expect_answer().await;
+    });
+}
