Tests: requests that arrive while a VM stands still before it closes

Both pass without a change of the code: a connection whose idle timeout, or whose drain, became due during the pause is read before it is closed.

--- a/workbench/tests/site_request_ends.rs
+++ b/workbench/tests/site_request_ends.rs
@@ -3,6 +3,7 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
+use futures_util::future::join;
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
@@ -353,3 +354,32 @@
         connection.expect_answer().await;
     });
 }
+
+#[googletest::test]
+fn a_request_that_arrived_during_a_pause_is_answered_though_the_idle_timeout_is_over() {
+    block_on(async {
+        let (site, mut connection) = idle_connection(500).await;
+        compio::time::sleep(Duration::from_millis(1_800)).await;
+        site.vms[0].signal(Signal::SIGSTOP);
+        let resumed = async {
+            compio::time::sleep(Duration::from_millis(1_500)).await;
+            site.vms[0].signal(Signal::SIGCONT);
+        };
+        join(connection.expect_answer(), resumed).await;
+    });
+}
+
+#[googletest::test]
+fn a_request_that_arrived_during_a_pause_is_answered_though_the_vm_closes_its_connections() {
+    block_on(async {
+        let (site, mut connection) = idle_connection(15_000).await;
+        site.vms[0].signal(Signal::SIGTERM);
+        compio::time::sleep(Duration::from_millis(2_000)).await;
+        site.vms[0].signal(Signal::SIGSTOP);
+        let resumed = async {
+            compio::time::sleep(Duration::from_millis(1_000)).await;
+            site.vms[0].signal(Signal::SIGCONT);
+        };
+        join(connection.expect_answer(), resumed).await;
+    });
+}
