Test: no request of a busy VM is forgotten beside SIGHUPs

48 callers keep a VM busy while it gets 4,000 SIGHUPs, 3 ms apart, so that the next one comes long after the handler is installed again.

--- a/workbench/tests/site_signals.rs
+++ b/workbench/tests/site_signals.rs
@@ -26,6 +26,12 @@
 const BURST_INTERVAL: Duration = Duration::from_millis(2);
 /// The callers that send requests during a series.
 const CALLERS: usize = 8;
+/// Signals to a busy VM, and the time between two.
+const SPACED_SIGNALS: usize = 4_000;
+const SPACED_INTERVAL: Duration = Duration::from_millis(3);
+/// The callers that keep that VM busy, and how long they wait for an answer.
+const BUSY_CALLERS: usize = 48;
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
 /// How long a VM that is stopped may take to end.
 const END_LIMIT: Duration = Duration::from_secs(8);
 /// How long a VM may take until it listens.
@@ -111,6 +117,36 @@
     });
 }
 
+#[googletest::test]
+fn no_request_of_a_busy_vm_is_forgotten_beside_sighups() {
+    block_on(async {
+        let mut site = Site::start_plain(4, 1).await;
+        let address = site.front(0);
+        let vm = nix::unistd::Pid::from_raw(site.vms[0].id() as i32);
+        let signals = std::thread::spawn(move || {
+            for _ in 0..SPACED_SIGNALS {
+                // A VM that has ended takes no signal.
+                let _ = nix::sys::signal::kill(vm, Signal::SIGHUP);
+                std::thread::sleep(SPACED_INTERVAL);
+            }
+        });
+        let callers = join_all((0..BUSY_CALLERS).map(async |_| {
+            let caller = Caller::default();
+            let mut unanswered = 0;
+            while !signals.is_finished() {
+                let mut request = CallerRequest::get("/x");
+                request.disconnect_after = Some(ANSWER_LIMIT);
+                let answer = caller.request(address, &request).await;
+                unanswered += usize::from(answer.status != Some(200));
+            }
+            unanswered
+        }));
+        let unanswered: usize = callers.await.into_iter().sum();
+        expect_that!(unanswered, eq(0));
+        expect_that!(site.vms[0].has_ended(), eq(false));
+    });
+}
+
 #[googletest::test]
 fn sighups_while_a_vm_starts_do_not_end_it() {
     block_on(async {
