--- a/workbench/tests/site_silence_beside_changes.rs
+++ b/workbench/tests/site_silence_beside_changes.rs
@@ -28,6 +28,8 @@
 const PLACES: [&str; 2] = ["head", "middle"];
 /// What other servers do with a request that a silent server runs.
 const OTHERS: [&str; 3] = ["refuse", "misdirected", "run"];
+/// The slots of the two runners.
+const SLOTS: usize = 2 * 64;
 /// From the start of the requests until the change.
 const CHANGE_AFTER: Duration = Duration::from_millis(350);
 /// Between two signals of the same kind.
@@ -392,6 +394,29 @@
     });
 }
 
+#[googletest::test]
+fn streams_of_silent_servers_come_whole_when_all_slots_are_taken() {
+    block_on(async {
+        let mut site = start().await;
+        site.start_vms(1);
+        site.wait_ready().await;
+        let address = site.front(0);
+        let answers = (0..SLOTS).map(|_| {
+            let request = CallerRequest::model("/s/middle/refuse/1800", "m0");
+            compio::runtime::spawn(failure(address, request))
+        });
+        let answers: Vec<_> = answers.collect();
+        compio::time::sleep(CHANGE_AFTER).await;
+        Change::RouteDropped.make(&mut site).await;
+        site.vms[0].signal(Signal::SIGTERM);
+        let mut failures = Vec::new();
+        for answer in answers {
+            failures.extend(answer.await.expect("a caller does not panic"));
+        }
+        expect_that!(failures, is_empty());
+    });
+}
+
 #[googletest::test]
 fn a_stream_of_a_silent_server_holds_events_of_one_software_version() {
     block_on(async {
