Soak: silent servers beside changes of the configuration and signals

Each request that a server ran has to be answered whole; unsafe calls run once; a VM ends only when it is told to; a VM that leaves has ended after its grace.

--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -173,6 +173,18 @@
                 .arg(number("vms", "4"))
                 .arg(number("seconds", "20")),
         )
+        .subcommand(
+            Command::new("silence-soak")
+                .about(
+                    "Draw silences of sound servers, changes of the configuration, SIGHUP and \
+                     SIGTERM from a seed, and check that each request that a server runs is \
+                     answered whole",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("seeds", "1").help("How many seeds are played, from this one on"))
+                .arg(number("vms", "4"))
+                .arg(number("seconds", "20")),
+        )
         .subcommand(
             Command::new("calls")
                 .about("Measure what non-idempotent calls cost")
@@ -346,6 +358,18 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("silence-soak", matches)) => {
+            let (first, vms, duration) = soak_arguments(matches);
+            let mut is_sound = true;
+            for seed in first..first + get::<u64>(matches, "seeds") {
+                println!("seed {seed}");
+                let findings = site::silence_soak::run(seed, vms, duration).await;
+                is_sound &= report_findings(&findings);
+            }
+            if !is_sound {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("calls", matches)) => {
             let load = CallLoad {
                 vms: get::<u64>(matches, "vms") as usize,
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -12,6 +12,7 @@
 mod load;
 mod quota;
 mod server;
+pub mod silence_soak;
 pub mod soak;
 pub mod start;
 mod store;
--- a/workbench/tests/site_soak.rs
+++ b/workbench/tests/site_soak.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use std::time::Duration;
 use workbench::cluster::block_on;
-use workbench::site::{config_soak, crash_soak, cut_soak, soak, version_soak};
+use workbench::site::{config_soak, crash_soak, cut_soak, silence_soak, soak, version_soak};
 
 #[googletest::test]
 fn statements_of_servers_are_respected_with_seed_1() {
@@ -44,3 +44,9 @@
     let findings = block_on(crash_soak::run(2, 4, Duration::from_secs(15)));
     expect_that!(findings, is_empty());
 }
+
+#[googletest::test]
+fn answers_of_silent_servers_come_whole_beside_changes_and_signals_with_seed_1() {
+    let findings = block_on(silence_soak::run(1, 4, Duration::from_secs(20)));
+    expect_that!(findings, is_empty());
+}
