Connections: a peer that sends without end no longer stops the whole VM

What callers saw: while one server sent 1xx heads or the digits of a chunk size without end, no caller of the VM got an answer, a sound one neither: the requests to that server had neither an answer nor a refusal after 20 s. A caller whose body was an endless chunk size did the same to all others.

Cause: hyper parses heads and framing in a loop that ends when a read has to wait. From a fast peer no read ever waits, so the only thread never left the loop, and no timeout fired. Nothing bounded what is read before a head is whole.

--- a/src/client.rs
+++ b/src/client.rs
@@ -4,6 +4,7 @@
 //! request may have been sent.
 
 use crate::http::Body;
+use crate::response_progress::{BoundedStream, ResponseProgress};
 use compio::io::AsyncRead;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
@@ -21,6 +22,9 @@
 /// The largest number of idle connections that are kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
+/// The largest response head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// The reason why no response head was received.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendError {
@@ -34,6 +38,7 @@
 pub struct Connection {
     sender: SendRequest<Body>,
     address: SocketAddr,
+    progress: ResponseProgress,
     /// The task that drives the connection; dropping it closes the connection.
     driver: Option<JoinHandle<()>>,
 }
@@ -91,7 +96,11 @@
         if unacked_limit.is_some() {
             let _ = SockRef::from(&stream).set_tcp_user_timeout(unacked_limit);
         }
-        let (sender, driver) = http1::handshake(HyperStream::new_plain(stream))
+        let progress = ResponseProgress::default();
+        let stream = BoundedStream::new(HyperStream::new_plain(stream), progress.clone());
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(stream)
             .await
             .map_err(|_closed| SendError::NotSent)?;
         let driver = compio::runtime::spawn(async move {
@@ -101,6 +110,7 @@
         Ok(Self {
             sender,
             address,
+            progress,
             driver: Some(driver),
         })
     }
@@ -122,13 +132,18 @@
     /// Fails with [`SendError::NotSent`] if no part of the request was sent, and with
     /// [`SendError::MaybeSent`] otherwise.
     pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendError> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(_) => SendError::NotSent,
-                None => SendError::MaybeSent,
-            })
+        self.progress.note();
+        let sent = self.sender.try_send_request(request).await;
+        self.progress.stop();
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => SendError::MaybeSent,
+        })
+    }
+
+    /// What the server has sent since its response last got on.
+    pub(crate) fn progress(&self) -> &ResponseProgress {
+        &self.progress
     }
 
     /// The address of the server.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 use crate::gateway::{Protocol, Reply};
 use crate::http::Body;
 use crate::inventory::Name;
+use crate::response_progress::ProgressBody;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response};
@@ -41,7 +42,7 @@
     /// The parsed protocol fields of the head.
     pub(crate) reply: Reply,
     /// The response body.
-    pub(crate) body: Incoming,
+    pub(crate) body: ProgressBody,
     /// The server that answers.
     pub(crate) server: Rc<Server>,
     connection: Connection,
@@ -192,7 +193,7 @@
         Self {
             reply: P::read_reply(&head),
             head,
-            body,
+            body: ProgressBody::new(body, connection.progress().clone()),
             server: server.clone(),
             connection,
             _in_flight: in_flight,
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1 serving with `hyper` on `compio`, and the body type of requests and responses.
 
 use crate::accept_queue::{AcceptQueue, Admission};
+use crate::response_progress::{BoundedStream, ResponseProgress};
 use crate::shutdown::Shutdown;
 use crate::write_stall::{MonitoredStream, StallMonitor};
 use bytes::{Bytes, BytesMut};
@@ -409,7 +410,10 @@
             let shutdown_state = shutdown_state.clone();
             async move { Ok::<_, Infallible>(close_if_leaving(&shutdown_state, answer.await)) }
         });
-        let (stream, watch) = MonitoredStream::new(HyperStream::new_plain(stream));
+        let (stream, watch) = MonitoredStream::new(BoundedStream::new(
+            HyperStream::new_plain(stream),
+            ResponseProgress::default(),
+        ));
         let connection = http1::Builder::new()
             .timer(CompioTimer)
             .header_read_timeout(head_timeout)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 mod replay;
 mod replica;
 mod request_headers;
+mod response_progress;
 mod retry;
 mod router;
 mod server;
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -15,6 +15,8 @@
 
 /// The buffer size of one read.
 const READ_BYTES: usize = 16 * 1024;
+/// About how many bytes one write of an endless answer has at full speed.
+const REPEATED_BYTES: usize = 64 * 1024;
 /// How often a waiting task checks whether its server is dead.
 const DEATH_POLL: Duration = Duration::from_millis(20);
 /// The start time that every server reports first, in Unix milliseconds.
@@ -52,6 +54,13 @@
 pub enum ScriptStep {
     /// Sends bytes.
     Write(Vec<u8>),
+    /// Sends the same bytes again and again until the client disconnects.
+    Repeat {
+        /// The bytes.
+        bytes: Vec<u8>,
+        /// The time between two writes; without one, as fast as the connection takes them.
+        pause: Duration,
+    },
     /// Waits; ends early when the client disconnects.
     Wait(Duration),
     /// Closes the connection.
@@ -398,6 +407,10 @@
             for step in steps {
                 let is_open = match step {
                     ScriptStep::Write(bytes) => stream.write_all(bytes).await.0.is_ok(),
+                    ScriptStep::Repeat { bytes, pause } => {
+                        self.repeat(&mut stream, &mut read, bytes, pause).await;
+                        false
+                    }
                     ScriptStep::Wait(time) => self.wait(&mut stream, &mut read, time).await,
                     ScriptStep::Close => false,
                     ScriptStep::Reset => {
@@ -415,6 +428,30 @@
         }
     }
 
+    /// Writes until the client disconnects or the server dies.
+    async fn repeat(
+        &self,
+        stream: &mut TcpStream,
+        read: &mut Vec<u8>,
+        bytes: Vec<u8>,
+        pause: Duration,
+    ) {
+        let times = match pause.is_zero() {
+            true => REPEATED_BYTES / bytes.len(),
+            false => 1,
+        };
+        let mut bytes = bytes.repeat(times.max(1));
+        let deaths = self.deaths.get();
+        while self.deaths.get() == deaths {
+            let BufResult(written, buffer) = stream.write_all(bytes).await;
+            bytes = buffer;
+            let is_open = pause.is_zero() || self.wait(stream, read, pause).await;
+            if written.is_err() || !is_open {
+                return;
+            }
+        }
+    }
+
     /// Adds the headers that all answers carry, if the steps begin with an answer's head.
     fn add_headers(&self, steps: &mut [ScriptStep]) {
         let Some(ScriptStep::Write(bytes)) = steps.first_mut() else {
--- a/workbench/src/usage.rs
+++ b/workbench/src/usage.rs
@@ -14,6 +14,8 @@
     pub cpu: Duration,
     /// Resident memory.
     pub rss_kib: u64,
+    /// The most resident memory so far.
+    pub peak_rss_kib: u64,
 }
 
 /// Reads the use of a process; zero for one that has ended.
@@ -33,14 +35,16 @@
             .unwrap_or(0)
     };
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let rss_kib = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok())
-        .unwrap_or(0);
+    let memory_kib = |name: &str| -> u64 {
+        let mut lines = status.lines();
+        let rest = lines.find_map(|line| line.strip_prefix(name));
+        rest.and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok())
+            .unwrap_or(0)
+    };
     Usage {
         cpu: Duration::from_millis((ticks(11) + ticks(12)) * 1_000 / TICKS_PER_S),
-        rss_kib,
+        rss_kib: memory_kib("VmRSS:"),
+        peak_rss_kib: memory_kib("VmHWM:"),
     }
 }
 
