Streams: an event that never ends counts as silence and is bounded

What callers saw: a server that sent parts of an event without end held a stream until the caller left: neither answer nor refusal before the first event, no further event after it, though another server would have gone on.

Cause: each piece that arrived restarted the time limit on silence, and with it the deadline; an event could take 1 MiB, searched from its start each time.

--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -53,13 +53,16 @@
         }
     }
 
+    /// Reads the next event; silence is that no whole event arrives, whatever else does.
     async fn next(&mut self, silence: Duration) -> ReadOutcome {
+        let silent_at = Instant::now() + silence;
         loop {
             if let Some(event) = self.buffer.next() {
                 self.events += 1;
                 return ReadOutcome::Event(event);
             }
-            let frame = compio::time::timeout(silence, self.exchange.body.frame()).await;
+            let frame = self.exchange.body.frame();
+            let frame = compio::time::timeout_at(silent_at, frame).await;
             match frame {
                 Err(_elapsed) => return ReadOutcome::Silent,
                 Ok(None) if self.buffer.is_empty() => return ReadOutcome::End,
--- a/workbench/tests/site_endless.rs
+++ b/workbench/tests/site_endless.rs
@@ -220,6 +220,50 @@
     steps
 }
 
+#[googletest::test]
+fn a_stream_whose_event_never_ends_goes_on_at_another_server() {
+    block_on(async {
+        for (whole, pause) in [
+            (0, Duration::ZERO),
+            (0, SLOWLY),
+            (3, Duration::ZERO),
+            (3, SLOWLY),
+        ] {
+            let site = site().await;
+            site.servers[2].script(move |call| endless_event(call, whole, pause));
+            site.servers[3].script(|call| remaining_events(call, EVENTS, 0));
+            for _ in 0..4 {
+                let request = CallerRequest::model("/s/x", "m0");
+                let answer = Caller::default().request(site.front(0), &request).await;
+                let what = format!("{whole} {pause:?} {}", brief(&answer));
+                println!("{what}");
+                expect_that!(answer.body, eq(&events_text(1, EVENTS)), "{what}");
+                expect_that!(answer.is_complete, eq(true), "{what}");
+                expect_that!(answer.duration, lt(Duration::from_secs(3)), "{what}");
+            }
+        }
+    });
+}
+
+#[googletest::test]
+fn a_stream_whose_events_never_end_at_any_server_is_refused_in_time() {
+    block_on(async {
+        for pause in [Duration::ZERO, SLOWLY] {
+            let site = site().await;
+            for server in &site.servers {
+                server.script(move |call| endless_event(call, 0, pause));
+            }
+            let request = CallerRequest::model("/s/x", "m0");
+            let answer = Caller::default().request(site.front(0), &request).await;
+            let what = format!("{pause:?} {}", brief(&answer));
+            println!("{what}");
+            expect_that!(answer.status, some(ge(500)), "{what}");
+            expect_that!(answer.duration, lt(CALLER_TIMEOUT), "{what}");
+            expect_that!(answer.promises_not_run(), eq(false), "{what}");
+        }
+    });
+}
+
 #[googletest::test]
 fn a_caller_whose_body_never_ends_keeps_no_other_caller_waiting() {
     block_on(async {
