Answers: a body without end takes neither the memory of the VM nor the call

What callers saw: a VM grew to 1.2 GB within 4 s from one endless plain answer, and ended when memory did, with all its callers. A failure as the answer to a stream had no limit at all: neither answer nor refusal after 20 s when its body stopped or trickled.

Cause: plain answers were read with a deadline but without a limit of bytes, and the body of a stream's failure without either.

Evidence, on the code before, with 1.5 GB of address space: unframed body 502 after 4,016 ms at 1,120 MB, framed one at 1,214 MB; failed streams cut when the process ended, or without an answer after 20,000 ms. Four long answers of 8 MB: 149 MB.

Why this works: an answer has at most 16 MiB and 262,144 pieces. What is longer than 64 KiB reserves all it may need before it is read on, 32 MiB over all answers, until it has been sent; shorter ones never wait. At the bound the connection is closed and the server counts as failed: a safe call or a stream goes to another server, an unsafe call gets 502.

--- /dev/null
+++ b/src/gateway/answer_memory.rs
@@ -0,0 +1,155 @@
+//! Reads answers into memory, within a bound for each and one for all of them together.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// The longest answer, in bytes.
+pub(super) const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// The most pieces of an answer, so that one in tiny pieces does not take the processor for long.
+const MAX_PIECES: usize = 256 * 1024;
+/// The length up to which an answer needs no reservation, in bytes: short answers never wait for
+/// long ones.
+pub(super) const UNRESERVED_BYTES: usize = 64 * 1024;
+/// How often an answer that waits for memory checks whether there is some.
+const RESERVATION_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The reason why an answer was not read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AnswerError {
+    /// The answer ended before it was whole.
+    Broken,
+    /// The answer is longer than [`MAX_ANSWER_BYTES`] or has more than [`MAX_PIECES`].
+    TooLong,
+}
+
+impl fmt::Display for AnswerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Broken => "broken off",
+            Self::TooLong => "too long",
+        })
+    }
+}
+
+/// The memory that long answers may take together.
+#[derive(Debug)]
+pub(crate) struct AnswerMemory {
+    max_bytes: usize,
+    reserved_bytes: Arc<AtomicUsize>,
+}
+
+impl AnswerMemory {
+    /// Creates memory for answers of `max_bytes` together, at least one of the greatest length.
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        Self {
+            max_bytes: max_bytes.max(MAX_ANSWER_BYTES),
+            reserved_bytes: Arc::default(),
+        }
+    }
+
+    /// The memory that is reserved now.
+    #[cfg(test)]
+    pub(super) fn reserved_bytes(&self) -> usize {
+        self.reserved_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Waits until there is memory for another `bytes`. All that an answer may need is reserved at
+    /// once, so that answers never wait for each other in a circle.
+    async fn reserve(&self, bytes: usize) -> Reservation {
+        while self.reserved_bytes.load(Ordering::Relaxed) + bytes > self.max_bytes {
+            compio::time::sleep(RESERVATION_INTERVAL).await;
+        }
+        self.reserved_bytes.fetch_add(bytes, Ordering::Relaxed);
+        Reservation {
+            bytes,
+            reserved_bytes: self.reserved_bytes.clone(),
+        }
+    }
+}
+
+/// Memory that is reserved until this is dropped.
+#[derive(Debug)]
+struct Reservation {
+    bytes: usize,
+    reserved_bytes: Arc<AtomicUsize>,
+}
+
+impl Reservation {
+    /// Gives back what exceeds `bytes`.
+    fn shrink_to(&mut self, bytes: usize) {
+        let unused = self.bytes.saturating_sub(bytes);
+        self.bytes -= unused;
+        self.reserved_bytes.fetch_sub(unused, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.reserved_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A long answer, whose memory stays reserved until it has been sent on.
+struct LongAnswer {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for LongAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads an answer to its end.
+///
+/// # Errors
+///
+/// Fails if the answer breaks off or is too long.
+pub(crate) async fn read_answer<B>(mut body: B, memory: &AnswerMemory) -> Result<Bytes, AnswerError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let stated_bytes = body.size_hint().exact().map(|bytes| bytes as usize);
+    let longest_bytes = stated_bytes.unwrap_or(MAX_ANSWER_BYTES);
+    if longest_bytes > MAX_ANSWER_BYTES {
+        return Err(AnswerError::TooLong);
+    }
+    let mut bytes = BytesMut::with_capacity(stated_bytes.unwrap_or(0).min(UNRESERVED_BYTES));
+    let mut reservation = None;
+    let mut pieces = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_error| AnswerError::Broken)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        pieces += 1;
+        let length = bytes.len() + data.len();
+        if length > MAX_ANSWER_BYTES || pieces > MAX_PIECES {
+            return Err(AnswerError::TooLong);
+        }
+        if length > UNRESERVED_BYTES && reservation.is_none() {
+            reservation = Some(memory.reserve(longest_bytes).await);
+            // The memory of the whole answer, so that it is not copied while it grows.
+            bytes.reserve(longest_bytes.saturating_sub(bytes.len()));
+        }
+        bytes.extend_from_slice(data);
+    }
+    if stated_bytes.is_some_and(|stated_bytes| stated_bytes != bytes.len()) {
+        return Err(AnswerError::Broken);
+    }
+    let bytes = bytes.freeze();
+    let Some(mut reservation) = reservation else {
+        return Ok(bytes);
+    };
+    reservation.shrink_to(bytes.len());
+    Ok(Bytes::from_owner(LongAnswer {
+        bytes,
+        _reservation: reservation,
+    }))
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! are accessed through the small traits in [`external`]. The decisions on routing, retries and
 //! placement are made in code that does no network access, so that it can be tested without any.
 
+mod answer_memory;
 mod backlog;
 mod begun_parts;
 mod budget;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 //! servers with retries, and returns the response.
 
 use crate::client::SendError;
+use crate::gateway::answer_memory::{AnswerMemory, MAX_ANSWER_BYTES, read_answer};
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::call::{Call, Dispatch, StreamVersion};
 use crate::gateway::crash_check::{Break, CrashCheck};
@@ -22,7 +23,6 @@
 use crate::http::{Body, ReadError, read_body};
 use bytes::Bytes;
 use futures_channel::oneshot;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
@@ -59,6 +59,10 @@
 /// How often a request that waits for the start of this VM is checked.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The memory of all answers that are read completely before they are forwarded, in bytes. It leaves
+/// a VM of 160 MB most of its memory.
+const MAX_HELD_BYTES: usize = 2 * MAX_ANSWER_BYTES;
+
 /// Forwards callers' requests to backend servers.
 pub(crate) struct Relay<P> {
     pub(crate) state: Rc<State>,
@@ -66,6 +70,7 @@
     pub(crate) forward_targets: ForwardTargets,
     pub(super) forward_slots: ForwardSlots,
     pub(super) budget: RetryBudget,
+    pub(super) answer_memory: AnswerMemory,
     protocol: PhantomData<P>,
 }
 
@@ -82,6 +87,7 @@
             pool: ConnectionPool::new(state.clone()),
             forward_targets: ForwardTargets::default(),
             forward_slots: ForwardSlots::default(),
+            answer_memory: AnswerMemory::new(MAX_HELD_BYTES),
             state,
             budget,
             protocol: PhantomData,
@@ -297,22 +303,23 @@
         }
     }
 
-    /// Reads a response to its end; `None` if the connection breaks or the deadline passes.
+    /// Reads a response to its end; `None` if the connection breaks, the response is too long or the
+    /// deadline passes.
     async fn read_whole(
         &self,
         call: &Call,
         mut exchange: Exchange,
     ) -> Option<(response::Parts, Bytes)> {
         let server = exchange.server.clone();
-        let collected = (&mut exchange.body).collect();
-        match compio::time::timeout(call.time_left(), collected).await {
+        let read = read_answer(&mut exchange.body, &self.answer_memory);
+        match compio::time::timeout(call.time_left(), read).await {
             Ok(Ok(body)) => {
                 server.note_success();
                 self.learn_call_time(call, &exchange);
                 self.note_begun_answer(call, &server);
                 let head = exchange.head.clone();
                 self.pool.keep(exchange);
-                Some((head, body.to_bytes()))
+                Some((head, body))
             }
             Ok(Err(error)) => {
                 warn!(request = %call.request.id, server = %server.id, %error, "answer broken off");
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -1,6 +1,7 @@
 //! Forwards a stream of events to a caller and resumes it on another server if one fails.
 
 use crate::gateway::Protocol;
+use crate::gateway::answer_memory::{AnswerError, read_answer};
 use crate::gateway::call::Call;
 use crate::gateway::crash_check::{BEGUN_EVENTS, Break};
 use crate::gateway::events::{EventBuffer, StreamEvent};
@@ -11,6 +12,7 @@
 use crate::http::{AnswerSender, Body};
 use http_body_util::BodyExt;
 use hyper::Response;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -131,19 +133,24 @@
             let exchange = self
                 .send_until_answered(&mut call, None, weights_version)
                 .await?;
-            if !exchange.head.status.is_success() {
-                return self.forward_failure(&mut call, exchange).await;
-            }
             let mut stream = ServerStream::new(exchange);
-            match self.next_read(&call, &mut stream).await {
-                ReadOutcome::Event(first) => {
-                    self.note_stream_version(&mut call, &stream.exchange.server);
-                    self.learn_prefill_time(&call);
-                    return Ok(self.start_forwarding(call, stream, first));
+            if !stream.exchange.head.status.is_success() {
+                if let Some(failure) = self.forward_failure(&call, stream).await {
+                    return Ok(failure);
+                }
+            } else {
+                match self.next_read(&call, &mut stream).await {
+                    ReadOutcome::Event(first) => {
+                        self.note_stream_version(&mut call, &stream.exchange.server);
+                        self.learn_prefill_time(&call);
+                        return Ok(self.start_forwarding(call, stream, first));
+                    }
+                    ReadOutcome::End => {
+                        return Ok(P::to_caller(&stream.exchange.head, Body::empty()));
+                    }
+                    ReadOutcome::Silent => self.note_silence(&call, &stream).await,
+                    ReadOutcome::Broken(why) => self.note_cut(&call, &stream, why).await,
                 }
-                ReadOutcome::End => return Ok(P::to_caller(&stream.exchange.head, Body::empty())),
-                ReadOutcome::Silent => self.note_silence(&call, &stream).await,
-                ReadOutcome::Broken(why) => self.note_cut(&call, &stream, why).await,
             }
             if call.time_left().is_zero() {
                 return Err(Failure::TimedOut);
@@ -215,19 +222,40 @@
         }
     }
 
+    /// Forwards a server's failure; `None` if its body does not arrive whole.
     async fn forward_failure(
         &self,
-        call: &mut Call,
-        exchange: Exchange,
-    ) -> Result<Response<Body>, Failure> {
-        let body = exchange.body.collect().await;
-        let body = body.map_err(|_cut| Failure::Unknown)?;
-        info!(
-            request = %call.request.id,
-            status = exchange.head.status.as_u16(),
-            "stream refused by server"
-        );
-        Ok(P::to_caller(&exchange.head, Body::full(body.to_bytes())))
+        call: &Call,
+        mut stream: ServerStream,
+    ) -> Option<Response<Body>> {
+        let read = {
+            let mut body = pin!(read_answer(&mut stream.exchange.body, &self.answer_memory));
+            loop {
+                let limit = call.time_left().min(MAX_SILENCE);
+                if let Ok(read) = compio::time::timeout(limit, body.as_mut()).await {
+                    break Some(read);
+                }
+                let server = &stream.exchange.server;
+                let may_leave = call.may_run_again() && self.may_abandon(call, server);
+                if call.time_left().is_zero() || may_leave {
+                    break None;
+                }
+            }
+        };
+        match read {
+            Some(Ok(body)) => {
+                info!(
+                    request = %call.request.id,
+                    status = stream.exchange.head.status.as_u16(),
+                    "stream refused by server"
+                );
+                return Some(P::to_caller(&stream.exchange.head, Body::full(body)));
+            }
+            Some(Err(AnswerError::Broken)) => self.note_cut(call, &stream, "cut").await,
+            Some(Err(AnswerError::TooLong)) => self.note_cut(call, &stream, "too long").await,
+            None => self.note_silence(call, &stream).await,
+        }
+        None
     }
 
     /// Forwards the stream in a task that ends with the caller's connection.
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the serving role that need no network.
 
 mod accept_queue;
+mod answer_memory;
 mod brief;
 mod change_history;
 mod containment_play;
--- a/workbench/tests/site_endless.rs
+++ b/workbench/tests/site_endless.rs
@@ -174,6 +174,11 @@
     expect_unsafe_call_ends(&IN_HEAD, Duration::ZERO, Duration::from_secs(2));
 }
 
+#[googletest::test]
+fn an_unsafe_call_whose_body_never_ends_is_refused() {
+    expect_unsafe_call_ends(&IN_BODY, Duration::ZERO, CALLER_TIMEOUT);
+}
+
 #[googletest::test]
 fn an_unsafe_call_whose_answer_trickles_without_end_is_refused_in_time() {
     let all = [IN_HEAD.as_slice(), IN_BODY.as_slice()].concat();
@@ -210,6 +215,20 @@
     });
 }
 
+#[googletest::test]
+fn a_body_without_end_is_left_for_another_server() {
+    block_on(async {
+        for endless in [
+            Endless::ChunkExtension,
+            Endless::Chunks,
+            Endless::UnframedBody,
+            Endless::FramedBody,
+        ] {
+            expect_answered_elsewhere(endless, Duration::ZERO).await;
+        }
+    });
+}
+
 /// An event that never ends, after the given number of whole ones.
 fn endless_event(call: &ReceivedRequest, whole: u64, pause: Duration) -> Vec<ScriptStep> {
     let mut steps = events(call, 1, whole, 0);
@@ -264,6 +283,148 @@
     });
 }
 
+#[googletest::test]
+fn a_failed_stream_whose_body_never_ends_is_refused_in_time() {
+    block_on(async {
+        let both = [Duration::ZERO, SLOWLY].into_iter();
+        let asked = both.flat_map(|pause| IN_BODY.map(|endless| (endless, pause)));
+        let asked = asked.map(async |(endless, pause)| {
+            let request = CallerRequest::model("/s/x", "m0");
+            let (site, answer) = ask_endless(endless, 500, pause, &request).await;
+            let what = format!("{endless:?} {pause:?} {}", brief(&answer));
+            expect_that!(answer.status, some(any![eq(502), eq(504)]), "{what}");
+            expect_that!(answer.is_complete, eq(true), "{what}");
+            expect_that!(answer.duration, lt(CALLER_TIMEOUT), "{what}");
+            expect_that!(peak_rss_kib(&site), lt(MAX_RSS_KIB), "{what}");
+        });
+        join_all(asked).await;
+    });
+}
+
+#[googletest::test]
+fn a_failed_stream_that_stops_in_its_body_is_answered_by_another_server() {
+    block_on(async {
+        let site = site().await;
+        site.servers[2].script(|call| {
+            let mut steps = Endless::FramedBody.answer(call, 500, Duration::ZERO);
+            steps[1] = ScriptStep::Wait(Duration::from_secs(30));
+            steps
+        });
+        site.servers[3].script(|call| remaining_events(call, EVENTS, 0));
+        for _ in 0..4 {
+            let request = CallerRequest::model("/s/x", "m0");
+            let answer = Caller::default().request(site.front(0), &request).await;
+            println!("{}", brief(&answer));
+            expect_that!(answer.status, some(eq(200)), "{}", brief(&answer));
+            expect_that!(answer.is_complete, eq(true), "{}", brief(&answer));
+        }
+    });
+}
+
+#[googletest::test]
+fn a_long_answer_comes_through_whole_however_slowly_it_is_sent_or_read() {
+    block_on(async {
+        let site = site().await;
+        let body = "sound".repeat(1_600_000);
+        for server in &site.servers[..2] {
+            let body = body.clone();
+            server.script(move |call| {
+                let id = call.header("x-attempt-id");
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: s\r\n\r\n"
+                );
+                let mut steps = vec![ScriptStep::Write(head.into_bytes())];
+                for part in body.as_bytes().chunks(1024 * 1024) {
+                    steps.push(ScriptStep::Write(part.to_vec()));
+                    steps.push(ScriptStep::Wait(SLOWLY));
+                }
+                steps.push(ScriptStep::Close);
+                steps
+            });
+        }
+        let answers = (0..4).map(async |_| {
+            let request = CallerRequest::get("/x");
+            Caller::default().request(site.front(0), &request).await
+        });
+        for answer in join_all(answers).await {
+            expect_that!(answer.status, some(eq(200)), "{}", brief(&answer));
+            expect_that!(answer.body == body, eq(true), "{}", brief(&answer));
+        }
+        println!("peak {} KiB", peak_rss_kib(&site));
+    });
+}
+
+#[googletest::test]
+fn a_vm_with_many_endless_answers_at_once_keeps_its_memory_and_serves_all_others() {
+    block_on(async {
+        let mut servers = vec![("books", vec![]); 2];
+        servers.extend(vec![("faulty", vec![]); 4]);
+        servers.extend(vec![("llm", vec![("m0", vec![])]); 4]);
+        let mut site = Site::start(servers).await;
+        site.configure(
+            json!([
+                route("/books/", "safe", "books"),
+                route("/orders/", "unsafe", "faulty"),
+                route("/s/", "streaming", "llm"),
+            ]),
+            json!([
+                plain("books"),
+                plain("faulty"),
+                runner_service("llm", &[("m0", 0)])
+            ]),
+        );
+        site.start_vms(1);
+        site.wait_ready().await;
+        let forms = [IN_HEAD.as_slice(), IN_BODY.as_slice()].concat();
+        for server in &site.servers[2..6] {
+            let forms = forms.clone();
+            server.script(move |call| {
+                let form: usize = call
+                    .path
+                    .trim_start_matches("/orders/")
+                    .parse()
+                    .unwrap_or(0);
+                forms[form % forms.len()].answer(call, 200, Duration::ZERO)
+            });
+        }
+        for server in &site.servers[6..] {
+            server.script(|call| endless_event(call, 0, Duration::ZERO));
+        }
+        let faulty = (0..200).map(async |index| {
+            let request = match index % 4 {
+                0 => CallerRequest::model("/s/x", "m0"),
+                _ => CallerRequest::post(&format!("/orders/{index}"), "it"),
+            };
+            Caller::default().request(site.front(0), &request).await
+        });
+        let sound = send_steadily(&site, &[0], 20.0, Duration::from_secs(4), || {
+            CallerRequest::get("/books/1")
+        });
+        let (faulty, sound) = join(join_all(faulty), sound).await;
+        let served = sound.iter().filter(|it| it.status == Some(200)).count();
+        let slowest = sound.iter().map(|it| it.duration).max();
+        let in_time = sound
+            .iter()
+            .filter(|it| it.duration < Duration::from_millis(250));
+        println!(
+            "served {served} of {}, {} in time, slowest {slowest:?}, peak {} KiB",
+            sound.len(),
+            in_time.count(),
+            peak_rss_kib(&site)
+        );
+        let mut ends: Vec<_> = faulty.iter().map(|it| it.status).collect();
+        ends.sort();
+        ends.dedup();
+        println!("ends {ends:?}");
+        expect_that!(served, eq(sound.len()));
+        expect_that!(slowest, some(lt(Duration::from_secs(1))));
+        expect_that!(peak_rss_kib(&site), lt(MAX_RSS_KIB));
+        for answer in &faulty {
+            expect_that!(answer.status, some(ge(500)), "{}", brief(answer));
+        }
+    });
+}
+
 #[googletest::test]
 fn a_caller_whose_body_never_ends_keeps_no_other_caller_waiting() {
     block_on(async {
