Bodies of the store and of other VMs: one that trickles without end is given up

A body was read for as long as each pause in it was short: bytes that trickle without end held a call to the store, or to another VM, for ever. Found in the code. The body now has to keep up 16 KiB a second, behind which it may fall by 5 s; the slowest link of a VM has many times that. The test reads a body of 10 bytes each 100 ms, which had no end before by the code; it was not run there.

--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -9,6 +9,7 @@
 mod decisions;
 mod directory_updates;
 mod first_read;
+mod flowing_bodies;
 mod forwarding;
 mod gossip_sender;
 mod large_fleet;
--- a/src/http.rs
+++ b/src/http.rs
@@ -46,6 +46,12 @@
 /// The interval at which a connection is checked for a stalled write.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The lowest rate at which a body has to arrive over the whole time, in bytes per second; far below
+/// the slowest link of a VM.
+const MIN_FLOW_BYTES_PER_S: u32 = 16 * 1024;
+/// How far a body may fall behind that rate.
+const MAX_FLOW_LAG: Duration = Duration::from_secs(5);
+
 /// The body of a request or a response.
 #[derive(Debug)]
 pub enum Body {
@@ -213,27 +219,32 @@
     }
 }
 
-/// Reads a whole body into memory for as long as its bytes arrive, however long that takes, and adds
+/// Reads a whole body into memory for as long as its bytes flow, however long that takes, and adds
 /// them to `received_bytes`, so that the caller knows how far a failed read came.
 ///
 /// # Errors
 ///
-/// Fails if the body is longer than `limit_bytes`, the connection is lost or nothing arrives for
-/// `max_stall`.
+/// Fails if the body is longer than `limit_bytes`, the connection is lost, nothing arrives for
+/// `max_stall`, or the body falls too far behind [`MIN_FLOW_BYTES_PER_S`].
 pub(crate) async fn read_flowing_body(
-    body: Incoming,
+    body: impl hyper::body::Body<Data = Bytes>,
     limit_bytes: usize,
     max_stall: Duration,
     received_bytes: &Cell<u64>,
 ) -> Result<Bytes, ReadError> {
     let mut body = pin!(body);
     let mut bytes = BytesMut::new();
+    let began = Instant::now();
     loop {
-        let frame = compio::time::timeout(max_stall, body.frame()).await;
+        let flow_time = Duration::from_secs(bytes.len() as u64) / MIN_FLOW_BYTES_PER_S;
+        let late_after = (flow_time + MAX_FLOW_LAG).saturating_sub(began.elapsed());
+        let frame = compio::time::timeout(max_stall.min(late_after), body.frame()).await;
         let Some(frame) = frame.map_err(|_elapsed| ReadError::Stalled)? else {
             return Ok(bytes.freeze());
         };
-        let frame = frame.map_err(|_error| ReadError::Disconnected)?;
+        let Ok(frame) = frame else {
+            return Err(ReadError::Disconnected);
+        };
         let Some(data) = frame.data_ref() else {
             continue;
         };
