--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the serving role that need no network.
 
 mod accept_queue;
+mod answer_memory;
 mod brief;
 mod change_history;
 mod containment_play;
@@ -8,6 +9,7 @@
 mod decisions;
 mod directory_updates;
 mod first_read;
+mod flowing_bodies;
 mod forwarding;
 mod gossip_sender;
 mod large_fleet;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 mod replica;
 mod request_end;
 mod request_headers;
+mod response_progress;
 mod retry;
 mod router;
 mod server;
