The quota of the tests gives a process its share on a busy machine as well

Cause: the emulator, not the product. CpuQuota let the VM run for 5 ms of the clock in each 100 ms and counted the time in which the VM waited for a core as used. By /proc/PID/schedstat the VM that gets the connections ran 119 to 166 ms in 4.2 to 4.7 s, 0.027 to 0.039 of a core instead of 0.05, and waited for as long or longer; the other VMs closed retries unread, as they should. Change: time in which the process waits for a core is no longer counted; idle time still is, and what was used beyond the quota is taken from the next periods. Signals come from a thread of their own, so that a busy test does not delay them, and end with the process.

--- a/workbench/src/site/quota.rs
+++ b/workbench/src/site/quota.rs
@@ -2,43 +2,137 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use std::cell::Cell;
-use std::rc::Rc;
-use std::time::Duration;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 /// The period in which a process gets its quota, as with the scheduler's bandwidth control.
 const PERIOD: Duration = Duration::from_millis(100);
+/// How often it is checked what a process has used of its quota.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
-/// Limits a process to a share of a core until dropped.
+/// Limits the main thread of a process to a share of a core until dropped.
+///
+/// Time in which the process could run counts as used, also while it is idle. Time in which it
+/// waits for a core does not, so that it gets its share on a busy machine as well. What it uses
+/// beyond the quota is taken from the next periods.
 #[derive(Debug)]
 pub struct CpuQuota {
-    is_over: Rc<Cell<bool>>,
+    keeper: Option<(Sender<()>, JoinHandle<()>)>,
 }
 
 impl CpuQuota {
     /// Limits the process with this id to `share` of a core.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the share is not between 0 and 1.
     pub fn start(process_id: u32, share: f64) -> Self {
-        let is_over = Rc::new(Cell::new(false));
-        let quota = Self {
-            is_over: is_over.clone(),
-        };
-        compio::runtime::spawn(async move {
-            let process = Pid::from_raw(process_id as i32);
-            while !is_over.get() {
-                // A process that has ended takes no signal.
-                let _ = kill(process, Signal::SIGSTOP);
-                compio::time::sleep(PERIOD.mul_f64(1.0 - share)).await;
-                let _ = kill(process, Signal::SIGCONT);
-                compio::time::sleep(PERIOD.mul_f64(share)).await;
-            }
-        })
-        .detach();
-        quota
+        assert!((0.0..=1.0).contains(&share), "a share of a core: {share}");
+        let quota = PERIOD.mul_f64(share);
+        let (end, ended) = mpsc::channel();
+        // A thread of its own, so that a busy test does not delay the signals.
+        let keeper = std::thread::spawn(move || {
+            // A process that has ended needs no quota.
+            let _ = keep_quota(process_id, quota, &ended);
+            send_signal(process_id, Signal::SIGCONT);
+        });
+        Self {
+            keeper: Some((end, keeper)),
+        }
     }
 }
 
 impl Drop for CpuQuota {
     fn drop(&mut self) {
-        self.is_over.set(true);
+        if let Some((end, keeper)) = self.keeper.take() {
+            drop(end);
+            // A keeper that panicked has shown its message.
+            let _ = keeper.join();
+        }
+    }
+}
+
+/// What the main thread of a process has used of the processor since it began.
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    running: Duration,
+    /// The time for which it waited for a core; updated when it gets one.
+    waiting: Duration,
+    /// Whether it runs or waits for a core.
+    is_runnable: bool,
+}
+
+impl Usage {
+    /// Reads the usage of a process; `None` if it has ended.
+    fn read(process_id: u32) -> Option<Self> {
+        let read = |name| std::fs::read_to_string(format!("/proc/{process_id}/{name}")).ok();
+        let schedule = read("schedstat")?;
+        let mut times = schedule.split_whitespace().map(str::parse);
+        let mut time = || Some(Duration::from_nanos(times.next()?.ok()?));
+        let (running, waiting) = (time()?, time()?);
+        // The name of the program, in parentheses, may contain spaces.
+        let state = read("stat")?;
+        let state = state.rsplit(") ").next()?.chars().next()?;
+        (state != 'Z').then_some(Self {
+            running,
+            waiting,
+            is_runnable: state == 'R',
+        })
     }
 }
+
+/// Lets a process use `quota` in each period until `ended` is disconnected or the process ends.
+fn keep_quota(process_id: u32, quota: Duration, ended: &Receiver<()>) -> Option<()> {
+    let mut debt = Duration::ZERO;
+    let mut end_of_period = Instant::now();
+    loop {
+        let began = Instant::now();
+        end_of_period = began.max(end_of_period + PERIOD);
+        if debt < quota {
+            let before = Usage::read(process_id)?;
+            let mut used = Duration::ZERO;
+            let mut last = before;
+            send_signal(process_id, Signal::SIGCONT);
+            while debt + used < quota {
+                wait(ended, CHECK_INTERVAL)?;
+                let now = Usage::read(process_id)?;
+                used = if now.is_runnable {
+                    used + (now.running - last.running)
+                } else {
+                    began.elapsed().saturating_sub(now.waiting - before.waiting)
+                };
+                last = now;
+            }
+            send_signal(process_id, Signal::SIGSTOP);
+            let could_run = began.elapsed();
+            wait_until(ended, end_of_period)?;
+            // Only now the times of a process that was running are complete.
+            let after = Usage::read(process_id)?;
+            let used = could_run
+                .saturating_sub(after.waiting - before.waiting)
+                .max(after.running - before.running);
+            debt = (debt + used).saturating_sub(quota);
+        } else {
+            wait_until(ended, end_of_period)?;
+            debt -= quota;
+        }
+    }
+}
+
+/// Waits for `time`; returns `None` at once when `ended` is disconnected.
+fn wait(ended: &Receiver<()>, time: Duration) -> Option<()> {
+    match ended.recv_timeout(time) {
+        Err(RecvTimeoutError::Timeout) => Some(()),
+        Ok(()) | Err(RecvTimeoutError::Disconnected) => None,
+    }
+}
+
+fn wait_until(ended: &Receiver<()>, at: Instant) -> Option<()> {
+    wait(ended, at.saturating_duration_since(Instant::now()))
+}
+
+fn send_signal(process_id: u32, signal: Signal) {
+    // A process that has ended takes no signal.
+    let _ = kill(Pid::from_raw(process_id as i32), signal);
+}
