A test of the product's own side that runs out of time prints what the VMs' threads do

Seen: a_vm_started_or_woken_past_retention_knows_the_revision_in_force failed once, the woken VM having written nothing; whether it stayed stopped, had ended or hung could not be told. Change: the message of a wait that failed has each thread's state, the kernel's function in which it waits and its processor time, so that stopped (T), ended (Z), busy (R) and waiting differ. Evidence: a trial with one VM stopped and one killed printed 'T (stopped) in do_signal_stop' and 'Z (zombie)'. Not reproduced: five runs of the test beside four busy processes, and 490 wakings of a VM in six clusters over 600 s (256 stopped for 11 s with a retention of 10 s, 234 for 0.2 to 4.2 s; another VM restarted at the same time; load average 7 to 22) all had the revision in force.

--- a/workbench/src/cluster.rs
+++ b/workbench/src/cluster.rs
@@ -257,13 +257,26 @@
         while !condition().await {
             assert!(
                 start.elapsed() < limit,
-                "{what}: not within {limit:?}; logs are in {}",
-                self.folder.display()
+                "{what}: not within {limit:?}; logs are in {}{}",
+                self.folder.display(),
+                self.describe_vms()
             );
             compio::time::sleep(POLL).await;
         }
     }
 
+    /// One line for each VM with what its threads do.
+    fn describe_vms(&self) -> String {
+        let describe = |(index, vm): (usize, &Process)| {
+            format!(
+                "\nvm-{index} (process {}): {}",
+                vm.id(),
+                vm.describe_threads()
+            )
+        };
+        self.vms.iter().enumerate().map(describe).collect()
+    }
+
     async fn wait_up(&self, address: SocketAddr, path: &str) {
         self.wait_for(
             &format!("{address} answers"),
--- a/workbench/src/process.rs
+++ b/workbench/src/process.rs
@@ -45,6 +45,30 @@
         self.child.id()
     }
 
+    /// Describes each thread for a message: its name, state, function of the kernel in which it
+    /// waits, and processor time.
+    pub(crate) fn describe_threads(&self) -> String {
+        let tasks = PathBuf::from(format!("/proc/{}/task", self.child.id()));
+        let Ok(threads) = std::fs::read_dir(&tasks) else {
+            return "ended".to_owned();
+        };
+        let describe = |thread: PathBuf| {
+            let read = |file| std::fs::read_to_string(thread.join(file)).unwrap_or_default();
+            let status = read("status");
+            let state = status.lines().find_map(|line| line.strip_prefix("State:"));
+            let times = read("schedstat");
+            let running_ns = times.split_whitespace().next().unwrap_or_default();
+            format!(
+                "{} {} in {}, ran {running_ns} ns",
+                read("comm").trim(),
+                state.unwrap_or_default().trim(),
+                read("wchan"),
+            )
+        };
+        let threads = threads.flatten().map(|thread| describe(thread.path()));
+        threads.collect::<Vec<_>>().join("; ")
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
