--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -75,6 +75,7 @@
 mod routing;
 mod runner_load;
 mod runner_state;
+mod sending;
 mod server;
 mod server_limits;
 mod server_probe;
--- /dev/null
+++ b/src/gateway/sending.rs
@@ -0,0 +1,417 @@
+//! Sends one request to backend servers until one answers: retries, and a second server while the
+//! first is silent.
+
+use crate::client::SendError;
+use crate::gateway::call::{Call, Dispatch};
+use crate::gateway::crash_check::Break;
+use crate::gateway::exchange::Exchange;
+use crate::gateway::failure::Failure;
+use crate::gateway::fleet::Server;
+use crate::gateway::forward_relay::forward_request;
+use crate::gateway::forwarding::{is_declined, peer_address};
+use crate::gateway::reachability::CONFIRMATION_TIME;
+use crate::gateway::relay::Relay;
+use crate::gateway::server_probe::DOUBT_PROBE_INTERVAL;
+use crate::gateway::{Protocol, RouteKind, SendOptions};
+use futures_util::future::{Either, select};
+use hyper::StatusCode;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+/// How long the response head of an idempotent call may take before another server is asked as well:
+/// far above the slowest calls of plain services, below what callers wait.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for a stream, whose response head may arrive only with the first token.
+const STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// The share of the time left for which a failure of the second server is held back while the silent
+/// one may still answer.
+const FAILURE_HOLD_SHARE: f64 = 0.5;
+/// A queue of prompts that takes less time than this, in milliseconds, hardly delays the next
+/// prompt.
+const NEGLIGIBLE_QUEUE_MS: f64 = 2.0;
+/// The number of refusals or failed connections after which a request fails.
+const MAX_REFUSALS: u32 = 3;
+/// How long a request that reached no server waits until it is known whether this VM reaches any,
+/// and how often that is checked: until a probe after the time of confirmation has ended.
+const MAX_REACHABILITY_WAIT: Duration = CONFIRMATION_TIME.saturating_add(DOUBT_PROBE_INTERVAL);
+const REACHABILITY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+impl<P: Protocol> Relay<P> {
+    /// Sends the request until a server answers; each further attempt uses a retry of the budget.
+    pub(crate) async fn send_until_answered(
+        &self,
+        call: &mut Call,
+        last_event: Option<u64>,
+        weights_version: Option<u64>,
+    ) -> Result<Exchange, Failure> {
+        let mut refused = call.refused;
+        loop {
+            if call.refused > refused {
+                refused = call.refused;
+                self.settle_rejected(call).await?;
+            }
+            let server = self.upstream_for(call).await?;
+            let is_retry = call.has_arrived() || (!server.is_vm && call.unreached > 0);
+            if is_retry && !self.reserve_retry(call) {
+                return Err(self.final_failure(call));
+            }
+            if is_retry {
+                call.has_reserved_retry.set(false);
+                self.state.metrics.retries.inc();
+            }
+            match self.send(call, &server, last_event, weights_version).await {
+                Ok(exchange) => return Ok(exchange),
+                Err(Some(failure)) => return Err(failure),
+                Err(None) => {}
+            }
+        }
+    }
+
+    /// Reserves a retry from the budget for the next attempt, unless the call has one reserved.
+    pub(super) fn reserve_retry(&self, call: &Call) -> bool {
+        if call.has_reserved_retry.get() {
+            return true;
+        }
+        let now = Instant::now();
+        let vms = self.state.peers.peak_vms(now);
+        let is_taken = self.budget.take(&call.service, vms, now);
+        call.has_reserved_retry.set(is_taken);
+        if !is_taken {
+            self.state.metrics.retries_denied.inc();
+            info!(request = %call.request.id, service = %call.service, ?vms, "retry budget spent");
+        }
+        is_taken
+    }
+
+    /// Whether to ask another server besides a silent one. A retry is reserved first.
+    pub(crate) fn may_ask_another(&self, call: &Call, silent: &Server) -> bool {
+        let has_better = if silent.is_vm {
+            // The other VM leaves silent servers itself.
+            !self.state.peers.is_heard(&peer_address(silent.address))
+        } else if self.state.is_cut_off() {
+            call.forwarded.is_none() && self.state.peers.has_forward_candidate()
+        } else {
+            self.has_better_server(call, silent)
+        };
+        has_better && self.reserve_retry(call)
+    }
+
+    /// Sends the request once; fails with `Err(None)` if another server may be tried.
+    async fn send(
+        &self,
+        call: &mut Call,
+        server: &Rc<Server>,
+        last_event: Option<u64>,
+        weights_version: Option<u64>,
+    ) -> Result<Exchange, Option<Failure>> {
+        let time_left = call.time_left();
+        if time_left.is_zero() {
+            return Err(Some(call.timeout_failure()));
+        }
+        let organisation = call.organisation.clone();
+        let options = SendOptions {
+            server: &server.id,
+            time_left,
+            priority: call.priority(),
+            last_event: last_event.or(call.request.last_event),
+            weights_version,
+            organisation: organisation.as_ref().map(|it| it.name.as_str()),
+        };
+        call.tried.push(server.id.clone());
+        self.record_dispatch(call, server);
+        let request = call.request.clone();
+        let forward_state = server.is_vm.then(|| self.forward_state(call, &options));
+        let request = || match &forward_state {
+            Some(state) => forward_request::<P>(&request, state, &options),
+            None => P::to_server(&request, &options),
+        };
+        let sent_at = Instant::now();
+        let mut head = pin!(self.pool.exchange::<P>(server, call.model(), request));
+        call.is_attempt_open = true;
+        let sent = self.await_head(call, server, head.as_mut()).await;
+        call.is_attempt_open = false;
+        let now = Instant::now();
+        match sent {
+            Some(Ok(exchange)) => self.check_head(call, exchange, now),
+            Some(Err(SendError::NotSent)) => {
+                server.note_failure(now);
+                self.state.metrics.note_attempt("not_reached");
+                warn!(request = %call.request.id, server = %server.id, "server not reached");
+                call.note_running(false);
+                call.unreached += 1;
+                let has_failed = call.refused + call.unreached >= MAX_REFUSALS;
+                if has_failed && !self.is_found_cut_off(call).await {
+                    return Err(Some(self.final_failure(call)));
+                }
+                Err(None)
+            }
+            Some(Err(SendError::MaybeSent)) => {
+                self.note_unanswered(call, server, sent_at);
+                self.note_broken_connection(call, server, Break::Cut, 0)
+                    .await;
+                if call.time_left().is_zero() {
+                    return Err(Some(Failure::TimedOut));
+                }
+                if call.may_run_again() {
+                    return Err(None);
+                }
+                Err(Some(Failure::Unknown))
+            }
+            None if call.time_left().is_zero() => {
+                self.note_unanswered(call, server, sent_at);
+                Err(Some(Failure::TimedOut))
+            }
+            None => {
+                self.note_unanswered(call, server, sent_at);
+                self.send_beside(call, head, last_event, weights_version)
+                    .await
+            }
+        }
+    }
+
+    /// Records that a server has sent no head.
+    fn note_unanswered(&self, call: &mut Call, server: &Server, sent_at: Instant) {
+        call.runs += 1;
+        self.state.metrics.note_attempt("no_answer");
+        warn!(
+            request = %call.request.id,
+            server = %server.id,
+            waited_ms = sent_at.elapsed().as_millis() as u64,
+            "no answer from server"
+        );
+    }
+
+    /// Sends the request to another server while a silent one may still answer, and returns the first
+    /// answer. `silent_head` is what the silent server may still send; its run is counted.
+    async fn send_beside(
+        &self,
+        call: &mut Call,
+        mut silent_head: Pin<&mut impl Future<Output = Result<Exchange, SendError>>>,
+        last_event: Option<u64>,
+        weights_version: Option<u64>,
+    ) -> Result<Exchange, Option<Failure>> {
+        let request_id = call.request.id.clone();
+        let deadline = call.deadline;
+        let dispatch = call.last_dispatch;
+        let silent_before = call.silent_servers.len();
+        call.silent_servers.extend(call.tried.last().cloned());
+        // The future is recursive, since the other server may be silent too.
+        let mut other = Box::pin(self.send_until_answered(call, last_event, weights_version));
+        let other_failed = match select(other.as_mut(), silent_head.as_mut()).await {
+            Either::Left((Ok(exchange), _)) if !exchange.head.status.is_server_error() => {
+                drop(other);
+                call.silent_servers.truncate(silent_before);
+                return Ok(exchange);
+            }
+            // The silent server may still succeed.
+            Either::Left((failed, _)) => failed,
+            Either::Right((Ok(exchange), _))
+                if exchange.is_answer_to(&request_id)
+                    && !exchange.head.status.is_server_error() =>
+            {
+                drop(other);
+                call.silent_servers.truncate(silent_before);
+                call.settle_cancelled_attempt();
+                call.last_dispatch = dispatch;
+                return self.accept_late_head(call, exchange);
+            }
+            Either::Right(_) => {
+                let answer = other.await.map_err(Some);
+                call.silent_servers.truncate(silent_before);
+                return answer;
+            }
+        };
+        drop(other);
+        call.silent_servers.truncate(silent_before);
+        let left = deadline.saturating_duration_since(Instant::now());
+        // The caller gets the other server's failure while it still waits.
+        let wait = match other_failed {
+            Ok(_) => left.mul_f64(FAILURE_HOLD_SHARE),
+            Err(_) => left,
+        };
+        match compio::time::timeout(wait, silent_head).await {
+            Ok(Ok(exchange)) if exchange.is_answer_to(&request_id) => {
+                call.last_dispatch = dispatch;
+                self.accept_late_head(call, exchange)
+            }
+            Ok(Ok(_) | Err(_)) | Err(_) => other_failed.map_err(Some),
+        }
+    }
+
+    /// Accepts the head of a server that was silent for a while and whose run is counted already.
+    fn accept_late_head(
+        &self,
+        call: &mut Call,
+        exchange: Exchange,
+    ) -> Result<Exchange, Option<Failure>> {
+        info!(request = %call.request.id, server = %exchange.server.id, "silent server answered");
+        call.runs -= 1;
+        self.check_head(call, exchange, Instant::now())
+    }
+
+    /// Whether this VM reaches no server, so that another VM may take the request; waits while that
+    /// is being found out.
+    async fn is_found_cut_off(&self, call: &Call) -> bool {
+        let wait = call.time_left().min(MAX_REACHABILITY_WAIT);
+        let end = Instant::now() + wait;
+        while !self.state.is_cut_off()
+            && self.state.is_reachability_doubted()
+            && Instant::now() < end
+        {
+            compio::time::sleep(REACHABILITY_CHECK_INTERVAL).await;
+        }
+        self.state.is_cut_off()
+    }
+
+    /// Records the dispatch, and adds the prompt to the runner's queue here and at peers.
+    fn record_dispatch(&self, call: &mut Call, server: &Server) {
+        let now = Instant::now();
+        call.note_running(true);
+        if server.is_vm {
+            call.last_dispatch = None;
+            return;
+        }
+        call.last_dispatch = Some(Dispatch {
+            at: now,
+            is_uncontended: server.backlog.wait_ms(now) < NEGLIGIBLE_QUEUE_MS
+                && !self.is_busy(server),
+        });
+        if call.request.generation.is_some() {
+            server.backlog.note(call.cost.prefill_ms, now);
+            let peers = &self.state.peers;
+            peers
+                .outbox
+                .report_prompt(&server.id, call.cost.prefill_ms, now);
+        }
+    }
+
+    /// Checks a response head: whether the server refused the request, answered a different one,
+    /// or sent a valid response.
+    fn check_head(
+        &self,
+        call: &mut Call,
+        exchange: Exchange,
+        now: Instant,
+    ) -> Result<Exchange, Option<Failure>> {
+        let status = exchange.head.status;
+        let server = exchange.server.clone();
+        if server.is_vm && is_declined(&exchange.head) {
+            info!(request = %call.request.id, vm = %server.address, "request declined by other VM");
+            call.note_running(false);
+            call.unreached += 1;
+            self.pool.keep(exchange);
+            return Err(None);
+        }
+        if !server.is_vm {
+            self.state.record_server_answer(now);
+        }
+        let is_other = exchange
+            .reply
+            .request_id
+            .as_ref()
+            .is_some_and(|id| *id != call.request.id);
+        let is_refused =
+            exchange.reply.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST;
+        let is_valid = !status.is_success() || exchange.reply.is_signed;
+        if is_valid && !is_other && !server.is_vm && !exchange.is_from_other_server() {
+            self.state
+                .note_server_statements(&exchange.reply, &server, now);
+            self.note_plain_load(call, &exchange, now);
+        }
+        if is_refused && !is_other && !server.is_vm {
+            self.state.metrics.note_attempt("refused");
+            self.note_refused(call, &exchange, now);
+            self.pool.keep(exchange);
+            if call.refused >= MAX_REFUSALS {
+                return Err(Some(self.final_failure(call)));
+            }
+            return Err(None);
+        }
+        call.runs += 1;
+        if is_other || !is_valid {
+            warn!(
+                request = %call.request.id,
+                server = %server.id,
+                is_other,
+                "answer does not match request"
+            );
+            self.state.metrics.note_attempt("not_its_answer");
+            server.note_failure(now);
+            self.pool.clear(&server);
+            if call.may_run_again() {
+                return Err(None);
+            }
+            return Err(Some(Failure::Unknown));
+        }
+        self.state.metrics.note_attempt("answered");
+        Ok(exchange)
+    }
+
+    fn note_refused(&self, call: &mut Call, exchange: &Exchange, now: Instant) {
+        let server = &exchange.server;
+        let status = exchange.head.status;
+        info!(
+            request = %call.request.id,
+            server = %server.id,
+            status = status.as_u16(),
+            pause_ms = exchange.reply.pause.map(|pause| pause.as_millis() as u64),
+            "server refused"
+        );
+        call.note_running(false);
+        call.refused += 1;
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if exchange.is_from_other_server() {
+            self.state.fleet.mark_removed(&server.id, now);
+        } else if let Some(weights) = call.weights() {
+            server.note_missing(weights, now);
+        }
+    }
+
+    /// The failure of a request that is not sent again.
+    pub(super) fn final_failure(&self, call: &Call) -> Failure {
+        if call.runs > 0 {
+            Failure::Unknown
+        } else {
+            Failure::Full(self.plain_return_after(call))
+        }
+    }
+
+    /// Waits for the response head. Returns `None` when another server should be asked as well, or when
+    /// the deadline has passed.
+    async fn await_head(
+        &self,
+        call: &Call,
+        server: &Server,
+        mut head: Pin<&mut impl Future<Output = Result<Exchange, SendError>>>,
+    ) -> Option<Result<Exchange, SendError>> {
+        let head_timeout = match call.route.kind {
+            RouteKind::Streaming => STREAM_HEAD_TIMEOUT,
+            RouteKind::Safe | RouteKind::Unsafe => HEAD_TIMEOUT,
+        };
+        loop {
+            let limit = call.time_left().min(head_timeout);
+            if let Ok(head) = compio::time::timeout(limit, head.as_mut()).await {
+                return Some(head);
+            }
+            let now = Instant::now();
+            if !server.is_vm {
+                self.state.record_server_silence(now);
+            }
+            let is_last = call.runs + 1 >= call.route.max_attempts;
+            let may_resend = !is_last && call.route.is_retryable();
+            let is_time_up = call.time_left().is_zero();
+            let asks_another = !is_time_up && may_resend && self.may_ask_another(call, server);
+            if is_time_up || asks_another {
+                // Load may explain a busy server's silence; any other silent server is faulty.
+                if !self.is_busy(server) {
+                    server.note_failure(now);
+                }
+                return None;
+            }
+        }
+    }
+}
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -500,7 +500,7 @@
         let left = call.time_left();
         let dispatch = call.last_dispatch;
         let request_id = call.request.id.clone();
-        let asked = call.silent_servers.len();
+        let silent_before = call.silent_servers.len();
         call.silent_servers.push(silent.id.clone());
         let other_head_at = Cell::new(None);
         let mut replacement = Box::pin(async {
@@ -529,7 +529,7 @@
             Either::Right((Err(_elapsed), _)) => (None, Some(ReadOutcome::TimeUp)),
         };
         drop((replacement, next));
-        call.silent_servers.truncate(asked);
+        call.silent_servers.truncate(silent_before);
         if let Some((other, read)) = other {
             *stream = other;
             return Some(read);
