Keep a silent server until the other one's plain answer is whole

Callers of safe calls got 502 where their server was silent for a while and the server asked beside it broke off in its body, although the silent one would have answered: it was left at the head of the other one's response. The same happened the other way round: a late head ended the attempt at the other server, whose answer was then missing when the late body broke off.

Both responses of a plain call are now read whole, and the first whole one counts; a server error is passed on unread, as before. The number of runs and the retries of the budget are as they were, and both bodies are read within the memory that answers have together.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,6 +7,7 @@
 use crate::http::Body;
 use crate::inventory::Name;
 use crate::response_progress::ProgressBody;
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
@@ -34,15 +35,17 @@
     usable_until: Instant,
 }
 
-/// A response whose head has arrived and whose body is still being received.
+/// A response whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct Exchange {
     /// The response head.
     pub(crate) head: response::Parts,
     /// The parsed protocol fields of the head.
     pub(crate) reply: Reply,
-    /// The response body.
+    /// The response body, as far as it has not been read.
     pub(crate) body: ProgressBody,
+    /// The body if it was read to its end before the response was chosen.
+    pub(crate) whole_body: Option<Bytes>,
     /// The server that answers.
     pub(crate) server: Rc<Server>,
     connection: Connection,
@@ -211,6 +214,7 @@
             reply: P::read_reply(&head),
             head,
             body: ProgressBody::new(body, connection.progress().clone()),
+            whole_body: None,
             server: server.clone(),
             connection,
             _in_flight: in_flight,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -327,17 +327,24 @@
         call: &Call,
         mut exchange: Exchange,
     ) -> Option<(response::Parts, Bytes)> {
+        let body = match exchange.whole_body.take() {
+            Some(body) => body,
+            None => self.read_body(call, &mut exchange).await?,
+        };
+        exchange.server.note_success();
+        self.learn_call_time(call, &exchange);
+        self.note_begun_answer(call, &exchange.server);
+        let head = exchange.head.clone();
+        self.pool.keep(exchange);
+        Some((head, body))
+    }
+
+    /// Reads the body of a response to its end; `None` as for [`Self::read_whole`].
+    pub(super) async fn read_body(&self, call: &Call, exchange: &mut Exchange) -> Option<Bytes> {
         let server = exchange.server.clone();
         let read = read_answer(&mut exchange.body, &self.answer_memory);
         match compio::time::timeout(call.time_left(), read).await {
-            Ok(Ok(body)) => {
-                server.note_success();
-                self.learn_call_time(call, &exchange);
-                self.note_begun_answer(call, &server);
-                let head = exchange.head.clone();
-                self.pool.keep(exchange);
-                Some((head, body))
-            }
+            Ok(Ok(body)) => Some(body),
             Ok(Err(error)) => {
                 warn!(request = %call.request.id, server = %server.id, %error, "answer broken off");
                 self.note_broken_connection(call, &server, Break::Cut, 0)
@@ -385,13 +392,10 @@
         broken: Break,
         events: u32,
     ) {
-        let now = Instant::now();
-        server.note_failure(now);
-        self.pool.clear(server);
+        self.note_failed_connection(server);
         if server.is_vm {
             return;
         }
-        self.state.record_server_silence(now);
         let check = CrashCheck::new(self.state.clone(), call, server, broken, events);
         let has_begun = check.has_begun();
         let (checked, done) = oneshot::channel();
@@ -413,4 +417,14 @@
             call.is_crash_suspect.set(self.state.is_crash_suspect(call));
         }
     }
+
+    /// Records that a connection to a server cannot be used any more.
+    pub(super) fn note_failed_connection(&self, server: &Server) {
+        let now = Instant::now();
+        server.note_failure(now);
+        self.pool.clear(server);
+        if !server.is_vm {
+            self.state.record_server_silence(now);
+        }
+    }
 }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -2,8 +2,9 @@
 //! first is silent.
 
 use crate::client::SendError;
+use crate::gateway::answer_memory::read_answer;
 use crate::gateway::call::{Call, Dispatch};
-use crate::gateway::crash_check::Break;
+use crate::gateway::crash_check::{Break, CrashCheck};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
@@ -13,8 +14,10 @@
 use crate::gateway::relay::Relay;
 use crate::gateway::server_probe::DOUBT_PROBE_INTERVAL;
 use crate::gateway::{Protocol, RouteKind, SendOptions};
+use crate::inventory::Name;
 use futures_util::future::{Either, select};
 use hyper::StatusCode;
+use std::cell::Cell;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -38,6 +41,17 @@
 const MAX_REACHABILITY_WAIT: Duration = CONFIRMATION_TIME.saturating_add(DOUBT_PROBE_INTERVAL);
 const REACHABILITY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// What is needed to receive the answer of a silent server beside another one.
+struct LateAnswer<'a> {
+    request_id: Name,
+    is_plain: bool,
+    deadline: Instant,
+    /// The check to run if the answer breaks off.
+    crash_check: CrashCheck,
+    /// Set once the head of a plain answer has arrived.
+    has_head: &'a Cell<bool>,
+}
+
 impl<P: Protocol> Relay<P> {
     /// Sends the request until a server answers; each further attempt uses a retry of the budget.
     pub(crate) async fn send_until_answered(
@@ -165,7 +179,7 @@
             }
             None => {
                 self.note_unanswered(call, server, sent_at);
-                self.send_beside(call, head, last_event, weights_version)
+                self.send_beside(call, server, head, last_event, weights_version)
                     .await
             }
         }
@@ -184,22 +198,32 @@
     }
 
     /// Sends the request to another server while a silent one may still answer, and returns the first
-    /// answer. `silent_head` is what the silent server may still send; its run is counted.
+    /// answer: that of a plain call once it is whole. `silent_head` is what the silent server may
+    /// still send; its run is counted.
     async fn send_beside(
         &self,
         call: &mut Call,
-        mut silent_head: Pin<&mut impl Future<Output = Result<Exchange, SendError>>>,
+        silent: &Rc<Server>,
+        silent_head: Pin<&mut impl Future<Output = Result<Exchange, SendError>>>,
         last_event: Option<u64>,
         weights_version: Option<u64>,
     ) -> Result<Exchange, Option<Failure>> {
-        let request_id = call.request.id.clone();
         let deadline = call.deadline;
         let dispatch = call.last_dispatch;
         let silent_before = call.silent_servers.len();
-        call.silent_servers.extend(call.tried.last().cloned());
+        call.silent_servers.push(silent.id.clone());
+        let has_silent_head = Cell::new(false);
+        let late_answer = LateAnswer {
+            request_id: call.request.id.clone(),
+            is_plain: call.route.kind != RouteKind::Streaming,
+            deadline,
+            crash_check: CrashCheck::new(self.state.clone(), call, silent, Break::Cut, 0),
+            has_head: &has_silent_head,
+        };
+        let mut silent_answer = pin!(self.receive_late(late_answer, silent_head));
         // The future is recursive, since the other server may be silent too.
-        let mut other = Box::pin(self.send_until_answered(call, last_event, weights_version));
-        let other_failed = match select(other.as_mut(), silent_head.as_mut()).await {
+        let mut other = Box::pin(self.send_until_received(call, last_event, weights_version));
+        let other_failed = match select(other.as_mut(), silent_answer.as_mut()).await {
             Either::Left((Ok(exchange), _)) if !exchange.head.status.is_server_error() => {
                 drop(other);
                 call.silent_servers.truncate(silent_before);
@@ -207,15 +231,12 @@
             }
             // The silent server may still succeed.
             Either::Left((failed, _)) => failed,
-            Either::Right((Ok(exchange), _))
-                if exchange.is_answer_to(&request_id)
-                    && !exchange.head.status.is_server_error() =>
-            {
+            Either::Right((Some(exchange), _)) if !exchange.head.status.is_server_error() => {
                 drop(other);
                 call.silent_servers.truncate(silent_before);
                 call.settle_cancelled_attempt();
                 call.last_dispatch = dispatch;
-                return self.accept_late_head(call, exchange);
+                return self.accept_late(call, exchange);
             }
             Either::Right(_) => {
                 let answer = other.await.map_err(Some);
@@ -231,17 +252,81 @@
             Ok(_) => left.mul_f64(FAILURE_HOLD_SHARE),
             Err(_) => left,
         };
-        match compio::time::timeout(wait, silent_head).await {
-            Ok(Ok(exchange)) if exchange.is_answer_to(&request_id) => {
+        let received = match compio::time::timeout(wait, silent_answer.as_mut()).await {
+            Err(_elapsed) if has_silent_head.get() => silent_answer.await,
+            received => received.ok().flatten(),
+        };
+        match received {
+            Some(exchange) => {
                 call.last_dispatch = dispatch;
-                self.accept_late_head(call, exchange)
+                self.accept_late(call, exchange)
+            }
+            None => other_failed.map_err(Some),
+        }
+    }
+
+    /// Sends the request until a server answers, and reads the answer to a plain call to its end
+    /// unless the server failed.
+    async fn send_until_received(
+        &self,
+        call: &mut Call,
+        last_event: Option<u64>,
+        weights_version: Option<u64>,
+    ) -> Result<Exchange, Failure> {
+        loop {
+            let mut exchange = self
+                .send_until_answered(call, last_event, weights_version)
+                .await?;
+            let is_plain = call.route.kind != RouteKind::Streaming;
+            let is_read = exchange.whole_body.is_some() || exchange.head.status.is_server_error();
+            if !is_plain || is_read {
+                return Ok(exchange);
+            }
+            exchange.whole_body = self.read_body(call, &mut exchange).await;
+            if exchange.whole_body.is_some() {
+                return Ok(exchange);
+            }
+            if !call.may_run_again() || call.time_left().is_zero() {
+                return Err(Failure::Unknown);
+            }
+        }
+    }
+
+    /// Receives the answer of a silent server: the head, and the whole body of a plain answer unless
+    /// the server failed. Returns `None` if the server does not answer.
+    async fn receive_late(
+        &self,
+        late: LateAnswer<'_>,
+        head: Pin<&mut impl Future<Output = Result<Exchange, SendError>>>,
+    ) -> Option<Exchange> {
+        let answered = head.await.ok();
+        let mut exchange = answered.filter(|it| it.is_answer_to(&late.request_id))?;
+        if !late.is_plain || exchange.head.status.is_server_error() {
+            return Some(exchange);
+        }
+        late.has_head.set(true);
+        let left = late.deadline.saturating_duration_since(Instant::now());
+        let read = read_answer(&mut exchange.body, &self.answer_memory);
+        match compio::time::timeout(left, read).await {
+            Ok(Ok(body)) => {
+                exchange.whole_body = Some(body);
+                Some(exchange)
+            }
+            Ok(Err(error)) => {
+                let server = &exchange.server;
+                warn!(request = %late.request_id, server = %server.id, %error, "answer broken off");
+                self.note_failed_connection(server);
+                if !server.is_vm {
+                    compio::runtime::spawn(late.crash_check.run()).detach();
+                }
+                None
             }
-            Ok(Ok(_) | Err(_)) | Err(_) => other_failed.map_err(Some),
+            Err(_elapsed) => None,
         }
     }
 
-    /// Accepts the head of a server that was silent for a while and whose run is counted already.
-    fn accept_late_head(
+    /// Accepts the answer of a server that was silent for a while and whose run is counted already.
+    fn accept_late(
         &self,
         call: &mut Call,
         exchange: Exchange,
--- a/workbench/tests/site_second_server.rs
+++ b/workbench/tests/site_second_server.rs
@@ -169,6 +169,50 @@
     });
 }
 
+#[googletest::test]
+fn a_safe_call_whose_server_is_silent_for_a_while_is_not_failed_where_others_stop_in_their_body() {
+    block_on(async {
+        let site = site().await;
+        script(&site, late, |request| {
+            let id = request.header("x-attempt-id");
+            let mut answer = signed_answer(id, 200, "whole answer");
+            answer.truncate(answer.len() - 4);
+            vec![ScriptStep::Write(answer), ScriptStep::Wait(LONG)]
+        });
+        let answer = ask_plain(&site).await;
+        expect_that!(answer.status, some(eq(200)));
+        expect_that!(answer.body, eq("late"));
+        expect_that!(arrivals_at_first(&site), eq(1));
+    });
+}
+
+#[googletest::test]
+fn a_safe_call_whose_silent_server_answers_and_breaks_off_is_not_failed_where_another_answers() {
+    block_on(async {
+        let site = site().await;
+        let breaks_off = |request: &ReceivedRequest| {
+            let id = request.header("x-attempt-id");
+            let mut answer = signed_answer(id, 200, "late");
+            answer.truncate(answer.len() - 1);
+            vec![
+                ScriptStep::Wait(Duration::from_millis(700)),
+                ScriptStep::Write(answer),
+                ScriptStep::Wait(Duration::from_millis(50)),
+                ScriptStep::Close,
+            ]
+        };
+        script(&site, breaks_off, |request| {
+            let id = request.header("x-attempt-id");
+            let answer = signed_answer(id, 200, "sound");
+            held_back(Duration::from_millis(400), vec![ScriptStep::Write(answer)])
+        });
+        let answer = ask_plain(&site).await;
+        expect_that!(answer.status, some(eq(200)));
+        expect_that!(answer.body, eq("sound"));
+        expect_that!(arrivals_at_first(&site), eq(1));
+    });
+}
+
 #[googletest::test]
 fn a_stream_whose_server_is_silent_before_its_head_is_not_failed_where_others_fail() {
     block_on(async {
