Answer requests that lie in the socket when the idle timer is due

Callers saw a kept connection reset, or closed without an answer, under a request that had arrived before the VM found the idle timeout over.

The timer and the socket are looked at one after the other: once a pass of the event loop has found nothing to read and the timer due, a request that arrives until the connection's task runs is not seen, and the connection is closed. Between the two lie all other tasks, such as a large configuration, and any pause of the process. hyper's timer also covers the head, so that a head that arrives in two pieces is cut when the idle timeout passes between them; and a stream that holds bytes back for the sake of other tasks looked idle.

A due timer now has the stream look into the socket in the same poll in which the connection would be closed, and goes on while there is something to read or the stream holds bytes back.

--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -12,6 +12,7 @@
 mod flowing_bodies;
 mod forwarding;
 mod gossip_sender;
+mod idle_connections;
 mod large_fleet;
 mod late_reads;
 mod loads;
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,10 +1,12 @@
 //! HTTP/1 serving with `hyper` on `compio`, and the body type of requests and responses.
 
 use crate::accept_queue::{AcceptQueue, Admission};
+use crate::client_input::ClientInput;
 use crate::connection_end::{CloseCause, ConnectionEnd};
+use crate::head_progress::HeadProgress;
 use crate::idle_timer::{IdleTimeout, IdleTimer};
 use crate::open_requests::OpenRequest;
-use crate::response_progress::{BoundedStream, ResponseProgress};
+use crate::response_progress::BoundedStream;
 use crate::shutdown::Shutdown;
 use crate::write_stall::{MonitoredStream, StallMonitor};
 use bytes::{Bytes, BytesMut};
@@ -498,13 +500,15 @@
             let shutdown_state = shutdown_state.clone();
             async move { Ok::<_, Infallible>(close_if_leaving(&shutdown_state, answer.await)) }
         });
+        let head = HeadProgress::default();
+        let input = ClientInput::new(stream.clone(), head.clone());
         let (stream, watch) = MonitoredStream::new(BoundedStream::new(
             HyperStream::new_plain(stream),
-            ResponseProgress::default(),
+            input,
         ));
         let connection = http1::Builder::new()
             .header_read_timeout(head_timeout.get())
-            .timer(IdleTimer(head_timeout))
+            .timer(IdleTimer::new(head_timeout, head))
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(stream, service);
         let serving = async {
--- a/src/response_progress.rs
+++ b/src/response_progress.rs
@@ -35,9 +35,21 @@
     pub(crate) fn stop(&self) {
         self.unparsed_bytes.set(None);
     }
+}
+
+/// Observes the reads of a [`BoundedStream`].
+pub(crate) trait ReadObserver {
+    /// Notes bytes that were read; returns whether more may be read.
+    fn note_bytes(&self, bytes: usize) -> bool;
+
+    /// Notes that nothing is read now, since bytes have to be waited for or, if `is_held_back`, since
+    /// other tasks have their turn.
+    fn note_wait(&self, _is_held_back: bool) {}
+}
 
-    /// Counts bytes; returns whether they are still within the bound.
-    fn add(&self, bytes: usize) -> bool {
+impl ReadObserver for ResponseProgress {
+    /// Counts the bytes; returns whether they are still within the bound.
+    fn note_bytes(&self, bytes: usize) -> bool {
         let Some(before) = self.unparsed_bytes.get() else {
             return true;
         };
@@ -47,28 +59,28 @@
     }
 }
 
-/// A stream that fails once a server sends too much without progress. It also lets other tasks run
-/// while the server sends faster than its bytes are read.
+/// A stream that fails once its observer has seen enough, such as a server that sends too much without
+/// progress. It also lets other tasks run while bytes arrive faster than they are read.
 #[derive(Debug)]
-pub(crate) struct BoundedStream<S> {
+pub(crate) struct BoundedStream<S, O> {
     stream: S,
-    progress: ResponseProgress,
+    observer: O,
     /// The number of reads since one last had to wait.
     reads: u32,
 }
 
-impl<S> BoundedStream<S> {
-    /// Wraps a stream whose bytes count towards `progress`.
-    pub(crate) fn new(stream: S, progress: ResponseProgress) -> Self {
+impl<S, O> BoundedStream<S, O> {
+    /// Wraps a stream whose reads are told to `observer`.
+    pub(crate) fn new(stream: S, observer: O) -> Self {
         Self {
             stream,
-            progress,
+            observer,
             reads: 0,
         }
     }
 }
 
-impl<S: AsyncRead + Unpin> Read for BoundedStream<S> {
+impl<S: AsyncRead + Unpin, O: ReadObserver + Unpin> Read for BoundedStream<S, O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -76,15 +88,21 @@
     ) -> Poll<io::Result<()>> {
         if self.reads >= MAX_READS_PER_TURN {
             self.reads = 0;
+            self.observer.note_wait(true);
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
         let mut bytes = [0; MAX_READ_BYTES];
         let room = buffer.remaining().min(MAX_READ_BYTES);
         let read = Pin::new(&mut self.stream).poll_read(cx, &mut bytes[..room]);
-        self.reads = if read.is_ready() { self.reads + 1 } else { 0 };
+        if read.is_pending() {
+            self.reads = 0;
+            self.observer.note_wait(false);
+            return Poll::Pending;
+        }
+        self.reads += 1;
         let length = ready!(read)?;
-        if !self.progress.add(length) {
+        if !self.observer.note_bytes(length) {
             return Poll::Ready(Err(io::Error::other("too many bytes without progress")));
         }
         buffer.put_slice(&bytes[..length]);
@@ -92,7 +110,7 @@
     }
 }
 
-impl<S: Unpin + Write> Write for BoundedStream<S> {
+impl<S: Unpin + Write, O: Unpin> Write for BoundedStream<S, O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/workbench/tests/site_request_ends.rs
+++ b/workbench/tests/site_request_ends.rs
@@ -3,7 +3,7 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
@@ -28,6 +28,8 @@
 const MAX_BODY_BYTES: usize = 1_048_576;
 /// The number of requests that are refused, by each framing.
 const REFUSED_ROUNDS: usize = 4;
+/// The number of idle connections of one VM that is paused.
+const IDLE_CONNECTIONS: usize = 200;
 /// The number of requests while a route comes and goes.
 const DROPPED_ROUNDS: usize = 30;
 
@@ -383,3 +385,30 @@
         join(connection.expect_answer(), resumed).await;
     });
 }
+
+#[googletest::test]
+fn requests_of_many_idle_connections_that_arrived_during_a_pause_are_answered() {
+    block_on(async {
+        for changes_ms in [vec![], vec![200], vec![200, 500], vec![10_000, 300]] {
+            let (mut site, connection) = idle_connection(500).await;
+            let mut connections = vec![connection];
+            for _ in 1..IDLE_CONNECTIONS {
+                let mut connection = RawConnection::open(&site).await;
+                connection.expect_answer().await;
+                connections.push(connection);
+            }
+            compio::time::sleep(Duration::from_millis(1_800)).await;
+            site.vms[0].signal(Signal::SIGSTOP);
+            for idle_timeout_ms in changes_ms {
+                site.idle_timeout_ms = idle_timeout_ms;
+                configure_plain(&mut site);
+            }
+            let resumed = async {
+                compio::time::sleep(Duration::from_millis(1_500)).await;
+                site.vms[0].signal(Signal::SIGCONT);
+            };
+            let answered = join_all(connections.iter_mut().map(RawConnection::expect_answer));
+            join(answered, resumed).await;
+        }
+    });
+}
