Log connections that end in the middle of a request head; wait for its rest

Of a connection that ended with a part of a request received, by the idle timeout, by its client or by a shutdown, no line of a VM told. A caller whose head came in two pieces around the close of a shutdown got an end of file.

The line "connection closed early" now also stands for these, with the bytes of the head, those left in the socket, and the age of the connection; a shutdown is a cause of its own. A closing connection waits for up to a second for a head that has begun to arrive or lies in the socket. The listener takes the connections that the kernel has ready once more before it closes.

--- a/src/connection_end.rs
+++ b/src/connection_end.rs
@@ -18,16 +18,19 @@
     AnswerBroken,
     /// The task that served it ended without a cause of its own.
     TaskFailed,
+    /// The process shuts down.
+    Shutdown,
 }
 
 impl CloseCause {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::ClientLeft,
         Self::WriteStalled,
         Self::HeadTimeout,
         Self::Malformed,
         Self::AnswerBroken,
         Self::TaskFailed,
+        Self::Shutdown,
     ];
 
     /// Returns the name in logs.
@@ -39,9 +42,15 @@
             Self::Malformed => "request malformed",
             Self::AnswerBroken => "answer broken off",
             Self::TaskFailed => "task failed",
+            Self::Shutdown => "shutdown",
         }
     }
 
+    /// Whether connections that no request has begun to arrive on end so.
+    pub(crate) fn is_usual(self) -> bool {
+        matches!(self, Self::ClientLeft | Self::HeadTimeout | Self::Shutdown)
+    }
+
     /// The cause by which `hyper` ended a connection.
     pub(crate) fn of_error(error: &hyper::Error) -> Self {
         if error.is_timeout() {
--- a/src/http.rs
+++ b/src/http.rs
@@ -48,6 +48,10 @@
 /// How long a closing listener still accepts connections, and a closing idle connection still
 /// accepts requests, that were in flight when the shutdown began.
 const CLOSE_LINGER: Duration = Duration::from_millis(100);
+/// How long a closing connection waits for the rest of a request head that has begun to arrive.
+const HEAD_LINGER: Duration = Duration::from_millis(1_000);
+/// The interval at which it is checked whether that head has arrived.
+const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a write may make no progress before the connection is closed.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 /// The interval at which a connection is checked for a stalled write.
@@ -430,11 +434,14 @@
         }
     }
     // Connections that were established before the listener closes are still served.
-    while let Some(Admission::Serve(stream) | Admission::Close(stream)) =
-        queue.pop(0, Instant::now())
-    {
-        serve_one(stream);
-    }
+    let serve_all = |queue: &mut AcceptQueue<TcpStream>| {
+        while let Some(Admission::Serve(stream) | Admission::Close(stream)) =
+            queue.pop(0, Instant::now())
+        {
+            serve_one(stream);
+        }
+    };
+    serve_all(&mut queue);
     let accept_last = async {
         loop {
             if let Ok((stream, _)) = listener.accept().await {
@@ -444,6 +451,8 @@
     };
     // `accept_last` never returns, so that a timeout is the normal case.
     let _ = compio::time::timeout(CLOSE_LINGER, accept_last).await;
+    accept_pending(&listener, &mut queue);
+    serve_all(&mut queue);
 }
 
 /// Takes the connections that the kernel has ready.
@@ -502,61 +511,89 @@
         });
         let head = HeadProgress::default();
         let input = ClientInput::new(stream.clone(), head.clone());
+        let closing = Closing { end, input, head };
         let (stream, watch) = MonitoredStream::new(BoundedStream::new(
             HyperStream::new_plain(stream),
-            input,
+            closing.input.clone(),
         ));
         let connection = http1::Builder::new()
             .header_read_timeout(head_timeout.get())
-            .timer(IdleTimer::new(head_timeout, head))
+            .timer(IdleTimer::new(head_timeout, closing.head.clone()))
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(stream, service);
         let serving = async {
             let mut connection = pin!(connection);
-            let stop = async {
+            let stop = pin!(async {
                 shutdown.wait().await;
-                // Responses carry `Connection: close` by now, so that only idle connections are
-                // left.
-                compio::time::sleep(CLOSE_LINGER).await;
-            };
-            let stop = pin!(stop);
-            let served = match select(connection.as_mut(), stop).await {
-                Either::Left((served, _)) => served,
-                Either::Right(((), _)) => {
+                closing.linger().await;
+            });
+            let (served, is_shutdown) = match select(connection.as_mut(), stop).await {
+                Either::Left((served, _)) => (served, false),
+                Either::Right(_) if closing.input.has_begun_head() => {
+                    closing.note(CloseCause::Shutdown, None);
+                    return;
+                }
+                Either::Right(_) => {
+                    let is_idle = closing.head.is_awaited();
                     connection.as_mut().graceful_shutdown();
-                    connection.as_mut().await
+                    (connection.as_mut().await, is_idle)
                 }
             };
             // The cause is known before the connection, and any request in work on it, is dropped.
             let cause = match &served {
+                Ok(()) if is_shutdown => CloseCause::Shutdown,
                 Ok(()) => CloseCause::ClientLeft,
                 Err(error) => CloseCause::of_error(error),
             };
             let error = served.err().map(|error| error.to_string());
-            note_close(&end, cause, error.as_deref());
+            closing.note(cause, error.as_deref());
         };
         let mut serving = pin!(serving);
         // A connection whose client has stopped reading is closed.
         let stalled = pin!(wait_for_stall(watch));
         if let Either::Right(((), _)) = select(serving.as_mut(), stalled).await {
-            note_close(&end, CloseCause::WriteStalled, None);
+            closing.note(CloseCause::WriteStalled, None);
         }
     })
     .detach();
 }
 
-/// States why a connection ends, and logs it unless the client simply ended it between requests.
-fn note_close(end: &ConnectionEnd, cause: CloseCause, error: Option<&str>) {
-    end.set(cause);
-    let open_requests = end.open_requests();
-    let is_usual = matches!(cause, CloseCause::ClientLeft | CloseCause::HeadTimeout);
-    if open_requests > 0 || !is_usual {
-        tracing::info!(
-            cause = cause.name(),
-            error,
-            open_requests,
-            "connection closed early"
-        );
+/// What is known of a connection when it is closed.
+struct Closing {
+    end: ConnectionEnd,
+    input: ClientInput,
+    head: HeadProgress,
+}
+
+impl Closing {
+    /// Waits during a shutdown until the connection may be closed, unless a request is in work on it:
+    /// responses carry `Connection: close` by now, so that the others are idle.
+    async fn linger(&self) {
+        let began = Instant::now();
+        compio::time::sleep(CLOSE_LINGER).await;
+        while self.input.has_begun_head() && began.elapsed() < HEAD_LINGER {
+            compio::time::sleep(HEAD_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// States why the connection ends, and logs it unless it ends between requests as usual.
+    fn note(&self, cause: CloseCause, error: Option<&str>) {
+        self.end.set(cause);
+        let open_requests = self.end.open_requests();
+        let head_bytes = self.head.received_bytes();
+        let unread_bytes = self.input.unread_bytes();
+        let has_input = head_bytes > 0 || unread_bytes > 0;
+        if open_requests > 0 || has_input || !cause.is_usual() {
+            tracing::info!(
+                cause = cause.name(),
+                error,
+                open_requests,
+                head_bytes,
+                unread_bytes,
+                age_ms = self.head.age().as_millis() as u64,
+                "connection closed early"
+            );
+        }
     }
 }
 
--- a/src/request_end.rs
+++ b/src/request_end.rs
@@ -57,9 +57,10 @@
         match cause {
             CloseCause::ClientLeft => Self::CallerLeft,
             CloseCause::WriteStalled => Self::ReaderStalled,
-            CloseCause::HeadTimeout | CloseCause::Malformed | CloseCause::TaskFailed => {
-                Self::ConnectionClosed
-            }
+            CloseCause::HeadTimeout
+            | CloseCause::Malformed
+            | CloseCause::Shutdown
+            | CloseCause::TaskFailed => Self::ConnectionClosed,
             CloseCause::AnswerBroken => Self::ServerBrokeOff,
         }
     }
--- a/workbench/tests/site_request_ends.rs
+++ b/workbench/tests/site_request_ends.rs
@@ -1,4 +1,5 @@
-//! On the platform: each request whose head was read ends once, in the log and in the metrics.
+//! On the platform: each request whose head was read ends once, in the log and in the metrics, and a
+//! connection that ends in the middle of a head is logged.
 
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
@@ -412,3 +413,104 @@
         }
     });
 }
+
+/// The log lines about connections that ended early, in a VM's log.
+fn early_closes(site: &Site) -> Vec<Value> {
+    let is_close = |line: &Value| line["message"] == "connection closed early";
+    site.log(0).into_iter().filter(is_close).collect()
+}
+
+async fn expect_early_close(site: &Site, expected: &Value) {
+    site.wait("the end of the connection is logged", async || {
+        !early_closes(site).is_empty()
+    })
+    .await;
+    let closes = early_closes(site);
+    expect_that!(closes.len(), eq(1), "{closes:?}");
+    for (field, value) in expected.as_object().expect("an object of fields") {
+        expect_that!(&closes[0][field], eq(value), "{field} of {}", closes[0]);
+    }
+}
+
+/// The start of a request, and the rest of it.
+fn halves() -> (Vec<u8>, Vec<u8>) {
+    let mut start = pieces_of("/x", &id(), 0, false).concat();
+    let rest = start.split_off(20);
+    (start, rest)
+}
+
+#[googletest::test]
+fn a_connection_that_ends_in_the_middle_of_a_head_is_logged_with_its_cause() {
+    block_on(async {
+        let whole = json!({"open_requests": 0, "head_bytes": 20, "unread_bytes": 0});
+        let expect_cause = async |site: &Site, cause: &str| {
+            let mut expected = whole.clone();
+            expected["cause"] = cause.into();
+            expect_early_close(site, &expected).await;
+        };
+
+        let (site, mut connection) = idle_connection(500).await;
+        let sent = connection.send(vec![halves().0], Duration::ZERO).await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        expect_cause(&site, "no request head in time").await;
+
+        let (site, mut connection) = idle_connection(500).await;
+        let sent = connection.send(vec![halves().0], Duration::ZERO).await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        compio::time::sleep(Duration::from_millis(200)).await;
+        drop(connection);
+        expect_cause(&site, "client left").await;
+
+        let (site, mut connection) = idle_connection(15_000).await;
+        site.vms[0].signal(Signal::SIGTERM);
+        compio::time::sleep(Duration::from_millis(2_000)).await;
+        let sent = connection.send(vec![halves().0], Duration::ZERO).await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        expect_cause(&site, "shutdown").await;
+    });
+}
+
+#[googletest::test]
+fn a_request_whose_head_arrives_in_two_pieces_is_answered_though_its_connection_is_due() {
+    block_on(async {
+        // The idle timeout is over between the pieces.
+        let (_site, mut connection) = idle_connection(500).await;
+        compio::time::sleep(Duration::from_millis(2_200)).await;
+        let (start, rest) = halves();
+        let sent = connection.send(vec![start], Duration::ZERO).await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        let sent = connection
+            .send(vec![rest], Duration::from_millis(800))
+            .await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        expect_that!(connection.receive().await, ok(starts_with("HTTP/1.1 200")));
+
+        // The VM closes its idle connections between the pieces.
+        let (site, mut connection) = idle_connection(15_000).await;
+        site.vms[0].signal(Signal::SIGTERM);
+        let (start, rest) = halves();
+        let sent = connection
+            .send(vec![start], Duration::from_millis(2_200))
+            .await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        let sent = connection
+            .send(vec![rest], Duration::from_millis(700))
+            .await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        expect_that!(connection.receive().await, ok(starts_with("HTTP/1.1 200")));
+    });
+}
+
+#[googletest::test]
+fn a_head_that_is_no_request_is_logged_with_its_length() {
+    block_on(async {
+        let (site, mut connection) = idle_connection(15_000).await;
+        let head = b"no request at all\r\n\r\n".to_vec();
+        let bytes = head.len();
+        let sent = connection.send(vec![head], Duration::ZERO).await;
+        expect_that!(sent.is_ok(), eq(true), "{sent:?}");
+        expect_that!(connection.receive().await, ok(starts_with("HTTP/1.1 400")));
+        let expected = json!({"cause": "request malformed", "head_bytes": bytes});
+        expect_early_close(&site, &expected).await;
+    });
+}
