--- a/src/response_progress.rs
+++ b/src/response_progress.rs
@@ -35,9 +35,21 @@
     pub(crate) fn stop(&self) {
         self.unparsed_bytes.set(None);
     }
+}
+
+/// Observes the reads of a [`BoundedStream`].
+pub(crate) trait ReadObserver {
+    /// Notes bytes that were read; returns whether more may be read.
+    fn note_bytes(&self, bytes: usize) -> bool;
+
+    /// Notes that nothing is read now, since bytes have to be waited for or, if `is_held_back`, since
+    /// other tasks have their turn.
+    fn note_wait(&self, _is_held_back: bool) {}
+}
 
-    /// Counts bytes; returns whether they are still within the bound.
-    fn add(&self, bytes: usize) -> bool {
+impl ReadObserver for ResponseProgress {
+    /// Counts the bytes; returns whether they are still within the bound.
+    fn note_bytes(&self, bytes: usize) -> bool {
         let Some(before) = self.unparsed_bytes.get() else {
             return true;
         };
@@ -47,24 +59,24 @@
     }
 }
 
-/// A stream that fails once a server sends too much without progress. It also lets other tasks run
-/// while the server sends faster than its bytes are read.
+/// A stream that fails once its observer has seen enough, such as a server that sends too much without
+/// progress. It also lets other tasks run while bytes arrive faster than they are read.
 #[derive(Debug)]
-pub(crate) struct BoundedStream<S> {
+pub(crate) struct BoundedStream<S, O> {
     stream: S,
-    progress: ResponseProgress,
+    observer: O,
     /// The number of reads since one last had to wait.
     reads: u32,
     /// What is read in one go; empty if that is at most [`MAX_READ_BYTES`].
     scratch: Vec<u8>,
 }
 
-impl<S> BoundedStream<S> {
-    /// Wraps a stream whose bytes count towards `progress`.
-    pub(crate) fn new(stream: S, progress: ResponseProgress) -> Self {
+impl<S, O> BoundedStream<S, O> {
+    /// Wraps a stream whose reads are told to `observer`.
+    pub(crate) fn new(stream: S, observer: O) -> Self {
         Self {
             stream,
-            progress,
+            observer,
             reads: 0,
             scratch: Vec::new(),
         }
@@ -77,7 +89,7 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> Read for BoundedStream<S> {
+impl<S: AsyncRead + Unpin, O: ReadObserver + Unpin> Read for BoundedStream<S, O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -85,6 +97,7 @@
     ) -> Poll<io::Result<()>> {
         if self.reads >= MAX_READS_PER_TURN {
             self.reads = 0;
+            self.observer.note_wait(true);
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
@@ -95,10 +108,14 @@
             false => &mut this.scratch[..],
         };
         let room = buffer.remaining().min(bytes.len());
-        let read = Pin::new(&mut this.stream).poll_read(cx, &mut bytes[..room]);
-        this.reads = if read.is_ready() { this.reads + 1 } else { 0 };
-        let length = ready!(read)?;
-        if !this.progress.add(length) {
+        let Poll::Ready(read) = Pin::new(&mut this.stream).poll_read(cx, &mut bytes[..room]) else {
+            this.reads = 0;
+            this.observer.note_wait(false);
+            return Poll::Pending;
+        };
+        this.reads += 1;
+        let length = read?;
+        if !this.observer.note_bytes(length) {
             return Poll::Ready(Err(io::Error::other("too many bytes without progress")));
         }
         buffer.put_slice(&bytes[..length]);
@@ -106,7 +123,7 @@
     }
 }
 
-impl<S: Unpin + Write> Write for BoundedStream<S> {
+impl<S: Unpin + Write, O: Unpin> Write for BoundedStream<S, O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
