--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -185,6 +185,15 @@
                 .arg(number("vms", "4"))
                 .arg(number("seconds", "20")),
         )
+        .subcommand(
+            Command::new("histories")
+                .about(
+                    "Draw histories of changes, signals and silences from a seed, check how each \
+                     request ends, and shrink histories that fail",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("seeds", "1").help("How many seeds are played, from this one on")),
+        )
         .subcommand(
             Command::new("calls")
                 .about("Measure what non-idempotent calls cost")
@@ -370,6 +379,17 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("histories", matches)) => {
+            let first: u64 = get(matches, "seed");
+            let mut is_sound = true;
+            for seed in first..first + get::<u64>(matches, "seeds") {
+                println!("seed {seed}");
+                is_sound &= report_findings(&site::histories::run(seed).await);
+            }
+            if !is_sound {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("calls", matches)) => {
             let load = CallLoad {
                 vms: get::<u64>(matches, "vms") as usize,
--- /dev/null
+++ b/workbench/src/site/histories/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the histories.
+
+mod model;
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -9,6 +9,7 @@
 pub mod crashing_parts;
 pub mod cut_soak;
 pub mod events;
+pub mod histories;
 mod load;
 mod quota;
 mod server;
@@ -84,6 +85,10 @@
     pub vms_with_store_paths: BTreeSet<usize>,
     /// How long callers' connections may be idle by the next configuration, in milliseconds.
     pub idle_timeout_ms: u64,
+    /// The largest request head by the next configuration.
+    pub max_header_bytes: usize,
+    /// The largest request body by the next configuration.
+    pub max_body_bytes: usize,
     /// The number of availability zones over which the VMs are spread in turn.
     pub zones: usize,
     folder: PathBuf,
@@ -110,6 +115,8 @@
             vms_with_paths: BTreeSet::new(),
             vms_with_store_paths: BTreeSet::new(),
             idle_timeout_ms: 15_000,
+            max_header_bytes: 16_384,
+            max_body_bytes: 1_048_576,
             zones: 1,
             folder,
             version: 0,
@@ -199,8 +206,8 @@
             "routes": routes,
             "services": services,
             "limits": {
-                "max_header_bytes": 16_384,
-                "max_body_bytes": 1_048_576,
+                "max_header_bytes": self.max_header_bytes,
+                "max_body_bytes": self.max_body_bytes,
                 "header_timeout_ms": 3_000,
                 "idle_timeout_ms": self.idle_timeout_ms,
             },
--- a/workbench/tests/site_soak.rs
+++ b/workbench/tests/site_soak.rs
@@ -3,7 +3,9 @@
 use googletest::prelude::*;
 use std::time::Duration;
 use workbench::cluster::block_on;
-use workbench::site::{config_soak, crash_soak, cut_soak, silence_soak, soak, version_soak};
+use workbench::site::{
+    config_soak, crash_soak, cut_soak, histories, silence_soak, soak, version_soak,
+};
 
 #[googletest::test]
 fn statements_of_servers_are_respected_with_seed_1() {
@@ -50,3 +52,10 @@
     let findings = block_on(silence_soak::run(1, 4, Duration::from_secs(20)));
     expect_that!(findings, is_empty());
 }
+
+#[googletest::test]
+fn requests_end_as_the_model_allows_in_histories_of_seeds_1_to_5() {
+    for seed in 1..=5 {
+        expect_that!(block_on(histories::run(seed)), is_empty(), "seed {seed}");
+    }
+}
