--- a/workbench/src/site/histories/mod.rs
+++ b/workbench/src/site/histories/mod.rs
@@ -21,6 +21,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// The servers of each service that requests are moved to.
+const MOVED_SERVERS: usize = 2;
 /// The pause after each event of a stream.
 const EVENT_PAUSE_MS: u64 = 20;
 /// The pause before a request on a new connection.
@@ -88,7 +90,9 @@
     for _ in 0..SERVERS {
         servers.extend([("llm", holds()), ("books", vec![])]);
     }
-    servers.extend([("other", holds()), ("spare", vec![])]);
+    for _ in 0..MOVED_SERVERS {
+        servers.extend([("other", holds()), ("spare", vec![])]);
+    }
     let mut site = Site::start(servers).await;
     let seen = Rc::new(Seen {
         model: RefCell::default(),
@@ -297,6 +301,9 @@
         sent.runs = runs.get(&sent.id).copied().unwrap_or(0);
         let response = &sent.response;
         let end = match (response.status, response.is_complete) {
+            (Some(status @ 429..), true) if sent.plan.run == Run::Answers => {
+                format!("{status} of a sound server's")
+            }
             (Some(status), true) => status.to_string(),
             (Some(status), false) => format!("{status} cut"),
             (None, _) => "no answer".to_owned(),
--- a/workbench/src/site/histories/tests/model.rs
+++ b/workbench/src/site/histories/tests/model.rs
@@ -171,6 +171,8 @@
     expect_allowed(&Case::cut().with_end(3_000));
     let mut broken = Case::cut();
     broken.sent.plan.run = Run::BreaksOff { at_percent: 50 };
+    expect_fault(&broken, "CUT");
+    broken.sent.plan.is_refused_later = true;
     expect_allowed(&broken);
 }
 
