--- a/workbench/src/site/histories/mod.rs
+++ b/workbench/src/site/histories/mod.rs
@@ -338,6 +338,8 @@
             for line in lines() {
                 println!("vm-{} {line}", sent.vm);
             }
+        } else if response.status.is_none() {
+            println!("allowed: {}", model.describe(sent));
         }
     }
     let counts = (model.versions.len(), model.stops.len(), model.has_slow_vms);
--- a/workbench/src/site/histories/model.rs
+++ b/workbench/src/site/histories/model.rs
@@ -86,14 +86,19 @@
     /// Returns what is wrong with how a request ended.
     pub(super) fn finding(&self, sent: &SentRequest) -> Option<String> {
         let fault = self.fault(sent)?;
+        Some(format!("{fault}: {}", self.describe(sent)))
+    }
+
+    /// Describes how a request ended.
+    pub(super) fn describe(&self, sent: &SentRequest) -> String {
         let response = &sent.response;
         let stops = self.stops.iter().filter(|(vm, _)| *vm == sent.vm);
         let since_stops: Vec<_> = stops
             .map(|(_, at)| sent.sent_at.checked_duration_since(*at))
             .collect();
-        Some(format!(
-            "{fault}: {} at vm-{}, {:?}, complete {}, {:?}, {} runs, after {:?}, idle for {:?}, \
-             sent after SIGTERM {since_stops:?}: {:?}",
+        format!(
+            "{} at vm-{}, {:?}, complete {}, {:?}, {} runs, after {:?}, idle for {:?}, sent after \
+             SIGTERM {since_stops:?}: {:?}",
             sent.id,
             sent.vm,
             response.status,
@@ -103,7 +108,7 @@
             sent.ended_at - sent.sent_at,
             sent.idle_since.map(|at| sent.sent_at - at),
             sent.plan,
-        ))
+        )
     }
 
     fn fault(&self, sent: &SentRequest) -> Option<&'static str> {
