--- a/workbench/tests/site_endless.rs
+++ b/workbench/tests/site_endless.rs
@@ -412,10 +412,16 @@
             in_time.count(),
             peak_rss_kib(&site)
         );
+        for (index, answer) in sound.iter().enumerate() {
+            if answer.status != Some(200) {
+                println!("not served: request {index}, {}", brief(answer));
+            }
+        }
         let mut ends: Vec<_> = faulty.iter().map(|it| it.status).collect();
         ends.sort();
         ends.dedup();
-        println!("ends {ends:?}");
+        let closed_unread = site.metric(0, "closed_unread_total").await;
+        println!("ends {ends:?}, closed unread {closed_unread:?}");
         expect_that!(served, eq(sound.len()));
         expect_that!(slowest, some(lt(Duration::from_secs(1))));
         expect_that!(peak_rss_kib(&site), lt(MAX_RSS_KIB));
