Requests on connections that a VM does not serve are refused, not reset

Callers saw: while a VM was busy, or had too many open connections, new connections were closed with their request unread. The bytes left in the socket reset the connection: neither an answer nor a promise that nothing ran.

Cause: serve_within dropped what waited for over 150 ms or came beyond the largest number of connections.

Change: the request is answered in memory from what lies in the socket, with 503 and Retry-After; only an incomplete head or body takes a task, 64 at most, which discards the rest. Refusals are bounded by what is served, so that a flood does not take the time for serving.

--- a/src/accept_queue.rs
+++ b/src/accept_queue.rs
@@ -3,17 +3,34 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+/// Why this process does not serve a new connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Overload {
+    /// The connection waited for too long.
+    LongWait,
+    /// Too many others are open.
+    ManyOpen,
+}
+
 /// What becomes of a connection that waited.
 #[derive(Debug, Eq, PartialEq)]
 pub(crate) enum Admission<C> {
     /// It is served.
     Serve(C),
-    /// It waited for too long, or too many are open: it is closed before anything is read, so that
-    /// its client tries another server at once.
-    Close(C),
+    /// Its request is refused, so that the client tries another server.
+    Refuse(C, Overload),
+}
+
+impl<C> Admission<C> {
+    /// Returns the connection.
+    pub(crate) fn into_connection(self) -> C {
+        match self {
+            Self::Serve(connection) | Self::Refuse(connection, _) => connection,
+        }
+    }
 }
 
-/// New connections in the order of their arrival. Those that waited too long are closed: when more
+/// New connections in the order of their arrival. Those that waited too long are refused: when more
 /// arrive than can be served, the others are still served in time.
 #[derive(Debug)]
 pub(crate) struct AcceptQueue<C> {
@@ -47,8 +64,10 @@
     pub(crate) fn pop(&mut self, open: usize, now: Instant) -> Option<Admission<C>> {
         let (connection, since) = self.waiting.pop_front()?;
         let is_late = now.saturating_duration_since(since) > self.max_wait;
-        Some(if is_late || open >= self.max_open {
-            Admission::Close(connection)
+        Some(if is_late {
+            Admission::Refuse(connection, Overload::LongWait)
+        } else if open >= self.max_open {
+            Admission::Refuse(connection, Overload::ManyOpen)
         } else {
             Admission::Serve(connection)
         })
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -1,5 +1,6 @@
 //! Reasons why a request has no answer from a server, and the responses sent to callers for them.
 
+use crate::accept_queue::Overload;
 use crate::gateway::Refusal;
 use hyper::StatusCode;
 use std::time::Duration;
@@ -23,6 +24,11 @@
 const PAUSE_RETRY_SPREAD: Duration = Duration::from_millis(500);
 /// Time over which retries are spread for streams whose software version a VM does not know.
 const VERSION_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Time over which retries are spread for requests on connections that waited for too long. The
+/// caller's next connection goes to another VM, which may serve it at once.
+const LONG_WAIT_RETRY_SPREAD: Duration = Duration::from_millis(200);
+/// The same for connections beyond the largest number: the other VMs may be flooded as well.
+const MANY_OPEN_RETRY_SPREAD: Duration = Duration::from_millis(1_000);
 /// Retry time of a request that crashes servers.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -31,6 +37,8 @@
 pub(crate) enum Failure {
     /// This VM has no configuration or no list of servers yet.
     Unready,
+    /// This VM is too busy to serve the connection of the request.
+    Overloaded(Overload),
     /// The request cannot be parsed, for the given reason.
     Malformed(&'static str),
     /// The API key belongs to no organisation.
@@ -72,6 +80,8 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Unready => "unready",
+            Self::Overloaded(Overload::LongWait) => "long_wait",
+            Self::Overloaded(Overload::ManyOpen) => "many_open",
             Self::Malformed(_) => "malformed",
             Self::UnknownKey => "unknown_key",
             Self::OverQuota(_) => "over_quota",
@@ -102,6 +112,14 @@
     /// Returns the response for a caller that waits for another `time_left`.
     pub(crate) fn refusal(self, time_left: Duration) -> Refusal {
         let (status, retry_after) = match self {
+            Self::Overloaded(overload) => {
+                let spread = match overload {
+                    Overload::LongWait => LONG_WAIT_RETRY_SPREAD,
+                    Overload::ManyOpen => MANY_OPEN_RETRY_SPREAD,
+                };
+                let latest = spread.min(time_left.mul_f64(MAX_RETRY_SHARE));
+                (503, Some(latest.mul_f64(rand::random())))
+            }
             Self::Malformed(_) => (400, None),
             Self::UnknownKey => (401, None),
             Self::OverQuota(wait) => {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -79,7 +79,7 @@
     ),
     describe(
         "closed_unread",
-        "callers' connections closed before anything was read, since this VM was too busy",
+        "callers' connections closed before a request was read, since this VM was too busy; `request_ends` counts the others as refused",
     ),
     describe(
         "request_ends",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,6 +1,7 @@
 //! Handles a caller's request from its arrival to its answer: reads it, has it sent to backend
 //! servers, and returns the response.
 
+use crate::accept_queue::Overload;
 use crate::connection_end::ConnectionEnd;
 use crate::gateway::answer_memory::{AnswerMemory, MAX_ANSWER_BYTES, read_answer};
 use crate::gateway::budget::{Allowance, RetryBudget};
@@ -18,12 +19,12 @@
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind};
 use crate::http::{Body, ReadError, discard_body, read_body};
 use crate::inventory::Name;
-use crate::open_requests::RequestProgress;
+use crate::open_requests::{OpenRequest, RequestProgress};
 use crate::request_end::RequestEnd;
 use bytes::Bytes;
 use futures_channel::oneshot;
 use hyper::body::Incoming;
-use hyper::http::response;
+use hyper::http::{request, response};
 use hyper::{Request, Response};
 use std::cell::Cell;
 use std::marker::PhantomData;
@@ -99,22 +100,14 @@
         let is_forwarded = forwarded.is_some();
         let arrived = Instant::now();
         let (head, body) = incoming.into_parts();
-        let open_requests = &self.state.open_requests;
-        let connection = head.extensions.get::<ConnectionEnd>().cloned();
-        let connection = connection.unwrap_or_default();
-        let request = match P::read_caller_request(&head) {
-            Ok(request) => request,
-            Err(Malformed(why)) => {
-                warn!(why, "request malformed");
-                let open = open_requests.begin(Name::default(), arrived, connection, is_forwarded);
-                open.expect(RequestEnd::Refused);
+        let (request, open) = match self.begin_request(&head, arrived, is_forwarded) {
+            Ok(begun) => begun,
+            Err(refusal) => {
                 discard_body(body, DEFAULT_CALLER_TIMEOUT);
-                let refusal = Failure::Malformed(why).refusal(DEFAULT_CALLER_TIMEOUT);
-                return P::refuse(refusal).map(|body| body.tracked(open));
+                return *refusal;
             }
         };
         let id = request.id.clone();
-        let open = open_requests.begin(id.clone(), arrived, connection, is_forwarded);
         let caller_timeout = request.time_limit.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let model = request.generation.as_ref().map(|it| it.model.clone());
         let model = model.unwrap_or_default();
@@ -135,26 +128,81 @@
         let response = match answer {
             Ok(response) => response,
             Err(Failure::CutOff) if is_forwarded => DeclineReason::CutOff.response(),
-            Err(failure) => {
-                let age = arrived.elapsed();
-                let age_ms = age.as_millis() as u64;
-                let refusal = failure.refusal(caller_timeout.saturating_sub(age));
-                self.state.metrics.note_request("none", failure.name());
-                info!(
-                    request = %id,
-                    %model,
-                    failure = failure.label(),
-                    status = refusal.status.as_u16(),
-                    retry_after_ms = refusal.retry_after.map(|it| it.as_millis() as u64),
-                    age_ms,
-                    "request refused"
-                );
-                P::refuse(refusal)
-            }
+            Err(failure) => self.refuse(&id, &model, failure, caller_timeout, arrived.elapsed()),
         };
         response.map(|body| body.tracked(open))
     }
 
+    /// Refuses a request of a caller whose connection this VM is too busy to serve. Nothing else is
+    /// done with it: it takes nothing of a quota, and no server is asked.
+    pub(crate) fn refuse_unserved(
+        &self,
+        head: &request::Parts,
+        overload: Overload,
+    ) -> Response<Body> {
+        let (request, open) = match self.begin_request(head, Instant::now(), false) {
+            Ok(begun) => begun,
+            Err(refusal) => return *refusal,
+        };
+        open.expect(RequestEnd::Refused);
+        let model = request.generation.map(|it| it.model).unwrap_or_default();
+        let time_left = request.time_limit.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+        let failure = Failure::Overloaded(overload);
+        let response = self.refuse(&request.id, &model, failure, time_left, Duration::ZERO);
+        response.map(|body| body.tracked(open))
+    }
+
+    /// Parses the head of a request and records the request as open, or returns the refusal of one
+    /// that is malformed.
+    fn begin_request(
+        &self,
+        head: &request::Parts,
+        arrived: Instant,
+        is_forwarded: bool,
+    ) -> Result<(CallerRequest, OpenRequest), Box<Response<Body>>> {
+        let open_requests = &self.state.open_requests;
+        let connection = head.extensions.get::<ConnectionEnd>().cloned();
+        let connection = connection.unwrap_or_default();
+        match P::read_caller_request(head) {
+            Ok(request) => {
+                let id = request.id.clone();
+                let open = open_requests.begin(id, arrived, connection, is_forwarded);
+                Ok((request, open))
+            }
+            Err(Malformed(why)) => {
+                warn!(why, "request malformed");
+                let open = open_requests.begin(Name::default(), arrived, connection, is_forwarded);
+                open.expect(RequestEnd::Refused);
+                let refusal = Failure::Malformed(why).refusal(DEFAULT_CALLER_TIMEOUT);
+                let response = P::refuse(refusal).map(|body| body.tracked(open));
+                Err(Box::new(response))
+            }
+        }
+    }
+
+    /// Logs and counts a refusal, and returns the response for it.
+    fn refuse(
+        &self,
+        id: &Name,
+        model: &Name,
+        failure: Failure,
+        caller_timeout: Duration,
+        age: Duration,
+    ) -> Response<Body> {
+        let refusal = failure.refusal(caller_timeout.saturating_sub(age));
+        self.state.metrics.note_request("none", failure.name());
+        info!(
+            request = %id,
+            %model,
+            failure = failure.label(),
+            status = refusal.status.as_u16(),
+            retry_after_ms = refusal.retry_after.map(|it| it.as_millis() as u64),
+            age_ms = age.as_millis() as u64,
+            "request refused"
+        );
+        P::refuse(refusal)
+    }
+
     async fn answer(
         self: Rc<Self>,
         request: CallerRequest,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -22,6 +22,7 @@
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
 use hyper::body::Incoming;
+use hyper::http::request;
 use hyper::{Request, Response, StatusCode, header};
 use nix::sys::signal::Signal;
 use std::net::SocketAddr;
@@ -162,8 +163,12 @@
         max_open: state.settings.max_caller_connections,
         closed_unread: state.metrics.closed_unread.clone(),
     };
+    let refusing_relay = relay.clone();
+    let refuse =
+        move |head: &request::Parts, overload| refusing_relay.refuse_unserved(head, overload);
     let handler = move |request| relay.clone().handle(request);
-    compio::runtime::spawn(serve_within(limits, listener, shutdown, handler)).detach();
+    let serving = serve_within(limits, listener, shutdown, handler, refuse);
+    compio::runtime::spawn(serving).detach();
 }
 
 fn metrics_response(state: &State) -> Response<Body> {
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,13 +1,17 @@
 //! HTTP/1 serving with `hyper` on `compio`, and the body type of requests and responses.
 
-use crate::accept_queue::{AcceptQueue, Admission};
+use crate::accept_queue::{AcceptQueue, Admission, Overload};
 use crate::connection_end::{CloseCause, ConnectionEnd};
 use crate::idle_timer::{IdleTimeout, IdleTimer};
 use crate::open_requests::OpenRequest;
+use crate::received_request::answer_received;
+use crate::refusals::{OpenRefusal, Refusals};
 use crate::response_progress::{BoundedStream, ResponseProgress};
 use crate::shutdown::Shutdown;
 use crate::write_stall::{MonitoredStream, StallMonitor};
 use bytes::{Bytes, BytesMut};
+use compio::BufResult;
+use compio::io::AsyncRead;
 use compio::net::{TcpListener, TcpSocket, TcpStream};
 use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
@@ -16,6 +20,7 @@
 use futures_util::{SinkExt, StreamExt};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::http::request;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
@@ -24,7 +29,7 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::io;
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -43,6 +48,14 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// The maximum number of connections that are begun to be served before others have their turn.
 const MAX_SERVED_PER_TURN: usize = 4;
+/// The maximum number of connections that are begun to be refused before others have their turn.
+const MAX_REFUSED_PER_TURN: usize = 128;
+/// How long a client that is not served may take to send a request head, which then is refused.
+const REFUSED_HEAD_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long the rest of a request that was refused is discarded.
+const REFUSED_BODY_LIMIT: Duration = Duration::from_secs(2);
+/// The size of one read of a request that is refused.
+const REFUSED_READ_BYTES: usize = 4 * 1024;
 /// How long a closing listener still accepts connections, and a closing idle connection still
 /// accepts requests, that were in flight when the shutdown began.
 const CLOSE_LINGER: Duration = Duration::from_millis(100);
@@ -246,6 +259,13 @@
     response
 }
 
+/// Creates a response without a body.
+fn status_response(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
 /// The reason why a body could not be read.
 #[derive(Debug)]
 pub enum ReadError {
@@ -365,7 +385,9 @@
         max_open: usize::MAX,
         closed_unread: Counter::default(),
     };
-    serve_within(limits, listener, shutdown, handler).await;
+    // Within these limits nothing is refused.
+    let refuse = |_: &request::Parts, _| status_response(StatusCode::SERVICE_UNAVAILABLE);
+    serve_within(limits, listener, shutdown, handler, refuse).await;
 }
 
 /// What a server does with new connections.
@@ -377,24 +399,30 @@
     pub(crate) max_wait: Duration,
     /// The maximum number of open connections.
     pub(crate) max_open: usize,
-    /// Counts connections that were closed before anything was read.
+    /// Counts connections that were closed before a request was read.
     pub(crate) closed_unread: Counter,
 }
 
-/// Like [`serve`], within limits beyond which new connections are closed at once.
-pub(crate) async fn serve_within<H, F>(
+/// Like [`serve`], within limits beyond which the request of a new connection gets its response from
+/// `refuse`, and the connection is closed.
+///
+/// A connection without a request is closed without a response.
+pub(crate) async fn serve_within<H, F, R>(
     limits: AcceptLimits,
     listener: TcpListener,
     shutdown: Rc<Shutdown>,
     handler: H,
+    refuse: R,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
+    R: Fn(&request::Parts, Overload) -> Response<Body> + Clone + 'static,
 {
     let serve_one = |stream| {
         let head_timeout = limits.head_timeout.clone();
         spawn_connection(stream, shutdown.clone(), head_timeout, handler.clone());
     };
+    let refusals = Refusals::new(limits.closed_unread, Instant::now());
     let mut queue = AcceptQueue::new(limits.max_wait, limits.max_open);
     let mut stop = pin!(shutdown.wait());
     loop {
@@ -407,16 +435,18 @@
             }
         }
         accept_pending(&listener, &mut queue);
-        let mut served = 0;
-        while served < MAX_SERVED_PER_TURN {
-            match queue.pop(shutdown.open(), Instant::now()) {
+        let (mut served, mut refused) = (0, 0);
+        while served < MAX_SERVED_PER_TURN && refused < MAX_REFUSED_PER_TURN {
+            let open = shutdown.open().saturating_sub(refusals.open());
+            match queue.pop(open, Instant::now()) {
                 Some(Admission::Serve(stream)) => {
                     serve_one(stream);
+                    refusals.note_served();
                     served += 1;
                 }
-                Some(Admission::Close(stream)) => {
-                    drop(stream);
-                    limits.closed_unread.inc();
+                Some(Admission::Refuse(stream, overload)) => {
+                    refuse_connection(stream, &shutdown, &refusals, overload, &refuse);
+                    refused += 1;
                 }
                 None => break,
             }
@@ -428,10 +458,8 @@
         }
     }
     // Connections that were established before the listener closes are still served.
-    while let Some(Admission::Serve(stream) | Admission::Close(stream)) =
-        queue.pop(0, Instant::now())
-    {
-        serve_one(stream);
+    while let Some(admission) = queue.pop(0, Instant::now()) {
+        serve_one(admission.into_connection());
     }
     let accept_last = async {
         loop {
@@ -541,6 +569,104 @@
     .detach();
 }
 
+/// Refuses the request on a connection that is not served, and closes the connection.
+fn refuse_connection<R>(
+    stream: TcpStream,
+    shutdown: &Rc<Shutdown>,
+    refusals: &Refusals,
+    overload: Overload,
+    refuse: &R,
+) where
+    R: Fn(&request::Parts, Overload) -> Response<Body> + Clone + 'static,
+{
+    if !refusals.take(Instant::now()) {
+        return;
+    }
+    let mut received = vec![0; REFUSED_READ_BYTES];
+    // Nothing may have arrived yet.
+    let length = (&*SockRef::from(&stream)).read(&mut received).unwrap_or(0);
+    received.truncate(length);
+    let is_whole = try_refuse(&stream, &received, overload, refuse);
+    if is_whole == Some(true) {
+        return;
+    }
+    let Some(open) = refusals.open_one(is_whole.is_some()) else {
+        return;
+    };
+    let (guard, refuse) = (shutdown.enter(), refuse.clone());
+    compio::runtime::spawn(async move {
+        let _guard = guard;
+        let finishing = finish_refusal(stream, received, overload, refuse, &open);
+        // What takes longer closes the connection.
+        let _ = compio::time::timeout(REFUSED_BODY_LIMIT, finishing).await;
+    })
+    .detach();
+}
+
+/// Sends the refusal if the head of the request is in `received`; returns whether the rest of the
+/// request is as well.
+fn try_refuse(
+    stream: &TcpStream,
+    received: &[u8],
+    overload: Overload,
+    refuse: &impl Fn(&request::Parts, Overload) -> Response<Body>,
+) -> Option<bool> {
+    let respond = |request: Request<Incoming>| {
+        let (head, _) = request.into_parts();
+        closing(refuse(&head, overload))
+    };
+    let answer = answer_received(received, respond)?;
+    // A new connection takes as little as this at once. An error means that the client has left.
+    let _ = SockRef::from(stream).send(&answer.response);
+    Some(answer.is_whole)
+}
+
+/// Reads the rest of a request whose beginning is in `received`, and refuses the request unless that
+/// is done. Bytes that were left unread would reset the connection, and the refusal might be lost.
+async fn finish_refusal<R>(
+    mut stream: TcpStream,
+    mut received: Vec<u8>,
+    overload: Overload,
+    refuse: R,
+    open: &OpenRefusal,
+) where
+    R: Fn(&request::Parts, Overload) -> Response<Body>,
+{
+    let began = Instant::now();
+    let mut buffer = Vec::with_capacity(REFUSED_READ_BYTES);
+    let mut discarded_bytes = 0;
+    while !open.is_read() {
+        let time_left = REFUSED_HEAD_TIMEOUT.saturating_sub(began.elapsed());
+        let read = compio::time::timeout(time_left, stream.read(buffer)).await;
+        let Ok(BufResult(Ok(1..), bytes)) = read else {
+            return;
+        };
+        received.extend_from_slice(&bytes);
+        if received.len() > MAX_HEAD_BYTES {
+            return;
+        }
+        if let Some(is_whole) = try_refuse(&stream, &received, overload, &refuse) {
+            open.note_read();
+            if is_whole {
+                return;
+            }
+        }
+        buffer = bytes;
+        buffer.clear();
+    }
+    // The client learns that no other response follows. An error means that it has left.
+    let _ = SockRef::from(&stream).shutdown(std::net::Shutdown::Write);
+    while discarded_bytes < MAX_DISCARDED_BYTES {
+        let BufResult(read, bytes) = stream.read(buffer).await;
+        match read {
+            Ok(count @ 1..) => discarded_bytes += count,
+            _ => return,
+        }
+        buffer = bytes;
+        buffer.clear();
+    }
+}
+
 /// States why a connection ends, and logs it unless the client simply ended it between requests.
 fn note_close(end: &ConnectionEnd, cause: CloseCause, error: Option<&str>) {
     end.set(cause);
@@ -558,11 +684,17 @@
 
 /// Adds `Connection: close` to responses of a VM that is shutting down, so that clients open
 /// their next connection elsewhere.
-fn close_if_leaving(shutdown: &Shutdown, mut response: Response<Body>) -> Response<Body> {
-    if shutdown.is_leaving() {
-        let close = header::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+fn close_if_leaving(shutdown: &Shutdown, response: Response<Body>) -> Response<Body> {
+    match shutdown.is_leaving() {
+        true => closing(response),
+        false => response,
     }
+}
+
+/// Adds `Connection: close`.
+fn closing(mut response: Response<Body>) -> Response<Body> {
+    let close = header::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
     response
 }
 
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -84,6 +84,8 @@
     pub vms_with_store_paths: BTreeSet<usize>,
     /// How long callers' connections may be idle by the next configuration, in milliseconds.
     pub idle_timeout_ms: u64,
+    /// The number of file descriptors that the settings of the VMs allow.
+    pub max_fds: usize,
     /// The number of availability zones over which the VMs are spread in turn.
     pub zones: usize,
     folder: PathBuf,
@@ -110,6 +112,7 @@
             vms_with_paths: BTreeSet::new(),
             vms_with_store_paths: BTreeSet::new(),
             idle_timeout_ms: 15_000,
+            max_fds: 4_096,
             zones: 1,
             folder,
             version: 0,
@@ -251,6 +254,7 @@
 ready_addr = "{ready}"
 [limits]
 memory_mb = 260
+max_fds = {max_fds}
 [bounds]
 stable_window_ms = 3000
 drain_ms = 2000
@@ -274,6 +278,7 @@
             ip = self.ip,
             is_fenced = self.is_fenced,
             retry_slack = self.retry_slack,
+            max_fds = self.max_fds,
             first = port + 2,
             last = port + 9,
             front = at(0),
