--- a/src/gateway/tests/idle_connections.rs
+++ b/src/gateway/tests/idle_connections.rs
@@ -5,6 +5,7 @@
 use crate::shutdown::Shutdown;
 use futures_channel::oneshot;
 use hyper::Response;
+use hyper::http::request::Parts;
 use prometheus_client::metrics::counter::Counter;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -30,7 +31,8 @@
         closed_unread: Counter::default(),
     };
     let handler = async |_| Response::new(Body::full("all of it"));
-    let serving = serve_within(limits, listener, shutdown.clone(), handler);
+    let refuse = |_: &Parts, _| Response::new(Body::empty());
+    let serving = serve_within(limits, listener, shutdown.clone(), handler, refuse);
     compio::runtime::spawn(serving).detach();
     address
 }
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -89,6 +89,8 @@
     pub max_header_bytes: usize,
     /// The largest request body by the next configuration.
     pub max_body_bytes: usize,
+    /// The number of file descriptors that the settings of the VMs allow.
+    pub max_fds: usize,
     /// The number of availability zones over which the VMs are spread in turn.
     pub zones: usize,
     folder: PathBuf,
@@ -117,6 +119,7 @@
             idle_timeout_ms: 15_000,
             max_header_bytes: 16_384,
             max_body_bytes: 1_048_576,
+            max_fds: 4_096,
             zones: 1,
             folder,
             version: 0,
@@ -258,6 +261,7 @@
 ready_addr = "{ready}"
 [limits]
 memory_mb = 260
+max_fds = {max_fds}
 [bounds]
 stable_window_ms = 3000
 drain_ms = 2000
@@ -281,6 +285,7 @@
             ip = self.ip,
             is_fenced = self.is_fenced,
             retry_slack = self.retry_slack,
+            max_fds = self.max_fds,
             first = port + 2,
             last = port + 9,
             front = at(0),
