A VM that shuts down without free file descriptors does not stand still

An accept that fails for want of file descriptors is ready at once. The loop that takes the last connections during a shutdown repeated it without waiting, so that its own time limit was never looked at and all open requests would be lost with the process. It now waits before it tries again, as the usual loop does.

--- a/src/http.rs
+++ b/src/http.rs
@@ -473,8 +473,9 @@
     serve_all(&mut queue);
     let accept_last = async {
         loop {
-            if let Ok((stream, _)) = listener.accept().await {
-                serve_one(stream);
+            match listener.accept().await {
+                Ok((stream, _)) => serve_one(stream),
+                Err(_) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
     };
