--- a/review/cases.rs
+++ b/review/cases.rs
@@ -4,6 +4,7 @@
     match case {
         "late-refusal" => late_refusal(record, has_trouble),
         "slow-readers" => slow_readers(record, has_trouble),
+        "crashed-runners" => crashed_runners(record, has_trouble),
         _ => Err("no such case".into()),
     }
 }
@@ -369,3 +370,215 @@
     record.line(format!("LOST: {cut} requests from kept channels, sent on to the sound runner, were cut without an answer; more than three break the rule"));
     Ok(if cut > 3 { Verdict::Broken } else { Verdict::Held })
 }
+
+/// A runner of a plain service that can crash and start again at the same address.
+struct PlainRunner {
+    address: SocketAddr,
+    is_up: Arc<AtomicBool>,
+    /// The connections that a crash breaks.
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl PlainRunner {
+    fn start(named: String, record: &Record) -> Result<Self, AnyError> {
+        let first = TcpListener::bind("127.0.0.1:0")?;
+        let runner = Self {
+            address: first.local_addr()?,
+            is_up: Arc::new(AtomicBool::new(true)),
+            open: Arc::default(),
+        };
+        let (is_up, open, address, log) = (runner.is_up.clone(), runner.open.clone(), runner.address, record.clone());
+        thread::spawn(move || {
+            let mut listener = Some(first);
+            loop {
+                if !is_up.load(Ordering::SeqCst) {
+                    // A runner that is down refuses connections.
+                    listener = None;
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                }
+                let listening = match listener.take().map_or_else(|| TcpListener::bind(address), Ok) {
+                    Ok(listening) => listening,
+                    Err(_) => {
+                        thread::sleep(Duration::from_millis(5));
+                        continue;
+                    }
+                };
+                let _ = listening.set_nonblocking(true);
+                match listening.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        open.lock().unwrap().extend(stream.try_clone());
+                        let (named, log) = (named.clone(), log.clone());
+                        thread::spawn(move || Self::answer(Connection::new(stream), &named, &log));
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(1)),
+                }
+                listener = Some(listening);
+            }
+        });
+        Ok(runner)
+    }
+
+    fn answer(mut connection: Connection, named: &str, log: &Record) {
+        while let Ok(Some(request)) = connection.read_message() {
+            let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
+            log.line(format!("{named}: {attempt} {} runs", request.path()));
+            let is_receipt = request.path().starts_with("/receipt/");
+            thread::sleep(if is_receipt { RECEIPT_TIME } else { Duration::from_millis(30) });
+            let signature = format!("sig-{attempt}");
+            let headers = [
+                ("X-Attempt-Id", attempt.as_str()),
+                ("X-Server-Signature", signature.as_str()),
+                ("Keep-Alive", "timeout=5"),
+            ];
+            if connection.respond("200 OK", &headers, attempt.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn crash(&self) {
+        self.is_up.store(false, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+/// The runners of the service, and how many of them crash: a share of 0.25.
+const RUNNERS: usize = 9;
+const CRASHED: usize = 2;
+/// How long a receipt takes at a runner.
+const RECEIPT_TIME: Duration = Duration::from_millis(2_000);
+
+/// Two kinds of request to one plain service: receipts, which may not be repeated and are all alike, and
+/// lookups, of which each has a path of its own. With the disruption two of nine runners crash at the
+/// same moment and are back after two seconds.
+fn crashed_runners(record: &Record, has_trouble: bool) -> Result<Verdict, AnyError> {
+    let site = Site::start(record)?;
+    let mut runners = Vec::new();
+    for index in 0..RUNNERS {
+        runners.push(PlainRunner::start(format!("runner {index}"), record)?);
+    }
+    let put = |index: usize, boot: u32, is_listed: bool, sequence: u64| {
+        let value = match is_listed {
+            true => entry("rejstrik", runners[index].address, "ready", 6, sequence, ""),
+            false => String::new(),
+        };
+        site.store.put("keyed.servers", &format!("i-{index}-{boot}"), &value);
+    };
+    for index in 0..RUNNERS {
+        put(index, 0, true, 1);
+    }
+    let routes = [route("/lookup/", "safe", "rejstrik", 800, 2), route("/receipt/", "unsafe", "rejstrik", 4_000, 1)];
+    configure(&site.store, 1, &routes, &[plain_service("rejstrik")]);
+    let vm = site.start_vm("front-karlin-1")?;
+    site.wait_ready(&vm)?;
+    thread::sleep(Duration::from_millis(3_500));
+
+    // By kind: sent, served, and the same of requests that are sent 10 s after the runners are back.
+    let counts: Arc<Mutex<[[u64; 4]; 2]>> = Arc::default();
+    let began = Instant::now();
+    let until = began + Duration::from_secs(75);
+    let late_from = began + Duration::from_secs(17);
+    let requesters = (0..48_usize).map(|number| {
+        let (front, counts, log) = (vm.front, counts.clone(), record.clone());
+        thread::spawn(move || {
+            let is_lookup = number < 8;
+            let mut draws = Draws(1_000 + number as u64);
+            let mut channel = None;
+            let mut sent = 0;
+            while Instant::now() < until {
+                sent += 1;
+                let sent_at = Instant::now();
+                let mut status = 0;
+                // One more try after a refusal, as the sheet says.
+                for _ in 0..2 {
+                    if channel.is_none() {
+                        channel = Connection::open(front).ok();
+                    }
+                    let Some(open) = channel.as_mut() else {
+                        break;
+                    };
+                    let id = new_id();
+                    let answer = match is_lookup {
+                        true => exchange(open, &id, "GET", &format!("/lookup/{number}-{sent}"), 1_500, b""),
+                        false => exchange(open, &id, "POST", "/receipt/cafe-day", 4_000, b"licence=cafe&days=1"),
+                    };
+                    let answer = answer.ok().flatten();
+                    status = answer.as_ref().map_or(0, Message::status);
+                    if status != 200 {
+                        let after = answer.as_ref().and_then(|it| it.header("retry-after")).unwrap_or("none");
+                        log.line(format!("requester {number}: {id} answered {status}, Retry-After {after}"));
+                    }
+                    if status == 0 {
+                        channel = None;
+                    }
+                    if status != 503 {
+                        break;
+                    }
+                    thread::sleep(Duration::from_millis(if is_lookup { 400 } else { 1_200 }));
+                }
+                let mut counts = counts.lock().unwrap();
+                let kind = &mut counts[usize::from(!is_lookup)];
+                let is_served = u64::from(status == 200);
+                kind[0] += 1;
+                kind[1] += is_served;
+                if sent_at >= late_from {
+                    kind[2] += 1;
+                    kind[3] += is_served;
+                }
+                drop(counts);
+                thread::sleep(Duration::from_secs_f64(0.1 + 0.3 * draws.share()));
+            }
+        })
+    });
+    let requesters: Vec<_> = requesters.collect();
+    let (mut sequence, mut boot) = (1, 0);
+    let (mut has_crashed, mut is_back) = (false, false);
+    let mut written_at = Instant::now();
+    while Instant::now() < until {
+        thread::sleep(Duration::from_millis(10));
+        let elapsed = began.elapsed();
+        if has_trouble && !has_crashed && elapsed >= Duration::from_secs(5) {
+            has_crashed = true;
+            record.line("runners 0 and 1 crash");
+            runners[..CRASHED].iter().for_each(PlainRunner::crash);
+        }
+        if has_crashed && !is_back && elapsed >= Duration::from_secs(7) {
+            is_back = true;
+            record.line("runners 0 and 1 are back, each with a new id");
+            boot = 1;
+            for index in 0..CRASHED {
+                put(index, 0, false, 0);
+                runners[index].is_up.store(true, Ordering::SeqCst);
+                put(index, boot, true, 1);
+            }
+        }
+        if written_at.elapsed() >= Duration::from_millis(1_200) {
+            written_at = Instant::now();
+            sequence += 1;
+            for index in 0..RUNNERS {
+                let has_own = index < CRASHED;
+                if !has_own || !has_crashed || is_back {
+                    put(index, if has_own { boot } else { 0 }, true, sequence);
+                }
+            }
+        }
+    }
+    for requester in requesters {
+        let _ = requester.join();
+    }
+    let [lookups, receipts] = *counts.lock().unwrap();
+    let share = |served: u64, sent: u64| served as f64 / sent.max(1) as f64;
+    let of_receipts = share(receipts[1], receipts[0]);
+    let of_all = share(lookups[1] + receipts[1], lookups[0] + receipts[0]);
+    record.line(format!("lookups: {} of {} served; receipts: {} of {} served", lookups[1], lookups[0], receipts[1], receipts[0]));
+    record.line(format!(
+        "sent 10 s after the runners were back or later: lookups {} of {} served, receipts {} of {}",
+        lookups[3], lookups[2], receipts[3], receipts[2]
+    ));
+    record.line(format!("STARVED: share of the receipts {of_receipts:.3}, of all requests {of_all:.3}; less than a quarter breaks the rule"));
+    Ok(if of_receipts < of_all / 4.0 { Verdict::Broken } else { Verdict::Held })
+}
