--- a/review/standins.rs
+++ b/review/standins.rs
@@ -417,6 +417,9 @@
     }
 }
 
+/// The processes of the system that were started, for a case that is given up.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 /// A process of the system; killed when dropped.
 struct Vm {
     child: Child,
@@ -426,8 +429,10 @@
 
 impl Drop for Vm {
     fn drop(&mut self) {
+        let id = self.child.id();
         let _ = self.child.kill();
         let _ = self.child.wait();
+        STARTED.lock().unwrap().retain(|started| *started != id);
     }
 }
 
@@ -552,6 +557,7 @@
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
             .spawn()?;
+        STARTED.lock().unwrap().push(child.id());
         let vm = Vm {
             child,
             front: SocketAddr::from(([127, 0, 0, 1], front)),
@@ -687,6 +693,9 @@
     thread::spawn(|| {
         thread::sleep(CASE_LIMIT);
         eprintln!("the case did not end in time");
+        for id in STARTED.lock().unwrap().iter() {
+            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        }
         std::process::exit(2);
     });
     let outcome = run_case(&case, &record, has_trouble);
