An answer identifies an attempt by its id and its connection; unproven refusals promise nothing

Callers got 503 for requests that had run (REFUSED), and requests that may run once ran twice (TWICE): unsafe calls and streams that may not be resumed.

Cause: an answer was matched by the id of the request, which all of its attempts share, and an answer without an id was taken for the request's own. A server may send an answer once more, late. After a refusal the next attempt went out on the same connection; the late copy counted for it while the server ran it, and the request was sent a third time or refused.

Change: src/gateway/attempt.rs holds what an attempt is and what proves that it did not run. A connection carries one attempt of a request at most, so that a copy never bears the id of what its connection waits for. An answer without an id counts only on a connection that has carried nothing else, which is then not used again. 408, 429 and 503 without the server's statement that it did not run the request are not passed on: another server is asked if the request may run again, else the caller gets 502. A failure of this VM, or of the VM that a request was forwarded to, promises nothing once a server may have run the request.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,6 +1,7 @@
 //! The state of one request in flight.
 
 use crate::callers::Organisation;
+use crate::gateway::attempt::UsedConnections;
 use crate::gateway::failure::Failure;
 use crate::gateway::forwarding::ForwardedCall;
 use crate::gateway::grant::Grant;
@@ -81,6 +82,8 @@
     pub(crate) forwarded_to: Vec<SocketAddr>,
     /// What another VM states that forwarded the request to this one.
     pub(crate) forwarded: Option<ForwardedCall>,
+    /// The connections that it was sent on.
+    pub(crate) used_connections: UsedConnections,
     /// The ids of the servers that the request was sent to.
     pub(crate) tried: Vec<Name>,
     /// The ids of the servers that are silent and may still answer.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,8 @@
 //! Sending one request to one backend server, and the pool of idle connections.
 
 use crate::client::{Connection, SendError};
+use crate::gateway::attempt::{ConnectionId, UsedConnections, Verdict};
+use crate::gateway::failure::promises_not_run;
 use crate::gateway::fleet::{InFlightGuard, Incarnation, Server};
 use crate::gateway::state::State;
 use crate::gateway::{Protocol, Reply};
@@ -10,8 +12,8 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::{Request, Response, StatusCode};
-use std::cell::RefCell;
+use hyper::{Request, Response};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -32,9 +34,18 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    id: ConnectionId,
     usable_until: Instant,
 }
 
+/// The connection that carries an attempt.
+struct Carrier {
+    connection: Connection,
+    id: ConnectionId,
+    /// Whether the connection has carried nothing else.
+    is_first_use: bool,
+}
+
 /// A response whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -49,6 +60,9 @@
     /// The server that answers.
     pub(crate) server: Rc<Server>,
     connection: Connection,
+    connection_id: ConnectionId,
+    /// Whether the connection has carried nothing but this request.
+    is_first_use: bool,
     _in_flight: InFlightGuard,
 }
 
@@ -57,6 +71,8 @@
 pub(crate) struct ConnectionPool {
     state: Rc<State>,
     idle: RefCell<HashMap<Incarnation, Vec<IdleConnection>>>,
+    /// The number of connections opened so far.
+    opened: Cell<u64>,
 }
 
 impl ConnectionPool {
@@ -65,10 +81,12 @@
         Self {
             state,
             idle: RefCell::default(),
+            opened: Cell::default(),
         }
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response, on a connection that is not among the
+    /// `used` ones of the request, and adds it to them.
     ///
     /// Dropping the future closes the connection, so that the server stops working on the request.
     ///
@@ -80,33 +98,52 @@
         &self,
         server: &Rc<Server>,
         model: Name,
+        used: &UsedConnections,
         request: impl Fn() -> Request<Body>,
     ) -> Result<Exchange, SendError> {
         let in_flight = server.track_in_flight(model);
-        while let Some(mut connection) = self.take(server) {
+        while let Some(idle) = self.take(server, used) {
+            let (mut connection, id) = (idle.connection, idle.id);
+            used.note(id);
             match connection.send(request()).await {
                 // The connection was closed before the request was written: try the next one.
                 Err(SendError::NotSent) => {}
                 Err(SendError::MaybeSent) => return Err(SendError::MaybeSent),
                 Ok(response) => {
-                    return Ok(Exchange::new::<P>(server, connection, response, in_flight));
+                    let carrier = Carrier {
+                        connection,
+                        id,
+                        is_first_use: false,
+                    };
+                    return Ok(Exchange::new::<P>(server, carrier, response, in_flight));
                 }
             }
         }
         let mut connection = self.open(server).await?;
+        let id = ConnectionId(self.opened.get());
+        self.opened.set(id.0 + 1);
+        used.note(id);
         let response = connection.send(request()).await?;
-        Ok(Exchange::new::<P>(server, connection, response, in_flight))
+        let carrier = Carrier {
+            connection,
+            id,
+            is_first_use: true,
+        };
+        Ok(Exchange::new::<P>(server, carrier, response, in_flight))
     }
 
-    /// Returns the connection of a response that was read completely to the pool.
+    /// Returns the connection of a response that was read completely to the pool, unless a late copy
+    /// of that response could not be told from the answer to the next request.
     pub(crate) fn keep(&self, exchange: Exchange) {
         let Exchange {
             connection,
+            connection_id: id,
             reply,
             server,
             ..
         } = exchange;
-        if connection.is_closed() {
+        let is_identified = server.is_vm || reply.request_id.is_some();
+        if connection.is_closed() || !is_identified {
             return;
         }
         let reuse_time = reply
@@ -118,6 +155,7 @@
             let usable_until = Instant::now() + reuse_time;
             idle.push(IdleConnection {
                 connection,
+                id,
                 usable_until,
             });
         }
@@ -149,13 +187,15 @@
         self.idle.borrow_mut().clear();
     }
 
-    fn take(&self, server: &Server) -> Option<Connection> {
+    /// Takes the connection that was used last and is not among the `used` ones.
+    fn take(&self, server: &Server, used: &UsedConnections) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(&server.incarnation())?;
         let now = Instant::now();
-        while let Some(kept) = idle.pop() {
+        while let Some(index) = idle.iter().rposition(|kept| !used.contains(kept.id)) {
+            let kept = idle.remove(index);
             if now < kept.usable_until && kept.connection.is_ready() {
-                return Some(kept.connection);
+                return Some(kept);
             }
         }
         None
@@ -186,29 +226,33 @@
         answered.is_some_and(|id| *id != self.server.id)
     }
 
-    /// Whether the response is an answer to this request from the server that it was sent to, and the
-    /// server ran it.
-    pub(crate) fn is_answer_to(&self, request_id: &Name) -> bool {
-        let status = self.head.status;
-        let is_refused = match self.server.is_vm {
-            true => status == StatusCode::SERVICE_UNAVAILABLE,
-            false => self.reply.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST,
-        };
-        let is_own = self
-            .reply
-            .request_id
-            .as_ref()
-            .is_none_or(|id| id == request_id);
-        let is_valid = !status.is_success() || self.reply.is_signed;
-        is_own && is_valid && !is_refused
+    /// What the response shows about the attempt of a request that servers may have executed `runs`
+    /// times before.
+    pub(crate) fn verdict(&self, request_id: &str, runs: u32) -> Verdict {
+        let reply = &self.reply;
+        match self.server.is_vm {
+            true => Verdict::of_vm(reply, &self.head, request_id, runs),
+            false => Verdict::of_server(reply, self.head.status, request_id, self.is_first_use),
+        }
+    }
+
+    /// Whether the response is an answer to this request, which may have been executed for it.
+    pub(crate) fn is_answer_to(&self, request_id: &str) -> bool {
+        let is_answered = self.verdict(request_id, 0) == Verdict::Answered;
+        is_answered && !promises_not_run(self.head.status)
     }
 
     fn new<P: Protocol>(
         server: &Rc<Server>,
-        connection: Connection,
+        carrier: Carrier,
         response: Response<Incoming>,
         in_flight: InFlightGuard,
     ) -> Self {
+        let Carrier {
+            connection,
+            id,
+            is_first_use,
+        } = carrier;
         let (head, body) = response.into_parts();
         Self {
             reply: P::read_reply(&head),
@@ -217,6 +261,8 @@
             whole_body: None,
             server: server.clone(),
             connection,
+            connection_id: id,
+            is_first_use,
             _in_flight: in_flight,
         }
     }
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -32,6 +32,17 @@
 /// Retry time of a request that crashes servers.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// Whether a status promises to the caller that its request has not run and never will.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// The reason why a request has no answer from a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Failure {
@@ -76,6 +87,17 @@
 }
 
 impl Failure {
+    /// The failure to report for a request that servers may have executed `runs` times: nothing is
+    /// promised of one that may have run.
+    pub(crate) fn after_runs(self, runs: u32) -> Self {
+        let promises = promises_not_run(self.refusal(Duration::ZERO).status);
+        match self {
+            _ if runs == 0 || !promises => self,
+            Self::Late => Self::TimedOut,
+            _ => Self::Unknown,
+        }
+    }
+
     /// Returns the name in metrics.
     pub(crate) fn name(self) -> &'static str {
         match self {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! placement are made in code that does no network access, so that it can be tested without any.
 
 mod answer_memory;
+mod attempt;
 mod backlog;
 mod begun_parts;
 mod budget;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,6 +4,7 @@
 use crate::accept_queue::Overload;
 use crate::connection_end::ConnectionEnd;
 use crate::gateway::answer_memory::{AnswerMemory, MAX_ANSWER_BYTES, read_answer};
+use crate::gateway::attempt::UsedConnections;
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::call::{Call, StreamVersion};
 use crate::gateway::crash_check::{Break, CrashCheck};
@@ -116,6 +117,9 @@
             arrived,
             progress: open.progress(),
         };
+        if let Some(forwarded) = &forwarded {
+            reading.progress.runs.set(forwarded.state.runs);
+        }
         let answer = self.clone().answer(request, &mut reading, forwarded).await;
         if answer.is_err() {
             let time_left = caller_timeout.saturating_sub(arrived.elapsed());
@@ -128,7 +132,10 @@
         let response = match answer {
             Ok(response) => response,
             Err(Failure::CutOff) if is_forwarded => DeclineReason::CutOff.response(),
-            Err(failure) => self.refuse(&id, &model, failure, caller_timeout, arrived.elapsed()),
+            Err(failure) => {
+                let failure = failure.after_runs(reading.progress.runs.get());
+                self.refuse(&id, &model, failure, caller_timeout, arrived.elapsed())
+            }
         };
         response.map(|body| body.tracked(open))
     }
@@ -299,6 +306,7 @@
             unreached: 0,
             forwarded_to: Vec::new(),
             forwarded,
+            used_connections: UsedConnections::default(),
             tried: Vec::new(),
             is_crash_suspect: Cell::new(false),
         };
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -3,13 +3,14 @@
 
 use crate::client::SendError;
 use crate::gateway::answer_memory::read_answer;
+use crate::gateway::attempt::Verdict;
 use crate::gateway::call::{Call, Dispatch};
 use crate::gateway::crash_check::{Break, CrashCheck};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
 use crate::gateway::forward_relay::forward_request;
-use crate::gateway::forwarding::{is_declined, peer_address};
+use crate::gateway::forwarding::peer_address;
 use crate::gateway::reachability::CONFIRMATION_TIME;
 use crate::gateway::relay::Relay;
 use crate::gateway::server_probe::DOUBT_PROBE_INTERVAL;
@@ -142,7 +143,11 @@
             None => P::to_server(&request, &options),
         };
         let sent_at = Instant::now();
-        let mut head = pin!(self.pool.exchange::<P>(server, call.model(), request));
+        let used = call.used_connections.clone();
+        let sending = self
+            .pool
+            .exchange::<P>(server, call.model(), &used, request);
+        let mut head = pin!(sending);
         call.is_attempt_open = true;
         let sent = self.await_head(call, server, head.as_mut()).await;
         call.is_attempt_open = false;
@@ -372,17 +377,17 @@
         }
     }
 
-    /// Checks a response head: whether the server refused the request, answered a different one,
-    /// or sent a valid response.
+    /// Acts on what a response head shows: returns the response if it is the answer, else fails with
+    /// `Err(None)` if another server may be tried.
     fn check_head(
         &self,
         call: &mut Call,
         exchange: Exchange,
         now: Instant,
     ) -> Result<Exchange, Option<Failure>> {
-        let status = exchange.head.status;
         let server = exchange.server.clone();
-        if server.is_vm && is_declined(&exchange.head) {
+        let verdict = exchange.verdict(&call.request.id, call.runs);
+        if server.is_vm && verdict == Verdict::NotExecuted {
             info!(request = %call.request.id, vm = %server.address, "request declined by other VM");
             call.note_running(false);
             call.unreached += 1;
@@ -392,20 +397,13 @@
         if !server.is_vm {
             self.state.record_server_answer(now);
         }
-        let is_other = exchange
-            .reply
-            .request_id
-            .as_ref()
-            .is_some_and(|id| *id != call.request.id);
-        let is_refused =
-            exchange.reply.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST;
-        let is_valid = !status.is_success() || exchange.reply.is_signed;
-        if is_valid && !is_other && !server.is_vm && !exchange.is_from_other_server() {
+        let is_stated = verdict != Verdict::Unrelated && !server.is_vm;
+        if is_stated && !exchange.is_from_other_server() {
             self.state
                 .note_server_statements(&exchange.reply, &server, now);
             self.note_plain_load(call, &exchange, now);
         }
-        if is_refused && !is_other && !server.is_vm {
+        if verdict == Verdict::NotExecuted {
             self.state.metrics.note_attempt("refused");
             self.note_refused(call, &exchange, now);
             self.pool.keep(exchange);
@@ -415,23 +413,31 @@
             return Err(None);
         }
         call.runs += 1;
-        if is_other || !is_valid {
-            warn!(
-                request = %call.request.id,
-                server = %server.id,
-                is_other,
-                "answer does not match request"
-            );
-            self.state.metrics.note_attempt("not_its_answer");
-            server.note_failure(now);
-            self.pool.clear(&server);
-            if call.may_run_again() {
-                return Err(None);
+        match verdict {
+            Verdict::Unrelated => {
+                self.state.metrics.note_attempt("not_its_answer");
+                server.note_failure(now);
+                self.pool.clear(&server);
+            }
+            Verdict::Unproven => {
+                self.state.metrics.note_attempt("unproven_refusal");
+                self.pool.keep(exchange);
+            }
+            Verdict::Answered | Verdict::NotExecuted => {
+                self.state.metrics.note_attempt("answered");
+                return Ok(exchange);
             }
-            return Err(Some(Failure::Unknown));
         }
-        self.state.metrics.note_attempt("answered");
-        Ok(exchange)
+        warn!(
+            request = %call.request.id,
+            server = %server.id,
+            ?verdict,
+            "answer proves nothing about the request"
+        );
+        match call.may_run_again() {
+            true => Err(None),
+            false => Err(Some(Failure::Unknown)),
+        }
     }
 
     fn note_refused(&self, call: &mut Call, exchange: &Exchange, now: Instant) {
