Streams are not taken up at a version that VMs have listed only since they all started

Callers whose streams had broken off took them up after all VMs were killed at once and had started again. Where the servers of the version that began the streams had just left, the take-ups were answered 200 and the text was joined from two versions (ORDER).

Cause: if all VMs that answered were young and none was told, `decide` took the one version that they had listed since their start for the only one, and a VM that is alone did so by itself. What was listed before their start none of them can know.

Fix: only a VM that has known the servers for as long as streams last can say at which version a stream began that was not told. Without one the version is unknown and the request is refused as not run (503), as is done where VMs disagree. A young VM still counts as the second of the two that have to agree.

Evidence: the new test of real processes with 1 and with 3 VMs, streams begun at v1, v2 come and v1 gone, all VMs killed.

The unit test asserted that two young VMs that agree decide, which is the fault; it asserts now that they do not. The random play spared one VM from restarts, since the fault was known there; it now restarts any VM, and all at once.

--- a/src/gateway/stream_resumption.rs
+++ b/src/gateway/stream_resumption.rs
@@ -123,7 +123,7 @@
         }
         let own = state.version_answer(key, &call.service, began);
         if state.peers.is_alone() {
-            return own.untold;
+            return own.untold.filter(|_| !own.is_young);
         }
         // A VM that hears no other may have missed what the others were told.
         decide(&search.answers(), &own, asked.len().max(1))
--- a/src/gateway/tests/stream_versions.rs
+++ b/src/gateway/tests/stream_versions.rs
@@ -104,7 +104,7 @@
         decided(&[&old, &old, &young_answer(Some("v2"))]).as_deref(),
         Some("v1")
     );
-    assert_eq!(decided(&[&young, &young]).as_deref(), Some("v1"));
+    assert_eq!(decided(&[&young, &young]), None);
     assert_eq!(decided(&[&young, &young, &ignorant]), None);
     assert_eq!(decided(&[&young, &young, &young_answer(Some("v2"))]), None);
     assert_eq!(decided(&[&nothing]), None);
@@ -266,7 +266,7 @@
     fn no_stream_goes_on_at_another_version_than_it_began(
         vms in 2..24_usize,
         lost_percent in 0..10_u32,
-        steps in proptest::collection::vec(0..10_u8, 20..80),
+        steps in proptest::collection::vec(0..11_u8, 20..80),
         seed in any::<[u8; 16]>(),
     ) {
         let draws = proptest::test_runner::TestRng::from_seed(
@@ -292,10 +292,10 @@
                 1 => fleet.listed = vec!["v1", "v2"],
                 2 => fleet.listed = vec!["v2"],
                 3 => {
-                    // One VM stays: versions that no VM has seen are not known to any.
-                    let vm = 1 + fleet.draw(vms - 1);
+                    let vm = fleet.draw(vms);
                     fleet.vms[vm] = Vm::default();
                 }
+                10 => fleet.vms = (0..vms).map(|_| Vm::default()).collect(),
                 _ => {
                     let (key, version) = fleet.begin(id);
                     begun.insert(id, (key, version, fleet.now));
--- a/workbench/tests/site_versions.rs
+++ b/workbench/tests/site_versions.rs
@@ -4,11 +4,14 @@
 use googletest::prelude::*;
 use serde_json::json;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 use workbench::cluster::block_on;
 use workbench::proxy::Proxy;
 use workbench::site::events::remaining_events_of;
-use workbench::site::{Answer, Caller, CallerRequest, ScriptStep, Site, route, runner_service};
+use workbench::site::{
+    Answer, Caller, CallerRequest, ScriptStep, ServerStandIn, Site, route, runner_service,
+};
 
 /// Events of a whole stream.
 const EVENTS: u64 = 12;
@@ -63,7 +66,7 @@
 }
 
 /// Adds a runner whose streams stop in the middle unless they were taken up there.
-async fn add_server(site: &mut Site, version: &str) {
+async fn add_server(site: &mut Site, version: &str) -> Rc<ServerStandIn> {
     let holds = vec![("m0", vec![])];
     let server = site.add_server_of_version("llm", holds, version).await;
     let version = version.to_owned();
@@ -75,6 +78,7 @@
         }
         steps
     });
+    server
 }
 
 /// Begins streams at a VM; their callers leave after the first events.
@@ -217,6 +221,25 @@
     });
 }
 
+/// Kills all VMs at once and starts them again.
+async fn restart_all_vms(site: &mut Site) {
+    for vm in &mut site.vms {
+        vm.kill();
+    }
+    for vm in 0..site.vms.len() {
+        site.restart_vm(vm);
+    }
+    site.wait_ready().await;
+}
+
+/// Checks that streams taken up at a VM are refused at once as not run.
+async fn expect_refused(site: &Site, vm: usize, begun: &[BegunStream]) {
+    for answer in take_up(site, vm, begun).await {
+        expect_that!(answer.promises_not_run(), eq(true), "{answer:?}");
+        expect_that!(answer.duration, lt(REFUSAL_LIMIT));
+    }
+}
+
 async fn begin_one(site: &Site, vm: usize) {
     let mut request = CallerRequest::model("/s/x", "m0");
     request.disconnect_after = Some(LEAVE_AFTER);
@@ -228,16 +251,63 @@
     block_on(async {
         let mut site = start(3).await;
         let begun = begin(&site, 0).await;
-        for vm in 0..3 {
-            site.vms[vm].kill();
+        restart_all_vms(&mut site).await;
+        expect_refused(&site, 1, &begun).await;
+    });
+}
+
+#[googletest::test]
+fn a_stream_whose_version_left_before_all_vms_restarted_goes_on_at_no_other() {
+    for vms in [1, 3] {
+        block_on(async {
+            let mut site = start_servers(&["v1", "v1"]).await;
+            site.start_vms(vms);
+            site.wait_ready().await;
+            let begun = begin(&site, 0).await;
+            for _ in 0..2 {
+                add_server(&mut site, "v2").await;
+            }
+            for server in &site.servers[..2] {
+                site.remove(server);
+                server.die();
+            }
+            restart_all_vms(&mut site).await;
+            compio::time::sleep(SETTLE).await;
+            for vm in 0..vms {
+                expect_refused(&site, vm, &begun).await;
+            }
+        });
+    }
+}
+
+#[googletest::test]
+fn a_stream_goes_on_at_no_version_that_vms_have_listed_only_since_they_all_restarted() {
+    block_on(async {
+        let mut site = start_servers(&["v1", "v1"]).await;
+        site.start_vms(3);
+        site.wait_ready().await;
+        let begun = begin(&site, 0).await;
+        for vm in &mut site.vms {
+            vm.kill();
         }
-        for vm in 0..3 {
+        for server in &site.servers {
+            site.remove(server);
+            server.die();
+        }
+        // The first VM starts while only the second version is listed, the others with the third.
+        let second = add_server(&mut site, "v2").await;
+        site.restart_vm(0);
+        site.wait("the VM is ready", async || site.is_ready(0).await)
+            .await;
+        site.remove(&second);
+        second.die();
+        add_server(&mut site, "v3").await;
+        for vm in 1..3 {
             site.restart_vm(vm);
         }
         site.wait_ready().await;
-        let answers = take_up(&site, 1, &begun).await;
-        for answer in &answers {
-            expect_that!(answer.promises_not_run(), eq(true), "{answer:?}");
+        for vm in 0..3 {
+            expect_refused(&site, vm, &begun).await;
         }
     });
 }
