The stand-in server echoes the id of the request in refusals, as servers do

Its refusals bore no id. Scripts that send refusals without an id on purpose do so behind an empty first write.

--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -403,6 +403,7 @@
         let mut read = Vec::new();
         while let Some(request) = self.read_request(&mut stream, &mut read).await {
             let mut steps = self.answer(&request);
+            echo_id(&request, &mut steps);
             self.add_headers(&mut steps);
             for step in steps {
                 let is_open = match step {
@@ -630,6 +631,22 @@
     }
 }
 
+/// Adds the id of the request to a refusal that lacks it: servers echo it in all responses.
+fn echo_id(request: &ReceivedRequest, steps: &mut [ScriptStep]) {
+    let Some(ScriptStep::Write(bytes)) = steps.first_mut() else {
+        return;
+    };
+    let text = String::from_utf8_lossy(bytes).to_ascii_lowercase();
+    let is_refusal = text.contains("\r\nx-not-executed:") || text.starts_with("http/1.1 421 ");
+    let Some(end) = text.find("\r\n").filter(|_| is_refusal) else {
+        return;
+    };
+    if !text.contains("\r\nx-attempt-id:") {
+        let line = format!("X-Attempt-Id: {}\r\n", request.header("x-attempt-id"));
+        bytes.splice(end + 2..end + 2, line.into_bytes());
+    }
+}
+
 /// Parses a request; returns it with its length in bytes, or `None` while it is incomplete.
 fn parse(bytes: &[u8]) -> Option<(ReceivedRequest, usize)> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/workbench/tests/site_attempts.rs
+++ b/workbench/tests/site_attempts.rs
@@ -220,7 +220,10 @@
         let site = site().await;
         let caller = Caller::default();
         for _ in 0..3 {
-            let runs = script(&site, |_, _| vec![refusal(503, None)]);
+            // The stand-in names the request in refusals of the first write.
+            let runs = script(&site, |_, _| {
+                vec![ScriptStep::Write(Vec::new()), refusal(503, None)]
+            });
             let request = CallerRequest::post("/orders/1", "it");
             site.servers[0].die();
             compio::time::sleep(Duration::from_millis(100)).await;
