Delivery soak: ORDER, REFUSED and TWICE beside faulty servers

Callers of earlier landings saw streams out of order, refused requests that had run, and requests that ran twice; no soak had servers that send answers late, refuse without an id or go on at the wrong event. VMs get SIGTERM, SIGKILL, SIGSTOP and SIGHUP and are cut off from all servers at times, and the configuration changes. ServerStandIn gets the step WriteLate, which is written just before the next answer on the connection.

Most REFUSED and the TWICE that follow are statuses 503, 429 or 408 of a server that had run the request, passed on as they were.

--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -141,6 +141,17 @@
                 .arg(number("vms", "6"))
                 .arg(number("seconds", "25")),
         )
+        .subcommand(
+            Command::new("delivery-soak")
+                .about(
+                    "Draw faulty answers of servers and faults of VMs from a seed, and check that \
+                     requests run at most once, that none runs of which this was denied, and that \
+                     streams come whole",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("vms", "6"))
+                .arg(number("seconds", "25")),
+        )
         .subcommand(
             Command::new("version-soak")
                 .about(
@@ -347,6 +358,13 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("delivery-soak", matches)) => {
+            let (seed, vms, duration) = soak_arguments(matches);
+            let findings = site::delivery_soak::run(seed, vms, duration).await;
+            if !report_findings(&findings) {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("version-soak", matches)) => {
             let (seed, vms, duration) = soak_arguments(matches);
             let findings = site::version_soak::run(seed, vms, duration).await;
--- a/workbench/src/site/cut_soak.rs
+++ b/workbench/src/site/cut_soak.rs
@@ -61,14 +61,15 @@
 }
 
 /// The paths of one zone of VMs to the servers.
-struct Paths {
+#[derive(Default)]
+pub(super) struct Paths {
     proxies: Vec<Rc<Proxy>>,
     black_holes: Vec<BlackHole>,
-    cut_until: Option<Instant>,
+    pub(super) cut_until: Option<Instant>,
 }
 
 impl Paths {
-    async fn heal(&mut self, site: &Site) {
+    pub(super) async fn heal(&mut self, site: &Site) {
         self.black_holes.clear();
         self.proxies.clear();
         for (index, server) in site.servers.iter().enumerate() {
@@ -80,7 +81,7 @@
 
     /// Refuses new connections; `kind` below 1 leaves open ones as they are, below 2 resets them,
     /// and above makes them silent and new ones hang.
-    async fn cut(&mut self, site: &Site, kind: u32, until: Instant) {
+    pub(super) async fn cut(&mut self, site: &Site, kind: u32, until: Instant) {
         for proxy in &self.proxies {
             proxy.close();
             match kind {
@@ -114,11 +115,7 @@
     configure(&mut site);
     let first_cut = vms - (vms / 3).max(1);
     site.vms_with_paths = (first_cut..vms).collect();
-    let mut paths = Paths {
-        proxies: Vec::new(),
-        black_holes: Vec::new(),
-        cut_until: None,
-    };
+    let mut paths = Paths::default();
     paths.heal(&site).await;
     site.start_vms(vms);
     site.wait_ready().await;
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -8,6 +8,7 @@
 pub mod crash_soak;
 pub mod crashing_parts;
 pub mod cut_soak;
+pub mod delivery_soak;
 pub mod events;
 pub mod histories;
 mod load;
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -63,6 +63,8 @@
     },
     /// Waits; ends early when the client disconnects.
     Wait(Duration),
+    /// Sends bytes later, just before the next answer on this connection.
+    WriteLate(Vec<u8>),
     /// Closes the connection.
     Close,
     /// Resets the connection; bytes that the client has not read yet may be lost.
@@ -401,9 +403,13 @@
         let deaths = self.deaths.get();
         let _ = stream.set_nodelay(true);
         let mut read = Vec::new();
+        let mut late = Vec::new();
         while let Some(request) = self.read_request(&mut stream, &mut read).await {
             let mut steps = self.answer(&request);
             self.add_headers(&mut steps);
+            if !late.is_empty() {
+                steps.insert(0, ScriptStep::Write(std::mem::take(&mut late)));
+            }
             for step in steps {
                 let is_open = match step {
                     ScriptStep::Write(bytes) => stream.write_all(bytes).await.0.is_ok(),
@@ -412,6 +418,10 @@
                         false
                     }
                     ScriptStep::Wait(time) => self.wait(&mut stream, &mut read, time).await,
+                    ScriptStep::WriteLate(bytes) => {
+                        late.extend(bytes);
+                        true
+                    }
                     ScriptStep::Close => false,
                     ScriptStep::Reset => {
                         // With a zero linger time, closing the socket sends a reset.
--- a/workbench/tests/site_soak.rs
+++ b/workbench/tests/site_soak.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use workbench::cluster::block_on;
 use workbench::site::{
-    config_soak, crash_soak, cut_soak, histories, silence_soak, soak, version_soak,
+    config_soak, crash_soak, cut_soak, delivery_soak, histories, silence_soak, soak, version_soak,
 };
 
 #[googletest::test]
@@ -35,6 +35,12 @@
     expect_that!(findings, is_empty());
 }
 
+#[googletest::test]
+fn requests_run_once_and_streams_come_whole_beside_faulty_servers_with_seed_1() {
+    let findings = block_on(delivery_soak::run(1, 6, Duration::from_secs(20)));
+    expect_that!(findings, is_empty());
+}
+
 #[googletest::test]
 fn each_answer_agrees_with_a_configuration_that_may_be_in_force_with_seed_9() {
     let findings = block_on(config_soak::run(9, 6, Duration::from_secs(25)));
