--- a/workbench/src/site/delivery_soak.rs
+++ b/workbench/src/site/delivery_soak.rs
@@ -199,7 +199,11 @@
              Content-Length: 0\r\n\r\n"
         );
         let refusal = refusal.into_bytes();
-        let mut steps = vec![ScriptStep::Write(refusal.clone())];
+        // The stand-in names the request in refusals of the first write.
+        let mut steps = vec![
+            ScriptStep::Write(Vec::new()),
+            ScriptStep::Write(refusal.clone()),
+        ];
         if has_id && self.random.random_bool(2.0 * LATE_SHARE) {
             steps.push(ScriptStep::WriteLate(refusal));
         }
