A taken-up stream that begins behind a gap, or a new one without events, is broken

Callers that took a stream up got text with an event missing (ORDER), and a new stream whose server sent a head and no event ended as a whole, empty answer. Cause: only later events were compared with the last one that the caller has. The first one is compared too.

--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -156,7 +156,14 @@
                     return Ok(failure);
                 }
             } else {
+                let taken_up_after = call.request.last_event;
                 match self.next_read(&mut call, &mut stream, position).await {
+                    ReadOutcome::Event(first) if has_gap_before(taken_up_after, first.id) => {
+                        self.note_cut(&call, &stream, "event missing").await;
+                    }
+                    ReadOutcome::End if taken_up_after.is_none() => {
+                        self.note_cut(&call, &stream, "no event").await;
+                    }
                     ReadOutcome::Event(first) => {
                         self.note_stream_version(&mut call, &stream.exchange.server);
                         self.learn_prefill_time(&call);
