--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept_queue;
 mod answer_memory;
+mod attempt;
 mod brief;
 mod bulk_reads;
 mod change_history;
