--- a/workbench/src/site/delivery_soak.rs
+++ b/workbench/src/site/delivery_soak.rs
@@ -595,13 +595,7 @@
         if paths.cut_until.is_some_and(|until| now >= until) {
             paths.heal(site).await;
         }
-        for (vm, _) in thaws.extract_if(.., |(_, until)| now >= *until) {
-            site.vms[vm].signal(Signal::SIGCONT);
-        }
-        for (vm, _) in restarts.extract_if(.., |(_, until)| now >= *until) {
-            site.vms[vm].kill();
-            site.restart_vm(vm);
-        }
+        site.resume_due(&mut thaws, &mut restarts, now);
         if now >= next_event && now < end {
             next_event = now + EVENT_INTERVAL.mul_f64(random.random_range(0.3..1.7));
             let vm = random.random_range(0..site.vms.len());
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -32,6 +32,7 @@
 use crate::cluster::Cluster;
 use crate::process::{Process, product_binary};
 use crate::proxy::Proxy;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
@@ -236,6 +237,23 @@
         self.vms[index] = self.spawn_vm(index);
     }
 
+    /// Continues the VMs that are stopped, and restarts those that are ending, until a time that has
+    /// passed.
+    pub(crate) fn resume_due(
+        &mut self,
+        thaws: &mut Vec<(usize, Instant)>,
+        restarts: &mut Vec<(usize, Instant)>,
+        now: Instant,
+    ) {
+        for (vm, _) in thaws.extract_if(.., |(_, until)| now >= *until) {
+            self.vms[vm].signal(Signal::SIGCONT);
+        }
+        for (vm, _) in restarts.extract_if(.., |(_, until)| now >= *until) {
+            self.vms[vm].kill();
+            self.restart_vm(vm);
+        }
+    }
+
     fn spawn_vm(&self, index: usize) -> Process {
         let port = VM_PORT + 10 * index as u16;
         let at = |offset: u16| SocketAddr::new(self.ip, port + offset);
--- a/workbench/src/site/version_soak.rs
+++ b/workbench/src/site/version_soak.rs
@@ -210,13 +210,7 @@
             site.store.set(StoreFaults::default());
             store_back = None;
         }
-        for (vm, _) in thaws.extract_if(.., |(_, until)| now >= *until) {
-            site.vms[vm].signal(Signal::SIGCONT);
-        }
-        for (vm, _) in restarts.extract_if(.., |(_, until)| now >= *until) {
-            site.vms[vm].kill();
-            site.restart_vm(vm);
-        }
+        site.resume_due(&mut thaws, &mut restarts, now);
         if now >= next_event && now < end {
             next_event = now + EVENT_INTERVAL.mul_f64(random.random_range(0.3..1.7));
             let vm = random.random_range(0..site.vms.len());
