Streams that their callers do not name are taken up by young VMs again

After all VMs had started, within the first 30 s, each take-up without the name of its stream was refused, although a service had had one version: the rule for named streams went too far. VMs can only be told of a stream that its caller names, so that nothing follows from not having been told of another. The order of decide for such streams is that of before.

--- a/src/gateway/stream_resumption.rs
+++ b/src/gateway/stream_resumption.rs
@@ -122,11 +122,12 @@
                 .await;
         }
         let own = state.version_answer(key, &call.service, began);
+        let is_named = call.request.resumes.is_some();
         if state.peers.is_alone() {
-            return own.untold.filter(|_| !own.is_young);
+            return own.untold.filter(|_| !(own.is_young && is_named));
         }
         // A VM that hears no other may have missed what the others were told.
-        decide(&search.answers(), &own, asked.len().max(1))
+        decide(&search.answers(), &own, asked.len().max(1), is_named)
     }
 
     /// Records that the stream of a call goes on at a server, and tells other VMs.
--- a/src/gateway/tests/stream_versions.rs
+++ b/src/gateway/tests/stream_versions.rs
@@ -87,16 +87,16 @@
     let nothing = answer(None, None);
     let decided = |answers: &[&VersionAnswer]| {
         let answers: Vec<VersionAnswer> = answers.iter().map(|it| (*it).clone()).collect();
-        decide(&answers, &young_answer(Some("v1")), 3).map(|version| version.to_string())
+        decide(&answers, &young_answer(Some("v1")), 3, true).map(|version| version.to_string())
     };
     assert_eq!(decided(&[&old, &told, &nothing]).as_deref(), Some("v2"));
     assert_eq!(decided(&[&old, &old, &nothing]).as_deref(), Some("v1"));
     assert_eq!(decided(&[&old, &nothing]), None);
     assert_eq!(
-        decide(std::slice::from_ref(&old), &old, 1),
+        decide(std::slice::from_ref(&old), &old, 1, true),
         Some("v1".into())
     );
-    assert_eq!(decide(&[], &old, 1), None);
+    assert_eq!(decide(&[], &old, 1, true), None);
     let (young, ignorant) = (young_answer(Some("v1")), young_answer(None));
     assert_eq!(decided(&[&old, &young]).as_deref(), Some("v1"));
     assert_eq!(decided(&[&old, &ignorant, &old]).as_deref(), Some("v1"));
@@ -113,6 +113,18 @@
     assert_eq!(decided(&[&old, &answer(None, Some("v2"))]), None);
 }
 
+#[test]
+fn young_vms_name_the_only_version_they_know_for_a_stream_that_its_caller_does_not_name() {
+    let young = young_answer(Some("v1"));
+    let decided = |answers: &[VersionAnswer]| decide(answers, &young, 3, false);
+    let agreeing = [young.clone(), young.clone()];
+    assert_eq!(decided(&agreeing), Some("v1".into()));
+    assert_eq!(decide(&agreeing, &young, 3, true), None);
+    for other in [young_answer(None), young_answer(Some("v2"))] {
+        assert_eq!(decided(&[young.clone(), young.clone(), other]), None);
+    }
+}
+
 /// The other VMs of a fleet whose VMs are spread over the zones, as one of them knows them.
 fn targets(own: usize, vms: usize) -> Targets {
     let mut targets = Targets::default();
@@ -256,7 +268,7 @@
                 answers.push(self.vms[index(*asked)].answer(key, self.now));
             }
         }
-        decide(&answers, &own, asked.len())
+        decide(&answers, &own, asked.len(), true)
     }
 }
 
--- a/src/gateway/version_search.rs
+++ b/src/gateway/version_search.rs
@@ -85,19 +85,32 @@
 }
 
 /// Decides at which version a stream began by the answers of the VMs that were `asked`, and by what
-/// this VM itself knows; `None` if that leaves none or several.
+/// this VM itself knows; `None` if that leaves none or several. `is_named` says whether the caller
+/// names the stream, so that VMs can have been told of it.
 ///
-/// VMs that were told decide. If none was, the stream began while nothing had to be told, which only
-/// VMs that are not young have seen: before young ones started, another version may have left. Since
-/// a VM may have missed a message, it takes two to say so.
-pub(crate) fn decide(answers: &[VersionAnswer], own: &VersionAnswer, asked: usize) -> Option<Name> {
+/// VMs that were told decide. If none was, the stream began while nothing had to be told, of which
+/// young VMs may be ignorant. Since a VM may have missed a message, it takes two to say so. Young VMs
+/// tell of all streams: one that is named and was not told began before all of them, at a version that
+/// may have left.
+pub(crate) fn decide(
+    answers: &[VersionAnswer],
+    own: &VersionAnswer,
+    asked: usize,
+    is_named: bool,
+) -> Option<Name> {
     let all = || answers.iter().chain([own]);
     let told = all().filter_map(|it| it.version.as_ref());
     if told.clone().count() > 0 {
         return only(told).cloned();
     }
-    let old = all().filter(|it| !it.is_young);
-    let version = only(old.filter_map(|it| it.untold.as_ref()))?;
+    let has_old = all().any(|it| !it.is_young);
+    if !has_old && is_named {
+        return None;
+    }
+    let deciding = all().filter(|it| !(has_old && it.is_young));
+    let versions: Vec<Option<&Name>> = deciding.map(|it| it.untold.as_ref()).collect();
+    let has_ignorant_young = !has_old && versions.contains(&None);
+    let version = only(versions.into_iter().flatten()).filter(|_| !has_ignorant_young)?;
     let confirmed = answers
         .iter()
         .filter(|it| it.untold.as_ref() == Some(version));
