--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -62,7 +62,7 @@
         let is_refused = reply.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST;
         // A success needs a signature and excludes a refusal.
         let is_consistent = !status.is_success() || (reply.is_signed && !reply.is_not_executed);
-        if !is_own || !is_consistent {
+        if !is_own || !is_consistent || reply.is_ambiguous {
             Self::Unrelated
         } else if is_refused {
             Self::NotExecuted
@@ -84,7 +84,7 @@
         let is_own = reply.request_id.as_ref().is_none_or(|id| id == request_id);
         if is_declined(head) {
             Self::NotExecuted
-        } else if !is_own || (head.status.is_success() && !reply.is_signed) {
+        } else if !is_own || reply.is_ambiguous || (head.status.is_success() && !reply.is_signed) {
             Self::Unrelated
         } else if runs > 0 && promises_not_run(head.status) {
             Self::Unproven
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -37,6 +37,9 @@
 pub(crate) struct Reply {
     /// The id of the request that the server answers.
     pub(crate) request_id: Option<Name>,
+    /// Whether the head names several requests or runs into that of another response, so that it
+    /// belongs to no request.
+    pub(crate) is_ambiguous: bool,
     /// Whether the server states that it did not execute the request.
     pub(crate) is_not_executed: bool,
     /// The backend server that answered, if the response names it.
--- a/src/gateway/tests/attempt.rs
+++ b/src/gateway/tests/attempt.rs
@@ -68,6 +68,15 @@
     );
 }
 
+#[test]
+fn an_ambiguous_head_is_neither_an_answer_nor_a_refusal() {
+    let mut ambiguous = reply(Some("own"), true, true);
+    ambiguous.is_ambiguous = true;
+    assert_eq!(of_server(&ambiguous, 503, FIRST_USE), Verdict::Unrelated);
+    ambiguous.is_not_executed = false;
+    assert_eq!(of_server(&ambiguous, 200, FIRST_USE), Verdict::Unrelated);
+}
+
 #[test]
 fn a_vm_that_refuses_proves_nothing_about_attempts_of_the_vm_that_forwarded() {
     let refusal = Reply::default();
--- a/src/platform/requests.rs
+++ b/src/platform/requests.rs
@@ -8,6 +8,7 @@
 use crate::http::Body;
 use crate::inventory::Name;
 use bytes::Bytes;
+use hyper::ext::ReasonPhrase;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
@@ -68,6 +69,9 @@
     StatusCode::TOO_MANY_REQUESTS,
 ];
 
+/// What the first line of a response begins with.
+const STATUS_LINE: &[u8] = b"HTTP/1.";
+
 /// Headers that apply to one connection only and are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 10] = [
     header::CONNECTION,
@@ -230,6 +234,24 @@
     header_text(headers, &LEAVING) == Some("1")
 }
 
+/// Whether a head names several requests, or was cut off in a line and goes on with another head.
+fn is_ambiguous(head: &response::Parts) -> bool {
+    let mut ids = head.headers.get_all(REQUEST_ID).iter();
+    let first_id = ids.next();
+    let reason = head.extensions.get::<ReasonPhrase>();
+    let lines = head
+        .headers
+        .iter()
+        .filter(|(name, _)| **name != header::VIA);
+    let texts = lines.map(|(_, value)| value.as_bytes());
+    let mut texts = texts.chain(reason.map(ReasonPhrase::as_bytes));
+    ids.any(|id| Some(id) != first_id) || texts.any(|text| contains(text, STATUS_LINE))
+}
+
+fn contains(text: &[u8], part: &[u8]) -> bool {
+    text.windows(part.len()).any(|window| window == part)
+}
+
 /// Parses the timeout of a `Keep-Alive` header.
 fn keep_alive_of(headers: &HeaderMap) -> Option<Duration> {
     let value = header_text(headers, &HeaderName::from_static("keep-alive"))?;
@@ -338,6 +360,7 @@
         let headers = &head.headers;
         Reply {
             request_id: header_text(headers, &REQUEST_ID).map(Name::from),
+            is_ambiguous: is_ambiguous(head),
             is_not_executed: headers.contains_key(&NOT_EXECUTED),
             server: header_text(headers, &SERVER_ID).map(Name::from),
             is_signed: headers.contains_key(&SIGNATURE),
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -364,6 +364,17 @@
     PlatformProtocol::read_reply(&head)
 }
 
+#[test]
+fn a_head_that_names_two_requests_or_holds_another_head_is_ambiguous() {
+    let is_ambiguous = |headers: &[(&str, &str)]| reply_of(503, headers).is_ambiguous;
+    let id = ("X-Attempt-Id", "a1");
+    assert!(!is_ambiguous(&[]));
+    assert!(!is_ambiguous(&[id, ("Via", "HTTP/1.1 proxy")]));
+    assert!(!is_ambiguous(&[id, id]));
+    assert!(is_ambiguous(&[id, ("X-Attempt-Id", "b2")]));
+    assert!(is_ambiguous(&[("X-Not-Executed", "1HTTP/1.1 200 OK"), id]));
+}
+
 #[test]
 fn what_servers_state_of_themselves_is_read_and_invalid_values_ignored() {
     let rate = |value| reply_of(200, &[("Server-Limit", value)]).rate_limit_per_s;
--- a/workbench/tests/site_attempts.rs
+++ b/workbench/tests/site_attempts.rs
@@ -234,3 +234,35 @@
         }
     });
 }
+
+#[googletest::test]
+fn a_head_that_is_cut_and_followed_by_another_answer_is_neither_a_refusal_nor_an_answer() {
+    block_on(async {
+        let site = site().await;
+        let caller = Caller::default();
+        let cut = |line: &str, request: &ReceivedRequest, status| {
+            let mut bytes = line.replace("ID", id_of(request)).into_bytes();
+            bytes.extend(signed_answer(id_of(request), status, "done"));
+            bytes
+        };
+        let heads: [(&str, &str, u16); 4] = [
+            ("refusal", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1", 200),
+            ("refusal", "HTTP/1.1 421 Mis", 200),
+            ("success", "HTTP/1.1 200 O", 500),
+            (
+                "success",
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Signature: s",
+                500,
+            ),
+        ];
+        for (what, line, status) in heads {
+            let runs = script(&site, move |request, runs| {
+                runs.borrow_mut().push(id_of(request).to_owned());
+                vec![ScriptStep::Write(cut(line, request, status))]
+            });
+            let request = CallerRequest::post("/orders/1", "it");
+            let answer = caller.request(site.front(0), &request).await;
+            expect_true_answer(what, &request, &answer, &runs).await;
+        }
+    });
+}
