--- a/workbench/tests/site_silent_servers.rs
+++ b/workbench/tests/site_silent_servers.rs
@@ -20,6 +20,11 @@
 const PAUSE_MS: u64 = 20;
 /// A silence after which a VM asks another server, and which callers of streams bear.
 const SILENCE: Duration = Duration::from_millis(1_750);
+/// A silence that ends just after a VM has asked another server.
+const JUST_LONGER_THAN_BORNE: Duration = Duration::from_millis(1_280);
+/// How long the other server is silent behind its head.
+const BEHIND_HEAD_MS: u64 = 180;
+const BEHIND_HEAD: Duration = Duration::from_millis(BEHIND_HEAD_MS);
 /// The same before the head of a plain answer.
 const PLAIN_SILENCE: Duration = Duration::from_millis(1_200);
 /// How long a server keeps a request in its queue.
@@ -235,3 +240,51 @@
         expect_that!(answer.body, eq("late"));
     });
 }
+
+/// A head, a pause and a reset, while the silent server goes on.
+fn cut_behind_the_head(request: &ReceivedRequest) -> Vec<ScriptStep> {
+    let mut steps = events(request, 1, 0, 0);
+    steps.push(ScriptStep::Wait(BEHIND_HEAD));
+    steps.push(ScriptStep::Reset);
+    steps
+}
+
+#[googletest::test]
+fn an_event_that_comes_while_the_other_server_is_cut_is_not_lost() {
+    block_on(async {
+        let site = site().await;
+        for before in [0, PART] {
+            let silent = move |request: &ReceivedRequest| {
+                let mut steps = events(request, 1, before, 0);
+                steps.push(ScriptStep::Wait(JUST_LONGER_THAN_BORNE));
+                let rest = events(request, before + 1, EVENTS - before, BEHIND_HEAD_MS * 2);
+                steps.extend(rest.into_iter().skip(1));
+                steps.push(last_chunk());
+                steps
+            };
+            script(&site, silent, cut_behind_the_head);
+            let request = CallerRequest::model("/s/x", "m0");
+            let answer = Caller::default().request(site.front(0), &request).await;
+            expect_that!(answer.is_complete, eq(true), "{answer:?}");
+            expect_that!(answer.body, eq(&events_text(1, EVENTS)), "{before}");
+        }
+    });
+}
+
+#[googletest::test]
+fn a_stream_whose_silent_server_and_the_other_one_are_cut_does_not_end_as_whole() {
+    block_on(async {
+        let site = site().await;
+        let silent = |request: &ReceivedRequest| {
+            let mut steps = events(request, 1, PART, 0);
+            steps.push(ScriptStep::Wait(JUST_LONGER_THAN_BORNE));
+            steps.push(ScriptStep::Reset);
+            steps
+        };
+        script(&site, silent, cut_behind_the_head);
+        let request = CallerRequest::model("/s/x", "m0");
+        let answer = Caller::default().request(site.front(0), &request).await;
+        expect_that!(answer.body, eq(&events_text(1, PART)), "{answer:?}");
+        expect_that!(answer.is_complete, eq(false), "{answer:?}");
+    });
+}
