What a silent server sends while the other one is cut is not lost

Cause: `read_or_replace` reads the silent server's stream beside another server that is to go on. Once the other one has sent a head, what was read is held back for up to 300 ms, in a future that is dropped when the other one is cut meanwhile. A lost first event goes unnoticed, since no event precedes the next one. A lost reset is worse: read once more, the body just ends, which counts as the end of the stream.

What was read now outlives that future, and is used whenever no other server goes on.

--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -517,24 +517,29 @@
                 false => None,
             }
         });
+        // What was read is kept where the replacement ends during the wait for its first event.
+        let silent_read = Cell::new(None);
         let mut next = Box::pin(async {
             let read = compio::time::timeout(left, stream.next()).await;
+            silent_read.set(Some(read.unwrap_or(ReadOutcome::TimeUp)));
             if let Some(head_at) = other_head_at.get() {
                 compio::time::sleep_until(head_at + FIRST_EVENT_TIME).await;
             }
-            read
         });
         let (other, read) = match select(replacement.as_mut(), next.as_mut()).await {
-            Either::Left((other, _)) => (other, None),
-            Either::Right((Ok(ReadOutcome::Broken(why)), _)) => {
-                (replacement.as_mut().await, Some(ReadOutcome::Broken(why)))
-            }
-            Either::Right((Ok(read), _)) => {
-                info!(request = %request_id, server = %silent.id, "silent server went on");
-                (None, Some(read))
+            Either::Left((other, _)) => (other, silent_read.take()),
+            Either::Right(((), _)) => {
+                let read = silent_read.take();
+                let other = match read {
+                    Some(ReadOutcome::Broken(_)) => replacement.as_mut().await,
+                    _ => None,
+                };
+                (other, read)
             }
-            Either::Right((Err(_elapsed), _)) => (None, Some(ReadOutcome::TimeUp)),
         };
+        if other.is_none() && matches!(read, Some(ReadOutcome::Event(_) | ReadOutcome::End)) {
+            info!(request = %request_id, server = %silent.id, "silent server went on");
+        }
         drop((replacement, next));
         call.silent_servers.truncate(silent_before);
         if let Some((other, read)) = other {
--- a/workbench/tests/site_silent_servers.rs
+++ b/workbench/tests/site_silent_servers.rs
@@ -257,7 +257,10 @@
             let silent = move |request: &ReceivedRequest| {
                 let mut steps = events(request, 1, before, 0);
                 steps.push(ScriptStep::Wait(JUST_LONGER_THAN_BORNE));
-                let rest = events(request, before + 1, EVENTS - before, BEHIND_HEAD_MS * 2);
+                // The other server is cut between this event and the next one.
+                let next = events(request, before + 1, 1, BEHIND_HEAD_MS * 2);
+                let rest = events(request, before + 2, EVENTS - before - 1, 0);
+                steps.extend(next.into_iter().skip(1));
                 steps.extend(rest.into_iter().skip(1));
                 steps.push(last_chunk());
                 steps
