An answer without framing and without a body is broken, not empty

Cause: where a head states no framing, the end of the connection ends the body, and that was taken for the end of the answer even if nothing had come of it.

Fix: an exchange knows whether its head frames the body. An empty body without framing is broken off, in the one place where bodies are read to their end, and where streams are read. It is sent again where it may be, else its outcome is unknown.

The cut right behind the head no longer counts as one that nothing shows.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! Sending one request to one backend server, and the pool of idle connections.
 
 use crate::client::{Connection, SendError};
+use crate::gateway::answer_memory::{AnswerError, AnswerMemory, read_answer};
 use crate::gateway::attempt::{ConnectionId, UsedConnections, Verdict};
 use crate::gateway::failure::promises_not_run;
 use crate::gateway::fleet::{InFlightGuard, Incarnation, Server};
@@ -10,9 +11,9 @@
 use crate::inventory::Name;
 use crate::response_progress::ProgressBody;
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::http::response;
-use hyper::{Request, Response};
+use hyper::{Request, Response, header};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -57,6 +58,8 @@
     pub(crate) body: ProgressBody,
     /// The body if it was read to its end before the response was chosen.
     pub(crate) whole_body: Option<Bytes>,
+    /// Whether the head states where the body ends; else it ends where the connection closes.
+    pub(crate) is_framed: bool,
     /// The server that answers.
     pub(crate) server: Rc<Server>,
     connection: Connection,
@@ -226,6 +229,23 @@
         answered.is_some_and(|id| *id != self.server.id)
     }
 
+    /// Reads the rest of the body to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off or is too long. A connection that closes behind a head which states
+    /// no framing of a body shows no answer.
+    pub(crate) async fn read_to_end(
+        &mut self,
+        memory: &AnswerMemory,
+    ) -> Result<Bytes, AnswerError> {
+        let body = read_answer(&mut self.body, memory).await?;
+        match body.is_empty() && !self.is_framed {
+            true => Err(AnswerError::Broken),
+            false => Ok(body),
+        }
+    }
+
     /// What the response shows about the attempt of a request that servers may have executed `runs`
     /// times before.
     pub(crate) fn verdict(&self, request_id: &str, runs: u32) -> Verdict {
@@ -254,7 +274,9 @@
             is_first_use,
         } = carrier;
         let (head, body) = response.into_parts();
+        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         Self {
+            is_framed: is_chunked || body.size_hint().exact().is_some(),
             reply: P::read_reply(&head),
             head,
             body: ProgressBody::new(body, connection.progress().clone()),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::accept_queue::Overload;
 use crate::connection_end::ConnectionEnd;
-use crate::gateway::answer_memory::{AnswerMemory, MAX_ANSWER_BYTES, read_answer};
+use crate::gateway::answer_memory::{AnswerMemory, MAX_ANSWER_BYTES};
 use crate::gateway::attempt::UsedConnections;
 use crate::gateway::budget::{Allowance, RetryBudget};
 use crate::gateway::call::{Call, StreamVersion};
@@ -398,7 +398,7 @@
     /// Reads the body of a response to its end; `None` as for [`Self::read_whole`].
     pub(super) async fn read_body(&self, call: &Call, exchange: &mut Exchange) -> Option<Bytes> {
         let server = exchange.server.clone();
-        let read = read_answer(&mut exchange.body, &self.answer_memory);
+        let read = exchange.read_to_end(&self.answer_memory);
         match compio::time::timeout(call.time_left(), read).await {
             Ok(Ok(body)) => Some(body),
             Ok(Err(error)) => {
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -2,7 +2,6 @@
 //! first is silent.
 
 use crate::client::SendError;
-use crate::gateway::answer_memory::read_answer;
 use crate::gateway::attempt::Verdict;
 use crate::gateway::call::{Call, Dispatch};
 use crate::gateway::crash_check::{Break, CrashCheck};
@@ -311,7 +310,7 @@
         }
         late.has_head.set(true);
         let left = late.deadline.saturating_duration_since(Instant::now());
-        let read = read_answer(&mut exchange.body, &self.answer_memory);
+        let read = exchange.read_to_end(&self.answer_memory);
         match compio::time::timeout(left, read).await {
             Ok(Ok(body)) => {
                 exchange.whole_body = Some(body);
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -1,7 +1,7 @@
 //! Forwards a stream of events to a caller and resumes it on another server if one fails.
 
 use crate::gateway::Protocol;
-use crate::gateway::answer_memory::{AnswerError, read_answer};
+use crate::gateway::answer_memory::AnswerError;
 use crate::gateway::call::Call;
 use crate::gateway::crash_check::{BEGUN_EVENTS, Break};
 use crate::gateway::events::{EventBuffer, StreamEvent};
@@ -80,8 +80,14 @@
                 return ReadOutcome::Event(event);
             }
             match self.exchange.body.frame().await {
-                None if self.buffer.is_empty() => return ReadOutcome::End,
-                None => return ReadOutcome::Broken("ended in the middle of an event"),
+                None if !self.buffer.is_empty() => {
+                    return ReadOutcome::Broken("ended in the middle of an event");
+                }
+                // A connection that closed behind the head shows no end of the stream.
+                None if self.events == 0 && !self.exchange.is_framed => {
+                    return ReadOutcome::Broken("no event");
+                }
+                None => return ReadOutcome::End,
                 Some(Err(_cut)) => return ReadOutcome::Broken("cut"),
                 Some(Ok(frame)) => {
                     let data = frame.data_ref();
@@ -252,15 +258,15 @@
         call: &Call,
         mut stream: ServerStream,
     ) -> Option<Response<Body>> {
+        let server = stream.exchange.server.clone();
         let read = {
-            let mut body = pin!(read_answer(&mut stream.exchange.body, &self.answer_memory));
+            let mut body = pin!(stream.exchange.read_to_end(&self.answer_memory));
             loop {
                 let limit = call.time_left().min(MAX_SILENCE);
                 if let Ok(read) = compio::time::timeout(limit, body.as_mut()).await {
                     break Some(read);
                 }
-                let server = &stream.exchange.server;
-                let may_leave = call.may_run_again() && self.may_ask_another(call, server);
+                let may_leave = call.may_run_again() && self.may_ask_another(call, &server);
                 if call.time_left().is_zero() || may_leave {
                     break None;
                 }
@@ -277,10 +283,7 @@
             }
             Some(Err(AnswerError::Broken)) => self.note_cut(call, &stream, "cut").await,
             Some(Err(AnswerError::TooLong)) => self.note_cut(call, &stream, "too long").await,
-            None => {
-                let server = &stream.exchange.server;
-                self.note_silence(call, server, stream.events).await;
-            }
+            None => self.note_silence(call, &server, stream.events).await,
         }
         None
     }
