Streams that lost VMs were told of are no longer guessed; VMs that start are told of all streams

What callers saw: during a release, after VMs were killed, streams that they took up went on at the other software version (ORDER). After all VMs had restarted in series beside one version, no stream was taken up for up to 30 s (LOST).

Cause: that no VM was told of a stream was taken to mean that none had to be. It may also have been told only to VMs that are gone: to the keepers of a fleet of more than 12 VMs, or to nobody yet when its VM was killed within 10 ms. The other way round, VMs that had seen one version told those that started after them nothing.

Fix: while a service has several versions, nobody's knowledge of a stream counts as "not told" only if all VMs that were asked answer, none of them is young, and no VM was added, restarted or removed within the time that streams last. Else the stream is refused as not run. And after such a change of the fleet all VMs tell of all streams for that time, so that those that start learn of them.

Price: streams that began before a release, and were taken up within 30 s of its start and of the loss of a VM, are refused. Not measured.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -163,6 +163,11 @@
         self.view.borrow().vms()
     }
 
+    /// How long no VM was added, restarted or removed.
+    pub(crate) fn unchanged_for(&self, now: Instant) -> Duration {
+        self.view.borrow().unchanged_for(now)
+    }
+
     /// Whether neither messages nor the log name another VM.
     pub(crate) fn is_alone(&self) -> bool {
         self.vms() <= 1 && self.group.borrow().listed.is_empty()
--- a/src/gateway/software_versions.rs
+++ b/src/gateway/software_versions.rs
@@ -36,6 +36,11 @@
         self.listed.iter().cloned().chain(former).collect()
     }
 
+    /// Whether this or another VM has seen several versions within the time that streams last.
+    fn is_mixed(&self, now: Instant) -> bool {
+        self.is_reported(now) || self.recent(now).len() > 1
+    }
+
     /// Whether another VM has recently reported that the service has several versions.
     fn is_reported(&self, now: Instant) -> bool {
         let reported_at = self.reported_at;
@@ -107,10 +112,13 @@
             // There may have been another version before.
             return true;
         }
-        let Some(versions) = self.services.get(service) else {
-            return false;
-        };
-        versions.is_reported(now) || versions.recent(now).len() > 1
+        self.is_mixed(service, now)
+    }
+
+    /// Whether a service has had several versions within the time that streams last.
+    pub(crate) fn is_mixed(&self, service: &str, now: Instant) -> bool {
+        let versions = self.services.get(service);
+        versions.is_some_and(|versions| versions.is_mixed(now))
     }
 
     /// The version at which a stream of a service began that no VM was told of; `None` if there is
@@ -119,9 +127,8 @@
     /// A VM that is young has to rely on what other VMs have seen.
     pub(crate) fn untold(&self, service: &str, now: Instant) -> Option<Name> {
         let versions = self.services.get(service)?;
-        let has_several = versions.is_reported(now) || versions.recent(now).len() > 1;
         match self.is_young(now) {
-            true if has_several => None,
+            true if versions.is_mixed(now) => None,
             _ => versions.untold(now),
         }
     }
--- a/src/gateway/stream_resumption.rs
+++ b/src/gateway/stream_resumption.rs
@@ -6,9 +6,10 @@
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
 use crate::gateway::relay::Relay;
+use crate::gateway::software_versions::STREAM_LIFETIME;
 use crate::gateway::stream_versions::StreamKey;
 use crate::gateway::sync_message::Part;
-use crate::gateway::version_search::{decide, keepers};
+use crate::gateway::version_search::{VersionAnswer, decide, keepers};
 use crate::inventory::Name;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -126,8 +127,32 @@
         if state.peers.is_alone() {
             return own.untold.filter(|_| !(own.is_young && is_named));
         }
+        let answers = search.answers();
+        if is_named && self.may_have_lost_keepers(&call.service, &answers, asked.len()) {
+            return None;
+        }
         // A VM that hears no other may have missed what the others were told.
-        decide(&search.answers(), &own, asked.len().max(1), is_named)
+        decide(&answers, &own, asked.len().max(1), is_named)
+    }
+
+    /// Whether the VMs that answered may not be those that were told of the streams of a service, so
+    /// that they cannot say of a stream that it was not told.
+    fn may_have_lost_keepers(
+        &self,
+        service: &str,
+        answers: &[VersionAnswer],
+        asked: usize,
+    ) -> bool {
+        let now = Instant::now();
+        let state = &self.state;
+        let is_told = answers.iter().any(|answer| answer.version.is_some());
+        if is_told || !state.software_versions.borrow().is_mixed(service, now) {
+            return false;
+        }
+        let have_all_answered = answers.len() >= asked;
+        let has_young = answers.iter().any(|answer| answer.is_young);
+        let is_stable = state.peers.unchanged_for(now) >= STREAM_LIFETIME;
+        !have_all_answered || has_young || !is_stable
     }
 
     /// Records that the stream of a call goes on at a server, and tells other VMs.
@@ -143,11 +168,10 @@
         let key: StreamKey = call.stream_key();
         let mut versions = state.stream_versions.borrow_mut();
         versions.record(key, version.clone(), now);
-        if state
-            .software_versions
-            .borrow()
-            .must_tell(&call.service, now)
-        {
+        // VMs that have started lack what was not told before.
+        let is_fleet_changed = state.peers.unchanged_for(now) < STREAM_LIFETIME;
+        let software_versions = state.software_versions.borrow();
+        if is_fleet_changed || software_versions.must_tell(&call.service, now) {
             state.peers.outbox.report_stream(key, &version);
         }
         call.stream_version = StreamVersion::Bound(version);
--- a/src/gateway/version_search.rs
+++ b/src/gateway/version_search.rs
@@ -89,9 +89,9 @@
 /// names the stream, so that VMs can have been told of it.
 ///
 /// VMs that were told decide. If none was, the stream began while nothing had to be told, of which
-/// young VMs may be ignorant. Since a VM may have missed a message, it takes two to say so. Young VMs
-/// tell of all streams: one that is named and was not told began before all of them, at a version that
-/// may have left.
+/// young VMs may be ignorant. Since a VM may have missed a message, it takes two to say so. While a VM
+/// is young, all tell of all streams: one that is named and was not told began before every VM started,
+/// at a version that may have left.
 pub(crate) fn decide(
     answers: &[VersionAnswer],
     own: &VersionAnswer,
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -71,6 +71,8 @@
     checked_at: Instant,
     /// When a VM was last added.
     grew_at: Instant,
+    /// When a VM was last added, restarted or removed.
+    changed_at: Instant,
     /// When a full view was last requested.
     requested_at: Option<Instant>,
     /// The largest size of `known` so far.
@@ -89,6 +91,7 @@
             departed: HashMap::new(),
             checked_at: now,
             grew_at: now,
+            changed_at: now,
             requested_at: None,
             peak_known: 0,
         }
@@ -107,6 +110,9 @@
             Some(known) => {
                 let is_restarted = known.boot != sighting.boot;
                 *known = sighting;
+                if is_restarted {
+                    self.changed_at = now;
+                }
                 is_restarted
             }
             None => {
@@ -114,6 +120,7 @@
                 self.known.insert(address, sighting);
                 self.peak_known = self.peak_known.max(self.known.len());
                 self.grew_at = now;
+                self.changed_at = now;
                 true
             }
         }
@@ -124,6 +131,7 @@
         self.departed.insert((address, boot), now);
         if self.known.get(&address).is_some_and(|it| it.boot == boot) {
             self.known.remove(&address);
+            self.changed_at = now;
         }
     }
 
@@ -149,6 +157,9 @@
             .extract_if(.., |_, it| is_gone(it))
             .map(|(_, it)| it)
             .collect();
+        if !gone.is_empty() {
+            self.changed_at = now;
+        }
         for it in &gone {
             if self.lost.len() < MAX_LOST {
                 self.lost.insert(it.address, now);
@@ -222,6 +233,11 @@
         self.peak_known + 1
     }
 
+    /// How long no VM was added, restarted or removed.
+    pub(crate) fn unchanged_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.changed_at)
+    }
+
     /// Time since this VM started.
     pub(crate) fn uptime(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started_at)
