Long requests to servers that read slowly no longer take a VM over its memory

Cause: a request body was held until its answer had ended, with no bound on all of them together, and `limits.memory_mb` was not read. Each body was in memory twice: the stream below hyper copies what it is given into a buffer of up to 64 MiB, so that the whole body waited there for the slow server as well.

Change: bodies above 64 KiB reserve their memory from one budget of 0.4 of `limits.memory_mb` (256 if missing): a stated length before it is read, a body in chunks step by step. Without room the request is refused at once as not run (503, Retry-After up to 1 s, outcome `no_body_room`, log line `no room for request body`) and the rest is discarded; a forwarded one is declined, so that its sender may try another VM. The reservation lives in the bytes themselves and ends with their last copy; a plain call gives its body up once it cannot be sent again. Writes to servers and callers pass on 64 KiB at most, so that there is no second copy.

This works since the bytes that are held for slow servers are at most the budget and 64 KiB for each connection, whatever servers do. Answers use the same budget type.

Not bounded by the budget: short bodies (64 KiB for each connection).

--- a/src/gateway/answer_memory.rs
+++ b/src/gateway/answer_memory.rs
@@ -1,11 +1,10 @@
 //! Reads answers into memory, within a bound for each and one for all of them together.
 
+use crate::gateway::byte_budget::{ByteBudget, Reservation};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use std::fmt;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// The longest answer, in bytes.
@@ -39,70 +38,31 @@
 /// The memory that long answers may take together.
 #[derive(Debug)]
 pub(crate) struct AnswerMemory {
-    max_bytes: usize,
-    reserved_bytes: Arc<AtomicUsize>,
+    budget: ByteBudget,
 }
 
 impl AnswerMemory {
     /// Creates memory for answers of `max_bytes` together, at least one of the greatest length.
     pub(crate) fn new(max_bytes: usize) -> Self {
         Self {
-            max_bytes: max_bytes.max(MAX_ANSWER_BYTES),
-            reserved_bytes: Arc::default(),
+            budget: ByteBudget::new(max_bytes.max(MAX_ANSWER_BYTES)),
         }
     }
 
     /// The memory that is reserved now.
     #[cfg(test)]
     pub(super) fn reserved_bytes(&self) -> usize {
-        self.reserved_bytes.load(Ordering::Relaxed)
+        self.budget.reserved_bytes()
     }
 
     /// Waits until there is memory for another `bytes`. All that an answer may need is reserved at
     /// once, so that answers never wait for each other in a circle.
     async fn reserve(&self, bytes: usize) -> Reservation {
-        while self.reserved_bytes.load(Ordering::Relaxed) + bytes > self.max_bytes {
+        let mut reservation = self.budget.empty_reservation();
+        while !reservation.try_grow_to(bytes) {
             compio::time::sleep(RESERVATION_INTERVAL).await;
         }
-        self.reserved_bytes.fetch_add(bytes, Ordering::Relaxed);
-        Reservation {
-            bytes,
-            reserved_bytes: self.reserved_bytes.clone(),
-        }
-    }
-}
-
-/// Memory that is reserved until this is dropped.
-#[derive(Debug)]
-struct Reservation {
-    bytes: usize,
-    reserved_bytes: Arc<AtomicUsize>,
-}
-
-impl Reservation {
-    /// Gives back what exceeds `bytes`.
-    fn shrink_to(&mut self, bytes: usize) {
-        let unused = self.bytes.saturating_sub(bytes);
-        self.bytes -= unused;
-        self.reserved_bytes.fetch_sub(unused, Ordering::Relaxed);
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.reserved_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// A long answer, whose memory stays reserved until it has been sent on.
-struct LongAnswer {
-    bytes: Bytes,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for LongAnswer {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        reservation
     }
 }
 
@@ -148,8 +108,5 @@
         return Ok(bytes);
     };
     reservation.shrink_to(bytes.len());
-    Ok(Bytes::from_owner(LongAnswer {
-        bytes,
-        _reservation: reservation,
-    }))
+    Ok(reservation.hold(bytes))
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,6 +10,7 @@
 use crate::gateway::{CallerRequest, Route, Weights};
 use crate::inventory::Name;
 use crate::open_requests::RequestProgress;
+use bytes::Bytes;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -105,6 +106,11 @@
             && !self.is_crash_suspect.get()
     }
 
+    /// Gives up the body of a request that is not sent again.
+    pub(crate) fn release_body(&mut self) {
+        Rc::make_mut(&mut self.request).body = Bytes::new();
+    }
+
     /// Records that the request may have run where it was sent last, if that attempt was cancelled
     /// before its outcome was known.
     pub(crate) fn settle_cancelled_attempt(&mut self) {
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -29,6 +29,9 @@
 const LONG_WAIT_RETRY_SPREAD: Duration = Duration::from_millis(200);
 /// The same for connections beyond the largest number: the other VMs may be flooded as well.
 const MANY_OPEN_RETRY_SPREAD: Duration = Duration::from_millis(1_000);
+/// Time over which retries are spread for long requests that found no memory: another VM may have
+/// some at once, this one when servers have answered others.
+const BODY_ROOM_RETRY_SPREAD: Duration = Duration::from_millis(1_000);
 /// Retry time of a request that crashes servers.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -62,6 +65,8 @@
     TooLarge,
     /// The body did not arrive completely.
     BodyCut,
+    /// The bodies of other requests take the memory that this VM has for them.
+    NoBodyRoom,
     /// No server can handle the request. Carries when the caller should come again, if predicted.
     NoServer(Option<Duration>),
     /// All servers that can handle the request are full. Carries the same.
@@ -110,6 +115,7 @@
             Self::NoRoute => "no_route",
             Self::TooLarge => "too_large",
             Self::BodyCut => "body_cut",
+            Self::NoBodyRoom => "no_body_room",
             Self::NoServer(_) => "no_server",
             Self::Full(_) => "full",
             Self::CutOff => "cut_off",
@@ -151,6 +157,10 @@
             Self::NoRoute => (404, None),
             Self::TooLarge => (413, None),
             Self::BodyCut => (408, None),
+            Self::NoBodyRoom => {
+                let latest = BODY_ROOM_RETRY_SPREAD.min(time_left.mul_f64(MAX_RETRY_SHARE));
+                (503, Some(latest.mul_f64(rand::random())))
+            }
             Self::Full(Some(after))
             | Self::NoServer(Some(after))
             | Self::RateLimited(Some(after)) => (503, Some(after.min(time_left))),
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -103,6 +103,8 @@
     CutOff,
     /// It handles as many forwarded requests as it can.
     Full,
+    /// It has no memory for the body.
+    NoBodyRoom,
     /// It shuts down, has no state yet or an older configuration than the sender.
     Unready,
 }
@@ -113,6 +115,7 @@
         match self {
             Self::CutOff => "cut_off",
             Self::Full => "full",
+            Self::NoBodyRoom => "no_body_room",
             Self::Unready => "unready",
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 use crate::gateway::answer_memory::{AnswerMemory, MAX_ANSWER_BYTES};
 use crate::gateway::attempt::UsedConnections;
 use crate::gateway::budget::{Allowance, RetryBudget};
+use crate::gateway::byte_budget::ByteBudget;
 use crate::gateway::call::{Call, StreamVersion};
 use crate::gateway::crash_check::{Break, CrashCheck};
 use crate::gateway::exchange::{ConnectionPool, Exchange};
@@ -14,17 +15,18 @@
 use crate::gateway::forward_targets::ForwardTargets;
 use crate::gateway::forwarding::{DeclineReason, ForwardSlots, ForwardedCall};
 use crate::gateway::grant::Grant;
+use crate::gateway::request_memory::{BodyError, body_budget, read_request_body};
 use crate::gateway::server_speed::Work;
 use crate::gateway::state::State;
 use crate::gateway::waiting::start_hold;
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind};
-use crate::http::{Body, ReadError, discard_body, read_body};
+use crate::http::{Body, discard_body};
 use crate::inventory::Name;
 use crate::open_requests::{OpenRequest, RequestProgress};
 use crate::request_end::RequestEnd;
 use bytes::Bytes;
 use futures_channel::oneshot;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::http::{request, response};
 use hyper::{Request, Response};
 use std::cell::Cell;
@@ -64,6 +66,7 @@
     pub(super) forward_slots: ForwardSlots,
     pub(super) budget: RetryBudget,
     pub(super) answer_memory: AnswerMemory,
+    request_memory: ByteBudget,
     protocol: PhantomData<P>,
 }
 
@@ -81,6 +84,7 @@
             forward_targets: ForwardTargets::default(),
             forward_slots: ForwardSlots::default(),
             answer_memory: AnswerMemory::new(MAX_HELD_BYTES),
+            request_memory: body_budget(state.settings.memory_bytes),
             state,
             budget,
             protocol: PhantomData,
@@ -132,6 +136,7 @@
         let response = match answer {
             Ok(response) => response,
             Err(Failure::CutOff) if is_forwarded => DeclineReason::CutOff.response(),
+            Err(Failure::NoBodyRoom) if is_forwarded => DeclineReason::NoBodyRoom.response(),
             Err(failure) => {
                 let failure = failure.after_runs(reading.progress.runs.get());
                 self.refuse(&id, &model, failure, caller_timeout, arrived.elapsed())
@@ -269,14 +274,18 @@
                 .time_limit
                 .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         let limit_bytes = configuration.limits.max_body_bytes;
-        let reading_body = read_body(&mut reading.body, limit_bytes);
+        let stated_bytes = reading.body.size_hint().exact();
+        let reading_body = read_request_body(&mut reading.body, limit_bytes, &self.request_memory);
         let body = compio::time::timeout(deadline - arrived, reading_body).await;
         request.body = match body {
             Ok(Ok(body)) => body,
-            Ok(Err(ReadError::TooLarge)) => return Err(Failure::TooLarge),
-            Ok(Err(ReadError::Disconnected | ReadError::Stalled)) | Err(_) => {
-                return Err(Failure::BodyCut);
+            Ok(Err(BodyError::TooLong)) => return Err(Failure::TooLarge),
+            Ok(Err(BodyError::NoRoom)) => {
+                let held_bytes = self.request_memory.reserved_bytes();
+                warn!(request = %request.id, stated_bytes, held_bytes, "no room for request body");
+                return Err(Failure::NoBodyRoom);
             }
+            Ok(Err(BodyError::Broken)) | Err(_) => return Err(Failure::BodyCut),
         };
         reading.progress.deadline.set(Some(deadline));
         let cost = request.generation.as_ref().map(|it| self.state.cost(it));
@@ -347,6 +356,9 @@
                     None => return Err(failure),
                 },
             };
+            if !call.may_run_again() {
+                call.release_body();
+            }
             // Another VM has made all attempts that the request allows.
             let is_from_vm = exchange.server.is_vm;
             let Some((head, body)) = self.read_whole(call, exchange).await else {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -24,6 +24,8 @@
     pub(crate) log_address: SocketAddr,
     /// The processor time that the process may use, in cores.
     pub(crate) cpu_cores: f64,
+    /// The memory that the process may take.
+    pub(crate) memory_bytes: usize,
     /// The bandwidth of the VM's link, in bytes per second; `None` if it is not limited.
     pub(crate) link_bytes_per_s: Option<f64>,
     /// The maximum number of open connections of callers.
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -31,6 +31,7 @@
 mod quota_ways;
 mod quotas;
 mod reachability;
+mod request_memory;
 mod restored_log;
 mod return_play;
 mod runner_load;
@@ -71,6 +72,7 @@
         peer_address: address,
         log_address: address,
         cpu_cores: 1.0,
+        memory_bytes: 160_000_000,
         link_bytes_per_s: None,
         max_caller_connections: 1_000,
         bounds: Bounds {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -19,8 +19,12 @@
 const EXAMPLE: &str = include_str!("../../examples/front.toml");
 /// The bytes in a megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
+/// The bytes in a megabyte.
+const BYTES_PER_MB: f64 = 1_000_000.0;
 /// The largest value of a setting in seconds: one day.
 const MAX_SECONDS: f64 = 86_400.0;
+/// The memory if the settings do not state it, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// The number of file descriptors if the settings do not state it.
 const DEFAULT_MAX_FDS: usize = 4_096;
 /// The share of them that callers' connections may take; the others are for servers, other VMs and
@@ -54,6 +58,8 @@
     cpu_share: f64,
     /// The speed of the processor, relative to the usual one.
     cores: f64,
+    /// The memory beyond which the process is killed, in megabytes.
+    memory_mb: f64,
     /// The bandwidth of the VM's link, in Mbit/s; not limited if it is missing.
     link_mbps: Option<f64>,
     /// The number of file descriptors that the process may have.
@@ -65,6 +71,7 @@
         Self {
             cpu_share: 1.0,
             cores: 1.0,
+            memory_mb: DEFAULT_MEMORY_MB,
             link_mbps: None,
             max_fds: DEFAULT_MAX_FDS,
         }
@@ -135,6 +142,7 @@
         log_address: file.platform.address,
         cpu_cores: file.limits.cpu_share * file.limits.cores,
         max_caller_connections: (file.limits.max_fds as f64 * CALLER_FDS_SHARE) as usize,
+        memory_bytes: (file.limits.memory_mb * BYTES_PER_MB) as usize,
         link_bytes_per_s: file.limits.link_mbps.map(|mbps| mbps * BYTES_PER_MBIT),
         bounds: Bounds {
             grace: Duration::from_secs_f64(bounds.grace_s),
@@ -248,6 +256,7 @@
     let limits = [
         ("limits.cpu_share", file.limits.cpu_share),
         ("limits.cores", file.limits.cores),
+        ("limits.memory_mb", file.limits.memory_mb),
     ];
     let link = file.limits.link_mbps.map(|mbps| ("limits.link_mbps", mbps));
     for (field, value) in limits.into_iter().chain(link) {
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -46,9 +46,12 @@
     assert_eq!(settings.bounds.grace, Duration::from_secs(8));
     assert_eq!(settings.log_address.to_string(), "10.200.1.7:8142");
     assert_eq!(settings.cpu_cores, 1.0, "the limits are missing");
-    let limits = "[limits]\ncpu_share = 0.25\ncores = 2\n[bounds]";
+    assert_eq!(settings.memory_bytes, 256_000_000);
+    let limits = "[limits]\ncpu_share = 0.25\ncores = 2\nmemory_mb = 160\n[bounds]";
     let settings = parse_settings(&SETTINGS.replace("[bounds]", limits));
-    assert_eq!(settings.expect("the settings are valid").cpu_cores, 0.5);
+    let settings = settings.expect("the settings are valid");
+    assert_eq!(settings.cpu_cores, 0.5);
+    assert_eq!(settings.memory_bytes, 160_000_000);
 }
 
 #[test]
@@ -57,13 +60,17 @@
         .replace("grace_s = 8", "grace_s = -8")
         .replace("budget_ratio = 0.2", "budget_ratio = \"much\"")
         .replace("front = \"10.1.0.38:8149\"", "front = \"nowhere\"")
-        .replace("[bounds]", "[limits]\ncpu_share = 0\n[bounds]");
+        .replace(
+            "[bounds]",
+            "[limits]\ncpu_share = 0\nmemory_mb = -1\n[bounds]",
+        );
     let report = parse_settings(&broken).expect_err("the settings are invalid");
     let text = format!("{report:?}");
     let fields = [
         "bounds.grace_s",
         "bounds.budget_ratio",
         "limits.cpu_share",
+        "limits.memory_mb",
         "listen.front",
     ];
     for field in fields {
--- a/src/response_progress.rs
+++ b/src/response_progress.rs
@@ -17,6 +17,9 @@
 const MAX_READS_PER_TURN: u32 = 16;
 /// The most bytes of one read.
 const MAX_READ_BYTES: usize = 8 * 1024;
+/// The most bytes of one write. The stream below copies what is written, so that a peer that reads
+/// slowly would double the memory of a long body.
+const MAX_WRITE_BYTES: usize = 64 * 1024;
 
 /// What a server has sent since its response last got on.
 #[derive(Clone, Debug, Default)]
@@ -129,6 +132,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let bytes = &bytes[..bytes.len().min(MAX_WRITE_BYTES)];
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
@@ -149,7 +153,12 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let total_bytes: usize = parts.iter().map(|part| part.len()).sum();
+        if total_bytes <= MAX_WRITE_BYTES {
+            return Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        }
+        let first = parts.iter().find(|part| !part.is_empty());
+        self.poll_write(cx, first.map_or(&[], |part| part))
     }
 }
 
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -124,6 +124,8 @@
     headers: RefCell<BTreeMap<&'static str, String>>,
     /// If set, all requests are turned away with this value of `Retry-After`.
     pause: RefCell<Option<String>>,
+    /// How fast the server reads from each connection, in bytes per second; `None` at full speed.
+    read_bytes_per_s: Cell<Option<f64>>,
     /// The requests that arrived, those of the control interface aside.
     arrivals: RefCell<Vec<Arrival>>,
     connections: Cell<u64>,
@@ -185,6 +187,7 @@
             seen: RefCell::default(),
             headers: RefCell::default(),
             pause: RefCell::default(),
+            read_bytes_per_s: Cell::default(),
             arrivals: RefCell::default(),
             connections: Cell::new(0),
             overruns: Cell::new(0),
@@ -256,6 +259,11 @@
         *self.pause.borrow_mut() = retry_after.map(str::to_owned);
     }
 
+    /// Reads no faster than this from each connection from now on.
+    pub fn read_slowly(&self, bytes_per_s: f64) {
+        self.read_bytes_per_s.set(Some(bytes_per_s));
+    }
+
     /// When each request arrived, those of the control interface aside.
     pub fn arrivals(&self) -> Vec<Instant> {
         let arrivals = self.arrivals.borrow();
@@ -526,6 +534,10 @@
         let mut more = pin!(stream.read(Vec::with_capacity(READ_BYTES)));
         while !self.is_dead.get() {
             if let Ok(read) = compio::time::timeout(DEATH_POLL, more.as_mut()).await {
+                if let Some(bytes_per_s) = self.read_bytes_per_s.get() {
+                    let pause = Duration::from_secs_f64(READ_BYTES as f64 / bytes_per_s);
+                    compio::time::sleep(pause).await;
+                }
                 return Some(read);
             }
         }
