Equal requests of many callers are not refused for good after servers crash together

Cause: two crashes with the same request in flight contained it, although its copies had been sent by different callers before either crash; and answers to the copies in flight elsewhere cleared nothing, since they had been sent before the crashes were known.

Why this works: a report says how long the server had had the request. A cause crashes each server at about the same age of the request; an outage ends copies of any age together. Two crashes within 0.5 s that are closer in time than the ages of their oldest copies, the later copy sent before the other crash, count once. An answer clears the request itself, not its parts, of all known crashes. The next crash by a copy sent later contains the request, as does one 0.5 s later; a request that is sent again after a crash counts as before. A report of an older release, without an age, counts as before.

Existing tests: only two constructors of a report name the new fields.

--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -35,6 +35,7 @@
     server: Rc<Server>,
     request_id: Name,
     report: CrashReport,
+    sent_at: Option<Instant>,
     broken: Break,
     events: u32,
 }
@@ -58,8 +59,11 @@
                 run: ServerRunId::of(&server.incarnation()),
                 request: call.fingerprint,
                 parts,
+                in_flight: Duration::ZERO,
+                since_break: Duration::ZERO,
                 witness: None,
             },
+            sent_at: call.last_dispatch.map(|dispatch| dispatch.at),
             broken,
             events,
         }
@@ -70,9 +74,9 @@
         self.events >= BEGUN_EVENTS
     }
 
-    /// Finds out whether the server crashed, and reports the request to all VMs if it may be the
-    /// cause.
-    pub(super) async fn run(self) {
+    /// Finds out whether the server crashed whose connection broke at a time, and reports the request
+    /// to all VMs if it may be the cause.
+    pub(super) async fn run(self, broken_at: Instant) {
         let listening = probe_listening(self.server.address, PROBE_TIMEOUT).await;
         let is_gone = match listening {
             Listening::Yes => false,
@@ -101,7 +105,16 @@
             "server crashed"
         );
         if !self.has_begun() {
-            self.state.report_crash(&self.report, Instant::now());
+            let now = Instant::now();
+            let in_flight = self
+                .sent_at
+                .map(|at| broken_at.saturating_duration_since(at));
+            let report = CrashReport {
+                in_flight: in_flight.unwrap_or_default(),
+                since_break: now - broken_at,
+                ..self.report
+            };
+            self.state.report_crash(&report, now);
         }
     }
 }
--- a/src/gateway/crash_containment.rs
+++ b/src/gateway/crash_containment.rs
@@ -4,7 +4,9 @@
 //! requests themselves. A cause crashes every server that begins to answer it, so that an answer
 //! that begins clears all that its request has. What is left and explains most crashes is contained.
 //! A crash that a contained part explains is charged to nothing else. Servers that crash together,
-//! most of them without the suspected cause, crash for a reason outside the requests.
+//! most of them without the suspected cause, crash for a reason outside the requests. So do servers
+//! that crash at the same moment with equal requests of different ages, since a cause crashes each
+//! server at about the same age.
 
 use crate::gateway::PromptPart;
 use crate::gateway::begun_parts::BegunParts;
@@ -81,8 +83,9 @@
         self.begun_answers
     }
 
-    /// Records that a server has begun to answer a request that was sent at a time. Returns what is
-    /// cleared by that, with the runs whose crashes it is no longer charged with.
+    /// Records that a server has begun to answer a request that was sent at a time. A part may have
+    /// turned bad since, while equal requests are all alike. Returns what is cleared by that, with
+    /// the runs whose crashes it is no longer charged with.
     pub(crate) fn record_begun_answer(
         &mut self,
         request: u64,
@@ -96,10 +99,15 @@
         if self.evidence.is_empty() {
             return Vec::new();
         }
-        let causes = parts.iter().copied().map(CrashCause::Part);
-        let causes = causes.chain([CrashCause::Request(request)]);
-        let cleared = causes.map(|cause| (cause, self.evidence.clear_known_at(cause, sent_at)));
-        cleared.filter(|(_, runs)| !runs.is_empty()).collect()
+        let mut cleared = Vec::new();
+        for part in parts {
+            let cause = CrashCause::Part(*part);
+            cleared.push((cause, self.evidence.clear_known_at(cause, sent_at)));
+        }
+        let cause = CrashCause::Request(request);
+        cleared.push((cause, self.evidence.clear_all(cause)));
+        cleared.retain(|(_, runs)| !runs.is_empty());
+        cleared
     }
 
     /// Applies what the answer to a request of a peer has cleared; returns whether that is news.
@@ -253,7 +261,7 @@
             let is_contained = self.contained.contains_key(&cause);
             let is_convicted = || {
                 charges.runs.len() >= REQUEST_CRASHES
-                    && self.evidence.independent_crashes(cause, &explained).runs >= REQUEST_CRASHES
+                    && self.evidence.successive_crashes(cause, &explained) >= REQUEST_CRASHES
             };
             if is_request && !is_contained && is_convicted() {
                 convicted.push((cause, charges.runs.len()));
--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -22,6 +22,10 @@
 struct Crash {
     report: CrashReport,
     heard_at: Instant,
+    /// When the server was sent the request.
+    sent_at: Instant,
+    /// When the connection broke.
+    broken_at: Instant,
     /// The number of answers that had begun at this VM by then.
     begun_answers: u64,
     cleared: Vec<CrashCause>,
@@ -40,6 +44,19 @@
         );
         last.duration_since(first) < COINCIDENCE_TIME
     }
+
+    fn in_flight(&self) -> Duration {
+        self.broken_at.saturating_duration_since(self.sent_at)
+    }
+
+    /// Whether something other than their equal requests ended this server and one that crashed
+    /// before: the crashes are closer in time than the ages that the requests had reached, and this
+    /// one was sent before the other crash.
+    fn is_simultaneous(&self, earlier: &Self) -> bool {
+        let apart = self.broken_at.saturating_duration_since(earlier.broken_at);
+        let ages_apart = self.in_flight().abs_diff(earlier.in_flight());
+        self.sent_at < earlier.broken_at && apart < COINCIDENCE_TIME.min(ages_apart)
+    }
 }
 
 /// The crashes that a cause is charged with.
@@ -81,11 +98,16 @@
 impl CrashEvidence {
     /// Adds a report; returns false if it is known.
     pub(super) fn add(&mut self, report: &CrashReport, begun_answers: u64, now: Instant) -> bool {
-        let is_known = self
+        let broken_at = now.checked_sub(report.since_break).unwrap_or(now);
+        let sent_at = broken_at.checked_sub(report.in_flight);
+        let sent_at = sent_at.unwrap_or(broken_at);
+        let known = self
             .crashes
-            .iter()
-            .any(|crash| crash.report.run == report.run && crash.report.request == report.request);
-        if is_known {
+            .iter_mut()
+            .find(|crash| crash.report.run == report.run && crash.report.request == report.request);
+        if let Some(known) = known {
+            // The server would have begun with the oldest of equal requests.
+            known.sent_at = known.sent_at.min(sent_at);
             return false;
         }
         if self.crashes.len() >= MAX_REPORTS {
@@ -94,6 +116,8 @@
         self.crashes.push_back(Crash {
             report: report.clone(),
             heard_at: now,
+            sent_at,
+            broken_at,
             begun_answers,
             cleared: Vec::new(),
         });
@@ -124,6 +148,12 @@
         self.clear(cause, |crash| crash.heard_at <= sent_at)
     }
 
+    /// Clears a cause of all known crashes, since a server has run a request that is nothing but this
+    /// cause. Returns the runs of which the cause is cleared now.
+    pub(super) fn clear_all(&mut self, cause: CrashCause) -> Vec<ServerRunId> {
+        self.clear(cause, |_| true)
+    }
+
     /// Clears a cause of the crashes of these runs; returns whether anything changed.
     pub(super) fn clear_runs(&mut self, cause: CrashCause, runs: &[ServerRunId]) -> bool {
         let cleared = self.clear(cause, |crash| runs.contains(&crash.report.run));
@@ -163,6 +193,39 @@
         cause: CrashCause,
         explained: &HashSet<ServerRunId>,
     ) -> IndependentCrashes {
+        let independent = self.crashes_without_outages(cause, explained);
+        let runs: HashSet<ServerRunId> = independent.iter().map(|it| it.report.run).collect();
+        let requests: HashSet<u64> = independent.iter().map(|it| it.report.request).collect();
+        IndependentCrashes {
+            runs: runs.len(),
+            requests: requests.len(),
+        }
+    }
+
+    /// Counts the same crashes, simultaneous ones once.
+    pub(super) fn successive_crashes(
+        &self,
+        cause: CrashCause,
+        explained: &HashSet<ServerRunId>,
+    ) -> usize {
+        let mut crashes = self.crashes_without_outages(cause, explained);
+        crashes.sort_by_key(|crash| crash.broken_at);
+        let mut counted: Option<&Crash> = None;
+        let mut count = 0;
+        for crash in crashes {
+            if !counted.is_some_and(|earlier| crash.is_simultaneous(earlier)) {
+                counted = Some(crash);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    fn crashes_without_outages(
+        &self,
+        cause: CrashCause,
+        explained: &HashSet<ServerRunId>,
+    ) -> Vec<&Crash> {
         let has_cause = |crash: &Crash| crash.open_causes().any(|open| open == cause);
         let (own, others): (Vec<&Crash>, Vec<&Crash>) =
             self.crashes.iter().partition(|crash| has_cause(crash));
@@ -178,13 +241,8 @@
             others_here.retain(|run| !own_runs.contains(run) && !explained.contains(run));
             others_here.len() < MIN_COINCIDENT_RUNS.max(COINCIDENT_RATIO * own_here)
         };
-        let independent: Vec<&&Crash> = own.iter().filter(|it| is_independent(it)).collect();
-        let runs: HashSet<ServerRunId> = independent.iter().map(|it| it.report.run).collect();
-        let requests: HashSet<u64> = independent.iter().map(|it| it.report.request).collect();
-        IndependentCrashes {
-            runs: runs.len(),
-            requests: requests.len(),
-        }
+        let independent = own.iter().filter(|crash| is_independent(crash));
+        independent.copied().collect()
     }
 
     /// What each cause is charged with, without the runs whose crash is explained.
--- a/src/gateway/crash_message.rs
+++ b/src/gateway/crash_message.rs
@@ -7,6 +7,10 @@
 use prost::Message;
 use std::time::Duration;
 
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// A request that a server had not begun to answer when it crashed.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct CrashReportMessage {
@@ -28,6 +32,12 @@
     /// The number of answers that had begun at that VM.
     #[prost(uint64, tag = "6")]
     begun_answers: u64,
+    /// How long the server had had the request when the connection broke; 0 if that is not known.
+    #[prost(uint32, tag = "7")]
+    in_flight_ms: u32,
+    /// How long before the report the connection broke.
+    #[prost(uint32, tag = "8")]
+    since_break_ms: u32,
 }
 
 impl CrashReportMessage {
@@ -40,6 +50,8 @@
             parts: report.parts.iter().map(|part| part.0).collect(),
             witness: report.witness.map_or(0, |witness| witness.vm),
             begun_answers: report.witness.map_or(0, |witness| witness.begun_answers),
+            in_flight_ms: millis(report.in_flight),
+            since_break_ms: millis(report.since_break),
         }
     }
 
@@ -50,6 +62,8 @@
             run: ServerRunId(self.run),
             request: self.request,
             parts: parts.map(|part| PromptPart(*part)).collect(),
+            in_flight: Duration::from_millis(u64::from(self.in_flight_ms)),
+            since_break: Duration::from_millis(u64::from(self.since_break_ms)),
             witness: (self.witness != 0).then_some(Witness {
                 vm: self.witness,
                 begun_answers: self.begun_answers,
@@ -126,7 +140,7 @@
     pub(super) fn of(cause: CrashCause, idle: Duration) -> Self {
         Self {
             cause: Some(CrashCauseMessage::of(cause)),
-            idle_ms: u32::try_from(idle.as_millis()).unwrap_or(u32::MAX),
+            idle_ms: millis(idle),
         }
     }
 
--- a/src/gateway/crash_report.rs
+++ b/src/gateway/crash_report.rs
@@ -3,6 +3,7 @@
 use crate::gateway::PromptPart;
 use crate::gateway::fleet::Incarnation;
 use std::net::SocketAddr;
+use std::time::Duration;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// The maximum number of parts in a report.
@@ -40,6 +41,10 @@
     pub(crate) request: u64,
     /// The parts of its prompt that other requests may have.
     pub(crate) parts: Vec<PromptPart>,
+    /// How long the server had had the request when the connection broke.
+    pub(crate) in_flight: Duration,
+    /// How long before the report the connection broke.
+    pub(crate) since_break: Duration,
     /// What the VM that reports it has seen, if that is another VM.
     pub(crate) witness: Option<Witness>,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -467,9 +467,10 @@
         let check = CrashCheck::new(self.state.clone(), call, server, broken, events);
         let has_begun = check.has_begun();
         let (checked, done) = oneshot::channel();
+        let broken_at = Instant::now();
         // The evidence counts even if the caller leaves meanwhile.
         compio::runtime::spawn(async move {
-            check.run().await;
+            check.run(broken_at).await;
             // Sending fails if nobody waits any more.
             let _ = checked.send(());
         })
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -321,7 +321,7 @@
                 warn!(request = %late.request_id, server = %server.id, %error, "answer broken off");
                 self.note_failed_connection(server);
                 if !server.is_vm {
-                    compio::runtime::spawn(late.crash_check.run()).detach();
+                    compio::runtime::spawn(late.crash_check.run(Instant::now())).detach();
                 }
                 None
             }
--- a/src/gateway/tests/containment_play.rs
+++ b/src/gateway/tests/containment_play.rs
@@ -285,6 +285,8 @@
                 run: ServerRunId((server as u64) << 32 | run),
                 request: index as u64,
                 parts: parts.clone(),
+                in_flight: Duration::from_millis(at_ms - self.requests[index].sent_ms),
+                since_break: Duration::ZERO,
                 witness: None,
             };
             self.vms[vm].record_crash(&report, now);
--- a/src/gateway/tests/crash_containment.rs
+++ b/src/gateway/tests/crash_containment.rs
@@ -53,6 +53,16 @@
         self.containment.update(self.now);
     }
 
+    /// Lets a server crash now that has had a copy of a request for a time.
+    fn crash_with_copy(&mut self, run: u64, request: u64, in_flight_ms: u64) {
+        let report = CrashReport {
+            in_flight: Duration::from_millis(in_flight_ms),
+            ..report(run, request, &[])
+        };
+        self.containment.record_crash(&report, self.now);
+        self.containment.update(self.now);
+    }
+
     fn is_contained(&mut self, parts: &[PromptPart]) -> bool {
         let cause = self.containment.cause_of(77, parts, self.now);
         cause.is_some()
@@ -68,6 +78,8 @@
         run: ServerRunId(run),
         request,
         parts: parts.to_vec(),
+        in_flight: Duration::ZERO,
+        since_break: Duration::ZERO,
         witness: None,
     }
 }
@@ -122,6 +134,87 @@
     assert!(vm.is_request_contained(7));
 }
 
+/// Guards against equal requests of many callers being refused because two servers ended at once.
+#[test]
+fn copies_at_servers_that_crash_at_the_same_moment_convict_no_request() {
+    let mut vm = Vm::new();
+    vm.crash_with_copy(1, 7, 900);
+    vm.pass(200);
+    vm.crash_with_copy(2, 7, 1_900);
+    vm.crash_with_copy(3, 7, 300);
+    assert!(!vm.is_request_contained(7));
+    vm.pass(5_000);
+    vm.containment.update(vm.now);
+    assert!(!vm.is_request_contained(7));
+}
+
+/// Guards against the same where reports are delayed by different checks.
+#[test]
+fn the_moment_of_a_crash_is_when_the_connection_broke() {
+    let mut vm = Vm::new();
+    vm.crash_with_copy(1, 7, 50);
+    vm.pass(800);
+    let late = CrashReport {
+        in_flight: Duration::from_millis(100),
+        since_break: Duration::from_millis(790),
+        ..report(2, 7, &[])
+    };
+    vm.containment.record_crash(&late, vm.now);
+    vm.containment.update(vm.now);
+    assert!(!vm.is_request_contained(7));
+}
+
+/// Guards against equal requests of many callers being refused because servers ended one by one.
+#[test]
+fn an_answer_to_a_copy_that_was_sent_before_the_crashes_clears_the_request() {
+    let mut vm = Vm::new();
+    let sent_at = vm.now;
+    vm.pass(1_000);
+    vm.crash_with_copy(1, 7, 900);
+    vm.pass(600);
+    vm.crash_with_copy(2, 7, 900);
+    assert!(vm.is_request_contained(7));
+    vm.pass(100);
+    let cleared = vm.containment.record_begun_answer(7, &[], sent_at);
+    assert_eq!(cleared.len(), 1);
+    vm.containment.update(vm.now);
+    assert!(!vm.is_request_contained(7));
+}
+
+/// Guards against a request that crashes servers staying in use because another copy was sent while
+/// the first server was silent.
+#[test]
+fn copies_that_crash_servers_at_the_same_age_convict_the_request() {
+    let mut vm = Vm::new();
+    vm.crash_with_copy(1, 7, 400);
+    vm.pass(150);
+    vm.crash_with_copy(2, 7, 410);
+    assert!(vm.is_request_contained(7));
+}
+
+/// Guards against the same where copies of different ages crash servers together.
+#[test]
+fn a_copy_sent_after_servers_crashed_together_convicts_the_request() {
+    let mut vm = Vm::new();
+    for run in 1..=4 {
+        vm.crash_with_copy(run, 7, run * 60);
+    }
+    assert!(!vm.is_request_contained(7));
+    vm.pass(60);
+    vm.crash_with_copy(5, 7, 60);
+    assert!(vm.is_request_contained(7));
+}
+
+/// Guards against the same where its copies wait long at servers before they run.
+#[test]
+fn copies_that_crash_servers_half_a_second_apart_convict_the_request() {
+    let mut vm = Vm::new();
+    vm.crash_with_copy(1, 7, 5_000);
+    vm.pass(500);
+    vm.crash_with_copy(2, 7, 1_000);
+    assert!(vm.is_request_contained(7));
+}
+
 #[test]
 fn a_part_that_no_two_equal_requests_share_is_contained_after_two_crashes() {
     let mut vm = Vm::experienced();
