--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -38,6 +38,8 @@
     pub capture: String,
     /// New connections are closed at once.
     pub refuse: bool,
+    /// A connection that the far end resets, or that is cut, is reset at the near end.
+    pub resets: bool,
 }
 
 /// One proxied path.
@@ -215,8 +217,14 @@
             let read = from.read(Vec::with_capacity(self.proxy.chunk_bytes()));
             let BufResult(count, bytes) = match self.unless_cut(read).await {
                 Some(result) => result,
-                None => break,
+                None => {
+                    self.note_early_end(&to, way);
+                    break;
+                }
             };
+            if count.is_err() {
+                self.note_early_end(&to, way);
+            }
             let count = count.unwrap_or(0);
             if count == 0 && way == Way::Requests && !self.is_cut() {
                 // What was held goes on though its sender is gone.
@@ -245,6 +253,14 @@
         drop((from, to));
     }
 
+    /// Lets the near end see a reset, where the path passes resets on.
+    fn note_early_end(&self, to: &TcpStream, way: Way) {
+        if way == Way::Answers && self.proxy.faults.borrow().resets {
+            // A connection that is gone needs no reset.
+            let _ = to.set_zero_linger();
+        }
+    }
+
     fn holds(&self) -> bool {
         self.proxy.faults.borrow().hold_requests
     }
--- a/workbench/src/site/cut_soak.rs
+++ b/workbench/src/site/cut_soak.rs
@@ -3,7 +3,7 @@
 //! configuration, while callers keep their connections open.
 
 use super::{BlackHole, Caller, CallerRequest, Site, StoreFaults, plain, route};
-use crate::proxy::Proxy;
+use crate::proxy::{Faults, Proxy};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -72,11 +72,23 @@
     pub(super) async fn heal(&mut self, site: &Site) {
         self.black_holes.clear();
         self.proxies.clear();
-        for (index, server) in site.servers.iter().enumerate() {
-            let proxy = Proxy::start(site.path_address(index), server.address()).await;
+        self.cut_until = None;
+        self.extend(site).await;
+    }
+
+    /// Adds the paths to servers that have come, unless the paths are cut.
+    pub(super) async fn extend(&mut self, site: &Site) {
+        if self.cut_until.is_some() {
+            return;
+        }
+        for index in self.proxies.len()..site.servers.len() {
+            let proxy = Proxy::start(site.path_address(index), site.servers[index].address()).await;
+            proxy.set(Faults {
+                resets: true,
+                ..Faults::default()
+            });
             self.proxies.push(proxy);
         }
-        self.cut_until = None;
     }
 
     /// Refuses new connections; `kind` below 1 leaves open ones as they are, below 2 resets them,
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -416,6 +416,9 @@
             let mut steps = self.answer(&request);
             echo_id(&request, &mut steps);
             self.add_headers(&mut steps);
+            let ends_with_connection = steps
+                .iter()
+                .any(|step| matches!(step, ScriptStep::Close | ScriptStep::Reset));
             if !late.is_empty() {
                 steps.insert(0, ScriptStep::Write(std::mem::take(&mut late)));
             }
@@ -438,6 +441,10 @@
                         false
                     }
                 };
+                if ends_with_connection && self.deaths.get() > deaths {
+                    // A close would end an answer without a length as if it were whole.
+                    let _ = stream.set_zero_linger();
+                }
                 if !is_open || self.deaths.get() > deaths {
                     let id = request.header("x-attempt-id").to_owned();
                     self.record(ServerEvent::Disconnected(id, Instant::now()));
