--- a/workbench/src/site/delivery_soak.rs
+++ b/workbench/src/site/delivery_soak.rs
@@ -29,8 +29,8 @@
 /// The mean pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(40);
 /// Events of a whole stream, and the pause after each.
-const EVENTS: u64 = 8;
-const PAUSE_MS: u64 = 15;
+const EVENTS: u64 = 10;
+const PAUSE_MS: u64 = 25;
 /// How often a caller comes again after a promise or takes a stream up.
 const MAX_ATTEMPTS: u32 = 4;
 /// How long a caller takes up a stream that has begun, however often.
