Idempotency tests wait until their server listens

The VM's log: call_routed at 05.5249 s, refused as outcome_unknown at 05.5254 s, "the call was sent but not answered", 40 ms after the VMs had started. Nothing waited for the server's process, which starts just before the VMs: the proxy of the test accepted the call, reached no server and closed. The call may then not be sent again, so that it never ran, as it should be.

The set-up now waits until the server accepts connections; no check is changed.

--- a/workbench/tests/idempotency.rs
+++ b/workbench/tests/idempotency.rs
@@ -1,5 +1,6 @@
 //! Non-idempotent calls run at most once, and what is refused as not run did not run.
 
+use compio::net::TcpStream;
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
@@ -67,6 +68,12 @@
             plan.vm_settings.push((usize::from(vm), settings));
         }
         let cluster = Cluster::start_at(plan, ip).await;
+        let server = cluster.server_address(0);
+        cluster
+            .wait_for("the server listens", LIMIT, async || {
+                TcpStream::connect(server).await.is_ok()
+            })
+            .await;
         let site = Self {
             cluster,
             ledger: Ledger::default(),
