Streams do not go on at another version at a VM that missed the one that joined

Cause: a VM decided alone that the one version that it knew was the only one, if its directory was younger than 2.5 s. Another version may have joined since, and what the VMs tell each other of it are datagrams that it missed. Absence of knowledge was taken for knowledge of absence.

Why this works: streams begin at a version that joins others only once it has been listed for 1.75 s, or another VM says that they do. A VM that has itself read the directory within 1.5 s, by a clock that goes on while the machine is suspended, therefore lists each version at which any stream can have begun, whatever messages it missed, and only such a VM says that there is one version. All others ask those that were told and those that read the directory; if none is certain, the VM reads the directory itself, and refuses if that does not help. VMs tell of streams also while the directory is not confirmed, and of the streams of the last 30 s once a version joins. Versions that come and go within one read count, and after a read that replaces the directory behind a gap a VM counts as one that has just started. A VM that starts beside several versions and hears of no open one is ready 1.75 s later.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -293,6 +293,11 @@
         }
     }
 
+    /// Whether the route's answers are streams that may go on at another server.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.kind == RouteKind::Streaming && self.resumable
+    }
+
     /// Returns the longest time that a request may take.
     pub(crate) fn timeout(&self) -> Duration {
         Duration::from_millis(self.timeout_ms)
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -144,6 +144,8 @@
         self.state.settle_containment(now);
         self.state.refresh_server_speeds(now);
         self.state.plain_loads.expire(now);
+        let must_tell = |service: &str| self.state.must_tell_version(service, now);
+        self.state.peers.outbox.release_streams(must_tell, now);
         let mut digest = self.digest();
         self.state
             .peers
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -9,7 +9,7 @@
 use crate::gateway::server_limits::LimitStatement;
 use crate::gateway::server_speed::ServerSpeedsPart;
 use crate::gateway::sighting_message::{LeaderSeen, ZoneVms};
-use crate::gateway::stream_message::{BegunStream, VersionQuery, VersionReply};
+use crate::gateway::stream_message::{BegunStream, OpenVersion, VersionQuery, VersionReply};
 use prost::Message;
 use std::time::Duration;
 
@@ -122,6 +122,9 @@
     /// Services of which the sender has recently seen servers of several software versions.
     #[prost(string, repeated, tag = "32")]
     pub(super) mixed_services: Vec<String>,
+    /// The versions of these services at which streams may begin, as far as the sender knows.
+    #[prost(message, repeated, tag = "45")]
+    pub(super) open_versions: Vec<OpenVersion>,
     /// What is no longer charged with crashes, since answers to requests of the sender have begun.
     #[prost(message, repeated, tag = "33")]
     pub(super) clearances: Vec<ClearanceMessage>,
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -14,6 +14,7 @@
 use crate::gateway::gossip_targets::Targets;
 use crate::gateway::log_follower::Reading;
 use crate::gateway::peers::MICROS_PER_MILLI;
+use crate::gateway::stream_message::OpenVersion;
 use crate::gateway::waiting::need_id;
 use crate::inventory::Name;
 use crate::short_id::short_id;
@@ -206,6 +207,7 @@
             knows_contained: state.is_containment_known.get(),
             leaving: self.leaving_servers(),
             mixed_services: self.mixed_services(),
+            open_versions: self.open_versions(),
             waiting: self.waiting_requests(),
             configuration_version: configuration.version,
             is_configuration_checked: configuration.is_checked,
@@ -238,6 +240,16 @@
         services.iter().map(Name::to_string).collect()
     }
 
+    fn open_versions(&self) -> Vec<OpenVersion> {
+        let versions = self.state.software_versions.borrow();
+        let open = versions.open_versions(Instant::now()).into_iter();
+        let open = open.map(|(service, version)| OpenVersion {
+            service: service.to_string(),
+            version: version.to_string(),
+        });
+        open.collect()
+    }
+
     /// The servers that have recently said that they leave, the latest first.
     fn leaving_servers(&self) -> Vec<ServerRun> {
         let now = Instant::now();
--- a/src/gateway/log_follower.rs
+++ b/src/gateway/log_follower.rs
@@ -8,6 +8,7 @@
 //! all of them follow the log closely: a follower that hangs or is cut off from the log delays the
 //! others by at most [`FRESH_FOR`].
 
+use crate::gateway::boot_time::BootTime;
 use crate::gateway::sync_message::Part;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -90,6 +91,10 @@
     pub(crate) directory_confirmed_at: Cell<Option<Instant>>,
     /// When the configuration was last known to be current.
     pub(crate) configuration_confirmed_at: Cell<Option<Instant>>,
+    /// When this VM sent the last request by which it read the directory from the log itself.
+    pub(crate) directory_read_at: Cell<Option<BootTime>>,
+    /// When a read of the directory from the log was last asked for.
+    pub(crate) directory_read_wanted_at: Cell<Option<BootTime>>,
     /// Time of the last failure to read the directory, here or at the VM that forwarded an update.
     pub(crate) disrupted_at: Cell<Option<Instant>>,
 }
@@ -125,6 +130,20 @@
         latest
     }
 
+    /// Whether this VM has read the directory from the log within `limit`.
+    pub(crate) fn has_read_directory_within(&self, limit: Duration) -> bool {
+        let read_at = self.directory_read_at.get();
+        read_at.is_some_and(|at| at.elapsed() < limit)
+    }
+
+    /// Whether a read of the directory from the log was asked for within `limit`, and has not
+    /// happened since.
+    pub(crate) fn is_directory_read_wanted(&self, limit: Duration) -> bool {
+        let wanted_at = self.directory_read_wanted_at.get();
+        let wanted_at = wanted_at.filter(|at| at.elapsed() < limit);
+        wanted_at.is_some_and(|wanted_at| self.directory_read_at.get() < Some(wanted_at))
+    }
+
     /// Whether the log failed recently, so that entries may lapse although their servers are alive.
     pub(crate) fn was_recently_disrupted(&self, now: Instant) -> bool {
         let disrupted_at = self.disrupted_at.get();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod backlog;
 mod begun_parts;
+mod boot_time;
 mod budget;
 mod byte_budget;
 mod call;
--- a/src/gateway/outbox.rs
+++ b/src/gateway/outbox.rs
@@ -6,14 +6,19 @@
 use crate::gateway::directory_updates::DirectoryUpdate;
 use crate::gateway::gossip_message::SentPrompt;
 use crate::gateway::peers::MICROS_PER_MILLI;
+use crate::gateway::software_versions::STREAM_LIFETIME;
 use crate::gateway::stream_message::{BegunStream, VersionQuery};
 use crate::gateway::stream_versions::StreamKey;
 use crate::inventory::Name;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// The maximum number of streams of a service that are held. The oldest ones are forgotten first.
+const MAX_HELD_STREAMS: usize = 16_384;
+
 /// The VMs that are sent a change before the next regular round; a later variant covers more.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum UpdateScope {
@@ -47,6 +52,8 @@
     /// Streams whose software versions have yet to be told to other VMs.
     begun_streams: RefCell<Vec<BegunStream>>,
     stream_signal: Signal,
+    /// Streams of which other VMs need not be told yet, by service, and when each began.
+    held_streams: RefCell<HashMap<Name, VecDeque<(BegunStream, Instant)>>>,
     /// Questions for the software versions of streams, and the VMs that are asked.
     version_queries: RefCell<Vec<(VersionQuery, Vec<SocketAddr>)>>,
     query_signal: Signal,
@@ -120,13 +127,34 @@
 
     /// Tells other VMs at which software version a stream begins.
     pub(crate) fn report_stream(&self, key: StreamKey, version: &Name) {
-        self.begun_streams.borrow_mut().push(BegunStream {
-            stream: key.0,
-            version: version.to_string(),
-        });
+        let stream = BegunStream::of(key, version);
+        self.begun_streams.borrow_mut().push(stream);
         self.stream_signal.notify();
     }
 
+    /// Keeps at which software version a stream begins, in case that other VMs have to be told later.
+    pub(crate) fn hold_stream(&self, service: &Name, key: StreamKey, version: &Name, now: Instant) {
+        let mut held_streams = self.held_streams.borrow_mut();
+        let held = held_streams.entry(service.clone()).or_default();
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= STREAM_LIFETIME;
+        while held.len() >= MAX_HELD_STREAMS || held.front().is_some_and(|(_, at)| is_old(*at)) {
+            held.pop_front();
+        }
+        held.push_back((BegunStream::of(key, version), now));
+    }
+
+    /// Tells other VMs of the streams that were held, of the services of which they have to be told.
+    pub(super) fn release_streams(&self, must_tell: impl Fn(&str) -> bool, now: Instant) {
+        let mut held_streams = self.held_streams.borrow_mut();
+        for (_, held) in held_streams.extract_if(|service, _| must_tell(service)) {
+            let is_old = |at: Instant| now.saturating_duration_since(at) >= STREAM_LIFETIME;
+            let recent = held.into_iter().filter(|(_, at)| !is_old(*at));
+            let mut begun_streams = self.begun_streams.borrow_mut();
+            begun_streams.extend(recent.map(|(stream, _)| stream));
+            self.stream_signal.notify();
+        }
+    }
+
     /// Returns and removes the streams to tell.
     pub(super) fn take_begun_streams(&self) -> Vec<BegunStream> {
         self.begun_streams.take()
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -404,8 +404,16 @@
     /// The servers that have what the request needs, whether they accept requests or not.
     fn capable_servers(&self, call: &Call, now: Instant) -> Vec<Rc<Server>> {
         let mut servers = self.state.fleet.of_service(&call.service);
-        if let StreamVersion::Bound(version) = &call.stream_version {
-            servers.retain(|server| server.software_version() == *version);
+        match &call.stream_version {
+            StreamVersion::Bound(version) => {
+                servers.retain(|server| server.software_version() == *version);
+            }
+            StreamVersion::Any if call.route.is_resumable() => {
+                let versions = self.state.software_versions.borrow();
+                let is_open = |version: &str| versions.is_open(&call.service, version, now);
+                servers.retain(|server| is_open(&server.software_version()));
+            }
+            StreamVersion::Any | StreamVersion::Unresolved => {}
         }
         if let Some(weights) = call.weights() {
             servers.retain(|server| server.holds(&weights, now));
--- a/src/gateway/source_selector.rs
+++ b/src/gateway/source_selector.rs
@@ -175,8 +175,9 @@
         if let Some(peer) = self.alternative(from) {
             return Some(Source::Peer(peer));
         }
+        let is_wanted = self.part == Part::Directory && self.state.is_directory_read_wanted();
         // The leader has to know what servers hold as soon as they report it.
-        if self.is_leader() || self.is_overdue(now) {
+        if self.is_leader() || self.is_overdue(now) || is_wanted {
             return Some(Source::Log);
         }
         let ahead = self.state.peer_ahead(self.part, from, now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of one VM share: configuration, backend servers and peers.
 
 use crate::callers::Ledger;
+use crate::gateway::boot_time::BootTime;
 use crate::gateway::call::Cost;
 use crate::gateway::change_history::ChangeHistory;
 use crate::gateway::configuration_check::{self, PeerConfiguration};
@@ -21,7 +22,9 @@
 use crate::gateway::runner_load::{RunnerLoads, counted, is_believed};
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
 use crate::gateway::server_speed::{ListedRun, ServerSpeeds, StatedLoad, run_id};
-use crate::gateway::software_versions::SoftwareVersions;
+use crate::gateway::software_versions::{
+    ListedVersions, MAX_KNOWLEDGE_AGE, STREAM_LIFETIME, SoftwareVersions,
+};
 use crate::gateway::source_selector::Source;
 use crate::gateway::speeds::Speeds;
 use crate::gateway::stream_versions::{StreamKey, StreamVersions};
@@ -38,7 +41,7 @@
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
@@ -60,6 +63,9 @@
 /// The largest fleet in which a VM that cannot read the log asks VMs of other zones.
 const MAX_VMS_ASKING_ZONES: usize = 12;
 
+/// How long a read of the directory that was asked for may take.
+const WANTED_READ_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum number of log lines about listed servers for one set of changes.
 const MAX_LISTED_LINES: usize = 16;
 
@@ -133,6 +139,8 @@
     pub(crate) reachability_doubted: Signal,
     /// The software versions of the servers of each service.
     pub(crate) software_versions: RefCell<SoftwareVersions>,
+    /// Notified when a read of the directory from the log is asked for.
+    pub(super) directory_read_wanted: Signal,
     /// At which software versions streams began.
     pub(crate) stream_versions: RefCell<StreamVersions>,
     /// The searches for the software versions of streams that are taken up.
@@ -207,6 +215,7 @@
             reachability: RefCell::default(),
             reachability_doubted: Signal::default(),
             software_versions: RefCell::default(),
+            directory_read_wanted: Signal::default(),
             stream_versions: RefCell::default(),
             version_searches: RefCell::default(),
             waiting: RefCell::default(),
@@ -535,6 +544,7 @@
         let mut listed: Vec<Name> = Vec::new();
         let mut lost = 0;
         let mut outdated = 0;
+        let mut passed = ListedVersions::new();
         for change in changes.items {
             match change {
                 ServerChange::Restored(entry) if self.fleet.is_known_removed(&entry) => {
@@ -549,6 +559,10 @@
                         }
                         listed.push(entry.id.clone());
                     }
+                    if entry_change == EntryChange::AvailabilityChanged {
+                        let versions = passed.entry(entry.service.clone()).or_default();
+                        versions.insert(entry.software_version.clone());
+                    }
                     if entry_change > EntryChange::Renewed {
                         to_send.push(ServerChange::Upserted(entry));
                     }
@@ -580,15 +594,17 @@
             None => history.restart(next),
         }
         if has_availability_change || !self.is_directory_known.get() {
-            self.update_software_versions(now);
+            self.update_software_versions(passed, now);
         }
         self.is_directory_known.set(true);
         self.changed.notify();
         (to_send, has_availability_change)
     }
 
-    fn update_software_versions(&self, now: Instant) {
-        let mut listed: HashMap<Name, BTreeSet<Name>> = HashMap::new();
+    /// Records the versions of the listed servers. `passed` are those of entries that were read, some of
+    /// which may have been removed again by the same read.
+    fn update_software_versions(&self, passed: ListedVersions, now: Instant) {
+        let mut listed = ListedVersions::new();
         for server in self.fleet.servers() {
             if !server.is_marked_removed() {
                 server.with_entry(|entry| {
@@ -597,7 +613,47 @@
                 });
             }
         }
-        self.software_versions.borrow_mut().update(listed, now);
+        let mut software_versions = self.software_versions.borrow_mut();
+        for (service, software) in software_versions.update(listed, &passed, now) {
+            info!(%service, %software, "software version joins");
+        }
+    }
+
+    /// Records that the directory is about to be replaced as a whole. Unless this VM has read it just
+    /// before, versions may have come and gone that it does not know.
+    pub(super) fn note_directory_replaced(&self, now: Instant) {
+        if !self.following.has_read_directory_within(MAX_KNOWLEDGE_AGE) {
+            self.software_versions.borrow_mut().forget_age(now);
+        }
+    }
+
+    /// Whether a read of the directory from the log is asked for and has not happened yet.
+    pub(super) fn is_directory_read_wanted(&self) -> bool {
+        self.following.is_directory_read_wanted(WANTED_READ_TIME)
+    }
+
+    /// Has the directory read from the log; returns once that has happened or taken too long.
+    pub(super) async fn read_directory_soon(&self) {
+        let asked_at = BootTime::now();
+        let following = &self.following;
+        following.directory_read_wanted_at.set(Some(asked_at));
+        self.directory_read_wanted.notify();
+        let is_read = async {
+            while following.directory_read_at.get() < Some(asked_at) {
+                self.changed.wait().await;
+            }
+        };
+        // Without the read, the caller knows no more than before.
+        let _ = compio::time::timeout(WANTED_READ_TIME, is_read).await;
+    }
+
+    /// Whether other VMs have to be told at which version a stream of a service begins.
+    pub(crate) fn must_tell_version(&self, service: &str, now: Instant) -> bool {
+        // VMs that have started lack what was not told before.
+        let is_fleet_changed = self.peers.unchanged_for(now) < STREAM_LIFETIME;
+        let unconfirmed = self.unconfirmed_time(Part::Directory, now);
+        let is_confirmed = unconfirmed.is_some_and(|age| age < MAX_KNOWLEDGE_AGE);
+        is_fleet_changed || !is_confirmed || self.software_versions.borrow().must_tell(service, now)
     }
 
     /// What this VM knows of the software version of a stream.
@@ -612,8 +668,10 @@
         // Other VMs may have seen more versions.
         let has_heard_others = !is_young || self.peers.vms() > 1 || self.peers.is_alone();
         let untold = software_versions.untold(service, now);
+        let is_current = self.following.has_read_directory_within(MAX_KNOWLEDGE_AGE);
         VersionAnswer {
             version: self.stream_versions.borrow().find(key),
+            only: software_versions.only(service, now).filter(|_| is_current),
             untold: untold.filter(|_| has_heard_others),
             is_young,
         }
@@ -651,7 +709,7 @@
             for id in expired.iter().take(MAX_LISTED_LINES) {
                 info!(server = %id, "server's entry not written again");
             }
-            self.update_software_versions(now);
+            self.update_software_versions(ListedVersions::new(), now);
             self.changed.notify();
         }
         for id in self.fleet.purge_removed(grace, now) {
@@ -851,6 +909,10 @@
             && self.is_containment_known.get()
             && self.peers.is_discovery_done(Instant::now())
             && self.is_configuration_checked(Instant::now())
+            && !self
+                .software_versions
+                .borrow()
+                .is_waiting_to_open(Instant::now())
             && self.configuration.borrow().is_some()
     }
 
--- a/src/gateway/stream_gossip.rs
+++ b/src/gateway/stream_gossip.rs
@@ -163,6 +163,11 @@
                 .borrow_mut()
                 .note_report(service, now);
         }
+        for open in &digest.open_versions {
+            let (service, version) = (open.service.as_str().into(), open.version.as_str().into());
+            let mut software_versions = state.software_versions.borrow_mut();
+            software_versions.note_open(service, version, now);
+        }
         for reply in &digest.version_replies {
             let search = state.version_search(StreamKey(reply.stream));
             if let Some(search) = search {
--- a/src/gateway/stream_message.rs
+++ b/src/gateway/stream_message.rs
@@ -1,5 +1,6 @@
 //! The parts of gossip messages that concern the software versions of streams.
 
+use crate::gateway::stream_versions::StreamKey;
 use crate::gateway::version_search::VersionAnswer;
 use crate::inventory::Name;
 use prost::Message;
@@ -14,6 +15,15 @@
     pub(super) version: String,
 }
 
+impl BegunStream {
+    pub(super) fn of(key: StreamKey, version: &Name) -> Self {
+        Self {
+            stream: key.0,
+            version: version.to_string(),
+        }
+    }
+}
+
 /// A question for the software version of a stream.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct VersionQuery {
@@ -40,6 +50,18 @@
     /// Whether the sender has not known the servers for as long as streams last.
     #[prost(bool, tag = "4")]
     pub(super) is_young: bool,
+    /// The version of the service, if the sender knows that streams have begun at no other one.
+    #[prost(string, optional, tag = "5")]
+    pub(super) only: Option<String>,
+}
+
+/// A version of a service at which streams may begin.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct OpenVersion {
+    #[prost(string, tag = "1")]
+    pub(super) service: String,
+    #[prost(string, tag = "2")]
+    pub(super) version: String,
 }
 
 impl VersionReply {
@@ -48,6 +70,7 @@
         Self {
             stream,
             version: answer.version.as_ref().map(Name::to_string),
+            only: answer.only.as_ref().map(Name::to_string),
             untold: answer.untold.as_ref().map(Name::to_string),
             is_young: answer.is_young,
         }
@@ -57,6 +80,7 @@
     pub(super) fn answer(&self) -> VersionAnswer {
         VersionAnswer {
             version: self.version.as_deref().map(Name::from),
+            only: self.only.as_deref().map(Name::from),
             untold: self.untold.as_deref().map(Name::from),
             is_young: self.is_young,
         }
--- a/src/gateway/stream_resumption.rs
+++ b/src/gateway/stream_resumption.rs
@@ -6,24 +6,23 @@
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
 use crate::gateway::relay::Relay;
-use crate::gateway::software_versions::STREAM_LIFETIME;
 use crate::gateway::stream_versions::StreamKey;
-use crate::gateway::sync_message::Part;
 use crate::gateway::version_search::{VersionAnswer, decide, keepers};
 use crate::inventory::Name;
-use std::time::{Duration, Instant};
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::time::Instant;
 use tracing::{info, warn};
 
-/// How long ago this VM may have known its directory to be current for a version not to have come
-/// that it does not know.
-const MAX_DIRECTORY_AGE: Duration = Duration::from_millis(2_500);
+/// How many VMs that read the directory are asked beside those that may have been told of a stream.
+const MAX_ASKED_READERS: usize = 3;
 
 /// From what the version of a stream is known.
 #[derive(Clone, Copy, Debug)]
 enum Source {
     /// This VM was told, or began the stream itself.
     Own,
-    /// The service has had no other version.
+    /// This VM knows that the service has had no other version.
     OnlyVersion,
     /// Other VMs were asked.
     OtherVms,
@@ -94,27 +93,20 @@
 
     /// The version of a call's stream as this VM knows it by itself.
     fn known_version(&self, call: &Call, now: Instant) -> Option<(Name, Source)> {
-        let state = &self.state;
-        let known = state.version_answer(call.stream_key(), &call.service, now);
-        if let Some(version) = known.version {
-            return Some((version, Source::Own));
-        }
-        let versions = state.software_versions.borrow();
-        let directory_age = state.unconfirmed_time(Part::Directory, now);
-        let is_current = directory_age.is_some_and(|age| age < MAX_DIRECTORY_AGE);
-        if !is_current || !versions.is_settled(&call.service, now) {
-            return None;
-        }
-        known.untold.map(|version| (version, Source::OnlyVersion))
+        let known = self
+            .state
+            .version_answer(call.stream_key(), &call.service, now);
+        let own = known.version.map(|version| (version, Source::Own));
+        own.or_else(|| known.only.map(|version| (version, Source::OnlyVersion)))
     }
 
-    /// Asks the VMs that may know the version of a call's stream.
+    /// Asks the VMs that may know the version of a call's stream. If none of them does, reads the
+    /// directory, which shows whether the service has a single version.
     async fn ask_for_version(&self, call: &Call) -> Option<Name> {
         let began = Instant::now();
         let state = &self.state;
         let key = call.stream_key();
-        let targets = state.peers.targets(&state.settings.availability_zone);
-        let asked = keepers(key, &targets, state.settings.peer_address);
+        let asked = self.asked_vms(call);
         let search = state.begin_version_search(key);
         if !asked.is_empty() {
             let outbox = &state.peers.outbox;
@@ -122,37 +114,35 @@
                 .wait(&asked, || outbox.query_version(key, &call.service, &asked))
                 .await;
         }
-        let own = state.version_answer(key, &call.service, began);
+        let answers = search.answers();
+        let is_certain = answers.iter().any(VersionAnswer::is_certain);
+        let only = state.software_versions.borrow().only(&call.service, began);
+        if !is_certain && only.is_some() {
+            state.read_directory_soon().await;
+        }
+        let own = state.version_answer(key, &call.service, Instant::now());
         let is_named = call.request.resumes.is_some();
         if state.peers.is_alone() {
-            return own.untold.filter(|_| !(own.is_young && is_named));
-        }
-        let answers = search.answers();
-        if is_named && self.may_have_lost_keepers(&call.service, &answers, asked.len()) {
-            return None;
+            return own.only.or(own.untold.filter(|_| !is_named));
         }
         // A VM that hears no other may have missed what the others were told.
         decide(&answers, &own, asked.len().max(1), is_named)
     }
 
-    /// Whether the VMs that answered may not be those that were told of the streams of a service, so
-    /// that they cannot say of a stream that it was not told.
-    fn may_have_lost_keepers(
-        &self,
-        service: &str,
-        answers: &[VersionAnswer],
-        asked: usize,
-    ) -> bool {
-        let now = Instant::now();
+    /// The VMs that may have been told of a call's stream, and some that read the directory.
+    fn asked_vms(&self, call: &Call) -> Vec<SocketAddr> {
         let state = &self.state;
-        let is_told = answers.iter().any(|answer| answer.version.is_some());
-        if is_told || !state.software_versions.borrow().is_mixed(service, now) {
-            return false;
-        }
-        let have_all_answered = answers.len() >= asked;
-        let has_young = answers.iter().any(|answer| answer.is_young);
-        let is_stable = state.peers.unchanged_for(now) >= STREAM_LIFETIME;
-        !have_all_answered || has_young || !is_stable
+        let zone = &state.settings.availability_zone;
+        let targets = state.peers.targets(zone);
+        let mut asked = keepers(call.stream_key(), &targets, state.settings.peer_address);
+        let mut readers = state.peers.all_readings();
+        readers.retain(|(vm, _, _)| !asked.contains(vm));
+        readers.sort_by_key(|(_, of_zone, readings)| {
+            (of_zone != zone, Reverse(readings.directory.at))
+        });
+        let readers = readers.into_iter().take(MAX_ASKED_READERS);
+        asked.extend(readers.map(|(vm, _, _)| vm));
+        asked
     }
 
     /// Records that the stream of a call goes on at a server, and tells other VMs.
@@ -168,11 +158,10 @@
         let key: StreamKey = call.stream_key();
         let mut versions = state.stream_versions.borrow_mut();
         versions.record(key, version.clone(), now);
-        // VMs that have started lack what was not told before.
-        let is_fleet_changed = state.peers.unchanged_for(now) < STREAM_LIFETIME;
-        let software_versions = state.software_versions.borrow();
-        if is_fleet_changed || software_versions.must_tell(&call.service, now) {
-            state.peers.outbox.report_stream(key, &version);
+        let outbox = &state.peers.outbox;
+        match state.must_tell_version(&call.service, now) {
+            true => outbox.report_stream(key, &version),
+            false => outbox.hold_stream(&call.service, key, &version, now),
         }
         call.stream_version = StreamVersion::Bound(version);
     }
--- a/src/gateway/version_search.rs
+++ b/src/gateway/version_search.rs
@@ -29,12 +29,21 @@
 pub(crate) struct VersionAnswer {
     /// The version at which the stream began, if the VM was told.
     pub(crate) version: Option<Name>,
+    /// The version of the service, if the VM knows that streams have begun at no other one.
+    pub(crate) only: Option<Name>,
     /// The version at which it began if no VM was told of it, as far as this VM can say.
     pub(crate) untold: Option<Name>,
     /// Whether the VM has not known the servers for as long as streams last.
     pub(crate) is_young: bool,
 }
 
+impl VersionAnswer {
+    /// Whether the VM knows the version, whatever other VMs know.
+    pub(crate) fn is_certain(&self) -> bool {
+        self.version.is_some() || self.only.is_some()
+    }
+}
+
 /// A search for the version of one stream.
 #[derive(Debug, Default)]
 pub(crate) struct VersionSearch {
@@ -49,7 +58,7 @@
         self.answered.notify();
     }
 
-    /// Waits until a VM knows the version, all of `asked` have answered, or time is up; `ask` sends
+    /// Waits until a VM is certain of the version, all of `asked` have answered, or time is up; `ask` sends
     /// the question.
     pub(crate) async fn wait(&self, asked: &[SocketAddr], ask: impl Fn()) {
         for _ in 0..ATTEMPTS {
@@ -79,7 +88,7 @@
 
     fn is_over(&self, asked: &[SocketAddr]) -> bool {
         let answers = self.answers.borrow();
-        let is_known = answers.values().any(|answer| answer.version.is_some());
+        let is_known = answers.values().any(VersionAnswer::is_certain);
         is_known || asked.iter().all(|vm| answers.contains_key(vm))
     }
 }
@@ -88,10 +97,9 @@
 /// this VM itself knows; `None` if that leaves none or several. `is_named` says whether the caller
 /// names the stream, so that VMs can have been told of it.
 ///
-/// VMs that were told decide. If none was, the stream began while nothing had to be told, of which
-/// young VMs may be ignorant. Since a VM may have missed a message, it takes two to say so. While a VM
-/// is young, all tell of all streams: one that is named and was not told began before every VM started,
-/// at a version that may have left.
+/// VMs that were told decide, then VMs that know of a single version. A stream that is named and was not
+/// told otherwise may have begun at any version. One that is not named goes on at the version that was
+/// the only one before, if two VMs say so, since a VM may have missed a message.
 pub(crate) fn decide(
     answers: &[VersionAnswer],
     own: &VersionAnswer,
@@ -103,10 +111,11 @@
     if told.clone().count() > 0 {
         return only(told).cloned();
     }
-    let has_old = all().any(|it| !it.is_young);
-    if !has_old && is_named {
-        return None;
+    let certain = all().filter_map(|it| it.only.as_ref());
+    if is_named || certain.clone().count() > 0 {
+        return only(certain).cloned();
     }
+    let has_old = all().any(|it| !it.is_young);
     let deciding = all().filter(|it| !(has_old && it.is_young));
     let versions: Vec<Option<&Name>> = deciding.map(|it| it.untold.as_ref()).collect();
     let has_ignorant_young = !has_old && versions.contains(&None);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration and the directory of backend servers in the log.
 
+use crate::gateway::boot_time::BootTime;
 use crate::gateway::crash_state::PeerCrashNews;
 use crate::gateway::directory_updates::{ServerUpdate, update_messages};
 use crate::gateway::log_follower::{Reading, Readings, read_as_of};
@@ -343,6 +344,7 @@
         from: Option<u64>,
     ) -> Result<DirectoryRead, StoreError> {
         let sent_at = Instant::now();
+        let read_at = BootTime::now();
         let changes = match from {
             None => Err(StoreError::Rewound),
             Some(from) => self.store.changes_since(from).await,
@@ -357,6 +359,7 @@
             since: from,
             is_whole,
             at: sent_at,
+            read_at: Some(read_at),
         })
     }
 
@@ -508,7 +511,7 @@
         let advertised = self.state.advertised_readings(Instant::now());
         let is_behind = advertised.is_some_and(&has_update);
         let interval = if is_behind { BEHIND_INTERVAL } else { interval };
-        compio::time::sleep_until(read_at + interval).await;
+        self.sleep_until_wanted(part, read_at + interval).await;
         let zone_interval = ZONE_BACKGROUND_INTERVAL * self.zone_vms() as u32;
         let background_interval = BACKGROUND_INTERVAL.max(zone_interval);
         while read_at.elapsed() < background_interval {
@@ -516,13 +519,36 @@
             self.state.purge_removed(now);
             // Advertised reads confirm the part as long as they are fresh.
             self.state.confirmed_at(part, now);
+            if self.is_read_wanted(part) {
+                return;
+            }
             match self.state.advertised_readings(now) {
-                Some(reads) if !has_update(reads) => compio::time::sleep(UPDATE_POLL).await,
+                Some(reads) if !has_update(reads) => {
+                    self.sleep_until_wanted(part, now + UPDATE_POLL).await;
+                }
                 _ => return,
             }
         }
     }
 
+    fn is_read_wanted(&self, part: Part) -> bool {
+        part == Part::Directory && self.state.is_directory_read_wanted()
+    }
+
+    /// Sleeps until a time, or until a read of the part is asked for.
+    async fn sleep_until_wanted(&self, part: Part, until: Instant) {
+        if part == Part::Configuration {
+            compio::time::sleep_until(until).await;
+            return;
+        }
+        let wanted = self.state.directory_read_wanted.wait();
+        if !self.is_read_wanted(part) {
+            let left = until.saturating_duration_since(Instant::now());
+            // Whichever comes first ends the wait.
+            let _ = compio::time::timeout(left, wanted).await;
+        }
+    }
+
     /// Applies a read of the directory. If this VM follows the log for its zone, forwards the
     /// relevant changes.
     fn apply_read(&self, read: DirectoryRead) {
@@ -531,8 +557,15 @@
             since: from,
             is_whole,
             at,
+            read_at,
         } = read;
         let now = Instant::now();
+        if is_whole {
+            self.state.note_directory_replaced(now);
+        }
+        if let Some(read_at) = read_at {
+            self.state.following.directory_read_at.set(Some(read_at));
+        }
         let next = changes.next_offset;
         if is_whole {
             let unlisted = self.unlisted_servers(&changes.items).into_iter();
@@ -662,6 +695,8 @@
     is_whole: bool,
     /// A time at which the changes were current.
     pub(super) at: Instant,
+    /// When the request was sent by which this VM read the changes from the log.
+    read_at: Option<BootTime>,
 }
 
 /// Reads the log; `None` if another VM turns out to have what this one lacks while reads fail.
@@ -721,6 +756,7 @@
         since,
         is_whole: since.is_none(),
         at,
+        read_at: None,
     })
 }
 
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -19,6 +19,7 @@
 pub mod start;
 mod store;
 pub mod version_soak;
+mod vm_network;
 
 pub use black_hole::BlackHole;
 pub use caller::{Answer, Caller, CallerRequest};
@@ -28,6 +29,7 @@
     Arrival, LoadedModels, ReceivedRequest, ScriptStep, ServerEvent, ServerStandIn, signed_answer,
 };
 pub use store::{StoreCopy, StoreFaults, StoreStandIn};
+pub use vm_network::{Node, VmNetwork};
 
 use crate::cluster::Cluster;
 use crate::process::{Process, product_binary};
@@ -54,6 +56,8 @@
 const PATH_PORT_OFFSET: u16 = 100;
 /// The first port of the VMs; each VM uses a range of ten.
 const VM_PORT: u16 = 22_300;
+/// The offset of the port for messages between VMs in that range.
+const PEER_PORT: u16 = 2;
 /// How long [`Site::wait`] waits for a condition before the test fails.
 const LIMIT: Duration = Duration::from_secs(30);
 /// The interval between two checks of a condition.
@@ -95,6 +99,8 @@
     pub max_fds: usize,
     /// The number of availability zones over which the VMs are spread in turn.
     pub zones: usize,
+    /// The network between the VMs, if a test cuts paths in it.
+    network: Option<Rc<VmNetwork>>,
     folder: PathBuf,
     version: u64,
 }
@@ -123,6 +129,7 @@
             max_body_bytes: 1_048_576,
             max_fds: 4_096,
             zones: 1,
+            network: None,
             folder,
             version: 0,
         };
@@ -192,6 +199,29 @@
         paths
     }
 
+    /// Starts `count` VMs whose paths to each other and to the store can be cut.
+    pub async fn start_vms_in_network(&mut self, count: usize) -> Rc<VmNetwork> {
+        let network = VmNetwork::new();
+        self.network = Some(network.clone());
+        let store = SocketAddr::new(self.ip, STORE_PORT);
+        for vm in 0..count {
+            network
+                .add_vm(vm, self.vm_address(vm, PEER_PORT).port())
+                .await;
+            let path = self.store_path_address(vm);
+            network.add_store_path(vm, path, store).await;
+            self.vms_with_store_paths.insert(vm);
+        }
+        self.start_vms(count);
+        network
+    }
+
+    /// The address of a VM at the port with an offset in its range.
+    fn vm_address(&self, vm: usize, offset: u16) -> SocketAddr {
+        let ip = self.network.as_ref().map_or(self.ip, |it| it.ip(vm));
+        SocketAddr::new(ip, VM_PORT + 10 * vm as u16 + offset)
+    }
+
     /// Writes the directory entry of a server with the given state.
     pub fn put_entry(&self, server: &ServerStandIn, state: &str) {
         let entry = server.entry(state);
@@ -255,12 +285,11 @@
     }
 
     fn spawn_vm(&self, index: usize) -> Process {
-        let port = VM_PORT + 10 * index as u16;
-        let at = |offset: u16| SocketAddr::new(self.ip, port + offset);
+        let at = |offset: u16| self.vm_address(index, offset);
         let (zone, store) = match self.vms_with_paths.contains(&index) {
             true => ("b", SocketAddr::new(self.ip, PATHS_STORE_PORT)),
             false if self.vms_with_store_paths.contains(&index) => {
-                ("a", self.store_path_address(index))
+                (ZONES[index % self.zones], self.store_path_address(index))
             }
             false => (
                 ZONES[index % self.zones],
@@ -301,12 +330,12 @@
 parts = 12
 ttl_min_ms = 1000
 "#,
-            ip = self.ip,
+            ip = at(0).ip(),
             is_fenced = self.is_fenced,
             retry_slack = self.retry_slack,
             max_fds = self.max_fds,
-            first = port + 2,
-            last = port + 9,
+            first = at(PEER_PORT).port(),
+            last = at(9).port(),
             front = at(0),
             ready = at(1),
         );
@@ -337,12 +366,12 @@
 
     /// The address at which a VM accepts callers.
     pub fn front(&self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.ip, VM_PORT + 10 * index as u16)
+        self.vm_address(index, 0)
     }
 
     /// The address at which a VM serves its readiness and its metrics.
     pub fn ready(&self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.ip, VM_PORT + 10 * index as u16 + 1)
+        self.vm_address(index, 1)
     }
 
     /// Whether a VM reports that it is ready.
