One odd record in the store affects no other one

What callers saw: another writer left one odd entry among those of the servers. VMs ended, or stopped following the directory; where servers state no start time, an entry with one removed all of them after a restart, and every request was refused (LOST).

Cause: one record decided over others. A record that was too short, an item that was not base64 or had another shape, failed the whole read, again and again. A key went into the path of the next page as it was, and a key that is no part of a path ended the process. One start time made all entries without one count as another writer's. An unreadable entry under a server's key removed that server. An entry with a start time or a huge sequence under a server's key kept the server's own later entries out.

Property tests: an entry with any odd fields changes nothing of other servers, and any entry that is read passes unchanged between VMs.

Why this works: each record is read by itself. What cannot be read changes nothing, not what is known of a server under that key either, and is logged once for each change. Keys are percent-encoded. Numbers, addresses and ids that no server has are refused. Entries without a start time follow each other as they are read, and a sequence that is behind by more than any delay shows that the former one was wrong.

The test that an entry without start time is removed once servers report theirs asserted the fault; it is replaced by one that an entry decides on its own server only.

--- a/src/gateway/directory_updates.rs
+++ b/src/gateway/directory_updates.rs
@@ -75,6 +75,9 @@
     /// cannot read such a change and reads the log instead.
     #[prost(bool, tag = "14")]
     is_lost: bool,
+    /// Whether the sender cannot read the entry.
+    #[prost(bool, tag = "15")]
+    is_unreadable: bool,
 }
 
 impl ServerUpdate {
@@ -91,10 +94,16 @@
                 is_lost: true,
                 ..Self::default()
             },
+            ServerChange::Unreadable(id) => Self {
+                id: id.to_string(),
+                is_unreadable: true,
+                ..Self::default()
+            },
             ServerChange::Upserted(entry) | ServerChange::Restored(entry) => Self {
                 id: entry.id.to_string(),
                 is_gone: false,
                 is_lost: false,
+                is_unreadable: false,
                 started_ms: entry.started_ms,
                 sequence: entry.sequence,
                 service: entry.service.to_string(),
@@ -120,6 +129,9 @@
         if self.is_lost {
             return Some(ServerChange::Lost(id));
         }
+        if self.is_unreadable {
+            return Some(ServerChange::Unreadable(id));
+        }
         let state = match self.is_draining {
             true => ServerState::Draining,
             false => ServerState::Ready,
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -122,7 +122,7 @@
 }
 
 /// A change to the directory of backend servers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) enum ServerChange {
     /// An entry was added or renewed.
     Upserted(Entry),
@@ -132,6 +132,8 @@
     Restored(Entry),
     /// The log lost the entry of the named backend server when it was restored.
     Lost(Name),
+    /// The entry of the named backend server cannot be read. What is known of the server still holds.
+    Unreadable(Name),
 }
 
 /// The source of the configuration.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -25,6 +25,12 @@
 /// The longest pause that a server may ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
+/// The number of entries that a run may write before a delayed one takes effect.
+const MAX_DELAYED_ENTRIES: u64 = 1_000;
+
+/// The start of a run that does not state when it started.
+pub(crate) const UNKNOWN_START_MS: u64 = 0;
+
 /// Maximum number of removed servers whose last run is remembered. Entries of earlier runs stay in
 /// the log for minutes.
 const MAX_REMOVED_RUNS: usize = 10_000;
@@ -92,6 +98,22 @@
 }
 
 impl Entry {
+    /// Whether this entry is of an earlier run than another one. Runs whose start is not known follow
+    /// each other as they are read.
+    fn is_of_earlier_run(&self, other_started_ms: u64) -> bool {
+        let is_known = self.started_ms != UNKNOWN_START_MS && other_started_ms != UNKNOWN_START_MS;
+        is_known && self.started_ms < other_started_ms
+    }
+
+    /// Whether this entry was written before another one that was read earlier. An entry that is further
+    /// behind than any delay explains shows that the number of the other one was wrong.
+    fn is_outdated(&self, other: &Self) -> bool {
+        let is_delayed = self.started_ms == other.started_ms
+            && self.sequence < other.sequence
+            && other.sequence - self.sequence <= MAX_DELAYED_ENTRIES;
+        is_delayed || self.is_of_earlier_run(other.started_ms)
+    }
+
     /// Whether this entry is the same as `other` or a later one, of the same run or a later run.
     fn is_newer_than(&self, other: &Self) -> bool {
         (self.started_ms, self.sequence) >= (other.started_ms, other.sequence)
@@ -430,7 +452,7 @@
         let mut servers = self.servers.borrow_mut();
         let removed = self.removed_runs.borrow_mut().remove(&entry.id);
         if let Some(removed) = removed {
-            if removed.started_ms > entry.started_ms {
+            if entry.is_of_earlier_run(removed.started_ms) {
                 self.removed_runs.borrow_mut().insert(entry.id, removed);
                 return EntryChange::Renewed;
             }
@@ -446,7 +468,7 @@
         if let Some(server) = current.filter(|server| server.is_run_of(&entry)) {
             server.lost_at.set(None);
         }
-        if current.is_some_and(|server| !entry.is_newer_than(&server.entry.borrow())) {
+        if current.is_some_and(|server| entry.is_outdated(&server.entry.borrow())) {
             return EntryChange::Renewed;
         }
         let same_run = current.filter(|server| server.is_run_of(&entry));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -119,7 +119,7 @@
     Membership, Order, OrderOutcome, Protocol, Refusal, Reply, RunnerControl, RunnerReport,
     SendOptions, ServerChange, StoreError, StoredCause, Weights,
 };
-pub(crate) use fleet::{Entry, Holding, ServerState};
+pub(crate) use fleet::{Entry, Holding, ServerState, UNKNOWN_START_MS};
 pub(crate) use metrics::Metrics;
 pub(crate) use position::Position;
 pub(crate) use prompt_part::PromptPart;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -574,6 +574,7 @@
                     // answered at its address: other VMs may still list it.
                     to_send.push(ServerChange::Removed(id));
                 }
+                ServerChange::Unreadable(_) => {}
                 ServerChange::Lost(id) => {
                     if self.fleet.note_lost(&id, now) {
                         lost += 1;
--- a/src/gateway/tests/directory_updates.rs
+++ b/src/gateway/tests/directory_updates.rs
@@ -8,7 +8,9 @@
 use crate::gateway::tests::state;
 use crate::gateway::{Changes, ServerChange};
 use crate::inventory::Name;
+use proptest::prelude::*;
 use prost::Message;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 /// Maximum size of a message that fits into one datagram on any network path, in bytes.
@@ -139,3 +141,92 @@
     state.purge_removed(Instant::now());
     assert_eq!(apply(&state, vec![ServerChange::Removed("i-1".into())]), 1);
 }
+
+fn any_names() -> impl Strategy<Value = Vec<Name>> {
+    prop::collection::vec(any::<String>().prop_map(Name::from), 0..4)
+}
+
+/// Any entry that can be read, however odd.
+fn any_entry() -> impl Strategy<Value = Entry> {
+    let numbers = (any::<u64>(), any::<u64>(), any::<u32>(), any::<u64>());
+    let names = prop::collection::vec(any::<String>().prop_map(Name::from), 4);
+    let address = (any::<IpAddr>(), any::<u16>());
+    let lists = (any_names(), any_names(), any_names());
+    (numbers, names, address, lists, any::<bool>()).prop_map(
+        |((started_ms, sequence, slots, version), names, address, lists, is_ready)| Entry {
+            id: names[0].clone(),
+            started_ms,
+            sequence,
+            service: names[1].clone(),
+            software_version: names[2].clone(),
+            address: SocketAddr::from(address),
+            availability_zone: names[3].clone(),
+            slots,
+            state: match is_ready {
+                true => ServerState::Ready,
+                false => ServerState::Draining,
+            },
+            holdings: vec![Holding {
+                model: names[0].clone(),
+                version,
+                adapters: lists.0,
+            }],
+            in_memory: lists.1,
+            on_disk: lists.2,
+        },
+    )
+}
+
+proptest! {
+    #[test]
+    fn any_entry_that_was_read_passes_unchanged_from_vm_to_vm(entries in prop::collection::vec(any_entry(), 1..6)) {
+        let unreadable = entries.iter().map(|it| ServerChange::Unreadable(it.id.clone()));
+        let changes: Vec<ServerChange> =
+            entries.iter().cloned().map(ServerChange::Upserted).chain(unreadable).collect();
+        let messages = update_messages(&changes, 3, 9, false).expect("they are few enough");
+        let mut assembly = Assembly::default();
+        let mut received = None;
+        for message in messages {
+            let message = DirectoryUpdate::decode(&*message.encode_to_vec());
+            received = received.or(assembly.add_part(message.expect("it was encoded"), Some(3)));
+        }
+        prop_assert_eq!(received.expect("all parts were sent").items, changes);
+    }
+}
+
+#[test]
+fn an_entry_of_another_writer_does_not_keep_a_server_from_being_listed_again() {
+    let sound = |sequence| {
+        let ServerChange::Upserted(entry) = listed(1) else {
+            panic!("an entry");
+        };
+        Entry {
+            started_ms: 0,
+            sequence,
+            ..entry
+        }
+    };
+    for odd in [
+        Entry {
+            started_ms: 5,
+            address: "10.1.0.7:1".parse().expect("an address"),
+            ..sound(4)
+        },
+        sound(1 << 50),
+    ] {
+        let state = state();
+        let now = Instant::now();
+        let apply = |from: Option<u64>, entry: &Entry| {
+            let changes = Changes {
+                items: vec![ServerChange::Upserted(entry.clone())],
+                next_offset: from.map_or(1, |from| from + 1),
+            };
+            state.apply_directory_changes(changes, from, now);
+        };
+        apply(None, &sound(3));
+        apply(Some(1), &odd);
+        apply(Some(2), &sound(4));
+        let server = state.fleet.server("i-1").expect("it is listed");
+        server.with_entry(|entry| assert_eq!(*entry, sound(4)));
+    }
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -618,6 +618,7 @@
             .iter()
             .filter_map(|change| match change {
                 ServerChange::Upserted(entry) | ServerChange::Restored(entry) => Some(&entry.id),
+                ServerChange::Unreadable(id) => Some(id),
                 ServerChange::Removed(_) | ServerChange::Lost(_) => None,
             })
             .collect();
--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -1,15 +1,18 @@
 //! The entries that backend servers write about themselves into the platform's store.
 
-use crate::gateway::{Entry, Holding, ServerState};
+use crate::gateway::{Entry, Holding, ServerState, UNKNOWN_START_MS};
 use crate::inventory::Name;
 use crate::platform::object::Object;
+use hyper::header::HeaderValue;
 use serde::Deserialize;
 use serde::de::Error;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::num::NonZero;
 
-/// The start time of a runner that does not report one.
-pub(super) const UNKNOWN_START: u64 = 0;
+/// The largest integer that every reader of JSON represents exactly.
+const MAX_INTEGER: u64 = (1 << 53) - 1;
+/// The largest number of slots of a runner.
+const MAX_SLOTS: u32 = 65_535;
 
 /// A runner's entry. An entry without one of the required fields was not written by a runner and
 /// is refused.
@@ -85,15 +88,15 @@
     }
 }
 
-/// Checks the reported start time of a runner's process; [`UNKNOWN_START`] if none is reported.
+/// Checks the reported start time of a runner's process; [`UNKNOWN_START_MS`] if none is reported.
 ///
 /// # Errors
 ///
 /// Fails if the reported time is 0, which means that it is unknown.
 pub(super) fn parse_start(born: Option<u64>) -> Result<u64, serde_json::Error> {
     match born {
-        Some(UNKNOWN_START) => Err(serde_json::Error::custom("born must not be 0")),
-        born => Ok(born.unwrap_or(UNKNOWN_START)),
+        Some(UNKNOWN_START_MS) => Err(serde_json::Error::custom("born must not be 0")),
+        born => Ok(born.unwrap_or(UNKNOWN_START_MS)),
     }
 }
 
@@ -103,8 +106,13 @@
 }
 
 /// Decodes an entry; `id` is the record's key, which is the server's id.
+///
+/// # Errors
+///
+/// Fails if the value is not an entry, or has numbers or an address that no runner has.
 pub(super) fn decode(id: Name, value: &[u8]) -> Result<Entry, serde_json::Error> {
     let Object(wire) = serde_json::from_slice::<Object<WireEntry>>(value)?;
+    check(&id, &wire).map_err(serde_json::Error::custom)?;
     let Object(at_hand) = wire.at_hand;
     Ok(Entry {
         id,
@@ -124,3 +132,23 @@
         on_disk: at_hand.on_disk,
     })
 }
+
+/// Checks what the types of the fields do not exclude.
+fn check(id: &str, wire: &WireEntry) -> Result<(), &'static str> {
+    let is_possible = |number: u64| number <= MAX_INTEGER;
+    let ip = wire.address.ip();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    if id.is_empty() || HeaderValue::from_str(id).is_err() {
+        return Err("the id cannot be sent in a header");
+    }
+    if wire.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        return Err("nobody can listen at the address");
+    }
+    if !is_possible(wire.sequence) || !wire.born.is_none_or(is_possible) {
+        return Err("a number is too large");
+    }
+    if wire.slots.get() > MAX_SLOTS {
+        return Err("too many slots");
+    }
+    Ok(())
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,6 +15,7 @@
 mod stored_cause;
 #[cfg(test)]
 mod tests;
+mod unreadable_records;
 
 pub(crate) use orders::PlatformRunners;
 pub(crate) use requests::PlatformProtocol;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,16 +8,19 @@
 use crate::http::{Body, read_flowing_body};
 use crate::inventory::Name;
 use crate::platform::configuration;
-use crate::platform::directory::server_changes;
+use crate::platform::directory::{SERVERS_TOPIC, server_changes};
 use crate::platform::recent_records::RecentRecords;
 use crate::platform::stored_cause;
+use crate::platform::unreadable_records::UnreadableRecords;
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
 use std::net::SocketAddr;
@@ -37,8 +40,6 @@
 const OPERATOR_TOPIC: &str = "keyed.op";
 /// The key of the configuration in the operator's topic.
 const CONFIGURATION_KEY: &[u8] = b"config";
-/// The keyed topic to which backend servers write their entries.
-const SERVERS_TOPIC: &str = "keyed.servers";
 /// The topic whose partitions the store assigns to VMs.
 const MEMBERS_TOPIC: &str = "members";
 /// The keyed topic of what VMs contain because it crashes servers.
@@ -75,15 +76,17 @@
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     metrics: Rc<Metrics>,
-    /// Whether any server has reported its start time.
-    servers_report_start: Cell<bool>,
+    /// The records that could not be read.
+    unreadable: RefCell<UnreadableRecords>,
     /// The records of the directory that were read last.
     recent_servers: RefCell<RecentRecords>,
 }
 
 #[derive(Deserialize)]
-struct WireNewest {
-    items: Vec<WireItem>,
+struct WireNewest<'a> {
+    /// The items, which are read one by one.
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     /// Whether more keys follow.
     #[serde(default)]
     more_pages: bool,
@@ -92,8 +95,12 @@
 }
 
 #[derive(Deserialize)]
-struct WireItem {
+struct WireItemKey {
     key: String,
+}
+
+#[derive(Deserialize)]
+struct WireItem {
     /// In base64.
     value: String,
     #[serde(default)]
@@ -178,7 +185,7 @@
             address,
             idle: RefCell::default(),
             metrics,
-            servers_report_start: Cell::new(false),
+            unreadable: RefCell::default(),
             recent_servers: RefCell::default(),
         }
     }
@@ -352,8 +359,9 @@
         success(answer)
     }
 
-    /// Reads the newest record of each key, page by page, and the position at which to continue.
-    async fn read_newest(&self, topic: &str) -> Result<Changes<KeyedRecord>, StoreError> {
+    /// Reads the newest record of each key, page by page, and the position at which to continue. Records
+    /// that cannot be read have no effect on others.
+    async fn read_newest(&self, topic: &'static str) -> Result<Changes<KeyedRecord>, StoreError> {
         let mut records = Vec::new();
         let mut next: Option<Position> = None;
         let mut after = String::new();
@@ -361,7 +369,7 @@
             let path = format!("/-/log-newest?topic={topic}&part=0{after}");
             let attempts = if records.is_empty() { 1 } else { PAGE_ATTEMPTS };
             let answer = self.get_page(&path, attempts).await?;
-            let page: WireNewest = parse(&answer.body)?;
+            let page: WireNewest<'_> = parse(&answer.body)?;
             let era = answer.era;
             // The pages are not one consistent snapshot. Reading continues at the end offset of the
             // first page, so that records appended during the later pages are not missed.
@@ -373,17 +381,15 @@
             if next.era != era {
                 return Err(StoreError::Rewound);
             }
-            if let Some(last) = page.items.last() {
-                after = format!("&after={}", last.key);
-            }
+            let mut last_key = None;
             for item in page.items {
-                let value = BASE64_STANDARD.decode(&item.value).map_err(warn_garbled)?;
-                let may_be_restored = era > 0 && !self.is_new(topic, era, &item, &value);
-                records.push(KeyedRecord {
-                    key: item.key.into(),
-                    value: value.into(),
-                    may_be_restored,
-                });
+                let Ok(WireItemKey { key }) = serde_json::from_str(item.get()) else {
+                    let item = item.get().as_bytes();
+                    self.report_unreadable(topic, "", item, "the key is not text");
+                    continue;
+                };
+                records.extend(self.read_item(topic, era, &key, item));
+                last_key = Some(key);
             }
             if !page.more_pages {
                 return Ok(Changes {
@@ -391,16 +397,61 @@
                     next_offset: next.to_u64(),
                 });
             }
+            let last_key = last_key.ok_or_else(|| warn_garbled("no key to continue after"))?;
+            let last_key = utf8_percent_encode(&last_key, NON_ALPHANUMERIC);
+            after = format!("&after={last_key}");
         }
     }
 
+    /// Reads the record of a key. One that cannot be read has a value that is not valid either.
+    fn read_item(
+        &self,
+        topic: &'static str,
+        era: u64,
+        key: &str,
+        item: &RawValue,
+    ) -> Option<KeyedRecord> {
+        let read = serde_json::from_str::<WireItem>(item.get());
+        let read = read.map_err(|error| error.to_string()).and_then(|item| {
+            let value = BASE64_STANDARD.decode(&item.value);
+            let value = value.map_err(|error| error.to_string())?;
+            Ok((item.offset, value))
+        });
+        let (offset, value) = match read {
+            Ok(read) => read,
+            Err(error) => {
+                self.report_unreadable(topic, key, item.get().as_bytes(), error);
+                (None, item.get().as_bytes().to_vec())
+            }
+        };
+        let may_be_restored = era > 0 && !self.is_new(topic, era, key, offset, &value);
+        // The newest record of a key that was dropped is not listed.
+        (!value.is_empty()).then(|| KeyedRecord {
+            key: key.to_owned().into(),
+            value: value.into(),
+            may_be_restored,
+        })
+    }
+
+    fn report_unreadable(
+        &self,
+        topic: &'static str,
+        key: &str,
+        record: &[u8],
+        error: impl std::fmt::Display,
+    ) {
+        self.unreadable
+            .borrow_mut()
+            .report(topic, key, record, error);
+    }
+
     /// Whether a record is known to have been written since the store was last restored.
-    fn is_new(&self, topic: &str, era: u64, item: &WireItem, value: &[u8]) -> bool {
-        let Some(offset) = item.offset.filter(|_| topic == SERVERS_TOPIC) else {
+    fn is_new(&self, topic: &str, era: u64, key: &str, offset: Option<u64>, value: &[u8]) -> bool {
+        let Some(offset) = offset.filter(|_| topic == SERVERS_TOPIC) else {
             return false;
         };
-        let mut record = vec![item.key.len() as u8];
-        record.extend_from_slice(item.key.as_bytes());
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value);
         let at = Position { era, offset };
         self.recent_servers.borrow_mut().is_new(at, &record)
@@ -447,7 +498,7 @@
     /// Reads the records of a keyed topic from a position on.
     async fn read_records(
         &self,
-        topic: &str,
+        topic: &'static str,
         from: u64,
         wait: Duration,
     ) -> Result<Changes<KeyedRecord>, StoreError> {
@@ -466,9 +517,15 @@
             offset: offset + records.len() as u64,
             ..from
         };
-        let items: Option<Vec<KeyedRecord>> = records.into_iter().map(parse_keyed_record).collect();
+        let items = records.into_iter().filter_map(|record| {
+            let read = parse_keyed_record(record.clone());
+            if read.is_none() {
+                self.report_unreadable(topic, "", &record, "shorter than its key");
+            }
+            read
+        });
         Ok(Changes {
-            items: items.ok_or(StoreError::Garbled)?,
+            items: items.collect(),
             next_offset: next.to_u64(),
         })
     }
@@ -577,12 +634,12 @@
 impl Directory for PlatformStore {
     async fn entries(&self) -> Result<Changes<ServerChange>, StoreError> {
         let records = self.read_newest(SERVERS_TOPIC).await?;
-        Ok(server_changes(records, &self.servers_report_start))
+        Ok(server_changes(records, &mut self.unreadable.borrow_mut()))
     }
 
     async fn changes_since(&self, from: u64) -> Result<Changes<ServerChange>, StoreError> {
         let records = self.read_records(SERVERS_TOPIC, from, Duration::ZERO).await;
-        Ok(server_changes(records?, &self.servers_report_start))
+        Ok(server_changes(records?, &mut self.unreadable.borrow_mut()))
     }
 }
 
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -8,11 +8,11 @@
 use crate::platform::directory::server_changes;
 use crate::platform::settings::parse_settings;
 use crate::platform::store::KeyedRecord;
+use crate::platform::unreadable_records::UnreadableRecords;
 use crate::platform::{configuration, entries, orders};
 use hyper::{Request, Response};
 use proptest::prelude::*;
 use serde_json::{Value, json};
-use std::cell::Cell;
 use std::time::Duration;
 
 const SETTINGS: &str = r#"
@@ -270,41 +270,145 @@
     }
 }
 
-#[test]
-fn an_entry_without_start_time_is_removed_once_servers_report_theirs() {
-    let record = |entry: &Value| KeyedRecord {
-        key: "i".into(),
-        value: entry.to_string().into(),
+fn record(id: &str, value: &[u8]) -> KeyedRecord {
+    KeyedRecord {
+        key: id.to_owned().into(),
+        value: value.to_vec().into(),
         may_be_restored: false,
+    }
+}
+
+fn changes_of(items: Vec<KeyedRecord>) -> Vec<ServerChange> {
+    let changes = Changes {
+        items,
+        next_offset: 1,
     };
+    server_changes(changes, &mut UnreadableRecords::default()).items
+}
+
+#[test]
+fn an_entry_decides_on_its_own_server_only() {
     let mut without_start = entry();
     without_start
         .as_object_mut()
         .expect("an object")
         .remove("born");
-    let read = |entries: &[Value], servers_report_start: &Cell<bool>| {
-        let items = entries.iter().map(record).collect();
-        let changes = server_changes(
-            Changes {
-                items,
-                next_offset: 1,
-            },
-            servers_report_start,
-        )
-        .items;
-        let is_upserted = |change: &ServerChange| matches!(change, ServerChange::Upserted(_));
-        changes.iter().map(is_upserted).collect::<Vec<bool>>()
-    };
-    let servers_report_start = Cell::new(false);
-    assert_eq!(
-        read(&[without_start.clone()], &servers_report_start),
-        [true]
-    );
-    assert_eq!(
-        read(&[without_start.clone(), entry()], &servers_report_start),
-        [false, true]
-    );
-    assert_eq!(read(&[without_start], &servers_report_start), [false]);
+    let (with, without) = (entry().to_string(), without_start.to_string());
+    let changes = changes_of(vec![
+        record("a", without.as_bytes()),
+        record("b", with.as_bytes()),
+        record("c", b"{"),
+        record("d", without.as_bytes()),
+        record("e", b""),
+    ]);
+    let kinds = changes.iter().map(|change| match change {
+        ServerChange::Upserted(entry) => ("listed", entry.id.as_str()),
+        ServerChange::Unreadable(id) => ("unreadable", id.as_str()),
+        ServerChange::Removed(id) => ("removed", id.as_str()),
+        ServerChange::Restored(entry) => ("restored", entry.id.as_str()),
+        ServerChange::Lost(id) => ("lost", id.as_str()),
+    });
+    let expected = [
+        ("listed", "a"),
+        ("listed", "b"),
+        ("unreadable", "c"),
+        ("listed", "d"),
+        ("removed", "e"),
+    ];
+    assert_eq!(kinds.collect::<Vec<_>>(), expected);
+}
+
+#[test]
+fn an_entry_with_numbers_or_an_address_that_no_server_has_is_refused() {
+    let wrong = [
+        ("sequence", "18446744073709551615"),
+        ("sequence", "1e400"),
+        ("born", "9007199254740992"),
+        ("slots", "4294967295"),
+        ("slots", "1e400"),
+        ("cold_remaining_ms", "1e400"),
+        ("address", "\"10.128.0.9:0\""),
+        ("address", "\"10.128.0.9:99999\""),
+        ("address", "\"0.0.0.0:8080\""),
+        ("address", "\"224.0.0.1:8080\""),
+        ("address", "\"255.255.255.255:8080\""),
+        ("address", "\"[::]:8080\""),
+    ];
+    for (field, value) in wrong {
+        let mut odd = entry();
+        odd[field] = json!("PLACE");
+        let text = odd.to_string().replace("\"PLACE\"", value);
+        let decoded = entries::decode("i".into(), text.as_bytes());
+        assert!(decoded.is_err(), "{field}: {value}");
+    }
+    for id in ["", "a\nb", "a\u{1}", "\u{7f}"] {
+        let decoded = entries::decode(id.into(), entry().to_string().as_bytes());
+        assert!(decoded.is_err(), "{id:?}");
+    }
+}
+
+#[test]
+fn an_unreadable_record_is_logged_once_until_it_changes() {
+    let mut unreadable = UnreadableRecords::default();
+    let mut is_logged =
+        |key: &str, value: &[u8]| unreadable.report("keyed.servers", key, value, "odd");
+    assert!(is_logged("a", b"{"));
+    assert!(!is_logged("a", b"{"));
+    assert!(is_logged("b", b"{"));
+    assert!(is_logged("a", b"["));
+}
+
+/// Values that are odd in an entry.
+fn odd_value() -> impl Strategy<Value = Value> {
+    let depth = (1..200_usize).prop_map(|depth| {
+        let mut nested = json!(1);
+        for _ in 0..depth {
+            nested = json!([nested]);
+        }
+        nested
+    });
+    prop_oneof![
+        Just(Value::Null),
+        any::<u64>().prop_map(|it| json!(it)),
+        any::<i64>().prop_map(|it| json!(it)),
+        any::<f64>().prop_map(|it| json!(it)),
+        any::<bool>().prop_map(|it| json!(it)),
+        any::<String>().prop_map(|it| json!(it)),
+        "[0-9.:\\[\\]a-f]{0,24}".prop_map(|it| json!(it)),
+        (0..70_000_u32).prop_map(|port| json!(format!("10.1.0.9:{port}"))),
+        Just(json!("x".repeat(5_000))),
+        prop::collection::vec(any::<u8>(), 0..20).prop_map(|it| json!(it)),
+        Just(json!([{"name": "m", "version": u64::MAX, "adapters": ["a", {"name": "b"}]}])),
+        depth,
+    ]
+}
+
+proptest! {
+    #[test]
+    fn an_odd_entry_changes_nothing_of_other_servers(
+        fields in prop::collection::vec((0..12_usize, odd_value()), 1..4),
+        id in prop_oneof![any::<String>(), Just("odd".to_owned()), Just("sound".to_owned())],
+    ) {
+        let names = [
+            "service", "address", "zone", "version", "slots", "state", "cold_remaining_ms",
+            "sequence", "born", "models", "at_hand", "of_later",
+        ];
+        let mut odd = entry();
+        for (field, value) in fields {
+            odd[names[field]] = value;
+        }
+        let sound = entry().to_string();
+        let changes = changes_of(vec![
+            record("sound", sound.as_bytes()),
+            record(&id, odd.to_string().as_bytes()),
+            record("later", sound.as_bytes()),
+        ]);
+        let listed = |id: &str| changes.iter().any(|change| {
+            matches!(change, ServerChange::Upserted(entry) if entry.id == id)
+        });
+        prop_assert!(listed("sound") && listed("later"));
+        prop_assert!(!changes.iter().any(|it| matches!(it, ServerChange::Removed(_))));
+    }
 }
 
 fn with_organisations(organisations: &Value) -> Vec<u8> {
--- a/workbench/src/site/store.rs
+++ b/workbench/src/site/store.rs
@@ -4,6 +4,7 @@
 use bytes::{Buf, Bytes};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use rattanjunction::{Body, listen, serve_http};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -87,6 +88,10 @@
     calls: RefCell<HashMap<String, u64>>,
     /// The reads of a whole topic, by topic.
     whole_reads: RefCell<BTreeMap<String, u64>>,
+    /// How many items a page has at most; 0 for all in one.
+    page_items: Cell<usize>,
+    /// Items that are listed beside the records of a topic.
+    odd_items: RefCell<Vec<(String, Value)>>,
 }
 
 impl StoreStandIn {
@@ -128,6 +133,26 @@
         self.append(topic, keyed_record(key, &[]));
     }
 
+    /// Writes a record to a topic as it is.
+    pub fn put_raw(&self, topic: &str, record: &[u8]) {
+        self.append(topic, record.to_vec().into());
+    }
+
+    /// Writes a record to a keyed topic, whatever its value.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        self.append(topic, keyed_record(key, value));
+    }
+
+    /// Sets how many items a page has at most.
+    pub fn set_page_items(&self, items: usize) {
+        self.page_items.set(items);
+    }
+
+    /// Lists an item beside the records of a topic, whatever it looks like.
+    pub fn list_item(&self, topic: &str, item: Value) {
+        self.odd_items.borrow_mut().push((topic.to_owned(), item));
+    }
+
     /// Drops the history of a keyed topic: reads from older offsets fail with status 410, while the
     /// newest record of each key stays available.
     pub fn compact(&self, topic: &str) {
@@ -232,20 +257,41 @@
         let records = topics.get(&topic).map_or(&[][..], |topic| &topic.records);
         let mut newest: BTreeMap<String, (usize, Bytes)> = BTreeMap::new();
         for (offset, record) in records.iter().enumerate() {
-            let (key, value) = split_record(record);
+            let Some((key, value)) = split_record(record) else {
+                continue;
+            };
             if value.is_empty() {
                 newest.remove(&key);
             } else {
                 newest.insert(key, (offset, move_port(&value, port_offset)));
             }
         }
-        let items: Vec<Value> = newest
+        let after: String = http_json::query(request, "after").unwrap_or_default();
+        let after = percent_decode_str(&after).decode_utf8_lossy();
+        let items = newest.into_iter().map(|(key, (offset, value))| {
+            let item = json!({"key": key, "value": base64(&value), "offset": offset});
+            (key, item)
+        });
+        let odd_items = self.odd_items.borrow();
+        let odd_items = odd_items.iter().filter(|(of_topic, _)| *of_topic == topic);
+        let odd_items = odd_items.map(|(_, item)| {
+            let key = item["key"].as_str().unwrap_or_default();
+            (key.to_owned(), item.clone())
+        });
+        let mut items: Vec<(String, Value)> = items.chain(odd_items).collect();
+        items.sort_by(|(left, _), (right, _)| left.cmp(right));
+        items.retain(|(key, _)| after.is_empty() || **key > *after);
+        let page_items = match self.page_items.get() {
+            0 => items.len(),
+            page_items => page_items.min(items.len()),
+        };
+        let has_more = page_items < items.len();
+        let items: Vec<Value> = items
             .into_iter()
-            .map(|(key, (offset, value))| {
-                json!({"key": key, "value": base64(&value), "offset": offset})
-            })
+            .take(page_items)
+            .map(|(_, it)| it)
             .collect();
-        http_json::ok(&json!({"items": items, "more_pages": false, "end": records.len()}))
+        http_json::ok(&json!({"items": items, "more_pages": has_more, "end": records.len()}))
     }
 
     async fn read(&self, request: &Request<Incoming>, port_offset: u16) -> Response<Body> {
@@ -276,8 +322,12 @@
                 let end = from + records.len() as u64;
                 let mut bytes = [end.to_be_bytes(), first.to_be_bytes()].concat();
                 for record in &records {
-                    let (key, value) = split_record(record);
-                    let record = keyed_record(&key, &move_port(&value, port_offset));
+                    let record = match split_record(record) {
+                        Some((key, value)) if port_offset > 0 => {
+                            keyed_record(&key, &move_port(&value, port_offset))
+                        }
+                        _ => record.clone(),
+                    };
                     bytes.extend((record.len() as u32).to_be_bytes());
                     bytes.extend(&record);
                 }
@@ -417,10 +467,12 @@
 }
 
 /// Splits a record of a keyed topic into its key and its value.
-fn split_record(record: &Bytes) -> (String, Bytes) {
-    let length = usize::from(record[0]);
-    let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
-    (key, record.slice(1 + length..))
+/// The key and the value of a record; `None` if it is shorter than its key.
+fn split_record(record: &Bytes) -> Option<(String, Bytes)> {
+    let length = usize::from(*record.first()?);
+    let key = record.get(1..=length)?;
+    let key = String::from_utf8_lossy(key).into_owned();
+    Some((key, record.slice(1 + length..)))
 }
 
 fn base64(bytes: &[u8]) -> String {
