A late copy of an answer does not reach the next caller of a completion

What callers saw: on the product's own interface a caller got the whole answer of another one, with status 200 (MIXED).

Connections to engines are kept, and an answer counted for the request after which it arrived, whatever it answered. A server may send an answer once more, late, where the next one is expected.

Evidence: a_late_copy_of_an_answer_does_not_reach_the_next_caller, real processes behind a proxy that repeats answers.

Why this works: one rule for both sides (answer_identity.rs). An answer belongs to the request that it names; one that names none counts only on a connection that has carried nothing else. A connection is kept only if its answers name their requests.

Searched for the same: plain services of the own side and orders open a connection for each call, the store's channels return nothing further after a lost answer (PROTOCOL.md), and VMs send no answer twice. Reports of engines are read on kept connections without an id: a late copy would be an older report.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -2,6 +2,7 @@
 //!
 //! If a runner fails in mid-stream, the completion resumes on another runner from the next token.
 
+use crate::answer_identity::is_answer_to;
 use crate::batch_queue::Ticket;
 use crate::client::{Connection, Pool, SendError};
 use crate::control::SuspectStatus;
@@ -16,13 +17,16 @@
 use crate::router::{Choice, Router, Target};
 use crate::sse::{SseEvent, SseReader, StreamError};
 use bytes::Bytes;
-use hyper::{Method, StatusCode};
+use hyper::body::Incoming;
+use hyper::{Method, Response, StatusCode};
 use serde_json::{Map, Value};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// The path of chat completions, both at this VM and at engines.
 pub(crate) const COMPLETIONS_PATH: &str = "/v1/chat/completions";
+/// The header by which engines are sent the id of a request, and name it in their answers.
+const REQUEST_ID: &str = "x-request-id";
 /// How long an engine may send nothing; while it has no token, it sends comments.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time limit for the response headers on a reused idle connection.
@@ -94,6 +98,8 @@
 struct Attempt {
     reader: SseReader,
     connection: Connection,
+    /// Whether the engine names the request in its answer.
+    is_identified: bool,
     run: EngineRun,
     in_flight: InFlightGuard,
 }
@@ -428,6 +434,10 @@
         let Some(attempt) = self.attempt.take() else {
             return;
         };
+        if !attempt.is_identified {
+            // A late copy of the answer could not be told from the next answer.
+            return;
+        }
         let pool = self.services.pool.clone();
         compio::runtime::spawn(async move {
             if attempt.reader.read_to_end(SILENCE_TIMEOUT).await {
@@ -580,7 +590,16 @@
             self.services.router.request_batch_yields(&choice.runner);
         }
         let body = self.engine_body(&choice.target);
-        let (connection, response) = self.send(&choice, body).await?;
+        let (connection, response, is_first_use) = self.send(&choice, body).await?;
+        let named = response.headers().get(REQUEST_ID);
+        let named = named.and_then(|named| named.to_str().ok());
+        if !is_answer_to(&self.request.id, named, is_first_use) {
+            return Err(match is_first_use {
+                true => AttemptError::MaybeRun("answer_of_other_request"),
+                false => AttemptError::StaleConnection,
+            });
+        }
+        let is_identified = named.is_some();
         match response.status() {
             StatusCode::OK => {}
             StatusCode::BAD_REQUEST => {
@@ -606,16 +625,19 @@
         Ok(Attempt {
             reader: SseReader::new(response.into_body()),
             connection,
+            is_identified,
             run,
             in_flight,
         })
     }
 
+    /// Sends the request; returns the connection, the response and whether the connection has carried
+    /// nothing else.
     async fn send(
         &mut self,
         choice: &Choice,
         body: Bytes,
-    ) -> Result<(Connection, hyper::Response<hyper::body::Incoming>), AttemptError> {
+    ) -> Result<(Connection, Response<Incoming>, bool), AttemptError> {
         let address = choice.runner.address;
         let id = hyper::header::HeaderValue::from_str(&self.request.id)
             .expect("request ids are valid header values");
@@ -626,7 +648,7 @@
                 COMPLETIONS_PATH,
                 Body::full(body.clone()),
             );
-            request.headers_mut().insert("x-request-id", id.clone());
+            request.headers_mut().insert(REQUEST_ID, id.clone());
             request
         };
         if !self.services.router.may_send(choice) {
@@ -639,7 +661,7 @@
             )
             .await;
             match sent {
-                Ok(Ok(response)) => return Ok((idle, response)),
+                Ok(Ok(response)) => return Ok((idle, response, false)),
                 Ok(Err(SendError::NotSent)) => {}
                 Ok(Err(SendError::MaybeSent)) | Err(_) => {
                     return Err(AttemptError::StaleConnection);
@@ -658,7 +680,7 @@
         )
         .await
         {
-            Ok(Ok(response)) => Ok((connection, response)),
+            Ok(Ok(response)) => Ok((connection, response, true)),
             Ok(Err(SendError::NotSent)) => Err(AttemptError::NotRun("not_sent")),
             Ok(Err(SendError::MaybeSent)) => Err(AttemptError::MaybeRun("cut")),
             Err(_elapsed) => Err(AttemptError::MaybeRun("silent")),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 //! answer therefore identifies an attempt by its id and its connection together: a connection carries
 //! one attempt of a request at most.
 
+use crate::answer_identity::is_answer_to;
 use crate::gateway::Reply;
 use crate::gateway::failure::promises_not_run;
 use crate::gateway::forwarding::is_declined;
@@ -55,10 +56,7 @@
         request_id: &str,
         is_first_use: bool,
     ) -> Self {
-        let is_own = match &reply.request_id {
-            Some(id) => id == request_id,
-            None => is_first_use,
-        };
+        let is_own = is_answer_to(request_id, reply.request_id.as_deref(), is_first_use);
         let is_refused = reply.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST;
         // A success needs a signature and excludes a refusal.
         let is_consistent = !status.is_success() || (reply.is_signed && !reply.is_not_executed);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod accept_queue;
 mod admission;
+mod answer_identity;
 mod append_pace;
 mod arguments;
 mod batch_queue;
--- a/workbench/src/engine.rs
+++ b/workbench/src/engine.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_channel::{mpsc, oneshot};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use rattanjunction::Body;
 use serde::{Deserialize, Serialize};
@@ -336,7 +337,7 @@
         let max_tokens = body["max_tokens"].as_u64().map(|tokens| tokens as u32);
         let (reader, stream) = mpsc::channel(READER_CAPACITY);
         self.waiting.borrow_mut().push_back(Sequence {
-            id,
+            id: id.clone(),
             model: name.to_owned(),
             needs,
             answer: Answer::new(&key, &body["messages"], max_tokens),
@@ -350,8 +351,12 @@
             // The batch has looked by itself if it does not wait any more.
             let _ = arrived.send(());
         }
+        let named = HeaderValue::from_str(&id).ok();
         let mut response = Response::new(Body::Stream(stream));
-        let kind = hyper::header::HeaderValue::from_static("text/event-stream");
+        if let Some(named) = named {
+            response.headers_mut().insert("x-request-id", named);
+        }
+        let kind = HeaderValue::from_static("text/event-stream");
         response
             .headers_mut()
             .insert(hyper::header::CONTENT_TYPE, kind);
--- a/workbench/src/proxy.rs
+++ b/workbench/src/proxy.rs
@@ -40,6 +40,8 @@
     pub refuse: bool,
     /// A connection that the far end resets, or that is cut, is reset at the near end.
     pub resets: bool,
+    /// Each answer is sent once more, just before the next one on its connection.
+    pub repeats_answers: bool,
 }
 
 /// One proxied path.
@@ -181,6 +183,8 @@
             silences: self.silences.get(),
             expiries: self.expiries.get(),
             closed: Cell::new(false),
+            is_answered: Cell::new(false),
+            last_answer: RefCell::default(),
             proxy: self,
         });
         let requests = line.clone().copy(near.clone(), far.clone(), Way::Requests);
@@ -196,9 +200,27 @@
     silences: u64,
     expiries: u64,
     closed: Cell<bool>,
+    /// Whether an answer has begun since the last request.
+    is_answered: Cell<bool>,
+    last_answer: RefCell<Vec<u8>>,
 }
 
 impl Line {
+    /// Adds a late copy of the answer before to what the far end sends, if that is the beginning of an
+    /// answer.
+    fn with_late_copy(&self, bytes: Vec<u8>) -> Vec<u8> {
+        let mut last_answer = self.last_answer.borrow_mut();
+        if self.is_answered.replace(true) {
+            last_answer.extend(&bytes);
+            return bytes;
+        }
+        let copy = std::mem::replace(&mut *last_answer, bytes.clone());
+        match self.proxy.faults.borrow().repeats_answers {
+            true => [copy, bytes].concat(),
+            false => bytes,
+        }
+    }
+
     fn is_cut(&self) -> bool {
         self.closed.get() || self.proxy.cuts.get() != self.cuts
     }
@@ -243,6 +265,13 @@
             if !self.let_through(way, count).await {
                 break;
             }
+            let bytes = match way {
+                Way::Requests => {
+                    self.is_answered.set(false);
+                    bytes
+                }
+                Way::Answers => self.with_late_copy(bytes),
+            };
             let BufResult(written, _) = to.write_all(bytes).await;
             if written.is_err() {
                 break;
--- a/workbench/tests/answers.rs
+++ b/workbench/tests/answers.rs
@@ -171,6 +171,25 @@
     });
 }
 
+#[googletest::test]
+fn a_late_copy_of_an_answer_does_not_reach_the_next_caller() {
+    block_on(async {
+        let site = start(|_, _| {}).await;
+        for proxy in &site.proxies {
+            proxy.set(Faults {
+                repeats_answers: true,
+                ..Faults::default()
+            });
+        }
+        for index in 0..40 {
+            let question = Question::new(&Shape::model_name(0), &format!("unlike {index}"), 5);
+            let address = site.cluster.caller_address(0);
+            let outcome = Asker::default().ask(address, &question).await;
+            expect_whole(&[(question, outcome)]);
+        }
+    });
+}
+
 #[googletest::test]
 fn a_killed_vm_is_seen_as_a_cut() {
     block_on(async {
