Version soak: VMs that are cut off, odd entries of another writer; cut answers print the log

The version soak cuts the paths of single VMs to all others and to the store one way or both ways, and writes records that no server writes, some under the keys of servers, which write their entries again as real ones do. The test of cut answers prints what VMs logged of a request that was not served.

--- a/workbench/src/site/version_soak.rs
+++ b/workbench/src/site/version_soak.rs
@@ -1,9 +1,12 @@
 //! A bounded soak of streams whose servers have several software versions: callers break off and take
-//! streams up at other VMs, while versions come and leave and VMs are killed, restarted and frozen,
-//! in series and overlapping. Each stream is checked from its caller's side.
+//! streams up at other VMs, while versions come and leave, VMs are killed, restarted, frozen and cut off
+//! one way or both ways, and another writer leaves odd entries, in series and overlapping. Each stream is
+//! checked from its caller's side.
 
 use super::events::remaining_events_of;
-use super::{Caller, CallerRequest, ScriptStep, Site, StoreFaults, route, runner_service};
+use super::{
+    Caller, CallerRequest, Node, ScriptStep, Site, StoreFaults, VmNetwork, route, runner_service,
+};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -30,6 +33,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(900);
 /// How long after a disturbance the take-ups at a VM are not counted.
 const RECOVERY: Duration = Duration::from_secs(5);
+/// The interval at which servers write their entries again.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// How long a VM that gets SIGTERM may take.
 const GRACE: Duration = Duration::from_secs(6);
 /// The fewest counted take-ups by which the share that goes on is judged.
@@ -107,14 +112,14 @@
         add_server(&mut site, version).await;
     }
     configure(&mut site);
-    site.start_vms(vms);
+    let network = site.start_vms_in_network(vms).await;
     site.wait_ready().await;
     let seen = Rc::new(Seen::default());
     let addresses: Rc<Vec<SocketAddr>> = Rc::new((0..vms).map(|vm| site.front(vm)).collect());
     let callers = (0..vms * CALLERS_PER_VM)
         .map(|_| compio::runtime::spawn(call_until_over(seen.clone(), addresses.clone())));
     let callers: Vec<_> = callers.collect();
-    play_events(&mut site, &seen, seed, duration).await;
+    play_events(&mut site, &network, &seen, seed, duration).await;
     seen.is_over.set(true);
     for caller in callers {
         caller.await.expect("a caller does not panic");
@@ -195,15 +200,24 @@
 }
 
 /// Plays drawn events, each of which ends by itself.
-async fn play_events(site: &mut Site, seen: &Seen, seed: u64, duration: Duration) {
+async fn play_events(
+    site: &mut Site,
+    network: &VmNetwork,
+    seen: &Seen,
+    seed: u64,
+    duration: Duration,
+) {
     let mut random = StdRng::seed_from_u64(seed);
     let end = Instant::now() + duration;
     let mut thaws: Vec<(usize, Instant)> = Vec::new();
     let mut restarts: Vec<(usize, Instant)> = Vec::new();
+    let mut cuts: Vec<(usize, Instant)> = Vec::new();
     let mut store_back: Option<Instant> = None;
     let mut next_event = Instant::now() + EVENT_INTERVAL;
+    let mut next_heartbeat = Instant::now() + HEARTBEAT;
     let mut next_version = 3;
-    while Instant::now() < end || !thaws.is_empty() || !restarts.is_empty() || store_back.is_some()
+    while Instant::now() < end
+        || !(thaws.is_empty() && restarts.is_empty() && cuts.is_empty() && store_back.is_none())
     {
         let now = Instant::now();
         if store_back.is_some_and(|until| now >= until) {
@@ -211,12 +225,22 @@
             store_back = None;
         }
         site.resume_due(&mut thaws, &mut restarts, now);
+        for (vm, _) in cuts.extract_if(.., |(_, until)| now >= *until) {
+            network.heal_vm(vm);
+        }
+        if now >= next_heartbeat {
+            next_heartbeat = now + HEARTBEAT;
+            for server in site.servers.iter().filter(|it| !it.is_dead()) {
+                site.put_entry(server, "ready");
+            }
+        }
         if now >= next_event && now < end {
             next_event = now + EVENT_INTERVAL.mul_f64(random.random_range(0.3..1.7));
             let vm = random.random_range(0..site.vms.len());
-            let is_busy = thaws.iter().chain(&restarts).any(|(busy, _)| *busy == vm);
+            let mut busy = thaws.iter().chain(&restarts).chain(&cuts);
+            let is_busy = busy.any(|(busy, _)| *busy == vm);
             let lasts = Duration::from_secs_f64(random.random_range(0.5..2.5));
-            match random.random_range(0..9) {
+            match random.random_range(0..12) {
                 0 if !is_busy => {
                     seen.exclude(vm, now, now + lasts + RECOVERY);
                     site.vms[vm].signal(Signal::SIGSTOP);
@@ -253,6 +277,16 @@
                     }
                     seen.exclude(vm, now, now + lasts + RECOVERY);
                 }
+                9 | 10 if !is_busy => {
+                    let lasts = lasts * 2;
+                    seen.exclude(vm, now, now + lasts + RECOVERY);
+                    let others = (0..site.vms.len()).filter(|other| *other != vm);
+                    let others: Vec<Node> = others.map(Node::Vm).chain([Node::Store]).collect();
+                    let way = random.random_range(0..3);
+                    network.cut_off(vm, &others, way != 0, way != 1);
+                    cuts.push((vm, now + lasts));
+                }
+                11 => write_odd_record(site, &mut random),
                 _ => configure(site),
             }
         }
@@ -271,3 +305,23 @@
     site.remove(server);
     server.die();
 }
+
+/// Writes a record that no server writes, at times under the key of a server.
+fn write_odd_record(site: &Site, random: &mut StdRng) {
+    let topic = "keyed.servers";
+    let key = match random.random_bool(0.5) {
+        true => site.servers[random.random_range(0..site.servers.len())]
+            .id
+            .clone(),
+        false => "odd &#\u{e9}".to_owned(),
+    };
+    let nested = "[".repeat(random.random_range(1..5_000));
+    match random.random_range(0..4) {
+        0 => site.store.put_raw(topic, &[]),
+        1 => site.store.put_raw(topic, &[9, b'x']),
+        2 => site.store.put_bytes(topic, &key, nested.as_bytes()),
+        _ => site
+            .store
+            .put(topic, &key, &json!({"address": "10.0.0.1:99999"})),
+    }
+}
--- a/workbench/src/site/vm_network.rs
+++ b/workbench/src/site/vm_network.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Lets everything pass again to and from a VM.
+    pub fn heal_vm(&self, vm: usize) {
+        let vm = Node::Vm(vm);
+        let mut cuts = self.cuts.borrow_mut();
+        cuts.retain(|(from, to)| *from != vm && *to != vm);
+    }
+
     /// Lets everything pass again.
     pub fn heal(&self) {
         self.cuts.borrow_mut().clear();
--- a/workbench/tests/site_cut_answers.rs
+++ b/workbench/tests/site_cut_answers.rs
@@ -256,10 +256,25 @@
     for (cut, request, answer) in send_all(site, vm, Cut::all(routes)).await {
         let is_hidden = cut.is_hidden(&request.id);
         let is_served = is_whole(&answer, &whole_body(cut.route));
+        if !is_served && !is_hidden {
+            print_log(site, &request.id);
+        }
         expect_that!(is_served || is_hidden, eq(true), "{cut:?} {answer:?}");
     }
 }
 
+/// Prints what all VMs logged of a request, and what they logged that concerns none.
+fn print_log(site: &Site, request: &str) {
+    for vm in 0..site.vms.len() {
+        for line in site.log(vm) {
+            let named = &line["fields"]["request"];
+            if named.is_null() || named == request {
+                println!("vm-{vm} {line}");
+            }
+        }
+    }
+}
+
 #[googletest::test]
 fn a_plain_answer_that_is_cut_at_any_byte_does_not_look_whole() {
     block_on(async {
