A read of the directory goes on until the end of the log

What callers saw: behind many records, a change of the directory took effect seconds late: a removed server got requests (DRAIN), a new one none.

Cause: one read of the log returns 1 MB at most, the next one came half a second later, and the read counted as current all the same.

Evidence: changes_that_take_many_reads_are_in_force_at_once, with a store that returns one record a read.

Why this works: a read that ends before the end that the store names goes on at once, and only then counts. The knowledge that a service has one version rests on such reads.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -178,6 +178,13 @@
     pub(super) may_be_restored: bool,
 }
 
+/// The records that one read returned.
+struct RecordsRead {
+    changes: Changes<KeyedRecord>,
+    /// Whether the topic held more records at the time of the read.
+    has_more: bool,
+}
+
 impl PlatformStore {
     /// Creates a client of the store at `address`; connections are opened on demand.
     pub(crate) fn new(address: SocketAddr, metrics: Rc<Metrics>) -> Self {
@@ -495,13 +502,36 @@
         })
     }
 
-    /// Reads the records of a keyed topic from a position on.
+    /// Reads all records of a keyed topic from a position on, in as many reads as that takes.
+    async fn read_to_end(
+        &self,
+        topic: &'static str,
+        from: u64,
+    ) -> Result<Changes<KeyedRecord>, StoreError> {
+        let mut all = Vec::new();
+        let mut next_offset = from;
+        loop {
+            let read = self
+                .read_records(topic, next_offset, Duration::ZERO)
+                .await?;
+            all.extend(read.changes.items);
+            next_offset = read.changes.next_offset;
+            if !read.has_more {
+                return Ok(Changes {
+                    items: all,
+                    next_offset,
+                });
+            }
+        }
+    }
+
+    /// Reads the records of a keyed topic from a position on, as many as one read returns.
     async fn read_records(
         &self,
         topic: &'static str,
         from: u64,
         wait: Duration,
-    ) -> Result<Changes<KeyedRecord>, StoreError> {
+    ) -> Result<RecordsRead, StoreError> {
         let from = Position::from_u64(from);
         let offset = from.offset;
         let wait_ms = wait.as_millis();
@@ -509,6 +539,7 @@
             "/-/log-read?topic={topic}&part=0&from={offset}&max_kb={READ_KB}&wait_ms={wait_ms}"
         );
         let answer = self.get_from(&path, from, wait).await?;
+        let end = answer.clone().try_get_u64().unwrap_or(0);
         let records = split_records(answer).ok_or(StoreError::Garbled)?;
         if topic == SERVERS_TOPIC {
             self.recent_servers.borrow_mut().note(from, &records);
@@ -517,6 +548,7 @@
             offset: offset + records.len() as u64,
             ..from
         };
+        let has_more = !records.is_empty() && next.offset < end;
         let items = records.into_iter().filter_map(|record| {
             let read = parse_keyed_record(record.clone());
             if read.is_none() {
@@ -524,10 +556,11 @@
             }
             read
         });
-        Ok(Changes {
+        let changes = Changes {
             items: items.collect(),
             next_offset: next.to_u64(),
-        })
+        };
+        Ok(RecordsRead { changes, has_more })
     }
 }
 
@@ -626,8 +659,8 @@
         from: u64,
         wait: Duration,
     ) -> Result<Changes<Configuration>, StoreError> {
-        let records = self.read_records(OPERATOR_TOPIC, from, wait).await;
-        records.map(decode_configurations)
+        let read = self.read_records(OPERATOR_TOPIC, from, wait).await;
+        read.map(|read| decode_configurations(read.changes))
     }
 }
 
@@ -638,7 +671,7 @@
     }
 
     async fn changes_since(&self, from: u64) -> Result<Changes<ServerChange>, StoreError> {
-        let records = self.read_records(SERVERS_TOPIC, from, Duration::ZERO).await;
+        let records = self.read_to_end(SERVERS_TOPIC, from).await;
         Ok(server_changes(records?, &mut self.unreadable.borrow_mut()))
     }
 }
--- a/workbench/src/site/store.rs
+++ b/workbench/src/site/store.rs
@@ -88,7 +88,7 @@
     calls: RefCell<HashMap<String, u64>>,
     /// The reads of a whole topic, by topic.
     whole_reads: RefCell<BTreeMap<String, u64>>,
-    /// How many items a page has at most; 0 for all in one.
+    /// How many items a page has at most, and a read of records; 0 for all in one.
     page_items: Cell<usize>,
     /// Items that are listed beside the records of a topic.
     odd_items: RefCell<Vec<(String, Value)>>,
@@ -143,7 +143,7 @@
         self.append(topic, keyed_record(key, value));
     }
 
-    /// Sets how many items a page has at most.
+    /// Sets how many items a page, and a read of records, has at most.
     pub fn set_page_items(&self, items: usize) {
         self.page_items.set(items);
     }
@@ -312,14 +312,18 @@
                 let first = topic.map_or(0, |topic| topic.first_offset);
                 let records = topic.map_or(&[][..], |topic| &topic.records);
                 let skip = (from as usize).min(records.len());
-                (first, records.len() as u64, records[skip..].to_vec())
+                let count = match self.page_items.get() {
+                    0 => records.len(),
+                    page_items => page_items,
+                };
+                let page = records[skip..].iter().take(count).cloned();
+                (first, records.len() as u64, page.collect::<Vec<Bytes>>())
             };
             if from < first || from > end {
                 let gone = json!({"first": first});
                 return rattanjunction::json_response(StatusCode::GONE, &gone);
             }
             if !records.is_empty() || began.elapsed() >= wait {
-                let end = from + records.len() as u64;
                 let mut bytes = [end.to_be_bytes(), first.to_be_bytes()].concat();
                 for record in &records {
                     let record = match split_record(record) {
--- a/workbench/tests/site_odd_entries.rs
+++ b/workbench/tests/site_odd_entries.rs
@@ -259,3 +259,19 @@
         });
     }
 }
+
+#[googletest::test]
+fn changes_that_take_many_reads_are_in_force_at_once() {
+    block_on(async {
+        let mut site = start().await;
+        site.start_vms(VMS);
+        site.wait_ready().await;
+        compio::time::sleep(SETTLE).await;
+        site.store.set_page_items(1);
+        for _ in 0..60 {
+            let server = site.servers[1].clone();
+            site.put_entry(&server, "ready");
+        }
+        expect_change_in_force(&mut site, "behind many records").await;
+    });
+}
