The tests' limiter of processor time opens no files while it limits

Cause: it opened two files of /proc each millisecond. While the table of open files of a process with several threads grows, a thread that opens a file waits, and this test opens up to 2,000 connections.

Change: both files stay open and are read again from their start.

--- a/workbench/src/site/quota.rs
+++ b/workbench/src/site/quota.rs
@@ -2,6 +2,9 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use std::fs::File;
+use std::io;
+use std::os::unix::fs::FileExt;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -10,6 +13,8 @@
 const PERIOD: Duration = Duration::from_millis(100);
 /// How often it is checked what a process has used of its quota.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1);
+/// More than the files hold that describe what a process used.
+const FILE_BYTES: usize = 4_096;
 
 /// Limits the main thread of a process to a share of a core until dropped.
 ///
@@ -63,18 +68,34 @@
     is_runnable: bool,
 }
 
-impl Usage {
-    /// Reads the usage of a process; `None` if it has ended.
-    fn read(process_id: u32) -> Option<Self> {
-        let read = |name| std::fs::read_to_string(format!("/proc/{process_id}/{name}")).ok();
-        let schedule = read("schedstat")?;
+/// The files that show what a process used. They stay open: a thread that opens a file waits while the
+/// table of open files of its process grows.
+#[derive(Debug)]
+struct UsageFiles {
+    schedule: File,
+    state: File,
+}
+
+impl UsageFiles {
+    /// Opens the files of a process; `None` if it has ended.
+    fn open(process_id: u32) -> Option<Self> {
+        let open = |name| File::open(format!("/proc/{process_id}/{name}")).ok();
+        Some(Self {
+            schedule: open("schedstat")?,
+            state: open("stat")?,
+        })
+    }
+
+    /// Reads the usage; `None` if the process has ended.
+    fn read(&self) -> Option<Usage> {
+        let schedule = read_start(&self.schedule).ok()?;
         let mut times = schedule.split_whitespace().map(str::parse);
         let mut time = || Some(Duration::from_nanos(times.next()?.ok()?));
         let (running, waiting) = (time()?, time()?);
         // The name of the program, in parentheses, may contain spaces.
-        let state = read("stat")?;
+        let state = read_start(&self.state).ok()?;
         let state = state.rsplit(") ").next()?.chars().next()?;
-        (state != 'Z').then_some(Self {
+        (state != 'Z').then_some(Usage {
             running,
             waiting,
             is_runnable: state == 'R',
@@ -82,21 +103,30 @@
     }
 }
 
+/// Reads what a short file holds now.
+fn read_start(file: &File) -> io::Result<String> {
+    let mut bytes = vec![0; FILE_BYTES];
+    let length = file.read_at(&mut bytes, 0)?;
+    bytes.truncate(length);
+    String::from_utf8(bytes).map_err(io::Error::other)
+}
+
 /// Lets a process use `quota` in each period until `ended` is disconnected or the process ends.
 fn keep_quota(process_id: u32, quota: Duration, ended: &Receiver<()>) -> Option<()> {
+    let files = UsageFiles::open(process_id)?;
     let mut debt = Duration::ZERO;
     let mut end_of_period = Instant::now();
     loop {
         let began = Instant::now();
         end_of_period = began.max(end_of_period + PERIOD);
         if debt < quota {
-            let before = Usage::read(process_id)?;
+            let before = files.read()?;
             let mut used = Duration::ZERO;
             let mut last = before;
             send_signal(process_id, Signal::SIGCONT);
             while debt + used < quota {
                 wait(ended, CHECK_INTERVAL)?;
-                let now = Usage::read(process_id)?;
+                let now = files.read()?;
                 used = if now.is_runnable {
                     used + (now.running - last.running)
                 } else {
@@ -108,7 +138,7 @@
             let could_run = began.elapsed();
             wait_until(ended, end_of_period)?;
             // Only now the times of a process that was running are complete.
-            let after = Usage::read(process_id)?;
+            let after = files.read()?;
             let used = could_run
                 .saturating_sub(after.waiting - before.waiting)
                 .max(after.running - before.running);
