Silence soak: SIGHUPs without a pause; VMs that answer nobody are found

Half of the events that send SIGHUPs now also send them to one VM without a pause for 0.2 to 2.5 s, beside the changes, restarts and SIGTERMs that overlap with it. A client of each VM asks for a path without a route, which needs no server: an answer after more than a second is a finding. The draws of the other events of a seed are as they were.

--- a/workbench/src/process.rs
+++ b/workbench/src/process.rs
@@ -3,6 +3,9 @@
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 
 /// A process started by the workbench, killed at the end.
 #[derive(Debug)]
@@ -33,6 +36,23 @@
         let _ = nix::sys::signal::kill(pid, signal);
     }
 
+    /// Sends a signal again and again without a pause, until the result is dropped.
+    pub fn flood(&self, signal: nix::sys::signal::Signal) -> SignalFlood {
+        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
+        let is_over = Arc::new(AtomicBool::new(false));
+        let ends = is_over.clone();
+        let sender = std::thread::spawn(move || {
+            while !ends.load(Ordering::Relaxed) {
+                // A process that has ended takes no signal.
+                let _ = nix::sys::signal::kill(pid, signal);
+            }
+        });
+        SignalFlood {
+            is_over,
+            sender: Some(sender),
+        }
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         // A process that has ended cannot be killed.
@@ -82,6 +102,23 @@
     }
 }
 
+/// Signals that a thread sends to a process without a pause until this is dropped.
+#[derive(Debug)]
+pub struct SignalFlood {
+    is_over: Arc<AtomicBool>,
+    sender: Option<JoinHandle<()>>,
+}
+
+impl Drop for SignalFlood {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        if let Some(sender) = self.sender.take() {
+            // A sender that panicked has shown its message.
+            let _ = sender.join();
+        }
+    }
+}
+
 /// The folder of this build's programs.
 fn build_folder() -> PathBuf {
     let own = std::env::current_exe().expect("this program has a path");
--- a/workbench/src/site/silence_soak.rs
+++ b/workbench/src/site/silence_soak.rs
@@ -7,6 +7,7 @@
     Caller, CallerRequest, ReceivedRequest, ScriptStep, Site, plain, route, runner_service,
     signed_answer,
 };
+use crate::process::SignalFlood;
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -41,10 +42,19 @@
 const START: Duration = Duration::from_secs(2);
 /// How long after SIGTERM servers may still be at work on a request that has to be answered.
 const MAX_WORK: Duration = Duration::from_secs(5);
+/// How often SIGHUPs come to a VM without a pause, and for how many milliseconds.
+const FLOOD_SHARE: f64 = 0.5;
+const FLOOD_MS: std::ops::Range<u64> = 200..2_500;
+/// Keeps the draws of floods apart from the others.
+const FLOOD_SEED: u64 = 0x464c_4f4f_4400_0000;
+/// How long a VM may take for an answer that needs no server.
+const OWN_ANSWER_LIMIT: Duration = Duration::from_secs(1);
 /// Further routes of a large configuration.
 const MANY_ROUTES: usize = 1_400;
 /// The kinds of requests, by the first part of their paths. The routes of the last two come and go.
 const KINDS: [&str; 5] = ["s", "safe", "unsafe", "passing-s", "passing"];
+/// The kind of requests that a VM answers by itself.
+const UNROUTED: &str = "unrouted";
 /// The body of a plain answer.
 const PLAIN_BODY: &str = "the whole answer";
 
@@ -64,6 +74,15 @@
         is_stream(&self.path)
     }
 
+    /// Whether each configuration has a route for the request.
+    fn is_routed(&self) -> bool {
+        !self.path.starts_with("/passing") && !self.is_unrouted()
+    }
+
+    fn is_unrouted(&self) -> bool {
+        self.path.starts_with("/unrouted/")
+    }
+
     fn is_whole(&self) -> bool {
         let expected = match self.is_stream() {
             true => events_text(1, EVENTS),
@@ -175,10 +194,19 @@
     site.wait_ready().await;
     let callers = (0..vms * CALLERS_PER_VM).map(|index| {
         let vm = index % vms;
-        compio::runtime::spawn(call_until_over(seen.clone(), vm, site.front(vm)))
+        compio::runtime::spawn(call_until_over(seen.clone(), vm, site.front(vm), &KINDS))
     });
-    let callers: Vec<_> = callers.collect();
-    play_events(&mut site, &seen, &mut random, duration).await;
+    let unrouted = (0..vms).map(|vm| {
+        compio::runtime::spawn(call_until_over(
+            seen.clone(),
+            vm,
+            site.front(vm),
+            &[UNROUTED],
+        ))
+    });
+    let callers: Vec<_> = callers.chain(unrouted).collect();
+    let floods = StdRng::seed_from_u64(seed ^ FLOOD_SEED);
+    play_events(&mut site, &seen, &mut random, floods, duration).await;
     seen.is_over.set(true);
     for caller in callers {
         caller.await.expect("a caller does not panic");
@@ -188,10 +216,10 @@
 }
 
 /// Sends one request after the other to a VM, on a connection that is kept as long as it lasts.
-async fn call_until_over(seen: Rc<Seen>, vm: usize, address: SocketAddr) {
+async fn call_until_over(seen: Rc<Seen>, vm: usize, address: SocketAddr, kinds: &[&str]) {
     let caller = Caller::default();
     while !seen.is_over.get() {
-        let kind = KINDS[rand::random_range(0..KINDS.len())];
+        let kind = kinds[rand::random_range(0..kinds.len())];
         let path = format!("/{kind}/x");
         let request = match kind {
             "unsafe" => CallerRequest::post(&path, "one"),
@@ -216,8 +244,15 @@
 }
 
 /// Plays drawn events, each of which ends by itself.
-async fn play_events(site: &mut Site, seen: &Seen, random: &mut StdRng, duration: Duration) {
+async fn play_events(
+    site: &mut Site,
+    seen: &Seen,
+    random: &mut StdRng,
+    mut flood_random: StdRng,
+    duration: Duration,
+) {
     let end = Instant::now() + duration;
+    let mut flood: Option<(usize, Instant, SignalFlood)> = None;
     let mut signals: Vec<(usize, Signal, Instant)> = Vec::new();
     let mut configurations: Vec<Instant> = Vec::new();
     let mut restarts: Vec<(usize, Instant)> = Vec::new();
@@ -231,6 +266,7 @@
         for (vm, signal, _) in signals.extract_if(.., |(_, _, at)| now >= *at) {
             site.vms[vm].signal(signal);
         }
+        flood.take_if(|(vm, until, _)| now >= *until || site.vms[*vm].has_ended());
         for vm in starting.extract_if(.., |vm| TcpStream::connect(site.front(*vm)).is_ok()) {
             for _ in 0..random.random_range(0..5) {
                 let at = now + Duration::from_millis(random.random_range(0..300));
@@ -238,6 +274,7 @@
             }
         }
         for (vm, _) in restarts.extract_if(.., |(_, at)| now >= *at) {
+            flood.take_if(|(other, _, _)| *other == vm);
             if !site.vms[vm].has_ended() {
                 let finding = format!("DRAIN: vm-{vm} runs {GRACE:?} after SIGTERM");
                 seen.findings.borrow_mut().push(finding);
@@ -283,6 +320,12 @@
                         }
                     }
                     configurations.push(draw_at(400));
+                    let is_running = !starting.contains(&vm);
+                    if is_running && flood.is_none() && flood_random.random_bool(FLOOD_SHARE) {
+                        let lasts = Duration::from_millis(flood_random.random_range(FLOOD_MS));
+                        let signals = site.vms[vm].flood(Signal::SIGHUP);
+                        flood = Some((vm, now + lasts, signals));
+                    }
                 }
             }
         }
@@ -316,8 +359,10 @@
             findings.push(format!("LOST: {line}"));
         } else if request.status == Some(200) && request.is_complete && !request.is_whole() {
             findings.push(format!("MIXED: {line}"));
-        } else if request.status == Some(404) && !request.path.starts_with("/passing") {
+        } else if request.status == Some(404) && request.is_routed() {
             findings.push(format!("CONFIG: {line}"));
+        } else if request.is_unrouted() && took > OWN_ANSWER_LIMIT && !seen.is_stopped(request) {
+            findings.push(format!("LATE: {line}"));
         }
         *ends.entry(end).or_default() += 1;
     }
--- a/workbench/tests/site_signals.rs
+++ b/workbench/tests/site_signals.rs
@@ -6,9 +6,6 @@
 use serde_json::json;
 use std::cell::Cell;
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use workbench::cluster::block_on;
 use workbench::process::Process;
@@ -37,7 +34,7 @@
 const ANSWER_LIMIT: Duration = Duration::from_secs(5);
 /// How long signals come without a pause, and how long a request may wait meanwhile: callers leave
 /// if it has not been read by then.
-const STORM: Duration = Duration::from_secs(3);
+const FLOOD: Duration = Duration::from_secs(3);
 const READ_LIMIT: Duration = Duration::from_secs(1);
 /// How long a VM that is stopped may take to end.
 const END_LIMIT: Duration = Duration::from_secs(8);
@@ -53,17 +50,6 @@
     }
 }
 
-/// Sends SIGHUP without a pause, for as long as `lasts` returns true.
-fn hang_up_while(vm: &Process, lasts: impl Fn() -> bool + Send + 'static) -> JoinHandle<()> {
-    let vm = nix::unistd::Pid::from_raw(vm.id() as i32);
-    std::thread::spawn(move || {
-        while lasts() {
-            // A VM that has ended takes no signal.
-            let _ = nix::sys::signal::kill(vm, Signal::SIGHUP);
-        }
-    })
-}
-
 #[googletest::test]
 fn further_signals_do_not_cut_the_streams_of_a_vm_that_is_stopped() {
     block_on(async {
@@ -142,11 +128,11 @@
         let mut site = Site::start_plain(2, 1).await;
         let address = site.front(0);
         let began = Instant::now();
-        let storm = hang_up_while(&site.vms[0], move || began.elapsed() < STORM);
+        let flood = site.vms[0].flood(Signal::SIGHUP);
         let callers = join_all((0..CALLERS).map(async |_| {
             let caller = Caller::default();
             let mut waits = Vec::new();
-            while began.elapsed() < STORM {
+            while began.elapsed() < FLOOD {
                 let sent = Instant::now();
                 let answer = caller.request(address, &CallerRequest::get("/x")).await;
                 waits.push((answer.status, sent.elapsed()));
@@ -154,7 +140,7 @@
             waits
         }));
         let waits = callers.await.concat();
-        storm.join().expect("the storm ends");
+        drop(flood);
         expect_that!(waits, each((eq(&Some(200)), lt(&READ_LIMIT))));
         expect_that!(site.vms[0].has_ended(), eq(false));
     });
@@ -165,20 +151,14 @@
 fn a_vm_stops_while_sighups_come_without_a_pause() {
     block_on(async {
         let mut site = Site::start_plain(1, 1).await;
-        let is_over = Arc::new(AtomicBool::new(false));
-        let lasts = {
-            let is_over = is_over.clone();
-            move || !is_over.load(Ordering::Relaxed)
-        };
-        let storm = hang_up_while(&site.vms[0], lasts);
+        let flood = site.vms[0].flood(Signal::SIGHUP);
         compio::time::sleep(SIGNAL_INTERVAL).await;
         site.vms[0].signal(Signal::SIGTERM);
         let sent = Instant::now();
         while !site.vms[0].has_ended() && sent.elapsed() < END_LIMIT {
             compio::time::sleep(Duration::from_millis(20)).await;
         }
-        is_over.store(true, Ordering::Relaxed);
-        storm.join().expect("the storm ends");
+        drop(flood);
         expect_that!(site.vms[0].has_ended(), eq(true));
     });
 }
