--- a/workbench/tests/quota.rs
+++ b/workbench/tests/quota.rs
@@ -75,6 +75,7 @@
     });
 }
 
+/// Guards against a limiter that stops its process late while it waits to open a file.
 #[googletest::test]
 fn a_process_keeps_its_quota_while_the_table_of_open_files_grows() {
     block_on(async {
