--- a/workbench/src/lib.rs
+++ b/workbench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod capacity;
 pub mod cluster;
+pub mod crowd;
 pub mod demo;
 pub mod engine;
 pub mod experiment;
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -97,6 +97,8 @@
     pub max_body_bytes: usize,
     /// The number of file descriptors that the settings of the VMs allow.
     pub max_fds: usize,
+    /// The memory that the settings of the VMs allow, in megabytes.
+    pub memory_mb: u64,
     /// The number of availability zones over which the VMs are spread in turn.
     pub zones: usize,
     /// The network between the VMs, if a test cuts paths in it.
@@ -128,6 +130,7 @@
             max_header_bytes: 16_384,
             max_body_bytes: 1_048_576,
             max_fds: 4_096,
+            memory_mb: 260,
             zones: 1,
             network: None,
             folder,
@@ -308,7 +311,7 @@
 front = "{front}"
 ready_addr = "{ready}"
 [limits]
-memory_mb = 260
+memory_mb = {memory_mb}
 max_fds = {max_fds}
 [bounds]
 stable_window_ms = 3000
@@ -334,6 +337,7 @@
             is_fenced = self.is_fenced,
             retry_slack = self.retry_slack,
             max_fds = self.max_fds,
+            memory_mb = self.memory_mb,
             first = at(PEER_PORT).port(),
             last = at(9).port(),
             front = at(0),
--- a/workbench/src/usage.rs
+++ b/workbench/src/usage.rs
@@ -2,8 +2,14 @@
 
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
+/// The interval at which descriptors are counted.
+const DESCRIPTOR_POLL: Duration = Duration::from_millis(20);
+
 /// Clock ticks a second in the process table.
 const TICKS_PER_S: u64 = 100;
 
@@ -48,6 +54,53 @@
     }
 }
 
+/// The number of open file descriptors of a process; zero for one that has ended.
+fn descriptors_of_process(pid: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
+}
+
+/// Counts a process's open file descriptors until dropped.
+#[derive(Debug)]
+pub struct DescriptorWatch {
+    most: Arc<AtomicUsize>,
+    is_over: Arc<AtomicBool>,
+    watcher: Option<JoinHandle<()>>,
+}
+
+impl DescriptorWatch {
+    /// Starts to count those of a process.
+    pub fn start(pid: u32) -> Self {
+        let (most, is_over) = (Arc::<AtomicUsize>::default(), Arc::<AtomicBool>::default());
+        let (highest, ends) = (most.clone(), is_over.clone());
+        let watcher = std::thread::spawn(move || {
+            while !ends.load(Ordering::Relaxed) {
+                highest.fetch_max(descriptors_of_process(pid), Ordering::Relaxed);
+                std::thread::sleep(DESCRIPTOR_POLL);
+            }
+        });
+        Self {
+            most,
+            is_over,
+            watcher: Some(watcher),
+        }
+    }
+
+    /// The most so far.
+    pub fn most(&self) -> usize {
+        self.most.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for DescriptorWatch {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        if let Some(watcher) = self.watcher.take() {
+            // A watcher that panicked has shown its message.
+            let _ = watcher.join();
+        }
+    }
+}
+
 /// Reads a VM's metrics and sums the samples whose line begins with `prefix`.
 pub async fn metric(operator: SocketAddr, prefix: &str) -> f64 {
     let text = metrics_text(operator).await.unwrap_or_default();
--- /dev/null
+++ b/workbench/tests/site_clients.rs
@@ -0,0 +1,601 @@
+//! On the platform: clients that misbehave neither end a VM nor keep it from serving others.
+//!
+//! The tests run one at a time. They check that the VM lives, that its memory and its descriptors
+//! stay within what its settings state, and that ordinary requests are answered beside the
+//! misbehaving clients and after them.
+
+use googletest::prelude::*;
+use serde_json::json;
+use std::rc::Rc;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use workbench::cluster::block_on;
+use workbench::crowd::{Crowd, Misbehaviour, Reading};
+use workbench::process::Process;
+use workbench::proxy::Proxy;
+use workbench::site::events::{events, last_chunk, remaining_events_of};
+use workbench::site::{
+    Caller, CallerRequest, HOST, ReceivedRequest, ScriptStep, Site, plain, route, runner_service,
+    signed_answer,
+};
+use workbench::usage::{DescriptorWatch, of_process};
+
+/// The memory and the descriptors of a small VM.
+const MEMORY_MB: u64 = 48;
+const MAX_FDS: usize = 1_024;
+/// The memory of a VM that holds answers of the greatest length.
+const LARGE_MEMORY_MB: u64 = 160;
+/// The descriptors of a VM with fewer places than a crowd has clients.
+const FEW_FDS: usize = 300;
+
+/// The length of the longest answers.
+const LONGEST_BYTES: usize = 16_000_000;
+const LONG_BYTES: usize = 1_000_000;
+const SHORT_BYTES: usize = 60_000;
+/// The events of long streams.
+const EVENTS: u64 = 30;
+const EVENT_BYTES: usize = 100_000;
+
+/// The pause between two steps of a client that reads or sends by bytes.
+const BYTE_PAUSE: Duration = Duration::from_millis(100);
+/// How long a crowd goes on before ordinary callers come.
+const CROWD_TIME: Duration = Duration::from_secs(3);
+/// After which time an ordinary caller without an answer counts as not served at all.
+const HANG_LIMIT: Duration = Duration::from_secs(60);
+/// The pause of an ordinary caller that is told no time to come again.
+const RETURN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Held by the test that runs.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+/// The VM's limits in a test.
+#[derive(Clone, Copy)]
+struct Limits {
+    memory_mb: u64,
+    max_fds: usize,
+}
+
+const SMALL: Limits = Limits {
+    memory_mb: MEMORY_MB,
+    max_fds: MAX_FDS,
+};
+const LARGE: Limits = Limits {
+    memory_mb: LARGE_MEMORY_MB,
+    max_fds: MAX_FDS,
+};
+const FEW_PLACES: Limits = Limits {
+    memory_mb: MEMORY_MB,
+    max_fds: FEW_FDS,
+};
+
+/// VMs with their limits, and what they have used. Clients come to the first one.
+struct Trial {
+    site: Site,
+    limits: Limits,
+    descriptors: Vec<DescriptorWatch>,
+    /// The paths to the servers of a VM that is to forward requests.
+    paths: Vec<Rc<Proxy>>,
+}
+
+impl Trial {
+    /// Starts one VM.
+    async fn start(limits: Limits) -> Self {
+        Self::start_vms(limits, 1).await
+    }
+
+    /// Starts two VMs, the first of which reaches no server and forwards its callers' requests.
+    async fn start_forwarding(limits: Limits) -> Self {
+        let mut trial = Self::start_vms(limits, 2).await;
+        for path in std::mem::take(&mut trial.paths) {
+            path.close();
+            path.cut();
+        }
+        trial
+            .site
+            .wait("the first VM forwards requests", async || {
+                let is_cut_off = trial.site.metric(0, "is_cut_off").await;
+                is_cut_off == Some(1.0)
+            })
+            .await;
+        trial
+    }
+
+    async fn start_vms(limits: Limits, vms: usize) -> Self {
+        let servers = vec![
+            ("books", vec![]),
+            ("books", vec![]),
+            ("llm", vec![("m0", vec![])]),
+            ("llm", vec![("m0", vec![])]),
+        ];
+        let mut site = Site::start(servers).await;
+        let mut paths = Vec::new();
+        for (index, server) in site.servers.iter().enumerate() {
+            server.script(answer);
+            if vms > 1 {
+                paths.push(Proxy::start(site.path_address(index), server.address()).await);
+                site.vms_with_paths.insert(0);
+            }
+        }
+        site.memory_mb = limits.memory_mb;
+        site.max_fds = limits.max_fds;
+        site.configure(
+            json!([
+                route("/", "safe", "books"),
+                route("/s/", "streaming", "llm")
+            ]),
+            json!([plain("books"), runner_service("llm", &[("m0", 0)])]),
+        );
+        site.start_vms(vms);
+        site.wait_ready().await;
+        let watch = |vm: &Process| DescriptorWatch::start(vm.id());
+        Self {
+            descriptors: site.vms.iter().map(watch).collect(),
+            site,
+            limits,
+            paths,
+        }
+    }
+
+    /// Starts clients at the callers' address and lets them misbehave for a while.
+    async fn crowd(&self, count: usize, behaviour: impl Fn(usize) -> Misbehaviour) -> Crowd {
+        let crowd = Crowd::start(self.site.front(0), count, behaviour);
+        compio::time::sleep(CROWD_TIME).await;
+        crowd
+    }
+
+    /// Checks that ordinary requests are answered, and that the VM is within its limits.
+    async fn expect_served(&mut self, when: &str) {
+        for request in [
+            CallerRequest::get("/b/20"),
+            CallerRequest::model("/s/3/20", "m0"),
+        ] {
+            let path = request.path.clone();
+            expect_that!(self.serves(request).await, eq(true), "{path} {when}");
+        }
+        let max_rss_kib = self.limits.memory_mb * 1_000_000 / 1_024;
+        for (vm, descriptors) in self.site.vms.iter_mut().zip(&self.descriptors) {
+            expect_that!(vm.has_ended(), eq(false), "{when}");
+            let usage = of_process(vm.id());
+            let descriptors = descriptors.most();
+            println!(
+                "{when}: resident {} KiB, peak {} KiB, at most {descriptors} descriptors",
+                usage.rss_kib, usage.peak_rss_kib
+            );
+            expect_that!(usage.peak_rss_kib, lt(max_rss_kib), "{when}");
+            expect_that!(descriptors, lt(self.limits.max_fds), "{when}");
+        }
+    }
+
+    /// Sends a request until it is answered whole, and comes again as refusals say.
+    async fn serves(&self, request: CallerRequest) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < HANG_LIMIT {
+            let answer = Caller::default()
+                .request(self.site.front(0), &request)
+                .await;
+            if answer.status == Some(200) && answer.is_complete {
+                println!("{} answered after {:?}", request.path, began.elapsed());
+                return true;
+            }
+            let retry_after_s = answer.header("retry-after").parse();
+            let pause = retry_after_s.map_or(RETURN_PAUSE, Duration::from_secs_f64);
+            compio::time::sleep(pause).await;
+        }
+        false
+    }
+
+    /// Ends a crowd beside which ordinary callers are served, and checks that they are afterwards.
+    async fn expect_harmless(&mut self, crowd: Crowd) {
+        let connections = crowd.connections();
+        println!(
+            "{} of {} clients began, {connections} connections",
+            crowd.begun(),
+            crowd.len()
+        );
+        self.expect_served("beside the crowd").await;
+        crowd.end().await;
+        self.expect_served("after the crowd").await;
+    }
+}
+
+/// Answers `/b/BYTES` with as many bytes, `/s/EVENTS/BYTES` with a stream, and `/wait/` never.
+fn answer(request: &ReceivedRequest) -> Vec<ScriptStep> {
+    let number = |place: usize| -> usize {
+        let part = request.path.split('/').nth(place);
+        part.and_then(|part| part.parse().ok()).unwrap_or(0)
+    };
+    let id = request.header("x-attempt-id");
+    if request.path.starts_with("/wait/") {
+        return vec![ScriptStep::Wait(HANG_LIMIT), ScriptStep::Close];
+    }
+    if !request.path.starts_with("/s/") {
+        let body = "b".repeat(number(2));
+        return vec![ScriptStep::Write(signed_answer(id, 200, &body))];
+    }
+    let data = "e".repeat(number(3));
+    match number(2) {
+        // A stream that begins and goes on without an event.
+        0 => [
+            events(request, 1, 1, 0),
+            vec![ScriptStep::Wait(HANG_LIMIT), last_chunk()],
+        ]
+        .concat(),
+        count => remaining_events_of(request, &data, count as u64, 0),
+    }
+}
+
+/// The head of a request, with further header lines, without the empty line that ends it.
+fn head(method: &str, path: &str, lines: &str) -> String {
+    let id: u64 = rand::random();
+    format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id:016x}\r\n{lines}")
+}
+
+fn get(path: &str) -> String {
+    head("GET", path, "\r\n")
+}
+
+fn ask_stream(events: u64, event_bytes: usize) -> String {
+    let model = "X-Model: m0\r\nX-Token-Usage: 700,280\r\nX-Prompt-Prefix: 5c1e:100,91bd:600\r\n";
+    let path = format!("/s/{events}/{event_bytes}");
+    head(
+        "POST",
+        &path,
+        &format!("{model}Content-Length: 5\r\n\r\nwrite"),
+    )
+}
+
+/// A head that lacks its end.
+fn endless_head(bytes: usize) -> String {
+    head("GET", "/b/20", &format!("X-Long: {}", "h".repeat(bytes)))
+}
+
+/// A request that states a body and sends a part of it.
+fn endless_body(stated_bytes: usize, sent_bytes: usize) -> String {
+    let head = head(
+        "POST",
+        "/b/20",
+        &format!("Content-Length: {stated_bytes}\r\n\r\n"),
+    );
+    head + &"b".repeat(sent_bytes)
+}
+
+/// A request whose body is in chunks and lacks its last one.
+fn endless_chunks(bytes: usize) -> String {
+    let head = head("POST", "/b/20", "Transfer-Encoding: chunked\r\n\r\n");
+    let chunk = format!("400\r\n{}\r\n", "b".repeat(1_024));
+    head + &chunk.repeat(bytes / 1_024)
+}
+
+/// Runs a test while no other one of this file runs.
+fn run_alone(test: impl Future<Output = ()>) {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(test);
+}
+
+fn by_bytes() -> Reading {
+    Reading::Bytes(64, BYTE_PAUSE)
+}
+
+mod site_crowds {
+    use super::*;
+
+    /// Plays one crowd at the callers' address of one VM.
+    fn play(limits: Limits, count: usize, behaviour: impl Fn(usize) -> Misbehaviour) {
+        run_alone(async {
+            let mut trial = Trial::start(limits).await;
+            let crowd = trial.crowd(count, behaviour).await;
+            trial.expect_harmless(crowd).await;
+        });
+    }
+
+    #[googletest::test]
+    fn long_answers_that_nobody_reads_stay_within_the_memory() {
+        let request = get(&format!("/b/{LONG_BYTES}"));
+        play(SMALL, 200, |_| Misbehaviour::silent(request.clone()));
+    }
+
+    #[googletest::test]
+    fn answers_of_the_greatest_length_that_nobody_reads_stay_within_the_memory() {
+        let request = get(&format!("/b/{LONGEST_BYTES}"));
+        play(LARGE, 20, |_| Misbehaviour::silent(request.clone()));
+    }
+
+    #[googletest::test]
+    fn short_answers_that_nobody_reads_stay_within_the_memory() {
+        let request = get(&format!("/b/{SHORT_BYTES}"));
+        play(SMALL, 400, |_| Misbehaviour::silent(request.clone()));
+    }
+
+    #[googletest::test]
+    fn long_answers_that_are_read_by_bytes_stay_within_the_memory() {
+        let request = get(&format!("/b/{LONG_BYTES}"));
+        play(SMALL, 200, |_| {
+            Misbehaviour::silent(request.clone())
+                .reads(by_bytes())
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn short_answers_that_are_read_by_bytes_stay_within_the_memory() {
+        let request = get(&format!("/b/{SHORT_BYTES}"));
+        play(SMALL, 400, |_| {
+            Misbehaviour::silent(request.clone())
+                .reads(by_bytes())
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn streams_that_nobody_reads_stay_within_the_memory() {
+        let request = ask_stream(EVENTS, EVENT_BYTES);
+        play(SMALL, 200, |_| Misbehaviour::silent(request.clone()));
+    }
+
+    #[googletest::test]
+    fn streams_that_are_read_by_bytes_stay_within_the_memory() {
+        let request = ask_stream(EVENTS, EVENT_BYTES);
+        play(SMALL, 200, |_| {
+            Misbehaviour::silent(request.clone())
+                .reads(by_bytes())
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn streams_of_many_short_events_that_nobody_reads_stay_within_the_memory() {
+        let request = ask_stream(2_000, 500);
+        play(SMALL, 200, |_| Misbehaviour::silent(request.clone()));
+    }
+
+    #[googletest::test]
+    fn heads_that_never_end_stay_within_the_memory() {
+        play(SMALL, 400, |_| {
+            Misbehaviour::silent(endless_head(SHORT_BYTES))
+        });
+    }
+
+    #[googletest::test]
+    fn heads_that_grow_by_bytes_stay_within_the_memory() {
+        play(SMALL, 400, |_| {
+            Misbehaviour::silent(endless_head(8_000))
+                .repeats("h".repeat(1_000), BYTE_PAUSE)
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn short_bodies_that_never_end_stay_within_the_memory() {
+        play(SMALL, 400, |_| {
+            Misbehaviour::silent(endless_body(64_000, SHORT_BYTES))
+        });
+    }
+
+    #[googletest::test]
+    fn long_bodies_that_never_end_stay_within_the_memory() {
+        play(SMALL, 200, |number| match number % 2 {
+            0 => Misbehaviour::silent(endless_body(LONG_BYTES, LONG_BYTES - 1)),
+            _ => Misbehaviour::silent(endless_chunks(LONG_BYTES)),
+        });
+    }
+
+    #[googletest::test]
+    fn bodies_that_arrive_by_bytes_stay_within_the_memory() {
+        play(SMALL, 400, |number| {
+            let (begin, more) = match number % 2 {
+                0 => (endless_body(64_000, 40_000), "b"),
+                _ => (endless_chunks(40_000), "1\r\nb\r\n"),
+            };
+            Misbehaviour::silent(begin)
+                .repeats(more, BYTE_PAUSE)
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn bodies_of_requests_that_wait_for_a_server_stay_within_the_memory() {
+        play(SMALL, 400, |_| {
+            let head = head(
+                "POST",
+                "/wait/1",
+                &format!("Content-Length: {SHORT_BYTES}\r\n\r\n"),
+            );
+            Misbehaviour::silent(head + &"b".repeat(SHORT_BYTES)).returns()
+        });
+    }
+
+    #[googletest::test]
+    fn pipelined_requests_whose_answers_nobody_reads_stay_within_the_memory() {
+        play(SMALL, 400, |number| {
+            let requests = match number % 2 {
+                0 => get("/b/8000").repeat(40),
+                _ => get(&format!("/b/{SHORT_BYTES}")).repeat(10),
+            };
+            Misbehaviour::silent(requests)
+        });
+    }
+
+    #[googletest::test]
+    fn pipelined_long_bodies_behind_an_unread_answer_stay_within_the_memory() {
+        play(SMALL, 200, |_| {
+            let body = endless_body(SHORT_BYTES, SHORT_BYTES);
+            Misbehaviour::silent(get(&format!("/b/{LONG_BYTES}")) + &body.repeat(10))
+        });
+    }
+
+    #[googletest::test]
+    fn kept_connections_whose_next_answers_nobody_reads_stay_within_the_memory() {
+        let short = get("/b/2000").repeat(2);
+        let long = get(&format!("/b/{SHORT_BYTES}"));
+        play(SMALL, 400, |_| {
+            Misbehaviour::silent(short.clone()).repeats(long.clone(), BYTE_PAUSE)
+        });
+    }
+
+    #[googletest::test]
+    fn callers_that_leave_midway_leave_no_memory_behind() {
+        play(SMALL, 300, |number| {
+            let request = match number % 3 {
+                0 => get(&format!("/b/{LONG_BYTES}")),
+                1 => ask_stream(EVENTS, EVENT_BYTES),
+                _ => endless_body(LONG_BYTES, LONG_BYTES / 2),
+            };
+            Misbehaviour::silent(request)
+                .leaves_after(Duration::from_millis(50 + number as u64))
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn a_crowd_of_another_kind_after_the_first_stays_within_the_memory() {
+        run_alone(async {
+            let mut trial = Trial::start(SMALL).await;
+            let first = trial
+                .crowd(400, |_| Misbehaviour::silent(endless_head(SHORT_BYTES)))
+                .await;
+            first.end().await;
+            let second = trial
+                .crowd(200, |_| {
+                    Misbehaviour::silent(ask_stream(EVENTS, EVENT_BYTES))
+                })
+                .await;
+            second.end().await;
+            let request = get(&format!("/b/{LONG_BYTES}"));
+            let third = trial
+                .crowd(200, |_| Misbehaviour::silent(request.clone()))
+                .await;
+            trial.expect_harmless(third).await;
+        });
+    }
+
+    #[googletest::test]
+    fn clients_that_hold_all_places_and_read_by_bytes_do_not_keep_others_out() {
+        let request = get(&format!("/b/{SHORT_BYTES}"));
+        play(FEW_PLACES, 400, |_| {
+            Misbehaviour::silent(request.clone())
+                .reads(by_bytes())
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn clients_that_hold_all_places_and_send_nothing_do_not_keep_others_out() {
+        play(FEW_PLACES, 400, |_| {
+            Misbehaviour::silent("").reads(by_bytes()).returns()
+        });
+    }
+
+    #[googletest::test]
+    fn clients_that_hold_all_places_with_heads_do_not_keep_others_out() {
+        play(FEW_PLACES, 400, |_| {
+            Misbehaviour::silent(endless_head(100))
+                .repeats("h", BYTE_PAUSE)
+                .reads(by_bytes())
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn streams_that_never_go_on_leave_descriptors_for_others() {
+        let request = ask_stream(0, 0);
+        play(FEW_PLACES, 400, |_| {
+            Misbehaviour::silent(request.clone())
+                .reads(by_bytes())
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn clients_of_all_kinds_at_once_stay_within_the_limits() {
+        play(SMALL, 600, |number| {
+            let client = match number % 6 {
+                0 => Misbehaviour::silent(get(&format!("/b/{SHORT_BYTES}"))),
+                1 => Misbehaviour::silent(get(&format!("/b/{LONG_BYTES}"))),
+                2 => Misbehaviour::silent(ask_stream(EVENTS, EVENT_BYTES)),
+                3 => Misbehaviour::silent(endless_head(SHORT_BYTES)),
+                4 => Misbehaviour::silent(endless_body(LONG_BYTES, LONG_BYTES / 2)),
+                _ => Misbehaviour::silent(""),
+            };
+            client.reads(by_bytes()).returns()
+        });
+    }
+
+    /// Plays a crowd at another address of the VM than the callers'.
+    fn play_at(
+        limits: Limits,
+        address: impl Fn(&Site) -> std::net::SocketAddr,
+        count: usize,
+        behaviour: impl Fn(usize) -> Misbehaviour,
+    ) {
+        run_alone(async {
+            let mut trial = Trial::start(limits).await;
+            let crowd = Crowd::start(address(&trial.site), count, behaviour);
+            compio::time::sleep(CROWD_TIME).await;
+            trial
+                .site
+                .wait("the VM is ready beside the crowd", async || {
+                    trial.site.is_ready(0).await
+                })
+                .await;
+            trial.expect_harmless(crowd).await;
+        });
+    }
+
+    #[googletest::test]
+    fn answers_through_another_vm_that_nobody_reads_stay_within_the_memory_of_both() {
+        run_alone(async {
+            let mut trial = Trial::start_forwarding(SMALL).await;
+            let requests = [
+                get(&format!("/b/{LONG_BYTES}")),
+                get(&format!("/b/{SHORT_BYTES}")),
+                ask_stream(EVENTS, EVENT_BYTES),
+            ];
+            let crowd = trial
+                .crowd(300, |number| {
+                    Misbehaviour::silent(requests[number % requests.len()].clone())
+                        .reads(by_bytes())
+                        .returns()
+                })
+                .await;
+            trial.expect_harmless(crowd).await;
+        });
+    }
+
+    #[googletest::test]
+    fn a_crowd_that_asks_for_the_metrics_stays_within_the_limits() {
+        play_at(
+            SMALL,
+            |site| site.ready(0),
+            400,
+            |number| match number % 2 {
+                0 => Misbehaviour::silent(get("/metrics").repeat(50)),
+                _ => Misbehaviour::silent(endless_head(SHORT_BYTES)),
+            },
+        );
+    }
+
+    #[googletest::test]
+    fn a_crowd_at_the_address_of_readiness_leaves_descriptors_for_others() {
+        play_at(
+            FEW_PLACES,
+            |site| site.ready(0),
+            600,
+            |_| Misbehaviour::silent("").reads(by_bytes()).returns(),
+        );
+    }
+
+    #[googletest::test]
+    fn a_crowd_at_the_addresses_of_other_vms_stays_within_the_limits() {
+        for offset in [2, 3] {
+            let address = move |site: &Site| {
+                let front = site.front(0);
+                std::net::SocketAddr::new(front.ip(), front.port() + offset)
+            };
+            play_at(FEW_PLACES, address, 400, |_| {
+                Misbehaviour::silent(endless_head(SHORT_BYTES))
+                    .reads(by_bytes())
+                    .returns()
+            });
+        }
+    }
+}
