--- a/src/accept_queue.rs
+++ b/src/accept_queue.rs
@@ -55,6 +55,11 @@
         self.waiting.push_back((connection, now));
     }
 
+    /// The number of connections that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Whether no connection waits.
     pub(crate) fn is_empty(&self) -> bool {
         self.waiting.is_empty()
--- a/src/bulk_stream.rs
+++ b/src/buffered_stream.rs
@@ -1,4 +1,4 @@
-//! A stream for responses of up to some megabytes, for example a configuration.
+//! A TCP stream whose buffers have stated sizes.
 
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
@@ -9,30 +9,28 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-/// The size of one read from the socket, in bytes. Each read waits for a turn of the runtime, and
-/// turns are long while a VM is overloaded.
-pub(crate) const BULK_READ_BYTES: usize = 64 * 1024;
+/// A TCP stream whose buffers have stated sizes.
+pub(crate) struct BufferedStream(Pin<Box<AsyncStream<TcpStream>>>);
 
-/// A TCP stream with a large read buffer.
-pub(crate) struct BulkStream(Pin<Box<AsyncStream<TcpStream>>>);
-
-impl fmt::Debug for BulkStream {
+impl fmt::Debug for BufferedStream {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("BulkStream").finish_non_exhaustive()
+        f.debug_struct("BufferedStream").finish_non_exhaustive()
     }
 }
 
-impl BulkStream {
-    /// Wraps a stream.
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        Self(Box::pin(AsyncStream::with_capacity(
-            BULK_READ_BYTES,
+impl BufferedStream {
+    /// Wraps a stream. Its buffers have `buffer_bytes` each, which is what is read from the socket at a
+    /// time; that for writes grows up to `max_write_bytes`.
+    pub(crate) fn new(stream: TcpStream, buffer_bytes: usize, max_write_bytes: usize) -> Self {
+        Self(Box::pin(AsyncStream::with_limits(
+            buffer_bytes,
+            max_write_bytes.max(buffer_bytes),
             stream,
         )))
     }
 }
 
-impl AsyncRead for BulkStream {
+impl AsyncRead for BufferedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -42,7 +40,7 @@
     }
 }
 
-impl Write for BulkStream {
+impl Write for BufferedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -58,4 +56,9 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.0.as_mut().poll_close(cx)
     }
+
+    /// What is written is copied in any case: a caller that copies it too would hold it twice.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
 }
--- a/src/client.rs
+++ b/src/client.rs
@@ -3,13 +3,12 @@
 //! Users of this module decide whether to retry a request: [`SendError`] says whether the
 //! request may have been sent.
 
-use crate::bulk_stream::{BULK_READ_BYTES, BulkStream};
+use crate::buffered_stream::BufferedStream;
 use crate::http::Body;
 use crate::response_progress::{BoundedStream, ResponseProgress};
 use compio::io::AsyncRead;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, Write};
@@ -24,6 +23,14 @@
 /// The largest number of idle connections that are kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
+/// The size of one read of a response of up to some megabytes. Each read waits for a turn of the
+/// runtime, and turns are long while a VM is overloaded.
+const BULK_READ_BYTES: usize = 64 * 1024;
+/// The size of one read of any other response, in bytes.
+const READ_BYTES: usize = 4 * 1024;
+/// The most bytes of a request that are copied for the socket at a time.
+const MAX_WRITE_BYTES: usize = 16 * 1024;
+
 /// The largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -93,8 +100,8 @@
     ) -> Result<Self, SendError> {
         let stream = Self::connect(address, timeout, Some(unacked_limit)).await?;
         let progress = ResponseProgress::default();
-        let stream = BoundedStream::new(BulkStream::new(stream), progress.clone())
-            .with_read_bytes(BULK_READ_BYTES);
+        let stream = BufferedStream::new(stream, BULK_READ_BYTES, MAX_WRITE_BYTES);
+        let stream = BoundedStream::new(stream, progress.clone()).with_read_bytes(BULK_READ_BYTES);
         let mut builder = http1::Builder::new();
         builder.read_buf_exact_size(Some(BULK_READ_BYTES));
         Self::handshake(&builder, stream, progress, address).await
@@ -124,7 +131,8 @@
     ) -> Result<Self, SendError> {
         let stream = Self::connect(address, timeout, unacked_limit).await?;
         let progress = ResponseProgress::default();
-        let stream = BoundedStream::new(HyperStream::new_plain(stream), progress.clone());
+        let stream = BufferedStream::new(stream, READ_BYTES, MAX_WRITE_BYTES);
+        let stream = BoundedStream::new(stream, progress.clone());
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         Self::handshake(&builder, stream, progress, address).await
--- a/src/client_input.rs
+++ b/src/client_input.rs
@@ -1,25 +1,48 @@
 //! What a client sends on its connection, observed while it is read.
 
+use crate::client_memory::{ClientAccount, Reservation};
 use crate::head_progress::{HeadProgress, Unread};
 use crate::response_progress::ReadObserver;
 use compio::net::TcpStream;
 use socket2::SockRef;
+use std::cell::RefCell;
 use std::mem::MaybeUninit;
+use std::rc::Rc;
 
 /// The most unread bytes that are counted.
 const MAX_COUNTED_BYTES: usize = 4 * 1024;
+/// The length of a head, in bytes, up to which the memory of its connection covers it, and by which
+/// the reservation for a longer one grows.
+const HEAD_STEP_BYTES: usize = 8 * 1024;
 
 /// What a client sends on its connection.
 #[derive(Clone, Debug)]
 pub(crate) struct ClientInput {
     head: HeadProgress,
     socket: TcpStream,
+    /// What is reserved for a long head.
+    reservation: Rc<RefCell<Reservation>>,
 }
 
 impl ClientInput {
     /// Observes a connection whose request heads are waited for as `head` says.
-    pub(crate) fn new(socket: TcpStream, head: HeadProgress) -> Self {
-        Self { head, socket }
+    pub(crate) fn new(socket: TcpStream, head: HeadProgress, account: &ClientAccount) -> Self {
+        let reservation = Rc::new(RefCell::new(account.reservation()));
+        Self {
+            head,
+            socket,
+            reservation,
+        }
+    }
+
+    /// Reserves the memory for the head that arrives; returns whether there is some.
+    fn hold_head(&self) -> bool {
+        let steps = self.head.received_bytes() / HEAD_STEP_BYTES as u64;
+        let mut reservation = self.reservation.borrow_mut();
+        // The buffer for a head doubles as it grows.
+        let needed_bytes = 2 * steps as usize * HEAD_STEP_BYTES;
+        reservation.shrink_to(needed_bytes);
+        reservation.grow_to_or_evict(needed_bytes)
     }
 
     /// The bytes in the socket that have not been read, as far as they are counted.
@@ -38,7 +61,7 @@
 impl ReadObserver for ClientInput {
     fn note_bytes(&self, bytes: usize) -> bool {
         self.head.add(bytes);
-        true
+        self.hold_head()
     }
 
     fn note_wait(&self, is_held_back: bool) {
--- a/src/gateway/tests/request_memory.rs
+++ b/src/client_memory/tests/body.rs
@@ -1,9 +1,9 @@
 //! Request bodies are held within one bound for all of them, and those without room are refused.
 
-use crate::gateway::byte_budget::ByteBudget;
-use crate::gateway::failure::Failure;
-use crate::gateway::forwarding::{DeclineReason, is_declined};
-use crate::gateway::request_memory::{BodyError, UNRESERVED_BYTES, body_budget, read_request_body};
+use crate::client_memory::tests::{block_on, memory_for_long};
+use crate::client_memory::{
+    BodyError, CONNECTION_BYTES, COVERED_BYTES, ClientAccount, SHORT_BYTES, read_request_body,
+};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use proptest::prelude::*;
@@ -12,7 +12,6 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 const LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -21,10 +20,10 @@
     left: VecDeque<usize>,
     is_cut: bool,
     stated_bytes: Option<u64>,
-    budget: &'a ByteBudget,
+    account: &'a ClientAccount,
     /// The bytes taken so far.
     taken: usize,
-    /// Whether more than [`UNRESERVED_BYTES`] were taken that are not reserved.
+    /// Whether more than [`COVERED_BYTES`] were taken that are not reserved.
     is_exceeded: &'a Cell<bool>,
     /// Whether a piece was ever asked for.
     is_polled: &'a Cell<bool>,
@@ -39,7 +38,7 @@
         _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         self.is_polled.set(true);
-        if self.taken > UNRESERVED_BYTES.max(self.budget.reserved_bytes()) {
+        if self.taken > COVERED_BYTES.max(reserved_bytes(self.account)) {
             self.is_exceeded.set(true);
         }
         let Some(length) = self.left.pop_front() else {
@@ -57,17 +56,23 @@
     }
 }
 
-/// Reads bodies of one budget and records what they asked for.
+/// What is reserved besides the account itself.
+fn reserved_bytes(account: &ClientAccount) -> usize {
+    account.memory().reserved_bytes() - CONNECTION_BYTES
+}
+
+/// Reads bodies of one client and records what they asked for.
 struct Reader {
-    budget: ByteBudget,
+    account: ClientAccount,
     is_exceeded: Cell<bool>,
     is_polled: Cell<bool>,
 }
 
 impl Reader {
-    fn new(max_bytes: usize) -> Self {
+    /// Reads into memory in which long bodies may take `long_bytes`.
+    fn new(long_bytes: usize) -> Self {
         Self {
-            budget: ByteBudget::new(max_bytes),
+            account: memory_for_long(long_bytes).account(),
             is_exceeded: Cell::default(),
             is_polled: Cell::default(),
         }
@@ -80,13 +85,12 @@
             left: lengths.iter().copied().collect(),
             is_cut,
             stated_bytes: is_stated.then_some(total as u64),
-            budget: &self.budget,
+            account: &self.account,
             taken: 0,
             is_exceeded: &self.is_exceeded,
             is_polled: &self.is_polled,
         };
-        let runtime = compio::runtime::Runtime::new().expect("a runtime starts");
-        runtime.block_on(read_request_body(body, LIMIT_BYTES, &self.budget))
+        block_on(read_request_body(body, LIMIT_BYTES, &self.account))
     }
 }
 
@@ -94,7 +98,7 @@
     let length = prop_oneof![
         0_usize..2_000,
         0_usize..200_000,
-        Just(UNRESERVED_BYTES),
+        Just(SHORT_BYTES),
         1_usize << 19..2 << 20,
     ];
     prop::collection::vec(length, 0..8)
@@ -106,14 +110,16 @@
     #[test]
     fn bodies_are_held_within_their_budget_and_give_it_back(
         bodies in prop::collection::vec((piece_lengths(), any::<bool>(), any::<bool>()), 1..6),
-        max_bytes in prop_oneof![Just(0), 0_usize..LIMIT_BYTES, LIMIT_BYTES..4 * LIMIT_BYTES],
+        long_bytes in prop_oneof![0_usize..LIMIT_BYTES, LIMIT_BYTES..4 * LIMIT_BYTES],
     ) {
-        let reader = Reader::new(max_bytes);
+        let reader = Reader::new(long_bytes);
+        let memory = reader.account.memory();
+        let (max_bytes, max_long_bytes) = (memory.max_bytes(), memory.longest_bytes());
         let mut held = Vec::new();
         for (lengths, is_stated, is_cut) in bodies {
-            let before = reader.budget.reserved_bytes();
+            let before = reserved_bytes(&reader.account);
             let total: usize = lengths.iter().sum();
-            let longest = LIMIT_BYTES.min(max_bytes.max(UNRESERVED_BYTES));
+            let longest = LIMIT_BYTES.min(max_long_bytes.max(SHORT_BYTES));
             match reader.read(&lengths, is_stated, is_cut) {
                 Ok(body) => {
                     prop_assert!(!is_cut && total <= longest);
@@ -125,23 +131,26 @@
                         BodyError::Broken => prop_assert!(is_cut),
                         BodyError::TooLong => prop_assert!(total > longest),
                         BodyError::NoRoom => {
-                            prop_assert!(total > UNRESERVED_BYTES);
-                            prop_assert!(before + 2 * total > max_bytes);
+                            let most = (2 * total).max(SHORT_BYTES);
+                            let is_short = total <= SHORT_BYTES;
+                            let left = if is_short { max_bytes } else { max_long_bytes };
+                            prop_assert!(before + CONNECTION_BYTES + most > left);
                         }
                     }
-                    prop_assert_eq!(reader.budget.reserved_bytes(), before);
+                    prop_assert_eq!(reserved_bytes(&reader.account), before);
                     if is_stated && error != BodyError::Broken {
                         prop_assert!(!reader.is_polled.get(), "nothing of it is read");
                     }
                 }
             }
-            prop_assert!(reader.budget.reserved_bytes() <= max_bytes);
-            let long = held.iter().map(Bytes::len).filter(|length| *length > UNRESERVED_BYTES);
-            prop_assert!(long.sum::<usize>() <= reader.budget.reserved_bytes());
+            prop_assert!(reserved_bytes(&reader.account) <= max_bytes);
+            prop_assert!(memory.long_bytes() <= max_long_bytes);
+            let long = held.iter().map(Bytes::len).filter(|length| *length > SHORT_BYTES);
+            prop_assert!(long.sum::<usize>() <= reserved_bytes(&reader.account));
         }
         prop_assert!(!reader.is_exceeded.get());
         drop(held);
-        prop_assert_eq!(reader.budget.reserved_bytes(), 0);
+        prop_assert_eq!(reserved_bytes(&reader.account), 0);
     }
 }
 
@@ -151,9 +160,9 @@
     let long = reader.read(&[LIMIT_BYTES], true, false);
     assert_eq!(long.as_ref().map(Bytes::len), Ok(LIMIT_BYTES));
     for is_stated in [true, false] {
-        let short = reader.read(&[UNRESERVED_BYTES], is_stated, false);
-        assert_eq!(short.map(|body| body.len()), Ok(UNRESERVED_BYTES));
-        let second = reader.read(&[UNRESERVED_BYTES + 1], is_stated, false);
+        let short = reader.read(&[SHORT_BYTES], is_stated, false);
+        assert_eq!(short.map(|body| body.len()), Ok(SHORT_BYTES));
+        let second = reader.read(&[SHORT_BYTES + 1], is_stated, false);
         assert_eq!(second, Err(BodyError::NoRoom));
     }
     drop(long);
@@ -167,16 +176,16 @@
     let body = reader.read(&[1_000_000], true, false).expect("room");
     let sent = body.clone();
     drop(body);
-    assert_eq!(reader.budget.reserved_bytes(), 1_000_000);
+    assert_eq!(reserved_bytes(&reader.account), 1_000_000);
     drop(sent);
-    assert_eq!(reader.budget.reserved_bytes(), 0);
+    assert_eq!(reserved_bytes(&reader.account), 0);
 }
 
 #[test]
 fn a_body_longer_than_all_room_is_too_long_rather_than_refused_for_now() {
-    let reader = Reader::new(1_000_000);
+    let reader = Reader::new(999_999);
     for is_stated in [true, false] {
-        let long = reader.read(&[500_000, 500_001], is_stated, false);
+        let long = reader.read(&[500_000, 500_000], is_stated, false);
         assert_eq!(long, Err(BodyError::TooLong));
     }
     assert_eq!(
@@ -184,22 +193,3 @@
         Err(BodyError::TooLong)
     );
 }
-
-#[test]
-fn a_vm_of_the_least_usual_memory_holds_many_bodies_of_the_usual_limit() {
-    let budget = body_budget(160_000_000);
-    assert!(budget.max_bytes() >= 15 * LIMIT_BYTES);
-    assert!(budget.max_bytes() < 80_000_000);
-}
-
-#[test]
-fn a_request_without_room_is_refused_as_not_run_unless_a_server_may_have_run_it() {
-    let time_left = Duration::from_secs(12);
-    let refusal = Failure::NoBodyRoom.after_runs(0).refusal(time_left);
-    assert_eq!(refusal.status, 503);
-    let retry_after = refusal.retry_after.expect("the caller may come again");
-    assert!(retry_after <= Duration::from_secs(1));
-    assert_eq!(Failure::NoBodyRoom.after_runs(1), Failure::Unknown);
-    let (declined, _) = DeclineReason::NoBodyRoom.response().into_parts();
-    assert!(is_declined(&declined));
-}
--- a/src/connection_end.rs
+++ b/src/connection_end.rs
@@ -1,5 +1,6 @@
 //! Why a connection of a client ended, told to the requests that were in work on it.
 
+use crate::client_memory::EvictionCause;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 
@@ -20,10 +21,14 @@
     TaskFailed,
     /// The process shuts down.
     Shutdown,
+    /// The memory that it held was needed for other clients.
+    MemoryNeeded,
+    /// Its place was needed for another connection.
+    PlaceNeeded,
 }
 
 impl CloseCause {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 9] = [
         Self::ClientLeft,
         Self::WriteStalled,
         Self::HeadTimeout,
@@ -31,6 +36,8 @@
         Self::AnswerBroken,
         Self::TaskFailed,
         Self::Shutdown,
+        Self::MemoryNeeded,
+        Self::PlaceNeeded,
     ];
 
     /// Returns the name in logs.
@@ -43,6 +50,8 @@
             Self::AnswerBroken => "answer broken off",
             Self::TaskFailed => "task failed",
             Self::Shutdown => "shutdown",
+            Self::MemoryNeeded => "memory needed for others",
+            Self::PlaceNeeded => "place needed for others",
         }
     }
 
@@ -51,6 +60,14 @@
         matches!(self, Self::ClientLeft | Self::HeadTimeout | Self::Shutdown)
     }
 
+    /// The cause by which a connection is closed for others.
+    pub(crate) fn of_eviction(cause: EvictionCause) -> Self {
+        match cause {
+            EvictionCause::Memory => Self::MemoryNeeded,
+            EvictionCause::Place => Self::PlaceNeeded,
+        }
+    }
+
     /// The cause by which `hyper` ended a connection.
     pub(crate) fn of_error(error: &hyper::Error) -> Self {
         if error.is_timeout() {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,6 +1,7 @@
 //! The state of one request in flight.
 
 use crate::callers::Organisation;
+use crate::client_memory::{ClientAccount, REQUEST_BYTES, Reservation, SERVER_BYTES};
 use crate::gateway::attempt::UsedConnections;
 use crate::gateway::failure::Failure;
 use crate::gateway::forwarding::ForwardedCall;
@@ -10,6 +11,7 @@
 use crate::gateway::{CallerRequest, Route, Weights};
 use crate::inventory::Name;
 use crate::open_requests::RequestProgress;
+use crate::server_sockets::ServerSocket;
 use bytes::Bytes;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -48,10 +50,38 @@
     Bound(Name),
 }
 
+/// What a request in work takes of the VM, whatever its length, until dropped.
+#[derive(Debug)]
+pub(crate) struct RequestResources {
+    memory: Reservation,
+    _socket: ServerSocket,
+}
+
+impl RequestResources {
+    /// Takes what every request takes; `None` if there is no memory.
+    pub(crate) async fn take(account: &ClientAccount, socket: ServerSocket) -> Option<Self> {
+        let mut memory = account.reservation();
+        memory.grow_to_or_fail(REQUEST_BYTES).await.then_some(Self {
+            memory,
+            _socket: socket,
+        })
+    }
+
+    /// Takes the memory for a connection to a server as well; returns whether there is some.
+    pub(crate) async fn take_connection(&mut self) -> bool {
+        self.memory
+            .grow_to_or_fail(REQUEST_BYTES + SERVER_BYTES)
+            .await
+    }
+}
+
 /// One request in flight, from its arrival to the end of its answer.
 #[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) request: Rc<CallerRequest>,
+    /// What is held for the caller's connection.
+    pub(crate) account: ClientAccount,
+    pub(crate) resources: RequestResources,
     pub(crate) cost: Cost,
     /// When the request was last sent to a server, and under which load.
     pub(crate) last_dispatch: Option<Dispatch>,
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,6 +1,6 @@
 //! Splits a stream of server-sent events into whole events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 /// The empty line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
@@ -10,6 +10,11 @@
 /// each hold a part of one.
 pub(super) const MAX_EVENT_BYTES: usize = 128 * 1024;
 
+/// What a buffer takes that holds the longest event and what was received with its end, in bytes.
+pub(crate) const MAX_BUFFER_BYTES: usize = 160 * 1024;
+/// The longest event that is copied, in bytes.
+const MAX_COPIED_BYTES: usize = 8 * 1024;
+
 /// A whole event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct StreamEvent {
@@ -28,6 +33,21 @@
 }
 
 impl EventBuffer {
+    /// Allocates the memory for the longest event at once, so that it is not copied while it grows.
+    pub(crate) fn make_room(&mut self) {
+        let missing = MAX_BUFFER_BYTES.saturating_sub(self.bytes.len());
+        self.bytes.reserve(missing);
+    }
+
+    /// The memory that an event of this length holds once it has been taken.
+    pub(crate) fn held_bytes(event_bytes: usize) -> usize {
+        if event_bytes > MAX_COPIED_BYTES {
+            MAX_BUFFER_BYTES
+        } else {
+            event_bytes
+        }
+    }
+
     /// Appends received bytes, after all whole events have been taken; returns false if an event
     /// exceeds the maximum size.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> bool {
@@ -39,7 +59,17 @@
     /// Removes and returns the next whole event; `None` if more bytes are needed.
     pub(crate) fn next(&mut self) -> Option<StreamEvent> {
         let end = self.find_end()?;
-        let bytes = self.bytes.split_to(end).freeze();
+        // A part of a buffer keeps all of it, so that either the event or the rest is copied.
+        let bytes = if end > MAX_COPIED_BYTES {
+            let rest = BytesMut::from(&self.bytes[end..]);
+            let mut event = std::mem::replace(&mut self.bytes, rest);
+            event.truncate(end);
+            event.freeze()
+        } else {
+            let event = Bytes::copy_from_slice(&self.bytes[..end]);
+            self.bytes.advance(end);
+            event
+        };
         self.searched = 0;
         let id = event_id(&bytes);
         Some(StreamEvent { bytes, id })
@@ -57,6 +87,11 @@
         }
     }
 
+    /// The number of bytes that are buffered.
+    pub(crate) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Whether the buffer holds no part of an event.
     pub(crate) fn is_empty(&self) -> bool {
         self.bytes.is_empty()
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! Sending one request to one backend server, and the pool of idle connections.
 
 use crate::client::{Connection, SendError};
-use crate::gateway::answer_memory::{AnswerError, AnswerMemory, read_answer};
+use crate::client_memory::{AnswerError, ClientAccount, read_answer};
 use crate::gateway::attempt::{ConnectionId, UsedConnections, Verdict};
 use crate::gateway::failure::promises_not_run;
 use crate::gateway::fleet::{InFlightGuard, Incarnation, Server};
@@ -31,6 +31,8 @@
 const DEFAULT_REUSE_TIME: Duration = Duration::from_millis(300);
 /// The maximum number of idle connections per server.
 const MAX_IDLE: usize = 16;
+/// The fraction of the sockets of a VM that idle connections to all servers may take.
+const IDLE_SOCKET_FRACTION: usize = 8;
 
 #[derive(Debug)]
 struct IdleConnection {
@@ -74,6 +76,7 @@
 pub(crate) struct ConnectionPool {
     state: Rc<State>,
     idle: RefCell<HashMap<Incarnation, Vec<IdleConnection>>>,
+    max_idle: usize,
     /// The number of connections opened so far.
     opened: Cell<u64>,
 }
@@ -82,6 +85,7 @@
     /// Creates an empty pool; `state` learns which servers it reaches.
     pub(crate) fn new(state: Rc<State>) -> Self {
         Self {
+            max_idle: state.settings.sockets.max_shared / IDLE_SOCKET_FRACTION,
             state,
             idle: RefCell::default(),
             opened: Cell::default(),
@@ -152,9 +156,10 @@
         let reuse_time = reply
             .keep_alive
             .map_or(DEFAULT_REUSE_TIME, |timeout| timeout.mul_f64(REUSE_SHARE));
+        let idle_count = self.idle_count();
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(server.incarnation()).or_default();
-        if idle.len() < MAX_IDLE {
+        if idle.len() < MAX_IDLE && idle_count < self.max_idle {
             let usable_until = Instant::now() + reuse_time;
             idle.push(IdleConnection {
                 connection,
@@ -185,6 +190,11 @@
         self.idle.borrow_mut().remove(&server.incarnation());
     }
 
+    /// The number of idle connections.
+    pub(crate) fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Drops all idle connections: after a network partition they may stay silent.
     pub(crate) fn clear_all(&self) {
         self.idle.borrow_mut().clear();
@@ -229,7 +239,7 @@
         answered.is_some_and(|id| *id != self.server.id)
     }
 
-    /// Reads the rest of the body to its end.
+    /// Reads the rest of the body to its end, into the memory of the client.
     ///
     /// # Errors
     ///
@@ -237,9 +247,9 @@
     /// no framing of a body shows no answer.
     pub(crate) async fn read_to_end(
         &mut self,
-        memory: &AnswerMemory,
+        account: &ClientAccount,
     ) -> Result<Bytes, AnswerError> {
-        let body = read_answer(&mut self.body, memory).await?;
+        let body = read_answer(&mut self.body, account).await?;
         match body.is_empty() && !self.is_framed {
             true => Err(AnswerError::Broken),
             false => Ok(body),
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -29,8 +29,8 @@
 const LONG_WAIT_RETRY_SPREAD: Duration = Duration::from_millis(200);
 /// The same for connections beyond the largest number: the other VMs may be flooded as well.
 const MANY_OPEN_RETRY_SPREAD: Duration = Duration::from_millis(1_000);
-/// Time over which retries are spread for long requests that found no memory: another VM may have
-/// some at once, this one when servers have answered others.
+/// Time over which retries are spread for requests that found no memory: another VM may have some at
+/// once, this one when other callers have been answered or their connections closed.
 const BODY_ROOM_RETRY_SPREAD: Duration = Duration::from_millis(1_000);
 /// Retry time of a request that crashes servers.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
@@ -65,8 +65,11 @@
     TooLarge,
     /// The body did not arrive completely.
     BodyCut,
-    /// The bodies of other requests take the memory that this VM has for them.
+    /// What is held for other callers takes the memory that this VM has for callers, so that there is
+    /// none for the body.
     NoBodyRoom,
+    /// The same, before the body is read.
+    NoMemory,
     /// No server can handle the request. Carries when the caller should come again, if predicted.
     NoServer(Option<Duration>),
     /// All servers that can handle the request are full. Carries the same.
@@ -103,6 +106,14 @@
         }
     }
 
+    /// Whether the connection of the request is closed: what it takes is needed for others.
+    pub(crate) fn closes_connection(self) -> bool {
+        matches!(
+            self,
+            Self::NoBodyRoom | Self::NoMemory | Self::Overloaded(_)
+        )
+    }
+
     /// Returns the name in metrics.
     pub(crate) fn name(self) -> &'static str {
         match self {
@@ -116,6 +127,7 @@
             Self::TooLarge => "too_large",
             Self::BodyCut => "body_cut",
             Self::NoBodyRoom => "no_body_room",
+            Self::NoMemory => "no_memory",
             Self::NoServer(_) => "no_server",
             Self::Full(_) => "full",
             Self::CutOff => "cut_off",
@@ -157,7 +169,7 @@
             Self::NoRoute => (404, None),
             Self::TooLarge => (413, None),
             Self::BodyCut => (408, None),
-            Self::NoBodyRoom => {
+            Self::NoBodyRoom | Self::NoMemory => {
                 let latest = BODY_ROOM_RETRY_SPREAD.min(time_left.mul_f64(MAX_RETRY_SHARE));
                 (503, Some(latest.mul_f64(rand::random())))
             }
--- a/src/gateway/forward_relay.rs
+++ b/src/gateway/forward_relay.rs
@@ -30,7 +30,8 @@
         if let Some(reason) = self.decline_reason(&state) {
             info!(peer = %state.sender, reason = reason.name(), "forwarded request declined");
             self.state.metrics.note_forwarded("declined");
-            discard_body(incoming.into_body(), DECLINED_BODY_LIMIT);
+            let (head, body) = incoming.into_parts();
+            discard_body(body, DECLINED_BODY_LIMIT, head.extensions.get());
             return reason.response();
         }
         self.state.metrics.note_forwarded("accepted");
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -32,7 +32,7 @@
 const PORT_OFFSET: u16 = 1;
 /// The maximum number of forwarded requests that a VM handles at a time. Each takes two connections
 /// and their buffers.
-const MAX_FORWARDED: usize = 512;
+pub(super) const MAX_FORWARDED: usize = 512;
 
 /// Returns the address at which the VM that receives messages at `peer` takes forwarded requests.
 pub(super) fn forward_address(peer: SocketAddr) -> SocketAddr {
@@ -103,8 +103,8 @@
     CutOff,
     /// It handles as many forwarded requests as it can.
     Full,
-    /// It has no memory for the body.
-    NoBodyRoom,
+    /// It has no memory for the request or its body.
+    NoMemory,
     /// It shuts down, has no state yet or an older configuration than the sender.
     Unready,
 }
@@ -115,7 +115,7 @@
         match self {
             Self::CutOff => "cut_off",
             Self::Full => "full",
-            Self::NoBodyRoom => "no_body_room",
+            Self::NoMemory => "no_memory",
             Self::Unready => "unready",
         }
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of the serving role, in the OpenMetrics text format.
 
+use crate::client_memory::EvictionLabels;
 use crate::request_end::EndLabels;
 use prometheus_client::encoding::{EncodeLabelSet, text::encode};
 use prometheus_client::metrics::counter::Counter;
@@ -143,6 +144,18 @@
     describe("vms", "VMs known, this one included"),
     describe("is_leading", "1 while this VM gives orders"),
     describe("open_connections", "callers' connections"),
+    describe(
+        "client_memory_bytes",
+        "memory that is reserved for what is held for callers",
+    ),
+    describe(
+        "client_memory_limit_bytes",
+        "the most memory that can be reserved for callers",
+    ),
+    describe(
+        "evicted_connections",
+        "connections closed for others while they waited for their clients, by what was short: memory or places",
+    ),
 ];
 
 /// The labels of a request that has ended.
@@ -246,6 +259,9 @@
     pub(crate) vms: Gauge,
     pub(crate) is_leading: Gauge,
     pub(crate) open_connections: Gauge,
+    pub(crate) client_memory: Gauge,
+    pub(crate) client_memory_limit: Gauge,
+    pub(crate) evicted_connections: Family<EvictionLabels, Counter>,
 }
 
 /// Creates a histogram of durations, with buckets from 5 ms to 20 s.
@@ -297,6 +313,9 @@
             vms: Gauge::default(),
             is_leading: Gauge::default(),
             open_connections: Gauge::default(),
+            client_memory: Gauge::default(),
+            client_memory_limit: Gauge::default(),
+            evicted_connections: Family::default(),
         };
         metrics.register_all();
         metrics
@@ -321,6 +340,12 @@
         self.register("is_leading", self.is_leading.clone());
         self.register("waiting_requests", self.waiting.clone());
         self.register("open_connections", self.open_connections.clone());
+        self.register("client_memory_bytes", self.client_memory.clone());
+        self.register(
+            "client_memory_limit_bytes",
+            self.client_memory_limit.clone(),
+        );
+        self.register("evicted_connections", self.evicted_connections.clone());
         self.register("store_calls", self.store_calls.clone());
         self.register("store_bytes", self.store_bytes.clone());
         self.register("sync_bytes", self.sync_bytes.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,13 +4,11 @@
 //! are accessed through the small traits in [`external`]. The decisions on routing, retries and
 //! placement are made in code that does no network access, so that it can be tested without any.
 
-mod answer_memory;
 mod attempt;
 mod backlog;
 mod begun_parts;
 mod boot_time;
 mod budget;
-mod byte_budget;
 mod call;
 mod caller_request;
 mod change_history;
@@ -75,7 +73,6 @@
 mod relay;
 mod repeated_news;
 mod report_schedule;
-mod request_memory;
 mod routing;
 mod runner_load;
 mod runner_state;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,12 +2,11 @@
 //! servers, and returns the response.
 
 use crate::accept_queue::Overload;
+use crate::client_memory::{BodyError, ClientAccount, read_request_body};
 use crate::connection_end::ConnectionEnd;
-use crate::gateway::answer_memory::{AnswerMemory, MAX_ANSWER_BYTES};
 use crate::gateway::attempt::UsedConnections;
 use crate::gateway::budget::{Allowance, RetryBudget};
-use crate::gateway::byte_budget::ByteBudget;
-use crate::gateway::call::{Call, StreamVersion};
+use crate::gateway::call::{Call, RequestResources, StreamVersion};
 use crate::gateway::crash_check::{Break, CrashCheck};
 use crate::gateway::exchange::{ConnectionPool, Exchange};
 use crate::gateway::failure::Failure;
@@ -15,12 +14,11 @@
 use crate::gateway::forward_targets::ForwardTargets;
 use crate::gateway::forwarding::{DeclineReason, ForwardSlots, ForwardedCall};
 use crate::gateway::grant::Grant;
-use crate::gateway::request_memory::{BodyError, body_budget, read_request_body};
 use crate::gateway::server_speed::Work;
 use crate::gateway::state::State;
 use crate::gateway::waiting::start_hold;
 use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind};
-use crate::http::{Body, discard_body};
+use crate::http::{Body, closing, discard_body};
 use crate::inventory::Name;
 use crate::open_requests::{OpenRequest, RequestProgress};
 use crate::request_end::RequestEnd;
@@ -47,15 +45,12 @@
 /// How often a request that waits for the start of this VM is checked.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The memory of all answers that are read completely before they are forwarded, in bytes. It leaves
-/// a VM of 160 MB most of its memory.
-const MAX_HELD_BYTES: usize = 2 * MAX_ANSWER_BYTES;
-
 /// A request whose body has not been read yet.
 struct Reading {
     body: Incoming,
     arrived: Instant,
     progress: Rc<RequestProgress>,
+    account: ClientAccount,
 }
 
 /// Forwards callers' requests to backend servers.
@@ -65,8 +60,6 @@
     pub(crate) forward_targets: ForwardTargets,
     pub(super) forward_slots: ForwardSlots,
     pub(super) budget: RetryBudget,
-    pub(super) answer_memory: AnswerMemory,
-    request_memory: ByteBudget,
     protocol: PhantomData<P>,
 }
 
@@ -83,8 +76,6 @@
             pool: ConnectionPool::new(state.clone()),
             forward_targets: ForwardTargets::default(),
             forward_slots: ForwardSlots::default(),
-            answer_memory: AnswerMemory::new(MAX_HELD_BYTES),
-            request_memory: body_budget(state.settings.memory_bytes),
             state,
             budget,
             protocol: PhantomData,
@@ -108,7 +99,8 @@
         let (request, open) = match self.begin_request(&head, arrived, is_forwarded) {
             Ok(begun) => begun,
             Err(refusal) => {
-                discard_body(body, DEFAULT_CALLER_TIMEOUT);
+                let account = head.extensions.get::<ClientAccount>();
+                discard_body(body, DEFAULT_CALLER_TIMEOUT, account);
                 return *refusal;
             }
         };
@@ -116,10 +108,12 @@
         let caller_timeout = request.time_limit.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let model = request.generation.as_ref().map(|it| it.model.clone());
         let model = model.unwrap_or_default();
+        let account = head.extensions.get::<ClientAccount>().cloned();
         let mut reading = Reading {
             body,
             arrived,
             progress: open.progress(),
+            account: account.unwrap_or_else(|| self.state.client_memory.account()),
         };
         if let Some(forwarded) = &forwarded {
             reading.progress.runs.set(forwarded.state.runs);
@@ -127,7 +121,7 @@
         let answer = self.clone().answer(request, &mut reading, forwarded).await;
         if answer.is_err() {
             let time_left = caller_timeout.saturating_sub(arrived.elapsed());
-            discard_body(reading.body, time_left);
+            discard_body(reading.body, time_left, Some(&reading.account));
         }
         open.expect(match answer {
             Ok(_) => RequestEnd::Answered,
@@ -136,7 +130,10 @@
         let response = match answer {
             Ok(response) => response,
             Err(Failure::CutOff) if is_forwarded => DeclineReason::CutOff.response(),
-            Err(Failure::NoBodyRoom) if is_forwarded => DeclineReason::NoBodyRoom.response(),
+            Err(Failure::NoBodyRoom | Failure::NoMemory) if is_forwarded => {
+                DeclineReason::NoMemory.response()
+            }
+            Err(Failure::Overloaded(_)) if is_forwarded => DeclineReason::Full.response(),
             Err(failure) => {
                 let failure = failure.after_runs(reading.progress.runs.get());
                 self.refuse(&id, &model, failure, caller_timeout, arrived.elapsed())
@@ -212,7 +209,11 @@
             age_ms = age.as_millis() as u64,
             "request refused"
         );
-        P::refuse(refusal)
+        let response = P::refuse(refusal);
+        match failure.closes_connection() {
+            true => closing(response),
+            false => response,
+        }
     }
 
     async fn answer(
@@ -224,7 +225,10 @@
         if request.has_unreadable_parts {
             self.state.metrics.unreadable_prompts.inc();
         }
-        let mut call = self.prepare_call(request, reading, forwarded).await?;
+        let resources = self.take_resources(&reading.account).await?;
+        let mut call = self
+            .prepare_call(request, reading, resources, forwarded)
+            .await?;
         if self.state.is_contained(&call) {
             return Err(Failure::Poison);
         }
@@ -234,11 +238,26 @@
         }
     }
 
+    /// Takes what every request takes, or refuses the request at once.
+    async fn take_resources(&self, account: &ClientAccount) -> Result<RequestResources, Failure> {
+        let open_connections = self.state.client_memory.connections();
+        let sockets = &self.state.server_sockets;
+        let socket = sockets.take(open_connections + self.pool.idle_count());
+        let socket = socket.or_else(|| {
+            self.pool.clear_all();
+            sockets.take(open_connections)
+        });
+        let socket = socket.ok_or(Failure::Overloaded(Overload::ManyOpen))?;
+        let resources = RequestResources::take(account, socket).await;
+        resources.ok_or(Failure::NoMemory)
+    }
+
     /// Finds the route, takes the request's share of the quota and reads the body.
     async fn prepare_call(
         &self,
         mut request: CallerRequest,
         reading: &mut Reading,
+        resources: RequestResources,
         forwarded: Option<ForwardedCall>,
     ) -> Result<Call, Failure> {
         let arrived = reading.arrived;
@@ -275,13 +294,13 @@
                 .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         let limit_bytes = configuration.limits.max_body_bytes;
         let stated_bytes = reading.body.size_hint().exact();
-        let reading_body = read_request_body(&mut reading.body, limit_bytes, &self.request_memory);
+        let reading_body = read_request_body(&mut reading.body, limit_bytes, &reading.account);
         let body = compio::time::timeout(deadline - arrived, reading_body).await;
         request.body = match body {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLong)) => return Err(Failure::TooLarge),
             Ok(Err(BodyError::NoRoom)) => {
-                let held_bytes = self.request_memory.reserved_bytes();
+                let held_bytes = self.state.client_memory.reserved_bytes();
                 warn!(request = %request.id, stated_bytes, held_bytes, "no room for request body");
                 return Err(Failure::NoBodyRoom);
             }
@@ -298,6 +317,8 @@
             cost: cost.unwrap_or_default(),
             last_dispatch: None,
             fingerprint: request.fingerprint(),
+            account: reading.account.clone(),
+            resources,
             request: Rc::new(request),
             route: route.clone(),
             organisation,
@@ -410,7 +431,7 @@
     /// Reads the body of a response to its end; `None` as for [`Self::read_whole`].
     pub(super) async fn read_body(&self, call: &Call, exchange: &mut Exchange) -> Option<Bytes> {
         let server = exchange.server.clone();
-        let read = exchange.read_to_end(&self.answer_memory);
+        let read = exchange.read_to_end(&call.account);
         match compio::time::timeout(call.time_left(), read).await {
             Ok(Ok(body)) => Some(body),
             Ok(Err(error)) => {
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -2,6 +2,7 @@
 //! first is silent.
 
 use crate::client::SendError;
+use crate::client_memory::ClientAccount;
 use crate::gateway::attempt::Verdict;
 use crate::gateway::call::{Call, Dispatch};
 use crate::gateway::crash_check::{Break, CrashCheck};
@@ -45,6 +46,7 @@
 struct LateAnswer<'a> {
     request_id: Name,
     is_plain: bool,
+    account: ClientAccount,
     deadline: Instant,
     /// The check to run if the answer breaks off.
     crash_check: CrashCheck,
@@ -120,6 +122,9 @@
         last_event: Option<u64>,
         weights_version: Option<u64>,
     ) -> Result<Exchange, Option<Failure>> {
+        if !call.resources.take_connection().await {
+            return Err(Some(Failure::NoMemory));
+        }
         let time_left = call.time_left();
         if time_left.is_zero() {
             return Err(Some(call.timeout_failure()));
@@ -220,6 +225,7 @@
         let late_answer = LateAnswer {
             request_id: call.request.id.clone(),
             is_plain: call.route.kind != RouteKind::Streaming,
+            account: call.account.clone(),
             deadline,
             crash_check: CrashCheck::new(self.state.clone(), call, silent, Break::Cut, 0),
             has_head: &has_silent_head,
@@ -310,7 +316,7 @@
         }
         late.has_head.set(true);
         let left = late.deadline.saturating_duration_since(Instant::now());
-        let read = exchange.read_to_end(&self.answer_memory);
+        let read = exchange.read_to_end(&late.account);
         match compio::time::timeout(left, read).await {
             Ok(Ok(body)) => {
                 exchange.whole_body = Some(body);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -4,7 +4,7 @@
 use crate::gateway::containment_keeper::ContainmentKeeper;
 use crate::gateway::election::LeaderElection;
 use crate::gateway::fleet::Incarnation;
-use crate::gateway::forwarding::forward_address;
+use crate::gateway::forwarding::{MAX_FORWARDED, forward_address};
 use crate::gateway::gossip::Gossip;
 use crate::gateway::journal::BufferedLog;
 use crate::gateway::relay::Relay;
@@ -83,13 +83,15 @@
     info!(vm = %settings.vm, zone = %settings.availability_zone, callers = %settings.caller_address, "started");
 
     let sync = SyncServer::new(state.clone());
-    let listener = bind(settings.peer_address).await?;
+    let listener = http::listen(settings.peer_address)
+        .await
+        .change_context(Fault::Bind)
+        .attach_with(|| settings.peer_address.to_string())?;
     // Transfers between VMs do not count as open work: a VM that leaves does not wait for them.
     let never_closed = Rc::default();
-    compio::runtime::spawn(http::serve(listener, never_closed, move |request| {
-        sync.clone().handle(request)
-    }))
-    .detach();
+    let limits = AcceptLimits::bounded(settings.sockets.max_transfers(), &state.peer_memory);
+    let handler = move |request| sync.clone().handle(request);
+    compio::runtime::spawn(http::serve_bounded(limits, listener, never_closed, handler)).detach();
     let watch = LogWatcher::new(state.clone(), store.clone());
     compio::runtime::spawn(watch.clone().follow_configuration()).detach();
     compio::runtime::spawn(watch.clone().recover_configuration()).detach();
@@ -134,7 +136,9 @@
     let shutdown = state.shutdown.clone();
     let relay = relay.clone();
     let handler = move |request| relay.clone().handle_forwarded(request);
-    compio::runtime::spawn(http::serve(listener, shutdown, handler)).detach();
+    let max_open = MAX_FORWARDED.min(state.settings.sockets.reserved);
+    let limits = AcceptLimits::bounded(max_open, &state.client_memory);
+    compio::runtime::spawn(http::serve_bounded(limits, listener, shutdown, handler)).detach();
     Ok(())
 }
 
@@ -160,7 +164,9 @@
     let limits = AcceptLimits {
         head_timeout: state.idle_timeout.clone(),
         max_wait: MAX_ACCEPT_WAIT,
-        max_open: state.settings.max_caller_connections,
+        max_open: state.settings.sockets.max_clients,
+        max_refusals: state.settings.sockets.max_refusals(),
+        memory: state.client_memory.clone(),
         closed_unread: state.metrics.closed_unread.clone(),
     };
     let refusing_relay = relay.clone();
@@ -183,6 +189,8 @@
 /// Serves readiness at `path` and the metrics.
 async fn serve_readiness(listener: TcpListener, state: Rc<State>, path: &'static str) {
     let shutdown = Rc::default();
+    let max_open = state.settings.sockets.max_operators();
+    let limits = AcceptLimits::bounded(max_open, &state.peer_memory);
     let handler = move |request: Request<Incoming>| {
         let status = match request.uri().path() {
             METRICS_PATH => return std::future::ready(metrics_response(&state)),
@@ -194,11 +202,11 @@
         *response.status_mut() = status;
         std::future::ready(response)
     };
-    http::serve(listener, shutdown, handler).await;
+    http::serve_bounded(limits, listener, shutdown, handler).await;
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<Fault>> {
-    http::listen(address)
+    http::listen_for_clients(address)
         .await
         .change_context(Fault::Bind)
         .attach_with(|| address.to_string())
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::callers::QuotaBounds;
 use crate::inventory::Name;
+use crate::socket_limits::SocketLimits;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,12 +25,14 @@
     pub(crate) log_address: SocketAddr,
     /// The processor time that the process may use, in cores.
     pub(crate) cpu_cores: f64,
-    /// The memory that the process may take.
-    pub(crate) memory_bytes: usize,
+    /// The memory for what is held for callers.
+    pub(crate) client_memory_bytes: usize,
+    /// How long a connection that waits for its caller is kept while others need its memory or place.
+    pub(crate) client_min_wait: Duration,
     /// The bandwidth of the VM's link, in bytes per second; `None` if it is not limited.
     pub(crate) link_bytes_per_s: Option<f64>,
-    /// The maximum number of open connections of callers.
-    pub(crate) max_caller_connections: usize,
+    /// How many sockets the process may have for what.
+    pub(crate) sockets: SocketLimits,
     /// Limits and guarantees of the deployment.
     pub(crate) bounds: Bounds,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of one VM share: configuration, backend servers and peers.
 
 use crate::callers::Ledger;
+use crate::client_memory::ClientMemory;
 use crate::gateway::boot_time::BootTime;
 use crate::gateway::call::Cost;
 use crate::gateway::change_history::ChangeHistory;
@@ -38,6 +39,7 @@
 use crate::idle_timer::IdleTimeout;
 use crate::inventory::Name;
 use crate::open_requests::OpenRequests;
+use crate::server_sockets::ServerSockets;
 use crate::shutdown::Shutdown;
 use crate::signal::Signal;
 use std::cell::{Cell, RefCell};
@@ -47,6 +49,10 @@
 use std::time::{Duration, Instant};
 use tracing::{debug, info, warn};
 
+/// The fraction of the memory for clients that is set apart for connections of other VMs and of those
+/// that ask for readiness and metrics.
+const PEER_MEMORY_FRACTION: usize = 8;
+
 /// How long a server is kept after its directory entry was removed, if the log was unavailable
 /// shortly before: the server may be alive and add its entry again.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_000);
@@ -74,6 +80,13 @@
 pub(crate) struct State {
     /// The metrics of this VM.
     pub(crate) metrics: Rc<Metrics>,
+    /// The memory for what is held for callers.
+    pub(crate) client_memory: ClientMemory,
+    /// The memory for connections of other VMs and of those that ask for readiness and metrics, which
+    /// callers cannot take.
+    pub(crate) peer_memory: ClientMemory,
+    /// The sockets for connections to servers.
+    pub(crate) server_sockets: ServerSockets,
     /// The requests in work.
     pub(crate) open_requests: Rc<OpenRequests>,
     /// How long callers' connections may be idle.
@@ -183,6 +196,17 @@
     pub(crate) fn new(settings: Settings, metrics: Rc<Metrics>) -> Self {
         Self {
             open_requests: Rc::new(OpenRequests::new(metrics.request_ends.clone())),
+            client_memory: ClientMemory::counted(
+                settings.client_memory_bytes - settings.client_memory_bytes / PEER_MEMORY_FRACTION,
+                settings.client_min_wait,
+                metrics.evicted_connections.clone(),
+            ),
+            peer_memory: ClientMemory::counted(
+                settings.client_memory_bytes / PEER_MEMORY_FRACTION,
+                settings.client_min_wait,
+                metrics.evicted_connections.clone(),
+            ),
+            server_sockets: ServerSockets::new(settings.sockets.max_shared),
             idle_timeout: IdleTimeout::new(idle_time(Limits::default())),
             metrics,
             configuration: RefCell::default(),
@@ -350,6 +374,9 @@
             .configuration_unconfirmed
             .set(unconfirmed.as_secs_f64());
         metrics.open_connections.set(self.shutdown.open() as i64);
+        let memory = &self.client_memory;
+        metrics.client_memory.set(memory.reserved_bytes() as i64);
+        metrics.client_memory_limit.set(memory.max_bytes() as i64);
         metrics.to_text()
     }
 
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -1,16 +1,17 @@
 //! Forwards a stream of events to a caller and resumes it on another server if one fails.
 
+use crate::client_memory::{AnswerError, ClientAccount, Reservation};
 use crate::gateway::Protocol;
-use crate::gateway::answer_memory::AnswerError;
 use crate::gateway::call::Call;
 use crate::gateway::crash_check::{BEGUN_EVENTS, Break};
-use crate::gateway::events::{EventBuffer, StreamEvent};
+use crate::gateway::events::{EventBuffer, MAX_BUFFER_BYTES, StreamEvent};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::failure::Failure;
 use crate::gateway::fleet::Server;
 use crate::gateway::relay::Relay;
 use crate::gateway::server_speed::Work;
 use crate::http::{AnswerSender, Body};
+use bytes::Bytes;
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -23,6 +24,10 @@
 /// The number of events buffered for a slow caller; while the buffer is full, the server's stream
 /// is not read.
 const MAX_BUFFERED_EVENTS: usize = 8;
+/// The length up to which the memory of a request covers an event that is passed on, in bytes.
+const COVERED_EVENT_BYTES: usize = 512;
+/// The same for the part of an event that has been received.
+const COVERED_PART_BYTES: usize = 8 * 1024;
 /// How long a server may send nothing in the middle of a stream before another server is asked to go
 /// on with it: callers give up after two seconds.
 const MAX_SILENCE: Duration = Duration::from_millis(1_200);
@@ -41,6 +46,8 @@
 enum ReadOutcome {
     Event(StreamEvent),
     End,
+    /// There is no memory for the rest of a long event.
+    NoRoom,
     /// The deadline has passed.
     TimeUp,
     Broken(&'static str),
@@ -61,14 +68,27 @@
     buffer: EventBuffer,
     /// The number of events that the server has sent.
     events: u32,
+    /// What is reserved for a long event that is being received.
+    room: Reservation,
 }
 
 impl ServerStream {
-    fn new(exchange: Exchange) -> Self {
+    fn new(exchange: Exchange, account: &ClientAccount) -> Self {
         Self {
             exchange,
             buffer: EventBuffer::default(),
             events: 0,
+            room: account.reservation(),
+        }
+    }
+
+    /// Like [`Self::next`], and waits for memory where there is none.
+    async fn next_with_room(&mut self) -> ReadOutcome {
+        loop {
+            match self.next().await {
+                ReadOutcome::NoRoom => self.room.grow_to(MAX_BUFFER_BYTES).await,
+                read => return read,
+            }
         }
     }
 
@@ -79,6 +99,12 @@
                 self.events += 1;
                 return ReadOutcome::Event(event);
             }
+            if self.buffer.len() > COVERED_PART_BYTES {
+                if !self.room.try_grow_to(MAX_BUFFER_BYTES) {
+                    return ReadOutcome::NoRoom;
+                }
+                self.buffer.make_room();
+            }
             match self.exchange.body.frame().await {
                 None if !self.buffer.is_empty() => {
                     return ReadOutcome::Broken("ended in the middle of an event");
@@ -152,7 +178,7 @@
             let exchange = self
                 .send_until_answered(&mut call, None, weights_version)
                 .await?;
-            let mut stream = ServerStream::new(exchange);
+            let mut stream = ServerStream::new(exchange, &call.account);
             let position = StreamPosition {
                 last_event: None,
                 weights_version,
@@ -178,7 +204,7 @@
                     ReadOutcome::End => {
                         return Ok(P::to_caller(&stream.exchange.head, Body::empty()));
                     }
-                    ReadOutcome::TimeUp => self.note_time_up(&call, &stream),
+                    ReadOutcome::TimeUp | ReadOutcome::NoRoom => self.note_time_up(&call, &stream),
                     ReadOutcome::Broken(why) => self.note_cut(&call, &stream, why).await,
                 }
             }
@@ -260,7 +286,7 @@
     ) -> Option<Response<Body>> {
         let server = stream.exchange.server.clone();
         let read = {
-            let mut body = pin!(stream.exchange.read_to_end(&self.answer_memory));
+            let mut body = pin!(stream.exchange.read_to_end(&call.account));
             loop {
                 let limit = call.time_left().min(MAX_SILENCE);
                 if let Ok(read) = compio::time::timeout(limit, body.as_mut()).await {
@@ -319,7 +345,11 @@
             if is_new_event(position.last_event, event.id) {
                 position.last_event = event.id.or(position.last_event);
                 progress.note_event(Instant::now());
-                if !sender.send(event.bytes).await {
+                let Some(bytes) = hold_event(&call, &mut stream, event.bytes).await else {
+                    self.note_broken_off(&call);
+                    return;
+                };
+                if !sender.send(bytes).await {
                     return;
                 }
             }
@@ -334,7 +364,7 @@
                         sender.mark_complete();
                         return;
                     }
-                    ReadOutcome::TimeUp => self.note_time_up(&call, &stream),
+                    ReadOutcome::TimeUp | ReadOutcome::NoRoom => self.note_time_up(&call, &stream),
                     ReadOutcome::Broken(why) => self.note_cut(&call, &stream, why).await,
                 }
                 if !may_go_on(&call, position) {
@@ -420,7 +450,7 @@
                     last = ?last_event,
                     "stream resumed"
                 );
-                Some(ServerStream::new(exchange))
+                Some(ServerStream::new(exchange, &call.account))
             }
             Ok(exchange) => {
                 warn!(
@@ -477,7 +507,11 @@
         loop {
             let left = call.time_left();
             let read = compio::time::timeout(left.min(MAX_SILENCE), stream.next()).await;
-            if let Ok(read) = read {
+            if let Ok(ReadOutcome::NoRoom) = read {
+                // The server is not silent meanwhile.
+                let growing = stream.room.grow_to(MAX_BUFFER_BYTES);
+                let _ = compio::time::timeout(call.time_left(), growing).await;
+            } else if let Ok(read) = read {
                 self.note_read(call, stream, &read);
                 return read;
             }
@@ -523,7 +557,7 @@
         // What was read is kept where the replacement ends during the wait for its first event.
         let silent_read = Cell::new(None);
         let mut next = Box::pin(async {
-            let read = compio::time::timeout(left, stream.next()).await;
+            let read = compio::time::timeout(left, stream.next_with_room()).await;
             silent_read.set(Some(read.unwrap_or(ReadOutcome::TimeUp)));
             if let Some(head_at) = other_head_at.get() {
                 compio::time::sleep_until(head_at + FIRST_EVENT_TIME).await;
@@ -564,13 +598,13 @@
     ) -> Option<(ServerStream, ReadOutcome)> {
         let mut other = self.resume(call, position).await?;
         head_at.set(Some(Instant::now()));
-        match compio::time::timeout(call.time_left(), other.next()).await {
+        match compio::time::timeout(call.time_left(), other.next_with_room()).await {
             Ok(read @ (ReadOutcome::Event(_) | ReadOutcome::End)) => Some((other, read)),
             Ok(ReadOutcome::Broken(why)) => {
                 self.note_cut(call, &other, why).await;
                 None
             }
-            Ok(ReadOutcome::TimeUp) | Err(_) => None,
+            Ok(ReadOutcome::TimeUp | ReadOutcome::NoRoom) | Err(_) => None,
         }
     }
 
@@ -595,6 +629,21 @@
     }
 }
 
+/// Reserves the memory for an event that waits for its caller; `None` if there is none before the
+/// deadline.
+async fn hold_event(call: &Call, stream: &mut ServerStream, event: Bytes) -> Option<Bytes> {
+    if event.len() <= COVERED_EVENT_BYTES {
+        return Some(event);
+    }
+    let unused = call.account.reservation();
+    let mut room = std::mem::replace(&mut stream.room, unused);
+    let held_bytes = EventBuffer::held_bytes(event.len());
+    room.shrink_to(held_bytes);
+    let growing = room.grow_to(held_bytes);
+    let grown = compio::time::timeout(call.time_left(), growing).await;
+    grown.ok().map(|()| room.hold(event))
+}
+
 /// Whether another server may go on with a stream that has begun.
 fn may_go_on(call: &Call, position: StreamPosition) -> bool {
     position.last_event.is_some() && call.may_run_again() && !call.time_left().is_zero()
--- a/src/gateway/tests/forwarding.rs
+++ b/src/gateway/tests/forwarding.rs
@@ -1,11 +1,13 @@
 //! Requests that a VM forwards to another VM: what is stated of them, and which VM gets them.
 
+use crate::gateway::failure::Failure;
 use crate::gateway::forward_targets::{ForwardCandidate, choose_target};
 use crate::gateway::forwarding::{
     DeclineReason, ForwardSlots, ForwardState, forward_address, is_declined, peer_address,
 };
 use crate::gateway::tests::address;
 use hyper::{HeaderMap, Response};
+use std::time::Duration;
 
 fn forward_state() -> ForwardState {
     ForwardState {
@@ -98,3 +100,17 @@
 fn the_port_for_forwarded_requests_leads_back_to_the_vm() {
     assert_eq!(peer_address(forward_address(address(9))), address(9));
 }
+
+#[test]
+fn a_request_without_memory_is_refused_as_not_run_unless_a_server_may_have_run_it() {
+    let time_left = Duration::from_secs(12);
+    for failure in [Failure::NoBodyRoom, Failure::NoMemory] {
+        let refusal = failure.after_runs(0).refusal(time_left);
+        assert_eq!(refusal.status, 503);
+        let retry_after = refusal.retry_after.expect("the caller may come again");
+        assert!(retry_after <= Duration::from_secs(1));
+        assert_eq!(failure.after_runs(1), Failure::Unknown);
+    }
+    let (declined, _) = DeclineReason::NoMemory.response().into_parts();
+    assert!(is_declined(&declined));
+}
--- a/src/gateway/tests/idle_connections.rs
+++ b/src/gateway/tests/idle_connections.rs
@@ -6,7 +6,6 @@
 use futures_channel::oneshot;
 use hyper::Response;
 use hyper::http::request::Parts;
-use prometheus_client::metrics::counter::Counter;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -27,8 +26,7 @@
     let limits = AcceptLimits {
         head_timeout: timeout.clone(),
         max_wait: Duration::MAX,
-        max_open: usize::MAX,
-        closed_unread: Counter::default(),
+        ..AcceptLimits::default()
     };
     let handler = async |_| Response::new(Body::full("all of it"));
     let refuse = |_: &Parts, _| Response::new(Body::empty());
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,7 +1,6 @@
 //! Unit tests of the serving role that need no network.
 
 mod accept_queue;
-mod answer_memory;
 mod attempt;
 mod brief;
 mod bulk_reads;
@@ -10,6 +9,7 @@
 mod crash_containment;
 mod decisions;
 mod directory_updates;
+mod events;
 mod first_read;
 mod flowing_bodies;
 mod forwarding;
@@ -31,7 +31,6 @@
 mod quota_ways;
 mod quotas;
 mod reachability;
-mod request_memory;
 mod restored_log;
 mod return_play;
 mod runner_load;
@@ -72,9 +71,10 @@
         peer_address: address,
         log_address: address,
         cpu_cores: 1.0,
-        memory_bytes: 160_000_000,
+        client_memory_bytes: 64_000_000,
+        client_min_wait: Duration::from_secs(1),
         link_bytes_per_s: None,
-        max_caller_connections: 1_000,
+        sockets: crate::socket_limits::SocketLimits::of_descriptors(4_096),
         bounds: Bounds {
             quota: crate::callers::QuotaBounds::default(),
             grace: Duration::ZERO,
--- a/src/head_progress.rs
+++ b/src/head_progress.rs
@@ -31,6 +31,10 @@
     opened: Instant,
     /// The number of [`AwaitedHead`]s.
     awaited: AtomicU32,
+    /// When the last one began, in milliseconds since `opened`.
+    awaited_since_ms: AtomicU64,
+    /// The number of heads that were waited for so far.
+    heads: AtomicU64,
     /// Bytes of the head that have arrived.
     received_bytes: AtomicU64,
     /// When the first of them arrived, in milliseconds since `opened`.
@@ -56,6 +60,8 @@
         Self(Arc::new(SharedProgress {
             opened: Instant::now(),
             awaited: AtomicU32::default(),
+            awaited_since_ms: AtomicU64::default(),
+            heads: AtomicU64::default(),
             received_bytes: AtomicU64::default(),
             first_byte_ms: AtomicU64::default(),
             unread: AtomicU8::default(),
@@ -68,6 +74,9 @@
     /// Waits for a head from here on.
     pub(crate) fn await_head(&self) -> AwaitedHead {
         self.0.received_bytes.store(0, Ordering::Relaxed);
+        let millis = self.age().as_millis() as u64;
+        self.0.awaited_since_ms.store(millis, Ordering::Relaxed);
+        self.0.heads.fetch_add(1, Ordering::Relaxed);
         self.0.awaited.fetch_add(1, Ordering::Relaxed);
         self.set_unread(Unread::Unknown);
         AwaitedHead(self.clone())
@@ -78,6 +87,18 @@
         self.0.awaited.load(Ordering::Relaxed) > 0
     }
 
+    /// For how long a head has been waited for; `None` while a request is in work.
+    pub(crate) fn awaited_for(&self) -> Option<Duration> {
+        let since_ms = self.0.awaited_since_ms.load(Ordering::Relaxed);
+        let waited = self.age().saturating_sub(Duration::from_millis(since_ms));
+        self.is_awaited().then_some(waited)
+    }
+
+    /// Whether a request was served before the head that is waited for.
+    pub(crate) fn has_served(&self) -> bool {
+        self.0.heads.load(Ordering::Relaxed) > 1
+    }
+
     /// Counts bytes that `hyper` is given.
     pub(crate) fn add(&self, bytes: usize) {
         self.0.is_held_back.store(false, Ordering::Relaxed);
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,7 +1,9 @@
 //! HTTP/1 serving with `hyper` on `compio`, and the body type of requests and responses.
 
 use crate::accept_queue::{AcceptQueue, Admission, Overload};
+use crate::buffered_stream::BufferedStream;
 use crate::client_input::ClientInput;
+use crate::client_memory::{ClientAccount, ClientMemory, ListenerId, Reservation};
 use crate::connection_end::{CloseCause, ConnectionEnd};
 use crate::head_progress::HeadProgress;
 use crate::idle_timer::{IdleTimeout, IdleTimer};
@@ -10,13 +12,13 @@
 use crate::refusals::{OpenRefusal, Refusals};
 use crate::response_progress::BoundedStream;
 use crate::shutdown::Shutdown;
+use crate::signal::Signal;
 use crate::write_stall::{MonitoredStream, StallMonitor};
 use bytes::{Bytes, BytesMut};
 use compio::BufResult;
 use compio::io::AsyncRead;
 use compio::net::{TcpListener, TcpSocket, TcpStream};
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use futures_channel::mpsc;
 use futures_util::future::{Either, select};
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -39,12 +41,19 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+/// The size of one read from a client, in bytes.
+const READ_BYTES: usize = 4 * 1024;
+/// The most bytes of an answer that are copied for the socket at a time.
+const MAX_WRITE_BYTES: usize = 16 * 1024;
 /// The default time a client may take to send a request head.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// The largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The most that is read and discarded of the body of a request that is answered without it.
 const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+/// What the kernel holds of a client's data each way, in bytes; it doubles the number for its own
+/// records.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 /// The length of the queue of connections that are not accepted yet.
 const BACKLOG: i32 = 1_024;
 /// The delay before the next accept after one failed, for example for lack of file descriptors.
@@ -53,6 +62,8 @@
 const MAX_SERVED_PER_TURN: usize = 4;
 /// The maximum number of connections that are begun to be refused before others have their turn.
 const MAX_REFUSED_PER_TURN: usize = 128;
+/// The default maximum number of connections that are open for a refusal.
+const DEFAULT_MAX_REFUSALS: usize = 64;
 /// How long a client that is not served may take to send a request head, which then is refused.
 const REFUSED_HEAD_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long the rest of a request that was refused is discarded.
@@ -71,6 +82,10 @@
 /// The interval at which a connection is checked for a stalled write.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The bytes of a streamed response that wait for its client's connection, from which on no more are
+/// added.
+const MAX_WINDOW_BYTES: usize = 64 * 1024;
+
 /// The lowest rate at which a body has to arrive over the whole time, in bytes per second; far below
 /// the slowest link of a VM.
 const MIN_FLOW_BYTES_PER_S: u32 = 16 * 1024;
@@ -120,6 +135,7 @@
 pub struct AnswerBody {
     chunks: mpsc::Receiver<Bytes>,
     is_complete: Rc<Cell<bool>>,
+    window: Rc<AnswerWindow>,
     /// The task that produces the response; cancelled when the body is dropped.
     producer: Option<JoinHandle<()>>,
 }
@@ -132,11 +148,24 @@
 pub struct AnswerSender {
     chunks: mpsc::Sender<Bytes>,
     is_complete: Rc<Cell<bool>>,
+    window: Rc<AnswerWindow>,
+}
+
+/// The chunks of a streamed response that its client's connection has not taken yet.
+#[derive(Debug, Default)]
+struct AnswerWindow {
+    bytes: Cell<usize>,
+    taken: Signal,
 }
 
 impl AnswerSender {
-    /// Sends a chunk; returns false if the client has disconnected.
+    /// Sends a chunk once those before it are few; returns false if the client has disconnected.
     pub async fn send(&mut self, chunk: Bytes) -> bool {
+        let window = &self.window;
+        while window.bytes.get() >= MAX_WINDOW_BYTES && !self.chunks.is_closed() {
+            window.taken.wait().await;
+        }
+        window.bytes.set(window.bytes.get() + chunk.len());
         self.chunks.send(chunk).await.is_ok()
     }
 
@@ -149,13 +178,25 @@
 impl AnswerBody {
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         self.chunks.poll_next_unpin(cx).map(|chunk| match chunk {
-            Some(chunk) => Some(Ok(Frame::data(chunk))),
+            Some(chunk) => {
+                let window = &self.window;
+                window.bytes.set(window.bytes.get() - chunk.len());
+                window.taken.notify();
+                Some(Ok(Frame::data(chunk)))
+            }
             None if self.is_complete.get() => None,
             None => Some(Err(io::ErrorKind::ConnectionAborted.into())),
         })
     }
 }
 
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.chunks.close();
+        self.window.taken.notify();
+    }
+}
+
 impl Body {
     /// A body without bytes.
     pub fn empty() -> Self {
@@ -181,18 +222,32 @@
     pub fn answer(capacity: usize) -> (AnswerSender, Self) {
         let (sender, receiver) = mpsc::channel(capacity);
         let is_complete = Rc::new(Cell::new(false));
+        let window = Rc::<AnswerWindow>::default();
         let sender = AnswerSender {
             chunks: sender,
             is_complete: is_complete.clone(),
+            window: window.clone(),
         };
         let body = AnswerBody {
             chunks: receiver,
             is_complete,
+            window,
             producer: None,
         };
         (sender, Self::Answer(body))
     }
 
+    /// Keeps a reservation until the last copy of a body that is completely in memory is dropped.
+    pub(crate) fn held_by(self, mut memory: Reservation) -> Self {
+        match self {
+            Self::Full(Some(bytes)) => {
+                memory.shrink_to(bytes.len());
+                Self::Full(Some(memory.hold(bytes)))
+            }
+            body => body,
+        }
+    }
+
     /// Records how far this body is passed on as the response to `request`.
     pub(crate) fn tracked(self, request: OpenRequest) -> Self {
         // `hyper` does not ask an empty body for frames.
@@ -305,8 +360,10 @@
 ///
 /// `hyper` closes a connection whose request was not read to its end; the client's next bytes then
 /// reset it, and the answer may be lost.
-pub(crate) fn discard_body(mut body: Incoming, limit: Duration) {
+pub(crate) fn discard_body(mut body: Incoming, limit: Duration, account: Option<&ClientAccount>) {
+    let receiving = account.map(ClientAccount::receive);
     let discarding = async move {
+        let _receiving = receiving;
         let mut discarded_bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
             discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
@@ -365,12 +422,37 @@
 ///
 /// Fails if the address is in use or does not belong to this machine.
 pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_with(address, |_| Ok(())).await
+}
+
+/// Like [`listen`], for clients of whose data the kernel is to hold no more than
+/// [`SOCKET_BUFFER_BYTES`] each way, so that one that does not read is noticed.
+///
+/// # Errors
+///
+/// Fails as [`listen`] does.
+pub(crate) async fn listen_for_clients(address: SocketAddr) -> io::Result<TcpListener> {
+    let set_buffers = |socket: SockRef<'_>| {
+        socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+        socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)
+    };
+    listen_with(address, set_buffers).await
+}
+
+async fn listen_with(
+    address: SocketAddr,
+    set_options: impl Fn(SockRef<'_>) -> io::Result<()>,
+) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4().await?
     } else {
         TcpSocket::new_v6().await?
     };
     socket.set_reuseaddr(true)?;
+    // Connections inherit the options.
+    if let Err(error) = set_options(SockRef::from(&socket)) {
+        tracing::warn!(%error, "socket options not set");
+    }
     socket.bind(address).await?;
     let listener = socket.listen(BACKLOG).await?;
     SockRef::from(&listener).set_nonblocking(true)?;
@@ -386,18 +468,25 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    let limits = AcceptLimits {
-        head_timeout: IdleTimeout::new(HEADER_TIMEOUT),
-        max_wait: Duration::MAX,
-        max_open: usize::MAX,
-        closed_unread: Counter::default(),
-    };
-    // Within these limits nothing is refused.
+    serve_bounded(AcceptLimits::default(), listener, shutdown, handler).await;
+}
+
+/// Like [`serve`], within limits beyond which requests get a response without a body that they were not
+/// run.
+pub(crate) async fn serve_bounded<H, F>(
+    limits: AcceptLimits,
+    listener: TcpListener,
+    shutdown: Rc<Shutdown>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
     let refuse = |_: &request::Parts, _| status_response(StatusCode::SERVICE_UNAVAILABLE);
     serve_within(limits, listener, shutdown, handler, refuse).await;
 }
 
-/// What a server does with new connections.
+/// What a server does with new connections; by default there is no limit.
 #[derive(Debug)]
 pub(crate) struct AcceptLimits {
     /// How long a client may be idle or take to send a request head.
@@ -406,10 +495,55 @@
     pub(crate) max_wait: Duration,
     /// The maximum number of open connections.
     pub(crate) max_open: usize,
+    /// The maximum number of connections that are open for a refusal.
+    pub(crate) max_refusals: usize,
+    /// The memory for what is held for clients.
+    pub(crate) memory: ClientMemory,
     /// Counts connections that were closed before a request was read.
     pub(crate) closed_unread: Counter,
 }
 
+impl Default for AcceptLimits {
+    fn default() -> Self {
+        Self {
+            head_timeout: IdleTimeout::new(HEADER_TIMEOUT),
+            max_wait: Duration::MAX,
+            max_open: usize::MAX,
+            max_refusals: DEFAULT_MAX_REFUSALS,
+            memory: ClientMemory::unbounded(),
+            closed_unread: Counter::default(),
+        }
+    }
+}
+
+impl AcceptLimits {
+    /// Bounds the number of open connections and the memory for what is held for their clients.
+    pub(crate) fn bounded(max_open: usize, memory: &ClientMemory) -> Self {
+        Self {
+            max_open,
+            max_refusals: DEFAULT_MAX_REFUSALS.min(max_open),
+            memory: memory.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// The number of connections that may wait to be served or refused while `open` are open, each of
+    /// which has a descriptor.
+    fn max_queued(&self, open: usize) -> usize {
+        self.max_open.saturating_sub(open).max(self.max_refusals)
+    }
+
+    /// The number of connections that count as open, `open` of which are: where the next one finds no
+    /// place or no memory, another one is closed for it if possible.
+    fn count_open(&self, listener: ListenerId, open: usize) -> usize {
+        let has_place = open < self.max_open || self.memory.free_place(listener);
+        match has_place && self.memory.has_connection_room(listener) {
+            true => open.min(self.max_open.saturating_sub(1)),
+            false => self.max_open,
+        }
+    }
+}
+
 /// Like [`serve`], within limits beyond which the request of a new connection gets its response from
 /// `refuse`, and the connection is closed.
 ///
@@ -425,11 +559,25 @@
     F: Future<Output = Response<Body>> + 'static,
     R: Fn(&request::Parts, Overload) -> Response<Body> + Clone + 'static,
 {
+    let listener_id = limits.memory.add_listener();
     let serve_one = |stream| {
+        let head = HeadProgress::default();
+        let account = limits.memory.open_account(listener_id, head.clone());
+        let client = Client { account, head };
         let head_timeout = limits.head_timeout.clone();
-        spawn_connection(stream, shutdown.clone(), head_timeout, handler.clone());
+        spawn_connection(
+            stream,
+            client,
+            shutdown.clone(),
+            head_timeout,
+            handler.clone(),
+        );
     };
-    let refusals = Refusals::new(limits.closed_unread, Instant::now());
+    let refusals = Refusals::new(
+        limits.max_refusals,
+        limits.closed_unread.clone(),
+        Instant::now(),
+    );
     let mut queue = AcceptQueue::new(limits.max_wait, limits.max_open);
     let mut stop = pin!(shutdown.wait());
     loop {
@@ -441,10 +589,12 @@
                 Either::Right(_) => break,
             }
         }
-        accept_pending(&listener, &mut queue);
+        let open = shutdown.open().saturating_sub(refusals.open());
+        accept_pending(&listener, &mut queue, limits.max_queued(open));
         let (mut served, mut refused) = (0, 0);
-        while served < MAX_SERVED_PER_TURN && refused < MAX_REFUSED_PER_TURN {
+        while served < MAX_SERVED_PER_TURN && refused < MAX_REFUSED_PER_TURN && !queue.is_empty() {
             let open = shutdown.open().saturating_sub(refusals.open());
+            let open = limits.count_open(listener_id, open);
             match queue.pop(open, Instant::now()) {
                 Some(Admission::Serve(stream)) => {
                     serve_one(stream);
@@ -481,15 +631,18 @@
     };
     // `accept_last` never returns, so that a timeout is the normal case.
     let _ = compio::time::timeout(CLOSE_LINGER, accept_last).await;
-    accept_pending(&listener, &mut queue);
+    accept_pending(&listener, &mut queue, usize::MAX);
     serve_all(&mut queue);
 }
 
-/// Takes the connections that the kernel has ready.
-fn accept_pending(listener: &TcpListener, queue: &mut AcceptQueue<TcpStream>) {
+/// Takes the connections that the kernel has ready, while fewer than `max_queued` wait.
+fn accept_pending(listener: &TcpListener, queue: &mut AcceptQueue<TcpStream>, max_queued: usize) {
     let socket = SockRef::from(listener);
     let now = Instant::now();
     for _ in 0..BACKLOG {
+        if queue.len() >= max_queued {
+            return;
+        }
         // An error is met again, and handled, when the next connection is waited for.
         let Ok((accepted, _)) = socket.accept() else {
             return;
@@ -515,8 +668,15 @@
     .await;
 }
 
+/// The client of a connection.
+struct Client {
+    account: ClientAccount,
+    head: HeadProgress,
+}
+
 fn spawn_connection<H, F>(
     stream: TcpStream,
+    client: Client,
     shutdown: Rc<Shutdown>,
     head_timeout: IdleTimeout,
     handler: H,
@@ -533,8 +693,11 @@
         let shutdown_state = shutdown.clone();
         let end = ConnectionEnd::default();
         let request_end = end.clone();
+        let Client { account, head } = client;
+        let request_account = account.clone();
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(request_end.clone());
+            request.extensions_mut().insert(request_account.clone());
             let handler = handler.clone();
             let shutdown_state = shutdown_state.clone();
             async move {
@@ -549,18 +712,16 @@
                 Ok::<_, Infallible>(close_if_leaving(&shutdown_state, answer))
             }
         });
-        let head = HeadProgress::default();
-        let input = ClientInput::new(stream.clone(), head.clone());
+        let input = ClientInput::new(stream.clone(), head.clone(), &account);
         let closing = Closing { end, input, head };
-        let (stream, watch) = MonitoredStream::new(BoundedStream::new(
-            HyperStream::new_plain(stream),
-            closing.input.clone(),
-        ));
+        let buffered = BufferedStream::new(stream.clone(), READ_BYTES, MAX_WRITE_BYTES);
+        let bounded = BoundedStream::new(buffered, closing.input.clone());
+        let (monitored, watch) = MonitoredStream::new(bounded, account.clone());
         let connection = http1::Builder::new()
             .header_read_timeout(head_timeout.get())
             .timer(IdleTimer::new(head_timeout, closing.head.clone()))
             .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(stream, service);
+            .serve_connection(monitored, service);
         let serving = async {
             let mut connection = pin!(connection);
             let stop = pin!(async {
@@ -590,9 +751,19 @@
         };
         let mut serving = pin!(serving);
         // A connection whose client has stopped reading is closed.
-        let stalled = pin!(wait_for_stall(watch));
-        if let Either::Right(((), _)) = select(serving.as_mut(), stalled).await {
-            closing.note(CloseCause::WriteStalled, None);
+        let stalled = async {
+            wait_for_stall(watch).await;
+            CloseCause::WriteStalled
+        };
+        let evicted = account.evicted().map(CloseCause::of_eviction);
+        let (stalled, evicted) = (pin!(stalled), pin!(evicted));
+        let ended = select(stalled, evicted);
+        if let Either::Right((ended, _)) = select(serving.as_mut(), ended).await {
+            let (cause, _) = ended.factor_first();
+            closing.note(cause, None);
+            // What the client has not read does not stay in the kernel. A failure leaves it there until
+            // the client reads it or is gone.
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         }
     })
     .detach();
@@ -745,7 +916,7 @@
 }
 
 /// Adds `Connection: close`.
-fn closing(mut response: Response<Body>) -> Response<Body> {
+pub(crate) fn closing(mut response: Response<Body>) -> Response<Body> {
     let close = header::HeaderValue::from_static("close");
     response.headers_mut().insert(header::CONNECTION, close);
     response
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,9 +1,11 @@
 //! The settings file that the platform writes for each process.
 
 use crate::callers::QuotaBounds;
+use crate::client_memory::ClientMemory;
 use crate::error::Fault;
 use crate::gateway::{Bounds, Settings};
 use crate::inventory::{Name, Problem};
+use crate::socket_limits::SocketLimits;
 use error_stack::{Report, ResultExt};
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
@@ -27,9 +29,11 @@
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// The number of file descriptors if the settings do not state it.
 const DEFAULT_MAX_FDS: usize = 4_096;
-/// The share of them that callers' connections may take; the others are for servers, other VMs and
-/// the log.
-const CALLER_FDS_SHARE: f64 = 0.7;
+/// The share of the memory, beyond what the process needs itself, for what is held for callers if the settings do not state it.
+const DEFAULT_CLIENT_MEMORY_SHARE: f64 = 0.5;
+/// How long a connection that waits for its caller is kept while others need its memory or place, if
+/// the settings do not state it.
+const DEFAULT_CLIENT_MIN_WAIT_MS: u64 = 1_000;
 
 #[derive(Deserialize)]
 struct SettingsFile {
@@ -64,6 +68,10 @@
     link_mbps: Option<f64>,
     /// The number of file descriptors that the process may have.
     max_fds: usize,
+    /// The share of the memory for what is held for callers.
+    client_memory_share: f64,
+    /// How long a connection that waits for its caller is kept while others need its memory or place.
+    client_min_wait_ms: u64,
 }
 
 impl Default for FileLimits {
@@ -74,6 +82,8 @@
             memory_mb: DEFAULT_MEMORY_MB,
             link_mbps: None,
             max_fds: DEFAULT_MAX_FDS,
+            client_memory_share: DEFAULT_CLIENT_MEMORY_SHARE,
+            client_min_wait_ms: DEFAULT_CLIENT_MIN_WAIT_MS,
         }
     }
 }
@@ -132,6 +142,8 @@
         return Err(problems_report(problems));
     };
     let bounds = &file.bounds;
+    let limits = &file.limits;
+    let memory_bytes = limits.memory_mb * BYTES_PER_MB;
     Ok(Settings {
         vm: file.node_name,
         availability_zone: file.zone,
@@ -141,8 +153,12 @@
         peer_address: SocketAddr::new(file.ip, file.internal_ports[0]),
         log_address: file.platform.address,
         cpu_cores: file.limits.cpu_share * file.limits.cores,
-        max_caller_connections: (file.limits.max_fds as f64 * CALLER_FDS_SHARE) as usize,
-        memory_bytes: (file.limits.memory_mb * BYTES_PER_MB) as usize,
+        sockets: SocketLimits::of_descriptors(limits.max_fds),
+        client_memory_bytes: ClientMemory::bytes_of_process(
+            memory_bytes,
+            limits.client_memory_share,
+        ),
+        client_min_wait: Duration::from_millis(limits.client_min_wait_ms),
         link_bytes_per_s: file.limits.link_mbps.map(|mbps| mbps * BYTES_PER_MBIT),
         bounds: Bounds {
             grace: Duration::from_secs_f64(bounds.grace_s),
@@ -265,6 +281,11 @@
             problems.push(Problem::new(field, message));
         }
     }
+    let share = file.limits.client_memory_share;
+    if !(share > 0.0 && share < 1.0) {
+        let message = format!("is {share}, must be more than 0 and less than 1");
+        problems.push(Problem::new("limits.client_memory_share", message));
+    }
     let [first_port, last_port] = file.internal_ports;
     if last_port <= first_port {
         let message = format!("are {first_port} to {last_port}, must be two ports or more");
--- a/src/refusals.rs
+++ b/src/refusals.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// The maximum number of connections that are open for a refusal.
-const MAX_OPEN: usize = 64;
 /// The largest number of refusals that can be saved up, for a burst after a pause.
 const MAX_SAVED: f64 = 512.0;
 /// The refusals that each connection earns that is served. A refusal costs far less than serving, so
@@ -19,6 +17,7 @@
 #[derive(Debug)]
 pub(crate) struct Refusals {
     open: Rc<Cell<usize>>,
+    max_open: usize,
     saved: Cell<f64>,
     earned_until: Cell<Instant>,
     closed_unread: Counter,
@@ -26,9 +25,11 @@
 
 impl Refusals {
     /// Creates the bound; `closed_unread` counts connections on which no request was read.
-    pub(crate) fn new(closed_unread: Counter, now: Instant) -> Self {
+    /// At most `max_open` connections are open for a refusal.
+    pub(crate) fn new(max_open: usize, closed_unread: Counter, now: Instant) -> Self {
         Self {
             open: Rc::default(),
+            max_open,
             saved: Cell::new(MAX_SAVED),
             earned_until: Cell::new(now),
             closed_unread,
@@ -55,7 +56,7 @@
     /// Keeps a connection open for the rest of its request; `None` if too many are open, and then
     /// counts it as closed unless its request was read.
     pub(crate) fn open_one(&self, is_read: bool) -> Option<OpenRefusal> {
-        if self.open.get() >= MAX_OPEN {
+        if self.open.get() >= self.max_open {
             if !is_read {
                 self.note_unread();
             }
--- a/src/request_end.rs
+++ b/src/request_end.rs
@@ -20,6 +20,9 @@
     ReaderStalled,
     /// This process closed the caller's connection.
     ConnectionClosed,
+    /// The connection was closed for others, since the caller had not read its answer or sent its
+    /// request.
+    GaveWay,
     /// The process exits.
     ProcessEnded,
 }
@@ -42,6 +45,7 @@
             Self::Deadline => "deadline",
             Self::ReaderStalled => "reader_stalled",
             Self::ConnectionClosed => "connection_closed",
+            Self::GaveWay => "gave_way",
             Self::ProcessEnded => "process_ended",
         }
     }
@@ -57,6 +61,7 @@
         match cause {
             CloseCause::ClientLeft => Self::CallerLeft,
             CloseCause::WriteStalled => Self::ReaderStalled,
+            CloseCause::MemoryNeeded | CloseCause::PlaceNeeded => Self::GaveWay,
             CloseCause::HeadTimeout
             | CloseCause::Malformed
             | CloseCause::Shutdown
--- a/src/write_stall.rs
+++ b/src/write_stall.rs
@@ -1,5 +1,7 @@
-//! A stream wrapper that measures for how long writes have been stalled.
+//! A stream wrapper that measures for how long writes have been stalled, and tells the account of its
+//! client that a part of an answer is unread.
 
+use crate::client_memory::ClientAccount;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::Cell;
 use std::io;
@@ -13,6 +15,7 @@
 pub(crate) struct MonitoredStream<S> {
     stream: S,
     pending_since: Rc<Cell<Option<Instant>>>,
+    account: ClientAccount,
 }
 
 /// Reports for how long the writes of a [`MonitoredStream`] have been stalled.
@@ -27,13 +30,14 @@
 }
 
 impl<S> MonitoredStream<S> {
-    /// Wraps a stream; the monitor reports its stalls.
-    pub(crate) fn new(stream: S) -> (Self, StallMonitor) {
+    /// Wraps the stream of a client; the monitor reports its stalls.
+    pub(crate) fn new(stream: S, account: ClientAccount) -> (Self, StallMonitor) {
         let pending_since = Rc::new(Cell::new(None));
         let monitor = StallMonitor(pending_since.clone());
         let monitored = Self {
             stream,
             pending_since,
+            account,
         };
         (monitored, monitor)
     }
@@ -44,6 +48,7 @@
             self.pending_since.set(None);
         } else if self.pending_since.get().is_none() {
             self.pending_since.set(Some(Instant::now()));
+            self.account.note_unread();
         }
         poll
     }
@@ -71,6 +76,23 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let poll = Pin::new(&mut self.stream).poll_flush(cx);
+        if poll.is_ready() {
+            self.account.note_read();
+        }
+        self.record_poll(poll)
+    }
+
+    /// Otherwise `hyper` copies each answer into a buffer of its own, whatever its length.
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
         self.record_poll(poll)
     }
 
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -99,6 +99,8 @@
     pub max_fds: usize,
     /// The memory that the settings of the VMs allow, in megabytes.
     pub memory_mb: u64,
+    /// How long a connection that waits for its caller is kept while others need its place.
+    pub client_min_wait_ms: u64,
     /// The number of availability zones over which the VMs are spread in turn.
     pub zones: usize,
     /// The network between the VMs, if a test cuts paths in it.
@@ -131,6 +133,7 @@
             max_body_bytes: 1_048_576,
             max_fds: 4_096,
             memory_mb: 260,
+            client_min_wait_ms: 1_000,
             zones: 1,
             network: None,
             folder,
@@ -312,6 +315,7 @@
 ready_addr = "{ready}"
 [limits]
 memory_mb = {memory_mb}
+client_min_wait_ms = {client_min_wait_ms}
 max_fds = {max_fds}
 [bounds]
 stable_window_ms = 3000
@@ -338,6 +342,7 @@
             retry_slack = self.retry_slack,
             max_fds = self.max_fds,
             memory_mb = self.memory_mb,
+            client_min_wait_ms = self.client_min_wait_ms,
             first = at(PEER_PORT).port(),
             last = at(9).port(),
             front = at(0),
--- a/workbench/tests/site_accept.rs
+++ b/workbench/tests/site_accept.rs
@@ -185,6 +185,8 @@
     block_on(async {
         let mut site = Site::start(vec![("books", vec![])]).await;
         site.max_fds = MAX_FDS;
+        // Those that are open do not give their places to others meanwhile.
+        site.client_min_wait_ms = 60_000;
         site.configure(
             json!([route("/", "safe", "books")]),
             json!([plain("books")]),
