The product's own side holds what it has for clients within a budget of its own

It bounded neither connections nor what bodies, heads, answers and events take together: 100 clients that never end a body of 4 MB took 852 MB, 200 that do not read the answer of a call 483 MB, 600 that send nothing 622 descriptors (trials without the settings). A document of small values takes many times its length once it is parsed: 60 bodies of 1 MB took 199 MB.

The budget of the platform's side serves here too, with `memory_mb`, `client_memory_share`, `client_min_wait_ms` and `max_fds` as settings; by default the machine's memory and the process's descriptors. A document is parsed once there is memory for its values.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,11 +1,16 @@
 //! HTTP front end for callers: routing, concurrency limits, answers and streaming.
 
+use crate::client_memory::{
+    BodyError, COVERED_BYTES, ClientAccount, ClientMemory, REQUEST_BYTES, Reservation,
+    SERVER_BYTES, read_request_body,
+};
 use crate::completion::{
     AnswerPart, COMPLETIONS_PATH, Completion, CompletionRequest, CompletionServices,
 };
-use crate::error::{Failure, Kind};
+use crate::config::Config;
+use crate::error::{Failure, Kind, Ran};
 use crate::events::{Event, emit};
-use crate::http::{AnswerSender, Body, ReadError, json_response, read_body};
+use crate::http::{AnswerSender, Body, closing, discard_body, json_response};
 use crate::inventory::{Inventory, Name, PlainService, Priority};
 use crate::membership::Membership;
 use crate::metrics::{Metrics, RequestLabels};
@@ -16,10 +21,12 @@
 use crate::retry::RetryBudget;
 use crate::router::Target;
 use crate::server::{ControlStream, KeyStream};
+use crate::server_sockets::{ServerSocket, ServerSockets};
 use crate::service_registry::{Service, ServiceRegistry};
 use crate::shutdown::{Shutdown, WorkGuard};
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::http::Extensions;
 use hyper::{Method, Request, Response, StatusCode, header};
 use serde_json::{Map, Value, json};
 use std::cell::RefCell;
@@ -34,6 +41,11 @@
 
 /// The pause between a stream's error event and closing the connection, so that the event is sent.
 const ERROR_FLUSH_DELAY: Duration = Duration::from_millis(50);
+/// How long the rest of the body of a refused request is discarded.
+const REFUSED_BODY_LIMIT: Duration = Duration::from_secs(2);
+/// What a JSON document takes once it is parsed, in bytes: for each of its own, and for each value.
+const PARSED_BYTES_PER_BYTE: usize = 3;
+const PARSED_BYTES_PER_VALUE: usize = 64;
 /// How long a caller may take to send a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The SSE comment sent while the engine has no token; it keeps the caller's connection alive.
@@ -48,6 +60,8 @@
     metrics: Rc<Metrics>,
     shutdown: Rc<Shutdown>,
     membership: Rc<Membership>,
+    client_memory: Rc<ClientMemory>,
+    server_sockets: ServerSockets,
     in_flight: RefCell<HashMap<Name, u32>>,
     max_body_bytes: usize,
 }
@@ -61,6 +75,8 @@
     entry: Rc<Entry>,
     caller: Name,
     _open: WorkGuard,
+    _socket: ServerSocket,
+    _memory: Reservation,
 }
 
 impl Drop for InFlightGuard {
@@ -73,7 +89,7 @@
 
 impl Entry {
     /// Creates an entry from the services registered in `registry`.
-    pub(crate) fn new(registry: &ServiceRegistry, max_body_bytes: usize) -> Self {
+    pub(crate) fn new(registry: &ServiceRegistry, config: &Config) -> Self {
         Self {
             control: registry.find(),
             keys: registry.find(),
@@ -87,8 +103,10 @@
             metrics: registry.find(),
             shutdown: registry.find(),
             membership: registry.find(),
+            client_memory: registry.find(),
+            server_sockets: ServerSockets::new(config.sockets().max_shared),
             in_flight: RefCell::default(),
-            max_body_bytes,
+            max_body_bytes: config.max_body_bytes,
         }
     }
 
@@ -116,7 +134,11 @@
                         failure.message
                     ),
                 );
-                failure.to_response()
+                match failure.kind {
+                    // What its connection takes may be needed for others.
+                    Kind::Overloaded => closing(failure.to_response()),
+                    _ => failure.to_response(),
+                }
             }
         };
         let id = header::HeaderValue::from_str(&id).expect("request ids are valid header values");
@@ -173,8 +195,19 @@
     ///
     /// # Errors
     ///
-    /// Fails if the caller has reached its limit.
-    fn count_in_flight(self: &Rc<Self>, caller: &CallerProfile) -> Result<InFlightGuard, Failure> {
+    /// Fails if the caller or this VM has reached its limit.
+    async fn count_in_flight(
+        self: &Rc<Self>,
+        caller: &CallerProfile,
+        account: &ClientAccount,
+    ) -> Result<InFlightGuard, Failure> {
+        let overloaded = |message| Failure::new(Kind::Overloaded, message);
+        let socket = self.server_sockets.take(self.client_memory.connections());
+        let socket = socket.ok_or_else(|| overloaded("this VM has too many open connections"))?;
+        let mut memory = account.reservation();
+        if !memory.grow_to_or_fail(REQUEST_BYTES + SERVER_BYTES).await {
+            return Err(overloaded("this VM has no memory for another request now"));
+        }
         let mut all = self.in_flight.borrow_mut();
         let in_flight = all.entry(caller.name.clone()).or_default();
         if caller.max_concurrent > 0 && *in_flight >= caller.max_concurrent {
@@ -189,19 +222,35 @@
             entry: self.clone(),
             caller: caller.name.clone(),
             _open: self.shutdown.enter(),
+            _socket: socket,
+            _memory: memory,
         })
     }
 
-    async fn read_request_body(&self, body: Incoming) -> Result<Bytes, Failure> {
+    /// What is held for the client that sent a request.
+    fn account_of(&self, extensions: &Extensions) -> ClientAccount {
+        let account = extensions.get::<ClientAccount>().cloned();
+        account.unwrap_or_else(|| self.client_memory.account())
+    }
+
+    async fn read_request_body(
+        &self,
+        mut body: Incoming,
+        account: &ClientAccount,
+    ) -> Result<Bytes, Failure> {
         let limit_bytes = self.max_body_bytes;
-        let read = compio::time::timeout(BODY_TIMEOUT, read_body(body, limit_bytes));
-        let (kind, message) = match read.await {
+        let reading = read_request_body(&mut body, limit_bytes, account);
+        let (kind, message) = match compio::time::timeout(BODY_TIMEOUT, reading).await {
             Ok(Ok(bytes)) => return Ok(bytes),
-            Ok(Err(ReadError::TooLarge)) => {
+            Ok(Err(BodyError::TooLong)) => {
                 let message = format!("the request body is larger than {limit_bytes} bytes");
                 (Kind::TooLarge, message)
             }
-            Ok(Err(ReadError::Disconnected | ReadError::Stalled)) => {
+            Ok(Err(BodyError::NoRoom)) => {
+                let message = "this VM has no memory for the request body now";
+                (Kind::Overloaded, message.to_owned())
+            }
+            Ok(Err(BodyError::Broken)) => {
                 (Kind::Malformed, "the request body ended early".to_owned())
             }
             Err(_elapsed) => (
@@ -209,6 +258,7 @@
                 "the request body did not arrive in time".to_owned(),
             ),
         };
+        discard_body(body, REFUSED_BODY_LIMIT, Some(account));
         Err(Failure::new(kind, message))
     }
 
@@ -219,15 +269,17 @@
         caller: CallerProfile,
         service: PlainService,
     ) -> Result<Response<Body>, Failure> {
-        let _guard = self.count_in_flight(&caller)?;
         let (parts, body) = request.into_parts();
+        let account = self.account_of(&parts.extensions);
+        let _guard = self.count_in_flight(&caller, &account).await?;
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let call = ServiceCall {
             id: id.clone(),
             caller: caller.name.clone(),
             method: parts.method.clone(),
             path: path.into(),
-            body: self.read_request_body(body).await?,
+            body: self.read_request_body(body, &account).await?,
+            account,
         };
         let safe = matches!(parts.method, Method::GET | Method::HEAD | Method::OPTIONS);
         let outcome = if safe || service.idempotent {
@@ -258,16 +310,25 @@
         id: &Name,
         caller: CallerProfile,
     ) -> Result<Response<Body>, Failure> {
-        let guard = self.count_in_flight(&caller)?;
+        let account = self.account_of(request.extensions());
+        let guard = self.count_in_flight(&caller, &account).await?;
         let started = Instant::now();
         let deadline_ms = deadline_ms(request.headers())?.unwrap_or(caller.deadline_ms);
-        let bytes = self.read_request_body(request.into_body()).await?;
+        let bytes = self
+            .read_request_body(request.into_body(), &account)
+            .await?;
+        let mut parsed = account.reservation();
+        if !parsed.grow_to_or_fail(parsed_bytes(&bytes)).await {
+            let message = "this VM has no memory for the request body now";
+            return Err(Failure::new(Kind::Overloaded, message));
+        }
         let body: Map<String, Value> = serde_json::from_slice(&bytes).map_err(|error| {
             Failure::new(
                 Kind::Malformed,
                 format!("the request body is not a JSON object: {error}"),
             )
         })?;
+        drop(bytes);
         let streamed = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
         let target = self.resolve_target(&body)?;
         let completion_request = CompletionRequest {
@@ -307,6 +368,8 @@
             started,
             first_token_at,
             completion,
+            account,
+            _parsed: parsed,
             _guard: guard,
         };
         if streamed {
@@ -341,6 +404,9 @@
     started: Instant,
     first_token_at: Instant,
     completion: Completion,
+    account: ClientAccount,
+    /// What is reserved for the body of the request.
+    _parsed: Reservation,
     _guard: InFlightGuard,
 }
 
@@ -373,7 +439,11 @@
                 Ok(AnswerPart::Done(event)) => (event.clone(), true),
                 Err(failure) => (error_event(failure), true),
             };
-            let sent = compio::time::timeout(CALLER_READ_TIMEOUT, sender.send(bytes)).await;
+            let sending = async {
+                let bytes = hold_event(&self.account, bytes).await;
+                sender.send(bytes).await
+            };
+            let sent = compio::time::timeout(CALLER_READ_TIMEOUT, sending).await;
             if sent != Ok(true) {
                 return self.record_end("caller_gone", None);
             }
@@ -397,6 +467,7 @@
 
     /// Reads the whole answer and returns it as one JSON object.
     async fn collect(mut self, first: AnswerPart) -> Result<Response<Body>, Failure> {
+        let mut memory = self.account.reservation();
         let mut text = String::new();
         let mut finish = String::new();
         let mut part = first;
@@ -407,6 +478,14 @@
                 AnswerPart::Other(_) | AnswerPart::KeepAlive => {}
                 AnswerPart::Done(_) => break,
             }
+            // The text, the document with it, and its serialized form.
+            let held_bytes = 3 * text.capacity();
+            if held_bytes > COVERED_BYTES && !memory.grow_to_or_fail(held_bytes).await {
+                let message = "this VM has no memory for the rest of the answer";
+                let failure = Failure::new(Kind::Overloaded, message).ran(Ran::Yes);
+                self.record_end(failure.kind.answer().code, Some(&failure));
+                return Err(failure);
+            }
             part = match self.completion.next().await {
                 Ok(part) => part,
                 Err(failure) => {
@@ -426,7 +505,8 @@
             "usage": {"completion_tokens": self.completion.tokens()},
         });
         self.record_end("complete", None);
-        Ok(json_response(StatusCode::OK, &body))
+        let response = json_response(StatusCode::OK, &body);
+        Ok(response.map(|body| body.held_by(memory)))
     }
 
     fn record_end(&self, outcome: &str, failure: Option<&Failure>) {
@@ -456,6 +536,23 @@
     }
 }
 
+/// What a JSON document takes at most once it is parsed and sent on.
+fn parsed_bytes(document: &[u8]) -> usize {
+    let is_separator = |byte: &&u8| matches!(**byte, b',' | b'[' | b'{');
+    let values = document.iter().filter(is_separator).count();
+    document.len() * PARSED_BYTES_PER_BYTE + values * PARSED_BYTES_PER_VALUE
+}
+
+/// Waits until there is memory for an event that a caller has not read yet.
+async fn hold_event(account: &ClientAccount, event: Bytes) -> Bytes {
+    if event.len() <= COVERED_BYTES {
+        return event;
+    }
+    let mut memory = account.reservation();
+    memory.grow_to(event.len()).await;
+    memory.hold(Bytes::copy_from_slice(&event))
+}
+
 fn error_event(failure: &Failure) -> Bytes {
     format!("data: {}\n\n", failure.to_json()).into()
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of a VM, exported in the Prometheus text format.
 
+use crate::client_memory::EvictionLabels;
 use crate::service_registry::Service;
 use prometheus_client::encoding::{EncodeLabelSet, text::encode};
 use prometheus_client::metrics::counter::Counter;
@@ -61,6 +62,12 @@
     pub(crate) peers: Gauge,
     /// The number of idempotency keys in memory.
     pub(crate) keys: Gauge,
+    /// The memory that is reserved for clients, in bytes.
+    pub(crate) client_memory: Gauge,
+    /// The most memory that can be reserved for clients, in bytes.
+    pub(crate) client_memory_limit: Gauge,
+    /// The number of connections that were closed for others.
+    pub(crate) evicted_connections: Family<EvictionLabels, Counter>,
     /// Control traffic in bytes: bodies and frames, sent and received.
     pub(crate) control_bytes: Family<ControlTrafficLabels, Counter>,
 }
@@ -84,6 +91,9 @@
             revision: Gauge::default(),
             peers: Gauge::default(),
             keys: Gauge::default(),
+            client_memory: Gauge::default(),
+            client_memory_limit: Gauge::default(),
+            evicted_connections: Family::default(),
             control_bytes: Family::default(),
             registry: Registry::default(),
         };
@@ -117,6 +127,21 @@
         );
         registry.register("peers", "Peers heard of late", metrics.peers.clone());
         registry.register("keys", "Idempotency keys held", metrics.keys.clone());
+        registry.register(
+            "client_memory_bytes",
+            "Memory reserved for clients",
+            metrics.client_memory.clone(),
+        );
+        registry.register(
+            "client_memory_limit_bytes",
+            "The most memory that can be reserved for clients",
+            metrics.client_memory_limit.clone(),
+        );
+        registry.register(
+            "evicted_connections",
+            "Connections closed for others while they waited for their clients",
+            metrics.evicted_connections.clone(),
+        );
         registry.register(
             "control_bytes",
             "Bytes of control traffic",
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,12 +1,13 @@
 //! The operators' HTTP interface: health, metrics, status and publication of inventories.
 
+use crate::client_memory::{BodyError, ClientAccount, ClientMemory, read_request_body};
 use crate::control::{Command, CopyState, Verdict};
 use crate::dry_run::DryRun;
 use crate::entry::Entry;
 use crate::error::{Failure, Kind};
 use crate::events::{Event, emit};
 use crate::fleet::Fleet;
-use crate::http::{Body, json_response, read_body};
+use crate::http::{Body, json_response};
 use crate::inventory::{Inventory, InventoryChange, Name};
 use crate::membership::Membership;
 use crate::metrics::{Metrics, StreamLabels};
@@ -55,6 +56,7 @@
     fleet: Rc<Fleet>,
     membership: Rc<Membership>,
     metrics: Rc<Metrics>,
+    client_memory: Rc<ClientMemory>,
 }
 
 impl Service for Operator {
@@ -73,6 +75,7 @@
             fleet: registry.find(),
             membership: registry.find(),
             metrics: registry.find(),
+            client_memory: registry.find(),
         }
     }
 
@@ -84,7 +87,7 @@
             (&Method::GET, "/status") => Ok(json_response(StatusCode::OK, &self.status())),
             (&Method::GET, "/inventory") => Ok(self.inventory()),
             (&Method::GET, "/explain") => Ok(explain(request.uri().query().unwrap_or_default())),
-            (&Method::POST, "/publish") => self.publish(request.into_body()).await,
+            (&Method::POST, "/publish") => self.publish(request).await,
             (_, path) => Err(Failure::new(Kind::NotFound, format!("no route for {path}"))),
         };
         answer.unwrap_or_else(|failure| failure.to_response())
@@ -101,6 +104,10 @@
                 .get_or_create(&StreamLabels { stream })
                 .set(appends);
         }
+        let memory = &self.client_memory;
+        let gauges = &self.metrics;
+        gauges.client_memory.set(memory.reserved_bytes() as i64);
+        gauges.client_memory_limit.set(memory.max_bytes() as i64);
         let revision = self.control.with(|control| control.revision);
         self.metrics
             .revision
@@ -126,10 +133,16 @@
         json_response(StatusCode::OK, &body)
     }
 
-    async fn publish(&self, body: Incoming) -> Result<Response<Body>, Failure> {
-        let bytes = read_body(body, MAX_INVENTORY_BYTES)
-            .await
-            .map_err(|_error| Failure::new(Kind::TooLarge, "inventory too large or incomplete"))?;
+    async fn publish(&self, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
+        let account = request.extensions().get::<ClientAccount>().cloned();
+        let account = account.unwrap_or_else(|| self.client_memory.account());
+        let reading = read_request_body(request.into_body(), MAX_INVENTORY_BYTES, &account);
+        let bytes = reading.await.map_err(|error| match error {
+            BodyError::NoRoom => Failure::new(Kind::Overloaded, "no memory for the inventory now"),
+            BodyError::Broken | BodyError::TooLong => {
+                Failure::new(Kind::TooLarge, "inventory too large or incomplete")
+            }
+        })?;
         let mut deserializer = serde_json::Deserializer::from_slice(&bytes);
         let publication: Publication = serde_path_to_error::deserialize(&mut deserializer)
             .map_err(|error| {
--- a/src/plain_service.rs
+++ b/src/plain_service.rs
@@ -6,10 +6,11 @@
 //! the call is not sent again in either case.
 
 use crate::client::{Connection, SendError};
+use crate::client_memory::{ClientAccount, read_answer};
 use crate::engine::build_request;
 use crate::error::{Failure, Kind, Ran};
 use crate::events::{Event, emit};
-use crate::http::{Body, read_body};
+use crate::http::Body;
 use crate::idempotency::{KeyCommand, KeyHash, KeyVerdict, KeyWindow, Reply};
 use crate::inventory::{BackendServer, Name, PlainService};
 use crate::membership::Membership;
@@ -18,6 +19,7 @@
 use crate::shutdown::Shutdown;
 use bytes::Bytes;
 use futures_channel::oneshot;
+use http_body_util::Limited;
 use hyper::{Method, Response, StatusCode, header};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -58,6 +60,8 @@
     pub(crate) path: Name,
     /// The request body.
     pub(crate) body: Bytes,
+    /// What is held for the client.
+    pub(crate) account: ClientAccount,
 }
 
 /// An idempotency key and its creation time.
@@ -482,7 +486,8 @@
         .get(header::CONTENT_TYPE)
         .and_then(|value| value.to_str().ok())
         .map_or_else(|| arcstr::literal!("application/octet-stream"), Name::from);
-    match read_body(response.into_body(), MAX_ANSWER_BYTES).await {
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    match read_answer(body, &call.account).await {
         Ok(body) => CallOutcome::Answered(status, content_type, body),
         Err(_) => CallOutcome::Unknown,
     }
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,14 +1,16 @@
 //! The process of one VM: creates its services, runs them, and shuts them down.
 
+use crate::accept_queue::Overload;
+use crate::client_memory::ClientMemory;
 use crate::config::Config;
 use crate::control::Control;
 use crate::demand::Demand;
 use crate::entry::Entry;
-use crate::error::Fault;
+use crate::error::{Failure, Fault, Kind};
 use crate::events::{Event, emit};
 use crate::external::{HttpLog, HttpVmList};
 use crate::fleet::Fleet;
-use crate::http;
+use crate::http::{self, AcceptLimits, Body};
 use crate::idempotency::{IdempotencyKeys, KeyWindow};
 use crate::inventory::Name;
 use crate::membership::Membership;
@@ -27,6 +29,8 @@
 use crate::wire::{Heartbeat, ModelDemand};
 use compio::net::TcpListener;
 use error_stack::{Report, ResultExt};
+use hyper::Response;
+use hyper::http::request;
 use nix::sys::signal::Signal;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -50,6 +54,10 @@
     const NAME: &'static str = "shutdown";
 }
 
+impl Service for ClientMemory {
+    const NAME: &'static str = "client_memory";
+}
+
 /// The interval after which the demand is included in heartbeats again.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -138,7 +146,10 @@
     let mut signals = ProcessSignals::take_over(STOP_SIGNALS).change_context(Fault::Signals)?;
     let callers = bind(config.caller_address).await?;
     let operators = bind(config.operator_address).await?;
-    let peers = bind(config.peer_address).await?;
+    let peers = http::listen(config.peer_address)
+        .await
+        .change_context(Fault::Bind)
+        .attach_with(|| config.peer_address.to_string())?;
     let boot: u64 = rand::random();
     let registry = assemble(&config, boot);
     start_peers(&registry, &config, boot, peers);
@@ -153,16 +164,25 @@
     let operator_shutdown = Rc::new(Shutdown::default());
     let operator: Rc<Operator> = registry.find();
     let entry: Rc<Entry> = registry.find();
-    compio::runtime::spawn(http::serve(
+    let memory: Rc<ClientMemory> = registry.find();
+    let sockets = config.sockets();
+    let limits = AcceptLimits::bounded(sockets.max_operators(), &memory);
+    let handler = move |request| operator.clone().handle(request);
+    let shutdown_of_operators = operator_shutdown.clone();
+    compio::runtime::spawn(http::serve_bounded(
+        limits,
         operators,
-        operator_shutdown.clone(),
-        move |request| operator.clone().handle(request),
+        shutdown_of_operators,
+        handler,
     ))
     .detach();
-    compio::runtime::spawn(http::serve(callers, shutdown.clone(), move |request| {
-        entry.clone().handle(request)
-    }))
-    .detach();
+    let limits = AcceptLimits {
+        max_refusals: sockets.max_refusals(),
+        ..AcceptLimits::bounded(sockets.max_clients, &memory)
+    };
+    let handler = move |request| entry.clone().handle(request);
+    let serving = http::serve_within(limits, callers, shutdown.clone(), handler, refuse_unserved);
+    compio::runtime::spawn(serving).detach();
     emit(
         Event::Started,
         format_args!(
@@ -175,12 +195,23 @@
     Ok(())
 }
 
+/// Refuses a request on a connection that is not served.
+fn refuse_unserved(_head: &request::Parts, _overload: Overload) -> Response<Body> {
+    let message = "this VM has no place for another connection now";
+    Failure::new(Kind::Overloaded, message).to_response()
+}
+
 /// Creates and registers every service, each after those that it depends on.
 fn assemble(config: &Config, boot: u64) -> ServiceRegistry {
     let registry = ServiceRegistry::default();
     let writer: Name = format!("{}/{boot:016x}", config.vm).into();
     registry.register(Rc::new(Shutdown::default()));
     let metrics = registry.register(Rc::new(Metrics::new()));
+    registry.register(Rc::new(ClientMemory::counted(
+        config.client_memory_bytes(),
+        Duration::from_millis(config.client_min_wait_ms),
+        metrics.evicted_connections.clone(),
+    )));
     let log = Rc::new(HttpLog::new(
         config.log_address,
         metrics.control_traffic_counter("log"),
@@ -208,7 +239,7 @@
         KeyWindow::for_retention(config.log_retention_ms),
     )));
     registry.register(Rc::new(Planner::new(&registry, config.vm.clone(), writer)));
-    registry.register(Rc::new(Entry::new(&registry, config.max_body_bytes)));
+    registry.register(Rc::new(Entry::new(&registry, config)));
     let zone = config.availability_zone.clone();
     registry.register(Rc::new(Operator::new(&registry, config.vm.clone(), zone)));
     registry
@@ -278,7 +309,7 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<Fault>> {
-    http::listen(address)
+    http::listen_for_clients(address)
         .await
         .change_context(Fault::Bind)
         .attach_with(|| format!("{address}"))
