--- a/src/reference.rs
+++ b/src/reference.rs
@@ -148,7 +148,7 @@
         "settings",
         "max_fds",
         "null",
-        "64 to 1073741824, or null",
+        "64 to 1073741824 or null",
         "the maximum number of file descriptors; null for the limit of the process",
     ),
     row(
