--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -36,6 +36,7 @@
 mod runner_load;
 mod server_limits;
 mod server_speed;
+mod sockets;
 mod source_selector;
 mod speed_play;
 mod speeds;
