--- a/src/client_memory/memory.rs
+++ b/src/client_memory/memory.rs
@@ -16,7 +16,7 @@
 /// The share that connections may take, besides what is reserved for each.
 const CONNECTIONS_SHARE: f64 = 0.75;
 /// The part of a process's memory, in bytes, that is not held for clients whatever the process does.
-const OWN_BYTES: usize = 24_000_000;
+const OWN_BYTES: usize = 28_000_000;
 /// The smallest share of a process's memory that is held for clients.
 const MIN_SHARE: f64 = 0.1;
 /// How long a connection waits for its client before it may be closed for others.
--- a/src/reference.rs
+++ b/src/reference.rs
@@ -135,7 +135,7 @@
         "client_memory_share",
         "0.5",
         "fraction above 0, below 1",
-        "the share of the memory beyond 24 MB for what is held for clients: connections, heads, bodies, answers and events",
+        "the share of the memory beyond 28 MB for what is held for clients: connections, heads, bodies, answers and events",
     ),
     row(
         "settings",
