--- a/src/reference.rs
+++ b/src/reference.rs
@@ -135,7 +135,7 @@
         "client_memory_share",
         "0.5",
         "fraction above 0, below 1",
-        "the share of the memory beyond 24 MB for what is held for clients: connections, heads, bodies, answers and events",
+        "the share of the memory beyond 28 MB for what is held for clients: connections, heads, bodies, answers and events",
     ),
     row(
         "settings",
@@ -148,7 +148,7 @@
         "settings",
         "max_fds",
         "null",
-        "64 to 1073741824, or null",
+        "64 to 1073741824 or null",
         "the maximum number of file descriptors; null for the limit of the process",
     ),
     row(
