--- a/workbench/tests/site_clients.rs
+++ b/workbench/tests/site_clients.rs
@@ -266,6 +266,34 @@
     head + &chunk.repeat(bytes / 1_024)
 }
 
+/// A request that is refused at once, for a host that no other request names, with an id that is
+/// longer by as much as stated.
+fn ask_unknown_host(id_bytes: usize) -> String {
+    let id: u64 = rand::random();
+    let long_id = format!("{id:016x}{}", "i".repeat(id_bytes));
+    format!("GET /b/20 HTTP/1.1\r\nHost: {id:016x}.example\r\nX-Attempt-Id: {long_id}\r\n\r\n")
+}
+
+/// A short stream for a prompt that shares no part with others.
+fn ask_for_own_parts(parts: usize) -> String {
+    let parts = (0..parts).map(|_| format!("{:x}:100", rand::random::<u64>()));
+    let parts: Vec<String> = parts.collect();
+    let parts = parts.join(",");
+    let lines =
+        format!("X-Model: m0\r\nX-Token-Usage: 700,280\r\nX-Prompt-Prefix: {parts}\r\n\r\n");
+    head("GET", "/s/1/20", &lines)
+}
+
+/// A request that takes up a stream that no VM knows.
+fn take_up_unknown_stream(id_bytes: usize) -> String {
+    let id: u64 = rand::random();
+    let long_id = format!("{id:016x}{}", "i".repeat(id_bytes));
+    let lines = format!(
+        "X-Model: m0\r\nLast-Event-Id: 3\r\nResumes: {long_id}\r\nX-Deadline-Ms: 100\r\n\r\n"
+    );
+    head("GET", "/s/5/20", &lines)
+}
+
 /// Runs a test while no other one of this file runs.
 fn run_alone(test: impl Future<Output = ()>) {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
@@ -404,6 +432,53 @@
         });
     }
 
+    #[googletest::test]
+    fn bodies_in_chunks_of_a_byte_stay_within_the_memory() {
+        let head = head("POST", "/b/20", "Transfer-Encoding: chunked\r\n\r\n");
+        let body = "1\r\nb\r\n".repeat(20_000) + "0\r\n\r\n";
+        play(SMALL, 200, |_| {
+            Misbehaviour::silent(format!("{head}{body}").repeat(5))
+                .reads(Reading::All)
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn ids_that_never_repeat_stay_within_the_memory() {
+        play(SMALL, 100, |number| {
+            let requests = (0..200).map(|_| match number % 2 {
+                0 => ask_unknown_host(7_000),
+                _ => take_up_unknown_stream(7_000),
+            });
+            Misbehaviour::silent(requests.collect::<String>())
+                .reads(Reading::All)
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn parts_of_prompts_that_never_repeat_stay_within_the_memory() {
+        play(SMALL, 100, |_| {
+            let requests = (0..200).map(|_| ask_for_own_parts(60));
+            Misbehaviour::silent(requests.collect::<String>())
+                .reads(Reading::All)
+                .returns()
+        });
+    }
+
+    #[googletest::test]
+    fn requests_that_are_refused_by_the_hundred_do_not_keep_others_out() {
+        play(SMALL, 200, |number| {
+            let requests = (0..500).map(|_| match number % 2 {
+                0 => ask_unknown_host(0),
+                _ => format!("GET /b/20 HTTP/1.1\r\nHost: {HOST}\r\n\r\n"),
+            });
+            Misbehaviour::silent(requests.collect::<String>())
+                .reads(Reading::All)
+                .returns()
+        });
+    }
+
     #[googletest::test]
     fn pipelined_requests_whose_answers_nobody_reads_stay_within_the_memory() {
         play(SMALL, 400, |number| {
