Demand is recorded for weights that the configuration lists only

What callers saw: nothing until the VM was killed.

Cause: the demand at a VM was kept by the name in the request, listed or not, until it had decayed (ten seconds), and told to other VMs. Requests for names that no configuration lists also waited as for a model that is being loaded.

Now names that callers make up are kept nowhere: demand counts listed weights only, and a request for others is refused as not run (503) as soon as no server has them. What adapters are called stands in one place.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -12,6 +12,9 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// What the name of each adapter begins with; its number follows, from 1.
+const ADAPTER_PREFIX: char = 'a';
+
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Configuration {
@@ -276,6 +279,15 @@
         engines.find_map(|(_, engine)| Some((engine, engine.model(name)?)))
     }
 
+    /// Whether these weights are those of a model, or of one of its adapters.
+    pub(crate) fn lists(&self, weights: &Weights) -> bool {
+        let model = self.model(&weights.model).map(|(_, model)| model);
+        match &weights.adapter {
+            None => model.is_some(),
+            Some(adapter) => model.is_some_and(|model| model.has_adapter(adapter)),
+        }
+    }
+
     /// Returns the services that have runners.
     pub(crate) fn engines(&self) -> impl Iterator<Item = (&Rc<Service>, &Engine)> {
         let services = self.services.values();
@@ -348,3 +360,21 @@
         self.models.iter().find(|model| model.name == name)
     }
 }
+
+impl Model {
+    /// Returns the weights of all adapters.
+    pub(crate) fn adapter_weights(&self) -> impl Iterator<Item = Weights> {
+        (1..=self.adapters).map(|number| Weights {
+            model: self.name.clone(),
+            adapter: Some(format!("{ADAPTER_PREFIX}{number}").into()),
+        })
+    }
+
+    /// Whether an adapter has this name.
+    fn has_adapter(&self, name: &str) -> bool {
+        let number = name.strip_prefix(ADAPTER_PREFIX);
+        let number = number.filter(|it| !it.starts_with(['0', '+']));
+        let number = number.and_then(|it| it.parse().ok());
+        number.is_some_and(|number: u32| number <= self.adapters)
+    }
+}
--- a/src/gateway/placement/planning.rs
+++ b/src/gateway/placement/planning.rs
@@ -179,14 +179,7 @@
     /// Returns all adapters, those that no runner holds first, then by waiting requests and demand.
     fn adapters_by_urgency(&self, copy_counts: &HashMap<Weights, usize>) -> Vec<Weights> {
         let models = self.engine.models.iter();
-        let mut wanted: Vec<Weights> = models
-            .flat_map(|model| {
-                (1..=model.adapters).map(|number| Weights {
-                    model: model.name.clone(),
-                    adapter: Some(format!("a{number}").into()),
-                })
-            })
-            .collect();
+        let mut wanted: Vec<Weights> = models.flat_map(Model::adapter_weights).collect();
         wanted.sort_by(|left, right| {
             let urgency = |weights: &Weights| {
                 let rate = self.demand.get(weights).copied().unwrap_or_default();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -345,7 +345,10 @@
             self.budget.note_request(&call.service, arrived);
         }
         if let Some(weights) = call.weights() {
-            self.state.demand.note(&weights, call.cost.busy_ms, arrived);
+            // Names that callers make up are not kept.
+            if configuration.lists(&weights) {
+                self.state.demand.note(&weights, call.cost.busy_ms, arrived);
+            }
             let target = call.timing().target;
             let traffic = &self.state.traffic;
             traffic.note_arrival(&call.service, call.priority(), target, arrived);
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -161,7 +161,12 @@
                 // The reservation has ended since.
                 continue;
             }
-            if left.is_zero() || is_leaving || self.outlasts_hold(call, &obstacle, queued.is_some())
+            // No server will have weights that the configuration does not list.
+            let is_hopeless = matches!(obstacle, Obstacle::NoServer) && !self.lists_weights(call);
+            if left.is_zero()
+                || is_leaving
+                || is_hopeless
+                || self.outlasts_hold(call, &obstacle, queued.is_some())
             {
                 let result = self.resolve(obstacle, call);
                 self.note_end(call, place.as_ref(), result.is_ok());
@@ -188,6 +193,13 @@
         }
     }
 
+    /// Whether the configuration lists the weights that a request needs, if it needs any.
+    fn lists_weights(&self, call: &Call) -> bool {
+        let configuration = self.state.configuration();
+        let needed = call.weights().zip(configuration);
+        needed.is_none_or(|(weights, configuration)| configuration.lists(&weights))
+    }
+
     /// The place of a request for a new stream among those that wait; `None` for plain calls and for
     /// streams that have started, which go on without waiting.
     fn place(&self, call: &Call) -> Option<Place> {
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -3,7 +3,10 @@
 mod recent_records;
 
 use crate::callers::ApiKey;
-use crate::gateway::{Changes, Protocol, Reply, RouteKind, SendOptions, ServerChange, StatedLoad};
+use crate::gateway::{
+    Changes, Protocol, Reply, RouteKind, SendOptions, ServerChange, StatedLoad, Weights,
+};
+use crate::inventory::Name;
 use crate::platform::PlatformProtocol;
 use crate::platform::directory::server_changes;
 use crate::platform::settings::parse_settings;
@@ -101,6 +104,15 @@
         .next()
         .expect("one service has an engine");
     assert_eq!(engine.model("m").map(|it| it.disk_load_ms), Some(840));
+    let lists = |adapter: Option<&str>| {
+        configuration.lists(&Weights {
+            model: "m".into(),
+            adapter: adapter.map(Name::from),
+        })
+    };
+    assert!([None, Some("a1"), Some("a28")].into_iter().all(lists));
+    let others = ["a0", "a29", "a+1", "a01", "b1", "", "a9999999999"];
+    assert!(!others.into_iter().map(Some).any(lists));
 }
 
 #[test]
--- a/workbench/tests/site_clients.rs
+++ b/workbench/tests/site_clients.rs
@@ -266,6 +266,14 @@
     head + &chunk.repeat(bytes / 1_024)
 }
 
+/// A request for weights with a name of this length that no other request has, with hardly any time.
+fn ask_for_unknown_weights(name_bytes: usize) -> String {
+    let id: u64 = rand::random();
+    let name = format!("{id:016x}{}", "n".repeat(name_bytes));
+    let lines = format!("X-Model: m0/{name}\r\nX-Deadline-Ms: 20\r\n\r\n");
+    head("GET", "/s/1/20", &lines)
+}
+
 /// A request that is refused at once, for a host that no other request names, with an id that is
 /// longer by as much as stated.
 fn ask_unknown_host(id_bytes: usize) -> String {
@@ -443,6 +451,16 @@
         });
     }
 
+    #[googletest::test]
+    fn names_of_weights_that_never_repeat_stay_within_the_memory() {
+        play(SMALL, 100, |_| {
+            let requests = (0..200).map(|_| ask_for_unknown_weights(7_000));
+            Misbehaviour::silent(requests.collect::<String>())
+                .reads(Reading::All)
+                .returns()
+        });
+    }
+
     #[googletest::test]
     fn ids_that_never_repeat_stay_within_the_memory() {
         play(SMALL, 100, |number| {
