The product's own side bounds connections and frames from other VMs

What operators saw: nothing until the VM was killed.

Cause: whoever reached that address could open any number of connections and send frames of up to 64 MB, which are received whole; a state was sent to whoever asked for one, in three copies.

Now connections from peers come out of the budget for clients and have places of their own: two for each known VM, and as many as transfers have. One that has sent no frame gives way first. A frame is reserved once its length is known, and is 1 MiB at most; the answers that a VM asks for may be 64 MB as before. A state is reserved before it is encoded.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod events;
 mod external;
 mod fleet;
+mod frame_codec;
 mod gateway;
 mod head_progress;
 mod http;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -351,6 +351,11 @@
         vm == self.own || self.peers.borrow().get(vm).is_some_and(Peer::is_alive)
     }
 
+    /// The number of other VMs that are known, alive or not.
+    pub(crate) fn peer_count(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
     /// The number of live peers.
     pub(crate) fn live_peer_count(&self) -> usize {
         self.peers
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,5 +1,8 @@
 //! Heartbeats between VMs: one task for each peer, and one for each accepted connection.
 
+use crate::client_memory::{ClientAccount, ClientMemory, ListenerId};
+use crate::frame_codec::FrameCodec;
+use crate::head_progress::HeadProgress;
 use crate::inventory::Name;
 use crate::membership::Membership;
 use crate::metrics::Metrics;
@@ -14,11 +17,12 @@
 use futures_util::{SinkExt, StreamExt};
 use prometheus_client::metrics::counter::Counter;
 use prost::Message;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
 /// The interval between two heartbeats to one peer.
@@ -31,11 +35,17 @@
 const STATE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The pause after each request for a peer's state.
 const STATE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// The maximum frame size, in bytes: fits a folded state with an inventory of maximum size.
-const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+/// The maximum size of an answer, in bytes: fits a folded state with an inventory of maximum size.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// The maximum size of a request, in bytes: fits a heartbeat with the loads of thousands of runners.
+const MAX_REQUEST_BYTES: usize = 1024 * 1024;
+/// The copies of a state that are made while it is sent.
+const STATE_COPIES: usize = 3;
+/// The connections that one peer may have to this VM.
+const CONNECTIONS_PER_PEER: usize = 2;
 
 /// A connection to a peer, split into length-delimited frames.
-type Link = Framed<Compat<Pin<Box<AsyncStream<TcpStream>>>>, LengthDelimitedCodec>;
+type Link = Framed<Compat<Pin<Box<AsyncStream<TcpStream>>>>, FrameCodec>;
 
 /// The state that a VM exchanges with its peers.
 pub(crate) trait PeerService: 'static {
@@ -51,20 +61,65 @@
     fn apply_state(&self, state: &FoldedState);
 }
 
+/// What connections from peers, or from whoever else reaches their address, may take.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerLimits {
+    /// The memory for what is held for them.
+    pub(crate) memory: ClientMemory,
+    /// The maximum number of connections beyond those of the known peers.
+    pub(crate) max_unknown: usize,
+}
+
+/// A connection from a peer.
+struct AcceptedLink {
+    link: Link,
+    account: ClientAccount,
+    /// How far the peer has come with its next request.
+    progress: HeadProgress,
+}
+
 /// The connections of this VM to its peers.
 pub(crate) struct PeerConnections<S: PeerService> {
     service: Rc<S>,
     membership: Rc<Membership>,
     bytes: Counter,
+    limits: PeerLimits,
+    /// Identifies the connections from peers among all that share the memory.
+    listener: ListenerId,
+    accepted: Rc<Cell<usize>>,
+}
+
+/// Counts a connection from a peer as open until dropped.
+struct OpenLink(Rc<Cell<usize>>);
+
+impl OpenLink {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenLink {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl<S: PeerService> PeerConnections<S> {
     /// Creates the connections over which `service` exchanges state with peers.
-    pub(crate) fn new(service: Rc<S>, membership: Rc<Membership>, metrics: &Metrics) -> Rc<Self> {
+    pub(crate) fn new(
+        service: Rc<S>,
+        membership: Rc<Membership>,
+        metrics: &Metrics,
+        limits: PeerLimits,
+    ) -> Rc<Self> {
         Rc::new(Self {
             service,
             membership,
             bytes: metrics.control_traffic_counter("peers"),
+            listener: limits.memory.add_listener(),
+            limits,
+            accepted: Rc::default(),
         })
     }
 
@@ -171,40 +226,81 @@
         loop {
             let accept = pin!(listener.accept());
             match select(accept, stop.as_mut()).await {
-                Either::Left((Ok((stream, _)), _)) => {
-                    compio::runtime::spawn(self.clone().serve_connection(stream)).detach();
-                }
+                Either::Left((Ok((stream, _)), _)) => self.clone().admit(stream),
                 Either::Left((Err(_), _)) => compio::time::sleep(HEARTBEAT_INTERVAL).await,
                 Either::Right(_) => return,
             }
         }
     }
 
+    /// Serves a connection, if there is a place and memory for it. Another one is closed for it if
+    /// possible.
+    fn admit(self: Rc<Self>, stream: TcpStream) {
+        let of_peers = CONNECTIONS_PER_PEER * self.membership.peer_count();
+        let max_accepted = self.limits.max_unknown + of_peers;
+        let memory = &self.limits.memory;
+        let has_place = self.accepted.get() < max_accepted || memory.free_place(self.listener);
+        if !has_place || !memory.has_connection_room(self.listener) {
+            return;
+        }
+        let progress = HeadProgress::default();
+        let account = memory.open_account(self.listener, progress.clone());
+        let codec =
+            FrameCodec::reserving(MAX_REQUEST_BYTES, account.reservation(), progress.clone());
+        let accepted = AcceptedLink {
+            link: framed(stream, codec),
+            account,
+            progress,
+        };
+        let open = OpenLink::new(&self.accepted);
+        compio::runtime::spawn(async move {
+            let _open = open;
+            let account = accepted.account.clone();
+            let serving = pin!(self.serve_connection(accepted));
+            select(serving, pin!(account.evicted())).await;
+        })
+        .detach();
+    }
+
     /// Answers the frames of one connection until it fails or a frame has no answer.
-    async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
-        let mut link = framed(stream);
-        while let Some(body) = self.receive(&mut link).await {
+    async fn serve_connection(self: Rc<Self>, mut accepted: AcceptedLink) {
+        loop {
+            let received = {
+                let _awaited = accepted.progress.await_head();
+                self.receive(&mut accepted.link).await
+            };
+            let Some(body) = received else {
+                return;
+            };
+            accepted.account.note_unread();
             let answered = match body {
                 Body::Heartbeat(heartbeat) => {
                     self.handle_heartbeat(heartbeat, None);
-                    self.send_heartbeat(&mut link).await
+                    self.send_heartbeat(&mut accepted.link).await
                 }
-                Body::StateRequest(request) => self.send_state(&mut link, &request).await,
+                Body::StateRequest(request) => self.send_state(&mut accepted, &request).await,
                 Body::ControlState(_) => None,
             };
+            accepted.account.note_read();
             if answered.is_none() {
                 return;
             }
         }
     }
 
-    async fn send_state(&self, link: &mut Link, request: &StateRequest) -> Option<()> {
+    async fn send_state(&self, accepted: &mut AcceptedLink, request: &StateRequest) -> Option<()> {
         let state = self.service.folded_state(request.after_offset)?;
+        let mut reservation = accepted.account.reservation();
+        let held_bytes = STATE_COPIES * state.record.len();
+        if !reservation.grow_to_or_fail(held_bytes).await {
+            return None;
+        }
         let state = ControlState {
             read_to: state.read_to,
             record: state.record,
         };
-        self.send(link, Body::ControlState(state)).await
+        self.send(&mut accepted.link, Body::ControlState(state))
+            .await
     }
 }
 
@@ -213,14 +309,11 @@
         .await
         .ok()?
         .ok()?;
-    Some(framed(stream))
+    Some(framed(stream, FrameCodec::new(MAX_ANSWER_BYTES)))
 }
 
-fn framed(stream: TcpStream) -> Link {
+fn framed(stream: TcpStream, codec: FrameCodec) -> Link {
     // Failing to set TCP_NODELAY only costs latency.
     let _ = stream.set_nodelay(true);
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec();
     Framed::new(Box::pin(AsyncStream::new(stream)).compat(), codec)
 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -16,7 +16,7 @@
 use crate::membership::Membership;
 use crate::metrics::Metrics;
 use crate::operator::Operator;
-use crate::peer::{HEARTBEAT_INTERVAL, PeerConnections, PeerService};
+use crate::peer::{HEARTBEAT_INTERVAL, PeerConnections, PeerLimits, PeerService};
 use crate::plain_service::PlainServiceClient;
 use crate::planner::Planner;
 use crate::process_signals::ProcessSignals;
@@ -259,8 +259,12 @@
         shutdown: shutdown.clone(),
         demand_sent_at: Cell::new(Instant::now()),
     });
-    let peer_connections =
-        PeerConnections::new(service, membership.clone(), &registry.find::<Metrics>());
+    let limits = PeerLimits {
+        memory: registry.find::<ClientMemory>().as_ref().clone(),
+        max_unknown: config.sockets().max_transfers(),
+    };
+    let metrics = registry.find::<Metrics>();
+    let peer_connections = PeerConnections::new(service, membership.clone(), &metrics, limits);
     compio::runtime::spawn(peer_connections.clone().accept(listener, shutdown)).detach();
     compio::runtime::spawn(peer_connections.clone().catch_up()).detach();
     compio::runtime::spawn(membership.clone().watch_pauses(registry.find())).detach();
--- a/workbench/tests/clients.rs
+++ b/workbench/tests/clients.rs
@@ -291,4 +291,35 @@
             _ => Misbehaviour::silent(endless_head()).returns(),
         });
     }
+
+    /// A frame between VMs that states and sends this many bytes.
+    fn frame(stated_bytes: u32, sent_bytes: usize) -> Vec<u8> {
+        let mut frame = stated_bytes.to_be_bytes().to_vec();
+        frame.resize(frame.len() + sent_bytes, 0);
+        frame
+    }
+
+    #[googletest::test]
+    fn frames_that_never_end_stay_within_the_memory() {
+        let address = |cluster: &Cluster| cluster.peer_address(0);
+        play_at(MAX_FDS, address, 100, |number| {
+            let begin = match number % 2 {
+                0 => frame(16_000_000, 4 * LONG_BYTES),
+                _ => frame(LONG_BYTES as u32, LONG_BYTES - 1),
+            };
+            Misbehaviour::silent(begin).returns()
+        });
+    }
+
+    #[googletest::test]
+    fn a_crowd_at_the_address_for_other_vms_stays_within_the_limits() {
+        let address = |cluster: &Cluster| cluster.peer_address(0);
+        play_at(FEW_FDS, address, 600, |number| {
+            let begin = match number % 2 {
+                0 => Vec::new(),
+                _ => frame(60_000, SHORT_BYTES / 2),
+            };
+            Misbehaviour::silent(begin).reads(by_bytes()).returns()
+        });
+    }
 }
