Under pressure those that hold up others give way after a quarter of the usual wait

What callers saw: beside crowds that come again whenever their connections are closed, ordinary callers were refused for many seconds.

Cause: whoever came had its memory or place for a second whatever others needed, so that a crowd that returns had nearly all of them; and where the share of the memory for connections was taken by another listener's connections, none of them gave way to callers.

Now those that have waited for client_min_wait_ms still go first, by what they held for how long; if they are not enough, those that have waited for a quarter of it go. Clients between two requests are kept as before, and in calm nobody is closed. The share for connections is freed at any listener.

--- a/src/client_memory/eviction.rs
+++ b/src/client_memory/eviction.rs
@@ -52,15 +52,37 @@
     }
 }
 
-/// Chooses connections to close so that `needed_bytes` become free, among those that have waited for
-/// `min_wait`: those that have held most for longest, and those between two requests last.
+/// The part of the usual wait after which a connection that has sent no request, or not gone on with
+/// one, is closed for others if that is not enough.
+const SHORT_WAIT_SHARE: f64 = 0.25;
+
+impl Holding {
+    /// Whether the connection may be closed for others at all.
+    fn may_give_way(&self, min_wait: Duration) -> bool {
+        let needed_wait = match self.waiting {
+            Waiting::Begun | Waiting::Unused => min_wait.mul_f64(SHORT_WAIT_SHARE),
+            Waiting::Idle => min_wait,
+        };
+        self.waited >= needed_wait
+    }
+
+    /// Those between two requests give way after all others, and before them those that have not
+    /// waited for long.
+    fn turn(&self, min_wait: Duration) -> (bool, bool) {
+        (self.waiting == Waiting::Idle, self.waited < min_wait)
+    }
+}
+
+/// Chooses connections to close so that `needed_bytes` become free: those that have waited for
+/// `min_wait` and held most for longest, then those that have waited for a part of it, and those
+/// between two requests last.
 pub(super) fn choose_for_memory(
     mut holdings: Vec<Holding>,
     needed_bytes: usize,
     min_wait: Duration,
 ) -> Vec<u64> {
-    holdings.retain(|it| it.waited >= min_wait && it.bytes > 0);
-    holdings.sort_by_key(|it| (it.waiting == Waiting::Idle, u128::MAX - it.weight()));
+    holdings.retain(|it| it.may_give_way(min_wait) && it.bytes > 0);
+    holdings.sort_by_key(|it| (it.turn(min_wait), u128::MAX - it.weight()));
     let mut free_bytes = 0;
     let chosen = holdings.iter().take_while(|it| {
         let is_needed = free_bytes < needed_bytes;
@@ -70,17 +92,13 @@
     chosen.map(|it| it.id).collect()
 }
 
-/// The part of the usual wait after which a connection without any request gives its place to another.
-const UNUSED_WAIT_SHARE: f64 = 0.25;
-
 /// Chooses the connection that gives its place to another: the one that has waited longest, those that
 /// are in the middle of something first.
 pub(super) fn choose_for_place(holdings: &[Holding], min_wait: Duration) -> Option<u64> {
-    let unused_wait = min_wait.mul_f64(UNUSED_WAIT_SHARE);
-    let waited = holdings.iter().filter(|it| match it.waiting {
-        Waiting::Unused => it.waited >= unused_wait,
-        Waiting::Begun | Waiting::Idle => it.waited >= min_wait,
+    let waited = holdings.iter().filter(|it| it.may_give_way(min_wait));
+    let chosen = waited.min_by_key(|it| {
+        let longest_first = Duration::MAX - it.waited;
+        (it.turn(min_wait), it.waiting, longest_first)
     });
-    let chosen = waited.min_by_key(|it| (it.waiting, Duration::MAX - it.waited));
     chosen.map(|it| it.id)
 }
--- a/src/client_memory/memory.rs
+++ b/src/client_memory/memory.rs
@@ -159,7 +159,7 @@
     }
 
     /// Whether there is room for one more connection; makes some if others can be closed for it.
-    pub(crate) fn has_connection_room(&self, listener: ListenerId) -> bool {
+    pub(crate) fn has_connection_room(&self) -> bool {
         let max_connection_bytes = (self.0.max_bytes as f64 * CONNECTIONS_SHARE) as usize;
         let (has_share, has_room) = {
             let state = self.state();
@@ -171,7 +171,8 @@
             )
         };
         if !has_share {
-            return self.free_place(listener);
+            // The share is that of all listeners.
+            return self.free_place(None);
         }
         has_room || self.make_room(HeldBytes::of(CONNECTION_BYTES))
     }
@@ -264,12 +265,13 @@
         is_enough
     }
 
-    /// Closes a connection of a listener whose places are all taken; returns whether there is one that
-    /// can be closed.
-    pub(crate) fn free_place(&self, listener: ListenerId) -> bool {
+    /// Closes a connection of a listener whose places are all taken, or of any listener; returns whether
+    /// there is one that can be closed.
+    pub(crate) fn free_place(&self, listener: Option<ListenerId>) -> bool {
         let now = Instant::now();
         let accounts = self.accounts();
-        let own = accounts.iter().filter(|it| it.listener() == listener);
+        let is_own = |it: &AccountState| listener.is_none_or(|listener| it.listener() == listener);
+        let own = accounts.iter().filter(|it| is_own(it));
         let open = own.filter(|account| !account.is_evicted());
         let holdings: Vec<_> = open.filter_map(|it| it.holding(0, now)).collect();
         let chosen = choose_for_place(&holdings, self.0.min_wait);
--- a/src/http.rs
+++ b/src/http.rs
@@ -548,8 +548,8 @@
     /// The number of connections that count as open, `open` of which are: where the next one finds no
     /// place or no memory, another one is closed for it if possible.
     fn count_open(&self, listener: ListenerId, open: usize) -> usize {
-        let has_place = open < self.max_open || self.memory.free_place(listener);
-        match has_place && self.memory.has_connection_room(listener) {
+        let has_place = open < self.max_open || self.memory.free_place(Some(listener));
+        match has_place && self.memory.has_connection_room() {
             true => open.min(self.max_open.saturating_sub(1)),
             false => self.max_open,
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -239,8 +239,9 @@
         let of_peers = CONNECTIONS_PER_PEER * self.membership.peer_count();
         let max_accepted = self.limits.max_unknown + of_peers;
         let memory = &self.limits.memory;
-        let has_place = self.accepted.get() < max_accepted || memory.free_place(self.listener);
-        if !has_place || !memory.has_connection_room(self.listener) {
+        let has_place =
+            self.accepted.get() < max_accepted || memory.free_place(Some(self.listener));
+        if !has_place || !memory.has_connection_room() {
             return;
         }
         let progress = HeadProgress::default();
