Soak of crowds beside restarts, kills, signals and changes; a VM that is to forward gets requests

crowd-soak draws crowds of eleven kinds at VMs of 64 MB and 600 descriptors, in series that overlap, beside SIGTERM, SIGKILL, SIGHUP and changes, while ordinary callers keep their connections until the process is gone. It checks the peak of memory and descriptors of each life, that no VM ends by itself, MIXED, TWICE and REFUSED for ordinary callers, and that each VM serves afterwards.

The set-up of the test with a VM that forwards waited for that VM to find that it reaches no server, without sending it a request: a VM that does not lead has no reason to look. What the test checks is unchanged; its requests moved to a module that the soak shares.

--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -196,6 +196,17 @@
                 .arg(number("vms", "4"))
                 .arg(number("seconds", "20")),
         )
+        .subcommand(
+            Command::new("crowd-soak")
+                .about(
+                    "Draw crowds of misbehaving clients, restarts, kills, signals and changes from a \
+                     seed, and check the limits of each VM and what ordinary callers see",
+                )
+                .arg(number("seed", "1"))
+                .arg(number("seeds", "1").help("How many seeds are played, from this one on"))
+                .arg(number("vms", "3"))
+                .arg(number("seconds", "20")),
+        )
         .subcommand(
             Command::new("histories")
                 .about(
@@ -398,6 +409,18 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("crowd-soak", matches)) => {
+            let (first, vms, duration) = soak_arguments(matches);
+            let mut is_sound = true;
+            for seed in first..first + get::<u64>(matches, "seeds") {
+                println!("seed {seed}");
+                let findings = site::crowd_soak::run(seed, vms, duration).await;
+                is_sound &= report_findings(&findings);
+            }
+            if !is_sound {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("histories", matches)) => {
             let first: u64 = get(matches, "seed");
             let mut is_sound = true;
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -7,6 +7,8 @@
 pub mod config_soak;
 pub mod crash_soak;
 pub mod crashing_parts;
+pub mod crowd_requests;
+pub mod crowd_soak;
 pub mod cut_soak;
 pub mod delivery_soak;
 pub mod events;
