--- a/src/client_memory/tests/answer.rs
+++ b/src/client_memory/tests/answer.rs
@@ -1,9 +1,8 @@
 //! Answers are taken only when they are whole, and within the bounds of memory.
 
-use crate::client_memory::tests::{block_on, memory_for_long};
+use crate::client_memory::tests::{block_on, memory_for_long, reserved_bytes};
 use crate::client_memory::{
-    AnswerError, CONNECTION_BYTES, COVERED_BYTES, ClientAccount, MAX_ANSWER_BYTES, SHORT_BYTES,
-    read_answer,
+    AnswerError, COVERED_BYTES, ClientAccount, MAX_ANSWER_BYTES, SHORT_BYTES, read_answer,
 };
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -56,11 +55,6 @@
     }
 }
 
-/// What is reserved besides the account itself.
-fn reserved_bytes(account: &ClientAccount) -> usize {
-    account.memory().reserved_bytes() - CONNECTION_BYTES
-}
-
 fn piece_lengths() -> impl Strategy<Value = Vec<usize>> {
     let length = prop_oneof![
         0_usize..2_000,
--- a/src/client_memory/tests/body.rs
+++ b/src/client_memory/tests/body.rs
@@ -1,6 +1,6 @@
 //! Request bodies are held within one bound for all of them, and those without room are refused.
 
-use crate::client_memory::tests::{block_on, memory_for_long};
+use crate::client_memory::tests::{block_on, memory_for_long, reserved_bytes};
 use crate::client_memory::{
     BodyError, CONNECTION_BYTES, COVERED_BYTES, ClientAccount, SHORT_BYTES, read_request_body,
 };
@@ -56,11 +56,6 @@
     }
 }
 
-/// What is reserved besides the account itself.
-fn reserved_bytes(account: &ClientAccount) -> usize {
-    account.memory().reserved_bytes() - CONNECTION_BYTES
-}
-
 /// Reads bodies of one client and records what they asked for.
 struct Reader {
     account: ClientAccount,
--- a/src/client_memory/tests/mod.rs
+++ b/src/client_memory/tests/mod.rs
@@ -5,7 +5,7 @@
 mod eviction;
 mod memory;
 
-use crate::client_memory::ClientMemory;
+use crate::client_memory::{CONNECTION_BYTES, ClientAccount, ClientMemory};
 use std::time::Duration;
 
 /// How long connections are kept while others need their memory.
@@ -18,6 +18,11 @@
     memory
 }
 
+/// What is reserved besides the account itself.
+fn reserved_bytes(account: &ClientAccount) -> usize {
+    account.memory().reserved_bytes() - CONNECTION_BYTES
+}
+
 fn block_on<T>(task: impl Future<Output = T>) -> T {
     let runtime = compio::runtime::Runtime::new().expect("a runtime starts");
     runtime.block_on(task)
--- a/workbench/src/main.rs
+++ b/workbench/src/main.rs
@@ -398,38 +398,23 @@
             }
         }
         Some(("silence-soak", matches)) => {
-            let (first, vms, duration) = soak_arguments(matches);
-            let mut is_sound = true;
-            for seed in first..first + get::<u64>(matches, "seeds") {
-                println!("seed {seed}");
-                let findings = site::silence_soak::run(seed, vms, duration).await;
-                is_sound &= report_findings(&findings);
-            }
-            if !is_sound {
+            let (_, vms, duration) = soak_arguments(matches);
+            let play = async |seed| site::silence_soak::run(seed, vms, duration).await;
+            if !play_seeds(matches, play).await {
                 return ExitCode::FAILURE;
             }
         }
         Some(("crowd-soak", matches)) => {
-            let (first, vms, duration) = soak_arguments(matches);
-            let mut is_sound = true;
-            for seed in first..first + get::<u64>(matches, "seeds") {
-                println!("seed {seed}");
-                let findings = site::crowd_soak::run(seed, vms, duration).await;
-                is_sound &= report_findings(&findings);
-            }
-            if !is_sound {
+            let (_, vms, duration) = soak_arguments(matches);
+            let play = async |seed| site::crowd_soak::run(seed, vms, duration).await;
+            if !play_seeds(matches, play).await {
                 return ExitCode::FAILURE;
             }
         }
         Some(("histories", matches)) => {
-            let first: u64 = get(matches, "seed");
-            let mut is_sound = true;
-            for seed in first..first + get::<u64>(matches, "seeds") {
-                println!("seed {seed}");
-                is_sound &=
-                    report_findings(&site::histories::run(seed, get(matches, "shrinks")).await);
-            }
-            if !is_sound {
+            let shrinks = get(matches, "shrinks");
+            let play = async |seed| site::histories::run(seed, shrinks).await;
+            if !play_seeds(matches, play).await {
                 return ExitCode::FAILURE;
             }
         }
@@ -460,6 +445,17 @@
     ExitCode::SUCCESS
 }
 
+/// Plays each of the seeds that were asked for and prints the findings; returns whether there are none.
+async fn play_seeds(matches: &ArgMatches, play: impl AsyncFn(u64) -> Vec<String>) -> bool {
+    let first: u64 = get(matches, "seed");
+    let mut is_sound = true;
+    for seed in first..first + get::<u64>(matches, "seeds") {
+        println!("seed {seed}");
+        is_sound &= report_findings(&play(seed).await);
+    }
+    is_sound
+}
+
 /// The seed, the number of VMs and the duration of a soak of a site.
 fn soak_arguments(matches: &ArgMatches) -> (u64, usize, Duration) {
     let vms = get::<u64>(matches, "vms") as usize;
