Frames of other VMs that their connection's memory covers need no reservation

Heartbeats are a few KiB. Frames of up to 16 KiB come out of what each connection takes now.

A property for frames in pieces, and a test of a frame without room: both are new, so that neither was run against the code before.

--- a/src/client_memory/tests/mod.rs
+++ b/src/client_memory/tests/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod body;
 mod eviction;
+mod frames;
 mod memory;
 
 use crate::client_memory::{CONNECTION_BYTES, ClientAccount, ClientMemory};
--- a/src/frame_codec.rs
+++ b/src/frame_codec.rs
@@ -8,6 +8,8 @@
 
 /// The length of the number before each frame, in bytes.
 const PREFIX_BYTES: usize = 4;
+/// The length of a frame up to which the memory of its connection covers it, in bytes.
+const COVERED_BYTES: usize = 16 * 1024;
 
 /// Length-delimited frames of up to a maximum length.
 #[derive(Debug)]
@@ -40,8 +42,9 @@
         }
     }
 
-    /// Like [`Self::new`]; each received frame is reserved before it is held, and `progress` knows
-    /// since when it is being received. Decoding fails if there is no room for it.
+    /// Like [`Self::new`]; each received frame that the memory of its connection does not cover is
+    /// reserved before it is held, and `progress` knows since when a frame is being received. Decoding
+    /// fails if there is no room for it.
     pub(crate) fn reserving(
         max_bytes: usize,
         reservation: Reservation,
