--- a/src/client_memory/tests/frames.rs
+++ b/src/client_memory/tests/frames.rs
@@ -1,5 +1,6 @@
 //! Frames come out as they were sent, and their memory is reserved while they arrive.
 
+use crate::client_memory::SHORT_BYTES;
 use crate::client_memory::tests::{memory_for_long, reserved_bytes};
 use crate::frame_codec::FrameCodec;
 use bytes::{Bytes, BytesMut};
@@ -35,8 +36,13 @@
                 frames.push(frame);
             }
             let next_bytes = lengths.get(frames.len()).copied().unwrap_or(0);
-            let is_reserved = reserved_bytes(&account) == next_bytes;
-            prop_assert!(is_reserved || received.len() < 4 || next_bytes <= COVERED_BYTES);
+            let reserved = reserved_bytes(&account);
+            match next_bytes > COVERED_BYTES {
+                // The length of the frame has to arrive first.
+                true if reserved == 0 => prop_assert!(received.len() < 4),
+                true => prop_assert_eq!(reserved, next_bytes),
+                false => prop_assert_eq!(reserved, 0),
+            }
         }
         prop_assert_eq!(frames.iter().map(|it| it.len()).collect::<Vec<_>>(), lengths);
         let is_own = |(number, it): (usize, &BytesMut)| it.iter().all(|byte| *byte == number as u8);
@@ -49,14 +55,24 @@
 fn a_frame_without_room_ends_its_connection_and_a_short_one_needs_none() {
     let memory = memory_for_long(LONG_BYTES);
     let (account, other) = (memory.account(), memory.account());
-    let mut held = other.reservation();
-    assert!(held.try_grow_to(LONG_BYTES - MAX_FRAME_BYTES / 2));
+    // All memory is held, but for less than a frame.
+    let mut held = Vec::new();
+    for bytes in [SHORT_BYTES, COVERED_BYTES] {
+        loop {
+            let mut more = other.reservation();
+            if !more.try_grow_to(bytes) {
+                break;
+            }
+            held.push(more);
+        }
+    }
     let reservation = account.reservation();
     let mut codec = FrameCodec::reserving(MAX_FRAME_BYTES, reservation, Default::default());
-    let mut short = BytesMut::from(&[0, 0, 0, 1, 7][..]);
-    let frame = codec.decode(&mut short).expect("it is covered");
-    assert_eq!(frame.as_deref(), Some(&[7][..]));
-    let mut long = BytesMut::from(&(MAX_FRAME_BYTES as u32).to_be_bytes()[..]);
-    let error = codec.decode(&mut long).expect_err("there is no room");
+    let mut received = BytesMut::from(&(COVERED_BYTES as u32).to_be_bytes()[..]);
+    received.resize(received.len() + COVERED_BYTES, 7);
+    let frame = codec.decode(&mut received).expect("it is covered");
+    assert_eq!(frame.map(|frame| frame.len()), Some(COVERED_BYTES));
+    received.extend_from_slice(&(COVERED_BYTES as u32 + 1).to_be_bytes());
+    let error = codec.decode(&mut received).expect_err("there is no room");
     assert_eq!(error.kind(), io::ErrorKind::OutOfMemory);
 }
--- a/src/frame_codec.rs
+++ b/src/frame_codec.rs
@@ -74,10 +74,8 @@
         self.has_begun = true;
         let frame_bytes = u32::from_be_bytes(*prefix) as usize;
         // The codec refuses longer ones.
-        match self
-            .reservation
-            .grow_to_or_evict(frame_bytes.min(max_bytes))
-        {
+        let held_bytes = frame_bytes.min(max_bytes);
+        match held_bytes <= COVERED_BYTES || self.reservation.grow_to_or_evict(held_bytes) {
             true => Ok(()),
             false => Err(io::ErrorKind::OutOfMemory.into()),
         }
