--- a/src/reference.rs
+++ b/src/reference.rs
@@ -142,7 +142,7 @@
         "client_min_wait_ms",
         "1000",
         "100 to 600000 ms",
-        "how long a connection that waits for its client is kept while others need its memory or place",
+        "how long a connection that waits for its client is kept while others need its memory or place; a quarter of it if no others give way and the client is not between two requests",
     ),
     row(
         "settings",
