--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -273,7 +273,7 @@
     }
 }
 
-/// Requesters of confirmations and lookups, three for each machine, with a pause of 50 ms after each answer.
+/// Requesters of confirmations and lookups, nine for each machine, with a pause of 50 ms after each answer.
 fn start_requesters(
     machines: &[Machine],
     record: &Record,
@@ -282,17 +282,17 @@
     let number = Arc::new(AtomicU64::new(1));
     let mut requesters = Vec::new();
     for machine in machines {
-        for index in 0..3 {
+        for index in 0..9 {
             let (front, record, is_over, number) =
                 (machine.front, record.clone(), is_over.clone(), number.clone());
             requesters.push(thread::spawn(move || {
                 while !is_over.load(Ordering::SeqCst) {
                     let id = format!("{:016x}", number.fetch_add(1, Ordering::SeqCst));
-                    let head = match index {
+                    let head = match index % 3 {
                         0 => format!("GET /lookup/{id} HTTP/1.1\r\n"),
                         _ => format!("POST /confirm/{id} HTTP/1.1\r\nContent-Length: 4\r\n"),
                     };
-                    let body: &[u8] = if index == 0 { b"" } else { b"body" };
+                    let body: &[u8] = if index % 3 == 0 { b"" } else { b"body" };
                     let head = format!(
                         "{head}Host: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\r\n"
                     );
