--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -23,7 +23,8 @@
     record.line(&format!("case {case}, {} the disruption", if has_trouble { "with" } else { "without" }));
     let outcome = match case.as_str() {
         "6" => late_report(&record, has_trouble),
-        "7" => foreign_entry(&record, has_trouble),
+        "7" => forgotten_containment(&record, has_trouble),
+        "8" => foreign_entry(&record, has_trouble),
         _ => None,
     };
     let code = match outcome {
@@ -262,6 +263,148 @@
     )
 }
 
+/// All machines are killed while the part of the store is down that holds what crashes runners. They tell
+/// each other that they know it, never read it, and send the request to runners again.
+fn forgotten_containment(record: &Record, has_trouble: bool) -> Option<bool> {
+    const POISON: &str = "/confirm/poison";
+    const CONTAINED: &str = "keyed.contained";
+    const STABLE_WINDOW_S: f64 = 3.0;
+    const REPORT_INTERVAL: Duration = Duration::from_millis(1_200);
+    const RUNNERS: usize = 6;
+    let folder = Folder::create();
+    let ip = loopback();
+    let store = Store::start(ip);
+    let zones = ["a", "b", "c"];
+    let arrivals: Arc<Mutex<Vec<f64>>> = Arc::default();
+    let seen = arrivals.clone();
+    let work: Work = Arc::new(move |runner, request, wire| {
+        let id = request.header("x-attempt-id");
+        runner.record.line(&format!("{} runs {id} {}", runner.id, request.target));
+        if request.path() == POISON {
+            seen.lock().unwrap().push(runner.record.now());
+            thread::sleep(Duration::from_millis(20));
+            runner.record.line(&format!("{} crashes", runner.id));
+            runner.exit();
+            return false;
+        }
+        thread::sleep(Duration::from_millis(100));
+        !runner.is_gone() && wire.stream.write_all_signed(request)
+    });
+    store.put("keyed.op", "config", &plain_config(7, "app"));
+    // Each place has a runner that reports, and is back under a new id two seconds after a crash.
+    let is_over = Arc::new(AtomicBool::new(false));
+    for place in 0..RUNNERS {
+        let (store, record, work, is_over) =
+            (store.clone(), record.clone(), work.clone(), is_over.clone());
+        let zone = zones[place % zones.len()];
+        let mut start = 0;
+        let mut runner = Runner::start(ip, &format!("i-{place}-{start}"), "app", zone, &record, work.clone());
+        store.put("keyed.servers", &runner.id, &runner.next_report("ready"));
+        thread::spawn(move || {
+            let mut reported_at = record.now();
+            while !is_over.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(20));
+                if runner.is_gone() {
+                    let gone = runner.id.clone();
+                    thread::sleep(Duration::from_secs(2));
+                    start += 1;
+                    let id = format!("i-{place}-{start}");
+                    runner = Runner::start(ip, &id, "app", zone, &record, work.clone());
+                    store.put("keyed.servers", &id, &runner.next_report("ready"));
+                    reported_at = record.now();
+                    let store = store.clone();
+                    // Three intervals after the last report of the one that crashed, at the latest.
+                    thread::spawn(move || {
+                        thread::sleep(3 * REPORT_INTERVAL - Duration::from_secs(2));
+                        store.put("keyed.servers", &gone, "");
+                    });
+                } else if record.now() - reported_at >= REPORT_INTERVAL.as_secs_f64() {
+                    reported_at = record.now();
+                    store.put("keyed.servers", &runner.id, &runner.next_report("ready"));
+                }
+            }
+        });
+    }
+    let mut machines: Vec<Machine> = (0..3)
+        .map(|index| Machine::start(&folder.0, ip, index, zones[index as usize], store.address))
+        .collect();
+    if !machines.iter().all(|it| it.wait_ready(Duration::from_secs(10))) {
+        record.line("not all machines are ready");
+        return None;
+    }
+    let requesters = start_requesters(&machines, record, &is_over);
+    let began = record.now();
+    let at = |seconds: f64| {
+        let left = began + seconds - record.now();
+        thread::sleep(Duration::from_secs_f64(left.max(0.0)));
+    };
+    // From when on all machines are in touch.
+    let mut calm_from = vec![(0.0, 0.0)];
+    let comes = |number: usize, front| {
+        let id = format!("beef{number:012x}");
+        let head = format!(
+            "POST {POISON} HTTP/1.1\r\nContent-Length: 4\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
+             X-Deadline-Ms: 1500\r\n\r\n"
+        );
+        record.line(&format!("sent {id} {POISON}, the request that crashes runners"));
+        let end = send(front, &head, b"body", Duration::from_millis(1_600));
+        record.line(&format!("{id}: {end:?}"));
+    };
+    at(4.0);
+    comes(0, machines[0].front);
+    at(8.0);
+    comes(1, machines[1].front);
+    at(12.0);
+    comes(2, machines[2].front);
+    record.line(&format!("records in the store of what crashes runners: {}", store.len(CONTAINED)));
+    if store.len(CONTAINED) == 0 {
+        record.line("nothing is contained");
+        return None;
+    }
+    for round in 0..3 {
+        let killed = 15.0 + 16.0 * f64::from(round);
+        at(killed - 0.2);
+        if has_trouble {
+            record.line("store: the partition of keyed.contained is down");
+            store.set_down(Some(CONTAINED));
+        }
+        at(killed);
+        if has_trouble {
+            record.line("all machines are killed");
+            machines.iter_mut().for_each(Machine::end);
+            at(killed + 0.5);
+            machines.iter_mut().for_each(Machine::run);
+        }
+        at(killed + 4.0);
+        record.line("store: all partitions are up");
+        store.set_down(None);
+        let calm = record.now() + STABLE_WINDOW_S;
+        for come in 0..3 {
+            at(killed + 7.5 + 3.5 * f64::from(come));
+            let number = 3 + 3 * round as usize + come as usize;
+            comes(number, machines[number % machines.len()].front);
+        }
+        calm_from.push((calm, record.now()));
+    }
+    is_over.store(true, Ordering::SeqCst);
+    for requester in requesters {
+        let _ = requester.join();
+    }
+    let arrivals = arrivals.lock().unwrap();
+    let Some(third) = arrivals.get(2) else {
+        record.line(&format!("it has crashed {} runners, not three", arrivals.len()));
+        return Some(false);
+    };
+    let in_touch = |time: f64| calm_from.iter().any(|(from, to)| time >= *from && time <= *to);
+    let later = arrivals.iter().filter(|time| **time > third + STABLE_WINDOW_S && in_touch(**time));
+    let later = later.count();
+    record.line(&format!(
+        "it has reached runners {} times, {later} times later than {STABLE_WINDOW_S} s after it crashed the third",
+        arrivals.len()
+    ));
+    Some(later > 3)
+}
+
 trait WriteSigned {
     fn write_all_signed(&mut self, request: &Request) -> bool;
 }
--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -204,6 +204,8 @@
 #[derive(Default)]
 struct StoreState {
     topics: HashMap<String, Vec<Vec<u8>>>,
+    /// The topic whose partition is down: calls for it are answered 503, and nothing is done.
+    down: Option<String>,
     members: BTreeMap<String, Instant>,
     generation: u64,
 }
@@ -241,6 +243,16 @@
         self.append(topic, keyed(key, value));
     }
 
+    /// Takes the partition of one topic down, or brings it back.
+    pub fn set_down(&self, topic: Option<&str>) {
+        self.state.0.lock().unwrap().down = topic.map(str::to_owned);
+    }
+
+    /// The number of records of a topic.
+    pub fn len(&self, topic: &str) -> usize {
+        self.state.0.lock().unwrap().topics.get(topic).map_or(0, Vec::len)
+    }
+
     fn append(&self, topic: &str, record: Vec<u8>) {
         let mut state = self.state.0.lock().unwrap();
         state.topics.entry(topic.to_owned()).or_default().push(record);
@@ -259,6 +271,9 @@
 
     fn answer(&self, request: &Request) -> Vec<u8> {
         let topic = request.query("topic").unwrap_or("").to_owned();
+        if self.state.0.lock().unwrap().down.as_deref() == Some(topic.as_str()) {
+            return response(503, "", b"");
+        }
         match request.path() {
             "/-/log-newest" => self.newest(&topic),
             "/-/log-read" => self.read(&topic, request),
