A part of an answer whose connection is reset during the upload is not complete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once, to whichever call comes first. Where a write takes it, the read that follows returns 0 bytes, which is the regular end of a body without a length. hyper reads before it flushes, and nothing below or above it remembered the write.

Now one rule, in ResponseBody, says when a response is complete, and all readers of answers get their bodies from there: plain answers, streams, other VMs, orders and reports, the store, and the product's own side. With a length or chunks hyper knows. Else a success needs the end of the connection, and that the connection has taken the whole request without a failed write; if a part is unwritten when the end is read, its end is waited for, so that a server may end its direction first. A failure may be sent before the request was read, so that only a reset makes it incomplete. What breaks the rule is a typed error (ResponseFault): the request goes on elsewhere if it may run twice, else it ends in 502. An empty body without framing was refused in one reader only; that is part of the rule now.

--- a/src/client.rs
+++ b/src/client.rs
@@ -5,11 +5,14 @@
 
 use crate::buffered_stream::BufferedStream;
 use crate::http::Body;
+use crate::response_body::ResponseBody;
 use crate::response_progress::{BoundedStream, ResponseProgress};
+use crate::upload::Upload;
+use crate::upload_stream::UploadStream;
 use compio::io::AsyncRead;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use hyper::body::Incoming;
+use hyper::body::Body as _;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, Write};
 use hyper::{Request, Response};
@@ -48,6 +51,7 @@
     sender: SendRequest<Body>,
     address: SocketAddr,
     progress: ResponseProgress,
+    upload: Upload,
     /// The task that drives the connection; dropping it closes the connection.
     driver: Option<JoinHandle<()>>,
 }
@@ -99,12 +103,12 @@
         unacked_limit: Duration,
     ) -> Result<Self, SendError> {
         let stream = Self::connect(address, timeout, Some(unacked_limit)).await?;
-        let progress = ResponseProgress::default();
-        let stream = BufferedStream::new(stream, BULK_READ_BYTES, MAX_WRITE_BYTES);
-        let stream = BoundedStream::new(stream, progress.clone()).with_read_bytes(BULK_READ_BYTES);
+        let (progress, upload) = Default::default();
+        let stream = monitored(stream, BULK_READ_BYTES, &progress, &upload);
+        let stream = stream.with_read_bytes(BULK_READ_BYTES);
         let mut builder = http1::Builder::new();
         builder.read_buf_exact_size(Some(BULK_READ_BYTES));
-        Self::handshake(&builder, stream, progress, address).await
+        Self::handshake(&builder, stream, progress, upload, address).await
     }
 
     async fn connect(
@@ -130,19 +134,19 @@
         unacked_limit: Option<Duration>,
     ) -> Result<Self, SendError> {
         let stream = Self::connect(address, timeout, unacked_limit).await?;
-        let progress = ResponseProgress::default();
-        let stream = BufferedStream::new(stream, READ_BYTES, MAX_WRITE_BYTES);
-        let stream = BoundedStream::new(stream, progress.clone());
+        let (progress, upload) = Default::default();
+        let stream = monitored(stream, READ_BYTES, &progress, &upload);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
-        Self::handshake(&builder, stream, progress, address).await
+        Self::handshake(&builder, stream, progress, upload, address).await
     }
 
-    /// Begins HTTP on a stream whose bytes count towards `progress`.
+    /// Begins HTTP on a stream whose bytes count towards `progress` and `upload`.
     async fn handshake(
         builder: &http1::Builder,
         stream: impl Read + Unpin + Write + 'static,
         progress: ResponseProgress,
+        upload: Upload,
         address: SocketAddr,
     ) -> Result<Self, SendError> {
         let handshake = builder.handshake(stream).await;
@@ -155,6 +159,7 @@
             sender,
             address,
             progress,
+            upload,
             driver: Some(driver),
         })
     }
@@ -175,19 +180,20 @@
     ///
     /// Fails with [`SendError::NotSent`] if no part of the request was sent, and with
     /// [`SendError::MaybeSent`] otherwise.
-    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendError> {
+    pub async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<ResponseBody>, SendError> {
         self.progress.note();
+        self.upload.begin(request.body().size_hint().lower());
         let sent = self.sender.try_send_request(request).await;
         self.progress.stop();
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent,
             None => SendError::MaybeSent,
-        })
-    }
-
-    /// What the server has sent since its response last got on.
-    pub(crate) fn progress(&self) -> &ResponseProgress {
-        &self.progress
+        })?;
+        let (progress, upload) = (self.progress.clone(), self.upload.clone());
+        Ok(ResponseBody::of(response, progress, upload))
     }
 
     /// The address of the server.
@@ -196,6 +202,17 @@
     }
 }
 
+/// Wraps a stream so that its reads are bounded and its writes are known.
+fn monitored(
+    stream: TcpStream,
+    buffer_bytes: usize,
+    progress: &ResponseProgress,
+    upload: &Upload,
+) -> BoundedStream<UploadStream<BufferedStream>, ResponseProgress> {
+    let stream = BufferedStream::new(stream, buffer_bytes, MAX_WRITE_BYTES);
+    BoundedStream::new(UploadStream::new(stream, upload.clone()), progress.clone())
+}
+
 /// How long a new connection must stay open before its server is known to go on.
 const CLOSE_WAIT: Duration = Duration::from_millis(50);
 
@@ -248,7 +265,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if connection.sender.is_ready() {
+            if connection.is_ready() {
                 return Some(connection);
             }
         }
@@ -257,7 +274,7 @@
 
     /// Returns a connection to the pool after its response was read completely.
     pub fn put(&self, connection: Connection) {
-        if connection.sender.is_closed() {
+        if connection.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -13,11 +13,11 @@
 use crate::http::Body;
 use crate::inventory::{Name, Priority};
 use crate::quarantine::{EngineRun, Isolation, Quarantine};
+use crate::response_body::ResponseBody;
 use crate::retry::RetryBudget;
 use crate::router::{Choice, Router, Target};
 use crate::sse::{SseEvent, SseReader, StreamError};
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::{Method, Response, StatusCode};
 use serde_json::{Map, Value};
 use std::rc::Rc;
@@ -637,7 +637,7 @@
         &mut self,
         choice: &Choice,
         body: Bytes,
-    ) -> Result<(Connection, Response<Incoming>, bool), AttemptError> {
+    ) -> Result<(Connection, Response<ResponseBody>, bool), AttemptError> {
         let address = choice.runner.address;
         let id = hyper::header::HeaderValue::from_str(&self.request.id)
             .expect("request ids are valid header values");
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,11 +9,10 @@
 use crate::gateway::{Protocol, Reply};
 use crate::http::Body;
 use crate::inventory::Name;
-use crate::response_progress::ProgressBody;
+use crate::response_body::ResponseBody;
 use bytes::Bytes;
-use hyper::body::{Body as _, Incoming};
 use hyper::http::response;
-use hyper::{Request, Response, header};
+use hyper::{Request, Response};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -57,11 +56,9 @@
     /// The parsed protocol fields of the head.
     pub(crate) reply: Reply,
     /// The response body, as far as it has not been read.
-    pub(crate) body: ProgressBody,
+    pub(crate) body: ResponseBody,
     /// The body if it was read to its end before the response was chosen.
     pub(crate) whole_body: Option<Bytes>,
-    /// Whether the head states where the body ends; else it ends where the connection closes.
-    pub(crate) is_framed: bool,
     /// The server that answers.
     pub(crate) server: Rc<Server>,
     connection: Connection,
@@ -243,17 +240,12 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body breaks off or is too long. A connection that closes behind a head which states
-    /// no framing of a body shows no answer.
+    /// Fails if the body breaks off or is too long.
     pub(crate) async fn read_to_end(
         &mut self,
         account: &ClientAccount,
     ) -> Result<Bytes, AnswerError> {
-        let body = read_answer(&mut self.body, account).await?;
-        match body.is_empty() && !self.is_framed {
-            true => Err(AnswerError::Broken),
-            false => Ok(body),
-        }
+        read_answer(&mut self.body, account).await
     }
 
     /// What the response shows about the attempt of a request that servers may have executed `runs`
@@ -275,7 +267,7 @@
     fn new<P: Protocol>(
         server: &Rc<Server>,
         carrier: Carrier,
-        response: Response<Incoming>,
+        response: Response<ResponseBody>,
         in_flight: InFlightGuard,
     ) -> Self {
         let Carrier {
@@ -284,12 +276,10 @@
             is_first_use,
         } = carrier;
         let (head, body) = response.into_parts();
-        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         Self {
-            is_framed: is_chunked || body.size_hint().exact().is_some(),
             reply: P::read_reply(&head),
             head,
-            body: ProgressBody::new(body, connection.progress().clone()),
+            body,
             whole_body: None,
             server: server.clone(),
             connection,
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -110,11 +110,11 @@
                     return ReadOutcome::Broken("ended in the middle of an event");
                 }
                 // A connection that closed behind the head shows no end of the stream.
-                None if self.events == 0 && !self.exchange.is_framed => {
+                None if self.events == 0 && !self.exchange.body.is_framed() => {
                     return ReadOutcome::Broken("no event");
                 }
                 None => return ReadOutcome::End,
-                Some(Err(_cut)) => return ReadOutcome::Broken("cut"),
+                Some(Err(fault)) => return ReadOutcome::Broken(fault.name()),
                 Some(Ok(frame)) => {
                     let data = frame.data_ref();
                     if data.is_some_and(|data| !self.buffer.push(data)) {
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -8,8 +8,8 @@
 use crate::gateway::sync_message::{Part, SyncReply, SyncRequest};
 use crate::gateway::sync_server::SENDER_HEADER;
 use crate::http::{Body, read_flowing_body};
+use crate::response_body::ResponseBody;
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response};
 use prost::Message;
@@ -181,7 +181,7 @@
         &self,
         peer: SocketAddr,
         request: &SyncRequest,
-    ) -> Result<(Connection, Response<Incoming>), SendError> {
+    ) -> Result<(Connection, Response<ResponseBody>), SendError> {
         let mut connection = Connection::open_bulk(peer, CONNECT_TIMEOUT, UNACKED_LIMIT).await?;
         let request = Request::post("/sync")
             .header(header::HOST, address_header(peer))
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -9,6 +9,7 @@
 mod crash_containment;
 mod decisions;
 mod directory_updates;
+mod early_answers;
 mod events;
 mod first_read;
 mod flowing_bodies;
--- a/src/http.rs
+++ b/src/http.rs
@@ -33,6 +33,7 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -344,10 +345,11 @@
 /// # Errors
 ///
 /// Fails if the body is longer than `limit_bytes` or the connection is lost.
-pub async fn read_body(
-    body: impl hyper::body::Body<Data = Bytes, Error = hyper::Error>,
-    limit_bytes: usize,
-) -> Result<Bytes, ReadError> {
+pub async fn read_body<B>(body: B, limit_bytes: usize) -> Result<Bytes, ReadError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Error + Send + Sync + 'static,
+{
     match Limited::new(body, limit_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLarge),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,8 @@
 mod replica;
 mod request_end;
 mod request_headers;
+mod response_body;
+mod response_fault;
 mod response_progress;
 mod retry;
 mod router;
@@ -70,6 +72,8 @@
 mod sse;
 mod stream;
 mod trace;
+mod upload;
+mod upload_stream;
 mod wire;
 mod write_stall;
 
@@ -84,5 +88,7 @@
 };
 pub use reference::{FIELDS, FieldRow};
 pub use replay::{CommandVerdict, Replay};
+pub use response_body::ResponseBody;
+pub use response_fault::ResponseFault;
 pub use server::serve;
 pub use shutdown::{Shutdown, WorkGuard};
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,10 +12,10 @@
 use crate::platform::recent_records::RecentRecords;
 use crate::platform::stored_cause;
 use crate::platform::unreadable_records::UnreadableRecords;
+use crate::response_body::ResponseBody;
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
@@ -268,7 +268,7 @@
         body: &Bytes,
         limit: Duration,
         progress: &CallProgress,
-    ) -> Result<(Connection, Response<Incoming>), SendError> {
+    ) -> Result<(Connection, Response<ResponseBody>), SendError> {
         if let Some(mut connection) = self.take_idle() {
             progress.is_reused.set(true);
             match connection.send(self.request(method, path, body)).await {
@@ -292,7 +292,7 @@
     async fn read_answer(
         &self,
         connection: Connection,
-        response: Response<Incoming>,
+        response: Response<ResponseBody>,
         received_bytes: &Cell<u64>,
     ) -> Option<Answer> {
         let status = response.status();
--- a/src/response_progress.rs
+++ b/src/response_progress.rs
@@ -1,14 +1,12 @@
 //! A stream wrapper that bounds what a server may send without getting on with its response.
 
-use bytes::Bytes;
 use futures_util::AsyncRead;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
 /// The most bytes that are read from a server until its response head, or the next piece of its
 /// body, is complete. The head and two pieces that nobody has taken yet fit several times.
@@ -161,40 +159,3 @@
         self.poll_write(cx, first.map_or(&[], |part| part))
     }
 }
-
-/// A response body whose pieces are the progress of its response.
-#[derive(Debug)]
-pub(crate) struct ProgressBody {
-    body: Incoming,
-    progress: ResponseProgress,
-}
-
-impl ProgressBody {
-    /// Counts the bytes of a response whose head has arrived until the next piece of its body.
-    pub(crate) fn new(body: Incoming, progress: ResponseProgress) -> Self {
-        progress.note();
-        Self { body, progress }
-    }
-}
-
-impl Body for ProgressBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        self.progress.note();
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -1,8 +1,8 @@
 //! Parser for the server-sent events (SSE) of a streamed completion.
 
+use crate::response_body::ResponseBody;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::time::Duration;
@@ -65,13 +65,13 @@
 /// Reads events from the body of one streamed response.
 #[derive(Debug)]
 pub(crate) struct SseReader {
-    body: Incoming,
+    body: ResponseBody,
     buffer: BytesMut,
 }
 
 impl SseReader {
     /// Creates a reader over a response body.
-    pub(crate) fn new(body: Incoming) -> Self {
+    pub(crate) fn new(body: ResponseBody) -> Self {
         Self {
             body,
             buffer: BytesMut::new(),
--- a/workbench/src/keyed_calls.rs
+++ b/workbench/src/keyed_calls.rs
@@ -2,9 +2,8 @@
 
 use crate::cluster::Cluster;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response, header};
-use rattanjunction::{Body, Connection};
+use rattanjunction::{Body, Connection, ResponseBody};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -166,7 +165,7 @@
     read_answer(response, start).await
 }
 
-async fn read_answer(response: Response<Incoming>, start: Instant) -> Option<CallAnswer> {
+async fn read_answer(response: Response<ResponseBody>, start: Instant) -> Option<CallAnswer> {
     let retry_after_s = response
         .headers()
         .get(header::RETRY_AFTER)
--- a/workbench/src/load_client.rs
+++ b/workbench/src/load_client.rs
@@ -3,9 +3,8 @@
 use crate::answer::{Answer, artifact_key};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
-use rattanjunction::{Body, Connection, Pool, SendError};
+use rattanjunction::{Body, Connection, Pool, ResponseBody, SendError};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -225,7 +224,7 @@
         .expect("the request is well formed")
 }
 
-async fn read_error(response: Response<Incoming>) -> End {
+async fn read_error(response: Response<ResponseBody>) -> End {
     let status = response.status().as_u16();
     let retry_after_s = response
         .headers()
@@ -256,7 +255,7 @@
     }
 }
 
-async fn read_whole(response: Response<Incoming>) -> End {
+async fn read_whole(response: Response<ResponseBody>) -> End {
     let Ok(body) = response.into_body().collect().await else {
         return End::Cut(String::new());
     };
@@ -267,7 +266,7 @@
     }
 }
 
-async fn read_stream(response: Response<Incoming>, progress: &mut Progress) -> End {
+async fn read_stream(response: Response<ResponseBody>, progress: &mut Progress) -> End {
     let mut body = response.into_body();
     let mut buffer = BytesMut::new();
     let mut complete = false;
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -2,7 +2,7 @@
 //! that it can answer in ways that no correct server does.
 
 use compio::BufResult;
-use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::{Either, select};
 use serde_json::{Value, json};
@@ -63,8 +63,14 @@
     },
     /// Waits; ends early when the client disconnects.
     Wait(Duration),
+    /// Waits without reading what the client sends.
+    Idle(Duration),
+    /// Reads and discards this number of bytes, or fewer if the client disconnects.
+    Discard(usize),
     /// Sends bytes later, just before the next answer on this connection.
     WriteLate(Vec<u8>),
+    /// Ends the sending direction; the connection stays open in the other one.
+    EndWrites,
     /// Closes the connection.
     Close,
     /// Resets the connection; bytes that the client has not read yet may be lost.
@@ -124,6 +130,8 @@
     headers: RefCell<BTreeMap<&'static str, String>>,
     /// If set, all requests are turned away with this value of `Retry-After`.
     pause: RefCell<Option<String>>,
+    /// Whether requests are answered before their bodies are read.
+    answers_heads: Cell<bool>,
     /// How fast the server reads from each connection, in bytes per second; `None` at full speed.
     read_bytes_per_s: Cell<Option<f64>>,
     /// The requests that arrived, those of the control interface aside.
@@ -187,6 +195,7 @@
             seen: RefCell::default(),
             headers: RefCell::default(),
             pause: RefCell::default(),
+            answers_heads: Cell::default(),
             read_bytes_per_s: Cell::default(),
             arrivals: RefCell::default(),
             connections: Cell::new(0),
@@ -245,6 +254,12 @@
         *self.script.borrow_mut() = Some(Box::new(script));
     }
 
+    /// Answers each request as soon as its head has arrived. What the scripts leave unread of its body
+    /// is not read as a request: they have to end the connection.
+    pub fn answer_heads(&self) {
+        self.answers_heads.set(true);
+    }
+
     /// Adds a header to all answers from now on, or replaces its value; `None` removes it.
     pub fn set_header(&self, name: &'static str, value: Option<&str>) {
         let mut headers = self.headers.borrow_mut();
@@ -430,10 +445,16 @@
                         false
                     }
                     ScriptStep::Wait(time) => self.wait(&mut stream, &mut read, time).await,
+                    ScriptStep::Idle(time) => {
+                        compio::time::sleep(time).await;
+                        true
+                    }
+                    ScriptStep::Discard(count) => discard(&mut stream, count).await,
                     ScriptStep::WriteLate(bytes) => {
                         late.extend(bytes);
                         true
                     }
+                    ScriptStep::EndWrites => stream.shutdown().await.is_ok(),
                     ScriptStep::Close => false,
                     ScriptStep::Reset => {
                         // With a zero linger time, closing the socket sends a reset.
@@ -524,8 +545,8 @@
         read: &mut Vec<u8>,
     ) -> Option<ReceivedRequest> {
         loop {
-            if let Some((request, length)) = parse(read) {
-                read.drain(..length);
+            if let Some((request, length)) = parse(read, self.answers_heads.get()) {
+                read.drain(..length.min(read.len()));
                 return Some(request);
             }
             let BufResult(count, bytes) = self.read_more(stream).await?;
@@ -676,8 +697,22 @@
     }
 }
 
-/// Parses a request; returns it with its length in bytes, or `None` while it is incomplete.
-fn parse(bytes: &[u8]) -> Option<(ReceivedRequest, usize)> {
+/// Reads and discards `count` bytes; false if the client disconnected before.
+async fn discard(stream: &mut TcpStream, count: usize) -> bool {
+    let mut left = count;
+    while left > 0 {
+        let BufResult(read, _) = stream.read(Vec::with_capacity(READ_BYTES.min(left))).await;
+        match read {
+            Ok(length @ 1..) => left -= length,
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// Parses a request; returns it with its length in bytes, or `None` while it is incomplete. With
+/// `is_head_enough`, the body may be incomplete.
+fn parse(bytes: &[u8], is_head_enough: bool) -> Option<(ReceivedRequest, usize)> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     let httparse::Status::Complete(head) = request.parse(bytes).ok()? else {
@@ -695,7 +730,11 @@
         .get("content-length")
         .and_then(|length| length.parse().ok())
         .unwrap_or(0);
-    let body = bytes.get(head..head + length)?.to_vec();
+    let arrived = match is_head_enough {
+        true => bytes.len().min(head + length),
+        false => head + length,
+    };
+    let body = bytes.get(head..arrived)?.to_vec();
     let received = ReceivedRequest {
         method: request.method?.to_owned(),
         path: request.path?.to_owned(),
