Tests of answers that are none, which the VM handles already

Two reports from other systems: an answer whose status is 000, and one in whose head the name of a field holds a blank or a control byte. hyper and its parser refuse both here: an unsafe call ends in 502, other requests are answered by the other server. The same for folded lines, NUL and 0x01 in values, lengths that contradict each other or are no numbers, and chunks and trailers that are cut short.

--- /dev/null
+++ b/workbench/tests/site_improper_answers.rs
@@ -0,0 +1,136 @@
+//! On the platform: bytes of servers that are no answer in the protocol, or none that this VM asked
+//! for.
+
+use googletest::prelude::*;
+use serde_json::json;
+use workbench::cluster::block_on;
+use workbench::site::events::{events_text, remaining_events};
+use workbench::site::{
+    Caller, CallerRequest, ReceivedRequest, ScriptStep, Site, plain, route, runner_service,
+    signed_answer,
+};
+
+/// The number of events of a whole stream.
+const EVENTS: u64 = 4;
+
+/// Two plain servers and two runners that hold `m0`.
+async fn site() -> Site {
+    let servers = vec![
+        ("books", vec![]),
+        ("books", vec![]),
+        ("llm", vec![("m0", vec![])]),
+        ("llm", vec![("m0", vec![])]),
+    ];
+    let mut site = Site::start(servers).await;
+    site.retry_slack = 1_000;
+    site.configure(
+        json!([
+            route("/", "safe", "books"),
+            route("/orders/", "unsafe", "books"),
+            route("/s/", "streaming", "llm"),
+        ]),
+        json!([plain("books"), runner_service("llm", &[("m0", 0)])]),
+    );
+    site.start_vms(1);
+    site.wait_ready().await;
+    site
+}
+
+/// An answer with this status line and these further header lines, with a body as it is on the wire.
+fn answer(call: &ReceivedRequest, status: &str, lines: &str, body: &str) -> Vec<ScriptStep> {
+    let id = call.header("x-attempt-id");
+    let text = format!(
+        "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: sig-{id}\r\n\
+         X-Weight-Versions: 1\r\n{lines}\r\n{body}"
+    );
+    vec![ScriptStep::Write(text.into_bytes()), ScriptStep::Close]
+}
+
+fn with_length(body: &str) -> String {
+    format!("Content-Length: {}\r\n", body.len())
+}
+
+/// Checks that answers of this form reach no caller: an unsafe call ends in a failure that promises
+/// nothing, other requests are answered by the other server.
+async fn expect_refused(status: &'static str, lines: &str, body: &str) {
+    let site = site().await;
+    for server in &site.servers {
+        let (lines, body) = (lines.to_owned(), body.to_owned());
+        server.script(move |call| answer(call, status, &lines, &body));
+    }
+    let what = format!("{status:?} {lines:?} {body:?}");
+    let order = CallerRequest::post("/orders/1", "it");
+    let refused = Caller::default().request(site.front(0), &order).await;
+    expect_that!(refused.status, some(eq(502)), "{what} {refused:?}");
+    expect_that!(refused.is_complete, eq(true), "{what}");
+    expect_that!(refused.header("x-server-signature"), eq(""), "{what}");
+    site.servers[1].script(|call| {
+        let id = call.header("x-attempt-id");
+        vec![ScriptStep::Write(signed_answer(id, 200, "sound"))]
+    });
+    site.servers[3].script(|call| remaining_events(call, EVENTS, 0));
+    for _ in 0..3 {
+        let request = CallerRequest::get("/x");
+        let answered = Caller::default().request(site.front(0), &request).await;
+        expect_that!(answered.body, eq("sound"), "{what} {answered:?}");
+        let request = CallerRequest::model("/s/x", "m0");
+        let answered = Caller::default().request(site.front(0), &request).await;
+        expect_that!(answered.is_complete, eq(true), "{what} {answered:?}");
+        expect_that!(answered.body, eq(&events_text(1, EVENTS)), "{what}");
+    }
+    // The VM runs on.
+    expect_that!(site.is_ready(0).await, eq(true), "{what}");
+}
+
+#[googletest::test]
+fn an_answer_whose_status_is_no_status_is_refused() {
+    block_on(async {
+        for status in ["000 Trouble", "099 Trouble", "20 OK", "2000 OK", "2x0 OK"] {
+            expect_refused(status, &with_length("body"), "body").await;
+        }
+    });
+}
+
+#[googletest::test]
+fn an_answer_whose_field_name_holds_a_blank_or_a_control_byte_is_refused() {
+    block_on(async {
+        for name in [
+            "X Of",
+            "X\tOf",
+            "X\0Of",
+            "X\u{1}Of",
+            "X\u{7f}Of",
+            "",
+            "X-Of ",
+        ] {
+            let lines = format!("{name}: it\r\n{}", with_length("body"));
+            expect_refused("200 OK", &lines, "body").await;
+        }
+    });
+}
+
+#[googletest::test]
+fn an_answer_whose_lines_or_lengths_contradict_the_protocol_is_refused() {
+    block_on(async {
+        let length = with_length("body");
+        for lines in [
+            format!("X-Of: a\r\n b\r\n{length}"),
+            format!("X-Of: a\0b\r\n{length}"),
+            format!("X-Of: a\u{1}b\r\n{length}"),
+            format!("{length}Content-Length: 5\r\n"),
+            "Content-Length: +4\r\n".to_owned(),
+            "Content-Length: -1\r\n".to_owned(),
+            "Content-Length: 99999999999999999999\r\n".to_owned(),
+            "Content-Length: 5\r\n".to_owned(),
+        ] {
+            expect_refused("200 OK", &lines, "body").await;
+        }
+        for body in [
+            "4\r\nbody\r\n",
+            "x\r\nbody\r\n0\r\n\r\n",
+            "4\r\nbody\r\n0\r\n",
+        ] {
+            expect_refused("200 OK", "Transfer-Encoding: chunked\r\n", body).await;
+        }
+    });
+}
