An answer whose status is none of a final answer is refused

What callers saw: a server's 101, 600 or 999 was passed on as it was, on safe, unsafe and streaming routes. The VM asks no server for another protocol, and status codes end with 599.

The rule for complete and proper responses checks the status, at the one place where heads arrive. The failure is logged ("answer improper") and treated as those that hyper refuses: the request may have run.

--- a/src/client.rs
+++ b/src/client.rs
@@ -52,6 +52,8 @@
     address: SocketAddr,
     progress: ResponseProgress,
     upload: Upload,
+    /// Whether the connection may carry another request once its response has been read.
+    is_reusable: bool,
     /// The task that drives the connection; dropping it closes the connection.
     driver: Option<JoinHandle<()>>,
 }
@@ -160,18 +162,19 @@
             address,
             progress,
             upload,
+            is_reusable: true,
             driver: Some(driver),
         })
     }
 
     /// Whether the connection can send another request immediately.
     pub(crate) fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+        self.is_reusable && self.sender.is_ready()
     }
 
-    /// Whether the connection is closed.
+    /// Whether the connection is closed, or to be closed once its response has been read.
     pub(crate) fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        !self.is_reusable || self.sender.is_closed()
     }
 
     /// Sends a request and waits for the head of the response.
@@ -179,7 +182,7 @@
     /// # Errors
     ///
     /// Fails with [`SendError::NotSent`] if no part of the request was sent, and with
-    /// [`SendError::MaybeSent`] otherwise.
+    /// [`SendError::MaybeSent`] otherwise, also if what arrives is no proper head of a response.
     pub async fn send(
         &mut self,
         request: Request<Body>,
@@ -192,8 +195,11 @@
             Some(_) => SendError::NotSent,
             None => SendError::MaybeSent,
         })?;
-        let (progress, upload) = (self.progress.clone(), self.upload.clone());
-        Ok(ResponseBody::of(response, progress, upload))
+        ResponseBody::of(response, self.progress.clone(), self.upload.clone()).map_err(|fault| {
+            self.is_reusable = false;
+            tracing::warn!(server = %self.address, %fault, "answer improper");
+            SendError::MaybeSent
+        })
     }
 
     /// The address of the server.
--- a/src/gateway/tests/early_answers.rs
+++ b/src/gateway/tests/early_answers.rs
@@ -119,7 +119,7 @@
         upload.begin(UPLOAD_BYTES as u64);
         let response = sender.send_request(request.expect("a request")).await;
         let response = response.map_err(ResponseFault::Cut)?;
-        let body = ResponseBody::of(response, progress, upload).into_body();
+        let body = ResponseBody::of(response, progress, upload)?.into_body();
         let read = body.collect().await.map(|body| body.to_bytes());
         drop(driver);
         read
--- a/src/response_body.rs
+++ b/src/response_body.rs
@@ -11,6 +11,9 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+/// The first status beyond those of final answers.
+const END_OF_STATUSES: u16 = 600;
+
 /// What shows where a body ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Framing {
@@ -36,14 +39,19 @@
 }
 
 impl ResponseBody {
-    /// Counts the bytes of a response whose head has arrived until the next piece of its body.
+    /// Checks the head of a response, and counts the bytes from here on until the next piece of its
+    /// body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the head is none of a final answer.
     pub(crate) fn of(
         response: Response<Incoming>,
         progress: ResponseProgress,
         upload: Upload,
-    ) -> Response<Self> {
+    ) -> Result<Response<Self>, ResponseFault> {
         let (head, body) = response.into_parts();
-        let framing = framing_of(&head, &body);
+        let framing = framing_of(&head, &body)?;
         progress.note();
         let body = Self {
             body,
@@ -53,7 +61,7 @@
             progress,
             upload,
         };
-        Response::from_parts(head, body)
+        Ok(Response::from_parts(head, body))
     }
 
     /// Whether the head states where the body ends; else it ends where the connection closes.
@@ -116,13 +124,18 @@
     }
 }
 
-/// Finds what shows where the body of a response ends.
-fn framing_of(head: &response::Parts, body: &Incoming) -> Framing {
+/// Checks the head of a response, and finds what shows where its body ends.
+fn framing_of(head: &response::Parts, body: &Incoming) -> Result<Framing, ResponseFault> {
+    let status = head.status;
+    // No request of this process asks for another protocol.
+    if status.is_informational() || status.as_u16() >= END_OF_STATUSES {
+        return Err(ResponseFault::Status(status));
+    }
     let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-    match is_chunked || body.size_hint().exact().is_some() {
+    Ok(match is_chunked || body.size_hint().exact().is_some() {
         true => Framing::Stated,
         false => Framing::Connection {
-            is_success: head.status.is_success(),
+            is_success: status.is_success(),
         },
-    }
+    })
 }
--- a/src/response_fault.rs
+++ b/src/response_fault.rs
@@ -1,5 +1,6 @@
 //! Why what a server sent is no complete and proper answer.
 
+use hyper::StatusCode;
 use std::error::Error;
 use std::fmt;
 use std::io;
@@ -7,6 +8,8 @@
 /// The reason why what a server sent is no complete and proper answer.
 #[derive(Debug)]
 pub enum ResponseFault {
+    /// The status is none of a final answer.
+    Status(StatusCode),
     /// The connection closed behind a head that states no body.
     NoBody,
     /// The connection failed, or closed before the body was as long as stated.
@@ -20,6 +23,7 @@
     /// Returns the name in logs.
     pub(crate) fn name(&self) -> &'static str {
         match self {
+            Self::Status(_) => "no final status",
             Self::NoBody => "no body",
             Self::Cut(_) => "cut",
             Self::RequestCut(_) => "cut during the request",
@@ -30,6 +34,7 @@
 impl fmt::Display for ResponseFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Status(status) => write!(f, "{}: {}", self.name(), status.as_u16()),
             Self::RequestCut(kind) => write!(f, "{}: {kind}", self.name()),
             _ => f.write_str(self.name()),
         }
--- a/workbench/tests/site_improper_answers.rs
+++ b/workbench/tests/site_improper_answers.rs
@@ -134,3 +134,21 @@
         }
     });
 }
+
+#[googletest::test]
+fn an_answer_that_switches_the_protocol_is_refused() {
+    block_on(async {
+        expect_refused("101 Switching Protocols", &with_length("body"), "body").await;
+        let upgrade = "Connection: upgrade\r\nUpgrade: other\r\n";
+        expect_refused("101 Switching Protocols", upgrade, "body").await;
+    });
+}
+
+#[googletest::test]
+fn an_answer_whose_status_is_of_no_class_is_refused() {
+    block_on(async {
+        for status in ["600 Trouble", "999 Trouble"] {
+            expect_refused(status, &with_length("body"), "body").await;
+        }
+    });
+}
