An answer with a transfer coding other than chunked is refused

What callers saw: a body with Transfer-Encoding gzip, "gzip, chunked", "chunked, gzip" or xchunked was read to the end of the connection or decoded in part, its coding dropped with the header, and passed on as a complete 200 with a length: "4\r\nbody\r\n0\r\n\r\n" in two cases. That is not the server's body.

Now only "chunked", once, is understood; anything else is no proper answer.

--- a/src/response_body.rs
+++ b/src/response_body.rs
@@ -11,6 +11,8 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+/// The only transfer coding that is understood.
+const CHUNKED: &[u8] = b"chunked";
 /// The first status beyond those of final answers.
 const END_OF_STATUSES: u16 = 600;
 
@@ -44,7 +46,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the head is none of a final answer.
+    /// Fails if the head is none of a final answer, or the body cannot be understood.
     pub(crate) fn of(
         response: Response<Incoming>,
         progress: ResponseProgress,
@@ -131,7 +133,12 @@
     if status.is_informational() || status.as_u16() >= END_OF_STATUSES {
         return Err(ResponseFault::Status(status));
     }
-    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+    let is_chunked = match (codings.next(), codings.next()) {
+        (None, _) => false,
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(CHUNKED) => true,
+        _ => return Err(ResponseFault::TransferCoding),
+    };
     Ok(match is_chunked || body.size_hint().exact().is_some() {
         true => Framing::Stated,
         false => Framing::Connection {
--- a/src/response_fault.rs
+++ b/src/response_fault.rs
@@ -10,6 +10,8 @@
 pub enum ResponseFault {
     /// The status is none of a final answer.
     Status(StatusCode),
+    /// The body has a transfer coding other than `chunked`.
+    TransferCoding,
     /// The connection closed behind a head that states no body.
     NoBody,
     /// The connection failed, or closed before the body was as long as stated.
@@ -24,6 +26,7 @@
     pub(crate) fn name(&self) -> &'static str {
         match self {
             Self::Status(_) => "no final status",
+            Self::TransferCoding => "unknown transfer coding",
             Self::NoBody => "no body",
             Self::Cut(_) => "cut",
             Self::RequestCut(_) => "cut during the request",
--- a/workbench/tests/site_improper_answers.rs
+++ b/workbench/tests/site_improper_answers.rs
@@ -152,3 +152,23 @@
         }
     });
 }
+
+#[googletest::test]
+fn an_answer_with_a_transfer_coding_other_than_chunked_is_refused() {
+    block_on(async {
+        let chunked = "4\r\nbody\r\n0\r\n\r\n";
+        for (coding, body) in [
+            ("gzip", "body"),
+            ("xchunked", chunked),
+            ("chunked, gzip", chunked),
+            ("gzip, chunked", chunked),
+        ] {
+            let lines = format!("Transfer-Encoding: {coding}\r\n");
+            expect_refused("200 OK", &lines, body).await;
+        }
+        let lines = format!("Transfer-Encoding: gzip\r\n{}", with_length("body"));
+        expect_refused("200 OK", &lines, "body").await;
+        let lines = "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n";
+        expect_refused("200 OK", lines, chunked).await;
+    });
+}
