A connection whose answer states a length and chunks is not used again

What callers saw: nothing yet. An answer with Content-Length beside chunks is read by its chunks, and its connection was kept for the next request. A server that goes by the length would have its next bytes taken for another answer.

--- a/src/client.rs
+++ b/src/client.rs
@@ -5,7 +5,7 @@
 
 use crate::buffered_stream::BufferedStream;
 use crate::http::Body;
-use crate::response_body::ResponseBody;
+use crate::response_body::{ResponseBody, has_two_lengths};
 use crate::response_progress::{BoundedStream, ResponseProgress};
 use crate::upload::Upload;
 use crate::upload_stream::UploadStream;
@@ -195,6 +195,7 @@
             Some(_) => SendError::NotSent,
             None => SendError::MaybeSent,
         })?;
+        self.is_reusable &= !has_two_lengths(response.headers());
         ResponseBody::of(response, self.progress.clone(), self.upload.clone()).map_err(|fault| {
             self.is_reusable = false;
             tracing::warn!(server = %self.address, %fault, "answer improper");
--- a/src/response_body.rs
+++ b/src/response_body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::http::response;
-use hyper::{Response, header};
+use hyper::{HeaderMap, Response, header};
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -146,3 +146,9 @@
         },
     })
 }
+
+/// Whether a head states the length of its body twice, in ways of which another reader may choose
+/// the other one. Nothing that follows such a response on its connection can be attributed.
+pub(crate) fn has_two_lengths(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING) && headers.contains_key(header::CONTENT_LENGTH)
+}
--- a/workbench/tests/site_improper_answers.rs
+++ b/workbench/tests/site_improper_answers.rs
@@ -172,3 +172,28 @@
         expect_refused("200 OK", lines, chunked).await;
     });
 }
+
+#[googletest::test]
+fn a_connection_whose_answer_has_a_length_and_chunks_is_not_used_again() {
+    block_on(async {
+        let site = site().await;
+        for server in &site.servers {
+            server.script(|call| {
+                let lines = "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\
+                             Keep-Alive: timeout=5\r\n";
+                let mut steps = answer(call, "200 OK", lines, "4\r\nbody\r\n0\r\n\r\n");
+                steps.pop();
+                steps
+            });
+        }
+        let caller = Caller::default();
+        for requests in 1..=4 {
+            let order = CallerRequest::post("/orders/1", "it");
+            let answered = caller.request(site.front(0), &order).await;
+            expect_that!(answered.body, eq("body"), "{answered:?}");
+            let connections = site.servers.iter().map(|server| server.connections());
+            let at_plain: u64 = connections.take(2).sum();
+            expect_that!(at_plain, ge(requests), "{answered:?}");
+        }
+    });
+}
