An idle timeout beyond all bounds does not end a request

Cause: the time until which the connection may be used again overflowed, and the task panicked after the answer had been read.

Idle timeouts are now taken to be an hour at most.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -28,6 +28,8 @@
 const REUSE_SHARE: f64 = 0.7;
 /// How long an idle connection is reused if the server gives no idle timeout.
 const DEFAULT_REUSE_TIME: Duration = Duration::from_millis(300);
+/// The longest idle timeout that a server is taken to have.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// The maximum number of idle connections per server.
 const MAX_IDLE: usize = 16;
 /// The fraction of the sockets of a VM that idle connections to all servers may take.
@@ -150,9 +152,9 @@
         if connection.is_closed() || !is_identified {
             return;
         }
-        let reuse_time = reply
-            .keep_alive
-            .map_or(DEFAULT_REUSE_TIME, |timeout| timeout.mul_f64(REUSE_SHARE));
+        let reuse_time = reply.keep_alive.map_or(DEFAULT_REUSE_TIME, |timeout| {
+            timeout.min(MAX_IDLE_TIMEOUT).mul_f64(REUSE_SHARE)
+        });
         let idle_count = self.idle_count();
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(server.incarnation()).or_default();
--- a/workbench/tests/site_improper_answers.rs
+++ b/workbench/tests/site_improper_answers.rs
@@ -197,3 +197,28 @@
         }
     });
 }
+
+#[googletest::test]
+fn an_idle_timeout_beyond_all_bounds_is_survived() {
+    block_on(async {
+        let site = site().await;
+        for server in &site.servers {
+            server.script(|call| {
+                let lines = format!(
+                    "Keep-Alive: timeout=18446744073709551615\r\n{}",
+                    with_length("body")
+                );
+                let mut steps = answer(call, "200 OK", &lines, "body");
+                steps.pop();
+                steps
+            });
+        }
+        let caller = Caller::default();
+        for path in ["/orders/1", "/x", "/orders/2", "/x"] {
+            let order = CallerRequest::post(path, "it");
+            let answered = caller.request(site.front(0), &order).await;
+            expect_that!(answered.status, some(eq(200)), "{path} {answered:?}");
+            expect_that!(answered.body, eq("body"), "{path}");
+        }
+    });
+}
