Responses of the platform's log and VM list are bounded

What callers saw: on the product's own side, a log or VM list that sends a body without end takes all memory of the VM that reads it, and its callers' requests end with it.

Heads without end and tiny chunks stayed small before as well.

Cause: the pages of the log were collected for as long as bytes came, and the other two responses by the client library's json(), which has no limit. One function now reads all three up to a limit; what is longer counts as unanswered.

Tests for what is bounded already: bytes without end behind a whole answer, and on the platform reports, orders and transfers.

--- a/src/external/log.rs
+++ b/src/external/log.rs
@@ -5,14 +5,13 @@
 //! page once a record at `N` exists or `W` has passed. With `limit=L` a page has at most `L`
 //! records.
 
-use futures_util::StreamExt;
+use crate::external::limited_body::read_limited;
 use hyper::StatusCode;
 use prometheus_client::metrics::counter::Counter;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
 
 /// Timeout of an append, after which its outcome is unknown.
@@ -21,6 +20,10 @@
 const READ_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
 /// How long the response to a read may pause.
 const MAX_STALL: Duration = Duration::from_millis(1_000);
+/// The largest page, in bytes.
+const MAX_PAGE_BYTES: usize = 32 * 1024 * 1024;
+/// The largest response to an append, in bytes.
+const MAX_APPENDED_BYTES: usize = 64 * 1024;
 
 /// Why a call to the log failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -153,11 +156,12 @@
             if !response.status().is_success() {
                 return Err(LogError::Unanswered);
             }
-            let appended: AppendResponse = response
-                .json()
-                .await
-                .map_err(|_error| LogError::Unanswered)?;
-            Ok(appended.offset)
+            let body = read_limited(response, MAX_APPENDED_BYTES, APPEND_TIMEOUT, |_| {}).await;
+            let body = body.ok_or(LogError::Unanswered)?;
+            let appended: Result<AppendResponse, _> = serde_json::from_slice(&body);
+            appended
+                .map(|appended| appended.offset)
+                .map_err(|_malformed| LogError::Unanswered)
         };
         match compio::time::timeout(APPEND_TIMEOUT, call).await {
             Ok(outcome) => outcome,
@@ -203,21 +207,14 @@
         serde_json::from_slice(&body).map_err(|_malformed| LogError::Unanswered)
     }
 
-    /// Reads the body of a response; `None` if it stops arriving.
+    /// Reads the body of a response; `None` if it does not arrive whole.
     async fn read_body(&self, response: cyper::Response) -> Result<Option<Vec<u8>>, LogError> {
         if !response.status().is_success() {
             return Err(LogError::Refused);
         }
-        let mut chunks = pin!(response.bytes_stream());
-        let mut body = Vec::new();
-        while let Ok(chunk) = compio::time::timeout(MAX_STALL, chunks.next()).await {
-            let Some(chunk) = chunk else {
-                return Ok(Some(body));
-            };
-            let chunk = chunk.map_err(|_error| LogError::Unanswered)?;
-            self.bytes.inc_by(chunk.len() as u64);
-            body.extend_from_slice(&chunk);
-        }
-        Ok(None)
+        let note_bytes = |bytes| {
+            self.bytes.inc_by(bytes);
+        };
+        Ok(read_limited(response, MAX_PAGE_BYTES, MAX_STALL, note_bytes).await)
     }
 }
--- a/src/external/mod.rs
+++ b/src/external/mod.rs
@@ -1,5 +1,6 @@
 //! Clients of the platform services that a deployment depends on, each behind a trait.
 
+mod limited_body;
 mod log;
 mod vm_list;
 
--- a/src/external/vm_list.rs
+++ b/src/external/vm_list.rs
@@ -2,6 +2,7 @@
 //!
 //! `GET /vms` returns a JSON array of [`ListedVm`].
 
+use crate::external::limited_body::read_limited;
 use crate::inventory::Name;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -9,6 +10,8 @@
 
 /// Timeout of a fetch.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The largest list, in bytes.
+const MAX_LIST_BYTES: usize = 16 * 1024 * 1024;
 
 /// An entry of the list: a VM of this system or of a backend server.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -59,7 +62,8 @@
             if !response.status().is_success() {
                 return None;
             }
-            response.json().await.ok()
+            let body = read_limited(response, MAX_LIST_BYTES, LIST_TIMEOUT, |_| {}).await?;
+            serde_json::from_slice(&body).ok()
         };
         compio::time::timeout(LIST_TIMEOUT, call).await.ok()?
     }
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests that the platform's formats are read correctly and that invalid input is reported.
 
+mod endless;
 mod recent_records;
 
 use crate::callers::ApiKey;
--- a/workbench/tests/site_endless.rs
+++ b/workbench/tests/site_endless.rs
@@ -10,7 +10,7 @@
 use workbench::site::events::{events, events_text, remaining_events};
 use workbench::site::{
     Answer, Caller, CallerRequest, HOST, ReceivedRequest, ScriptStep, Site, plain, route,
-    runner_service, send_steadily,
+    runner_service, send_steadily, signed_answer,
 };
 use workbench::usage::of_process;
 
@@ -461,3 +461,32 @@
         }
     });
 }
+
+#[googletest::test]
+fn bytes_without_end_behind_an_answer_are_not_kept() {
+    block_on(async {
+        let site = site().await;
+        for server in &site.servers {
+            server.script(|call| {
+                let answer = signed_answer(call.header("x-attempt-id"), 200, "whole");
+                vec![
+                    ScriptStep::Write(answer),
+                    ScriptStep::Repeat {
+                        bytes: b"more".to_vec(),
+                        pause: Duration::ZERO,
+                    },
+                ]
+            });
+        }
+        let caller = Caller::default();
+        for number in 0..20 {
+            let order = CallerRequest::post("/orders/1", "it");
+            let answer = caller.request(site.front(0), &order).await;
+            expect_that!(answer.status, some(eq(200)), "{number} {}", brief(&answer));
+            expect_that!(answer.body, eq("whole"), "{number}");
+            expect_that!(runs_of(&site, &order.id), eq(1), "{number}");
+            compio::time::sleep(SLOWLY).await;
+        }
+        expect_that!(peak_rss_kib(&site), lt(MAX_RSS_KIB));
+    });
+}
