A VM that stops answers the requests that its servers do not

What callers saw: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer when the process ended, among them some that may not be repeated.

Cause: connections are taken for 2.4 s after SIGTERM, and the process ends at 0.94 of the grace, whatever is open. Nothing compared the time that a request may take with what is left, and nobody told its caller.

Now at nine tenths of the grace every request without an answer gets one: 503 with Retry-After if no server can have run it (forwarded requests are declined, so that their VM tries another one), else 502, which promises nothing. Plain servers are told how much time is left, and a request that usually takes longer than that is refused at once, before it is passed on. Streams that have begun go on until the process ends, as before.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -31,6 +31,13 @@
     pub(crate) stream_duration_ms: f64,
 }
 
+impl Cost {
+    /// How long the request takes at a server that does nothing else.
+    pub(crate) fn duration(self) -> Duration {
+        Duration::from_secs_f64((self.prefill_ms + self.stream_duration_ms) / 1_000.0)
+    }
+}
+
 /// When and under which load a request was sent to a server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Dispatch {
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -32,6 +32,9 @@
 /// Time over which retries are spread for requests that found no memory: another VM may have some at
 /// once, this one when other callers have been answered or their connections closed.
 const BODY_ROOM_RETRY_SPREAD: Duration = Duration::from_millis(1_000);
+/// The same for requests that a VM which shuts down cannot have served any more: another VM may at
+/// once.
+const LEAVING_RETRY_SPREAD: Duration = Duration::from_millis(200);
 /// Retry time of a request that crashes servers.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -53,6 +56,8 @@
     Unready,
     /// This VM is too busy to serve the connection of the request.
     Overloaded(Overload),
+    /// This VM shuts down before the request can be served.
+    Leaving,
     /// The request cannot be parsed, for the given reason.
     Malformed(&'static str),
     /// The API key belongs to no organisation.
@@ -122,6 +127,7 @@
             Self::Unready => "unready",
             Self::Overloaded(Overload::LongWait) => "long_wait",
             Self::Overloaded(Overload::ManyOpen) => "many_open",
+            Self::Leaving => "leaving",
             Self::Malformed(_) => "malformed",
             Self::UnknownKey => "unknown_key",
             Self::OverQuota(_) => "over_quota",
@@ -163,6 +169,10 @@
                 let latest = spread.min(time_left.mul_f64(MAX_RETRY_SHARE));
                 (503, Some(latest.mul_f64(rand::random())))
             }
+            Self::Leaving => {
+                let latest = LEAVING_RETRY_SPREAD.min(time_left.mul_f64(MAX_RETRY_SHARE));
+                (503, Some(latest.mul_f64(rand::random())))
+            }
             Self::Malformed(_) => (400, None),
             Self::UnknownKey => (401, None),
             Self::OverQuota(wait) => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,7 +6,7 @@
 use crate::connection_end::ConnectionEnd;
 use crate::gateway::attempt::UsedConnections;
 use crate::gateway::budget::{Allowance, RetryBudget};
-use crate::gateway::call::{Call, RequestResources, StreamVersion};
+use crate::gateway::call::{Call, Cost, RequestResources, StreamVersion};
 use crate::gateway::crash_check::{Break, CrashCheck};
 use crate::gateway::exchange::{ConnectionPool, Exchange};
 use crate::gateway::failure::Failure;
@@ -17,7 +17,7 @@
 use crate::gateway::server_speed::Work;
 use crate::gateway::state::State;
 use crate::gateway::waiting::start_hold;
-use crate::gateway::{CallerRequest, Malformed, Protocol, RouteKind};
+use crate::gateway::{CallerRequest, Malformed, Protocol, Route, RouteKind};
 use crate::http::{Body, closing, discard_body, head_bytes};
 use crate::inventory::Name;
 use crate::open_requests::{OpenRequest, RequestProgress};
@@ -120,7 +120,11 @@
         if let Some(forwarded) = &forwarded {
             reading.progress.runs.set(forwarded.state.runs);
         }
-        let answer = self.clone().answer(request, &mut reading, forwarded).await;
+        let progress = open.progress();
+        let runs_before = progress.runs.get();
+        let answering = self.clone().answer(request, &mut reading, forwarded);
+        let answer = progress.unless_given_up(answering).await;
+        let answer = answer.unwrap_or(Err(Failure::Leaving));
         if answer.is_err() {
             let time_left = caller_timeout.saturating_sub(arrived.elapsed());
             discard_body(reading.body, time_left, Some(&reading.account));
@@ -136,6 +140,9 @@
                 DeclineReason::NoMemory.response()
             }
             Err(Failure::Overloaded(_)) if is_forwarded => DeclineReason::Full.response(),
+            Err(Failure::Leaving) if is_forwarded && progress.runs.get() == runs_before => {
+                DeclineReason::Unready.response()
+            }
             Err(failure) => {
                 let failure = failure.after_runs(reading.progress.runs.get());
                 self.refuse(&id, &model, failure, caller_timeout, arrived.elapsed())
@@ -294,10 +301,10 @@
             .ok_or(Failure::NoRoute)?
             .clone();
         let timeout = route.timeout();
-        let deadline = arrived
-            + request
-                .time_limit
-                .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
+        let time_limit = request
+            .time_limit
+            .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
+        let deadline = arrived + time_limit;
         let limit_bytes = configuration.limits.max_body_bytes;
         let stated_bytes = reading.body.size_hint().exact();
         let reading_body = read_request_body(&mut reading.body, limit_bytes, &reading.account);
@@ -312,8 +319,16 @@
             }
             Ok(Err(BodyError::Broken)) | Err(_) => return Err(Failure::BodyCut),
         };
+        // A stream that has begun goes on for as long as the process does.
+        let is_stream = route.kind == RouteKind::Streaming;
+        let last_answer_at = self.state.shutdown.last_answer_at();
+        let last_answer_at = last_answer_at.filter(|_| !is_stream);
+        let deadline = last_answer_at.map_or(deadline, |last| deadline.min(last));
         reading.progress.deadline.set(Some(deadline));
         let cost = request.generation.as_ref().map(|it| self.state.cost(it));
+        if self.outlasts_grace(route, cost, Instant::now()) {
+            return Err(Failure::Leaving);
+        }
         let has_begun = route.kind == RouteKind::Streaming && request.last_event.is_some();
         let stream_version = match has_begun {
             true => StreamVersion::Unresolved,
@@ -362,6 +377,19 @@
         Ok(call)
     }
 
+    /// Whether this VM shuts down before a request that is sent now would usually be answered.
+    fn outlasts_grace(&self, route: &Route, cost: Option<Cost>, now: Instant) -> bool {
+        let Some(last_answer_at) = self.state.shutdown.last_answer_at() else {
+            return false;
+        };
+        let work = Work::Call(route.name.clone());
+        let usual_time = match cost {
+            Some(cost) => Some(cost.duration()),
+            None => self.state.server_speeds.usual_time(&work),
+        };
+        usual_time.is_some_and(|usual_time| now + usual_time > last_answer_at)
+    }
+
     /// Waits while this VM has just started and does not know its state yet.
     async fn wait_for_start(&self, request: &CallerRequest, arrived: Instant) {
         let hold = start_hold(self.state.age(arrived), request.time_limit);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -26,7 +26,6 @@
 use hyper::{Request, Response, StatusCode, header};
 use nix::sys::signal::Signal;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
@@ -43,8 +42,11 @@
 /// a second, and a VM receives no more connections after two failures. Requests accepted later may
 /// not finish in time.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_400);
-/// Share of the grace period spent on waiting for open requests; the rest is left for the process
-/// to exit.
+/// Share of the grace period after which no server's answer is waited for any more; the callers of
+/// the requests still in work are told so, as far as none of the answer has been passed on.
+const ANSWER_SHARE: f64 = 0.9;
+/// Share of the grace period after which nothing is waited for; the rest is left for the process to
+/// exit.
 const DRAIN_SHARE: f64 = 0.94;
 /// How long a new connection of a caller may wait for this VM: longer than the pauses of a processor
 /// with a quota, and short enough that the caller still has time for another VM.
@@ -119,10 +121,12 @@
     wait_for_stop(&mut signals).await;
     let stopped_at = Instant::now();
     info!("stopping");
-    state.shutdown.leave();
+    let grace = state.settings.bounds.grace;
+    let last_answer_at = stopped_at + grace.mul_f64(ANSWER_SHARE);
+    state.shutdown.leave_by(last_answer_at);
     state.peers.outbox.trigger_update_to_all();
     election.leave().await;
-    drain(&state, stopped_at).await;
+    drain(&state, stopped_at, last_answer_at).await;
     state.open_requests.end_all();
     info!(open = state.shutdown.open(), "stopped");
     log_buffer.flush();
@@ -220,13 +224,19 @@
     }
 }
 
-/// Accepts connections until no more can be expected, then waits for open requests to finish.
-async fn drain(state: &State, stopped_at: Instant) {
+/// Accepts connections until no more can be expected, then waits for open requests to finish. Those
+/// that have no answer at `last_answer_at` are refused.
+async fn drain(state: &State, stopped_at: Instant, last_answer_at: Instant) {
     let limit = state.settings.bounds.grace.mul_f64(DRAIN_SHARE);
     let delay = DEREGISTRATION_DELAY.min(limit / 2);
     compio::time::sleep_until(stopped_at + delay).await;
     state.shutdown.close();
+    let answering = last_answer_at.saturating_duration_since(Instant::now());
+    if state.shutdown.drained(answering).await {
+        return;
+    }
+    let given_up = state.open_requests.give_up_unanswered();
+    info!(given_up, open = state.shutdown.open(), "last answers");
     let remaining = limit.saturating_sub(stopped_at.elapsed());
-    let drained = pin!(state.shutdown.drained(remaining));
-    drained.await;
+    state.shutdown.drained(remaining).await;
 }
--- a/src/open_requests.rs
+++ b/src/open_requests.rs
@@ -7,7 +7,10 @@
 use prometheus_client::metrics::family::Family;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 use std::time::Instant;
 use tracing::{info, warn};
 
@@ -28,9 +31,41 @@
     expected: Cell<Option<RequestEnd>>,
     /// The number of chunks of the response that were passed on.
     sent_chunks: Cell<u32>,
+    /// Whether the request is to be answered now, whatever is known of its outcome.
+    is_given_up: Cell<bool>,
+    /// The task that makes the answer.
+    waker: RefCell<Option<Waker>>,
 }
 
 impl RequestProgress {
+    /// Waits for an answer; `None` once the request is given up.
+    pub(crate) async fn unless_given_up<F: Future>(&self, answer: F) -> Option<F::Output> {
+        let mut answer = pin!(answer);
+        poll_fn(|cx| {
+            if self.is_given_up.get() {
+                return Poll::Ready(None);
+            }
+            let mut waker = self.waker.borrow_mut();
+            if !waker.as_ref().is_some_and(|it| it.will_wake(cx.waker())) {
+                *waker = Some(cx.waker().clone());
+            }
+            drop(waker);
+            answer.as_mut().poll(cx).map(Some)
+        })
+        .await
+    }
+
+    /// Has the request answered now, unless its answer has been made.
+    fn give_up(&self) {
+        if self.expected.get().is_some() {
+            return;
+        }
+        self.is_given_up.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
     fn stage(&self) -> &'static str {
         if self.sent_chunks.get() > 0 {
             "answering"
@@ -84,6 +119,8 @@
             runs: Cell::default(),
             expected: Cell::default(),
             sent_chunks: Cell::default(),
+            is_given_up: Cell::default(),
+            waker: RefCell::default(),
         });
         let number = self.begun.get();
         self.begun.set(number + 1);
@@ -95,6 +132,14 @@
         }
     }
 
+    /// Has all requests answered now whose answers have not been made; returns their number.
+    pub(crate) fn give_up_unanswered(&self) -> usize {
+        let open: Vec<_> = self.open.borrow().values().cloned().collect();
+        open.iter().for_each(|progress| progress.give_up());
+        let given_up = open.iter().filter(|progress| progress.is_given_up.get());
+        given_up.count()
+    }
+
     /// Records that all requests that are still open end because the process exits.
     pub(crate) fn end_all(&self) {
         let open = std::mem::take(&mut *self.open.borrow_mut());
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -3,7 +3,7 @@
 use crate::signal::Signal;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The interval at which [`Shutdown::drained`] checks for remaining work.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -12,6 +12,8 @@
 #[derive(Debug, Default)]
 pub struct Shutdown {
     leaving: Cell<bool>,
+    /// When the requests in work are to be answered at the latest.
+    last_answer_at: Cell<Option<Instant>>,
     closed: Cell<bool>,
     open: Cell<usize>,
     closing: Signal,
@@ -33,6 +35,18 @@
         self.leaving.set(true);
     }
 
+    /// Marks the process as leaving, with the time at which the requests in work are to be answered
+    /// at the latest.
+    pub(crate) fn leave_by(&self, last_answer_at: Instant) {
+        self.last_answer_at.set(Some(last_answer_at));
+        self.leave();
+    }
+
+    /// When the requests in work are to be answered at the latest, if the process is leaving.
+    pub(crate) fn last_answer_at(&self) -> Option<Instant> {
+        self.last_answer_at.get()
+    }
+
     /// Whether the process is marked as leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
@@ -65,7 +79,7 @@
 
     /// Waits for up to `limit` until no work is open; returns whether none is.
     pub async fn drained(&self, limit: Duration) -> bool {
-        let start = std::time::Instant::now();
+        let start = Instant::now();
         while self.open.get() > 0 && start.elapsed() < limit {
             compio::time::sleep(POLL_INTERVAL).await;
         }
