--- a/src/gateway/tests/attempt.rs
+++ b/src/gateway/tests/attempt.rs
@@ -92,6 +92,7 @@
 fn no_failure_promises_anything_of_a_request_that_may_have_run() {
     let failures = [
         Failure::Unready,
+        Failure::Leaving,
         Failure::OverQuota(Duration::ZERO),
         Failure::BodyCut,
         Failure::NoServer(None),
