--- a/src/client.rs
+++ b/src/client.rs
@@ -105,7 +105,7 @@
         unacked_limit: Duration,
     ) -> Result<Self, SendError> {
         let stream = Self::connect(address, timeout, Some(unacked_limit)).await?;
-        let (progress, upload) = Default::default();
+        let (progress, upload) = (ResponseProgress::default(), Upload::default());
         let stream = monitored(stream, BULK_READ_BYTES, &progress, &upload);
         let stream = stream.with_read_bytes(BULK_READ_BYTES);
         let mut builder = http1::Builder::new();
@@ -136,7 +136,7 @@
         unacked_limit: Option<Duration>,
     ) -> Result<Self, SendError> {
         let stream = Self::connect(address, timeout, unacked_limit).await?;
-        let (progress, upload) = Default::default();
+        let (progress, upload) = (ResponseProgress::default(), Upload::default());
         let stream = monitored(stream, READ_BYTES, &progress, &upload);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
--- a/src/open_requests.rs
+++ b/src/open_requests.rs
@@ -41,7 +41,7 @@
     /// Waits for an answer; `None` once the request is given up.
     pub(crate) async fn unless_given_up<F: Future>(&self, answer: F) -> Option<F::Output> {
         let mut answer = pin!(answer);
-        poll_fn(|cx| {
+        let answered = poll_fn(|cx| {
             if self.is_given_up.get() {
                 return Poll::Ready(None);
             }
@@ -51,8 +51,10 @@
             }
             drop(waker);
             answer.as_mut().poll(cx).map(Some)
-        })
-        .await
+        });
+        let answered = answered.await;
+        self.waker.take();
+        answered
     }
 
     /// Has the request answered now, unless its answer has been made.
