The future of an answer is held once

The wait for the last answer of a stopping VM took the future that makes it by value, so that each request held it twice.

It is pinned where it is made.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -29,6 +29,7 @@
 use hyper::{Request, Response};
 use std::cell::Cell;
 use std::marker::PhantomData;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -122,8 +123,11 @@
         }
         let progress = open.progress();
         let runs_before = progress.runs.get();
-        let answering = self.clone().answer(request, &mut reading, forwarded);
-        let answer = progress.unless_given_up(answering).await;
+        let answer = {
+            // Pinned here, since what is passed on by value takes its memory twice.
+            let answering = pin!(self.clone().answer(request, &mut reading, forwarded));
+            progress.unless_given_up(answering).await
+        };
         let answer = answer.unwrap_or(Err(Failure::Leaving));
         if answer.is_err() {
             let time_left = caller_timeout.saturating_sub(arrived.elapsed());
--- a/src/open_requests.rs
+++ b/src/open_requests.rs
@@ -8,7 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Instant;
@@ -39,8 +39,10 @@
 
 impl RequestProgress {
     /// Waits for an answer; `None` once the request is given up.
-    pub(crate) async fn unless_given_up<F: Future>(&self, answer: F) -> Option<F::Output> {
-        let mut answer = pin!(answer);
+    pub(crate) async fn unless_given_up<F: Future>(
+        &self,
+        mut answer: Pin<&mut F>,
+    ) -> Option<F::Output> {
         let answered = poll_fn(|cx| {
             if self.is_given_up.get() {
                 return Poll::Ready(None);
