--- a/workbench/tests/site_cut_off.rs
+++ b/workbench/tests/site_cut_off.rs
@@ -379,3 +379,42 @@
         expect_that!(answer.is_complete, eq(true));
     });
 }
+
+#[googletest::test]
+fn a_forwarded_call_that_outlasts_the_grace_of_the_other_vm_is_answered() {
+    block_on(async {
+        let mut cut_site = CutSite::start().await;
+        let mut orders = route("/orders/", "unsafe", "books");
+        orders["timeout_ms"] = json!(20_000);
+        let site = &mut cut_site.site;
+        site.configure(json!([orders]), json!([plain("books")]));
+        for server in &site.servers[..2] {
+            server.script(|_| vec![ScriptStep::Wait(Duration::from_secs(20))]);
+        }
+        cut_site.cut(Cut::Refused).await;
+        compio::time::sleep(STABLE_WINDOW).await;
+        let mut order = CallerRequest::post("/orders/1", "it");
+        order.deadline_ms = 20_000;
+        let site = &cut_site.site;
+        let stop = async {
+            compio::time::sleep(Duration::from_millis(500)).await;
+            for vm in [0, 1] {
+                site.vms[vm].signal(nix::sys::signal::Signal::SIGTERM);
+            }
+        };
+        let caller = Caller::default();
+        let asked = caller.request(site.front(CUT_VM), &order);
+        let (answer, ()) = futures_util::join!(asked, stop);
+        let runs = site.servers.iter().flat_map(|server| server.runs());
+        let runs = runs.filter(|run| run.header("x-attempt-id") == order.id);
+        expect_that!(runs.count(), eq(1));
+        expect_that!(answer.status, some(eq(502)), "{answer:?}");
+        expect_that!(answer.is_complete, eq(true), "{answer:?}");
+        expect_that!(answer.duration, lt(Duration::from_secs(7)), "{answer:?}");
+        let forwarded = site.log(CUT_VM);
+        let is_forwarded = |line: &Value| {
+            line["message"] == "request forwarded" && line["request"] == order.id.as_str()
+        };
+        expect_that!(forwarded.iter().any(is_forwarded), eq(true));
+    });
+}
