A late report of a removed server does not revive it

What callers saw: a status report that got no answer was executed by the store seconds later, after the server had left and its entry was removed.

Cause: an entry of a removed run counted because it came. Numbers were compared for listed servers only; removals were kept in the memory of one process; VMs that are sent changes know old numbers; the set of removals was emptied as a whole when full.

Why this works: an entry of a removed run counts only if it cannot be from before the removal. One rule (`Removal::judge`) judges the log's entries, those of other VMs and those of a whole directory. A VM tells what it knows of a removal to others, with the changes and with the whole directory, and one that reads the directory from the log reads the changes before it.

Changed tests: three of `decisions` stated that an entry with the number that was read before the removal brings the server back, which is what a late write looks like. They ask for two later entries now, and that the old one does not count. The stand-in servers count their entries.

--- a/src/gateway/directory_updates.rs
+++ b/src/gateway/directory_updates.rs
@@ -8,9 +8,11 @@
 use crate::gateway::fleet::holding;
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::gossip_message::ModelHolding;
+use crate::gateway::removal::{Removal, RunAddress};
 use crate::gateway::{Changes, ServerChange};
 use crate::inventory::Name;
 use prost::Message;
+use std::time::{Duration, Instant};
 
 /// Maximum size of the changes in one message, in bytes, so that the whole message fits into one
 /// datagram.
@@ -78,6 +80,50 @@
     /// Whether the sender cannot read the entry.
     #[prost(bool, tag = "15")]
     is_unreadable: bool,
+    /// What the sender knows of the removal, if the entry was removed. The fields of the entry hold the
+    /// run whose entry it was, as far as it is known.
+    #[prost(message, optional, tag = "16")]
+    removal: Option<RemovalUpdate>,
+}
+
+/// What a VM knows of the removal of an entry.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct RemovalUpdate {
+    /// The highest number read from the run.
+    #[prost(uint64, optional, tag = "1")]
+    last_sequence: Option<u64>,
+    /// The highest number that the run can have reached before the removal.
+    #[prost(uint64, tag = "2")]
+    reachable_sequence: u64,
+    /// Whether the server may have been silent for long enough to lapse.
+    #[prost(bool, tag = "3")]
+    may_have_lapsed: bool,
+    /// The time since the first VM learned of the removal, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    age_ms: u64,
+}
+
+impl RemovalUpdate {
+    fn of(removal: &Removal) -> Self {
+        Self {
+            last_sequence: removal.last_sequence,
+            reachable_sequence: removal.reachable_sequence,
+            may_have_lapsed: removal.may_have_lapsed,
+            age_ms: removal.removed_at.elapsed().as_millis() as u64,
+        }
+    }
+
+    fn into_removal(self, run: Option<RunAddress>) -> Removal {
+        let now = Instant::now();
+        let removed_at = now.checked_sub(Duration::from_millis(self.age_ms));
+        Removal::of_notice(
+            run,
+            self.last_sequence,
+            self.reachable_sequence,
+            self.may_have_lapsed,
+            removed_at.unwrap_or(now),
+        )
+    }
 }
 
 impl ServerUpdate {
@@ -89,6 +135,16 @@
                 is_gone: true,
                 ..Self::default()
             },
+            ServerChange::RemovedRun(id, removal) => Self {
+                id: id.to_string(),
+                is_gone: true,
+                started_ms: removal.run.map_or(0, |run| run.started_ms),
+                address: removal
+                    .run
+                    .map_or_else(String::new, |run| run.address.to_string()),
+                removal: Some(RemovalUpdate::of(removal)),
+                ..Self::default()
+            },
             ServerChange::Lost(id) => Self {
                 id: id.to_string(),
                 is_lost: true,
@@ -115,6 +171,7 @@
                 holdings: entry.holdings.iter().map(encode_holding).collect(),
                 in_memory: strings(&entry.in_memory),
                 on_disk: strings(&entry.on_disk),
+                removal: None,
             },
         }
     }
@@ -124,7 +181,14 @@
         let names = |names: Vec<String>| names.into_iter().map(Name::from).collect();
         let id = Name::from(self.id);
         if self.is_gone {
-            return Some(ServerChange::Removed(id));
+            let run = self.address.parse().ok().map(|address| RunAddress {
+                started_ms: self.started_ms,
+                address,
+            });
+            return Some(match self.removal {
+                Some(removal) => ServerChange::RemovedRun(id, removal.into_removal(run)),
+                None => ServerChange::Removed(id),
+            });
         }
         if self.is_lost {
             return Some(ServerChange::Lost(id));
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -2,6 +2,7 @@
 //! with one small trait for each.
 
 use crate::gateway::crash_report::CrashCause;
+use crate::gateway::removal::Removal;
 use crate::gateway::{CallerRequest, Configuration, Entry, StatedLoad};
 use crate::http::Body;
 use crate::inventory::Name;
@@ -128,6 +129,8 @@
     Upserted(Entry),
     /// The entry of the named backend server was removed.
     Removed(Name),
+    /// The entry of the named backend server was removed, as another VM knows it.
+    RemovedRun(Name, Removal),
     /// The entry is listed, but may be older than the last restore of the log from a copy.
     Restored(Entry),
     /// The log lost the entry of the named backend server when it was restored.
@@ -161,6 +164,17 @@
     /// Reads all entries.
     fn entries(&self) -> impl Future<Output = Result<Changes<ServerChange>, StoreError>>;
 
+    /// Reads the last `count` changes before an offset, or all if there are fewer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`StoreError::Compacted`] if the log no longer has them.
+    fn changes_before(
+        &self,
+        end: u64,
+        count: u64,
+    ) -> impl Future<Output = Result<Vec<ServerChange>, StoreError>>;
+
     /// Reads the changes from an offset on.
     fn changes_since(
         &self,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -4,6 +4,9 @@
 use crate::gateway::backlog::Backlog;
 use crate::gateway::coming_copy::ComingCopy;
 use crate::gateway::reachability::ListedServers;
+use crate::gateway::removal::{
+    MAX_DELAYED_ENTRIES, MAX_WRITE_DELAY, ReadContext, Removal, RunAddress, Verdict,
+};
 use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -25,9 +28,6 @@
 /// The longest pause that a server may ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
-/// The number of entries that a run may write before a delayed one takes effect.
-const MAX_DELAYED_ENTRIES: u64 = 1_000;
-
 /// The start of a run that does not state when it started.
 pub(crate) const UNKNOWN_START_MS: u64 = 0;
 
@@ -35,6 +35,14 @@
 /// the log for minutes.
 const MAX_REMOVED_RUNS: usize = 10_000;
 
+/// How many entries a server may write from one report to the next, and of how many servers the changes
+/// are read at least: servers may have left since.
+const ENTRIES_PER_REPORT: u64 = 2;
+const MIN_SERVERS: usize = 8;
+
+/// How often servers report unless the settings say otherwise.
+const DEFAULT_REPORT_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// The state that a backend server announces in its directory entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ServerState {
@@ -113,11 +121,6 @@
             && other.sequence - self.sequence <= MAX_DELAYED_ENTRIES;
         is_delayed || self.is_of_earlier_run(other.started_ms)
     }
-
-    /// Whether this entry is the same as `other` or a later one, of the same run or a later run.
-    fn is_newer_than(&self, other: &Self) -> bool {
-        (self.started_ms, self.sequence) >= (other.started_ms, other.sequence)
-    }
 }
 
 /// Identifies one run of a backend server's process; a restarted server keeps its id.
@@ -143,6 +146,8 @@
     /// The prefill time of the prompts queued at the server.
     pub(crate) backlog: Backlog,
     entry: RefCell<Entry>,
+    /// A time before the entry was written; `None` if none is known.
+    written_after: Cell<Option<Instant>>,
     /// Requests of this VM that are in flight on the server, by model.
     in_flight: RefCell<HashMap<Name, u32>>,
     /// Failed connections in a row.
@@ -193,6 +198,7 @@
             is_vm: false,
             backlog: Backlog::default(),
             entry: RefCell::new(entry),
+            written_after: Cell::new(None),
             in_flight: RefCell::default(),
             failures: Cell::new(0),
             backoff_until: Cell::new(None),
@@ -228,6 +234,18 @@
         })
     }
 
+    /// Lists the server again, which was removed.
+    fn restore(&self, entry: Entry) {
+        let mut entry = entry;
+        if entry.software_version.is_empty() {
+            // A VM of an earlier release does not pass it on.
+            entry.software_version = self.software_version();
+        }
+        self.removed_at.set(None);
+        self.lost_at.set(None);
+        self.entry.replace(entry);
+    }
+
     /// Whether the entry belongs to this run of the server.
     fn is_run_of(&self, entry: &Entry) -> bool {
         self.started_ms == entry.started_ms && self.address == entry.address
@@ -428,41 +446,107 @@
 pub(crate) enum EntryChange {
     /// Nothing: the entry is outdated or only shows that the server is alive.
     Renewed,
-    /// The server's holdings or slots changed, or its removed entry is back.
+    /// The entry is of a removed run, and does not show yet that the server is alive.
+    Unproven,
+    /// The server's holdings or slots changed.
     ContentChanged,
-    /// The server is new or its state changed.
+    /// The server is new, is back or its state changed.
     AvailabilityChanged,
 }
 
+/// The last run of a removed server.
+#[derive(Debug)]
+struct RemovedRun {
+    removal: Removal,
+    /// The run, if this VM had it listed. What this VM knows of the run still holds if it comes back.
+    server: Option<Rc<Server>>,
+}
+
 /// All backend servers in the directory.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Fleet {
     servers: RefCell<HashMap<Name, Rc<Server>>>,
-    /// The last run of each removed server: entries of earlier runs may still arrive, and an entry
-    /// of this run may come back. What this VM knows of the run then still holds.
-    removed_runs: RefCell<HashMap<Name, Rc<Server>>>,
+    /// The last run of each removed server: entries of this run and of earlier ones may still arrive.
+    /// A server that is not purged yet is among `servers` as well.
+    removed_runs: RefCell<HashMap<Name, RemovedRun>>,
+    /// Whether there may be entries of removed runs that do not show yet that their servers are alive.
+    has_candidates: Cell<bool>,
+    /// Until when there may be late entries of servers whose removal this VM does not know.
+    removals_unknown_until: Cell<Option<Instant>>,
+    /// How often servers renew their entries.
+    report_interval: Duration,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self::new(None)
+    }
 }
 
 impl Fleet {
-    /// Applies a directory entry; returns what it changed.
+    /// Creates a fleet without servers. `report_interval` is how often servers renew their entries.
+    pub(crate) fn new(report_interval: Option<Duration>) -> Self {
+        Self {
+            servers: RefCell::default(),
+            removed_runs: RefCell::default(),
+            has_candidates: Cell::new(false),
+            removals_unknown_until: Cell::new(None),
+            report_interval: report_interval.unwrap_or(DEFAULT_REPORT_INTERVAL),
+        }
+    }
+
+    /// Applies a directory entry; returns what it changed. `may_be_restored` says that it may be older
+    /// than the last restore of the log.
     ///
     /// A server that restarted under its id replaces the previous run, and none of that run's
-    /// holdings are kept. Entries that are older than the current one are ignored.
-    pub(crate) fn apply_entry(&self, entry: Entry) -> EntryChange {
+    /// holdings are kept. Entries that are older than the current one are ignored, and those of a
+    /// removed run count only once they show that the server is alive ([`Removal`]).
+    pub(crate) fn apply_entry(
+        &self,
+        entry: Entry,
+        may_be_restored: bool,
+        read: &ReadContext,
+    ) -> EntryChange {
         let mut servers = self.servers.borrow_mut();
-        let removed = self.removed_runs.borrow_mut().remove(&entry.id);
-        if let Some(removed) = removed {
-            if entry.is_of_earlier_run(removed.started_ms) {
-                self.removed_runs.borrow_mut().insert(entry.id, removed);
+        let mut removed_runs = self.removed_runs.borrow_mut();
+        let removed = match removed_runs.get_mut(&entry.id) {
+            None if !servers.contains_key(&entry.id) && self.may_be_removed(read) => {
+                Some(removed_runs.entry(entry.id.clone()).or_insert(RemovedRun {
+                    removal: self.unknown_removal(Some(RunAddress::of(&entry)), read),
+                    server: None,
+                }))
+            }
+            removed => removed,
+        };
+        if let Some(RemovedRun { removal, server }) = removed {
+            let started_ms = removal.run.map_or(UNKNOWN_START_MS, |run| run.started_ms);
+            if entry.is_of_earlier_run(started_ms) {
                 return EntryChange::Renewed;
             }
-            if removed.is_run_of(&entry) {
-                removed.removed_at.set(None);
-                removed.lost_at.set(None);
-                removed.entry.replace(entry);
-                servers.insert(removed.id.clone(), removed);
-                return EntryChange::AvailabilityChanged;
+            let verdict = match removal.is_of_run(&entry) {
+                true => removal.judge(&entry, may_be_restored, read),
+                false => Verdict::Alive,
+            };
+            match verdict {
+                Verdict::Outdated => return EntryChange::Renewed,
+                Verdict::Unproven => {
+                    self.has_candidates.set(true);
+                    return EntryChange::Unproven;
+                }
+                Verdict::Alive => {}
             }
+            let server = server.take().filter(|server| server.is_run_of(&entry));
+            removed_runs.remove(&entry.id);
+            let server = match server {
+                Some(server) => {
+                    server.restore(entry);
+                    server
+                }
+                None => Rc::new(Server::new(entry)),
+            };
+            server.written_after.set(read.written_after);
+            servers.insert(server.id.clone(), server);
+            return EntryChange::AvailabilityChanged;
         }
         let current = servers.get(&entry.id);
         if let Some(server) = current.filter(|server| server.is_run_of(&entry)) {
@@ -478,32 +562,204 @@
                 // A VM of an earlier release does not pass it on.
                 entry.software_version = server.software_version();
             }
-            let was_removed = server.removed_at.take().is_some();
             let before = server.entry.replace(entry.clone());
+            if before.sequence != entry.sequence {
+                server.written_after.set(read.written_after);
+            }
             if before.state != entry.state || before.software_version != entry.software_version {
                 return EntryChange::AvailabilityChanged;
             }
             let is_same = before.holdings == entry.holdings && before.slots == entry.slots;
-            return match is_same && !was_removed {
+            return match is_same {
                 true => EntryChange::Renewed,
                 false => EntryChange::ContentChanged,
             };
         }
-        servers.insert(entry.id.clone(), Rc::new(Server::new(entry)));
+        let server = Server::new(entry);
+        server.written_after.set(read.written_after);
+        servers.insert(server.id.clone(), Rc::new(server));
         EntryChange::AvailabilityChanged
     }
 
-    /// Whether the entry is of a run that was removed, or of an earlier one, and not newer than what
-    /// was known of the run by then.
-    pub(crate) fn is_known_removed(&self, entry: &Entry) -> bool {
-        let is_older = |server: &Rc<Server>| server.entry.borrow().is_newer_than(entry);
+    /// Whether an entry of a server that this VM has not seen may be a late one of a removed run.
+    fn may_be_removed(&self, read: &ReadContext) -> bool {
+        let unknown_until = self.removals_unknown_until.get();
+        !read.is_whole && unknown_until.is_some_and(|until| read.now < until)
+    }
+
+    /// The removal of a run that was removed before this VM knew of removals, if it was removed at all.
+    fn unknown_removal(&self, run: Option<RunAddress>, read: &ReadContext) -> Removal {
+        let known_since = self
+            .removals_unknown_until
+            .get()
+            .and_then(|until| until.checked_sub(MAX_WRITE_DELAY));
+        Removal::of_unknown(run, known_since.unwrap_or(read.now), read.era)
+    }
+
+    /// How much longer there may be late entries of servers whose removal this VM does not know.
+    pub(crate) fn removals_unknown_for(&self, now: Instant) -> Duration {
+        let unknown_until = self.removals_unknown_until.get();
+        unknown_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Records for how much longer there may be late entries of servers whose removal this VM does not
+    /// know.
+    pub(crate) fn set_removals_unknown_for(&self, unknown_for: Duration, now: Instant) {
+        self.removals_unknown_until.set(Some(now + unknown_for));
+    }
+
+    /// Applies the removal of a server's entry; returns the removal to tell other VMs.
+    /// [`Fleet::purge_removed`] removes the server itself.
+    pub(crate) fn apply_removal(&self, id: &Name, read: &ReadContext) -> Removal {
+        let listed = self.server(id).filter(|it| !it.is_marked_removed());
+        let removal = match &listed {
+            Some(server) => Removal::of_listed(
+                &server.entry.borrow(),
+                server.written_after.get(),
+                self.report_interval,
+                read,
+            ),
+            None => self.unknown_removal(None, read),
+        };
+        self.record_removal(id, listed, removal, read.now)
+    }
+
+    /// Applies a removal of which another VM told; returns it for further VMs, or `None` if it is of an
+    /// earlier run than the one that is listed.
+    pub(crate) fn apply_removal_notice(
+        &self,
+        id: &Name,
+        removal: Removal,
+        now: Instant,
+    ) -> Option<Removal> {
+        let listed = self.server(id).filter(|it| !it.is_marked_removed());
+        let is_earlier = |server: &Rc<Server>| {
+            let is_known = server.started_ms != UNKNOWN_START_MS;
+            let started_ms = removal.run.map(|run| run.started_ms);
+            is_known
+                && started_ms.is_some_and(|it| it != UNKNOWN_START_MS && it < server.started_ms)
+        };
+        if listed.as_ref().is_some_and(is_earlier) {
+            return None;
+        }
+        Some(self.record_removal(id, listed, removal, now))
+    }
+
+    /// Marks a server as removed whose entry is still listed, since another server answers at its address.
+    pub(crate) fn mark_removed(&self, id: &str, now: Instant) {
+        if let Some(server) = self.server(id).filter(|it| !it.is_marked_removed()) {
+            let id = server.id.clone();
+            let removal = Removal::of_listed(
+                &server.entry.borrow(),
+                None,
+                self.report_interval,
+                &ReadContext::at(now),
+            );
+            self.record_removal(&id, Some(server), removal, now);
+        }
+    }
+
+    fn record_removal(
+        &self,
+        id: &Name,
+        listed: Option<Rc<Server>>,
+        removal: Removal,
+        now: Instant,
+    ) -> Removal {
+        if let Some(server) = &listed {
+            server.removed_at.set(Some(now));
+        }
+        let mut removed_runs = self.removed_runs.borrow_mut();
+        let known = removed_runs.get_mut(id).filter(|_| listed.is_none());
+        let is_same_run = |known: &&mut RemovedRun| {
+            let runs = (known.removal.run, removal.run);
+            !matches!(runs, (Some(known), Some(told)) if known != told)
+        };
+        if let Some(known) = known.filter(is_same_run) {
+            known.removal.merge(&removal);
+            return known.removal.clone();
+        }
+        let server = listed.filter(|it| removal.is_of_run(&it.entry.borrow()));
+        let run = RemovedRun {
+            removal: removal.clone(),
+            server,
+        };
+        removed_runs.insert(id.clone(), run);
+        drop_oldest(&mut removed_runs);
+        removal
+    }
+
+    /// Whether there may be entries of removed runs that do not show yet that their servers are alive.
+    pub(crate) fn has_candidates(&self) -> bool {
+        self.has_candidates.get()
+    }
+
+    /// Restores removed servers whose later entries the log has listed for so long, as of `current_at`,
+    /// that it keeps them alive; returns their ids.
+    pub(crate) fn restore_kept(&self, current_at: Instant) -> Vec<Name> {
+        let mut removed_runs = self.removed_runs.borrow_mut();
+        let mut servers = self.servers.borrow_mut();
+        let mut restored = Vec::new();
+        let mut has_candidates = false;
+        removed_runs.retain(|id, run| {
+            let Some(entry) = run.removal.take_kept(current_at, self.report_interval) else {
+                has_candidates |= run.removal.candidate().is_some();
+                return true;
+            };
+            let server = run.server.take();
+            let server = server.unwrap_or_else(|| Rc::new(Server::new(entry.clone())));
+            server.restore(entry);
+            servers.insert(id.clone(), server);
+            restored.push(id.clone());
+            false
+        });
+        self.has_candidates.set(has_candidates);
+        restored
+    }
+
+    /// The number of entries that servers may write while a write is pending, for a number of servers.
+    pub(crate) fn entries_while_pending(&self, servers: usize) -> u64 {
+        let reports = MAX_WRITE_DELAY.as_secs_f64() / self.report_interval.as_secs_f64();
+        let reports = reports.ceil() as u64 * ENTRIES_PER_REPORT;
+        servers.max(MIN_SERVERS) as u64 * reports
+    }
+
+    /// Takes over removals that precede the directory, with the entries that were read after them.
+    pub(crate) fn adopt_removals(&self, removals: Vec<(Name, Removal)>) {
+        let mut removed_runs = self.removed_runs.borrow_mut();
+        let has_candidates = removals
+            .iter()
+            .any(|(_, removal)| removal.candidate().is_some());
+        for (id, removal) in removals {
+            let server = None;
+            removed_runs.insert(id, RemovedRun { removal, server });
+        }
+        if has_candidates {
+            self.has_candidates.set(true);
+        }
+    }
+
+    /// Returns the removals after which late entries may still be read, by server.
+    pub(crate) fn recent_removals(&self, now: Instant) -> Vec<(Name, Removal)> {
         let removed_runs = self.removed_runs.borrow();
-        if removed_runs.get(&entry.id).is_some_and(is_older) {
-            return true;
+        let is_recent = |removal: &Removal| {
+            let age = now.saturating_duration_since(removal.removed_at);
+            age < MAX_WRITE_DELAY || removal.candidate().is_some()
+        };
+        let recent = removed_runs.iter();
+        let recent = recent.filter(|(_, run)| is_recent(&run.removal));
+        recent
+            .map(|(id, run)| (id.clone(), run.removal.clone()))
+            .collect()
+    }
+
+    /// Drops what was read of removed servers since their removal and is not among the listed ones.
+    pub(crate) fn drop_unlisted_candidates(&self, listed: &HashSet<&Name>) {
+        for (id, run) in self.removed_runs.borrow_mut().iter_mut() {
+            if !listed.contains(id) {
+                run.removal.drop_candidate();
+            }
         }
-        let servers = self.servers.borrow();
-        let marked = servers.get(&entry.id);
-        marked.is_some_and(|server| server.is_marked_removed() && is_older(server))
     }
 
     /// Records that the log lost the entry of a server; returns whether that was not known.
@@ -527,28 +783,21 @@
             let lost_at = server.lost_at.get();
             lost_at.is_some_and(|at| now.saturating_duration_since(at) >= limit)
         };
-        let expired = servers.values().filter(is_expired).map(|server| {
-            server.lost_at.set(None);
-            server.removed_at.set(Some(now));
-            server.id.clone()
-        });
-        expired.collect()
-    }
-
-    /// Marks a server's entry as removed; [`Fleet::purge_removed`] removes the server itself.
-    pub(crate) fn mark_removed(&self, id: &str, now: Instant) {
-        if let Some(server) = self.servers.borrow().get(id) {
-            server.removed_at.set(Some(now));
+        let expired: Vec<Name> = servers
+            .values()
+            .filter(is_expired)
+            .map(|server| server.id.clone())
+            .collect();
+        drop(servers);
+        for id in &expired {
+            self.mark_removed(id, now);
         }
+        expired
     }
 
     /// Removes servers whose entry was removed at least `grace` ago; returns their ids.
     pub(crate) fn purge_removed(&self, grace: Duration, now: Instant) -> Vec<Name> {
         let mut gone = Vec::new();
-        let mut removed_runs = self.removed_runs.borrow_mut();
-        if removed_runs.len() >= MAX_REMOVED_RUNS {
-            removed_runs.clear();
-        }
         self.servers.borrow_mut().retain(|id, server| {
             let is_gone = server
                 .removed_at
@@ -556,7 +805,6 @@
                 .is_some_and(|at| now.duration_since(at) >= grace);
             if is_gone {
                 gone.push(id.clone());
-                removed_runs.insert(id.clone(), server.clone());
             }
             !is_gone
         });
@@ -602,6 +850,20 @@
     }
 }
 
+/// Forgets the oldest tenth of the removals once there are more than [`MAX_REMOVED_RUNS`].
+fn drop_oldest(removed_runs: &mut HashMap<Name, RemovedRun>) {
+    if removed_runs.len() <= MAX_REMOVED_RUNS {
+        return;
+    }
+    let by_age = removed_runs.iter();
+    let by_age = by_age.map(|(id, run)| (run.removal.removed_at, id.clone()));
+    let mut by_age: Vec<(Instant, Name)> = by_age.collect();
+    by_age.sort();
+    for (_, id) in &by_age[..MAX_REMOVED_RUNS / 10] {
+        removed_runs.remove(id);
+    }
+}
+
 /// Builds a [`Holding`] from the parts that messages carry.
 pub(crate) fn holding(model: &str, version: u64, adapters: &[String]) -> Holding {
     Holding {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -71,6 +71,7 @@
 mod read_delays;
 mod read_turn;
 mod relay;
+mod removal;
 mod repeated_news;
 mod report_schedule;
 mod routing;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -31,6 +31,8 @@
     pub(crate) client_min_wait: Duration,
     /// The bandwidth of the VM's link, in bytes per second; `None` if it is not limited.
     pub(crate) link_bytes_per_s: Option<f64>,
+    /// How often backend servers renew their directory entries; `None` if it is not stated.
+    pub(crate) report_interval: Option<Duration>,
     /// How many sockets the process may have for what.
     pub(crate) sockets: SocketLimits,
     /// Limits and guarantees of the deployment.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use crate::gateway::reachability::{Reachability, ReachabilityChange};
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
+use crate::gateway::removal::ReadContext;
 use crate::gateway::runner_load::{RunnerLoads, counted, is_believed};
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
 use crate::gateway::server_speed::{ListedRun, ServerSpeeds, StatedLoad, run_id};
@@ -217,7 +218,7 @@
             started_at: Instant::now(),
             is_configuration_compared: Cell::new(false),
             documents: RefCell::default(),
-            fleet: Fleet::default(),
+            fleet: Fleet::new(settings.report_interval),
             is_directory_known: Cell::new(false),
             peers: Peers::new(settings.peer_address, Instant::now())
                 .with_cpu_cores(settings.cpu_cores),
@@ -578,13 +579,26 @@
         let mut lost = 0;
         let mut outdated = 0;
         let mut passed = ListedVersions::new();
+        let read = ReadContext {
+            now,
+            written_after: self.confirmed_at(Part::Directory, now),
+            era: Position::from_u64(next).era,
+            is_whole: from.is_none(),
+            was_log_unavailable: self.following.was_recently_disrupted(now),
+        };
         for change in changes.items {
+            let may_be_restored = matches!(change, ServerChange::Restored(_));
             match change {
-                ServerChange::Restored(entry) if self.fleet.is_known_removed(&entry) => {
-                    outdated += 1;
-                }
                 ServerChange::Upserted(entry) | ServerChange::Restored(entry) => {
-                    let entry_change = self.fleet.apply_entry(entry.clone());
+                    let applied = entry.clone();
+                    let entry_change = self.fleet.apply_entry(applied, may_be_restored, &read);
+                    if may_be_restored && self.fleet.server(&entry.id).is_none() {
+                        outdated += 1;
+                    }
+                    if entry_change == EntryChange::Unproven {
+                        info!(server = %entry.id, sequence = entry.sequence,
+                            "entry of a removed server read");
+                    }
                     if entry_change == EntryChange::AvailabilityChanged {
                         has_availability_change = true;
                         if listed.len() < MAX_LISTED_LINES {
@@ -602,10 +616,16 @@
                 }
                 ServerChange::Removed(id) => {
                     has_availability_change |= self.fleet.server(&id).is_some();
-                    self.fleet.mark_removed(&id, now);
                     // Sent even if this VM has already removed the server, because another server
                     // answered at its address: other VMs may still list it.
-                    to_send.push(ServerChange::Removed(id));
+                    let removal = self.fleet.apply_removal(&id, &read);
+                    to_send.push(ServerChange::RemovedRun(id, removal));
+                }
+                ServerChange::RemovedRun(id, removal) => {
+                    has_availability_change |= self.fleet.server(&id).is_some();
+                    if let Some(removal) = self.fleet.apply_removal_notice(&id, removal, now) {
+                        to_send.push(ServerChange::RemovedRun(id, removal));
+                    }
                 }
                 ServerChange::Unreadable(_) => {}
                 ServerChange::Lost(id) => {
@@ -746,11 +766,57 @@
             self.update_software_versions(ListedVersions::new(), now);
             self.changed.notify();
         }
+        self.restore_kept(now);
         for id in self.fleet.purge_removed(grace, now) {
             info!(server = %id, is_shaken = was_log_unavailable, "server gone");
         }
     }
 
+    /// Learns from the changes before the directory at offset `end` which servers were removed.
+    pub(super) fn learn_removals(&self, recent: Vec<ServerChange>, end: u64, now: Instant) {
+        let read = ReadContext {
+            era: Position::from_u64(end).era,
+            is_whole: true,
+            ..ReadContext::at(now)
+        };
+        let past = Fleet::new(self.settings.report_interval);
+        for change in recent {
+            match change {
+                ServerChange::Upserted(entry) => {
+                    past.apply_entry(entry, false, &read);
+                }
+                ServerChange::Removed(id) => {
+                    past.apply_removal(&id, &read);
+                }
+                _ => {}
+            }
+        }
+        let removals = past.recent_removals(now);
+        if !removals.is_empty() {
+            info!(servers = removals.len(), "recent removals read");
+        }
+        self.fleet.adopt_removals(removals);
+    }
+
+    /// Restores removed servers whose later entries the log keeps.
+    fn restore_kept(&self, now: Instant) {
+        if !self.fleet.has_candidates() {
+            return;
+        }
+        let Some(current_at) = self.confirmed_at(Part::Directory, now) else {
+            return;
+        };
+        let restored = self.fleet.restore_kept(current_at);
+        if restored.is_empty() {
+            return;
+        }
+        for id in restored.iter().take(MAX_LISTED_LINES) {
+            info!(server = %id, "removed server is alive");
+        }
+        self.update_software_versions(ListedVersions::new(), now);
+        self.changed.notify();
+    }
+
     /// Records what a server's response states about the server itself.
     pub(crate) fn note_server_statements(&self, reply: &Reply, server: &Server, now: Instant) {
         let run = server.incarnation();
--- a/src/gateway/sync_message.rs
+++ b/src/gateway/sync_message.rs
@@ -81,4 +81,8 @@
     /// Whether the sender does not have the part and is reading the log.
     #[prost(bool, tag = "13")]
     pub(super) is_reading: bool,
+    /// For how much longer there may be late entries of servers whose removal the sender does not know, in
+    /// milliseconds; sent with the whole directory.
+    #[prost(uint64, optional, tag = "14")]
+    pub(super) removals_unknown_ms: Option<u64>,
 }
--- a/src/gateway/sync_server.rs
+++ b/src/gateway/sync_server.rs
@@ -207,7 +207,7 @@
             [Some(entry), lost].into_iter().flatten()
         });
         let changes = Changes {
-            items: entries.collect(),
+            items: entries.chain(self.recent_removals(now)).collect(),
             next_offset: end,
         };
         let reply = self.encode_directory(&changes, true, now)?;
@@ -218,6 +218,18 @@
         Some(reply)
     }
 
+    /// The removals after which late entries may still be read, with the entries read since.
+    fn recent_removals(&self, now: Instant) -> Vec<ServerChange> {
+        let removals = self.state.fleet.recent_removals(now).into_iter();
+        let changes = removals.flat_map(|(id, removal)| {
+            let entry = removal.candidate().cloned().map(ServerChange::Upserted);
+            [Some(ServerChange::RemovedRun(id, removal)), entry]
+                .into_iter()
+                .flatten()
+        });
+        changes.collect()
+    }
+
     fn encode_directory(
         &self,
         changes: &Changes<ServerChange>,
@@ -225,8 +237,10 @@
         now: Instant,
     ) -> Option<Bytes> {
         let items = changes.items.iter();
+        let unknown_for = self.state.fleet.removals_unknown_for(now);
         let reply = SyncReply {
             is_whole,
+            removals_unknown_ms: is_whole.then_some(unknown_for.as_millis() as u64),
             changes: items.map(ServerUpdate::from_change).collect(),
             ..self.reply(Part::Directory, changes.next_offset, now)?
         };
--- a/src/gateway/tests/change_history.rs
+++ b/src/gateway/tests/change_history.rs
@@ -11,9 +11,10 @@
 fn since(history: &ChangeHistory, offset: u64) -> Option<(Vec<String>, u64)> {
     let changes = history.since(offset)?;
     let ids = changes.items.iter().map(|change| match change {
-        ServerChange::Lost(id) | ServerChange::Removed(id) | ServerChange::Unreadable(id) => {
-            id.to_string()
-        }
+        ServerChange::Lost(id)
+        | ServerChange::Removed(id)
+        | ServerChange::RemovedRun(id, _)
+        | ServerChange::Unreadable(id) => id.to_string(),
         ServerChange::Upserted(entry) | ServerChange::Restored(entry) => entry.id.to_string(),
     });
     Some((ids.collect(), changes.next_offset))
--- a/src/gateway/tests/decisions.rs
+++ b/src/gateway/tests/decisions.rs
@@ -7,6 +7,7 @@
 use crate::gateway::events::EventBuffer;
 use crate::gateway::fleet::{EntryChange, Fleet};
 use crate::gateway::load_limit::{LoadRateLimit, LoadReservation};
+use crate::gateway::removal::ReadContext;
 use crate::gateway::watch::retry_pause;
 use crate::gateway::{
     Configuration, Entry, Holding, Limits, Route, RouteKind, ServerState, Target, Weights,
@@ -231,6 +232,19 @@
     assert!(demand.rates(start + Duration::from_secs(60)).is_empty());
 }
 
+/// Applies an entry that was read now.
+fn apply(fleet: &Fleet, entry: Entry) -> EntryChange {
+    fleet.apply_entry(entry, false, &ReadContext::at(Instant::now()))
+}
+
+/// The entry of a server with a number.
+fn numbered(id: &str, sequence: u64) -> Entry {
+    Entry {
+        sequence,
+        ..entry(id, ServerState::Ready)
+    }
+}
+
 fn entry(id: &str, state: ServerState) -> Entry {
     Entry {
         id: id.into(),
@@ -258,7 +272,7 @@
     let now = Instant::now();
     let limit = Duration::from_secs(2);
     assert_eq!(
-        fleet.apply_entry(entry("i", ServerState::Ready)),
+        apply(&fleet, entry("i", ServerState::Ready)),
         EntryChange::AvailabilityChanged
     );
     let server = fleet.server("i").expect("the entry was just added");
@@ -269,7 +283,10 @@
             .purge_removed(limit, now + Duration::from_secs(1))
             .is_empty()
     );
-    fleet.apply_entry(entry("i", ServerState::Ready));
+    for sequence in [2, 3] {
+        assert!(!server.accepts_requests());
+        apply(&fleet, numbered("i", sequence));
+    }
     assert!(server.accepts_requests());
     fleet.mark_removed("i", now);
     let gone = fleet.purge_removed(limit, now + Duration::from_secs(3));
@@ -281,13 +298,14 @@
 fn a_run_whose_entry_comes_back_after_its_removal_is_still_leaving() {
     let fleet = Fleet::default();
     let now = Instant::now();
-    fleet.apply_entry(entry("i", ServerState::Ready));
+    apply(&fleet, entry("i", ServerState::Ready));
     let server = fleet.server("i").expect("the entry was just added");
     assert!(server.note_leaving(now));
     assert!(!server.note_leaving(now));
     fleet.mark_removed("i", now);
     fleet.purge_removed(Duration::ZERO, now);
-    let change = fleet.apply_entry(entry("i", ServerState::Ready));
+    apply(&fleet, numbered("i", 2));
+    let change = apply(&fleet, numbered("i", 3));
     assert_eq!(change, EntryChange::AvailabilityChanged);
     let server = fleet.server("i").expect("the entry is back");
     assert!(!server.accepts_requests());
@@ -295,10 +313,13 @@
     assert!(server.has_begun_leaving(grace, now));
     assert!(!server.has_begun_leaving(grace, now + grace));
     // Another run under the id knows nothing of it.
-    fleet.apply_entry(Entry {
-        started_ms: 9_000,
-        ..entry("i", ServerState::Ready)
-    });
+    apply(
+        &fleet,
+        Entry {
+            started_ms: 9_000,
+            ..entry("i", ServerState::Ready)
+        },
+    );
     let server = fleet.server("i").expect("the entry is newer");
     assert!(server.accepts_requests());
 }
@@ -307,7 +328,7 @@
 fn the_pause_that_a_server_asked_for_is_not_shortened_by_a_later_answer_or_an_absent_entry() {
     let fleet = Fleet::default();
     let now = Instant::now();
-    fleet.apply_entry(entry("i", ServerState::Ready));
+    apply(&fleet, entry("i", ServerState::Ready));
     let server = fleet.server("i").expect("the entry was just added");
     server.note_pause(Duration::from_secs(3), now);
     server.note_pause(Duration::from_secs(1), now);
@@ -315,7 +336,8 @@
     assert_eq!(server.paused_until(now), Some(until));
     fleet.mark_removed("i", now);
     fleet.purge_removed(Duration::ZERO, now);
-    fleet.apply_entry(entry("i", ServerState::Ready));
+    apply(&fleet, numbered("i", 2));
+    apply(&fleet, numbered("i", 3));
     let server = fleet.server("i").expect("the entry is back");
     assert_eq!(server.paused_until(now), Some(until));
     assert_eq!(server.paused_until(until), None);
@@ -327,7 +349,7 @@
 fn weights_reported_missing_are_not_requested_from_a_server_for_a_while() {
     let fleet = Fleet::default();
     let now = Instant::now();
-    fleet.apply_entry(entry("i", ServerState::Ready));
+    apply(&fleet, entry("i", ServerState::Ready));
     let server = fleet.server("i").expect("the entry was just added");
     let adapter = Weights {
         model: "m".into(),
@@ -413,7 +435,7 @@
 fn a_restarted_server_keeps_no_state_of_its_previous_run() {
     let fleet = Fleet::default();
     let now = Instant::now();
-    fleet.apply_entry(entry("i", ServerState::Ready));
+    apply(&fleet, entry("i", ServerState::Ready));
     let before = fleet.server("i").expect("the entry was just added");
     let leader_view = [Holding {
         model: "m".into(),
@@ -429,7 +451,7 @@
         ..entry("i", ServerState::Ready)
     };
     assert_eq!(
-        fleet.apply_entry(restarted),
+        apply(&fleet, restarted),
         EntryChange::AvailabilityChanged,
         "a restarted server is a new one"
     );
@@ -453,7 +475,7 @@
         sequence: 7,
         ..entry("i", ServerState::Draining)
     };
-    fleet.apply_entry(draining.clone());
+    apply(&fleet, draining.clone());
     // A delayed entry of the same run, and one of the previous run with a higher sequence number.
     for (started_ms, sequence) in [(2_000, 6), (1_000, 90)] {
         let outdated = Entry {
@@ -461,15 +483,23 @@
             sequence,
             ..entry("i", ServerState::Ready)
         };
-        assert_eq!(fleet.apply_entry(outdated), EntryChange::Renewed);
+        assert_eq!(apply(&fleet, outdated), EntryChange::Renewed);
         let server = fleet.server("i").expect("the server is listed");
         assert!(!server.accepts_requests());
     }
     fleet.mark_removed("i", now);
     fleet.purge_removed(Duration::ZERO, now);
     // The same holds after the server has been removed.
-    fleet.apply_entry(entry("i", ServerState::Ready));
+    apply(&fleet, entry("i", ServerState::Ready));
+    assert!(fleet.server("i").is_none());
+    apply(&fleet, draining.clone());
     assert!(fleet.server("i").is_none());
-    fleet.apply_entry(draining);
+    apply(
+        &fleet,
+        Entry {
+            started_ms: 3_000,
+            ..draining
+        },
+    );
     assert!(fleet.server("i").is_some());
 }
--- a/src/gateway/tests/gossip_sender.rs
+++ b/src/gateway/tests/gossip_sender.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::fleet::{Entry, Fleet, Holding, ServerState};
 use crate::gateway::gossip_sender::AdvertisedHoldings;
+use crate::gateway::removal::ReadContext;
 use std::time::{Duration, Instant};
 
 const ROUND: Duration = Duration::from_millis(200);
@@ -68,7 +69,7 @@
 #[test]
 fn the_order_of_models_and_adapters_does_not_matter() {
     let fleet = Fleet::default();
-    fleet.apply_entry(Entry {
+    let entry = Entry {
         id: "i".into(),
         started_ms: 1,
         sequence: 1,
@@ -81,7 +82,8 @@
         holdings: vec![holding("m", &["a", "b"]), holding("n", &[])],
         in_memory: Vec::new(),
         on_disk: Vec::new(),
-    });
+    };
+    fleet.apply_entry(entry, false, &ReadContext::at(Instant::now()));
     let server = fleet.server("i").expect("the server is in the fleet");
     assert!(server.lists(&[holding("n", &[]), holding("m", &["b", "a"])]));
     assert!(!server.lists(&[holding("m", &["a", "b"])]));
--- a/src/gateway/tests/late_reads.rs
+++ b/src/gateway/tests/late_reads.rs
@@ -66,6 +66,10 @@
         self.answer(Vec::new(), OWN_END)
     }
 
+    async fn changes_before(&self, end: u64, _count: u64) -> Result<Vec<ServerChange>, StoreError> {
+        Ok(self.answer(Vec::new(), end)?.items)
+    }
+
     async fn changes_since(&self, from: u64) -> Result<Changes<ServerChange>, StoreError> {
         self.answer(Vec::new(), from)
     }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -32,6 +32,7 @@
 mod quota_ways;
 mod quotas;
 mod reachability;
+mod removal;
 mod restored_log;
 mod return_play;
 mod runner_load;
@@ -76,6 +77,7 @@
         client_memory_bytes: 64_000_000,
         client_min_wait: Duration::from_secs(1),
         link_bytes_per_s: None,
+        report_interval: None,
         sockets: crate::socket_limits::SocketLimits::of_descriptors(4_096),
         bounds: Bounds {
             quota: crate::callers::QuotaBounds::default(),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -7,6 +7,7 @@
 use crate::gateway::outbox::UpdateScope;
 use crate::gateway::peer_search::PeerSearch;
 use crate::gateway::read_delays::{ReadDelays, ReadStep};
+use crate::gateway::removal::MAX_WRITE_DELAY;
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
 use crate::gateway::sync_client::{ReceivedPart, SEARCH_TIME, SyncClient};
@@ -66,6 +67,8 @@
 /// Maximum time since the sender of a part knew it to be current. A VM that starts does not take an
 /// older one, unless it cannot read the log either.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2_000);
+/// The largest number of changes before the directory that are read when this VM starts.
+const MAX_RECENT_CHANGES: u64 = 4_000;
 /// Time between two checks whether another VM has a configuration that the log lost: one gossip
 /// interval.
 const LOST_CONFIGURATION_POLL: Duration = Duration::from_millis(200);
@@ -345,6 +348,7 @@
     ) -> Result<DirectoryRead, StoreError> {
         let sent_at = Instant::now();
         let read_at = BootTime::now();
+        let is_first = !self.state.is_directory_known.get();
         let changes = match from {
             None => Err(StoreError::Rewound),
             Some(from) => self.store.changes_since(from).await,
@@ -354,15 +358,46 @@
             true => self.store.entries().await?,
             false => changes?,
         };
+        let recent = match is_whole && is_first {
+            true => self.read_recent_changes(&changes).await,
+            false => None,
+        };
+        let removals_unknown_for = match &recent {
+            Some(_) => Duration::ZERO,
+            None => MAX_WRITE_DELAY,
+        };
         Ok(DirectoryRead {
             changes,
             since: from,
             is_whole,
+            recent: recent.unwrap_or_default(),
+            removals_unknown_for,
             at: sent_at,
             read_at: Some(read_at),
         })
     }
 
+    /// Reads the changes before the whole directory by which a late entry of a removed server is
+    /// recognised; `None` if the log does not have them or they are too many.
+    async fn read_recent_changes(
+        &self,
+        directory: &Changes<ServerChange>,
+    ) -> Option<Vec<ServerChange>> {
+        let fleet = &self.state.fleet;
+        let count = fleet.entries_while_pending(directory.items.len());
+        if count > MAX_RECENT_CHANGES {
+            return None;
+        }
+        let recent = self.store.changes_before(directory.next_offset, count);
+        match recent.await {
+            Ok(recent) => Some(recent),
+            Err(error) => {
+                info!(?error, "recent removals not read");
+                None
+            }
+        }
+    }
+
     /// Learns the era of the log from the position that a read returned.
     fn note_position(&self, position: u64, source: Source) {
         let now = Instant::now();
@@ -556,6 +591,8 @@
             mut changes,
             since: from,
             is_whole,
+            recent,
+            removals_unknown_for,
             at,
             read_at,
         } = read;
@@ -563,12 +600,17 @@
         if is_whole {
             self.state.note_directory_replaced(now);
         }
+        if is_whole && !self.state.is_directory_known.get() {
+            self.state.learn_removals(recent, changes.next_offset, now);
+            let fleet = &self.state.fleet;
+            fleet.set_removals_unknown_for(removals_unknown_for, now);
+        }
         if let Some(read_at) = read_at {
             self.state.following.directory_read_at.set(Some(read_at));
         }
         let next = changes.next_offset;
         if is_whole {
-            let unlisted = self.unlisted_servers(&changes.items).into_iter();
+            let unlisted = self.drop_unlisted(&changes.items).into_iter();
             // After a restore, the log lacks servers that are alive.
             let change = match self.state.was_log_restored(now) {
                 true => ServerChange::Lost,
@@ -612,16 +654,20 @@
             .queue_directory_updates(messages.unwrap_or_default());
     }
 
-    /// The known servers that a full read did not return.
-    fn unlisted_servers(&self, listed: &[ServerChange]) -> Vec<Name> {
+    /// Forgets the unproven entries of removed servers that a full read did not return; returns the
+    /// known servers that it did not return.
+    fn drop_unlisted(&self, listed: &[ServerChange]) -> Vec<Name> {
         let ids: HashSet<&Name> = listed
             .iter()
             .filter_map(|change| match change {
                 ServerChange::Upserted(entry) | ServerChange::Restored(entry) => Some(&entry.id),
                 ServerChange::Unreadable(id) => Some(id),
-                ServerChange::Removed(_) | ServerChange::Lost(_) => None,
+                ServerChange::Removed(_) | ServerChange::RemovedRun(..) | ServerChange::Lost(_) => {
+                    None
+                }
             })
             .collect();
+        self.state.fleet.drop_unlisted_candidates(&ids);
         let servers = self.state.fleet.servers().into_iter();
         let unlisted =
             servers.filter(|server| !ids.contains(&server.id) && !server.is_marked_removed());
@@ -694,6 +740,10 @@
     since: Option<u64>,
     /// Whether the changes list all servers.
     is_whole: bool,
+    /// The changes before the whole directory, if they were read.
+    recent: Vec<ServerChange>,
+    /// For how much longer there may be late entries of servers whose removal is not among the changes.
+    removals_unknown_for: Duration,
     /// A time at which the changes were current.
     pub(super) at: Instant,
     /// When the request was sent by which this VM read the changes from the log.
@@ -747,6 +797,10 @@
     let at = synced.confirmed_at();
     let reply = synced.reply;
     let since = from.filter(|_| !reply.is_whole);
+    // A VM of an earlier release does not tell of removals.
+    let removals_unknown_for = reply
+        .removals_unknown_ms
+        .map_or(MAX_WRITE_DELAY, Duration::from_millis);
     let changes = reply.changes.into_iter();
     let items: Option<Vec<ServerChange>> = changes.map(ServerUpdate::into_change).collect();
     Ok(DirectoryRead {
@@ -756,6 +810,8 @@
         },
         since,
         is_whole: since.is_none(),
+        recent: Vec::new(),
+        removals_unknown_for,
         at,
         read_at: None,
     })
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -42,6 +42,8 @@
     zone: Name,
     /// The first and the last port that VMs may use among themselves.
     internal_ports: [u16; 2],
+    /// How often runners write their entries.
+    heartbeat_ms: Option<u64>,
     listen: Listen,
     #[serde(default)]
     limits: FileLimits,
@@ -153,6 +155,7 @@
         peer_address: SocketAddr::new(file.ip, file.internal_ports[0]),
         log_address: file.platform.address,
         cpu_cores: file.limits.cpu_share * file.limits.cores,
+        report_interval: file.heartbeat_ms.map(Duration::from_millis),
         sockets: SocketLimits::of_descriptors(limits.max_fds),
         client_memory_bytes: ClientMemory::bytes_of_process(
             memory_bytes,
@@ -291,6 +294,9 @@
         let message = format!("are {first_port} to {last_port}, must be two ports or more");
         problems.push(Problem::new("internal_ports", message));
     }
+    if file.heartbeat_ms == Some(0) {
+        problems.push(Problem::new("heartbeat_ms", "is 0, must be more than 0"));
+    }
     if file.node_name.is_empty() {
         problems.push(Problem::new("node_name", "must not be empty"));
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -512,7 +512,7 @@
         let mut next_offset = from;
         loop {
             let read = self
-                .read_records(topic, next_offset, Duration::ZERO)
+                .read_records(topic, next_offset, Duration::ZERO, usize::MAX)
                 .await?;
             all.extend(read.changes.items);
             next_offset = read.changes.next_offset;
@@ -525,12 +525,14 @@
         }
     }
 
-    /// Reads the records of a keyed topic from a position on, as many as one read returns.
+    /// Reads the records of a keyed topic from a position on, as many as one read returns and at most
+    /// `max_records`.
     async fn read_records(
         &self,
         topic: &'static str,
         from: u64,
         wait: Duration,
+        max_records: usize,
     ) -> Result<RecordsRead, StoreError> {
         let from = Position::from_u64(from);
         let offset = from.offset;
@@ -540,7 +542,8 @@
         );
         let answer = self.get_from(&path, from, wait).await?;
         let end = answer.clone().try_get_u64().unwrap_or(0);
-        let records = split_records(answer).ok_or(StoreError::Garbled)?;
+        let mut records = split_records(answer).ok_or(StoreError::Garbled)?;
+        records.truncate(max_records);
         if topic == SERVERS_TOPIC {
             self.recent_servers.borrow_mut().note(from, &records);
         }
@@ -659,7 +662,8 @@
         from: u64,
         wait: Duration,
     ) -> Result<Changes<Configuration>, StoreError> {
-        let read = self.read_records(OPERATOR_TOPIC, from, wait).await;
+        let read = self.read_records(OPERATOR_TOPIC, from, wait, usize::MAX);
+        let read = read.await;
         read.map(|read| decode_configurations(read.changes))
     }
 }
@@ -670,6 +674,29 @@
         Ok(server_changes(records, &mut self.unreadable.borrow_mut()))
     }
 
+    async fn changes_before(&self, end: u64, count: u64) -> Result<Vec<ServerChange>, StoreError> {
+        let end = Position::from_u64(end);
+        let mut next = Position {
+            offset: end.offset.saturating_sub(count),
+            ..end
+        };
+        let mut items = Vec::new();
+        while next < end {
+            let left = (end.offset - next.offset) as usize;
+            let from = next.to_u64();
+            let read = self
+                .read_records(SERVERS_TOPIC, from, Duration::ZERO, left)
+                .await?;
+            let read = read.changes;
+            if read.next_offset == from {
+                return Err(warn_garbled("records before the end are missing"));
+            }
+            next = Position::from_u64(read.next_offset);
+            items.extend(server_changes(read, &mut self.unreadable.borrow_mut()).items);
+        }
+        Ok(items)
+    }
+
     async fn changes_since(&self, from: u64) -> Result<Changes<ServerChange>, StoreError> {
         let records = self.read_to_end(SERVERS_TOPIC, from).await;
         Ok(server_changes(records?, &mut self.unreadable.borrow_mut()))
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -317,7 +317,7 @@
     let kinds = changes.iter().map(|change| match change {
         ServerChange::Upserted(entry) => ("listed", entry.id.as_str()),
         ServerChange::Unreadable(id) => ("unreadable", id.as_str()),
-        ServerChange::Removed(id) => ("removed", id.as_str()),
+        ServerChange::Removed(id) | ServerChange::RemovedRun(id, _) => ("removed", id.as_str()),
         ServerChange::Restored(entry) => ("restored", entry.id.as_str()),
         ServerChange::Lost(id) => ("lost", id.as_str()),
     });
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -311,6 +311,7 @@
 zone = "{zone}"
 region = "r"
 internal_ports = [{first}, {last}]
+heartbeat_ms = 1200
 a_field_of_later = true
 [listen]
 front = "{front}"
--- a/workbench/src/site/server.rs
+++ b/workbench/src/site/server.rs
@@ -116,6 +116,10 @@
     software: RefCell<String>,
     address: SocketAddr,
     started_ms: Cell<u64>,
+    /// The number of entries that this run wrote.
+    sequence: Cell<u64>,
+    /// Whether entries say when the run started.
+    states_start: Cell<bool>,
     loaded: RefCell<Vec<(String, Vec<String>)>>,
     /// The number of orders that changed what is loaded since the start.
     order_count: Cell<u64>,
@@ -183,6 +187,8 @@
             software: RefCell::new("v1".to_owned()),
             address,
             started_ms: Cell::new(FIRST_START_MS),
+            sequence: Cell::new(0),
+            states_start: Cell::new(true),
             loaded: RefCell::new(
                 models
                     .map(|(model, adapters)| (model.to_owned(), owned(adapters)))
@@ -210,9 +216,10 @@
         server
     }
 
-    /// The server's entry in the directory, with the given state.
+    /// The next entry that the server writes to the directory, with the given state.
     pub fn entry(&self, state: &str) -> Value {
-        json!({
+        self.sequence.set(self.sequence.get() + 1);
+        let mut entry = json!({
             "service": self.service,
             "address": self.address.to_string(),
             "zone": "a",
@@ -221,9 +228,17 @@
             "state": state,
             "cold_remaining_ms": 0,
             "models": self.models(),
-            "sequence": 1,
-            "born": self.started_ms.get(),
-        })
+            "sequence": self.sequence.get(),
+        });
+        if self.states_start.get() {
+            entry["born"] = json!(self.started_ms.get());
+        }
+        entry
+    }
+
+    /// Leaves out of the entries when the run started.
+    pub fn hide_start(&self) {
+        self.states_start.set(false);
     }
 
     /// Changes the version of the server's software, which its next entry states.
@@ -306,6 +321,7 @@
     /// start from zero.
     pub fn restart(&self) {
         self.started_ms.set(self.started_ms.get() + RESTART_MS);
+        self.sequence.set(0);
         self.loaded.borrow_mut().clear();
         self.order_count.set(0);
         self.fence.set(0);
@@ -332,6 +348,7 @@
             .await
             .expect("the process that listened there has ended");
         self.started_ms.set(self.started_ms.get() + RESTART_MS);
+        self.sequence.set(0);
         self.order_count.set(0);
         self.fence.set(0);
         self.is_dead.set(false);
