A VM that gave up waiting does not say that it knows what is contained

What callers saw: all VMs were killed while the partition of the store was down that says which requests crash servers.

Cause: "known" was two things in one word, that a VM may serve because it waited long enough, and that it was told. The digest stated the first, the others took it for the second, and nobody read the record any more. A digest of 16 causes also counted as the whole list.

Why this works: `StartKnowledge` keeps both apart. A VM that waits no longer serves and goes on asking, at a rate that all VMs share; only a VM that was told is a source, by new fields that VMs of the earlier release cannot state, and a digest only if it holds all causes.

--- a/src/gateway/containment_keeper.rs
+++ b/src/gateway/containment_keeper.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::crash_report::CrashCause;
 use crate::gateway::source_selector::start_poll_interval;
+use crate::gateway::start_knowledge::StartKnowledge;
 use crate::gateway::state::State;
 use crate::gateway::{ContainmentLog, StoredCause};
 use std::cell::RefCell;
@@ -14,8 +15,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How often a contained cause is written again while requests of it come.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(200);
-/// The pause after a failed read.
+/// The mean pause after a failed read, at least.
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// The time between two failing reads of all VMs together.
+const FLEET_READ_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a VM that starts waits for another VM before it reads the log. The VMs that join the
 /// group first read the log at once, and the others have their state from them within half a second.
 const MAX_PEER_WAIT: Duration = Duration::from_millis(1_000);
@@ -55,12 +58,14 @@
         }
     }
 
-    /// Lets the VM take requests although it could not learn what is contained.
+    /// Lets the VM take requests although it could not learn what is contained. It goes on asking.
     async fn end_start_delay(&self) {
         compio::time::sleep(MAX_START_DELAY).await;
-        if !self.state.is_containment_known.replace(true) {
+        let knowledge = &self.state.containment_knowledge;
+        if !knowledge.get().may_serve() {
             warn!("requests are taken before it is known which crash servers");
         }
+        knowledge.set(knowledge.get().after_wait());
     }
 
     /// Waits until another VM has told what is contained, or until this VM has to read it from the
@@ -68,7 +73,7 @@
     /// does not know what is contained, or because no state has arrived for long.
     async fn wait_for_other_vms(&self) {
         let began = Instant::now();
-        while !self.state.is_containment_told.get()
+        while !self.state.containment_knowledge.get().is_told()
             && !self.state.reads_log.get()
             && self.state.configuration().is_none()
             && began.elapsed() < MAX_PEER_WAIT
@@ -81,21 +86,34 @@
     async fn read_until_known(&self) {
         self.wait_for_other_vms().await;
         let mut source = "vm";
-        while !self.state.is_containment_told.get() {
+        let mut failures: u32 = 0;
+        while !self.state.containment_knowledge.get().is_told() {
             match self.store.contained().await {
                 Ok(stored) => {
                     self.apply(&stored);
-                    self.state.is_containment_told.set(true);
+                    let knowledge = &self.state.containment_knowledge;
+                    knowledge.set(StartKnowledge::Told);
                     source = "log";
                 }
                 Err(error) => {
-                    info!(?error, "contained causes not read");
-                    compio::time::sleep(READ_RETRY_INTERVAL).await;
+                    failures += 1;
+                    // The first failure and ever rarer ones of a long outage.
+                    if failures.is_power_of_two() {
+                        info!(?error, failures, "contained causes not read");
+                    }
+                    compio::time::sleep(self.retry_pause()).await;
                 }
             }
         }
-        self.state.is_containment_known.set(true);
-        info!(source, "contained causes known");
+        info!(source, failures, "contained causes known");
+    }
+
+    /// The pause after a failed read. It grows with the fleet, so that the reads of all VMs together
+    /// stay few; whichever VM reads first tells the others.
+    fn retry_pause(&self) -> Duration {
+        let mean = FLEET_READ_INTERVAL * self.state.peers.vms() as u32;
+        mean.max(READ_RETRY_INTERVAL)
+            .mul_f64(rand::random_range(0.5..1.5))
     }
 
     fn apply(&self, stored: &[StoredCause]) {
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -4,6 +4,7 @@
 use crate::gateway::call::Call;
 use crate::gateway::crash_message::ClearanceMessage;
 use crate::gateway::crash_report::{CrashCause, CrashReport, ServerRunId, Witness};
+use crate::gateway::start_knowledge::StartKnowledge;
 use crate::gateway::state::State;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -16,8 +17,8 @@
     pub(super) clearances: Vec<(CrashCause, Vec<ServerRunId>)>,
     /// Parts of reported prompts with which answers began at the peer.
     pub(super) begun_parts: Vec<PromptPart>,
-    /// Whether the peer knows what was contained before it started.
-    pub(super) knows_contained: bool,
+    /// Whether `contained` is all that is contained, as the peer was told.
+    pub(super) is_complete: bool,
     /// Contained causes, each with the time since a request was last refused for it.
     pub(super) contained: Vec<(CrashCause, Duration)>,
 }
@@ -29,7 +30,7 @@
             && self.clearances.is_empty()
             && self.begun_parts.is_empty()
             && self.contained.is_empty()
-            && !self.knows_contained
+            && !self.is_complete
     }
 }
 
@@ -85,9 +86,8 @@
             }
         }
         drop(containment);
-        if news.knows_contained {
-            self.is_containment_told.set(true);
-            self.is_containment_known.set(true);
+        if news.is_complete {
+            self.containment_knowledge.set(StartKnowledge::Told);
         }
         if has_evidence {
             self.changed.notify();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -62,6 +62,8 @@
     pub(super) boot: u64,
     /// Holdings of each runner, as last sent to peers.
     pub(super) sent_holdings: RefCell<HashMap<Incarnation, AdvertisedHoldings>>,
+    /// Which contained cause is sent next, of those that do not all fit a message.
+    pub(super) next_contained: Cell<usize>,
     /// Selects which of this zone's loads are sent to other zones.
     pub(super) sent_zone_loads: RefCell<ZoneLoadSampler>,
     /// Sequence number of the last demand report.
@@ -86,6 +88,7 @@
             socket,
             boot,
             sent_holdings: RefCell::default(),
+            next_contained: Cell::new(0),
             sent_zone_loads: RefCell::default(),
             demand_round: Cell::new(0),
             // VMs start at different round numbers, so a VM receives messages from other zones in
@@ -259,6 +262,7 @@
             loads: Vec::new(),
             contained: Vec::new(),
             knows_contained: false,
+            lists_all_contained: false,
             leaving: Vec::new(),
             waiting: Vec::new(),
             leader: None,
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -134,9 +134,13 @@
     /// What the sender contains because it crashes servers.
     #[prost(message, repeated, tag = "35")]
     pub(super) contained: Vec<ContainedCauseMessage>,
-    /// Whether the sender knows what was contained before it started.
+    /// The same as `lists_all_contained`, for VMs of earlier releases. Theirs may state it although nobody
+    /// has told them, so that it isn't read.
     #[prost(bool, tag = "36")]
     pub(super) knows_contained: bool,
+    /// Whether `contained` is all that is contained, as the sender was told.
+    #[prost(bool, tag = "46")]
+    pub(super) lists_all_contained: bool,
     /// How fast servers are: what the sender has seen, or, in messages to remote zones, all VMs of
     /// the zone of the sender.
     #[prost(message, optional, tag = "37")]
--- a/src/gateway/gossip_receiver.rs
+++ b/src/gateway/gossip_receiver.rs
@@ -127,7 +127,8 @@
             reports: reports.collect(),
             clearances: clearances.collect(),
             begun_parts: digest.begun_parts.iter().copied().map(PromptPart).collect(),
-            knows_contained: digest.knows_contained && !self.state.is_containment_told.get(),
+            is_complete: digest.lists_all_contained
+                && !self.state.containment_knowledge.get().is_told(),
             contained: contained.collect(),
         };
         if !news.is_empty() {
--- a/src/gateway/gossip_sender.rs
+++ b/src/gateway/gossip_sender.rs
@@ -46,6 +46,13 @@
 /// sends those of thousands of runners over several seconds.
 const MAX_HOLDINGS_MESSAGES: usize = 8;
 
+/// Contained causes as one message carries them.
+struct ContainedCauses {
+    causes: Vec<ContainedCauseMessage>,
+    /// Whether they are all that this VM contains.
+    is_complete: bool,
+}
+
 /// The holdings of one runner as advertised to peers.
 #[derive(Debug)]
 pub(super) struct AdvertisedHoldings {
@@ -191,6 +198,9 @@
     pub(super) fn digest(&self) -> Digest {
         let state = &self.state;
         let configuration = state.stated_configuration(Instant::now());
+        let contained = self.contained_causes();
+        let lists_all_contained =
+            contained.is_complete && state.containment_knowledge.get().is_told();
         Digest {
             boot: self.boot,
             is_leaving: state.shutdown.is_leaving(),
@@ -203,8 +213,9 @@
             cpu_percent: u32::from(state.peers.own_cpu_percent()),
             fence: state.fence.get(),
             leader: state.peers.leader_seen(Instant::now()),
-            contained: self.contained_causes(),
-            knows_contained: state.is_containment_known.get(),
+            contained: contained.causes,
+            knows_contained: lists_all_contained,
+            lists_all_contained,
             leaving: self.leaving_servers(),
             mixed_services: self.mixed_services(),
             open_versions: self.open_versions(),
@@ -215,13 +226,25 @@
         }
     }
 
-    /// What this VM contains because it crashes servers, the causes refused last first.
-    fn contained_causes(&self) -> Vec<ContainedCauseMessage> {
-        let confirmed = self.state.containment.borrow().confirmed(Instant::now());
+    /// What this VM contains because it crashes servers, as much as a message may carry: the causes
+    /// refused last, and the others in turn.
+    fn contained_causes(&self) -> ContainedCauses {
+        let mut confirmed = self.state.containment.borrow().confirmed(Instant::now());
+        let is_complete = confirmed.len() <= MAX_CONTAINED_PER_MESSAGE;
+        if !is_complete {
+            let others = &mut confirmed[MAX_CONTAINED_PER_MESSAGE / 2..];
+            let count = others.len();
+            let next = self.next_contained.get() % count;
+            others.rotate_left(next);
+            self.next_contained
+                .set(next + MAX_CONTAINED_PER_MESSAGE / 2);
+        }
         let causes = confirmed.iter().take(MAX_CONTAINED_PER_MESSAGE);
-        causes
-            .map(|(cause, idle)| ContainedCauseMessage::of(*cause, *idle))
-            .collect()
+        let causes = causes.map(|(cause, idle)| ContainedCauseMessage::of(*cause, *idle));
+        ContainedCauses {
+            causes: causes.collect(),
+            is_complete,
+        }
     }
 
     /// The requests that wait at this VM, as many as a message may carry.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -87,6 +87,7 @@
 mod software_versions;
 mod source_selector;
 mod speeds;
+mod start_knowledge;
 mod state;
 mod state_monitor;
 mod stream_gossip;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -29,6 +29,7 @@
 };
 use crate::gateway::source_selector::Source;
 use crate::gateway::speeds::Speeds;
+use crate::gateway::start_knowledge::StartKnowledge;
 use crate::gateway::stream_versions::{StreamKey, StreamVersions};
 use crate::gateway::sync_message::Part;
 use crate::gateway::version_search::{VersionAnswer, VersionSearch};
@@ -121,10 +122,7 @@
     /// What crashes servers.
     pub(crate) containment: RefCell<CrashContainment>,
     /// Whether the log or another VM has told what is contained.
-    pub(super) is_containment_told: Cell<bool>,
-    /// Whether this VM may take requests as far as contained causes are concerned: it was told what
-    /// is contained, or nobody could tell it in time.
-    pub(super) is_containment_known: Cell<bool>,
+    pub(super) containment_knowledge: Cell<StartKnowledge>,
     /// Whether this VM has begun to read a part of its state from the log, and that has not failed.
     pub(super) reads_log: Cell<bool>,
     /// The demand for weights by the requests that this VM receives.
@@ -227,8 +225,7 @@
             era_known_at: Cell::new(None),
             history: RefCell::default(),
             containment: RefCell::default(),
-            is_containment_told: Cell::new(false),
-            is_containment_known: Cell::new(false),
+            containment_knowledge: Cell::default(),
             reads_log: Cell::new(false),
             demand: Demand::default(),
             speeds: Speeds::default(),
@@ -441,7 +438,9 @@
 
     /// Whether this VM knows all that it needs to know to route a request that arrives now.
     pub(crate) fn can_route(&self, now: Instant) -> bool {
-        self.has_state() && self.is_containment_known.get() && self.is_configuration_checked(now)
+        self.has_state()
+            && self.containment_knowledge.get().may_serve()
+            && self.is_configuration_checked(now)
     }
 
     /// The time since the process was started.
@@ -456,10 +455,7 @@
 
     /// Whether this VM takes requests that other VMs forward.
     pub(crate) fn accepts_forwarded(&self) -> bool {
-        self.has_state()
-            && self.is_configuration_checked(Instant::now())
-            && !self.is_cut_off()
-            && !self.shutdown.is_leaving()
+        self.can_route(Instant::now()) && !self.is_cut_off() && !self.shutdown.is_leaving()
     }
 
     /// Returns the offset in the log up to which this VM has a part of the state.
@@ -1006,7 +1002,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         !self.shutdown.is_leaving()
             && self.is_directory_known.get()
-            && self.is_containment_known.get()
+            && self.containment_knowledge.get().may_serve()
             && self.peers.is_discovery_done(Instant::now())
             && self.is_configuration_checked(Instant::now())
             && !self
--- a/src/gateway/sync_message.rs
+++ b/src/gateway/sync_message.rs
@@ -72,9 +72,13 @@
     /// The digest of the configuration to which `packed` is a difference, if it is one.
     #[prost(fixed64, optional, tag = "10")]
     pub(super) base_digest: Option<u64>,
-    /// Whether the sender knows what is contained; sent with the whole configuration.
+    /// The same as `lists_all_contained`, for VMs of earlier releases. Theirs may state it although nobody
+    /// has told them, so that it isn't read.
     #[prost(bool, tag = "11")]
     pub(super) knows_contained: bool,
+    /// Whether `contained` is all that is contained, as the sender was told.
+    #[prost(bool, tag = "15")]
+    pub(super) lists_all_contained: bool,
     /// What the sender contains because it crashes servers; sent with the whole configuration.
     #[prost(message, repeated, tag = "12")]
     pub(super) contained: Vec<ContainedCauseMessage>,
--- a/src/gateway/sync_server.rs
+++ b/src/gateway/sync_server.rs
@@ -124,9 +124,10 @@
         if from.is_some_and(|from| from >= end) {
             return None;
         }
+        let containment = self.state.containment_knowledge.get();
         match part {
             // The receiver would have to read from the log what is contained.
-            Part::Configuration if from.is_none() && !self.state.is_containment_known.get() => None,
+            Part::Configuration if from.is_none() && !containment.may_serve() => None,
             Part::Configuration => {
                 let document = &self.state.configuration()?.document;
                 let mut reply = self.reply(part, end, now)?;
@@ -135,7 +136,8 @@
                     false => reply.document = document.bytes(),
                 }
                 if from.is_none() {
-                    reply.knows_contained = self.state.is_containment_told.get();
+                    reply.knows_contained = containment.is_told();
+                    reply.lists_all_contained = containment.is_told();
                     reply.contained = self.contained_causes(now);
                 }
                 Some(reply.encode_to_vec().into())
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -462,12 +462,12 @@
 
     /// Applies what another VM contains, which comes with the whole configuration.
     fn apply_contained(&self, received: &ReceivedPart) {
-        if !received.reply.knows_contained {
+        if !received.reply.lists_all_contained {
             return;
         }
         let contained = received.reply.contained.iter();
         let news = PeerCrashNews {
-            knows_contained: true,
+            is_complete: true,
             contained: contained.filter_map(|it| it.contained()).collect(),
             ..PeerCrashNews::default()
         };
--- a/workbench/src/site/mod.rs
+++ b/workbench/src/site/mod.rs
@@ -30,7 +30,7 @@
 pub use server::{
     Arrival, LoadedModels, ReceivedRequest, ScriptStep, ServerEvent, ServerStandIn, signed_answer,
 };
-pub use store::{StoreCopy, StoreFaults, StoreStandIn};
+pub use store::{StoreCopy, StoreFaults, StoreStandIn, TopicFault};
 pub use vm_network::{Node, VmNetwork};
 
 use crate::cluster::Cluster;
--- a/workbench/src/site/store.rs
+++ b/workbench/src/site/store.rs
@@ -20,9 +20,24 @@
 const READ_POLL: Duration = Duration::from_millis(2);
 /// How much of a paced answer is sent at once.
 const PACED_CHUNK_BYTES: usize = 16 * 1024;
+/// How long a slow call takes.
+const SLOW_ANSWER: Duration = Duration::from_millis(1_500);
 /// How long a call is held when no answer is to be sent; longer than any test runs.
 const UNANSWERED_HOLD: Duration = Duration::from_secs(3_600);
 
+/// What happens to calls about one topic.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum TopicFault {
+    /// They are refused with status 503.
+    Refused,
+    /// They are not answered.
+    Silent,
+    /// They are answered later than a VM waits for an answer.
+    Slow,
+    /// Their answers end early.
+    CutShort,
+}
+
 /// The faults that the store simulates.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct StoreFaults {
@@ -38,6 +53,8 @@
     pub hides_owners: bool,
     /// The bytes per second at which each answer is sent; 0 for no limit.
     pub bytes_per_s: u64,
+    /// A topic about which calls fail, and how.
+    pub topic_fault: Option<(&'static str, TopicFault)>,
 }
 
 /// What a store can come back with: its topics and groups at one moment.
@@ -86,6 +103,7 @@
     /// How often the store has come back from a copy.
     era: Cell<u64>,
     calls: RefCell<HashMap<String, u64>>,
+    topic_calls: RefCell<HashMap<String, u64>>,
     /// The reads of a whole topic, by topic.
     whole_reads: RefCell<BTreeMap<String, u64>>,
     /// How many items a page has at most, and a read of records; 0 for all in one.
@@ -182,6 +200,11 @@
         self.calls.borrow().get(path).copied().unwrap_or(0)
     }
 
+    /// The number of calls about a topic so far.
+    pub fn topic_calls(&self, topic: &str) -> u64 {
+        self.topic_calls.borrow().get(topic).copied().unwrap_or(0)
+    }
+
     /// The number of reads of a whole topic so far, by topic.
     pub fn whole_reads(&self) -> BTreeMap<String, u64> {
         self.whole_reads.borrow().clone()
@@ -218,6 +241,9 @@
     async fn answer(&self, request: Request<Incoming>, port_offset: u16) -> Response<Body> {
         let path = request.uri().path().to_owned();
         *self.calls.borrow_mut().entry(path.clone()).or_default() += 1;
+        if let Some(topic) = http_json::query::<String>(&request, "topic") {
+            *self.topic_calls.borrow_mut().entry(topic).or_default() += 1;
+        }
         if self.faults.get().is_silent {
             compio::time::sleep(UNANSWERED_HOLD).await;
         }
@@ -225,6 +251,18 @@
             return http_json::status(StatusCode::SERVICE_UNAVAILABLE);
         }
         let is_write = *request.method() == Method::POST;
+        match self.fault_of(&request) {
+            Some(TopicFault::Refused) => {
+                return http_json::status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            Some(TopicFault::Silent) => compio::time::sleep(UNANSWERED_HOLD).await,
+            Some(TopicFault::Slow) => compio::time::sleep(SLOW_ANSWER).await,
+            Some(TopicFault::CutShort) => {
+                let cut = Body::full(Bytes::from_static(b"{\"items\":[{\"key\":"));
+                return Response::new(cut);
+            }
+            None => {}
+        }
         let answer = match path.as_str() {
             "/-/log-newest" => self.newest(&request, port_offset),
             "/-/log-read" => self.read(&request, port_offset).await,
@@ -246,6 +284,13 @@
         answer
     }
 
+    /// What happens to a call because of its topic.
+    fn fault_of(&self, request: &Request<Incoming>) -> Option<TopicFault> {
+        let (topic, fault) = self.faults.get().topic_fault?;
+        let of_call: Option<String> = http_json::query(request, "topic");
+        (of_call.as_deref() == Some(topic)).then_some(fault)
+    }
+
     fn newest(&self, request: &Request<Incoming>, port_offset: u16) -> Response<Body> {
         let topic: String = http_json::query(request, "topic").unwrap_or_default();
         *self
--- a/workbench/tests/site_configuration.rs
+++ b/workbench/tests/site_configuration.rs
@@ -27,6 +27,7 @@
     refuses_joins: false,
     hides_owners: false,
     bytes_per_s: 800_000,
+    topic_fault: None,
 };
 /// The number of routes of a configuration whose text is over a megabyte long.
 const MANY_ROUTES: u64 = 6_000;
