A recorded answer whose status is none is no success

What callers saw: a repeated call with an Idempotency-Key whose record in the log holds a status that is none, such as 0, got 200 with the recorded body: a failure that was turned into a success.

Cause: `replay_response` replaced a status that cannot be read by 200.

Why this works: the check that answers of servers pass decides on recorded ones as well. What is none of a final answer is an unknown outcome that ran.

New tests, green before the change: 000 as an interim answer, behind a sound answer on a kept connection, to the second attempt of a stream, and to another VM that a request was forwarded to.

--- a/src/plain_service.rs
+++ b/src/plain_service.rs
@@ -5,6 +5,9 @@
 //! connection. The outcome is then the service's answer, or unknown if no answer was received;
 //! the call is not sent again in either case.
 
+#[cfg(test)]
+mod tests;
+
 use crate::client::{Connection, SendError};
 use crate::client_memory::{ClientAccount, read_answer};
 use crate::engine::build_request;
@@ -14,6 +17,7 @@
 use crate::idempotency::{KeyCommand, KeyHash, KeyVerdict, KeyWindow, Reply};
 use crate::inventory::{BackendServer, Name, PlainService};
 use crate::membership::Membership;
+use crate::response_body::is_final;
 use crate::server::{ControlStream, KeyStream};
 use crate::service_registry::Service;
 use crate::shutdown::Shutdown;
@@ -511,7 +515,14 @@
         );
         return Err(Failure::new(Kind::OutcomeUnknown, message).ran(Ran::Yes));
     };
-    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::OK);
+    let status = StatusCode::from_u16(reply.status).ok();
+    let Some(status) = status.filter(|status| is_final(*status)) else {
+        let message = format!(
+            "the call with this key ran, but its recorded status {} is none of an answer",
+            reply.status
+        );
+        return Err(Failure::new(Kind::OutcomeUnknown, message).ran(Ran::Yes));
+    };
     let body = Bytes::from(body.as_bytes().to_vec());
     let mut response = build_response(status, &reply.content_type, body);
     response.headers_mut().insert(
--- a/src/response_body.rs
+++ b/src/response_body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::http::response;
-use hyper::{HeaderMap, Response, header};
+use hyper::{HeaderMap, Response, StatusCode, header};
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -126,11 +126,16 @@
     }
 }
 
+/// Whether a response with a status may answer a request. No request of this process asks for another
+/// protocol.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    !status.is_informational() && status.as_u16() < END_OF_STATUSES
+}
+
 /// Checks the head of a response, and finds what shows where its body ends.
 fn framing_of(head: &response::Parts, body: &Incoming) -> Result<Framing, ResponseFault> {
     let status = head.status;
-    // No request of this process asks for another protocol.
-    if status.is_informational() || status.as_u16() >= END_OF_STATUSES {
+    if !is_final(status) {
         return Err(ResponseFault::Status(status));
     }
     let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
--- a/workbench/tests/site_cut_off.rs
+++ b/workbench/tests/site_cut_off.rs
@@ -418,3 +418,40 @@
         expect_that!(forwarded.iter().any(is_forwarded), eq(true));
     });
 }
+
+/// Guards against an answer without a status that reaches the caller by way of another VM.
+#[googletest::test]
+fn an_answer_without_a_status_to_another_vm_is_a_failure() {
+    block_on(async {
+        let mut cut_site = CutSite::start().await;
+        cut_site.cut(Cut::Refused).await;
+        cut_site.send(CUT_VM, STABLE_WINDOW).await;
+        let site = &cut_site.site;
+        for server in &site.servers {
+            server.script(|call| {
+                let id = call.header("x-attempt-id");
+                let text = format!(
+                    "HTTP/1.1 000 Trouble\r\nX-Attempt-Id: {id}\r\n\
+                     X-Server-Signature: sig-{id}\r\nContent-Length: 4\r\n\r\nbody"
+                );
+                vec![ScriptStep::Write(text.into_bytes()), ScriptStep::Close]
+            });
+        }
+        let arrivals = || site.servers.iter().map(|it| it.runs().len()).sum::<usize>();
+        let before = arrivals();
+        for request in [
+            CallerRequest::post("/orders/1", "it"),
+            CallerRequest::get("/books"),
+            CallerRequest::model("/s/x", "m0"),
+        ] {
+            let path = request.path.clone();
+            let answer = Caller::default()
+                .request(site.front(CUT_VM), &request)
+                .await;
+            let is_failure = answer.status.is_some_and(|status| status >= 500);
+            expect_that!(is_failure, eq(true), "{path} {answer:?}");
+            expect_that!(answer.header("x-server-signature"), eq(""), "{path}");
+        }
+        expect_that!(arrivals() - before, ge(3));
+    });
+}
--- a/workbench/tests/site_improper_answers.rs
+++ b/workbench/tests/site_improper_answers.rs
@@ -222,3 +222,84 @@
         }
     });
 }
+
+/// Guards against an interim answer without a status before a final one.
+#[googletest::test]
+fn an_interim_answer_whose_status_is_no_status_is_refused() {
+    block_on(async {
+        let site = site().await;
+        for server in &site.servers {
+            server.script(|call| {
+                let interim = ScriptStep::Write(b"HTTP/1.1 000 Trouble\r\n\r\n".to_vec());
+                let mut steps = vec![interim];
+                steps.extend(answer(call, "200 OK", &with_length("body"), "body"));
+                steps
+            });
+        }
+        for (path, method) in [("/orders/1", "POST"), ("/x", "GET"), ("/s/x", "POST")] {
+            let request = match path {
+                "/s/x" => CallerRequest::model(path, "m0"),
+                _ if method == "POST" => CallerRequest::post(path, "it"),
+                _ => CallerRequest::get(path),
+            };
+            let refused = Caller::default().request(site.front(0), &request).await;
+            let is_failure = refused.status.is_some_and(|status| status >= 500);
+            expect_that!(is_failure, eq(true), "{path} {refused:?}");
+            expect_that!(refused.header("x-server-signature"), eq(""), "{path}");
+        }
+    });
+}
+
+/// Guards against an answer without a status on a connection that has carried a sound one.
+#[googletest::test]
+fn an_answer_without_a_status_behind_a_sound_one_is_refused() {
+    block_on(async {
+        let site = site().await;
+        let caller = Caller::default();
+        for round in 0..3 {
+            for server in &site.servers {
+                server.script(|call| {
+                    let id = call.header("x-attempt-id");
+                    vec![ScriptStep::Write(signed_answer(id, 200, "sound"))]
+                });
+            }
+            for _ in 0..4 {
+                let order = CallerRequest::post("/orders/1", "it");
+                let answered = caller.request(site.front(0), &order).await;
+                expect_that!(answered.body, eq("sound"), "{round} {answered:?}");
+            }
+            for server in &site.servers {
+                server.script(|call| answer(call, "000 Trouble", &with_length("body"), "body"));
+            }
+            let order = CallerRequest::post("/orders/1", "it");
+            let refused = caller.request(site.front(0), &order).await;
+            expect_that!(refused.status, some(eq(502)), "{round} {refused:?}");
+        }
+    });
+}
+
+/// Guards against an answer without a status to the second attempt of a stream.
+#[googletest::test]
+fn a_stream_whose_second_attempt_gets_no_status_does_not_look_complete() {
+    block_on(async {
+        let site = site().await;
+        for server in &site.servers[2..] {
+            server.script(|call| {
+                if !call.header("last-event-id").is_empty() {
+                    return answer(call, "000 Trouble", &with_length("body"), "body");
+                }
+                let mut steps = remaining_events(call, EVENTS, 0);
+                steps.truncate(2);
+                steps.push(ScriptStep::Close);
+                steps
+            });
+        }
+        for _ in 0..3 {
+            let request = CallerRequest::model("/s/x", "m0");
+            let answered = Caller::default().request(site.front(0), &request).await;
+            expect_that!(answered.is_complete, eq(false), "{answered:?}");
+            let whole = events_text(1, EVENTS);
+            expect_that!(whole.starts_with(&answered.body), eq(true), "{answered:?}");
+        }
+    });
+}
