The era of a removal goes with it to other VMs

What callers would see: after the log was restored from a copy, a late report of a removed server revived it at VMs that were told of the removal by another one, since what they were told counted as of the first era, and an entry of a later era counts at once.

Why this works: a removal names its era in messages. The unit tests of removals run in a restored log now; that the era arrives is checked there.

--- a/src/gateway/directory_updates.rs
+++ b/src/gateway/directory_updates.rs
@@ -101,6 +101,9 @@
     /// The time since the first VM learned of the removal, in milliseconds.
     #[prost(uint64, tag = "4")]
     age_ms: u64,
+    /// The era of the log in which it was removed.
+    #[prost(uint64, tag = "5")]
+    era: u64,
 }
 
 impl RemovalUpdate {
@@ -110,19 +113,18 @@
             reachable_sequence: removal.reachable_sequence,
             may_have_lapsed: removal.may_have_lapsed,
             age_ms: removal.removed_at.elapsed().as_millis() as u64,
+            era: removal.era,
         }
     }
 
     fn into_removal(self, run: Option<RunAddress>) -> Removal {
         let now = Instant::now();
         let removed_at = now.checked_sub(Duration::from_millis(self.age_ms));
-        Removal::of_notice(
-            run,
-            self.last_sequence,
-            self.reachable_sequence,
-            self.may_have_lapsed,
-            removed_at.unwrap_or(now),
-        )
+        let mut removal = Removal::of_unknown(run, removed_at.unwrap_or(now), self.era);
+        removal.last_sequence = self.last_sequence;
+        removal.reachable_sequence = self.reachable_sequence;
+        removal.may_have_lapsed = self.may_have_lapsed;
+        removal
     }
 }
 
--- a/src/gateway/removal.rs
+++ b/src/gateway/removal.rs
@@ -106,7 +106,8 @@
     pub(crate) may_have_lapsed: bool,
     /// When the first VM learned of the removal.
     pub(crate) removed_at: Instant,
-    era: u64,
+    /// The era of the log in which it was removed.
+    pub(crate) era: u64,
     candidate: Option<Candidate>,
 }
 
@@ -136,7 +137,7 @@
         }
     }
 
-    /// A removal of which no more is known than that no later one is pending since a time.
+    /// A removal of which only the time is known by which it had happened.
     pub(crate) fn of_unknown(run: Option<RunAddress>, removed_at: Instant, era: u64) -> Self {
         Self {
             run,
@@ -149,22 +150,6 @@
         }
     }
 
-    /// The removal as another VM tells it.
-    pub(crate) fn of_notice(
-        run: Option<RunAddress>,
-        last_sequence: Option<u64>,
-        reachable_sequence: u64,
-        may_have_lapsed: bool,
-        removed_at: Instant,
-    ) -> Self {
-        Self {
-            last_sequence,
-            reachable_sequence,
-            may_have_lapsed,
-            ..Self::of_unknown(run, removed_at, 0)
-        }
-    }
-
     /// Whether an entry is of the removed run, as far as known.
     pub(crate) fn is_of_run(&self, entry: &Entry) -> bool {
         self.run.is_none_or(|run| run == RunAddress::of(entry))
--- a/src/gateway/tests/removal.rs
+++ b/src/gateway/tests/removal.rs
@@ -10,6 +10,8 @@
 
 const SERVER: &str = "i-1";
 const INTERVAL: Duration = Duration::from_millis(1_200);
+/// The era of a log that was restored once.
+const ERA: u64 = 1;
 /// The time between two reads of the directory.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -50,6 +52,7 @@
     fn at(&self, seconds: f64) -> ReadContext {
         let now = self.began + Duration::from_secs_f64(seconds);
         ReadContext {
+            era: ERA,
             written_after: Some(now - READ_INTERVAL),
             ..ReadContext::at(now)
         }
@@ -211,6 +214,7 @@
         panic!("{told:?}");
     };
     assert_eq!(told.run, Some(RunAddress::of(&entry(1))));
+    assert_eq!(told.era, removal.era);
     // One VM lists the server by its first entry, the other one has never heard of it.
     let listing = Vm::with_entry(entry(1));
     let started = Vm::with_entry(Entry {
