Each judgement on an entry of a removed server is logged

Now each removal is logged with what it shows, and each entry after it with the verdict, its proof, the numbers, the silence, the age of the removal, the eras and where the entry came from; at most 16 lines for a set of changes.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -5,7 +5,7 @@
 use crate::gateway::coming_copy::ComingCopy;
 use crate::gateway::reachability::ListedServers;
 use crate::gateway::removal::{
-    MAX_DELAYED_ENTRIES, MAX_WRITE_DELAY, ReadContext, Removal, RunAddress, Verdict,
+    Judgement, MAX_DELAYED_ENTRIES, MAX_WRITE_DELAY, ReadContext, Removal, RunAddress, Verdict,
 };
 use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
@@ -35,6 +35,9 @@
 /// the log for minutes.
 const MAX_REMOVED_RUNS: usize = 10_000;
 
+/// Maximum number of judgements that are kept until they are taken.
+const MAX_JUDGEMENTS: usize = 16;
+
 /// How many entries a server may write from one report to the next, and of how many servers the changes
 /// are read at least: servers may have left since.
 const ENTRIES_PER_REPORT: u64 = 2;
@@ -473,6 +476,8 @@
     has_candidates: Cell<bool>,
     /// Until when there may be late entries of servers whose removal this VM does not know.
     removals_unknown_until: Cell<Option<Instant>>,
+    /// The latest judgements on entries of removed runs that were not taken yet.
+    judgements: RefCell<Vec<Judgement>>,
     /// How often servers renew their entries.
     report_interval: Duration,
 }
@@ -491,6 +496,7 @@
             removed_runs: RefCell::default(),
             has_candidates: Cell::new(false),
             removals_unknown_until: Cell::new(None),
+            judgements: RefCell::default(),
             report_interval: report_interval.unwrap_or(DEFAULT_REPORT_INTERVAL),
         }
     }
@@ -523,17 +529,17 @@
             if entry.is_of_earlier_run(started_ms) {
                 return EntryChange::Renewed;
             }
-            let verdict = match removal.is_of_run(&entry) {
-                true => removal.judge(&entry, may_be_restored, read),
-                false => Verdict::Alive,
-            };
-            match verdict {
-                Verdict::Outdated => return EntryChange::Renewed,
-                Verdict::Unproven => {
-                    self.has_candidates.set(true);
-                    return EntryChange::Unproven;
+            if removal.is_of_run(&entry) {
+                let verdict = removal.judge(&entry, may_be_restored, read);
+                self.record_judgement(&entry, verdict, removal);
+                match verdict {
+                    Verdict::Outdated => return EntryChange::Renewed,
+                    Verdict::Unproven => {
+                        self.has_candidates.set(true);
+                        return EntryChange::Unproven;
+                    }
+                    Verdict::Alive(_) => {}
                 }
-                Verdict::Alive => {}
             }
             let server = server.take().filter(|server| server.is_run_of(&entry));
             removed_runs.remove(&entry.id);
@@ -581,6 +587,24 @@
         EntryChange::AvailabilityChanged
     }
 
+    fn record_judgement(&self, entry: &Entry, verdict: Verdict, removal: &Removal) {
+        let mut judgements = self.judgements.borrow_mut();
+        if judgements.len() < MAX_JUDGEMENTS {
+            judgements.push(Judgement {
+                id: entry.id.clone(),
+                sequence: entry.sequence,
+                verdict,
+                removal: removal.clone(),
+            });
+        }
+    }
+
+    /// Returns the judgements on entries of removed runs since the last call, the first
+    /// [`MAX_JUDGEMENTS`] of them.
+    pub(crate) fn take_judgements(&self) -> Vec<Judgement> {
+        self.judgements.take()
+    }
+
     /// Whether an entry of a server that this VM has not seen may be a late one of a removed run.
     fn may_be_removed(&self, read: &ReadContext) -> bool {
         let unknown_until = self.removals_unknown_until.get();
--- a/src/gateway/removal.rs
+++ b/src/gateway/removal.rs
@@ -13,6 +13,7 @@
 //! Entries of other runs under the same id and entries of a restored log are not affected.
 
 use crate::gateway::fleet::{Entry, ServerState};
+use crate::inventory::Name;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,25 @@
 /// The number of entries that a run may write before a delayed one takes effect.
 pub(crate) const MAX_DELAYED_ENTRIES: u64 = 1_000;
 
+/// Where directory changes come from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ChangeSource {
+    /// They were read from the log.
+    Log,
+    /// Another VM sent them.
+    Vm,
+}
+
+impl ChangeSource {
+    /// The name that the log lines use.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Log => "log",
+            Self::Vm => "vm",
+        }
+    }
+}
+
 /// When and how directory changes were read.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadContext {
@@ -37,6 +57,8 @@
     pub(crate) written_after: Option<Instant>,
     /// The era of the log.
     pub(crate) era: u64,
+    /// Where the changes come from.
+    pub(crate) source: ChangeSource,
     /// Whether the changes list the whole directory.
     pub(crate) is_whole: bool,
     /// Whether the log was unavailable shortly before, so that entries of living servers may lapse.
@@ -50,6 +72,7 @@
             now,
             written_after: None,
             era: 0,
+            source: ChangeSource::Log,
             is_whole: false,
             was_log_unavailable: false,
         }
@@ -75,17 +98,47 @@
     }
 }
 
+/// What shows that a server wrote an entry after its removal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Proof {
+    /// The entry is of a restored log, and newer than the last one read.
+    Restored,
+    /// The log was restored after the removal.
+    LaterEra,
+    /// The run cannot have reached the number before the removal.
+    UnreachableNumber,
+    /// No write from before the removal can be pending any more.
+    NoWritePending,
+    /// The number is too far below the last one for a delayed write.
+    NumbersRestarted,
+    /// A later entry followed.
+    LaterEntry,
+}
+
 /// What an entry of a removed run shows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Verdict {
     /// The server is alive.
-    Alive,
+    Alive(Proof),
     /// Nothing yet. The entry may count later.
     Unproven,
     /// Nothing: the entry was read before, or is from before the removal.
     Outdated,
 }
 
+/// The judgement on one entry of a removed run, for the log.
+#[derive(Clone, Debug)]
+pub(crate) struct Judgement {
+    /// The server.
+    pub(crate) id: Name,
+    /// The number of the entry.
+    pub(crate) sequence: u64,
+    /// What the entry shows.
+    pub(crate) verdict: Verdict,
+    /// The removal by which it was judged.
+    pub(crate) removal: Removal,
+}
+
 /// An entry that was read after the removal of its run.
 #[derive(Clone, Debug, PartialEq)]
 struct Candidate {
@@ -104,6 +157,8 @@
     pub(crate) reachable_sequence: u64,
     /// Whether the server may have been silent for long enough to lapse.
     pub(crate) may_have_lapsed: bool,
+    /// How long the server had been silent at most; `None` if it is not known.
+    pub(crate) silence: Option<Duration>,
     /// When the first VM learned of the removal.
     pub(crate) removed_at: Instant,
     /// The era of the log in which it was removed.
@@ -131,6 +186,7 @@
             reachable_sequence: reachable.unwrap_or(u64::MAX),
             may_have_lapsed: entry.state != ServerState::Draining
                 && (is_silent || read.was_log_unavailable),
+            silence,
             removed_at: read.now,
             era: read.era,
             candidate: None,
@@ -144,6 +200,7 @@
             last_sequence: None,
             reachable_sequence: u64::MAX,
             may_have_lapsed: true,
+            silence: None,
             removed_at,
             era,
             candidate: None,
@@ -187,10 +244,9 @@
         let last_sequence = self.last_sequence.unwrap_or(0);
         if may_be_restored {
             let is_newer = self.last_sequence.is_none_or(|last| entry.sequence > last);
-            return if is_newer {
-                Verdict::Alive
-            } else {
-                Verdict::Outdated
+            return match is_newer {
+                true => Verdict::Alive(Proof::Restored),
+                false => Verdict::Outdated,
             };
         }
         let is_known = |it: &Candidate| it.entry.sequence == entry.sequence;
@@ -204,13 +260,18 @@
             .is_some_and(|at| at.saturating_duration_since(self.removed_at) >= MAX_WRITE_DELAY);
         // The number of the earlier entry was wrong, or the numbers began anew.
         let is_far_behind = last_sequence.saturating_sub(entry.sequence) > MAX_DELAYED_ENTRIES;
-        if read.era > self.era
-            || entry.sequence > self.reachable_sequence
-            || is_settled
-            || is_far_behind
-            || (self.may_have_lapsed && follows_another)
-        {
-            return Verdict::Alive;
+        let proofs = [
+            (read.era > self.era, Proof::LaterEra),
+            (
+                entry.sequence > self.reachable_sequence,
+                Proof::UnreachableNumber,
+            ),
+            (is_settled, Proof::NoWritePending),
+            (is_far_behind, Proof::NumbersRestarted),
+            (self.may_have_lapsed && follows_another, Proof::LaterEntry),
+        ];
+        if let Some((_, proof)) = proofs.into_iter().find(|(holds, _)| *holds) {
+            return Verdict::Alive(proof);
         }
         let is_highest = self.candidate.is_none() || follows_another;
         let entry = match self.candidate.take() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,7 +20,7 @@
 use crate::gateway::reachability::{Reachability, ReachabilityChange};
 use crate::gateway::read_deadline::ReadDeadline;
 use crate::gateway::read_turn::ReadTurn;
-use crate::gateway::removal::ReadContext;
+use crate::gateway::removal::{ChangeSource, ReadContext, Removal};
 use crate::gateway::runner_load::{RunnerLoads, counted, is_believed};
 use crate::gateway::server_limits::{LimitStatement, ServerLimits};
 use crate::gateway::server_speed::{ListedRun, ServerSpeeds, StatedLoad, run_id};
@@ -554,7 +554,7 @@
         );
         let next = changes.next_offset;
         self.note_position(next, "vm", now);
-        self.apply_directory_changes(changes, end, now);
+        self.apply_directory_changes(changes, end, ChangeSource::Vm, now);
         self.following.note_received_update(next);
         self.purge_removed(now);
     }
@@ -566,6 +566,7 @@
         &self,
         changes: Changes<ServerChange>,
         from: Option<u64>,
+        source: ChangeSource,
         now: Instant,
     ) -> (Vec<ServerChange>, bool) {
         let next = changes.next_offset;
@@ -574,11 +575,13 @@
         let mut listed: Vec<Name> = Vec::new();
         let mut lost = 0;
         let mut outdated = 0;
+        let mut removals = 0;
         let mut passed = ListedVersions::new();
         let read = ReadContext {
             now,
             written_after: self.confirmed_at(Part::Directory, now),
             era: Position::from_u64(next).era,
+            source,
             is_whole: from.is_none(),
             was_log_unavailable: self.following.was_recently_disrupted(now),
         };
@@ -591,10 +594,6 @@
                     if may_be_restored && self.fleet.server(&entry.id).is_none() {
                         outdated += 1;
                     }
-                    if entry_change == EntryChange::Unproven {
-                        info!(server = %entry.id, sequence = entry.sequence,
-                            "entry of a removed server read");
-                    }
                     if entry_change == EntryChange::AvailabilityChanged {
                         has_availability_change = true;
                         if listed.len() < MAX_LISTED_LINES {
@@ -615,6 +614,10 @@
                     // Sent even if this VM has already removed the server, because another server
                     // answered at its address: other VMs may still list it.
                     let removal = self.fleet.apply_removal(&id, &read);
+                    if removals < MAX_LISTED_LINES {
+                        report_removal(&id, &removal, &read);
+                    }
+                    removals += 1;
                     to_send.push(ServerChange::RemovedRun(id, removal));
                 }
                 ServerChange::RemovedRun(id, removal) => {
@@ -632,6 +635,7 @@
                 }
             }
         }
+        self.report_judgements(&read);
         if lost > 0 || outdated > 0 {
             info!(lost, outdated, next, "directory restored from a copy");
         }
@@ -651,6 +655,29 @@
         (to_send, has_availability_change)
     }
 
+    /// Logs how entries of removed servers were judged.
+    fn report_judgements(&self, read: &ReadContext) {
+        for judgement in self.fleet.take_judgements() {
+            let removal = &judgement.removal;
+            let age = read.now.saturating_duration_since(removal.removed_at);
+            info!(
+                server = %judgement.id,
+                sequence = judgement.sequence,
+                verdict = ?judgement.verdict,
+                last_sequence = removal.last_sequence,
+                reachable_sequence = removal.reachable_sequence,
+                may_have_lapsed = removal.may_have_lapsed,
+                silence_ms = removal.silence.map(|it| it.as_millis() as u64),
+                removal_age_ms = age.as_millis() as u64,
+                removal_era = removal.era,
+                era = read.era,
+                source = read.source.name(),
+                is_whole = read.is_whole,
+                "entry of a removed server judged"
+            );
+        }
+    }
+
     /// Records the versions of the listed servers. `passed` are those of entries that were read, some of
     /// which may have been removed again by the same read.
     fn update_software_versions(&self, passed: ListedVersions, now: Instant) {
@@ -1059,3 +1086,17 @@
 fn head_time(limits: Limits) -> Duration {
     Duration::from_millis(limits.header_timeout_ms).saturating_add(TIMEOUT_SLACK)
 }
+
+/// Logs the removal of a server's entry and what it shows.
+fn report_removal(id: &Name, removal: &Removal, read: &ReadContext) {
+    info!(
+        server = %id,
+        last_sequence = removal.last_sequence,
+        reachable_sequence = removal.reachable_sequence,
+        may_have_lapsed = removal.may_have_lapsed,
+        silence_ms = removal.silence.map(|it| it.as_millis() as u64),
+        was_log_unavailable = read.was_log_unavailable,
+        is_whole = read.is_whole,
+        "server's entry removed"
+    );
+}
--- a/src/gateway/tests/directory_updates.rs
+++ b/src/gateway/tests/directory_updates.rs
@@ -4,6 +4,7 @@
 use crate::gateway::directory_updates::{Assembly, DirectoryUpdate, update_messages};
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::peers::Peers;
+use crate::gateway::removal::ChangeSource;
 use crate::gateway::state::State;
 use crate::gateway::tests::state;
 use crate::gateway::{Changes, ServerChange};
@@ -115,7 +116,7 @@
         next_offset: 0,
     };
     state
-        .apply_directory_changes(changes, None, Instant::now())
+        .apply_directory_changes(changes, None, ChangeSource::Log, Instant::now())
         .0
         .len()
 }
@@ -221,7 +222,7 @@
                 items: vec![ServerChange::Upserted(entry.clone())],
                 next_offset: from.map_or(1, |from| from + 1),
             };
-            state.apply_directory_changes(changes, from, now);
+            state.apply_directory_changes(changes, from, ChangeSource::Log, now);
         };
         apply(None, &sound(3));
         apply(Some(1), &odd);
--- a/src/gateway/tests/large_fleet.rs
+++ b/src/gateway/tests/large_fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::order_dispatch::OrderDispatcher;
+use crate::gateway::removal::ChangeSource;
 use crate::gateway::report_schedule::ReportSchedule;
 use crate::gateway::source_selector::Source;
 use crate::gateway::tests::state;
@@ -111,7 +112,7 @@
         items: entries.collect(),
         next_offset: 0,
     };
-    state.apply_directory_changes(changes, None, Instant::now());
+    state.apply_directory_changes(changes, None, ChangeSource::Log, Instant::now());
     let dispatcher = OrderDispatcher::new(state, control.clone());
     dispatcher.start(1);
     dispatcher
--- a/src/gateway/tests/order_dispatch.rs
+++ b/src/gateway/tests/order_dispatch.rs
@@ -3,6 +3,7 @@
 use crate::gateway::coming_copy::ComingCopy;
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::order_dispatch::OrderDispatcher;
+use crate::gateway::removal::ChangeSource;
 use crate::gateway::runner_state::RunnerState;
 use crate::gateway::source_selector::Source;
 use crate::gateway::state::State;
@@ -184,7 +185,7 @@
         items: vec![change],
         next_offset: 0,
     };
-    state.apply_directory_changes(changes, None, Instant::now());
+    state.apply_directory_changes(changes, None, ChangeSource::Log, Instant::now());
 }
 
 /// Returns a leader with one listed runner.
--- a/src/gateway/tests/restored_log.rs
+++ b/src/gateway/tests/restored_log.rs
@@ -3,6 +3,7 @@
 use crate::gateway::configuration_check::{PeerConfiguration, passes};
 use crate::gateway::directory_updates::{Assembly, update_messages};
 use crate::gateway::fleet::{Entry, ServerState};
+use crate::gateway::removal::ChangeSource;
 use crate::gateway::state::State;
 use crate::gateway::tests::state;
 use crate::gateway::{Changes, Position, ServerChange};
@@ -38,7 +39,7 @@
         items: vec![change],
         next_offset: position(1, 2),
     };
-    let (to_send, _) = state.apply_directory_changes(changes, Some(1), now);
+    let (to_send, _) = state.apply_directory_changes(changes, Some(1), ChangeSource::Log, now);
     to_send.len()
 }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -7,7 +7,7 @@
 use crate::gateway::outbox::UpdateScope;
 use crate::gateway::peer_search::PeerSearch;
 use crate::gateway::read_delays::{ReadDelays, ReadStep};
-use crate::gateway::removal::MAX_WRITE_DELAY;
+use crate::gateway::removal::{ChangeSource, MAX_WRITE_DELAY};
 use crate::gateway::source_selector::{Source, SourceSelector};
 use crate::gateway::state::State;
 use crate::gateway::sync_client::{ReceivedPart, SEARCH_TIME, SyncClient};
@@ -608,6 +608,10 @@
         if let Some(read_at) = read_at {
             self.state.following.directory_read_at.set(Some(read_at));
         }
+        let source = match read_at {
+            Some(_) => ChangeSource::Log,
+            None => ChangeSource::Vm,
+        };
         let next = changes.next_offset;
         if is_whole {
             let unlisted = self.drop_unlisted(&changes.items).into_iter();
@@ -618,8 +622,9 @@
             };
             changes.items.extend(unlisted.map(change));
         }
-        let (relevant, has_availability_change) =
-            self.state.apply_directory_changes(changes, from, now);
+        let (relevant, has_availability_change) = self
+            .state
+            .apply_directory_changes(changes, from, source, now);
         let following = &self.state.following;
         following.directory_end.set(Some(next));
         let before = following.directory.get();
