A second removal of a server leaves the time of the first as it is

What callers saw: when the log held a second removal of a server that had left, one late report revived it at each VM, and calls that ran there when it exited were lost (502).

Cause: the removal of a server that is not listed counted as one of before the start of the VM. Merged with the known one it made that as old, so that no write from before it seemed to be pending.

Why this works: a second removal only drops what was read since the first. The removal of a server that this VM has never listed counts from the read that showed it; only entries of unknown servers at a VM that has just started are measured by its start.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -518,7 +518,7 @@
         let removed = match removed_runs.get_mut(&entry.id) {
             None if !servers.contains_key(&entry.id) && self.may_be_removed(read) => {
                 Some(removed_runs.entry(entry.id.clone()).or_insert(RemovedRun {
-                    removal: self.unknown_removal(Some(RunAddress::of(&entry)), read),
+                    removal: self.earlier_removal(RunAddress::of(&entry), read),
                     server: None,
                 }))
             }
@@ -612,12 +612,13 @@
     }
 
     /// The removal of a run that was removed before this VM knew of removals, if it was removed at all.
-    fn unknown_removal(&self, run: Option<RunAddress>, read: &ReadContext) -> Removal {
+    fn earlier_removal(&self, run: RunAddress, read: &ReadContext) -> Removal {
         let known_since = self
             .removals_unknown_until
             .get()
             .and_then(|until| until.checked_sub(MAX_WRITE_DELAY));
-        Removal::of_unknown(run, known_since.unwrap_or(read.now), read.era)
+        let removed_at = known_since.unwrap_or(read.now);
+        Removal::of_unknown(Some(run), removed_at, read.era)
     }
 
     /// How much longer there may be late entries of servers whose removal this VM does not know.
@@ -643,7 +644,14 @@
                 self.report_interval,
                 read,
             ),
-            None => self.unknown_removal(None, read),
+            None => {
+                let mut removed_runs = self.removed_runs.borrow_mut();
+                if let Some(known) = removed_runs.get_mut(id) {
+                    known.removal.drop_candidate();
+                    return known.removal.clone();
+                }
+                Removal::of_unknown(None, read.now, read.era)
+            }
         };
         self.record_removal(id, listed, removal, read.now)
     }
--- a/src/gateway/tests/removal.rs
+++ b/src/gateway/tests/removal.rs
@@ -130,6 +130,22 @@
     assert!(!removal.may_have_lapsed);
 }
 
+/// Guards against a second removal by which the first one seems to be of before the start of the VM.
+#[test]
+fn a_removal_that_comes_twice_does_not_end_the_time_in_which_writes_are_pending() {
+    let vm = Vm::with_entry(entry(5));
+    vm.fleet
+        .set_removals_unknown_for(Duration::from_secs(8), vm.began);
+    vm.remove(20.0);
+    vm.remove(20.5);
+    vm.read(entry(6), 21.0);
+    assert!(!vm.is_listed());
+    // The late entry lapses, and another late write follows.
+    vm.remove(24.6);
+    vm.read(entry(4), 25.0);
+    assert!(!vm.is_listed());
+}
+
 /// Guards against a living server that stays out for good, since a removal was not its own.
 #[test]
 fn a_server_that_goes_on_is_back_after_a_removal_that_no_silence_explains() {
