An entry of a removed server counts by when it was written

What callers saw: a server that had left got requests again, later than drain_ms after its removal, and calls that ran there when it exited were lost: after two older reports in rising order behind an outage, after three late reports without one, and after a late entry that the store listed for 6.7 s.

Cause: the proofs. Several writes may be pending at once, so that a second, later entry proves nothing, and the store states no bound for how long it lists a silent server. The log has no record of a report in which only the number is new, so that the second entry of a living server came with its next change, or the entry counted after 4.8 s. VMs that are told of changes and those that start had it no better.

Why this works: servers number each report, also in an outage, so that the number of an entry says when it was written. An entry counts if the run cannot have reached its number by the removal; if its entry may have lapsed in an outage that this VM saw, once the number is as high as that of a living server. What a number says is derived from the entry that was furthest ahead for its time, since the last one may itself be late. A VM with a proof tells the others so, who take it if that VM has read past the removal; a VM that starts derives the times from the numbers of all servers in the log. A late entry is taken for kept after seven intervals, not four.

--- a/src/gateway/directory_updates.rs
+++ b/src/gateway/directory_updates.rs
@@ -9,7 +9,7 @@
 use crate::gateway::fleet::{Entry, Holding, ServerState};
 use crate::gateway::gossip_message::ModelHolding;
 use crate::gateway::removal::{Removal, RunAddress};
-use crate::gateway::{Changes, ServerChange};
+use crate::gateway::{Changes, Position, ServerChange};
 use crate::inventory::Name;
 use prost::Message;
 use std::time::{Duration, Instant};
@@ -84,6 +84,9 @@
     /// run whose entry it was, as far as it is known.
     #[prost(message, optional, tag = "16")]
     removal: Option<RemovalUpdate>,
+    /// Whether the sender knows that the server wrote the entry after its removal.
+    #[prost(bool, tag = "17")]
+    is_revived: bool,
 }
 
 /// What a VM knows of the removal of an entry.
@@ -95,15 +98,22 @@
     /// The highest number that the run can have reached before the removal.
     #[prost(uint64, tag = "2")]
     reachable_sequence: u64,
-    /// Whether the server may have been silent for long enough to lapse.
+    /// Whether `returning_sequence` is stated, for VMs of earlier releases.
     #[prost(bool, tag = "3")]
     may_have_lapsed: bool,
     /// The time since the first VM learned of the removal, in milliseconds.
     #[prost(uint64, tag = "4")]
     age_ms: u64,
-    /// The era of the log in which it was removed.
+    /// The era of the log in which it was removed, for VMs of earlier releases.
     #[prost(uint64, tag = "5")]
     era: u64,
+    /// The lowest number of an entry written since the log was available again; none unless the entry may have
+    /// lapsed while the log was unavailable.
+    #[prost(uint64, optional, tag = "6")]
+    returning_sequence: Option<u64>,
+    /// A position of the log that is past the removal; only its era is known of earlier releases.
+    #[prost(uint64, tag = "7")]
+    position: u64,
 }
 
 impl RemovalUpdate {
@@ -111,19 +121,26 @@
         Self {
             last_sequence: removal.last_sequence,
             reachable_sequence: removal.reachable_sequence,
-            may_have_lapsed: removal.may_have_lapsed,
+            may_have_lapsed: removal.returning_sequence.is_some(),
             age_ms: removal.removed_at.elapsed().as_millis() as u64,
-            era: removal.era,
+            era: removal.era(),
+            position: removal.position,
+            returning_sequence: removal.returning_sequence,
         }
     }
 
     fn into_removal(self, run: Option<RunAddress>) -> Removal {
         let now = Instant::now();
         let removed_at = now.checked_sub(Duration::from_millis(self.age_ms));
-        let mut removal = Removal::of_unknown(run, removed_at.unwrap_or(now), self.era);
+        let era_start = Position {
+            era: self.era,
+            offset: 0,
+        };
+        let position = self.position.max(era_start.to_u64());
+        let mut removal = Removal::of_unknown(run, removed_at.unwrap_or(now), position);
         removal.last_sequence = self.last_sequence;
         removal.reachable_sequence = self.reachable_sequence;
-        removal.may_have_lapsed = self.may_have_lapsed;
+        removal.returning_sequence = self.returning_sequence;
         removal
     }
 }
@@ -157,7 +174,9 @@
                 is_unreadable: true,
                 ..Self::default()
             },
-            ServerChange::Upserted(entry) | ServerChange::Restored(entry) => Self {
+            ServerChange::Upserted(entry)
+            | ServerChange::Restored(entry)
+            | ServerChange::Revived(entry) => Self {
                 id: entry.id.to_string(),
                 is_gone: false,
                 is_lost: false,
@@ -174,6 +193,7 @@
                 in_memory: strings(&entry.in_memory),
                 on_disk: strings(&entry.on_disk),
                 removal: None,
+                is_revived: matches!(change, ServerChange::Revived(_)),
             },
         }
     }
@@ -203,7 +223,7 @@
             false => ServerState::Ready,
         };
         let holdings = self.holdings.iter();
-        Some(ServerChange::Upserted(Entry {
+        let entry = Entry {
             id,
             started_ms: self.started_ms,
             sequence: self.sequence,
@@ -218,7 +238,11 @@
                 .collect(),
             in_memory: names(self.in_memory),
             on_disk: names(self.on_disk),
-        }))
+        };
+        Some(match self.is_revived {
+            true => ServerChange::Revived(entry),
+            false => ServerChange::Upserted(entry),
+        })
     }
 }
 
--- a/src/gateway/external.rs
+++ b/src/gateway/external.rs
@@ -131,6 +131,8 @@
     Removed(Name),
     /// The entry of the named backend server was removed, as another VM knows it.
     RemovedRun(Name, Removal),
+    /// The entry of a removed server that another VM knows to have written it after its removal.
+    Revived(Entry),
     /// The entry is listed, but may be older than the last restore of the log from a copy.
     Restored(Entry),
     /// The log lost the entry of the named backend server when it was restored.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,12 +1,16 @@
 //! The backend servers as this VM knows them, from the directory, the leader and its own requests.
 
+use crate::gateway::ServerChange;
 use crate::gateway::Weights;
 use crate::gateway::backlog::Backlog;
 use crate::gateway::coming_copy::ComingCopy;
+use crate::gateway::log_clock::LogClock;
 use crate::gateway::reachability::ListedServers;
 use crate::gateway::removal::{
-    Judgement, MAX_DELAYED_ENTRIES, MAX_WRITE_DELAY, ReadContext, Removal, RunAddress, Verdict,
+    FIRST_SEQUENCE, Judgement, MAX_DELAYED_ENTRIES, MAX_WRITE_DELAY, ReadContext, Removal,
+    RunAddress, Verdict, entries_per_pending_write,
 };
+use crate::gateway::report_pace::ReportPace;
 use crate::inventory::Name;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -35,12 +39,13 @@
 /// the log for minutes.
 const MAX_REMOVED_RUNS: usize = 10_000;
 
+/// For how long a server may have been silent before a removal after which nothing was read.
+const UNKNOWN_SILENCE: Duration = Duration::from_secs(3_600);
+
 /// Maximum number of judgements that are kept until they are taken.
 const MAX_JUDGEMENTS: usize = 16;
 
-/// How many entries a server may write from one report to the next, and of how many servers the changes
-/// are read at least: servers may have left since.
-const ENTRIES_PER_REPORT: u64 = 2;
+/// Of how many servers the changes are read at least: servers may have left since.
 const MIN_SERVERS: usize = 8;
 
 /// How often servers report unless the settings say otherwise.
@@ -149,8 +154,8 @@
     /// The prefill time of the prompts queued at the server.
     pub(crate) backlog: Backlog,
     entry: RefCell<Entry>,
-    /// A time before the entry was written; `None` if none is known.
-    written_after: Cell<Option<Instant>>,
+    /// The numbers of the entries that were read.
+    pace: Cell<Option<ReportPace>>,
     /// Requests of this VM that are in flight on the server, by model.
     in_flight: RefCell<HashMap<Name, u32>>,
     /// Failed connections in a row.
@@ -201,7 +206,7 @@
             is_vm: false,
             backlog: Backlog::default(),
             entry: RefCell::new(entry),
-            written_after: Cell::new(None),
+            pace: Cell::new(None),
             in_flight: RefCell::default(),
             failures: Cell::new(0),
             backoff_until: Cell::new(None),
@@ -249,6 +254,25 @@
         self.entry.replace(entry);
     }
 
+    /// Records the number of an entry that was read.
+    fn note_number(&self, sequence: u64, report_interval: Duration, read: &ReadContext) {
+        let mut pace = self.pace.get();
+        match &mut pace {
+            Some(pace) => pace.note(sequence, report_interval, read),
+            None => pace = Some(ReportPace::new(sequence, read)),
+        }
+        self.pace.set(pace);
+    }
+
+    /// Returns the removal of the server's entry, which a read showed.
+    fn removal(&self, report_interval: Duration, read: &ReadContext) -> Removal {
+        let entry = self.entry.borrow();
+        let unknown_time = ReadContext::at(read.now);
+        let pace = self.pace.get();
+        let pace = pace.unwrap_or_else(|| ReportPace::new(entry.sequence, &unknown_time));
+        Removal::of_listed(&entry, &pace, report_interval, read)
+    }
+
     /// Whether the entry belongs to this run of the server.
     fn is_run_of(&self, entry: &Entry) -> bool {
         self.started_ms == entry.started_ms && self.address == entry.address
@@ -453,8 +477,10 @@
     Unproven,
     /// The server's holdings or slots changed.
     ContentChanged,
-    /// The server is new, is back or its state changed.
+    /// The server is new or its state changed.
     AvailabilityChanged,
+    /// The server, which was removed, is alive.
+    Revived,
 }
 
 /// The last run of a removed server.
@@ -512,6 +538,27 @@
         entry: Entry,
         may_be_restored: bool,
         read: &ReadContext,
+    ) -> EntryChange {
+        let report_interval = self.report_interval;
+        let judge = |removal: &mut Removal, entry: &Entry| {
+            removal.judge(entry, may_be_restored, report_interval, read)
+        };
+        self.apply_judged(entry, judge, read)
+    }
+
+    /// Applies the entry of a server that another VM knows to have written it after its removal.
+    pub(crate) fn apply_revival(&self, entry: Entry, read: &ReadContext) -> EntryChange {
+        let report_interval = self.report_interval;
+        let judge =
+            |removal: &mut Removal, entry: &Entry| removal.judge_told(entry, report_interval, read);
+        self.apply_judged(entry, judge, read)
+    }
+
+    fn apply_judged(
+        &self,
+        entry: Entry,
+        judge: impl Fn(&mut Removal, &Entry) -> Verdict,
+        read: &ReadContext,
     ) -> EntryChange {
         let mut servers = self.servers.borrow_mut();
         let mut removed_runs = self.removed_runs.borrow_mut();
@@ -530,7 +577,7 @@
                 return EntryChange::Renewed;
             }
             if removal.is_of_run(&entry) {
-                let verdict = removal.judge(&entry, may_be_restored, read);
+                let verdict = judge(removal, &entry);
                 self.record_judgement(&entry, verdict, removal);
                 match verdict {
                     Verdict::Outdated => return EntryChange::Renewed,
@@ -543,6 +590,7 @@
             }
             let server = server.take().filter(|server| server.is_run_of(&entry));
             removed_runs.remove(&entry.id);
+            let sequence = entry.sequence;
             let server = match server {
                 Some(server) => {
                     server.restore(entry);
@@ -550,9 +598,9 @@
                 }
                 None => Rc::new(Server::new(entry)),
             };
-            server.written_after.set(read.written_after);
+            server.note_number(sequence, self.report_interval, read);
             servers.insert(server.id.clone(), server);
-            return EntryChange::AvailabilityChanged;
+            return EntryChange::Revived;
         }
         let current = servers.get(&entry.id);
         if let Some(server) = current.filter(|server| server.is_run_of(&entry)) {
@@ -569,9 +617,7 @@
                 entry.software_version = server.software_version();
             }
             let before = server.entry.replace(entry.clone());
-            if before.sequence != entry.sequence {
-                server.written_after.set(read.written_after);
-            }
+            server.note_number(entry.sequence, self.report_interval, read);
             if before.state != entry.state || before.software_version != entry.software_version {
                 return EntryChange::AvailabilityChanged;
             }
@@ -582,7 +628,8 @@
             };
         }
         let server = Server::new(entry);
-        server.written_after.set(read.written_after);
+        let sequence = server.entry.borrow().sequence;
+        server.note_number(sequence, self.report_interval, read);
         servers.insert(server.id.clone(), Rc::new(server));
         EntryChange::AvailabilityChanged
     }
@@ -618,7 +665,20 @@
             .get()
             .and_then(|until| until.checked_sub(MAX_WRITE_DELAY));
         let removed_at = known_since.unwrap_or(read.now);
-        Removal::of_unknown(Some(run), removed_at, read.era)
+        self.unknown_removal(Some(run), removed_at, read)
+    }
+
+    /// The removal of a server that was not listed here.
+    fn unknown_removal(
+        &self,
+        run: Option<RunAddress>,
+        removed_at: Instant,
+        read: &ReadContext,
+    ) -> Removal {
+        let lapse_end = read.lapse_end(self.report_interval);
+        let mut removal = Removal::of_unknown(run, removed_at, read.position);
+        removal.returning_sequence = lapse_end.map(|_| FIRST_SEQUENCE);
+        removal
     }
 
     /// How much longer there may be late entries of servers whose removal this VM does not know.
@@ -638,19 +698,14 @@
     pub(crate) fn apply_removal(&self, id: &Name, read: &ReadContext) -> Removal {
         let listed = self.server(id).filter(|it| !it.is_marked_removed());
         let removal = match &listed {
-            Some(server) => Removal::of_listed(
-                &server.entry.borrow(),
-                server.written_after.get(),
-                self.report_interval,
-                read,
-            ),
+            Some(server) => server.removal(self.report_interval, read),
             None => {
                 let mut removed_runs = self.removed_runs.borrow_mut();
                 if let Some(known) = removed_runs.get_mut(id) {
-                    known.removal.drop_candidate();
+                    known.removal.note_repeated(read.position);
                     return known.removal.clone();
                 }
-                Removal::of_unknown(None, read.now, read.era)
+                self.unknown_removal(None, read.now, read)
             }
         };
         self.record_removal(id, listed, removal, read.now)
@@ -681,12 +736,7 @@
     pub(crate) fn mark_removed(&self, id: &str, now: Instant) {
         if let Some(server) = self.server(id).filter(|it| !it.is_marked_removed()) {
             let id = server.id.clone();
-            let removal = Removal::of_listed(
-                &server.entry.borrow(),
-                None,
-                self.report_interval,
-                &ReadContext::at(now),
-            );
+            let removal = server.removal(self.report_interval, &ReadContext::at(now));
             self.record_removal(&id, Some(server), removal, now);
         }
     }
@@ -751,9 +801,60 @@
 
     /// The number of entries that servers may write while a write is pending, for a number of servers.
     pub(crate) fn entries_while_pending(&self, servers: usize) -> u64 {
-        let reports = MAX_WRITE_DELAY.as_secs_f64() / self.report_interval.as_secs_f64();
-        let reports = reports.ceil() as u64 * ENTRIES_PER_REPORT;
-        servers.max(MIN_SERVERS) as u64 * reports
+        servers.max(MIN_SERVERS) as u64 * entries_per_pending_write(self.report_interval)
+    }
+
+    /// Returns the removals among the changes before the directory at offset `end`, with the entries that
+    /// were written after them. The times of the changes are estimated from the numbers of the entries.
+    pub(crate) fn past_removals(
+        &self,
+        changes: Vec<ServerChange>,
+        end: u64,
+        unavailable_at: Option<Instant>,
+        now: Instant,
+    ) -> Vec<(Name, Removal)> {
+        let mut clock = LogClock::new(self.report_interval);
+        let passed = changes.iter().map(|change| match change {
+            ServerChange::Upserted(entry) => Some(clock.advance(entry)),
+            _ => None,
+        });
+        let passed: Vec<Option<Duration>> = passed.collect();
+        let total = passed.iter().flatten().max().copied().unwrap_or_default();
+        let began = now.checked_sub(total).unwrap_or(now);
+        let past = Self::new(Some(self.report_interval));
+        for (index, change) in changes.into_iter().enumerate() {
+            match change {
+                ServerChange::Upserted(entry) => {
+                    let written_at = began + passed[index].unwrap_or_default();
+                    let read = ReadContext {
+                        position: end,
+                        is_whole: true,
+                        written_after: Some(written_at),
+                        ..ReadContext::at(written_at)
+                    };
+                    past.apply_entry(entry, false, &read);
+                }
+                ServerChange::Removed(id) => {
+                    let next = passed[index..].iter().flatten().next();
+                    let removed_by = next.map_or(now + UNKNOWN_SILENCE, |passed| began + *passed);
+                    let read = ReadContext {
+                        position: end,
+                        is_whole: true,
+                        unavailable_at,
+                        ..ReadContext::at(removed_by)
+                    };
+                    past.apply_removal(&id, &read);
+                }
+                _ => {}
+            }
+        }
+        let removed_runs = past.removed_runs.take().into_iter();
+        let removals = removed_runs.map(|(id, run)| {
+            let mut removal = run.removal;
+            removal.note_learned(now);
+            (id, removal)
+        });
+        removals.collect()
     }
 
     /// Takes over removals that precede the directory, with the entries that were read after them.
--- a/src/gateway/log_follower.rs
+++ b/src/gateway/log_follower.rs
@@ -95,8 +95,10 @@
     pub(crate) directory_read_at: Cell<Option<BootTime>>,
     /// When a read of the directory from the log was last asked for.
     pub(crate) directory_read_wanted_at: Cell<Option<BootTime>>,
-    /// Time of the last failure to read the directory, here or at the VM that forwarded an update.
+    /// When a read of the directory last failed, here or at the VM that forwarded an update.
     pub(crate) disrupted_at: Cell<Option<Instant>>,
+    /// When that read was begun.
+    pub(crate) unavailable_at: Cell<Option<Instant>>,
 }
 
 impl FollowerState {
@@ -150,6 +152,13 @@
         disrupted_at.is_some_and(|at| now.saturating_duration_since(at) < DISRUPTED_FOR)
     }
 
+    /// Returns when the last read of the directory failed, if that was recently.
+    pub(crate) fn recently_unavailable_at(&self, now: Instant) -> Option<Instant> {
+        self.unavailable_at
+            .get()
+            .filter(|_| self.was_recently_disrupted(now))
+    }
+
     /// Last reads of the directory and the configuration; `None` until both were read.
     pub(crate) fn readings(&self) -> Option<Readings> {
         Some(Readings {
--- a/src/gateway/removal.rs
+++ b/src/gateway/removal.rs
@@ -4,15 +4,20 @@
 //! was removed. So an entry that is read after a removal may have been written before it. It counts
 //! again once one of these excludes that:
 //!
-//! - Its number is higher than any that the run can have reached before the removal.
+//! - Its number is higher than any that the run can have reached before the removal ([`ReportPace`]).
 //! - It was written when no write from before the removal could be pending any more.
-//! - A later entry follows it. This holds only if the server may have been silent for long enough to
-//!   lapse: then few writes can be pending, and a living server goes on writing.
+//! - The log may have dropped the entry of a living server while it was unavailable, and the number is
+//!   one that the run reached only when the log was available again.
 //! - The log lists it for longer than it keeps the entry of a silent server.
+//! - Another VM, which knows all earlier changes of the log, has such a proof.
 //!
-//! Entries of other runs under the same id and entries of a restored log are not affected.
+//! Neither a number above the last one that was read nor several entries in rising order are a proof:
+//! some writes may be pending at once. Entries of other runs under the same id and entries of a
+//! restored log are not affected.
 
+use crate::gateway::Position;
 use crate::gateway::fleet::{Entry, ServerState};
+use crate::gateway::report_pace::{ReportPace, least_reports};
 use crate::inventory::Name;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -21,12 +26,13 @@
 pub(crate) const MAX_WRITE_DELAY: Duration = Duration::from_millis(8_000);
 /// The number of report intervals of silence after which the log removes an entry.
 const EXPIRY_INTERVALS: u32 = 3;
-/// The number of report intervals without another entry and without a removal after which an entry
-/// is known to be kept alive. One interval is left for the time that reads take.
-const KEPT_INTERVALS: u32 = EXPIRY_INTERVALS + 1;
-/// The shortest time between two reports, as a fraction of the interval.
-const SHORTEST_INTERVAL: f64 = 0.8;
-/// The number of entries that a run may write before a delayed one takes effect.
+/// The number of report intervals without a removal after which an entry is known to be kept alive. The
+/// log may be late to remove the entry of a silent server.
+const KEPT_INTERVALS: u32 = 2 * EXPIRY_INTERVALS + 1;
+/// The number of report intervals without a successful read from which on entries of living servers may
+/// have lapsed meanwhile.
+const MIN_LAPSE_INTERVALS: u32 = EXPIRY_INTERVALS - 1;
+/// The number of entries by which one may be behind another one of its run that was read before.
 pub(crate) const MAX_DELAYED_ENTRIES: u64 = 1_000;
 
 /// Where directory changes come from.
@@ -48,6 +54,11 @@
     }
 }
 
+/// How many entries a server may write from one report to the next.
+const ENTRIES_PER_REPORT: u64 = 2;
+/// The number of the first entry of a run.
+pub(crate) const FIRST_SEQUENCE: u64 = 1;
+
 /// When and how directory changes were read.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadContext {
@@ -55,14 +66,15 @@
     pub(crate) now: Instant,
     /// A time at which the log did not hold the changes yet; `None` if none is known.
     pub(crate) written_after: Option<Instant>,
-    /// The era of the log.
-    pub(crate) era: u64,
+    /// The position of the log up to which the changes were read.
+    pub(crate) position: u64,
     /// Where the changes come from.
     pub(crate) source: ChangeSource,
     /// Whether the changes list the whole directory.
     pub(crate) is_whole: bool,
-    /// Whether the log was unavailable shortly before, so that entries of living servers may lapse.
-    pub(crate) was_log_unavailable: bool,
+    /// When the log was last unavailable, if that was shortly before, so that entries of living servers
+    /// may have lapsed.
+    pub(crate) unavailable_at: Option<Instant>,
 }
 
 impl ReadContext {
@@ -71,12 +83,26 @@
         Self {
             now,
             written_after: None,
-            era: 0,
+            position: 0,
             source: ChangeSource::Log,
             is_whole: false,
-            was_log_unavailable: false,
+            unavailable_at: None,
         }
     }
+
+    /// The era of the log.
+    pub(crate) fn era(&self) -> u64 {
+        Position::from_u64(self.position).era
+    }
+
+    /// Returns when the log was last unavailable, if entries may have lapsed since the read before.
+    pub(crate) fn lapse_end(&self, report_interval: Duration) -> Option<Instant> {
+        let unknown_for = self
+            .written_after
+            .map(|at| self.now.saturating_duration_since(at));
+        let is_long = unknown_for.is_none_or(|it| it >= report_interval * MIN_LAPSE_INTERVALS);
+        self.unavailable_at.filter(|_| is_long)
+    }
 }
 
 /// What identifies a run of a server beside its id.
@@ -109,10 +135,14 @@
     UnreachableNumber,
     /// No write from before the removal can be pending any more.
     NoWritePending,
+    /// The entry lapsed while the log was unavailable, and the run reached the number after that.
+    WrittenAfterOutage,
     /// The number is too far below the last one for a delayed write.
     NumbersRestarted,
-    /// A later entry followed.
-    LaterEntry,
+    /// It is the first entry of a run that is not known to be removed.
+    FirstEntry,
+    /// Another VM has the proof.
+    Told,
 }
 
 /// What an entry of a removed run shows.
@@ -155,74 +185,100 @@
     pub(crate) last_sequence: Option<u64>,
     /// The highest number that the run can have reached before the removal.
     pub(crate) reachable_sequence: u64,
-    /// Whether the server may have been silent for long enough to lapse.
-    pub(crate) may_have_lapsed: bool,
+    /// The lowest number of an entry written since the log was available again; `None` unless the entry may
+    /// have lapsed while the log was unavailable.
+    pub(crate) returning_sequence: Option<u64>,
     /// How long the server had been silent at most; `None` if it is not known.
     pub(crate) silence: Option<Duration>,
     /// When the first VM learned of the removal.
     pub(crate) removed_at: Instant,
-    /// The era of the log in which it was removed.
-    pub(crate) era: u64,
+    /// A position of the log that is past the removal.
+    pub(crate) position: u64,
     candidate: Option<Candidate>,
 }
 
 impl Removal {
-    /// The removal of a listed entry that was written after `written_after`, by a server that reports
-    /// at an interval.
+    /// The removal of a listed entry. `pace` is that of its run.
     pub(crate) fn of_listed(
         entry: &Entry,
-        written_after: Option<Instant>,
+        pace: &ReportPace,
         report_interval: Duration,
         read: &ReadContext,
     ) -> Self {
-        let silence = written_after.map(|at| read.now.saturating_duration_since(at));
+        let silence = pace.silence(read.now);
         let is_silent = silence.is_none_or(|it| it >= report_interval * EXPIRY_INTERVALS);
-        let shortest_interval = report_interval.mul_f64(SHORTEST_INTERVAL);
-        let unread = silence.map(|it| it.as_millis() / shortest_interval.as_millis().max(1));
-        let reachable = unread.map(|it| entry.sequence.saturating_add(it as u64 + 1));
+        let may_have_lapsed = is_silent && entry.state != ServerState::Draining;
+        let lapse_end = read.lapse_end(report_interval).filter(|_| may_have_lapsed);
         Self {
             run: Some(RunAddress::of(entry)),
-            last_sequence: Some(entry.sequence),
-            reachable_sequence: reachable.unwrap_or(u64::MAX),
-            may_have_lapsed: entry.state != ServerState::Draining
-                && (is_silent || read.was_log_unavailable),
+            last_sequence: Some(pace.last_sequence()),
+            reachable_sequence: pace.highest_by(read.now, report_interval),
+            returning_sequence: lapse_end.map(|at| pace.lowest_by(at, report_interval)),
             silence,
             removed_at: read.now,
-            era: read.era,
+            position: read.position,
             candidate: None,
         }
     }
 
     /// A removal of which only the time is known by which it had happened.
-    pub(crate) fn of_unknown(run: Option<RunAddress>, removed_at: Instant, era: u64) -> Self {
+    pub(crate) fn of_unknown(run: Option<RunAddress>, removed_at: Instant, position: u64) -> Self {
         Self {
             run,
             last_sequence: None,
             reachable_sequence: u64::MAX,
-            may_have_lapsed: true,
+            returning_sequence: None,
             silence: None,
             removed_at,
-            era,
+            position,
             candidate: None,
         }
     }
 
+    /// The era of the log in which the entry was removed.
+    pub(crate) fn era(&self) -> u64 {
+        Position::from_u64(self.position).era
+    }
+
     /// Whether an entry is of the removed run, as far as known.
     pub(crate) fn is_of_run(&self, entry: &Entry) -> bool {
         self.run.is_none_or(|run| run == RunAddress::of(entry))
     }
 
-    /// Records that the entry was removed again, or that another VM tells of the same removal.
+    /// Records that the log removed the entry again, which it listed since the removal. The server has not
+    /// shown since that it is alive, so that the time of the first removal still holds.
+    pub(crate) fn note_repeated(&mut self, position: u64) {
+        self.position = self.position.max(position);
+        self.candidate = None;
+    }
+
+    /// Records that another VM tells of the same removal.
     pub(crate) fn merge(&mut self, other: &Self) {
+        if other.last_sequence.is_some() {
+            self.returning_sequence = match self.last_sequence {
+                Some(_) => self
+                    .returning_sequence
+                    .zip(other.returning_sequence)
+                    .map(|(known, told)| known.max(told)),
+                None => other.returning_sequence,
+            };
+        }
         self.run = self.run.or(other.run);
         self.last_sequence = self.last_sequence.max(other.last_sequence);
         self.reachable_sequence = self.reachable_sequence.min(other.reachable_sequence);
-        self.may_have_lapsed &= other.may_have_lapsed;
         self.removed_at = self.removed_at.min(other.removed_at);
-        self.era = self.era.max(other.era);
+        self.position = self.position.max(other.position);
         self.candidate = None;
     }
 
+    /// Records that this VM has learned of the removal, and of the entry after it, only now.
+    pub(crate) fn note_learned(&mut self, now: Instant) {
+        self.removed_at = now;
+        if let Some(candidate) = &mut self.candidate {
+            candidate.read_at = now;
+        }
+    }
+
     /// Drops the entry that was read since, because the log no longer lists it.
     pub(crate) fn drop_candidate(&mut self) {
         self.candidate = None;
@@ -239,6 +295,7 @@
         &mut self,
         entry: &Entry,
         may_be_restored: bool,
+        report_interval: Duration,
         read: &ReadContext,
     ) -> Verdict {
         let last_sequence = self.last_sequence.unwrap_or(0);
@@ -259,16 +316,21 @@
             .written_after
             .is_some_and(|at| at.saturating_duration_since(self.removed_at) >= MAX_WRITE_DELAY);
         // The number of the earlier entry was wrong, or the numbers began anew.
-        let is_far_behind = last_sequence.saturating_sub(entry.sequence) > MAX_DELAYED_ENTRIES;
+        let behind_by = last_sequence.saturating_sub(entry.sequence);
+        let is_far_behind = behind_by > entries_per_pending_write(report_interval);
+        let lowest = self.lowest_returning(report_interval, read);
+        let is_returning = lowest.is_some_and(|lowest| entry.sequence >= lowest);
+        let is_first = self.last_sequence.is_none() && entry.sequence <= FIRST_SEQUENCE;
         let proofs = [
-            (read.era > self.era, Proof::LaterEra),
+            (read.era() > self.era(), Proof::LaterEra),
             (
                 entry.sequence > self.reachable_sequence,
                 Proof::UnreachableNumber,
             ),
             (is_settled, Proof::NoWritePending),
             (is_far_behind, Proof::NumbersRestarted),
-            (self.may_have_lapsed && follows_another, Proof::LaterEntry),
+            (is_returning, Proof::WrittenAfterOutage),
+            (is_first, Proof::FirstEntry),
         ];
         if let Some((_, proof)) = proofs.into_iter().find(|(holds, _)| *holds) {
             return Verdict::Alive(proof);
@@ -285,6 +347,30 @@
         Verdict::Unproven
     }
 
+    /// Returns the lowest number of an entry that a living server has written since the read before, if its
+    /// entry may have lapsed while the log was unavailable.
+    fn lowest_returning(&self, report_interval: Duration, read: &ReadContext) -> Option<u64> {
+        let returning_sequence = self.returning_sequence?;
+        let written_after = read.written_after.unwrap_or(self.removed_at);
+        let passed = written_after.saturating_duration_since(self.removed_at);
+        let reports = least_reports(passed, report_interval);
+        Some(returning_sequence.saturating_add(reports))
+    }
+
+    /// Judges the entry of the run that another VM lists as that of a living server, as of the position up
+    /// to which that VM has read.
+    pub(crate) fn judge_told(
+        &mut self,
+        entry: &Entry,
+        report_interval: Duration,
+        read: &ReadContext,
+    ) -> Verdict {
+        match read.position >= self.position {
+            true => Verdict::Alive(Proof::Told),
+            false => self.judge(entry, false, report_interval, read),
+        }
+    }
+
     /// Takes the entry that was read since the removal, if the log is known to have listed it at
     /// `current_at` for longer than it keeps the entry of a silent server.
     pub(crate) fn take_kept(
@@ -298,3 +384,9 @@
         self.candidate.take_if(is_kept).map(|it| it.entry)
     }
 }
+
+/// Returns how many entries a server may write while a write is pending.
+pub(crate) fn entries_per_pending_write(report_interval: Duration) -> u64 {
+    let reports = MAX_WRITE_DELAY.as_secs_f64() / report_interval.as_secs_f64();
+    reports.ceil() as u64 * ENTRIES_PER_REPORT
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -545,6 +545,7 @@
         };
         if was_log_unavailable {
             self.following.disrupted_at.set(Some(now));
+            self.following.unavailable_at.set(Some(now));
         }
         debug!(
             from = end,
@@ -580,33 +581,41 @@
         let read = ReadContext {
             now,
             written_after: self.confirmed_at(Part::Directory, now),
-            era: Position::from_u64(next).era,
+            position: next,
             source,
             is_whole: from.is_none(),
-            was_log_unavailable: self.following.was_recently_disrupted(now),
+            unavailable_at: self.following.recently_unavailable_at(now),
         };
         for change in changes.items {
             let may_be_restored = matches!(change, ServerChange::Restored(_));
+            let is_revived = matches!(change, ServerChange::Revived(_));
             match change {
-                ServerChange::Upserted(entry) | ServerChange::Restored(entry) => {
+                ServerChange::Upserted(entry)
+                | ServerChange::Restored(entry)
+                | ServerChange::Revived(entry) => {
                     let applied = entry.clone();
-                    let entry_change = self.fleet.apply_entry(applied, may_be_restored, &read);
+                    let entry_change = match is_revived {
+                        true => self.fleet.apply_revival(applied, &read),
+                        false => self.fleet.apply_entry(applied, may_be_restored, &read),
+                    };
                     if may_be_restored && self.fleet.server(&entry.id).is_none() {
                         outdated += 1;
                     }
-                    if entry_change == EntryChange::AvailabilityChanged {
+                    if entry_change >= EntryChange::AvailabilityChanged {
                         has_availability_change = true;
                         if listed.len() < MAX_LISTED_LINES {
                             info!(server = %entry.id, state = ?entry.state, "server listed");
                         }
                         listed.push(entry.id.clone());
                     }
-                    if entry_change == EntryChange::AvailabilityChanged {
+                    if entry_change >= EntryChange::AvailabilityChanged {
                         let versions = passed.entry(entry.service.clone()).or_default();
                         versions.insert(entry.software_version.clone());
                     }
-                    if entry_change > EntryChange::Renewed {
-                        to_send.push(ServerChange::Upserted(entry));
+                    match entry_change {
+                        EntryChange::Renewed => {}
+                        EntryChange::Revived => to_send.push(ServerChange::Revived(entry)),
+                        _ => to_send.push(ServerChange::Upserted(entry)),
                     }
                 }
                 ServerChange::Removed(id) => {
@@ -666,11 +675,11 @@
                 verdict = ?judgement.verdict,
                 last_sequence = removal.last_sequence,
                 reachable_sequence = removal.reachable_sequence,
-                may_have_lapsed = removal.may_have_lapsed,
+                returning_sequence = removal.returning_sequence,
                 silence_ms = removal.silence.map(|it| it.as_millis() as u64),
                 removal_age_ms = age.as_millis() as u64,
-                removal_era = removal.era,
-                era = read.era,
+                removal_era = removal.era(),
+                era = read.era(),
                 source = read.source.name(),
                 is_whole = read.is_whole,
                 "entry of a removed server judged"
@@ -797,24 +806,8 @@
 
     /// Learns from the changes before the directory at offset `end` which servers were removed.
     pub(super) fn learn_removals(&self, recent: Vec<ServerChange>, end: u64, now: Instant) {
-        let read = ReadContext {
-            era: Position::from_u64(end).era,
-            is_whole: true,
-            ..ReadContext::at(now)
-        };
-        let past = Fleet::new(self.settings.report_interval);
-        for change in recent {
-            match change {
-                ServerChange::Upserted(entry) => {
-                    past.apply_entry(entry, false, &read);
-                }
-                ServerChange::Removed(id) => {
-                    past.apply_removal(&id, &read);
-                }
-                _ => {}
-            }
-        }
-        let removals = past.recent_removals(now);
+        let unavailable_at = self.following.recently_unavailable_at(now);
+        let removals = self.fleet.past_removals(recent, end, unavailable_at, now);
         if !removals.is_empty() {
             info!(servers = removals.len(), "recent removals read");
         }
@@ -1093,9 +1086,9 @@
         server = %id,
         last_sequence = removal.last_sequence,
         reachable_sequence = removal.reachable_sequence,
-        may_have_lapsed = removal.may_have_lapsed,
+        returning_sequence = removal.returning_sequence,
         silence_ms = removal.silence.map(|it| it.as_millis() as u64),
-        was_log_unavailable = read.was_log_unavailable,
+        was_log_unavailable = read.unavailable_at.is_some(),
         is_whole = read.is_whole,
         "server's entry removed"
     );
--- a/src/gateway/sync_server.rs
+++ b/src/gateway/sync_server.rs
@@ -203,7 +203,7 @@
         let servers = self.state.fleet.servers().into_iter();
         let listed = servers.filter(|server| !server.is_marked_removed());
         let entries = listed.flat_map(|server| {
-            let entry = server.with_entry(|it| ServerChange::Upserted(it.clone()));
+            let entry = server.with_entry(|it| ServerChange::Revived(it.clone()));
             let is_lost = server.is_entry_lost();
             let lost = is_lost.then(|| ServerChange::Lost(server.id.clone()));
             [Some(entry), lost].into_iter().flatten()
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -329,6 +329,7 @@
                 Err(error) => {
                     let failed_at = Instant::now();
                     following.disrupted_at.set(Some(failed_at));
+                    following.unavailable_at.set(Some(began));
                     self.report_failure("directory", error, selector.log_failures());
                     selector.note_log_failure();
                     self.state.reads_log.set(false);
@@ -665,7 +666,9 @@
         let ids: HashSet<&Name> = listed
             .iter()
             .filter_map(|change| match change {
-                ServerChange::Upserted(entry) | ServerChange::Restored(entry) => Some(&entry.id),
+                ServerChange::Upserted(entry)
+                | ServerChange::Restored(entry)
+                | ServerChange::Revived(entry) => Some(&entry.id),
                 ServerChange::Unreadable(id) => Some(id),
                 ServerChange::Removed(_) | ServerChange::RemovedRun(..) | ServerChange::Lost(_) => {
                     None
@@ -807,7 +810,15 @@
         .removals_unknown_ms
         .map_or(MAX_WRITE_DELAY, Duration::from_millis);
     let changes = reply.changes.into_iter();
-    let items: Option<Vec<ServerChange>> = changes.map(ServerUpdate::into_change).collect();
+    // Without removals of its own, the other VM lists whatever it has read.
+    let lists_alive = removals_unknown_for.is_zero();
+    let changes = changes.map(|it| match ServerUpdate::into_change(it)? {
+        ServerChange::Revived(entry) if !lists_alive && reply.is_whole => {
+            Some(ServerChange::Upserted(entry))
+        }
+        change => Some(change),
+    });
+    let items: Option<Vec<ServerChange>> = changes.collect();
     Ok(DirectoryRead {
         changes: Changes {
             items: items.ok_or(StoreError::Garbled)?,
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -319,6 +319,7 @@
         ServerChange::Unreadable(id) => ("unreadable", id.as_str()),
         ServerChange::Removed(id) | ServerChange::RemovedRun(id, _) => ("removed", id.as_str()),
         ServerChange::Restored(entry) => ("restored", entry.id.as_str()),
+        ServerChange::Revived(entry) => ("revived", entry.id.as_str()),
         ServerChange::Lost(id) => ("lost", id.as_str()),
     });
     let expected = [
