A VM that starts asks others which servers are alive

What callers saw: a VM that started after an outage in which entries had lapsed refused them for seconds, although all other VMs used the servers.

Cause: in the log it found removals and later entries, whose numbers prove nothing to a VM that does not know when they were written. The others have a proof, and tell of it only when they find it.

Why this works: the VM asks one that has the directory for it. What that one lists is alive, if it has read past the removal and knows of removals itself.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -776,6 +776,13 @@
         self.has_candidates.get()
     }
 
+    /// Whether an entry of a removed server was read that does not show yet that the server is alive.
+    pub(crate) fn has_candidate(&self, id: &Name) -> bool {
+        let removed_runs = self.removed_runs.borrow();
+        let run = removed_runs.get(id);
+        run.is_some_and(|run| run.removal.candidate().is_some())
+    }
+
     /// Restores removed servers whose later entries the log has listed for so long, as of `current_at`,
     /// that it keeps them alive; returns their ids.
     pub(crate) fn restore_kept(&self, current_at: Instant) -> Vec<Name> {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -468,6 +468,13 @@
         pick(with_state.map(|(address, _)| *address), draw)
     }
 
+    /// Picks a VM of any zone that has the state. `draw` is a random number from 0 to 1.
+    pub(crate) fn any_peer_with_state(&self, draw: f64) -> Option<SocketAddr> {
+        let peer_states = self.peer_states.borrow();
+        let with_state = peer_states.iter().filter(|(_, peer)| peer.has_state);
+        pick(with_state.map(|(address, _)| *address), draw)
+    }
+
     /// What the other VMs state of their configurations.
     pub(crate) fn configurations(&self) -> Vec<PeerConfiguration> {
         let peer_states = self.peer_states.borrow();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -814,6 +814,31 @@
         self.fleet.adopt_removals(removals);
     }
 
+    /// Takes over which servers another VM lists, of those whose entries do not show yet that they are
+    /// alive. `next` is the position up to which that VM has read the directory.
+    pub(super) fn confirm_candidates(&self, listed: Vec<ServerChange>, next: u64, now: Instant) {
+        let read = ReadContext {
+            position: next,
+            source: ChangeSource::Vm,
+            ..ReadContext::at(now)
+        };
+        let mut confirmed = 0;
+        for change in listed {
+            if let ServerChange::Revived(entry) = change
+                && self.fleet.has_candidate(&entry.id)
+            {
+                let change = self.fleet.apply_revival(entry, &read);
+                confirmed += usize::from(change == EntryChange::Revived);
+            }
+        }
+        self.report_judgements(&read);
+        if confirmed > 0 {
+            info!(servers = confirmed, next, "removed servers are alive");
+            self.update_software_versions(ListedVersions::new(), now);
+            self.changed.notify();
+        }
+    }
+
     /// Restores removed servers whose later entries the log keeps.
     fn restore_kept(&self, now: Instant) {
         if !self.fleet.has_candidates() {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -69,6 +69,10 @@
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2_000);
 /// The largest number of changes before the directory that are read when this VM starts.
 const MAX_RECENT_CHANGES: u64 = 4_000;
+/// How long a VM that has started asks others which servers are alive, and the time between two such
+/// requests.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(8_000);
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two checks whether another VM has a configuration that the log lost: one gossip
 /// interval.
 const LOST_CONFIGURATION_POLL: Duration = Duration::from_millis(200);
@@ -219,6 +223,30 @@
         }
     }
 
+    /// After a start, asks other VMs which of the servers are alive whose entries do not show it by
+    /// themselves: the others may have followed the log when the entries were written. Runs until all
+    /// are known, or until the log has shown it.
+    async fn confirm_candidates(self: Rc<Self>) {
+        let began = Instant::now();
+        while self.state.fleet.has_candidates() && began.elapsed() < CONFIRMATION_TIME {
+            if let Some(peer) = self.state.peers.any_peer_with_state(rand::random()) {
+                let part = Part::Directory;
+                let search = PeerSearch::new(peer);
+                let received = self.sync.fetch(part, None, search, CONFIRMATION_TIME).await;
+                // Without removals of its own, the other VM lists whatever it has read.
+                let reply = received.map(|it| it.reply);
+                let reply = reply.filter(|it| it.removals_unknown_ms == Some(0));
+                if let Some(reply) = reply {
+                    let changes = reply.changes.into_iter();
+                    let listed = changes.filter_map(ServerUpdate::into_change).collect();
+                    let now = Instant::now();
+                    self.state.confirm_candidates(listed, reply.next, now);
+                }
+            }
+            compio::time::sleep(CONFIRMATION_INTERVAL).await;
+        }
+    }
+
     /// Reads the configuration from the log; returns it with a time at which it was current.
     pub(super) async fn read_configuration(
         &self,
@@ -587,7 +615,7 @@
 
     /// Applies a read of the directory. If this VM follows the log for its zone, forwards the
     /// relevant changes.
-    fn apply_read(&self, read: DirectoryRead) {
+    fn apply_read(self: &Rc<Self>, read: DirectoryRead) {
         let DirectoryRead {
             mut changes,
             since: from,
@@ -601,7 +629,8 @@
         if is_whole {
             self.state.note_directory_replaced(now);
         }
-        if is_whole && !self.state.is_directory_known.get() {
+        let is_first = is_whole && !self.state.is_directory_known.get();
+        if is_first {
             self.state.learn_removals(recent, changes.next_offset, now);
             let fleet = &self.state.fleet;
             fleet.set_removals_unknown_for(removals_unknown_for, now);
@@ -626,6 +655,9 @@
         let (relevant, has_availability_change) = self
             .state
             .apply_directory_changes(changes, from, source, now);
+        if is_first && self.state.fleet.has_candidates() {
+            compio::runtime::spawn(self.clone().confirm_candidates()).detach();
+        }
         let following = &self.state.following;
         following.directory_end.set(Some(next));
         let before = following.directory.get();
--- a/workbench/tests/site_late_reports.rs
+++ b/workbench/tests/site_late_reports.rs
@@ -728,3 +728,9 @@
 fn servers_are_back_at_vms_that_start_in_an_outage() {
     expect_return_after_outage(VmFault::KillAllInTurn, 6.0);
 }
+
+/// Guards against a VM that starts after an outage and does not take over what the others know.
+#[googletest::test]
+fn servers_are_back_at_a_vm_that_starts_after_an_outage() {
+    expect_return_after_outage(VmFault::KillOne, 12.6);
+}
