A late entry that another late write may have renewed does not count as kept

What callers would see: of a server that left, two reports were executed late; the log had no record of the second one, and listed the entry for seven intervals. The server got requests again.

Cause: pending writes renew an entry in silence until 8 s after the removal.

Why this works: an entry is known to be kept only four intervals after that time.

--- a/src/gateway/removal.rs
+++ b/src/gateway/removal.rs
@@ -395,9 +395,13 @@
         current_at: Instant,
         report_interval: Duration,
     ) -> Option<Entry> {
-        let kept_for = report_interval * KEPT_INTERVALS;
-        let is_kept =
-            |it: &mut Candidate| current_at.saturating_duration_since(it.read_at) >= kept_for;
+        // Until then, pending writes may have renewed the entry.
+        let renewed_by = self.removed_at + MAX_WRITE_DELAY;
+        let expires_by = renewed_by + report_interval * (EXPIRY_INTERVALS + 1);
+        let is_kept = |it: &mut Candidate| {
+            let kept_by = it.read_at + report_interval * KEPT_INTERVALS;
+            current_at >= kept_by.max(expires_by)
+        };
         self.candidate.take_if(is_kept).map(|it| it.entry)
     }
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -33,6 +33,7 @@
 mod quotas;
 mod reachability;
 mod removal;
+mod removal_histories;
 mod restored_log;
 mod return_play;
 mod runner_load;
--- /dev/null
+++ b/src/gateway/tests/removal_histories.rs
@@ -0,0 +1,232 @@
+//! Histories of reports, late writes, outages, lapses and removals, as a VM reads them from the log.
+
+use crate::gateway::fleet::{Entry, Fleet, ServerState};
+use crate::gateway::removal::ReadContext;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::ops::Range;
+use std::time::{Duration, Instant};
+
+const INTERVAL_S: f64 = 1.2;
+/// How long the store keeps the entry of a silent server.
+const EXPIRY_S: f64 = 3.0 * INTERVAL_S;
+/// How much longer it may keep a late one.
+const EXTRA_EXPIRY_S: Range<f64> = 0.0..0.6;
+/// By how much the store may execute a write late.
+const DELAY_S: Range<f64> = 1.0..6.0;
+/// The time between two reads, and between two that fail.
+const READ_INTERVAL_S: f64 = 0.5;
+const RETRY_INTERVAL_S: f64 = 1.0;
+const END_S: f64 = 60.0;
+/// After a gap between two reads of this length, a removal may be a lapse.
+const LAPSE_GAP_S: f64 = 2.0 * INTERVAL_S;
+/// By when a server is listed again that the store lists all along: the delay of a write, four intervals
+/// and two reads.
+const RETURN_S: f64 = 8.0 + 4.0 * INTERVAL_S + 2.0 * READ_INTERVAL_S;
+/// The same after an outage in which no report was late.
+const RETURN_AFTER_OUTAGE_S: f64 = 2.0;
+
+/// What happens in one history.
+#[derive(Clone, Debug)]
+struct History {
+    /// When the entry of the server is removed since it leaves; never if it stays.
+    leaves_at_s: Option<f64>,
+    /// When the log refuses calls.
+    outage_s: Range<f64>,
+    /// The share of reports that are executed late, and of those that are never executed.
+    late_share: f64,
+    lost_share: f64,
+    /// Whether the log has no record of a report in which only the number is new.
+    is_sparse: bool,
+    seed: u64,
+}
+
+/// A change of what the store lists: the number of the entry, or `None` for a removal.
+type Change = (f64, Option<u64>);
+
+/// The changes that the store makes, in order.
+fn changes(history: &History) -> Vec<Change> {
+    let mut random = StdRng::seed_from_u64(history.seed);
+    let mut executed = vec![(0.0, 1)];
+    let reports = (END_S / INTERVAL_S) as u64;
+    for report in 1..reports {
+        let sent_at = report as f64 * INTERVAL_S + random.random_range(-0.1..0.1);
+        if history.leaves_at_s.is_some_and(|leaves| sent_at >= leaves) {
+            break;
+        }
+        let is_late = random.random_bool(history.late_share);
+        let is_lost = random.random_bool(history.lost_share);
+        let is_down = history.outage_s.contains(&sent_at);
+        let delay = random.random_range(DELAY_S);
+        match (is_late, is_lost || is_down) {
+            (true, _) => executed.push((sent_at + delay, report + 1)),
+            (false, true) => {}
+            (false, false) => executed.push((sent_at, report + 1)),
+        }
+    }
+    executed.sort_by(|(left, _), (right, _)| left.total_cmp(right));
+    let mut changes: Vec<Change> = Vec::new();
+    let mut lapses_at = f64::INFINITY;
+    let mut leaves_at = history.leaves_at_s;
+    let is_listed = |changes: &Vec<Change>| changes.last().is_some_and(|(_, it)| it.is_some());
+    let ends = executed.into_iter().map(|(at, number)| (at, Some(number)));
+    for (at, number) in ends.chain([(END_S, None)]) {
+        let left_at = leaves_at.filter(|leaves| *leaves < at);
+        for removed_at in [lapses_at.min(left_at.unwrap_or(f64::INFINITY)), lapses_at] {
+            if removed_at < at && is_listed(&changes) {
+                changes.push((removed_at, None));
+            }
+        }
+        leaves_at = leaves_at.filter(|leaves| *leaves >= at);
+        let has_left = history.leaves_at_s.is_some() && leaves_at.is_none();
+        let extra = if has_left {
+            random.random_range(EXTRA_EXPIRY_S)
+        } else {
+            0.0
+        };
+        lapses_at = at + EXPIRY_S + extra;
+        if number.is_some() && (!history.is_sparse || !is_listed(&changes)) {
+            changes.push((at, number));
+        }
+    }
+    changes
+}
+
+fn entry(sequence: u64) -> Entry {
+    Entry {
+        id: "i-1".into(),
+        started_ms: 0,
+        sequence,
+        service: "s".into(),
+        software_version: "v1".into(),
+        address: "10.1.0.9:1".parse().expect("an address"),
+        availability_zone: "a".into(),
+        slots: 4,
+        state: ServerState::Ready,
+        holdings: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+/// Plays a history at a VM that reads the log; checks after each read what the VM lists.
+fn play(history: &History) -> Result<(), TestCaseError> {
+    let changes = changes(history);
+    let fleet = Fleet::new(Some(Duration::from_secs_f64(INTERVAL_S)));
+    let began = Instant::now();
+    let time = |seconds: f64| began + Duration::from_secs_f64(seconds + 1.0);
+    let mut next = 0;
+    // The VM was there before the server.
+    let mut last_read = Some(-READ_INTERVAL_S);
+    let mut failed_at = None;
+    // Since when the server has left, as the VM can know.
+    let mut is_gone = false;
+    let mut at = 0.01;
+    while at < END_S {
+        if history.outage_s.contains(&at) {
+            failed_at = Some(at);
+            at += RETRY_INTERVAL_S;
+            continue;
+        }
+        let read = ReadContext {
+            written_after: last_read.map(time),
+            unavailable_at: failed_at.filter(|failed| at - failed < 4.0).map(time),
+            ..ReadContext::at(time(at))
+        };
+        let gap = at - last_read.unwrap_or(at);
+        while let Some((_, number)) = changes.get(next).filter(|(done, _)| *done < at) {
+            match number {
+                Some(number) => drop(fleet.apply_entry(entry(*number), false, &read)),
+                None => {
+                    let removal = fleet.apply_removal(&"i-1".into(), &read);
+                    let has_left = history.leaves_at_s.is_some_and(|leaves| leaves < at);
+                    is_gone |=
+                        has_left && (gap < LAPSE_GAP_S || removal.returning_sequence.is_none());
+                    fleet.purge_removed(Duration::ZERO, read.now);
+                }
+            }
+            next += 1;
+        }
+        fleet.restore_kept(read.now);
+        let is_listed = fleet
+            .server("i-1")
+            .is_some_and(|it| !it.is_marked_removed());
+        prop_assert!(!(is_gone && is_listed), "listed at {at:.2}: {changes:?}");
+        let (since, number) = changes[next - 1];
+        if history.leaves_at_s.is_none() && number.is_some() {
+            let first = changes[..next]
+                .iter()
+                .rev()
+                .take_while(|(_, it)| it.is_some());
+            let listed_since = first.last().map_or(since, |(at, _)| *at);
+            let regained_at = history.outage_s.end + RETRY_INTERVAL_S;
+            let is_calm = history.late_share + history.lost_share == 0.0;
+            let limit = if is_calm {
+                RETURN_AFTER_OUTAGE_S
+            } else {
+                RETURN_S
+            };
+            let is_due = at > listed_since.max(regained_at) + limit;
+            prop_assert!(is_listed || !is_due, "not listed at {at:.2}: {changes:?}");
+        }
+        last_read = Some(at);
+        at += READ_INTERVAL_S;
+    }
+    Ok(())
+}
+
+fn any_history() -> impl Strategy<Value = History> {
+    let leaving = prop::option::weighted(0.7, 12.0..35.0);
+    let outage = (5.0..35.0, 4.0..10.0, any::<bool>());
+    let shares = (0.0..0.3, 0.0..0.2, prop::bool::weighted(0.2));
+    (leaving, outage, shares, any::<bool>(), any::<u64>()).prop_map(
+        |(leaves_at_s, (from, length, has_outage), (late, lost, is_calm), is_sparse, seed)| {
+            let length = if has_outage { length } else { 0.0 };
+            let share = if is_calm { 0.0 } else { 1.0 };
+            History {
+                leaves_at_s,
+                outage_s: from..from + length,
+                late_share: late * share,
+                lost_share: lost * share,
+                is_sparse,
+                seed,
+            }
+        },
+    )
+}
+
+/// Guards against a removal that counts as that of before, although the server was alive in between, and
+/// against a late entry that another late write renews.
+#[test]
+fn a_server_that_left_stays_out_in_histories_that_once_revived_it() {
+    for (leaves_at_s, lost_share, seed) in [
+        (12.0, 0.225_431_268_013_651_04, 8_650_156_097_188_396_769),
+        (34.969_949_494_586_41, 0.0, 6_621_807_776_043_559_674),
+    ] {
+        let history = History {
+            leaves_at_s: Some(leaves_at_s),
+            outage_s: 5.0..5.0,
+            late_share: 0.374_655_153_328_069_6,
+            lost_share,
+            is_sparse: true,
+            seed,
+        };
+        play(&history).expect("the history passes");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(8_031),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a server that is used after it left, and against a living one that stays out.
+    #[test]
+    fn servers_that_left_stay_out_and_living_ones_are_back_in_time(history in any_history()) {
+        play(&history)?;
+    }
+}
