--- a/src/gateway/tests/removal.rs
+++ b/src/gateway/tests/removal.rs
@@ -18,7 +18,8 @@
 /// The time between two reads of the directory.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
-fn entry(sequence: u64) -> Entry {
+/// An entry of a server with a number.
+pub(super) fn entry(sequence: u64) -> Entry {
     Entry {
         id: SERVER.into(),
         started_ms: 0,
--- a/src/gateway/tests/removal_histories.rs
+++ b/src/gateway/tests/removal_histories.rs
@@ -1,7 +1,8 @@
 //! Histories of reports, late writes, outages, lapses and removals, as a VM reads them from the log.
 
-use crate::gateway::fleet::{Entry, Fleet, ServerState};
+use crate::gateway::fleet::Fleet;
 use crate::gateway::removal::ReadContext;
+use crate::gateway::tests::removal::entry;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
@@ -12,8 +13,6 @@
 const INTERVAL_S: f64 = 1.2;
 /// How long the store keeps the entry of a silent server.
 const EXPIRY_S: f64 = 3.0 * INTERVAL_S;
-/// How much longer it may keep a late one.
-const EXTRA_EXPIRY_S: Range<f64> = 0.0..0.6;
 /// By how much the store may execute a write late.
 const DELAY_S: Range<f64> = 1.0..6.0;
 /// The time between two reads, and between two that fail.
@@ -22,12 +21,42 @@
 const END_S: f64 = 60.0;
 /// After a gap between two reads of this length, a removal may be a lapse.
 const LAPSE_GAP_S: f64 = 2.0 * INTERVAL_S;
-/// By when a server is listed again that the store lists all along: the delay of a write, four intervals
-/// and two reads.
-const RETURN_S: f64 = 8.0 + 4.0 * INTERVAL_S + 2.0 * READ_INTERVAL_S;
 /// The same after an outage in which no report was late.
 const RETURN_AFTER_OUTAGE_S: f64 = 2.0;
 
+/// What histories may hold, and what is expected of them.
+#[derive(Clone, Debug)]
+struct Limits {
+    /// The largest share of reports that are executed late, and of those that are never executed.
+    max_late_share: f64,
+    max_lost_share: f64,
+    /// How much longer the store may keep a late entry than that of a silent server.
+    extra_expiry_s: Range<f64>,
+    /// By when a server is listed again that the store lists all along.
+    return_s: f64,
+    /// Whether the VM was there before the server.
+    is_vm_earlier: bool,
+}
+
+/// Late reports as the platform states them. A server is back after the delay of a write, four intervals
+/// and two reads.
+const USUAL: Limits = Limits {
+    max_late_share: 0.3,
+    max_lost_share: 0.2,
+    extra_expiry_s: 0.0..0.6,
+    return_s: 8.0 + 4.0 * INTERVAL_S + 2.0 * READ_INTERVAL_S,
+    is_vm_earlier: true,
+};
+/// More late reports, a store that is late to remove entries, and a VM that starts after the server. A server
+/// is back after seven intervals and two reads.
+const WIDE: Limits = Limits {
+    max_late_share: 0.5,
+    max_lost_share: 0.3,
+    extra_expiry_s: 0.0..4.4,
+    return_s: 7.0 * INTERVAL_S + 2.0 * READ_INTERVAL_S,
+    is_vm_earlier: false,
+};
+
 /// What happens in one history.
 #[derive(Clone, Debug)]
 struct History {
@@ -47,7 +76,7 @@
 type Change = (f64, Option<u64>);
 
 /// The changes that the store makes, in order.
-fn changes(history: &History) -> Vec<Change> {
+fn changes(history: &History, limits: &Limits) -> Vec<Change> {
     let mut random = StdRng::seed_from_u64(history.seed);
     let mut executed = vec![(0.0, 1)];
     let reports = (END_S / INTERVAL_S) as u64;
@@ -82,7 +111,7 @@
         leaves_at = leaves_at.filter(|leaves| *leaves >= at);
         let has_left = history.leaves_at_s.is_some() && leaves_at.is_none();
         let extra = if has_left {
-            random.random_range(EXTRA_EXPIRY_S)
+            random.random_range(limits.extra_expiry_s.clone())
         } else {
             0.0
         };
@@ -94,32 +123,14 @@
     changes
 }
 
-fn entry(sequence: u64) -> Entry {
-    Entry {
-        id: "i-1".into(),
-        started_ms: 0,
-        sequence,
-        service: "s".into(),
-        software_version: "v1".into(),
-        address: "10.1.0.9:1".parse().expect("an address"),
-        availability_zone: "a".into(),
-        slots: 4,
-        state: ServerState::Ready,
-        holdings: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
-    }
-}
-
 /// Plays a history at a VM that reads the log; checks after each read what the VM lists.
-fn play(history: &History) -> Result<(), TestCaseError> {
-    let changes = changes(history);
+fn play(history: &History, limits: &Limits) -> Result<(), TestCaseError> {
+    let changes = changes(history, limits);
     let fleet = Fleet::new(Some(Duration::from_secs_f64(INTERVAL_S)));
     let began = Instant::now();
     let time = |seconds: f64| began + Duration::from_secs_f64(seconds + 1.0);
     let mut next = 0;
-    // The VM was there before the server.
-    let mut last_read = Some(-READ_INTERVAL_S);
+    let mut last_read = limits.is_vm_earlier.then_some(-READ_INTERVAL_S);
     let mut failed_at = None;
     // Since when the server has left, as the VM can know.
     let mut is_gone = false;
@@ -166,7 +177,7 @@
             let limit = if is_calm {
                 RETURN_AFTER_OUTAGE_S
             } else {
-                RETURN_S
+                limits.return_s
             };
             let is_due = at > listed_since.max(regained_at) + limit;
             prop_assert!(is_listed || !is_due, "not listed at {at:.2}: {changes:?}");
@@ -177,10 +188,14 @@
     Ok(())
 }
 
-fn any_history() -> impl Strategy<Value = History> {
+fn any_history(limits: &Limits) -> impl Strategy<Value = History> + use<> {
     let leaving = prop::option::weighted(0.7, 12.0..35.0);
     let outage = (5.0..35.0, 4.0..10.0, any::<bool>());
-    let shares = (0.0..0.3, 0.0..0.2, prop::bool::weighted(0.2));
+    let shares = (
+        0.0..limits.max_late_share,
+        0.0..limits.max_lost_share,
+        prop::bool::weighted(0.2),
+    );
     (leaving, outage, shares, any::<bool>(), any::<u64>()).prop_map(
         |(leaves_at_s, (from, length, has_outage), (late, lost, is_calm), is_sparse, seed)| {
             let length = if has_outage { length } else { 0.0 };
@@ -213,10 +228,38 @@
             is_sparse: true,
             seed,
         };
-        play(&history).expect("the history passes");
+        play(&history, &USUAL).expect("the history passes");
     }
 }
 
+/// Guards against a server of which every report that the VM read was late, or the only one whose time it
+/// knows.
+#[test]
+fn a_server_that_left_stays_out_although_the_reports_that_were_read_were_late() {
+    let limits = Limits {
+        is_vm_earlier: false,
+        ..USUAL
+    };
+    let mostly_late = History {
+        leaves_at_s: Some(14.770_843_453_518_953),
+        outage_s: 5.0..5.0,
+        late_share: 0.493_395_877_295_011_44,
+        lost_share: 0.269_548_795_535_335_3,
+        is_sparse: false,
+        seed: 5_033_390_923_716_403_430,
+    };
+    let late_after_outage = History {
+        leaves_at_s: Some(34.601_266_857_517_53),
+        outage_s: 19.349_393_210_717_81..28.190_626_038_522_595,
+        late_share: 0.237_058_630_788_470_61,
+        lost_share: 0.181_699_293_410_697_7,
+        is_sparse: true,
+        seed: 9_922_977_940_089_667_761,
+    };
+    let outcomes = [mostly_late, late_after_outage].map(|history| play(&history, &limits));
+    assert!(outcomes.iter().all(Result::is_ok), "{outcomes:?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 4_000,
@@ -226,7 +269,23 @@
 
     /// Guards against a server that is used after it left, and against a living one that stays out.
     #[test]
-    fn servers_that_left_stay_out_and_living_ones_are_back_in_time(history in any_history()) {
-        play(&history)?;
+    fn servers_that_left_stay_out_and_living_ones_are_back_in_time(history in any_history(&USUAL)) {
+        play(&history, &USUAL)?;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400_000,
+        rng_seed: RngSeed::Fixed(77),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against the same where most reports are late or lost, and at a VM that does not know when the
+    /// first entry was written.
+    #[test]
+    fn servers_stay_out_or_are_back_in_time_whatever_is_late_or_lost(history in any_history(&WIDE)) {
+        play(&history, &WIDE)?;
     }
 }
--- a/workbench/tests/site_late_reports.rs
+++ b/workbench/tests/site_late_reports.rs
@@ -19,8 +19,6 @@
 const REPORT_INTERVAL_S: f64 = 1.2;
 /// After how many intervals of silence the store removes an entry.
 const EXPIRY_INTERVALS: f64 = 3.0;
-/// The number of reports of a server before the play: it has been up for a while.
-const EARLIER_REPORTS: u64 = 50;
 /// How long VMs may take to send no more requests to a server that has left.
 const DRAIN_S: f64 = 2.0;
 /// When the server that lapsed was heard last, and when it reports again.
@@ -97,6 +95,10 @@
     killed_at_s: f64,
     /// Whether the server that lapsed starts again before it reports again.
     is_restarted: bool,
+    /// The number of reports of each server before the play.
+    earlier_reports: u64,
+    /// Whether the server that lapses counts the reports that do not reach the store.
+    counts_lost_reports: bool,
 }
 
 impl Default for Play {
@@ -117,6 +119,8 @@
             vm_fault: VmFault::Nothing,
             killed_at_s: 7.5,
             is_restarted: false,
+            earlier_reports: 50,
+            counts_lost_reports: true,
         }
     }
 }
@@ -206,8 +210,11 @@
                 true => "draining",
                 false => "ready",
             };
-            steps.push((at, Step::Send(server, state, index)));
-            if let Some(done) = play.executed_at(server, at, &mut random) {
+            let executed_at = play.executed_at(server, at, &mut random);
+            if executed_at.is_some() || server != LAPSING || play.counts_lost_reports {
+                steps.push((at, Step::Send(server, state, index)));
+            }
+            if let Some(done) = executed_at {
                 steps.push((done, Step::Execute(server, index)));
                 executed.push(done);
             }
@@ -309,7 +316,7 @@
         if !play.states_start {
             server.hide_start();
         }
-        (0..EARLIER_REPORTS).for_each(|_| drop(server.entry("ready")));
+        (0..play.earlier_reports).for_each(|_| drop(server.entry("ready")));
         site.put_entry(server, "ready");
     }
     site.configure(
@@ -734,3 +741,24 @@
 fn servers_are_back_at_a_vm_that_starts_after_an_outage() {
     expect_return_after_outage(VmFault::KillOne, 12.6);
 }
+
+/// Guards against a server that stays out after it started again under its id, when it had been up for a few
+/// reports only and entries do not say when runs started.
+#[googletest::test]
+fn a_young_server_that_starts_again_without_a_start_time_is_back_in_time() {
+    expect_no_late_requests(Play {
+        states_start: false,
+        is_restarted: true,
+        earlier_reports: 0,
+        ..Play::default()
+    });
+}
+
+/// Guards against a server that stays out after it stood still, so that its numbers did not go on.
+#[googletest::test]
+fn a_lapsed_server_whose_numbers_stood_still_is_back_in_time() {
+    expect_no_late_requests(Play {
+        counts_lost_reports: false,
+        ..Play::default()
+    });
+}
